--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,16 @@
+//! Small stand-ins for the systems that onyxfall meets: scaffolding for tests,
+//! the try-out and experiments, not part of the product.
+//!
+//! Each stand-in listens on loopback and takes its faults through a shared
+//! handle, or over HTTP at `/fake/control` when it runs in another process.
+
+mod engine;
+mod link;
+mod platform;
+mod service;
+mod slots;
+
+pub use engine::{EngineFaults, EngineSettings, FakeEngine};
+pub use link::{FakeLink, LinkRules};
+pub use platform::{FakePlatform, PlatformFaults};
+pub use service::{FakeService, ServiceFaults, ServiceSettings};
--- /dev/null
+++ b/crates/fakes/src/service.rs
@@ -0,0 +1,177 @@
+//! Stand-in of a plain service that counts its runs by request id.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use onyxfall_http::{HttpLimits, HttpReply, HttpRequest, HttpServer, Responder};
+use onyxfall_types::ByteSize;
+use parking_lot::Mutex;
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::slots::SlotGate;
+
+const BODY_LIMIT: ByteSize = ByteSize::new(1024 * 1024);
+
+/// How a service behaves.
+#[derive(Clone, Debug)]
+pub struct ServiceSettings {
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Time for one request.
+    pub work: Duration,
+    /// Its life.
+    pub incarnation: u64,
+}
+
+impl Default for ServiceSettings {
+    fn default() -> Self {
+        Self {
+            slots: 16,
+            work: Duration::from_millis(10),
+            incarnation: 1,
+        }
+    }
+}
+
+/// Faults that can be set while a service runs.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct ServiceFaults {
+    /// Runs the request, then drops the connection without an answer.
+    pub drop_answer: bool,
+    /// Refuses with 429 before running.
+    pub refusing: bool,
+    /// Refuses and says in its report that it leaves.
+    pub draining: bool,
+}
+
+#[derive(Default)]
+struct ServiceState {
+    faults: ServiceFaults,
+    runs: BTreeMap<String, u64>,
+}
+
+struct ServiceShared {
+    settings: ServiceSettings,
+    gate: Arc<SlotGate>,
+    state: Mutex<ServiceState>,
+}
+
+/// A running service.
+pub struct FakeService {
+    server: HttpServer,
+    shared: Arc<ServiceShared>,
+}
+
+impl FakeService {
+    /// Starts a service.
+    ///
+    /// # Errors
+    ///
+    /// The listener cannot be used.
+    pub fn start(listener: TcpListener, settings: ServiceSettings) -> io::Result<Self> {
+        let shared = Arc::new(ServiceShared {
+            settings,
+            gate: Arc::default(),
+            state: Mutex::default(),
+        });
+        let handler_shared = Arc::clone(&shared);
+        let server = HttpServer::start(
+            listener,
+            HttpLimits::default(),
+            move |request, responder| {
+                handle(&handler_shared, request, responder);
+            },
+        )?;
+        Ok(Self { server, shared })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Changes the faults.
+    pub fn set_faults(&self, faults: ServiceFaults) {
+        self.shared.state.lock().faults = faults;
+    }
+
+    /// Runs, by request id.
+    pub fn runs(&self) -> BTreeMap<String, u64> {
+        self.shared.state.lock().runs.clone()
+    }
+}
+
+fn handle(shared: &Arc<ServiceShared>, mut request: HttpRequest, responder: Responder) {
+    let send = |responder: Responder, status, body: serde_json::Value| {
+        let _ = responder.reply(HttpReply::full(
+            status,
+            "application/json",
+            body.to_string(),
+        ));
+    };
+    let faults = shared.state.lock().faults.clone();
+    match request.path() {
+        "/load" => {
+            let load = shared.gate.load();
+            let report = json!({
+                "incarnation": shared.settings.incarnation,
+                "running": load.running,
+                "queued": load.queued,
+                "slots": shared.settings.slots,
+                "draining": faults.draining,
+            });
+            return send(responder, 200, report);
+        }
+        "/fake/control" => {
+            let body = request.read_body(BODY_LIMIT).unwrap_or_default();
+            return match serde_json::from_slice(&body) {
+                Ok(faults) => {
+                    shared.state.lock().faults = faults;
+                    send(responder, 200, json!({}));
+                }
+                Err(e) => send(responder, 400, json!({"error": e.to_string()})),
+            };
+        }
+        "/fake/runs" => {
+            let runs = json!(shared.state.lock().runs);
+            return send(responder, 200, runs);
+        }
+        _ => {}
+    }
+    if faults.refusing || faults.draining {
+        return send(responder, 429, json!({"error": "refusing"}));
+    }
+    let body = request.read_body(BODY_LIMIT).unwrap_or_default();
+    let id = request
+        .header("onyxfall-request-id")
+        .unwrap_or("")
+        .to_owned();
+    let Some(_slot) = shared.gate.take(shared.settings.slots, 5, || false) else {
+        return;
+    };
+    let count = {
+        let mut state = shared.state.lock();
+        let count = state.runs.entry(id.clone()).or_default();
+        *count += 1;
+        *count
+    };
+    std::thread::sleep(shared.settings.work);
+    if shared.state.lock().faults.drop_answer {
+        drop(request);
+        if let Ok(stream) = responder.stream(HttpReply::stream(200, "application/json")) {
+            drop(stream);
+        }
+        return;
+    }
+    let path = request.path().to_owned();
+    send(
+        responder,
+        200,
+        json!({"id": id, "count": count, "path": path, "length": body.len()}),
+    );
+}
--- /dev/null
+++ b/crates/fakes/src/slots.rs
@@ -0,0 +1,80 @@
+//! Slots of a stand-in server: requests wait in order of priority.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::{Condvar, Mutex};
+
+#[derive(Default)]
+struct SlotState {
+    running: u32,
+    next: u64,
+    waiting: BTreeSet<(u8, u64)>,
+}
+
+/// A counter of slots with a priority queue before it.
+#[derive(Default)]
+pub(crate) struct SlotGate {
+    state: Mutex<SlotState>,
+    freed: Condvar,
+}
+
+/// Running and waiting requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct SlotLoad {
+    pub(crate) running: u32,
+    pub(crate) queued: u32,
+}
+
+impl SlotGate {
+    /// Takes a slot, waiting for it; `None` once `given_up` says so.
+    pub(crate) fn take(
+        self: &Arc<Self>,
+        slots: u32,
+        priority: u8,
+        given_up: impl Fn() -> bool,
+    ) -> Option<SlotHold> {
+        const LOOK: Duration = Duration::from_millis(20);
+        let mut state = self.state.lock();
+        let key = (priority, state.next);
+        state.next += 1;
+        state.waiting.insert(key);
+        loop {
+            if given_up() {
+                state.waiting.remove(&key);
+                return None;
+            }
+            if state.running < slots && state.waiting.first() == Some(&key) {
+                state.waiting.remove(&key);
+                state.running += 1;
+                self.freed.notify_all();
+                return Some(SlotHold {
+                    gate: Arc::clone(self),
+                });
+            }
+            self.freed.wait_for(&mut state, LOOK);
+        }
+    }
+
+    pub(crate) fn load(&self) -> SlotLoad {
+        let state = self.state.lock();
+        let queued = u32::try_from(state.waiting.len()).unwrap_or(u32::MAX);
+        SlotLoad {
+            running: state.running,
+            queued,
+        }
+    }
+}
+
+/// A slot in use.
+pub(crate) struct SlotHold {
+    gate: Arc<SlotGate>,
+}
+
+impl Drop for SlotHold {
+    fn drop(&mut self) {
+        self.gate.state.lock().running -= 1;
+        self.gate.freed.notify_all();
+    }
+}
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,325 @@
+//! The listener, its limits and its planned stop.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use onyxfall_types::ByteSize;
+use tokio::runtime::{Handle, Runtime};
+use tokio::sync::{oneshot, watch};
+
+use crate::cancel::CancelToken;
+use crate::reply::{CancelOnDrop, EdgeBody, HttpReply, ReplyBody, Responder};
+use crate::request::HttpRequest;
+
+/// Stack of a handler thread.
+const HANDLER_STACK: usize = 256 * 1024;
+/// Pause after a failed accept (out of descriptors), so that it does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Least buffer that `hyper` accepts for a request head.
+const MIN_HEAD_BYTES: usize = 8192;
+
+/// Limits of a listener; every one is enforced by an answer or a close.
+#[derive(Clone)]
+pub struct HttpLimits {
+    /// Connections open at once; more are closed on accept.
+    pub max_connections: usize,
+    /// Requests handled at once; more get [`Self::overload_reply`].
+    pub max_requests: usize,
+    /// Largest request head.
+    pub max_head: ByteSize,
+    /// Time for a request head to come, idle time between requests included.
+    pub head_timeout: Duration,
+    /// Time for a body to come.
+    pub body_timeout: Duration,
+    /// Time for which a caller may leave a streamed answer unread.
+    pub stall_timeout: Duration,
+    /// Threads that drive connections.
+    pub io_threads: usize,
+    /// Answer when `max_requests` are being handled.
+    pub overload_reply: fn() -> HttpReply,
+}
+
+impl Default for HttpLimits {
+    fn default() -> Self {
+        Self {
+            max_connections: 4096,
+            max_requests: 1024,
+            max_head: ByteSize::new(16 * 1024),
+            head_timeout: Duration::from_mins(1),
+            body_timeout: Duration::from_secs(30),
+            stall_timeout: Duration::from_secs(30),
+            io_threads: 2,
+            overload_reply: default_overload,
+        }
+    }
+}
+
+fn default_overload() -> HttpReply {
+    HttpReply::full(503, "text/plain", "too many requests at once\n")
+        .with_header("retry-after", "1")
+}
+
+type HandlerFn = dyn Fn(HttpRequest, Responder) + Send + Sync;
+
+struct ServerShared {
+    limits: HttpLimits,
+    handler: Box<HandlerFn>,
+    handle: Handle,
+    connections: AtomicUsize,
+    requests: AtomicUsize,
+}
+
+/// A listening server.
+pub struct HttpServer {
+    address: SocketAddr,
+    shared: Arc<ServerShared>,
+    stop: watch::Sender<bool>,
+    done: Option<oneshot::Receiver<()>>,
+    runtime: Option<Runtime>,
+}
+
+impl HttpServer {
+    /// Serves `listener` with `handler` until [`Self::shutdown`] or drop.
+    ///
+    /// # Errors
+    ///
+    /// The runtime or the listener could not be set up.
+    ///
+    /// ```
+    /// use onyxfall_http::{HttpLimits, HttpReply, HttpServer};
+    /// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    /// let server = HttpServer::start(listener, HttpLimits::default(), |_request, responder| {
+    ///     let _ = responder.reply(HttpReply::full(200, "text/plain", "hello"));
+    /// })
+    /// .unwrap();
+    /// assert_ne!(server.address().port(), 0);
+    /// ```
+    pub fn start(
+        listener: TcpListener,
+        limits: HttpLimits,
+        handler: impl Fn(HttpRequest, Responder) + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        let address = listener.local_addr()?;
+        listener.set_nonblocking(true)?;
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(limits.io_threads)
+            .thread_name("http-io")
+            .enable_all()
+            .build()?;
+        let shared = Arc::new(ServerShared {
+            limits,
+            handler: Box::new(handler),
+            handle: runtime.handle().clone(),
+            connections: AtomicUsize::new(0),
+            requests: AtomicUsize::new(0),
+        });
+        let listener = {
+            let _guard = runtime.enter();
+            tokio::net::TcpListener::from_std(listener)?
+        };
+        let (stop, stop_seen) = watch::channel(false);
+        let (done_sender, done) = oneshot::channel();
+        let accept_shared = Arc::clone(&shared);
+        runtime.spawn(async move {
+            accept_loop(listener, accept_shared, stop_seen).await;
+            let _ = done_sender.send(());
+        });
+        Ok(Self {
+            address,
+            shared,
+            stop,
+            done: Some(done),
+            runtime: Some(runtime),
+        })
+    }
+
+    /// Address that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Requests being handled now.
+    pub fn open_requests(&self) -> usize {
+        self.shared.requests.load(Ordering::SeqCst)
+    }
+
+    /// Closes the listener, lets open answers finish for at most `bound`, and
+    /// returns how many were cut off.
+    pub fn shutdown(mut self, bound: Duration) -> usize {
+        let _ = self.stop.send(true);
+        if let (Some(done), Some(runtime)) = (self.done.take(), &self.runtime) {
+            let _ = runtime.block_on(async { tokio::time::timeout(bound, done).await });
+        }
+        self.open_requests()
+    }
+}
+
+impl Drop for HttpServer {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+async fn accept_loop(
+    listener: tokio::net::TcpListener,
+    shared: Arc<ServerShared>,
+    mut stop: watch::Receiver<bool>,
+) {
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.changed() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => serve_connection(stream, &shared, &graceful),
+            Err(e) => {
+                log::warn!("accept failed: {e}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn serve_connection(
+    stream: tokio::net::TcpStream,
+    shared: &Arc<ServerShared>,
+    graceful: &GracefulShutdown,
+) {
+    let open = Occupied::new(shared, |shared| &shared.connections);
+    if open.count > shared.limits.max_connections {
+        log::warn!(
+            "connection closed: {} are open",
+            shared.limits.max_connections
+        );
+        return;
+    }
+    let _ = stream.set_nodelay(true);
+    let service_shared = Arc::clone(shared);
+    let service = service_fn(move |request| {
+        let shared = Arc::clone(&service_shared);
+        async move { Ok::<_, Infallible>(answer(request, shared).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(shared.limits.head_timeout)
+        .max_buf_size(shared.limits.max_head.as_usize().max(MIN_HEAD_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let watched = graceful.watch(connection);
+    tokio::spawn(async move {
+        let _open = open;
+        if let Err(e) = watched.await {
+            log::debug!("connection ended: {e}");
+        }
+    });
+}
+
+async fn answer(request: Request<Incoming>, shared: Arc<ServerShared>) -> Response<EdgeBody> {
+    let open = Occupied::new(&shared, |shared| &shared.requests);
+    if open.count > shared.limits.max_requests {
+        return into_response((shared.limits.overload_reply)(), None);
+    }
+    let cancel = CancelToken::new();
+    let mut guard = CancelOnDrop::new(cancel.clone());
+    let (sender, receiver) = oneshot::channel();
+    let (head, body) = request.into_parts();
+    let request = HttpRequest {
+        head,
+        cancel,
+        body: Some(body),
+        handle: shared.handle.clone(),
+        body_timeout: shared.limits.body_timeout,
+    };
+    let stall_timeout = shared.limits.stall_timeout;
+    let responder = Responder {
+        sender,
+        handle: shared.handle.clone(),
+        stall_timeout,
+    };
+    let spawned = std::thread::Builder::new()
+        .name("request".to_owned())
+        .stack_size(HANDLER_STACK)
+        .spawn(move || {
+            let shared = Arc::clone(open.shared());
+            (shared.handler)(request, responder);
+            drop(open);
+        });
+    if let Err(e) = spawned {
+        log::error!("no thread for a request: {e}");
+        guard.disarm();
+        return into_response((shared.limits.overload_reply)(), None);
+    }
+    match receiver.await {
+        Ok((reply, None)) => {
+            guard.disarm();
+            into_response(reply, None)
+        }
+        Ok((reply, Some(chunks))) => {
+            let body = EdgeBody::Stream {
+                receiver: chunks,
+                guard,
+                ended: false,
+            };
+            into_response(reply, Some(body))
+        }
+        Err(_) => {
+            guard.disarm();
+            let reply = HttpReply::full(500, "text/plain", "the handler gave no answer\n");
+            into_response(reply.with_header("onyxfall-verdict", "may-have-run"), None)
+        }
+    }
+}
+
+fn into_response(reply: HttpReply, stream: Option<EdgeBody>) -> Response<EdgeBody> {
+    let body = match (reply.body, stream) {
+        (_, Some(stream)) => stream,
+        (ReplyBody::Full(bytes), None) => EdgeBody::Full(Some(bytes)),
+        (ReplyBody::Stream, None) => EdgeBody::Full(None),
+    };
+    let mut response = Response::new(body);
+    *response.status_mut() = reply.status;
+    *response.headers_mut() = reply.headers;
+    response
+}
+
+/// One unit of a counter, given back on drop.
+struct Occupied {
+    shared: Arc<ServerShared>,
+    counter: fn(&ServerShared) -> &AtomicUsize,
+    count: usize,
+}
+
+impl Occupied {
+    fn new(shared: &Arc<ServerShared>, counter: fn(&ServerShared) -> &AtomicUsize) -> Self {
+        let count = counter(shared).fetch_add(1, Ordering::SeqCst) + 1;
+        Self {
+            shared: Arc::clone(shared),
+            counter,
+            count,
+        }
+    }
+
+    fn shared(&self) -> &Arc<ServerShared> {
+        &self.shared
+    }
+}
+
+impl Drop for Occupied {
+    fn drop(&mut self) {
+        (self.counter)(&self.shared).fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/away.rs
@@ -0,0 +1,127 @@
+//! Whether to send a request to another data centre, and to which.
+//!
+//! All options are compared in seconds of expected completion. Sending away
+//! adds the round trip, the work of a cold prefix and a price for leaving the
+//! home region. It happens only when the gain clears a margin, which is smaller
+//! while sending is under way (hysteresis), and only against a grant.
+
+use std::time::Duration;
+
+use onyxfall_bundle::{ObjectiveWeights, ServiceBundle};
+use onyxfall_types::{CenterId, ModelId};
+
+use crate::center::CenterTable;
+use crate::moment::Moment;
+use crate::residency::RegionSet;
+
+/// Price of leaving the home region at weight 1.
+const AWAY_PRICE: Duration = Duration::from_millis(100);
+const START_MARGIN: Duration = Duration::from_millis(100);
+const STOP_MARGIN: Duration = Duration::from_millis(10);
+/// Least time between two changes of mode.
+const MODE_DWELL: Duration = Duration::from_secs(3);
+
+/// A data centre to send to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AwayChoice {
+    /// The data centre.
+    pub center: CenterId,
+    /// Expected time to completion, round trip included.
+    pub expected: Duration,
+    /// Seconds that are compared, prices included.
+    pub score: f64,
+}
+
+/// Whether requests of a model are being sent away; counts its changes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct AwayMode {
+    sending: bool,
+    changed: Option<Moment>,
+    switches: u64,
+}
+
+impl AwayMode {
+    /// Whether an option with this gain (seconds) is taken.
+    pub fn takes(&mut self, now: Moment, gain: f64) -> bool {
+        let margin = if self.sending {
+            STOP_MARGIN
+        } else {
+            START_MARGIN
+        };
+        let wants = gain > margin.as_secs_f64();
+        if wants != self.sending {
+            self.switch(now, wants);
+        }
+        wants
+    }
+
+    /// Changes of mode so far.
+    pub fn switches(&self) -> u64 {
+        self.switches
+    }
+
+    fn switch(&mut self, now: Moment, sending: bool) {
+        let settled = self.changed.is_none_or(|at| now - at >= MODE_DWELL);
+        if settled {
+            self.sending = sending;
+            self.changed = Some(now);
+            self.switches += 1;
+        }
+    }
+}
+
+pub(crate) struct AwayContext<'a> {
+    pub(crate) now: Moment,
+    pub(crate) bundle: &'a ServiceBundle,
+    pub(crate) centers: &'a CenterTable,
+    pub(crate) own_center: CenterId,
+    pub(crate) allowed: RegionSet,
+    pub(crate) model: ModelId,
+    pub(crate) service: Duration,
+    pub(crate) cold_work: Duration,
+    pub(crate) remaining: Duration,
+}
+
+impl AwayContext<'_> {
+    /// The best data centre that has a grant left and can meet the deadline.
+    pub(crate) fn choose(&self) -> Option<AwayChoice> {
+        self.centers
+            .iter()
+            .filter(|(center, _)| *center != self.own_center)
+            .filter(|(center, _)| self.allowed.contains(self.bundle.centers[*center].region))
+            .filter(|(center, _)| self.centers.grant_left(self.now, *center, self.model) > 0)
+            .filter_map(|(center, _)| self.option(center))
+            .filter(|choice| choice.expected <= self.remaining)
+            .min_by(|a, b| a.score.total_cmp(&b.score))
+    }
+
+    fn option(&self, center: CenterId) -> Option<AwayChoice> {
+        let view = self.centers.view(center);
+        let wait = view.model(self.now, self.model)?.wait;
+        let expected = view.rtt() + wait + self.service;
+        let score = objective_score(&self.bundle.objective, expected, self.cold_work)
+            + self.leave_price(center);
+        Some(AwayChoice {
+            center,
+            expected,
+            score,
+        })
+    }
+
+    fn leave_price(&self, center: CenterId) -> f64 {
+        let own_region = self.bundle.centers[self.own_center].region;
+        if self.bundle.centers[center].region == own_region {
+            return 0.0;
+        }
+        self.bundle.objective.away * AWAY_PRICE.as_secs_f64()
+    }
+}
+
+/// Seconds that are compared: weighted time and weighted work.
+pub(crate) fn objective_score(
+    objective: &ObjectiveWeights,
+    expected: Duration,
+    work: Duration,
+) -> f64 {
+    objective.tail * expected.as_secs_f64() + objective.cost * work.as_secs_f64()
+}
--- /dev/null
+++ b/crates/policy/src/moment.rs
@@ -0,0 +1,58 @@
+//! Points in time of one process.
+
+use std::fmt;
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+/// Time since the process's own start, from a monotonic clock, in microseconds.
+///
+/// Moments of two processes must not be compared.
+///
+/// ```
+/// use onyxfall_policy::Moment;
+/// use std::time::Duration;
+/// let later = Moment::ZERO + Duration::from_millis(5);
+/// assert_eq!(later - Moment::ZERO, Duration::from_millis(5));
+/// assert_eq!(Moment::ZERO - later, Duration::ZERO);
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Moment(u64);
+
+impl Moment {
+    /// The process's start.
+    pub const ZERO: Self = Self(0);
+
+    /// The moment `since_start` after the start.
+    pub fn from_duration(since_start: Duration) -> Self {
+        Self(u64::try_from(since_start.as_micros()).unwrap_or(u64::MAX))
+    }
+
+    /// Microseconds since the start.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Self;
+
+    fn add(self, rhs: Duration) -> Self {
+        let micros = u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
+
+impl Sub for Moment {
+    type Output = Duration;
+
+    /// Time from `rhs` to `self`; zero if `rhs` is later.
+    fn sub(self, rhs: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(rhs.0))
+    }
+}
+
+impl fmt::Display for Moment {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}us", self.0)
+    }
+}
