--- a/crates/bundle/src/head.rs
+++ b/crates/bundle/src/head.rs
@@ -119,7 +119,10 @@
         regions: VecDeque<RegionName>,
     },
     /// Brings the open rollout's content into force in its next region.
-    Step,
+    Step {
+        /// Operation that opened the rollout.
+        rollout: OperationId,
+    },
     /// Goes back to the former content wherever `content` is in force or under way.
     Withdraw {
         /// Content to withdraw.
@@ -178,7 +181,9 @@
 /// let regions = ["brisbane".parse().unwrap()].into();
 /// let open = HeadChange::Open { content, regions };
 /// let head = change_head(&HeadRecord::default(), &open, &operation, &operator, &secret).unwrap();
-/// let head = change_head(&head, &HeadChange::Step, &operation, &operator, &secret).unwrap();
+/// let step = HeadChange::Step { rollout: operation };
+/// let operation = OperationId::new("op-1/brisbane");
+/// let head = change_head(&head, &step, &operation, &operator, &secret).unwrap();
 /// assert_eq!(head.version, BundleVersion::new(2));
 /// assert!(head.rollout.is_none());
 /// ```
@@ -195,7 +200,7 @@
         HeadChange::Open { content, regions } => {
             open_rollout(&mut next, *content, regions, operation, operator)?;
         }
-        HeadChange::Step => step_rollout(&mut next, operation, operator, secret)?,
+        HeadChange::Step { rollout } => step_rollout(&mut next, rollout, operator, secret)?,
         HeadChange::Withdraw { content } => withdraw(&mut next, *content, operator, secret)?,
     }
     remember(&mut next, operation);
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -22,7 +22,7 @@
     HeadChange, HeadError, HeadRecord, OpenRollout, OperationId, RegionRecord, change_head,
 };
 pub use model::{
-    AwayRule, BackendServer, DataCenter, ModelAdapter, ObjectiveWeights, RequestKind,
+    AwayRule, BackendServer, DataCenter, ModelAdapter, NameIndex, ObjectiveWeights, RequestKind,
     ResidencyRule, ServedModel, ServerRole, ServiceBundle, ServiceRegion, TeamLimit,
 };
 pub use parse::parse_bundle;
--- a/crates/bundle/src/model.rs
+++ b/crates/bundle/src/model.rs
@@ -1,5 +1,6 @@
 //! What a bundle declares, with dense ids in place of names.
 
+use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::str::FromStr;
@@ -184,6 +185,43 @@
     pub kinds: EntityMap<KindId, RequestKind>,
     /// Teams with a rate limit.
     pub teams: EntityMap<TeamId, TeamLimit>,
+    /// Ids by name; see [`NameIndex`].
+    pub index: NameIndex,
+}
+
+/// Ids by name, for the tables that are large or looked up for each request.
+///
+/// Invariant: built from the tables once they are complete; of two entries of
+/// one name (a fault that the verifier reports) the later one is found.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct NameIndex {
+    servers: HashMap<ServerName, ServerId>,
+    kinds: HashMap<KindName, KindId>,
+    teams: HashMap<TeamName, TeamId>,
+}
+
+impl NameIndex {
+    /// Builds the index of complete tables.
+    pub fn new(
+        servers: &EntityMap<ServerId, BackendServer>,
+        kinds: &EntityMap<KindId, RequestKind>,
+        teams: &EntityMap<TeamId, TeamLimit>,
+    ) -> Self {
+        Self {
+            servers: servers
+                .iter()
+                .map(|(id, server)| (server.name.clone(), id))
+                .collect(),
+            kinds: kinds
+                .iter()
+                .map(|(id, kind)| (kind.name.clone(), id))
+                .collect(),
+            teams: teams
+                .iter()
+                .map(|(id, team)| (team.name.clone(), id))
+                .collect(),
+        }
+    }
 }
 
 impl ServiceBundle {
@@ -204,17 +242,17 @@
 
     /// Id of the server called `name`.
     pub fn server_id(&self, name: &str) -> Option<ServerId> {
-        find(&self.servers, |server| server.name.as_str() == name)
+        self.index.servers.get(name).copied()
     }
 
     /// Id of the kind called `name`.
     pub fn kind_id(&self, name: &str) -> Option<KindId> {
-        find(&self.kinds, |kind| kind.name.as_str() == name)
+        self.index.kinds.get(name).copied()
     }
 
     /// Id of the team called `name`.
     pub fn team_id(&self, name: &str) -> Option<TeamId> {
-        find(&self.teams, |team| team.name.as_str() == name)
+        self.index.teams.get(name).copied()
     }
 }
 
--- a/crates/bundle/src/parse.rs
+++ b/crates/bundle/src/parse.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::model::{
-    AwayRule, BackendServer, DataCenter, ModelAdapter, ObjectiveWeights, RequestKind,
+    AwayRule, BackendServer, DataCenter, ModelAdapter, NameIndex, ObjectiveWeights, RequestKind,
     ResidencyRule, ServedModel, ServerRole, ServiceBundle, ServiceRegion, TeamLimit,
 };
 
@@ -60,6 +60,7 @@
     read_kinds(document, &mut bundle, &mut faults);
     read_teams(document, &mut bundle, &mut faults);
     document.finish(faults)?;
+    bundle.index = NameIndex::new(&bundle.servers, &bundle.kinds, &bundle.teams);
     Ok(bundle)
 }
 
@@ -80,6 +81,7 @@
         servers: EntityMap::new(),
         kinds: EntityMap::new(),
         teams: EntityMap::new(),
+        index: NameIndex::default(),
     };
     let Some(reader) = document.single("bundle", faults) else {
         return bundle;
--- /dev/null
+++ b/crates/entry/src/backend.rs
@@ -0,0 +1,338 @@
+//! One attempt at a backend server, over a connection of its own.
+//!
+//! A fresh connection per attempt costs one round trip within the data centre
+//! and keeps the verdict sharp: a connection that cannot be opened is not-run,
+//! and the verdict becomes may-have-run just before the first byte is written.
+//! Closing the connection cancels the attempt.
+
+use std::fmt;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use onyxfall_http::CancelToken;
+use onyxfall_types::{RefusalReason, RequestError, RunVerdict, VerdictCell};
+use parking_lot::Mutex;
+use ureq::config::Config;
+use ureq::unversioned::resolver::DefaultResolver;
+use ureq::unversioned::transport::{
+    Buffers, ConnectionDetails, Connector, LazyBuffers, NextTimeout, Transport,
+};
+
+use crate::answer::{AnswerHead, AnswerSink};
+
+const READ_CHUNK: usize = 16 * 1024;
+
+/// What an attempt sends.
+pub(crate) struct BackendCall<'a> {
+    pub(crate) address: SocketAddr,
+    pub(crate) method: &'a str,
+    pub(crate) path: &'a str,
+    pub(crate) content_type: &'a str,
+    pub(crate) body: &'a Bytes,
+    pub(crate) request_id: &'a str,
+    pub(crate) traceparent: &'a str,
+    pub(crate) priority: u8,
+    /// Statuses by which the server says not-run.
+    pub(crate) refusals: &'a [u16],
+    pub(crate) connect_timeout: Duration,
+    pub(crate) idle_timeout: Duration,
+    pub(crate) remaining: Duration,
+    pub(crate) cancel: &'a CancelToken,
+}
+
+/// Why an attempt gave no whole answer.
+pub(crate) struct AttemptError {
+    pub(crate) error: RequestError,
+    /// Whether the other side refused it by contract.
+    pub(crate) refused: bool,
+}
+
+impl AttemptError {
+    fn failed(verdict: RunVerdict, reason: RefusalReason, detail: impl Into<String>) -> Self {
+        Self {
+            error: RequestError::failed(verdict, reason, detail),
+            refused: false,
+        }
+    }
+}
+
+/// Runs an attempt and hands the answer to `sink`, which is not finished here.
+pub(crate) fn run_attempt(
+    call: &BackendCall<'_>,
+    sink: &mut AnswerSink,
+) -> Result<(), AttemptError> {
+    let link = Arc::new(AttemptLink::new(call.idle_timeout));
+    let hook_link = Arc::clone(&link);
+    let _hook = call.cancel.on_cancel(move || hook_link.close());
+    let response = send(call, &link).map_err(|e| send_failure(call, &link, &e))?;
+    let status = response.status().as_u16();
+    if call.refusals.contains(&status) {
+        let detail = format!("the backend server refused with {status}");
+        let error = RequestError::not_run(RefusalReason::Overloaded, detail);
+        return Err(AttemptError {
+            error,
+            refused: true,
+        });
+    }
+    if status >= 500 {
+        let detail = format!("the backend server answered {status}");
+        return Err(AttemptError::failed(
+            RunVerdict::MayHaveRun,
+            RefusalReason::Backend,
+            detail,
+        ));
+    }
+    if !has_known_end(&response) {
+        let detail = "the backend server's answer does not tell where it ends";
+        return Err(AttemptError::failed(
+            RunVerdict::MayHaveRun,
+            RefusalReason::Backend,
+            detail,
+        ));
+    }
+    relay(call, response, sink)
+}
+
+fn send(
+    call: &BackendCall<'_>,
+    link: &Arc<AttemptLink>,
+) -> Result<ureq::http::Response<ureq::Body>, ureq::Error> {
+    let config = Config::builder()
+        .proxy(None)
+        .max_redirects(0)
+        .http_status_as_error(false)
+        .max_idle_connections(0)
+        .timeout_connect(Some(call.connect_timeout.min(call.remaining)))
+        .timeout_global(Some(call.remaining))
+        .build();
+    let connector = AttemptConnector {
+        link: Arc::clone(link),
+        address: call.address,
+    };
+    let agent = ureq::Agent::with_parts(config, connector, DefaultResolver::default());
+    let request = ureq::http::Request::builder()
+        .method(call.method)
+        .uri(format!("http://{}{}", call.address, call.path))
+        .header("content-type", call.content_type)
+        .header("onyxfall-request-id", call.request_id)
+        .header("onyxfall-priority", call.priority.to_string())
+        .header("traceparent", call.traceparent)
+        .header("connection", "close");
+    let is_bodiless = call.body.is_empty() && matches!(call.method, "GET" | "HEAD" | "DELETE");
+    if is_bodiless {
+        return agent.run(request.body(())?);
+    }
+    agent.run(request.body(call.body.as_ref())?)
+}
+
+fn send_failure(call: &BackendCall<'_>, link: &AttemptLink, error: &ureq::Error) -> AttemptError {
+    let verdict = link.verdict.get();
+    if call.cancel.is_cancelled() {
+        return AttemptError::failed(verdict, RefusalReason::Cancelled, "the caller went away");
+    }
+    let is_late = matches!(error, ureq::Error::Timeout(ureq::Timeout::Global));
+    let reason = if is_late {
+        RefusalReason::Deadline
+    } else {
+        RefusalReason::Backend
+    };
+    AttemptError::failed(verdict, reason, format!("backend server: {error}"))
+}
+
+/// Whether the end of the body can be told from a broken connection.
+fn has_known_end(response: &ureq::http::Response<ureq::Body>) -> bool {
+    let headers = response.headers();
+    let is_empty = matches!(response.status().as_u16(), 204 | 304);
+    is_empty || headers.contains_key("content-length") || headers.contains_key("transfer-encoding")
+}
+
+fn relay(
+    call: &BackendCall<'_>,
+    response: ureq::http::Response<ureq::Body>,
+    sink: &mut AnswerSink,
+) -> Result<(), AttemptError> {
+    let content_type = response
+        .headers()
+        .get("content-type")
+        .and_then(|v| v.to_str().ok());
+    let content_type = content_type
+        .unwrap_or("application/octet-stream")
+        .to_owned();
+    let head = AnswerHead {
+        status: response.status().as_u16(),
+        content_type,
+    };
+    let gone = || {
+        AttemptError::failed(
+            RunVerdict::MayHaveRun,
+            RefusalReason::Cancelled,
+            "the caller went away",
+        )
+    };
+    sink.head(head).map_err(|_| gone())?;
+    let mut reader = response.into_body().into_reader();
+    let mut chunk = vec![0; READ_CHUNK];
+    loop {
+        match reader.read(&mut chunk) {
+            Ok(0) => return Ok(()),
+            Ok(len) => {
+                sink.data(Bytes::copy_from_slice(&chunk[..len]))
+                    .map_err(|_| gone())?;
+            }
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(_) if call.cancel.is_cancelled() => return Err(gone()),
+            Err(e) => {
+                let is_late = e.kind() == io::ErrorKind::TimedOut;
+                let reason = if is_late {
+                    RefusalReason::Deadline
+                } else {
+                    RefusalReason::Backend
+                };
+                let detail = format!("the backend server's answer broke off: {e}");
+                return Err(AttemptError::failed(RunVerdict::MayHaveRun, reason, detail));
+            }
+        }
+    }
+}
+
+/// The connection of one attempt, as other threads see it.
+struct AttemptLink {
+    verdict: VerdictCell,
+    idle_timeout: Duration,
+    stream: Mutex<LinkState>,
+}
+
+#[derive(Default)]
+struct LinkState {
+    closed: bool,
+    stream: Option<TcpStream>,
+}
+
+impl AttemptLink {
+    fn new(idle_timeout: Duration) -> Self {
+        Self {
+            verdict: VerdictCell::new(),
+            idle_timeout,
+            stream: Mutex::default(),
+        }
+    }
+
+    fn close(&self) {
+        let mut state = self.stream.lock();
+        state.closed = true;
+        if let Some(stream) = state.stream.take() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn open(&self, stream: &TcpStream) -> io::Result<()> {
+        let mut state = self.stream.lock();
+        if state.closed {
+            return Err(io::Error::new(
+                io::ErrorKind::ConnectionAborted,
+                "cancelled",
+            ));
+        }
+        state.stream = Some(stream.try_clone()?);
+        Ok(())
+    }
+}
+
+struct AttemptConnector {
+    link: Arc<AttemptLink>,
+    address: SocketAddr,
+}
+
+impl fmt::Debug for AttemptConnector {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("AttemptConnector")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+impl<In: Transport> Connector<In> for AttemptConnector {
+    type Out = AttemptTransport;
+
+    fn connect(
+        &self,
+        details: &ConnectionDetails<'_>,
+        _chained: Option<In>,
+    ) -> Result<Option<AttemptTransport>, ureq::Error> {
+        let timeout = details.timeout.after;
+        let stream = if timeout.is_not_happening() {
+            TcpStream::connect(self.address)?
+        } else {
+            TcpStream::connect_timeout(&self.address, *timeout)?
+        };
+        stream.set_nodelay(true)?;
+        self.link.open(&stream)?;
+        let config = details.config;
+        let buffers = LazyBuffers::new(config.input_buffer_size(), config.output_buffer_size());
+        Ok(Some(AttemptTransport {
+            link: Arc::clone(&self.link),
+            stream,
+            buffers,
+        }))
+    }
+}
+
+struct AttemptTransport {
+    link: Arc<AttemptLink>,
+    stream: TcpStream,
+    buffers: LazyBuffers,
+}
+
+impl fmt::Debug for AttemptTransport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("AttemptTransport").finish_non_exhaustive()
+    }
+}
+
+fn timeout_or(error: io::Error, timeout: &NextTimeout) -> ureq::Error {
+    match error.kind() {
+        io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock => ureq::Error::Timeout(timeout.reason),
+        _ => ureq::Error::Io(error),
+    }
+}
+
+/// Least timeout that a socket takes.
+const LEAST_TIMEOUT: Duration = Duration::from_millis(1);
+
+impl Transport for AttemptTransport {
+    fn buffers(&mut self) -> &mut dyn Buffers {
+        &mut self.buffers
+    }
+
+    fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), ureq::Error> {
+        // The verdict grows before the byte leaves, not after.
+        self.link.verdict.raise(RunVerdict::MayHaveRun);
+        let limit = (*timeout.after)
+            .min(self.link.idle_timeout)
+            .max(LEAST_TIMEOUT);
+        self.stream.set_write_timeout(Some(limit))?;
+        let output = &self.buffers.output()[..amount];
+        self.stream
+            .write_all(output)
+            .map_err(|e| timeout_or(e, &timeout))
+    }
+
+    fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, ureq::Error> {
+        let limit = (*timeout.after).max(LEAST_TIMEOUT);
+        self.stream.set_read_timeout(Some(limit))?;
+        let input = self.buffers.input_append_buf();
+        let len = self
+            .stream
+            .read(input)
+            .map_err(|e| timeout_or(e, &timeout))?;
+        self.buffers.input_appended(len);
+        Ok(len > 0)
+    }
+
+    fn is_open(&mut self) -> bool {
+        false
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/beat.rs
@@ -0,0 +1,475 @@
+//! Heartbeats, load messages and what they bring.
+//!
+//! Within a data centre every entry beats to every other. Between data centres
+//! one speaker beats to one entry of each other one, and whoever receives that
+//! passes the load on within its own data centre.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use onyxfall_policy::{CenterDigest, MemberBeat, MemberState, ModelDigest};
+use onyxfall_types::{CenterName, Incarnation, name_tag};
+use onyxfall_wire::{
+    CenterLoad, ContentRequest, ContentText, DrainEntry, EntryBeat, ModelLoad, PeerPayload,
+    PongReply, RecordSet, RecordsRequest,
+};
+
+use crate::control::config::offer_content;
+use crate::control::demand::OpenCount;
+use crate::control::observe::apply_load;
+use crate::control::offer_records;
+use crate::core::EntryCore;
+use crate::peer::{PeerLink, beat_of, member_entry};
+use crate::supervisor::StopSignal;
+
+const SPEAKER_DUTY: &str = "speaker";
+/// Ticks of the waiting queue; also the grain of the other intervals.
+const TICK: Duration = Duration::from_millis(20);
+/// Beats without an answer after which a link counts as dead.
+const SILENT_BEATS: u32 = 5;
+
+/// Beats, and lets time pass for members and the queue, until the stop.
+pub(crate) fn run_beats(core: &Arc<EntryCore>, stop: &StopSignal) {
+    let mut sequence = 0;
+    let mut next_beat = core.now();
+    let mut next_load = core.now();
+    while !stop.wait(TICK) {
+        core.poll_waiting();
+        let now = core.now();
+        if now >= next_beat {
+            next_beat = now + core.settings.beat_interval;
+            sequence += 1;
+            tick_members(core);
+            send_beats(core, sequence);
+        }
+        if now >= next_load {
+            next_load = now + core.settings.center_interval;
+            send_loads(core, sequence);
+        }
+    }
+    sequence += 1;
+    send_beats(core, sequence);
+}
+
+fn tick_members(core: &EntryCore) {
+    let now = core.now();
+    let (changed, rank, members) = {
+        let mut table = core.members.lock();
+        let changed = table.tick(now);
+        let (rank, members) = table.own_rank();
+        (changed, rank, members)
+    };
+    core.with_router(|router| {
+        router.set_members(now, rank, members);
+        for name in &changed {
+            router.forget_peer(name);
+        }
+    });
+    for name in changed {
+        log::info!("member {name} changed state by silence");
+    }
+    let limit = core.settings.beat_interval * SILENT_BEATS;
+    for link in core.links.open() {
+        if link.silence() > limit.max(core.settings.center_interval * SILENT_BEATS) {
+            log::warn!("link to {} is silent; closing it", link.name());
+            link.close();
+        }
+    }
+    let table = core.members.lock();
+    core.links.retain(|name| table.get(name).is_some());
+}
+
+/// Members of the own data centre that get beats.
+fn center_peers(core: &EntryCore) -> Vec<MemberBeat> {
+    let members = core.members.lock();
+    let own = members.own().center.clone();
+    let speaks_to = |state| !matches!(state, MemberState::Gone);
+    members
+        .others()
+        .filter(|m| m.beat.center == own && speaks_to(m.state))
+        .map(|m| m.beat.clone())
+        .collect()
+}
+
+fn send_beats(core: &Arc<EntryCore>, sequence: u64) {
+    let beat = own_beat(core, sequence);
+    for peer in center_peers(core) {
+        let mut beat = beat.clone();
+        beat.receiver_incarnation = peer.incarnation.get();
+        send_to(core, &peer, sequence, PeerPayload::Beat(beat));
+    }
+}
+
+/// Dials on a thread of its own, so that a dead peer delays nobody's beat.
+fn send_to(core: &Arc<EntryCore>, peer: &MemberBeat, sequence: u64, payload: PeerPayload) {
+    let up = core
+        .links
+        .open()
+        .into_iter()
+        .find(|link| *link.name() == peer.name);
+    if let Some(link) = up {
+        link.note_ping(sequence);
+        link.send_control(core, payload);
+        return;
+    }
+    let (core, peer) = (Arc::clone(core), peer.clone());
+    let spawned = std::thread::Builder::new()
+        .name("peer-dial".to_owned())
+        .stack_size(128 * 1024)
+        .spawn(move || {
+            if let Ok(link) = core.links.link_to(&core, &peer) {
+                link.note_ping(sequence);
+                link.send_control(&core, payload);
+            }
+        });
+    if let Err(e) = spawned {
+        log::error!("no thread to dial: {e}");
+    }
+}
+
+fn own_beat(core: &EntryCore, sequence: u64) -> EntryBeat {
+    let queues = core.with_router(|router| {
+        let bundle = Arc::clone(router.bundle());
+        bundle
+            .models
+            .iter()
+            .filter_map(|(id, model)| {
+                let queued_ms =
+                    u32::try_from(router.queued_work(id).as_millis()).unwrap_or(u32::MAX);
+                let mut from_away = Vec::new();
+                for (center, info) in bundle.centers.iter() {
+                    let count = router.from_away(center, id);
+                    if count > 0 {
+                        from_away.extend([name_tag(info.name.as_str()), count]);
+                    }
+                }
+                let is_idle = queued_ms == 0 && from_away.is_empty();
+                let model = name_tag(model.name.as_str());
+                (!is_idle).then_some(ModelLoad {
+                    model,
+                    queued_ms,
+                    from_away,
+                    ..ModelLoad::default()
+                })
+            })
+            .collect::<Vec<_>>()
+    });
+    let drains = core.with_router(|router| {
+        let entry =
+            |(server, incarnation): (&onyxfall_types::ServerName, Incarnation)| DrainEntry {
+                server: server.to_string(),
+                incarnation: incarnation.get(),
+            };
+        router.drains().iter().map(entry).collect::<Vec<_>>()
+    });
+    EntryBeat {
+        sequence,
+        leaving: core.members.lock().own().leaving,
+        servers: core.observed.lock().values().cloned().collect(),
+        queues: queues.unwrap_or_default(),
+        drains: drains.unwrap_or_default(),
+        records: core.config.lock().records_hash(),
+        receiver_incarnation: 0,
+        members: Vec::new(),
+    }
+}
+
+/// The speaker tells one entry of each other data centre.
+fn send_loads(core: &Arc<EntryCore>, sequence: u64) {
+    if !core.members.lock().has_duty(SPEAKER_DUTY) {
+        return;
+    }
+    let targets = load_targets(core);
+    let members = {
+        let table = core.members.lock();
+        let own = table.own().clone();
+        let mut members: Vec<_> = table
+            .alive_in(&own.center)
+            .map(|m| member_entry(&m.beat))
+            .collect();
+        members.push(member_entry(&own));
+        members
+    };
+    for target in targets {
+        let mut beat = EntryBeat {
+            sequence,
+            members: members.clone(),
+            ..EntryBeat::default()
+        };
+        beat.leaving = core.members.lock().own().leaving;
+        beat.records = core.config.lock().records_hash();
+        beat.receiver_incarnation = target.incarnation.get();
+        send_to(core, &target, sequence, PeerPayload::Beat(beat));
+        if let Some(load) = own_load(core, &target.center) {
+            let up = core
+                .links
+                .open()
+                .into_iter()
+                .find(|link| *link.name() == target.name);
+            if let Some(link) = up {
+                link.send_control(core, PeerPayload::Load(load));
+            }
+        }
+    }
+}
+
+/// One entry of each other data centre, the same one while it lives.
+fn load_targets(core: &EntryCore) -> Vec<MemberBeat> {
+    let table = core.members.lock();
+    let own = table.own().center.clone();
+    let mut best: BTreeMap<CenterName, (MemberState, MemberBeat)> = BTreeMap::new();
+    for member in table.others() {
+        let usable = matches!(
+            member.state,
+            MemberState::Alive | MemberState::Hinted | MemberState::Suspect
+        );
+        if member.beat.center == own || !usable {
+            continue;
+        }
+        let better = best.get(&member.beat.center).is_none_or(|(state, _)| {
+            *state != MemberState::Alive && member.state == MemberState::Alive
+        });
+        if better {
+            best.insert(
+                member.beat.center.clone(),
+                (member.state, member.beat.clone()),
+            );
+        }
+    }
+    best.into_values().map(|(_, beat)| beat).collect()
+}
+
+/// What this data centre tells `to`: free capacity, grants, and what it wants.
+fn own_load(core: &EntryCore, to: &CenterName) -> Option<CenterLoad> {
+    let now = core.now();
+    let models = core.with_router(|router| {
+        let bundle = Arc::clone(router.bundle());
+        let to_id = bundle.center_id(to.as_str());
+        let demand = core.demand.lock();
+        let tag = |model| name_tag(bundle.models[model].name.as_str());
+        let from_away = |model| {
+            let own = to_id.map_or(0, |to| router.from_away(to, model));
+            own + demand.peer_open(to, tag(model))
+        };
+        let digests = router.digest_for(now, |model| demand.askers(now, to, tag(model)), from_away);
+        digests
+            .iter()
+            .map(|digest| ModelLoad {
+                model: tag(digest.model),
+                free: digest.free,
+                wait_ms: u32::try_from(digest.wait.as_millis()).unwrap_or(u32::MAX),
+                grant: digest.grant,
+                queued_ms: u32::from(digest.free == 0),
+                from_away: Vec::new(),
+            })
+            .collect::<Vec<_>>()
+    })?;
+    let sequence = now.as_micros() / 1000;
+    let life = core.incarnation().get();
+    let center = core.settings.center.to_string();
+    Some(CenterLoad {
+        center,
+        sequence: (life << 36) | sequence,
+        models,
+        rtt_us: 0,
+    })
+}
+
+/// Takes a control or configuration frame of either side of a link.
+pub(crate) fn handle_control(core: &Arc<EntryCore>, link: &Arc<PeerLink>, payload: PeerPayload) {
+    match payload {
+        PeerPayload::Beat(beat) => take_beat(core, link, &beat),
+        PeerPayload::Pong(pong) => take_pong(core, link, &pong),
+        PeerPayload::Load(load) => take_load(core, link, load),
+        PeerPayload::RecordsRequest(RecordsRequest {}) => {
+            let records = core.config.lock().records();
+            let records = records
+                .iter()
+                .filter_map(|record| serde_json::to_string(record).ok())
+                .collect();
+            link.send_control(core, PeerPayload::Records(RecordSet { records }));
+        }
+        PeerPayload::Records(set) => {
+            let parse = |text: &String| serde_json::from_str(text).ok();
+            let records = set.records.iter().filter_map(parse).collect();
+            for digest in offer_records(core, records) {
+                let request = ContentRequest {
+                    digest: digest.to_string(),
+                };
+                link.send_control(core, PeerPayload::ContentRequest(request));
+            }
+        }
+        PeerPayload::ContentRequest(request) => {
+            let digest = request.digest.parse().ok();
+            let config = core.config.lock();
+            let held = digest.and_then(|digest| config.content(&digest).cloned());
+            drop(config);
+            let bundle = held.and_then(|held| serde_json::to_string(&held).ok());
+            let content = ContentText {
+                bundle: bundle.unwrap_or_default(),
+            };
+            link.send_control(core, PeerPayload::Content(content));
+        }
+        PeerPayload::Content(content) => {
+            if let Ok(bundle) = serde_json::from_str(&content.bundle) {
+                offer_content(core, bundle);
+            }
+        }
+        PeerPayload::Hello(_)
+        | PeerPayload::Open(_)
+        | PeerPayload::Head(_)
+        | PeerPayload::Data(_)
+        | PeerPayload::Credit(_)
+        | PeerPayload::End(_)
+        | PeerPayload::Cancel(_) => {
+            core.metrics.count(crate::metrics::CounterName::StrayFrames);
+        }
+    }
+}
+
+fn take_beat(core: &Arc<EntryCore>, link: &Arc<PeerLink>, beat: &EntryBeat) {
+    link.send_control(
+        core,
+        PeerPayload::Pong(PongReply {
+            sequence: beat.sequence,
+        }),
+    );
+    let now = core.now();
+    let sender = MemberBeat {
+        leaving: beat.leaving,
+        ..link.peer().clone()
+    };
+    {
+        let mut members = core.members.lock();
+        members.hear(now, &sender);
+        let own = members.own().clone();
+        let told = Incarnation::new(beat.receiver_incarnation);
+        members.hear(
+            now,
+            &MemberBeat {
+                incarnation: told,
+                ..own
+            },
+        );
+        for member in beat.members.iter().filter_map(beat_of) {
+            members.hear(now, &member);
+        }
+    }
+    for load in &beat.servers {
+        apply_load(core, load);
+    }
+    take_drains(core, &beat.drains);
+    if sender.center == core.settings.center {
+        take_queues(core, &sender, &beat.queues);
+    }
+    if beat.records != core.config.lock().records_hash() {
+        link.send_control(core, PeerPayload::RecordsRequest(RecordsRequest {}));
+    }
+}
+
+fn take_drains(core: &EntryCore, drains: &[DrainEntry]) {
+    for drain in drains {
+        let Ok(name) = drain.server.parse() else {
+            continue;
+        };
+        let incarnation = Incarnation::new(drain.incarnation);
+        let news = core.with_router(|router| router.drain(&name, incarnation));
+        if news == Some(true) {
+            log::info!("server {name} is draining (peer)");
+        }
+    }
+}
+
+fn take_queues(core: &EntryCore, sender: &MemberBeat, queues: &[ModelLoad]) {
+    let now = core.now();
+    let mut open = Vec::new();
+    for queue in queues {
+        for pair in queue.from_away.chunks_exact(2) {
+            open.push(OpenCount {
+                model: queue.model,
+                center: pair[0],
+                count: pair[1],
+            });
+        }
+    }
+    core.demand.lock().note_open(now, &sender.name, open);
+    core.with_router(|router| {
+        let bundle = Arc::clone(router.bundle());
+        for (id, model) in bundle.models.iter() {
+            let tag = name_tag(model.name.as_str());
+            let work = queues.iter().find(|queue| queue.model == tag);
+            let work = work.map_or(0, |queue| u64::from(queue.queued_ms));
+            router.set_peer_work(id, &sender.name, Duration::from_millis(work));
+        }
+    });
+}
+
+fn take_pong(core: &EntryCore, link: &PeerLink, pong: &PongReply) {
+    let Some(rtt) = link.take_ping(pong.sequence) else {
+        return;
+    };
+    let center = link.peer().center.clone();
+    core.with_router(|router| {
+        if let Some(id) = router.bundle().center_id(center.as_str()) {
+            router.centers_mut().note_rtt(id, rtt);
+        }
+    });
+}
+
+fn take_load(core: &Arc<EntryCore>, link: &Arc<PeerLink>, load: CenterLoad) {
+    let now = core.now();
+    let Ok(center) = load.center.parse::<CenterName>() else {
+        return;
+    };
+    {
+        let mut demand = core.demand.lock();
+        for model in load.models.iter().filter(|model| model.queued_ms > 0) {
+            demand.note_want(now, &center, model.model);
+        }
+    }
+    core.with_router(|router| {
+        let bundle = Arc::clone(router.bundle());
+        let Some(id) = bundle.center_id(center.as_str()) else {
+            return;
+        };
+        let models = load.models.iter().filter_map(|model| {
+            Some(ModelDigest {
+                model: router.model_by_tag(model.model)?,
+                free: model.free,
+                wait: Duration::from_millis(u64::from(model.wait_ms)),
+                grant: model.grant,
+            })
+        });
+        let digest = CenterDigest {
+            center: id,
+            sequence: load.sequence,
+            models: models.collect(),
+        };
+        router.hear_center(now, &digest);
+        if load.rtt_us > 0 {
+            let rtt = Duration::from_micros(u64::from(load.rtt_us));
+            router.centers_mut().note_rtt(id, rtt);
+        }
+    });
+    let came_from_outside = link.peer().center != core.settings.center;
+    if came_from_outside && center != core.settings.center {
+        pass_on_load(core, &center, load);
+    }
+}
+
+/// Passes another data centre's load on within the own one.
+fn pass_on_load(core: &Arc<EntryCore>, center: &CenterName, mut load: CenterLoad) {
+    let rtt = core.with_router(|router| {
+        let id = router.bundle().center_id(center.as_str())?;
+        Some(router.centers_mut().view(id).rtt())
+    });
+    let rtt = rtt.flatten().unwrap_or_default();
+    load.rtt_us = u32::try_from(rtt.as_micros()).unwrap_or(u32::MAX);
+    let peers = center_peers(core);
+    for link in core.links.open() {
+        if peers.iter().any(|peer| peer.name == *link.name()) {
+            link.send_control(core, PeerPayload::Load(load.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/core.rs
@@ -0,0 +1,288 @@
+//! State that the threads of one entry share.
+//!
+//! Locks are leaves: none is taken while another is held, and none is held
+//! across I/O. Waiting requests park on a channel of their own; whoever changes
+//! the router's state wakes those that can go on.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use crossbeam::channel::{Receiver, Sender, bounded};
+use onyxfall_bundle::ServiceBundle;
+use onyxfall_platform::PlatformStore;
+use onyxfall_policy::{
+    AttemptEnd, AttemptOutcome, MemberBeat, MemberTable, Moment, RequestArrival, RequestRouter,
+    RouteStep, StopPhase, StopPlan, TicketLedger, WaitId,
+};
+use onyxfall_types::{Incarnation, RefusalReason, RequestError};
+use onyxfall_wire::ServerLoad;
+use parking_lot::Mutex;
+
+use crate::clock::EntryClock;
+use crate::control::ConfigStore;
+use crate::metrics::EntryMetrics;
+use crate::peer::PeerLinks;
+use crate::settings::EntrySettings;
+use crate::supervisor::StopSignal;
+
+/// Tickets remembered.
+const TICKET_LIMIT: usize = 65_536;
+
+/// What wakes a waiting request.
+#[derive(Debug)]
+pub(crate) enum WakeUp {
+    /// The router has decided.
+    Step(RouteStep),
+    /// The bundle has changed: arrive again.
+    Again,
+}
+
+#[derive(Default)]
+struct RouterCell {
+    router: Option<RequestRouter>,
+    waiters: BTreeMap<WaitId, Sender<WakeUp>>,
+}
+
+/// What an arrival led to.
+pub(crate) enum ArrivalStep {
+    /// The router has decided.
+    Step(RouteStep),
+    /// Wait on the channel.
+    Wait(WaitId, Receiver<WakeUp>),
+}
+
+/// Shared state of an entry.
+pub(crate) struct EntryCore {
+    pub(crate) settings: EntrySettings,
+    pub(crate) clock: EntryClock,
+    pub(crate) metrics: EntryMetrics,
+    pub(crate) members: Mutex<MemberTable>,
+    pub(crate) config: Mutex<ConfigStore>,
+    pub(crate) tickets: Mutex<TicketLedger>,
+    pub(crate) links: PeerLinks,
+    pub(crate) platform: Arc<dyn PlatformStore>,
+    /// Reports of the servers that this VM observes, for its heartbeats.
+    pub(crate) observed: Mutex<BTreeMap<u32, ServerLoad>>,
+    /// What other data centres want and have here, for its grants.
+    pub(crate) demand: Mutex<crate::control::CenterDemand>,
+    /// Given when this VM should stop.
+    pub(crate) stop_asked: StopSignal,
+    router: Mutex<RouterCell>,
+    stop: Mutex<StopPlan>,
+    open: AtomicUsize,
+}
+
+impl EntryCore {
+    pub(crate) fn new(
+        settings: EntrySettings,
+        own: MemberBeat,
+        platform: Arc<dyn PlatformStore>,
+    ) -> Self {
+        let incarnation = own.incarnation;
+        let tickets = TicketLedger::new(
+            settings.name.clone(),
+            incarnation,
+            rand::random(),
+            TICKET_LIMIT,
+        );
+        let config = ConfigStore::new(settings.operators.clone());
+        Self {
+            clock: EntryClock::start(),
+            metrics: EntryMetrics::default(),
+            members: Mutex::new(MemberTable::new(own, settings.member_timing)),
+            config: Mutex::new(config),
+            tickets: Mutex::new(tickets),
+            links: PeerLinks::default(),
+            platform,
+            observed: Mutex::default(),
+            demand: Mutex::default(),
+            stop_asked: StopSignal::new(),
+            router: Mutex::default(),
+            stop: Mutex::new(StopPlan::new(settings.stop_grace, settings.stop_bound)),
+            open: AtomicUsize::new(0),
+            settings,
+        }
+    }
+
+    pub(crate) fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    /// Runs `f` on the router, then wakes whom its change lets go on.
+    pub(crate) fn with_router<T>(&self, f: impl FnOnce(&mut RequestRouter) -> T) -> Option<T> {
+        let mut cell = self.router.lock();
+        let result = f(cell.router.as_mut()?);
+        self.wake(&mut cell);
+        Some(result)
+    }
+
+    /// The bundle in force.
+    pub(crate) fn bundle(&self) -> Option<Arc<ServiceBundle>> {
+        let cell = self.router.lock();
+        cell.router
+            .as_ref()
+            .map(|router| Arc::clone(router.bundle()))
+    }
+
+    /// Brings a bundle into force; what waits arrives again under it.
+    pub(crate) fn set_bundle(&self, bundle: &Arc<ServiceBundle>) -> Result<(), String> {
+        let center = bundle
+            .center_id(self.settings.center.as_str())
+            .ok_or_else(|| format!("it does not declare data centre {}", self.settings.center))?;
+        let now = self.now();
+        let (rank, members) = self.members.lock().own_rank();
+        let mut cell = self.router.lock();
+        let again = if let Some(router) = &mut cell.router {
+            router.rebundle(now, bundle, center)
+        } else {
+            let policy = self.settings.policy.clone();
+            cell.router = Some(RequestRouter::new(Arc::clone(bundle), center, policy, now));
+            Vec::new()
+        };
+        if let Some(router) = &mut cell.router {
+            router.set_members(now, rank, members);
+        }
+        for id in again {
+            if let Some(waiter) = cell.waiters.remove(&id) {
+                let _ = waiter.send(WakeUp::Again);
+            }
+        }
+        Ok(())
+    }
+
+    /// Hands an arrival to the router; `make` builds it for the bundle in force.
+    pub(crate) fn arrive(
+        &self,
+        make: impl FnOnce(&RequestRouter) -> Result<RequestArrival, RequestError>,
+    ) -> Result<ArrivalStep, RequestError> {
+        let now = self.now();
+        let mut cell = self.router.lock();
+        let router = cell.router.as_mut().ok_or_else(not_ready)?;
+        let arrival = make(router)?;
+        let step = router.arrive(now, arrival);
+        let result = match step {
+            RouteStep::Wait(id) => {
+                let (sender, receiver) = bounded(1);
+                cell.waiters.insert(id, sender);
+                ArrivalStep::Wait(id, receiver)
+            }
+            step => ArrivalStep::Step(step),
+        };
+        self.wake(&mut cell);
+        Ok(result)
+    }
+
+    /// Ends the waiting of a request whose caller went away.
+    pub(crate) fn cancel_wait(&self, id: WaitId) {
+        let mut cell = self.router.lock();
+        let waited = cell.router.as_mut().is_some_and(|router| router.cancel(id));
+        if let (true, Some(waiter)) = (waited, cell.waiters.remove(&id)) {
+            let error = RequestError::not_run(RefusalReason::Cancelled, "the caller went away");
+            let _ = waiter.send(WakeUp::Step(RouteStep::Refuse(error)));
+        }
+    }
+
+    /// Reports the end of an attempt.
+    pub(crate) fn end_attempt(&self, attempt: u64, outcome: AttemptOutcome, elapsed: Duration) {
+        let now = self.now();
+        let end = AttemptEnd {
+            attempt,
+            outcome,
+            elapsed,
+        };
+        let opened = self.with_router(|router| {
+            let server = router.end(now, &end)?;
+            Some(router.bundle().servers[server].name.clone())
+        });
+        if let Some(Some(name)) = opened {
+            log::warn!("circuit of server {name} opened");
+        }
+    }
+
+    /// Lets waiting requests go on or expire; called by the ticker.
+    pub(crate) fn poll_waiting(&self) {
+        self.with_router(|_| ());
+    }
+
+    fn wake(&self, cell: &mut RouterCell) {
+        let now = self.now();
+        let Some(router) = &mut cell.router else {
+            return;
+        };
+        if router.waiting() == 0 {
+            return;
+        }
+        for (id, step) in router.poll(now) {
+            let undelivered = match cell.waiters.remove(&id) {
+                Some(waiter) => waiter.send(WakeUp::Step(step.clone())).is_err(),
+                None => true,
+            };
+            if undelivered
+                && let RouteStep::Run { attempt, .. } | RouteStep::Away { attempt, .. } = step
+            {
+                let outcome = AttemptOutcome::Cancelled;
+                router.end(
+                    now,
+                    &AttemptEnd {
+                        attempt,
+                        outcome,
+                        elapsed: Duration::ZERO,
+                    },
+                );
+            }
+        }
+    }
+
+    /// Starts the planned stop; a second time changes nothing.
+    pub(crate) fn ask_stop(&self) {
+        self.stop.lock().ask(self.now());
+        self.members.lock().leave();
+        self.stop_asked.stop();
+    }
+
+    /// Phase of the stop.
+    pub(crate) fn stop_phase(&self) -> StopPhase {
+        self.stop.lock().phase(self.now(), self.open_requests())
+    }
+
+    /// Requests open now, callers' and peers'.
+    pub(crate) fn open_requests(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+
+    /// Counts a request as open, unless this VM refuses new ones.
+    pub(crate) fn open_request(self: &Arc<Self>) -> Result<OpenRequestGuard, RequestError> {
+        let guard = OpenRequestGuard {
+            core: Arc::clone(self),
+        };
+        self.open.fetch_add(1, Ordering::SeqCst);
+        if self.stop_phase() >= StopPhase::Refusing {
+            let error = RequestError::not_run(RefusalReason::Stopping, "this VM is stopping");
+            return Err(error.with_retry_after(Duration::from_secs(1)));
+        }
+        Ok(guard)
+    }
+
+    /// This VM's life.
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        self.members.lock().own().incarnation
+    }
+}
+
+/// A request that counts as open while this lives.
+pub(crate) struct OpenRequestGuard {
+    core: Arc<EntryCore>,
+}
+
+impl Drop for OpenRequestGuard {
+    fn drop(&mut self) {
+        self.core.open.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+pub(crate) fn not_ready() -> RequestError {
+    let detail = "no bundle is in force here yet";
+    RequestError::not_run(RefusalReason::NotReady, detail).with_retry_after(Duration::from_secs(1))
+}
--- /dev/null
+++ b/crates/entry/src/peer/links.rs
@@ -0,0 +1,136 @@
+//! The links that this VM has dialled, one for each peer.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use onyxfall_policy::MemberBeat;
+use onyxfall_types::VmName;
+use onyxfall_wire::{FrameClass, FrameReader, FrameWriter, PeerPayload};
+use parking_lot::Mutex;
+use socket2::{Domain, Protocol, Socket, Type};
+
+use crate::control::handle_control;
+use crate::core::EntryCore;
+use crate::metrics::ByteFlow;
+use crate::peer::convert::{check_hello, own_hello};
+use crate::peer::link::{LinkDown, PeerLink, StreamEvent};
+
+const HELLO_PATIENCE: Duration = Duration::from_secs(3);
+
+/// A place for one link; its lock keeps two threads from dialling at once.
+type LinkSlot = Arc<Mutex<Option<Arc<PeerLink>>>>;
+
+/// Dialled links by peer.
+#[derive(Default)]
+pub(crate) struct PeerLinks {
+    slots: Mutex<BTreeMap<VmName, LinkSlot>>,
+}
+
+impl PeerLinks {
+    /// The link to a peer, dialled if there is none.
+    pub(crate) fn link_to(
+        &self,
+        core: &Arc<EntryCore>,
+        peer: &MemberBeat,
+    ) -> Result<Arc<PeerLink>, LinkDown> {
+        let slot = Arc::clone(self.slots.lock().entry(peer.name.clone()).or_default());
+        let mut place = slot.lock();
+        if let Some(link) = place.as_ref().filter(|link| !link.is_down()) {
+            return Ok(Arc::clone(link));
+        }
+        let link = dial(core, peer).map_err(|e| {
+            log::debug!("no link to {}: {e}", peer.name);
+            LinkDown
+        })?;
+        *place = Some(Arc::clone(&link));
+        Ok(link)
+    }
+
+    /// Links that are up.
+    pub(crate) fn open(&self) -> Vec<Arc<PeerLink>> {
+        let slots: Vec<LinkSlot> = self.slots.lock().values().cloned().collect();
+        let up = |slot: &LinkSlot| slot.try_lock().and_then(|place| place.clone());
+        slots
+            .iter()
+            .filter_map(up)
+            .filter(|link| !link.is_down())
+            .collect()
+    }
+
+    /// Forgets peers that are gone.
+    pub(crate) fn retain(&self, keep: impl Fn(&VmName) -> bool) {
+        self.slots.lock().retain(|name, _| keep(name));
+    }
+}
+
+fn dial(core: &Arc<EntryCore>, peer: &MemberBeat) -> Result<Arc<PeerLink>, String> {
+    let stream = connect(core, peer.peer_address).map_err(|e| e.to_string())?;
+    let copy = || stream.try_clone().map_err(|e| e.to_string());
+    stream
+        .set_read_timeout(Some(HELLO_PATIENCE))
+        .map_err(|e| e.to_string())?;
+    let mut writer = FrameWriter::new(copy()?);
+    let mut reader = FrameReader::new(copy()?);
+    writer
+        .write(&own_hello(core).into())
+        .map_err(|e| e.to_string())?;
+    let (frame, _) = reader.read().map_err(|e| e.to_string())?;
+    let member = check_hello(core, frame.payload)?;
+    if member.name != peer.name {
+        return Err(format!("{} answers at its address", member.name));
+    }
+    stream.set_read_timeout(None).map_err(|e| e.to_string())?;
+    let now = core.now();
+    core.members.lock().hear(now, &member);
+    let link = PeerLink::start(core, member, stream, writer).map_err(|_| "no thread".to_owned())?;
+    let (reader_core, reader_link) = (Arc::clone(core), Arc::clone(&link));
+    let spawned = thread::Builder::new()
+        .name("peer-reader".to_owned())
+        .stack_size(256 * 1024)
+        .spawn(move || read_replies(&reader_core, &reader_link, reader));
+    spawned.map_err(|e| e.to_string())?;
+    Ok(link)
+}
+
+fn connect(core: &EntryCore, address: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
+    if let Some(source) = core.settings.peer_source {
+        socket.bind(&SocketAddr::new(source, 0).into())?;
+    }
+    socket.connect_timeout(&address.into(), core.settings.connect_timeout)?;
+    let stream = TcpStream::from(socket);
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+fn read_replies(core: &Arc<EntryCore>, link: &Arc<PeerLink>, mut reader: FrameReader<TcpStream>) {
+    loop {
+        let (frame, len) = match reader.read() {
+            Ok(read) => read,
+            Err(e) => {
+                log::debug!("link to {}: {e}", link.name());
+                break;
+            }
+        };
+        link.note_heard();
+        let Some(payload) = frame.payload else {
+            continue;
+        };
+        core.metrics
+            .note_bytes(FrameClass::of(&payload), ByteFlow::In, len);
+        match payload {
+            PeerPayload::Head(head) => link.deliver(core, head.attempt, StreamEvent::Head(head)),
+            PeerPayload::Data(data) => link.deliver(core, data.attempt, StreamEvent::Data(data)),
+            PeerPayload::End(end) => link.deliver(core, end.attempt, StreamEvent::End(end)),
+            other => handle_control(core, link, other),
+        }
+    }
+    link.close();
+}
--- /dev/null
+++ b/crates/entry/src/peer/listen.rs
@@ -0,0 +1,289 @@
+//! The receiving side: accepts other entries and serves what they pass on.
+//!
+//! This path has no call that sends a request on: a request that arrives here
+//! is run in this data centre or refused.
+
+use std::collections::{HashMap, HashSet};
+use std::io;
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use fastrace::Span;
+use onyxfall_http::CancelToken;
+use onyxfall_policy::{PrefixKey, TicketId};
+use onyxfall_types::{RefusalReason, RequestError, RunVerdict};
+use onyxfall_wire::{
+    CreditWindow, FrameClass, FrameReader, FrameWriter, OpenMode, OpenRequest, PeerPayload,
+};
+use parking_lot::Mutex;
+
+use crate::answer::AnswerSink;
+use crate::control::handle_control;
+use crate::core::EntryCore;
+use crate::edge::serve_ticket;
+use crate::metrics::{ByteFlow, CounterName};
+use crate::peer::convert::{check_hello, own_hello};
+use crate::peer::link::PeerLink;
+use crate::peer::reply::PeerAnswer;
+use crate::serve::{RequestContext, RequestOrigin, serve_request};
+use crate::supervisor::StopSignal;
+use crate::trace::context_of;
+
+const HELLO_PATIENCE: Duration = Duration::from_secs(3);
+const ACCEPT_LOOK: Duration = Duration::from_millis(50);
+const REQUEST_STACK: usize = 256 * 1024;
+/// Attempts remembered on a link, to drop a duplicate.
+const SEEN_LIMIT: usize = 4096;
+
+/// Accepts other entries until the stop.
+pub(crate) fn listen_for_peers(core: &Arc<EntryCore>, listener: &TcpListener, stop: &StopSignal) {
+    if let Err(e) = listener.set_nonblocking(true) {
+        log::error!("peer listener: {e}");
+        return;
+    }
+    while !stop.is_stopped() {
+        match listener.accept() {
+            Ok((stream, _)) => start_receiver(core, stream),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                stop.wait(ACCEPT_LOOK);
+            }
+            Err(e) => {
+                log::warn!("peer accept failed: {e}");
+                stop.wait(ACCEPT_LOOK);
+            }
+        }
+    }
+}
+
+fn start_receiver(core: &Arc<EntryCore>, stream: TcpStream) {
+    let core = Arc::clone(core);
+    let spawned = thread::Builder::new()
+        .name("peer-receiver".to_owned())
+        .stack_size(REQUEST_STACK)
+        .spawn(move || {
+            if let Err(e) = receive(&core, stream) {
+                log::warn!("peer connection refused: {e}");
+            }
+        });
+    if let Err(e) = spawned {
+        log::error!("no thread for a peer: {e}");
+    }
+}
+
+fn receive(core: &Arc<EntryCore>, stream: TcpStream) -> Result<(), String> {
+    let text = |e: io::Error| e.to_string();
+    stream.set_nonblocking(false).map_err(text)?;
+    stream.set_nodelay(true).map_err(text)?;
+    stream
+        .set_read_timeout(Some(HELLO_PATIENCE))
+        .map_err(text)?;
+    let mut reader = FrameReader::new(stream.try_clone().map_err(text)?);
+    let mut writer = FrameWriter::new(stream.try_clone().map_err(text)?);
+    let (frame, _) = reader.read().map_err(|e| e.to_string())?;
+    let member = check_hello(core, frame.payload)?;
+    writer
+        .write(&own_hello(core).into())
+        .map_err(|e| e.to_string())?;
+    stream.set_read_timeout(None).map_err(text)?;
+    let now = core.now();
+    core.members.lock().hear(now, &member);
+    let link = PeerLink::start(core, member, stream, writer).map_err(|_| "no thread".to_owned())?;
+    let receiver = Arc::new(PeerReceiver {
+        core: Arc::clone(core),
+        link,
+        open: Mutex::default(),
+    });
+    receiver.read_frames(reader);
+    Ok(())
+}
+
+struct OpenAttempt {
+    cancel: CancelToken,
+    window: Arc<CreditWindow>,
+}
+
+#[derive(Default)]
+struct AttemptTable {
+    open: HashMap<u64, OpenAttempt>,
+    seen: HashSet<u64>,
+}
+
+/// One accepted connection.
+struct PeerReceiver {
+    core: Arc<EntryCore>,
+    link: Arc<PeerLink>,
+    open: Mutex<AttemptTable>,
+}
+
+impl PeerReceiver {
+    fn read_frames(self: &Arc<Self>, mut reader: FrameReader<TcpStream>) {
+        loop {
+            let (frame, len) = match reader.read() {
+                Ok(read) => read,
+                Err(e) => {
+                    log::debug!("link from {}: {e}", self.link.name());
+                    break;
+                }
+            };
+            self.link.note_heard();
+            let Some(payload) = frame.payload else {
+                continue;
+            };
+            self.core
+                .metrics
+                .note_bytes(FrameClass::of(&payload), ByteFlow::In, len);
+            self.handle(payload);
+        }
+        self.link.close();
+        for (_, attempt) in self.open.lock().open.drain() {
+            attempt.window.close();
+            attempt.cancel.cancel();
+        }
+    }
+
+    fn handle(self: &Arc<Self>, payload: PeerPayload) {
+        match payload {
+            PeerPayload::Open(open) => self.start(open),
+            PeerPayload::Credit(credit) => {
+                if let Some(attempt) = self.open.lock().open.get(&credit.attempt) {
+                    attempt.window.grant(credit.bytes);
+                }
+            }
+            PeerPayload::Cancel(cancel) => {
+                let attempt = self.open.lock().open.remove(&cancel.attempt);
+                if let Some(attempt) = attempt {
+                    attempt.window.close();
+                    attempt.cancel.cancel();
+                }
+            }
+            other => handle_control(&self.core, &self.link, other),
+        }
+    }
+
+    fn start(self: &Arc<Self>, open: OpenRequest) {
+        let id = open.attempt;
+        let cancel = CancelToken::new();
+        let window = Arc::new(CreditWindow::new());
+        {
+            let mut table = self.open.lock();
+            if !table.seen.insert(id) {
+                drop(table);
+                self.core.metrics.count(CounterName::DuplicateFrames);
+                return;
+            }
+            if table.seen.len() > SEEN_LIMIT {
+                let oldest = table.seen.iter().min().copied();
+                oldest.map(|oldest| table.seen.remove(&oldest));
+            }
+            let attempt = OpenAttempt {
+                cancel: cancel.clone(),
+                window: Arc::clone(&window),
+            };
+            table.open.insert(id, attempt);
+        }
+        let receiver = Arc::clone(self);
+        let spawned = thread::Builder::new()
+            .name("peer-request".to_owned())
+            .stack_size(REQUEST_STACK)
+            .spawn(move || {
+                receiver.serve(&open, cancel, window);
+                receiver.open.lock().open.remove(&id);
+            });
+        if let Err(e) = spawned {
+            log::error!("no thread for a peer's request: {e}");
+            self.open.lock().open.remove(&id);
+            let error = RequestError::not_run(RefusalReason::Overloaded, "no thread");
+            self.answer(id, Arc::new(CreditWindow::new())).fail(&error);
+        }
+    }
+
+    fn answer(&self, attempt: u64, window: Arc<CreditWindow>) -> PeerAnswer {
+        let stall_timeout = self.core.settings.limits.stall_timeout;
+        PeerAnswer::new(Arc::clone(&self.link), attempt, window, stall_timeout)
+    }
+
+    fn serve(&self, open: &OpenRequest, cancel: CancelToken, window: Arc<CreditWindow>) {
+        let answer = self.answer(open.attempt, window);
+        let guard = match self.core.open_request() {
+            Ok(guard) => guard,
+            Err(error) => return answer.fail(&error),
+        };
+        let context = match request_context(&self.core, open, cancel) {
+            Ok(context) => context,
+            Err(error) => return answer.fail(&error),
+        };
+        let sink = AnswerSink::Peer(answer);
+        let is_ticket = open.mode == i32::from(OpenMode::Ticket);
+        if is_ticket {
+            self.serve_ticket(open, &context, sink);
+        } else {
+            self.note_from_away(&context, true);
+            let _ = serve_request(&self.core, &context, sink);
+            self.note_from_away(&context, false);
+        }
+        drop(guard);
+    }
+
+    fn serve_ticket(&self, open: &OpenRequest, context: &RequestContext, sink: AnswerSink) {
+        match open.ticket.parse::<TicketId>() {
+            Ok(ticket) => {
+                let _ = serve_ticket(&self.core, context, &ticket, sink);
+            }
+            Err(e) => {
+                let verdict = RunVerdict::NotRun;
+                sink.fail(&RequestError::failed(
+                    verdict,
+                    RefusalReason::BadRequest,
+                    e.to_string(),
+                ));
+            }
+        }
+    }
+
+    fn note_from_away(&self, context: &RequestContext, started: bool) {
+        let center = self.link.peer().center.clone();
+        self.core.with_router(|router| {
+            let bundle = Arc::clone(router.bundle());
+            let center = bundle.center_id(center.as_str());
+            let kind = bundle.kind_id(context.kind.as_str());
+            if let (Some(center), Some(kind)) = (center, kind) {
+                router.note_from_away(center, bundle.kinds[kind].model, started);
+            }
+        });
+    }
+}
+
+fn request_context(
+    core: &EntryCore,
+    open: &OpenRequest,
+    cancel: CancelToken,
+) -> Result<RequestContext, RequestError> {
+    let bad = |what: &str| RequestError::not_run(RefusalReason::BadRequest, what);
+    let home = match open.home.as_str() {
+        "" => None,
+        home => Some(home.parse().map_err(|_| bad("malformed home region"))?),
+    };
+    let allowed = open
+        .allowed
+        .iter()
+        .filter_map(|name| name.parse().ok())
+        .collect();
+    let span = Span::root("peer", context_of(Some(&open.traceparent)))
+        .with_property(|| ("vm", core.settings.name.to_string()));
+    Ok(RequestContext {
+        request_id: open.request_id.clone(),
+        kind: open.kind.parse().map_err(|_| bad("malformed kind"))?,
+        home,
+        method: open.method.clone(),
+        path: open.path.clone(),
+        content_type: open.content_type.clone(),
+        body: open.body.clone(),
+        prefix: (open.prefix != 0).then_some(PrefixKey(open.prefix)),
+        deadline: core.now() + Duration::from_millis(open.remaining_ms),
+        origin: RequestOrigin::Peer { allowed },
+        cancel,
+        span,
+    })
+}
--- /dev/null
+++ b/crates/entry/src/peer/reply.rs
@@ -0,0 +1,105 @@
+//! The receiving side's answer to another entry.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use onyxfall_types::{RequestError, RunVerdict};
+use onyxfall_wire::{CreditWindow, PeerPayload, ReplyData, ReplyEnd, ReplyHead, frame_cost};
+
+use crate::answer::{AnswerHead, SinkGone};
+use crate::peer::link::PeerLink;
+
+/// Largest data frame.
+const MAX_DATA: usize = 64 * 1024;
+
+/// An answer on its way to another entry.
+pub(crate) struct PeerAnswer {
+    link: Arc<PeerLink>,
+    attempt: u64,
+    window: Arc<CreditWindow>,
+    stall_timeout: Duration,
+    started: bool,
+    stalled: Duration,
+}
+
+impl PeerAnswer {
+    pub(crate) fn new(
+        link: Arc<PeerLink>,
+        attempt: u64,
+        window: Arc<CreditWindow>,
+        stall_timeout: Duration,
+    ) -> Self {
+        Self {
+            link,
+            attempt,
+            window,
+            stall_timeout,
+            started: false,
+            stalled: Duration::ZERO,
+        }
+    }
+
+    pub(crate) fn head(&mut self, head: &AnswerHead) -> Result<(), SinkGone> {
+        debug_assert!(!self.started, "an answer has one head");
+        self.started = true;
+        self.send(PeerPayload::Head(ReplyHead {
+            attempt: self.attempt,
+            status: u32::from(head.status),
+            content_type: head.content_type.clone(),
+        }))
+    }
+
+    pub(crate) fn data(&mut self, mut bytes: Bytes) -> Result<(), SinkGone> {
+        while !bytes.is_empty() {
+            let part = bytes.split_to(bytes.len().min(MAX_DATA));
+            let waited = Instant::now();
+            let credited = self.window.take(frame_cost(part.len()), self.stall_timeout);
+            self.stalled += waited.elapsed();
+            if !credited {
+                return Err(SinkGone);
+            }
+            let data = ReplyData {
+                attempt: self.attempt,
+                bytes: part,
+            };
+            self.send(PeerPayload::Data(data))?;
+        }
+        Ok(())
+    }
+
+    pub(crate) fn is_started(&self) -> bool {
+        self.started
+    }
+
+    pub(crate) fn stalled(&self) -> Duration {
+        self.stalled
+    }
+
+    pub(crate) fn finish(self) -> Result<(), SinkGone> {
+        let end = self.end(RunVerdict::Ran);
+        self.send(PeerPayload::End(end))
+    }
+
+    pub(crate) fn fail(self, error: &RequestError) {
+        let mut end = self.end(error.verdict);
+        error.reason.as_str().clone_into(&mut end.reason);
+        end.detail.clone_from(&error.detail);
+        let after = error.retry_after.unwrap_or_default();
+        end.retry_after_ms = u64::try_from(after.as_millis()).unwrap_or(0);
+        let _ = self.send(PeerPayload::End(end));
+    }
+
+    fn end(&self, verdict: RunVerdict) -> ReplyEnd {
+        ReplyEnd {
+            attempt: self.attempt,
+            verdict: verdict.to_string(),
+            stalled_ms: u64::try_from(self.stalled.as_millis()).unwrap_or(0),
+            ..ReplyEnd::default()
+        }
+    }
+
+    fn send(&self, payload: PeerPayload) -> Result<(), SinkGone> {
+        self.link.send(payload).map_err(|_| SinkGone)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/serve.rs
@@ -0,0 +1,442 @@
+//! A request from decision to answer: attempts, retries, the verdict.
+//!
+//! The request's verdict is the largest of its attempts'. A second attempt is
+//! made only while nothing of an answer is visible outside, the deadline and
+//! the retry budget allow it, and either the kind may be repeated or every
+//! attempt so far was not-run.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use crossbeam::channel::Receiver;
+use fastrace::Span;
+use onyxfall_bundle::{RequestKind, ServiceBundle};
+use onyxfall_http::CancelToken;
+use onyxfall_policy::{
+    ArrivalOrigin, AttemptOutcome, BackoffCurve, Moment, PrefixKey, RegionSet, RequestArrival,
+    RequestRouter, RouteStep, WaitId, allowed_regions,
+};
+use onyxfall_types::{
+    CenterName, KindName, RefusalReason, RegionName, RequestError, RunVerdict, ServerId, ServerName,
+};
+
+use crate::answer::AnswerSink;
+use crate::backend::{AttemptError, BackendCall, run_attempt};
+use crate::core::{ArrivalStep, EntryCore, WakeUp};
+use crate::peer::{AwayCall, run_away};
+use crate::trace::header_of;
+
+const BACKOFF: BackoffCurve = BackoffCurve {
+    base: Duration::from_millis(25),
+    cap: Duration::from_millis(500),
+};
+/// How long past its deadline a parked request looks for its wake-up; the
+/// router expires it before.
+const WAIT_SLACK: Duration = Duration::from_secs(2);
+/// Re-routes after a data centre's refusal that cost no retry.
+const FREE_REROUTES: u32 = 2;
+
+/// Where a request may come from and go to.
+#[derive(Clone, Debug)]
+pub(crate) enum RequestOrigin {
+    /// A caller of this VM.
+    Caller,
+    /// Another entry, with the regions that it allows.
+    Peer { allowed: Vec<RegionName> },
+}
+
+/// A request on its way.
+pub(crate) struct RequestContext {
+    pub(crate) request_id: String,
+    pub(crate) kind: KindName,
+    pub(crate) home: Option<RegionName>,
+    pub(crate) method: String,
+    pub(crate) path: String,
+    pub(crate) content_type: String,
+    pub(crate) body: Bytes,
+    pub(crate) prefix: Option<PrefixKey>,
+    pub(crate) deadline: Moment,
+    pub(crate) origin: RequestOrigin,
+    pub(crate) cancel: CancelToken,
+    pub(crate) span: Span,
+}
+
+/// What earlier attempts left behind.
+struct AttemptHistory {
+    verdict: RunVerdict,
+    excluded: Vec<ServerName>,
+    excluded_centers: Vec<CenterName>,
+    retries: u32,
+    reroutes: u32,
+}
+
+/// Serves a request into `sink` and ends the sink; returns how it ended.
+pub(crate) fn serve_request(
+    core: &Arc<EntryCore>,
+    context: &RequestContext,
+    mut sink: AnswerSink,
+) -> Result<(), RequestError> {
+    let started = Instant::now();
+    let result = serve_into(core, context, &mut sink);
+    let first_byte = started.elapsed();
+    let result = match result {
+        Ok(()) => sink.finish().map_err(|_| {
+            let detail = "the caller went away before the end";
+            RequestError::failed(RunVerdict::Ran, RefusalReason::Cancelled, detail)
+        }),
+        Err(error) => {
+            sink.fail(&error);
+            Err(error)
+        }
+    };
+    note_end(core, context, &result, first_byte, started.elapsed());
+    result
+}
+
+/// Serves a request into a sink that the caller of this function ends.
+pub(crate) fn serve_into(
+    core: &Arc<EntryCore>,
+    context: &RequestContext,
+    sink: &mut AnswerSink,
+) -> Result<(), RequestError> {
+    let mut history = AttemptHistory {
+        verdict: RunVerdict::NotRun,
+        excluded: Vec::new(),
+        excluded_centers: Vec::new(),
+        retries: 0,
+        reroutes: 0,
+    };
+    core.with_router(|router| {
+        if let Some(kind) = router.bundle().kind_id(context.kind.as_str()) {
+            router.note_first(kind);
+        }
+    });
+    loop {
+        let step = next_step(core, context, &history).map_err(|e| grown(e, &history))?;
+        let failure = match step {
+            RouteStep::Run { attempt, server } => {
+                run_here(core, context, attempt, server, sink, &mut history)
+            }
+            RouteStep::Away { attempt, center } => {
+                run_there(core, context, attempt, center, sink, &mut history)
+            }
+            RouteStep::Refuse(error) => return Err(grown(error, &history)),
+            RouteStep::Wait(_) => unreachable!("next_step waits"),
+        };
+        let Err(failure) = failure else { return Ok(()) };
+        history.verdict = history.verdict.max(failure.error.verdict);
+        if !may_retry(core, context, sink, &mut history, &failure) {
+            return Err(grown(failure.error, &history));
+        }
+    }
+}
+
+fn grown(mut error: RequestError, history: &AttemptHistory) -> RequestError {
+    error.verdict = error.verdict.max(history.verdict);
+    error
+}
+
+fn note_end(
+    core: &EntryCore,
+    context: &RequestContext,
+    result: &Result<(), RequestError>,
+    first_byte: Duration,
+    whole: Duration,
+) {
+    match result {
+        Ok(()) => core.metrics.note_answer(&context.kind, first_byte, whole),
+        Err(error) => {
+            core.metrics
+                .note_refusal(&context.kind, error.verdict, error.reason);
+            log::info!(
+                "request {} of kind {}: {error}",
+                context.request_id,
+                context.kind
+            );
+        }
+    }
+}
+
+/// Asks the router, waiting as long as it says.
+fn next_step(
+    core: &Arc<EntryCore>,
+    context: &RequestContext,
+    history: &AttemptHistory,
+) -> Result<RouteStep, RequestError> {
+    loop {
+        if context.cancel.is_cancelled() {
+            return Err(RequestError::not_run(
+                RefusalReason::Cancelled,
+                "the caller went away",
+            ));
+        }
+        match core.arrive(|router| make_arrival(router, context, history))? {
+            ArrivalStep::Step(step) => return Ok(step),
+            ArrivalStep::Wait(id, wake) => {
+                let _span = Span::enter_with_parent("wait", &context.span);
+                if let Some(step) = wait_for(core, context, id, &wake) {
+                    return Ok(step);
+                }
+            }
+        }
+    }
+}
+
+/// Parks until the router decides; `None` means to arrive again.
+fn wait_for(
+    core: &Arc<EntryCore>,
+    context: &RequestContext,
+    id: WaitId,
+    wake: &Receiver<WakeUp>,
+) -> Option<RouteStep> {
+    let hook_core = Arc::clone(core);
+    let _hook = context.cancel.on_cancel(move || hook_core.cancel_wait(id));
+    let patience = (context.deadline - core.now()) + WAIT_SLACK;
+    match wake.recv_timeout(patience) {
+        Ok(WakeUp::Step(step)) => Some(step),
+        Ok(WakeUp::Again) => None,
+        Err(_) => {
+            core.cancel_wait(id);
+            let detail = "no server became free in time";
+            Some(RouteStep::Refuse(RequestError::not_run(
+                RefusalReason::Deadline,
+                detail,
+            )))
+        }
+    }
+}
+
+fn make_arrival(
+    router: &RequestRouter,
+    context: &RequestContext,
+    history: &AttemptHistory,
+) -> Result<RequestArrival, RequestError> {
+    let bundle = router.bundle();
+    let kind_id = bundle
+        .kind_id(context.kind.as_str())
+        .ok_or_else(|| unknown_kind(&context.kind))?;
+    let kind = &bundle.kinds[kind_id];
+    let allowed = permitted_regions(bundle, kind, context)?;
+    if !allowed.contains(bundle.centers[router.center()].region) {
+        let detail = format!(
+            "data of kind {} may not be served in this region",
+            kind.name
+        );
+        return Err(RequestError::not_run(RefusalReason::Residency, detail));
+    }
+    let origin = match context.origin {
+        RequestOrigin::Caller => ArrivalOrigin::Caller,
+        RequestOrigin::Peer { .. } => ArrivalOrigin::Peer,
+    };
+    let server_ids = history
+        .excluded
+        .iter()
+        .filter_map(|name| bundle.server_id(name.as_str()));
+    let center_ids = history
+        .excluded_centers
+        .iter()
+        .filter_map(|name| bundle.center_id(name.as_str()));
+    Ok(RequestArrival {
+        kind: kind_id,
+        allowed,
+        prefix: context.prefix,
+        deadline: context.deadline,
+        origin,
+        excluded: server_ids.collect(),
+        excluded_centers: center_ids.collect(),
+    })
+}
+
+pub(crate) fn unknown_kind(kind: &KindName) -> RequestError {
+    RequestError::not_run(
+        RefusalReason::UnknownKind,
+        format!("no kind {kind} is declared"),
+    )
+}
+
+/// What our own bundle allows, cut down to what the sender's allowed.
+pub(crate) fn permitted_regions(
+    bundle: &ServiceBundle,
+    kind: &RequestKind,
+    context: &RequestContext,
+) -> Result<RegionSet, RequestError> {
+    let home = home_region(bundle, context.home.as_ref())?;
+    let own = allowed_regions(bundle, kind, home)?;
+    match &context.origin {
+        RequestOrigin::Caller => Ok(own),
+        RequestOrigin::Peer { allowed } => {
+            let names = allowed
+                .iter()
+                .filter_map(|name| bundle.region_id(name.as_str()));
+            Ok(own.intersection(names.collect()))
+        }
+    }
+}
+
+pub(crate) fn home_region(
+    bundle: &ServiceBundle,
+    home: Option<&RegionName>,
+) -> Result<Option<onyxfall_types::RegionId>, RequestError> {
+    let Some(home) = home else { return Ok(None) };
+    let id = bundle.region_id(home.as_str());
+    id.map(Some).ok_or_else(|| {
+        let detail = format!("home region {home} is not declared");
+        RequestError::not_run(RefusalReason::BadRequest, detail)
+    })
+}
+
+fn run_here(
+    core: &Arc<EntryCore>,
+    context: &RequestContext,
+    attempt: u64,
+    server: ServerId,
+    sink: &mut AnswerSink,
+    history: &mut AttemptHistory,
+) -> Result<(), AttemptError> {
+    let Some(bundle) = core.bundle() else {
+        core.end_attempt(attempt, AttemptOutcome::Cancelled, Duration::ZERO);
+        return Err(AttemptError {
+            error: crate::core::not_ready(),
+            refused: false,
+        });
+    };
+    let Some(server) = bundle.servers.get(server).cloned() else {
+        core.end_attempt(attempt, AttemptOutcome::Cancelled, Duration::ZERO);
+        let error = RequestError::not_run(RefusalReason::Overloaded, "the bundle has changed");
+        return Err(AttemptError {
+            error,
+            refused: true,
+        });
+    };
+    let kind = bundle
+        .kind_id(context.kind.as_str())
+        .map(|id| &bundle.kinds[id]);
+    let refusals = kind.map_or(&[][..], |kind| {
+        bundle.models[kind.model].refusals.as_slice()
+    });
+    let span = Span::enter_with_parent("backend", &context.span)
+        .with_property(|| ("server", server.name.to_string()));
+    let traceparent = header_of(&span);
+    let call = BackendCall {
+        address: server.address,
+        method: &context.method,
+        path: &context.path,
+        content_type: &context.content_type,
+        body: &context.body,
+        request_id: &context.request_id,
+        traceparent: &traceparent,
+        priority: kind.map_or(5, |kind| kind.priority),
+        refusals,
+        connect_timeout: core.settings.connect_timeout,
+        idle_timeout: core.settings.idle_timeout,
+        remaining: context.deadline - core.now(),
+        cancel: &context.cancel,
+    };
+    sink.set_region(&core.settings.region);
+    let started = Instant::now();
+    let result = run_attempt(&call, sink);
+    let elapsed = started.elapsed().saturating_sub(sink.stalled());
+    core.end_attempt(attempt, outcome_of(&result), elapsed);
+    if result.is_err() {
+        history.excluded.push(server.name);
+    }
+    result
+}
+
+fn run_there(
+    core: &Arc<EntryCore>,
+    context: &RequestContext,
+    attempt: u64,
+    center: onyxfall_types::CenterId,
+    sink: &mut AnswerSink,
+    history: &mut AttemptHistory,
+) -> Result<(), AttemptError> {
+    let prepared = core.bundle().and_then(|bundle| {
+        let center = bundle.centers.get(center)?;
+        let region = bundle.regions[center.region].name.clone();
+        let center = center.name.clone();
+        let kind = &bundle.kinds[bundle.kind_id(context.kind.as_str())?];
+        let allowed = permitted_regions(&bundle, kind, context).ok()?;
+        let names = bundle
+            .regions
+            .iter()
+            .filter(|(id, _)| allowed.contains(*id));
+        let names: Vec<String> = names.map(|(_, region)| region.name.to_string()).collect();
+        Some((center, region, names))
+    });
+    let Some((center, region, allowed)) = prepared else {
+        core.end_attempt(attempt, AttemptOutcome::Cancelled, Duration::ZERO);
+        let error = RequestError::not_run(RefusalReason::Overloaded, "the bundle has changed");
+        return Err(AttemptError {
+            error,
+            refused: true,
+        });
+    };
+    let span = Span::enter_with_parent("away", &context.span)
+        .with_property(|| ("center", center.to_string()));
+    let call = AwayCall {
+        context,
+        attempt,
+        allowed,
+        traceparent: header_of(&span),
+        ticket: None,
+    };
+    sink.set_region(&region);
+    let started = Instant::now();
+    let result = run_away(core, &call, &center, sink);
+    let elapsed = started.elapsed().saturating_sub(sink.stalled());
+    core.end_attempt(attempt, outcome_of(&result), elapsed);
+    if result.is_err() {
+        history.excluded_centers.push(center);
+    }
+    result
+}
+
+fn outcome_of(result: &Result<(), AttemptError>) -> AttemptOutcome {
+    match result {
+        Ok(()) => AttemptOutcome::Success,
+        Err(failure) if failure.refused => AttemptOutcome::Refused,
+        Err(failure) if failure.error.reason == RefusalReason::Cancelled => {
+            AttemptOutcome::Cancelled
+        }
+        Err(_) => AttemptOutcome::Failed,
+    }
+}
+
+fn may_retry(
+    core: &EntryCore,
+    context: &RequestContext,
+    sink: &AnswerSink,
+    history: &mut AttemptHistory,
+    failure: &AttemptError,
+) -> bool {
+    let is_over = failure.error.reason == RefusalReason::Cancelled
+        || failure.error.reason == RefusalReason::Residency
+        || context.cancel.is_cancelled()
+        || sink.is_started()
+        || core.now() >= context.deadline;
+    if is_over {
+        return false;
+    }
+    let kind = |router: &RequestRouter| router.bundle().kind_id(context.kind.as_str());
+    let is_repeatable = core
+        .with_router(|router| kind(router).is_some_and(|id| router.bundle().kinds[id].repeatable))
+        .unwrap_or(false);
+    if history.verdict != RunVerdict::NotRun && !is_repeatable {
+        return false;
+    }
+    if failure.refused && history.reroutes < FREE_REROUTES {
+        history.reroutes += 1;
+        return true;
+    }
+    let is_granted = core
+        .with_router(|router| kind(router).is_some_and(|id| router.try_retry(id)))
+        .unwrap_or(false);
+    if is_granted {
+        let pause = BACKOFF.pause(history.retries, &mut rand::rng());
+        history.retries += 1;
+        std::thread::sleep(pause.min(context.deadline - core.now()));
+    }
+    is_granted
+}
--- /dev/null
+++ b/crates/fakes/src/main.rs
@@ -0,0 +1,145 @@
+//! The `onyxfall-fakes` program: stand-ins described by an INI file.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use argh::FromArgs;
+use miette::{IntoDiagnostic, Report, WrapErr};
+use onyxfall_fakes::{
+    EngineSettings, FakeEngine, FakeLink, FakePlatform, FakeService, LinkRules, ServiceSettings,
+};
+use onyxfall_settings::{FaultList, IniDocument, SectionReader};
+
+/// Run stand-ins for the platform's service, backend servers and links.
+#[derive(FromArgs)]
+struct FakesArguments {
+    /// description file (INI)
+    #[argh(option)]
+    settings: PathBuf,
+}
+
+/// What runs; dropping it ends the servers.
+#[derive(Default)]
+struct RunningFakes {
+    platforms: Vec<FakePlatform>,
+    engines: Vec<FakeEngine>,
+    services: Vec<FakeService>,
+    links: Vec<FakeLink>,
+}
+
+fn main() -> ExitCode {
+    let arguments: FakesArguments = argh::from_env();
+    match start(&arguments) {
+        Ok(fakes) => {
+            println!(
+                "running {} platforms, {} engines, {} services, {} links",
+                fakes.platforms.len(),
+                fakes.engines.len(),
+                fakes.services.len(),
+                fakes.links.len()
+            );
+            loop {
+                std::thread::park();
+            }
+        }
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener, Report> {
+    TcpListener::bind(address)
+        .into_diagnostic()
+        .wrap_err_with(|| address.to_string())
+}
+
+fn start(arguments: &FakesArguments) -> Result<RunningFakes, Report> {
+    let document = IniDocument::load(&arguments.settings)?;
+    let mut faults = FaultList::new();
+    document.check_headers(
+        &["platform", "engine", "service", "link", "links"],
+        &mut faults,
+    );
+    let mut fakes = RunningFakes::default();
+    let mut one_way = Duration::ZERO;
+    for reader in document.readers("links") {
+        one_way = reader.millis("one-way-ms", one_way, &mut faults);
+        reader.finish(&mut faults);
+    }
+    let rules = LinkRules::new(one_way);
+    for reader in document.readers("platform") {
+        if let Some(listen) = reader.required("listen", &mut faults) {
+            fakes
+                .platforms
+                .push(FakePlatform::start(bind(listen)?).into_diagnostic()?);
+        }
+        reader.finish(&mut faults);
+    }
+    for reader in document.readers("engine") {
+        if let Some(engine) = start_engine(&reader, &mut faults)? {
+            fakes.engines.push(engine);
+        }
+        reader.finish(&mut faults);
+    }
+    for reader in document.readers("service") {
+        if let Some(service) = start_service(&reader, &mut faults)? {
+            fakes.services.push(service);
+        }
+        reader.finish(&mut faults);
+    }
+    for reader in document.readers("link") {
+        let listen = reader.required("listen", &mut faults);
+        let target = reader.required("target", &mut faults);
+        reader.finish(&mut faults);
+        if let (Some(listen), Some(target)) = (listen, target) {
+            let link = FakeLink::start(bind(listen)?, target, Arc::clone(&rules));
+            fakes.links.push(link.into_diagnostic()?);
+        }
+    }
+    document.finish(faults)?;
+    Ok(fakes)
+}
+
+fn start_engine(
+    reader: &SectionReader<'_>,
+    faults: &mut FaultList,
+) -> Result<Option<FakeEngine>, Report> {
+    let default = EngineSettings::default();
+    let settings = EngineSettings {
+        slots: reader.or_default("slots", default.slots, faults),
+        prefill: reader.millis("prefill-ms", default.prefill, faults),
+        token: reader.millis("token-ms", default.token, faults),
+        cache: reader.or_default("cache", default.cache, faults),
+        lag: reader.millis("lag-ms", default.lag, faults),
+        incarnation: reader.or_default("incarnation", default.incarnation, faults),
+    };
+    let Some(listen) = reader.required("listen", faults) else {
+        return Ok(None);
+    };
+    FakeEngine::start(bind(listen)?, settings)
+        .into_diagnostic()
+        .map(Some)
+}
+
+fn start_service(
+    reader: &SectionReader<'_>,
+    faults: &mut FaultList,
+) -> Result<Option<FakeService>, Report> {
+    let default = ServiceSettings::default();
+    let settings = ServiceSettings {
+        slots: reader.or_default("slots", default.slots, faults),
+        work: reader.millis("work-ms", default.work, faults),
+        incarnation: reader.or_default("incarnation", default.incarnation, faults),
+    };
+    let Some(listen) = reader.required("listen", faults) else {
+        return Ok(None);
+    };
+    FakeService::start(bind(listen)?, settings)
+        .into_diagnostic()
+        .map(Some)
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,1 +1,16 @@
-//! Placeholder.
+//! The operators' commands: nothing else changes the system.
+//!
+//! Every command is safe to repeat. A lost answer is resolved by reading the
+//! head and looking for the operation, never guessed; of two operators who
+//! race, one wins and the other is told what won.
+
+mod context;
+mod error;
+mod head;
+mod rollout;
+mod settings;
+
+pub use context::OperatorContext;
+pub use error::OperatorError;
+pub use rollout::{RollPlan, RollProgress};
+pub use settings::{OperatorSettings, load_operator_settings, parse_operator_settings};
--- /dev/null
+++ b/crates/operator/src/main.rs
@@ -0,0 +1,256 @@
+//! The `onyxfall` program: the operators' commands.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use argh::FromArgs;
+use miette::{IntoDiagnostic, Report, WrapErr, miette};
+use onyxfall_bundle::{ContentDigest, HeadRecord, SigningSecret};
+use onyxfall_operator::{OperatorContext, RollPlan, load_operator_settings};
+use onyxfall_platform::PlatformClient;
+use onyxfall_types::RegionName;
+
+/// Propose, sign off, roll and withdraw bundles; drain VMs and servers.
+#[derive(FromArgs)]
+struct OperatorArguments {
+    /// settings file (INI); not needed by check and keygen
+    #[argh(option, default = "PathBuf::from(\"operator.ini\")")]
+    settings: PathBuf,
+
+    #[argh(subcommand)]
+    command: OperatorCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum OperatorCommand {
+    Keygen(KeygenCommand),
+    Check(CheckCommand),
+    Propose(ProposeCommand),
+    SignOff(SignOffCommand),
+    Roll(RollCommand),
+    Withdraw(WithdrawCommand),
+    Drain(DrainCommand),
+    Undrain(UndrainCommand),
+    Status(StatusCommand),
+}
+
+/// make an operator's key pair
+#[derive(FromArgs)]
+#[argh(subcommand, name = "keygen")]
+struct KeygenCommand {
+    /// file for the secret key; must not exist
+    #[argh(option)]
+    secret_file: PathBuf,
+}
+
+/// check a bundle without touching anything
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct CheckCommand {
+    /// bundle file (INI)
+    #[argh(positional)]
+    bundle: PathBuf,
+}
+
+/// store a bundle under its digest
+#[derive(FromArgs)]
+#[argh(subcommand, name = "propose")]
+struct ProposeCommand {
+    /// bundle file (INI)
+    #[argh(positional)]
+    bundle: PathBuf,
+}
+
+/// sign a proposed bundle
+#[derive(FromArgs)]
+#[argh(subcommand, name = "sign-off")]
+struct SignOffCommand {
+    /// digest, as told by propose
+    #[argh(positional)]
+    content: ContentDigest,
+}
+
+/// roll a signed bundle region by region
+#[derive(FromArgs)]
+#[argh(subcommand, name = "roll")]
+struct RollCommand {
+    /// digest, as told by propose
+    #[argh(positional)]
+    content: ContentDigest,
+
+    /// regions in order, separated by commas
+    #[argh(option)]
+    regions: String,
+
+    /// how long to wait for the entries of a region, in ms; 0 to not wait
+    #[argh(option, default = "30000")]
+    patience_ms: u64,
+}
+
+/// go back to the content before, under a higher version
+#[derive(FromArgs)]
+#[argh(subcommand, name = "withdraw")]
+struct WithdrawCommand {
+    /// digest of the content to withdraw
+    #[argh(positional)]
+    content: ContentDigest,
+}
+
+/// drain an entry VM or a backend server
+#[derive(FromArgs)]
+#[argh(subcommand, name = "drain")]
+struct DrainCommand {
+    /// name of the VM or server
+    #[argh(positional)]
+    name: String,
+}
+
+/// take a drain request back
+#[derive(FromArgs)]
+#[argh(subcommand, name = "undrain")]
+struct UndrainCommand {
+    /// name of the VM or server
+    #[argh(positional)]
+    name: String,
+}
+
+/// show what is in force where
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+struct StatusCommand {}
+
+fn main() -> ExitCode {
+    let arguments: OperatorArguments = argh::from_env();
+    match run(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(arguments: &OperatorArguments) -> Result<(), Report> {
+    match &arguments.command {
+        OperatorCommand::Keygen(command) => keygen(&command.secret_file),
+        OperatorCommand::Check(command) => {
+            let (file, text) = read(&command.bundle)?;
+            let (bundle, canonical) = OperatorContext::check(&file, &text)?;
+            println!("{bundle}\ncontent {}", ContentDigest::of(&canonical));
+            Ok(())
+        }
+        command => run_stored(command, &open_context(&arguments.settings)?),
+    }
+}
+
+fn run_stored(command: &OperatorCommand, context: &OperatorContext) -> Result<(), Report> {
+    match command {
+        OperatorCommand::Propose(command) => {
+            let (file, text) = read(&command.bundle)?;
+            println!("proposed {}", context.propose(&file, &text)?);
+        }
+        OperatorCommand::SignOff(command) => {
+            let signers = context.sign_off(&command.content)?;
+            println!("signed by {signers:?}");
+        }
+        OperatorCommand::Roll(command) => {
+            let plan = RollPlan {
+                content: command.content,
+                regions: parse_regions(&command.regions)?,
+                patience: Duration::from_millis(command.patience_ms),
+            };
+            let head = context.roll(&plan, |step| {
+                println!("{} is at {}", step.region, step.version);
+            })?;
+            print_head(&head);
+        }
+        OperatorCommand::Withdraw(command) => print_head(&context.withdraw(&command.content)?),
+        OperatorCommand::Drain(command) => {
+            context.drain(&command.name)?;
+            println!("{} is to drain", command.name);
+        }
+        OperatorCommand::Undrain(command) => {
+            context.undrain(&command.name)?;
+            println!("the drain of {} is taken back", command.name);
+        }
+        OperatorCommand::Status(_) => print_head(&context.head()?),
+        OperatorCommand::Keygen(_) | OperatorCommand::Check(_) => {
+            unreachable!("handled without the platform")
+        }
+    }
+    Ok(())
+}
+
+fn read(path: &Path) -> Result<(String, String), Report> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .into_diagnostic()
+        .wrap_err_with(|| file.clone())?;
+    Ok((file, text))
+}
+
+fn open_context(path: &Path) -> Result<OperatorContext, Report> {
+    let settings = load_operator_settings(path)?;
+    let secret = std::fs::read_to_string(&settings.secret_file)
+        .into_diagnostic()
+        .wrap_err_with(|| format!("secret key {}", settings.secret_file))?;
+    let secret: SigningSecret = secret.parse().map_err(|e| miette!("secret key: {e}"))?;
+    let store = Arc::new(PlatformClient::new(settings.platform.clone()));
+    let deployment = settings.deployment.clone();
+    Ok(OperatorContext::new(
+        store,
+        &deployment,
+        settings.operators,
+        settings.name,
+        secret,
+    ))
+}
+
+fn parse_regions(text: &str) -> Result<Vec<RegionName>, Report> {
+    let names = text
+        .split(',')
+        .map(str::trim)
+        .filter(|name| !name.is_empty());
+    names
+        .map(|name| name.parse().map_err(|e| miette!("--regions: {e}")))
+        .collect()
+}
+
+/// Writes the secret so that only its owner can read it.
+fn keygen(path: &Path) -> Result<(), Report> {
+    use std::io::Write;
+    use std::os::unix::fs::OpenOptionsExt;
+    let secret = SigningSecret::generate();
+    let mut file = std::fs::OpenOptions::new()
+        .write(true)
+        .create_new(true)
+        .mode(0o600)
+        .open(path)
+        .into_diagnostic()
+        .wrap_err_with(|| path.display().to_string())?;
+    writeln!(file, "{}", secret.reveal()).into_diagnostic()?;
+    println!("key = {}", secret.public());
+    Ok(())
+}
+
+fn print_head(head: &HeadRecord) {
+    println!("head {}", head.version);
+    for record in head.regions.values() {
+        println!(
+            "  {} {} {} by {}",
+            record.region, record.version, record.content, record.operator
+        );
+    }
+    if let Some(open) = &head.rollout {
+        let remaining: Vec<&str> = open.remaining.iter().map(RegionName::as_str).collect();
+        println!(
+            "  rolling {} by {}: {} to come",
+            open.content,
+            open.operator,
+            remaining.join(", ")
+        );
+    }
+}
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -1,5 +1,6 @@
 //! The JSON gateway client.
 
+use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
 use std::ops::ControlFlow;
 use std::sync::Mutex;
@@ -405,6 +406,10 @@
         let _: Value = self.post("publish", CallClass::Write, &path, &json!(entries))?;
         Ok(())
     }
+
+    fn directory(&self) -> Result<BTreeMap<String, Vec<VmRecord>>, PlatformError> {
+        self.fetch("directory", "/platform/v1/directory")
+    }
 }
 
 fn put_request(key: &str, value: &str, lease: Option<LeaseId>) -> PutRequest {
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -1,5 +1,6 @@
 //! The edge to the platform's service.
 
+use std::collections::BTreeMap;
 use std::ops::ControlFlow;
 use std::time::Duration;
 
@@ -134,4 +135,10 @@
     /// # Errors
     /// The call failed.
     fn publish(&self, center: &str, entries: &[VmRecord]) -> Result<(), PlatformError>;
+
+    /// The directory for clients: entries by data centre.
+    ///
+    /// # Errors
+    /// The call failed.
+    fn directory(&self) -> Result<BTreeMap<String, Vec<VmRecord>>, PlatformError>;
 }
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -1,12 +1,13 @@
 //! The decisions tied together: events in, steps out.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use onyxfall_bundle::{AwayRule, RequestKind, ServiceBundle};
 use onyxfall_types::{
-    CenterId, EntityMap, KindId, ModelId, RefusalReason, RequestError, ServerId, ServerName, TeamId,
+    CenterId, EntityMap, KindId, ModelId, RefusalReason, RequestError, ServerId, ServerName,
+    TeamId, VmName, name_tag,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -213,7 +214,7 @@
     mode: AwayMode,
     next_turn: usize,
     from_away: BTreeMap<CenterId, u32>,
-    peer_work: Duration,
+    peer_work: BTreeMap<VmName, Duration>,
 }
 
 /// Every decision of one entry VM for one bundle.
@@ -230,6 +231,8 @@
     prefixes: PrefixTable,
     centers: CenterTable,
     drains: DrainTable,
+    server_tags: HashMap<u32, ServerId>,
+    model_tags: HashMap<u32, ModelId>,
     open: BTreeMap<u64, OpenAttempt>,
     next_id: u64,
     rank: usize,
@@ -284,6 +287,17 @@
             prefixes: PrefixTable::new(settings.prefix_limit),
             centers: CenterTable::new(rtts),
             drains: DrainTable::new(),
+            server_tags: bundle
+                .servers
+                .iter()
+                .filter(|(_, server)| server.center == center)
+                .map(|(id, server)| (name_tag(server.name.as_str()), id))
+                .collect(),
+            model_tags: bundle
+                .models
+                .iter()
+                .map(|(id, model)| (name_tag(model.name.as_str()), id))
+                .collect(),
             open: BTreeMap::new(),
             next_id: 1,
             rank: 0,
@@ -305,6 +319,23 @@
         self.center
     }
 
+    /// The server of this data centre with a name tag.
+    pub fn server_by_tag(&self, tag: u32) -> Option<ServerId> {
+        self.server_tags.get(&tag).copied()
+    }
+
+    /// The model with a name tag.
+    pub fn model_by_tag(&self, tag: u32) -> Option<ModelId> {
+        self.model_tags.get(&tag).copied()
+    }
+
+    /// Forgets what another entry of the data centre told.
+    pub fn forget_peer(&mut self, peer: &VmName) {
+        for (_, pool) in self.pools.iter_mut() {
+            pool.peer_work.remove(peer);
+        }
+    }
+
     /// Counts so far.
     pub fn counts(&self) -> RouteCounts {
         let switches = self.pools.values().map(|pool| pool.mode.switches()).sum();
@@ -339,10 +370,13 @@
         self.pools[model].queue.work()
     }
 
-    /// Sets the service time of what waits for a model in the other entries.
-    pub fn set_peer_work(&mut self, model: ModelId, work: Duration) {
-        if self.pools.get(model).is_some() {
-            self.pools[model].peer_work = work;
+    /// Sets the service time of what waits for a model in another entry.
+    pub fn set_peer_work(&mut self, model: ModelId, peer: &VmName, work: Duration) {
+        let peers = &mut self.pools[model].peer_work;
+        if work.is_zero() {
+            peers.remove(peer);
+        } else {
+            peers.insert(peer.clone(), work);
         }
     }
 
@@ -502,13 +536,15 @@
         };
     }
 
-    /// What this data centre tells `to`, which asks for `wanted` models.
+    /// What this data centre tells another one.
     ///
-    /// `from_away` counts requests of `to` under way here, over all entries.
+    /// `askers` counts the data centres among which a model's free slots are
+    /// split; `from_away` counts the requests that the other one has under way
+    /// here, over all entries.
     pub fn digest_for(
         &self,
         now: Moment,
-        askers: usize,
+        askers: impl Fn(ModelId) -> usize,
         from_away: impl Fn(ModelId) -> u32,
     ) -> Vec<ModelDigest> {
         self.bundle
@@ -517,7 +553,7 @@
             .filter(|model| !self.pools[*model].servers.is_empty())
             .map(|model| {
                 let free = self.free_slots(now, model);
-                let part = free / u32::try_from(askers.max(1)).unwrap_or(u32::MAX);
+                let part = free / u32::try_from(askers(model).max(1)).unwrap_or(u32::MAX);
                 let grant = from_away(model) + part;
                 ModelDigest {
                     model,
@@ -884,7 +920,7 @@
 
     fn free_slots(&self, now: Moment, model: ModelId) -> u32 {
         let pool = &self.pools[model];
-        if !pool.queue.is_empty() || !pool.peer_work.is_zero() {
+        if !pool.queue.is_empty() || !pool.peer_work.is_empty() {
             return 0;
         }
         let free: f64 = pool
@@ -906,7 +942,7 @@
     fn center_wait(&self, now: Moment, model: ModelId) -> Duration {
         let pool = &self.pools[model];
         let slots = self.pool_slots(now, model).max(1.0) * self.members as f64;
-        (pool.queue.work() + pool.peer_work).div_f64(slots)
+        (pool.queue.work() + pool.peer_work.values().sum::<Duration>()).div_f64(slots)
     }
 
     fn route_random(&mut self, now: Moment, arrival: &RequestArrival) -> RouteStep {
@@ -989,7 +1025,7 @@
         mode: AwayMode::default(),
         next_turn: 0,
         from_away: BTreeMap::new(),
-        peer_work: Duration::ZERO,
+        peer_work: BTreeMap::new(),
     }
 }
 
--- a/crates/try/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Placeholder.
--- a/crates/types/src/digest.rs
+++ b/crates/types/src/digest.rs
@@ -5,6 +5,17 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
+/// Short stable tag of a name in frequent messages: the low half of its hash.
+///
+/// ```
+/// use onyxfall_types::name_tag;
+/// assert_eq!(name_tag("s1"), name_tag("s1"));
+/// ```
+pub fn name_tag(name: &str) -> u32 {
+    let [_, _, _, _, a, b, c, d] = stable_hash(&[name]).to_be_bytes();
+    u32::from_be_bytes([a, b, c, d])
+}
+
 /// Hashes `parts` in order (XXH3, 64 bits); the boundary between parts counts.
 ///
 /// ```
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -11,7 +11,7 @@
 mod quantity;
 mod verdict;
 
-pub use digest::stable_hash;
+pub use digest::{name_tag, stable_hash};
 pub use entity::{
     AdapterId, CenterId, EntityId, EntityMap, KindId, ModelId, RegionId, ServerId, TeamId, VmId,
 };
--- a/crates/types/src/name.rs
+++ b/crates/types/src/name.rs
@@ -3,6 +3,7 @@
 //! A name is 1 to 63 bytes of `a-z`, `0-9`, `-`, `_` and `.`, beginning with a
 //! letter or a digit, so that it is safe in a key, a header and a file name.
 
+use std::borrow::Borrow;
 use std::fmt;
 use std::str::FromStr;
 use std::sync::Arc;
@@ -50,6 +51,12 @@
             }
         }
 
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
                 f.write_str(&self.0)
--- a/crates/types/src/verdict.rs
+++ b/crates/types/src/verdict.rs
@@ -23,7 +23,8 @@
     NotRun,
     /// It may have run, or may still be running.
     MayHaveRun,
-    /// It ran to its end.
+    /// It ran: a backend server answered. A streamed answer is whole only if
+    /// its body ends as whole.
     Ran,
 }
 
--- /dev/null
+++ b/crates/wire/src/class.rs
@@ -0,0 +1,48 @@
+//! Classes of frames, for counting bytes.
+
+use crate::message::PeerPayload;
+
+/// What a frame's bytes are spent on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FrameClass {
+    /// Requests and answers.
+    Request,
+    /// Heartbeats and load within and between data centres.
+    Control,
+    /// Records and bundle texts.
+    Configuration,
+}
+
+impl FrameClass {
+    /// Every class.
+    pub const ALL: [Self; 3] = [Self::Request, Self::Control, Self::Configuration];
+
+    /// Label for metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Request => "request",
+            Self::Control => "control",
+            Self::Configuration => "configuration",
+        }
+    }
+
+    /// Class of a payload.
+    pub const fn of(payload: &PeerPayload) -> Self {
+        match payload {
+            PeerPayload::Open(_)
+            | PeerPayload::Head(_)
+            | PeerPayload::Data(_)
+            | PeerPayload::Credit(_)
+            | PeerPayload::End(_)
+            | PeerPayload::Cancel(_) => Self::Request,
+            PeerPayload::Hello(_)
+            | PeerPayload::Beat(_)
+            | PeerPayload::Pong(_)
+            | PeerPayload::Load(_) => Self::Control,
+            PeerPayload::RecordsRequest(_)
+            | PeerPayload::Records(_)
+            | PeerPayload::ContentRequest(_)
+            | PeerPayload::Content(_) => Self::Configuration,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/frame.rs
@@ -0,0 +1,147 @@
+//! Frames over a blocking stream.
+
+use std::io::{self, Read, Write};
+
+use bytes::{Bytes, BytesMut};
+use prost::Message;
+use thiserror::Error;
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+use crate::message::PeerFrame;
+
+/// Largest frame in bytes.
+pub const MAX_FRAME: usize = 8 * 1024 * 1024;
+const READ_CHUNK: usize = 16 * 1024;
+
+/// Why no frame could be read.
+#[derive(Debug, Error)]
+pub enum FrameError {
+    /// The other side closed between two frames.
+    #[error("closed")]
+    Closed,
+    /// The other side closed within a frame.
+    #[error("closed within a frame")]
+    Truncated,
+    /// A frame exceeds [`MAX_FRAME`].
+    #[error("frame too large")]
+    TooLarge,
+    /// A frame is not a message.
+    #[error("malformed frame: {0}")]
+    Malformed(prost::DecodeError),
+    /// The stream failed.
+    #[error("stream failed: {0}")]
+    Io(io::Error),
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME)
+        .new_codec()
+}
+
+/// Reads frames from a stream.
+pub struct FrameReader<R> {
+    stream: R,
+    codec: LengthDelimitedCodec,
+    buffer: BytesMut,
+}
+
+impl<R: Read> FrameReader<R> {
+    /// Wraps a stream.
+    pub fn new(stream: R) -> Self {
+        Self {
+            stream,
+            codec: codec(),
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// Reads the next frame and its length on the wire.
+    ///
+    /// # Errors
+    ///
+    /// The stream ended or failed, or sent what is not a frame; it is then of
+    /// no further use.
+    ///
+    /// ```
+    /// use onyxfall_wire::*;
+    /// let mut writer = FrameWriter::new(Vec::new());
+    /// writer.write(&PeerPayload::Pong(PongReply { sequence: 7 }).into()).unwrap();
+    /// let mut reader = FrameReader::new(writer.stream().as_slice());
+    /// let (frame, _) = reader.read().unwrap();
+    /// assert_eq!(frame.payload, Some(PeerPayload::Pong(PongReply { sequence: 7 })));
+    /// ```
+    pub fn read(&mut self) -> Result<(PeerFrame, usize), FrameError> {
+        loop {
+            let decoded = self.codec.decode(&mut self.buffer);
+            if let Some(body) = decoded.map_err(|_| FrameError::TooLarge)? {
+                let len = body.len() + 4;
+                let frame = PeerFrame::decode(body).map_err(FrameError::Malformed)?;
+                return Ok((frame, len));
+            }
+            self.fill()?;
+        }
+    }
+
+    fn fill(&mut self) -> Result<(), FrameError> {
+        let mut chunk = [0; READ_CHUNK];
+        let len = loop {
+            match self.stream.read(&mut chunk) {
+                Ok(len) => break len,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(FrameError::Io(e)),
+            }
+        };
+        if len == 0 {
+            let whole = self.buffer.is_empty();
+            return Err(if whole {
+                FrameError::Closed
+            } else {
+                FrameError::Truncated
+            });
+        }
+        self.buffer.extend_from_slice(&chunk[..len]);
+        Ok(())
+    }
+}
+
+/// Writes frames to a stream.
+pub struct FrameWriter<W> {
+    stream: W,
+    codec: LengthDelimitedCodec,
+    buffer: BytesMut,
+}
+
+impl<W: Write> FrameWriter<W> {
+    /// Wraps a stream.
+    pub fn new(stream: W) -> Self {
+        Self {
+            stream,
+            codec: codec(),
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// The stream.
+    pub fn stream(&self) -> &W {
+        &self.stream
+    }
+
+    /// Writes a frame and returns its length on the wire.
+    ///
+    /// # Errors
+    ///
+    /// The frame is too large (nothing was written) or the stream failed.
+    pub fn write(&mut self, frame: &PeerFrame) -> Result<usize, FrameError> {
+        self.buffer.clear();
+        let body = Bytes::from(frame.encode_to_vec());
+        self.codec
+            .encode(body, &mut self.buffer)
+            .map_err(|_| FrameError::TooLarge)?;
+        self.stream
+            .write_all(&self.buffer)
+            .map_err(FrameError::Io)?;
+        self.stream.flush().map_err(FrameError::Io)?;
+        Ok(self.buffer.len())
+    }
+}
--- /dev/null
+++ b/crates/wire/src/message.rs
@@ -0,0 +1,369 @@
+//! The messages; fields are numbered for good, new ones get new numbers.
+
+use prost::{Enumeration, Message, Oneof};
+
+/// One frame.
+#[derive(Clone, PartialEq, Message)]
+pub struct PeerFrame {
+    /// What it carries; absent if this version does not know it.
+    #[prost(
+        oneof = "PeerPayload",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14"
+    )]
+    pub payload: Option<PeerPayload>,
+}
+
+/// What a frame carries.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum PeerPayload {
+    /// First frame in each direction.
+    #[prost(message, tag = "1")]
+    Hello(PeerHello),
+    /// Starts an attempt.
+    #[prost(message, tag = "2")]
+    Open(OpenRequest),
+    /// Status and type of an answer.
+    #[prost(message, tag = "3")]
+    Head(ReplyHead),
+    /// Part of an answer.
+    #[prost(message, tag = "4")]
+    Data(ReplyData),
+    /// Allows more of an answer.
+    #[prost(message, tag = "5")]
+    Credit(CreditGrant),
+    /// Ends an attempt.
+    #[prost(message, tag = "6")]
+    End(ReplyEnd),
+    /// Gives an attempt up.
+    #[prost(message, tag = "7")]
+    Cancel(AttemptCancel),
+    /// Heartbeat and load of an entry.
+    #[prost(message, tag = "8")]
+    Beat(EntryBeat),
+    /// Answer to a heartbeat.
+    #[prost(message, tag = "9")]
+    Pong(PongReply),
+    /// Load of a data centre, with grants for the receiver's.
+    #[prost(message, tag = "10")]
+    Load(CenterLoad),
+    /// Asks for region records.
+    #[prost(message, tag = "11")]
+    RecordsRequest(RecordsRequest),
+    /// Region records.
+    #[prost(message, tag = "12")]
+    Records(RecordSet),
+    /// Asks for a bundle's text.
+    #[prost(message, tag = "13")]
+    ContentRequest(ContentRequest),
+    /// A bundle's text with its signatures.
+    #[prost(message, tag = "14")]
+    Content(ContentText),
+}
+
+impl From<PeerPayload> for PeerFrame {
+    fn from(payload: PeerPayload) -> Self {
+        Self {
+            payload: Some(payload),
+        }
+    }
+}
+
+/// Who is at the other end.
+#[derive(Clone, PartialEq, Message)]
+pub struct PeerHello {
+    /// [`crate::PROTOCOL_VERSION`].
+    #[prost(uint32, tag = "1")]
+    pub protocol: u32,
+    /// Name of the deployment.
+    #[prost(string, tag = "2")]
+    pub deployment: String,
+    /// The VM itself.
+    #[prost(message, optional, tag = "3")]
+    pub member: Option<MemberEntry>,
+}
+
+/// A member as in a heartbeat.
+#[derive(Clone, PartialEq, Message)]
+pub struct MemberEntry {
+    /// Name of the VM.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Its data centre.
+    #[prost(string, tag = "2")]
+    pub center: String,
+    /// Its region.
+    #[prost(string, tag = "3")]
+    pub region: String,
+    /// Its life.
+    #[prost(uint64, tag = "4")]
+    pub incarnation: u64,
+    /// Whether it is stopping by plan.
+    #[prost(bool, tag = "5")]
+    pub leaving: bool,
+    /// Where callers reach it.
+    #[prost(string, tag = "6")]
+    pub address: String,
+    /// Where other entries reach it.
+    #[prost(string, tag = "7")]
+    pub peer_address: String,
+}
+
+/// Why a request is passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Enumeration)]
+#[repr(i32)]
+pub enum OpenMode {
+    /// Sent away for capacity; runs there or is refused.
+    Away = 0,
+    /// Passed to the issuer of its ticket.
+    Ticket = 1,
+}
+
+/// Starts an attempt; a request passed on once is never passed on again.
+#[derive(Clone, PartialEq, Message)]
+pub struct OpenRequest {
+    /// Attempt, unique in the sender's life.
+    #[prost(uint64, tag = "1")]
+    pub attempt: u64,
+    /// Why it is passed on.
+    #[prost(enumeration = "OpenMode", tag = "2")]
+    pub mode: i32,
+    /// Request id.
+    #[prost(string, tag = "3")]
+    pub request_id: String,
+    /// Request kind.
+    #[prost(string, tag = "4")]
+    pub kind: String,
+    /// HTTP method.
+    #[prost(string, tag = "5")]
+    pub method: String,
+    /// HTTP path for the backend server.
+    #[prost(string, tag = "6")]
+    pub path: String,
+    /// Content type of the body.
+    #[prost(string, tag = "7")]
+    pub content_type: String,
+    /// Body.
+    #[prost(bytes = "bytes", tag = "8")]
+    pub body: bytes::Bytes,
+    /// Home region; empty if the caller named none.
+    #[prost(string, tag = "9")]
+    pub home: String,
+    /// Regions in which the sender allows it.
+    #[prost(string, repeated, tag = "10")]
+    pub allowed: Vec<String>,
+    /// Time left until the deadline.
+    #[prost(uint64, tag = "11")]
+    pub remaining_ms: u64,
+    /// W3C trace context.
+    #[prost(string, tag = "12")]
+    pub traceparent: String,
+    /// Hash of the prompt prefix; 0 for none.
+    #[prost(fixed64, tag = "13")]
+    pub prefix: u64,
+    /// Ticket; empty for none.
+    #[prost(string, tag = "14")]
+    pub ticket: String,
+}
+
+/// Status and type of an answer.
+#[derive(Clone, PartialEq, Message)]
+pub struct ReplyHead {
+    /// Attempt.
+    #[prost(uint64, tag = "1")]
+    pub attempt: u64,
+    /// HTTP status.
+    #[prost(uint32, tag = "2")]
+    pub status: u32,
+    /// Content type.
+    #[prost(string, tag = "3")]
+    pub content_type: String,
+}
+
+/// Part of an answer.
+#[derive(Clone, PartialEq, Message)]
+pub struct ReplyData {
+    /// Attempt.
+    #[prost(uint64, tag = "1")]
+    pub attempt: u64,
+    /// Bytes, in order.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub bytes: bytes::Bytes,
+}
+
+/// Allows more of an answer.
+#[derive(Clone, PartialEq, Message)]
+pub struct CreditGrant {
+    /// Attempt.
+    #[prost(uint64, tag = "1")]
+    pub attempt: u64,
+    /// Further credit, in bytes.
+    #[prost(uint64, tag = "2")]
+    pub bytes: u64,
+}
+
+/// Ends an attempt.
+#[derive(Clone, PartialEq, Message)]
+pub struct ReplyEnd {
+    /// Attempt.
+    #[prost(uint64, tag = "1")]
+    pub attempt: u64,
+    /// Verdict, in its header form.
+    #[prost(string, tag = "2")]
+    pub verdict: String,
+    /// Refusal reason; empty if the answer is whole.
+    #[prost(string, tag = "3")]
+    pub reason: String,
+    /// Detail for people.
+    #[prost(string, tag = "4")]
+    pub detail: String,
+    /// When to come back; 0 for no advice.
+    #[prost(uint64, tag = "5")]
+    pub retry_after_ms: u64,
+    /// Time lost to credit that did not come.
+    #[prost(uint64, tag = "6")]
+    pub stalled_ms: u64,
+}
+
+/// Gives an attempt up.
+#[derive(Clone, PartialEq, Message)]
+pub struct AttemptCancel {
+    /// Attempt.
+    #[prost(uint64, tag = "1")]
+    pub attempt: u64,
+}
+
+/// Heartbeat and load of an entry, to the other entries of its data centre.
+#[derive(Clone, PartialEq, Message)]
+pub struct EntryBeat {
+    /// Number within the sender's life.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+    /// Whether the sender is stopping by plan.
+    #[prost(bool, tag = "2")]
+    pub leaving: bool,
+    /// Reports of the servers that the sender observes.
+    #[prost(message, repeated, tag = "3")]
+    pub servers: Vec<ServerLoad>,
+    /// Work that waits in the sender, per model.
+    #[prost(message, repeated, tag = "4")]
+    pub queues: Vec<ModelLoad>,
+    /// Drains that the sender knows.
+    #[prost(message, repeated, tag = "5")]
+    pub drains: Vec<DrainEntry>,
+    /// Hash of the sender's region records.
+    #[prost(fixed64, tag = "6")]
+    pub records: u64,
+    /// Life of the receiver that the sender knows.
+    #[prost(uint64, tag = "7")]
+    pub receiver_incarnation: u64,
+    /// Members of the sender's data centre, sent to other data centres only.
+    #[prost(message, repeated, tag = "8")]
+    pub members: Vec<MemberEntry>,
+}
+
+/// Report of one server.
+#[derive(Clone, PartialEq, Message)]
+pub struct ServerLoad {
+    /// [`onyxfall_types::name_tag`] of the server.
+    #[prost(fixed32, tag = "1")]
+    pub server: u32,
+    /// Life of the server.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Requests that it works on.
+    #[prost(uint32, tag = "3")]
+    pub running: u32,
+    /// Requests that wait in it.
+    #[prost(uint32, tag = "4")]
+    pub queued: u32,
+    /// Whether it is leaving.
+    #[prost(bool, tag = "5")]
+    pub draining: bool,
+}
+
+/// Load of one model.
+#[derive(Clone, PartialEq, Message)]
+pub struct ModelLoad {
+    /// [`onyxfall_types::name_tag`] of the model.
+    #[prost(fixed32, tag = "1")]
+    pub model: u32,
+    /// Service time of what waits.
+    #[prost(uint32, tag = "2")]
+    pub queued_ms: u32,
+    /// Free slots.
+    #[prost(uint32, tag = "3")]
+    pub free: u32,
+    /// Expected wait.
+    #[prost(uint32, tag = "4")]
+    pub wait_ms: u32,
+    /// Requests that the receiver's data centre may have under way.
+    #[prost(uint32, tag = "5")]
+    pub grant: u32,
+    /// Requests of other data centres under way, by center tag, flattened.
+    #[prost(uint32, repeated, tag = "6")]
+    pub from_away: Vec<u32>,
+}
+
+/// A drain.
+#[derive(Clone, PartialEq, Message)]
+pub struct DrainEntry {
+    /// Name of the server.
+    #[prost(string, tag = "1")]
+    pub server: String,
+    /// Life that is leaving.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+}
+
+/// Answer to a heartbeat.
+#[derive(Clone, PartialEq, Message)]
+pub struct PongReply {
+    /// Number of the heartbeat.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+}
+
+/// Load of a data centre.
+#[derive(Clone, PartialEq, Message)]
+pub struct CenterLoad {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub center: String,
+    /// Order of its messages: seconds of the speaker's life and a number.
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
+    /// Per model.
+    #[prost(message, repeated, tag = "3")]
+    pub models: Vec<ModelLoad>,
+    /// Round trip that the receiving entry measured, when it passes this on.
+    #[prost(uint32, tag = "4")]
+    pub rtt_us: u32,
+}
+
+/// Asks for region records.
+#[derive(Clone, PartialEq, Message)]
+pub struct RecordsRequest {}
+
+/// Region records, as JSON.
+#[derive(Clone, PartialEq, Message)]
+pub struct RecordSet {
+    /// Each a region record in JSON.
+    #[prost(string, repeated, tag = "1")]
+    pub records: Vec<String>,
+}
+
+/// Asks for a bundle's text.
+#[derive(Clone, PartialEq, Message)]
+pub struct ContentRequest {
+    /// Its digest.
+    #[prost(string, tag = "1")]
+    pub digest: String,
+}
+
+/// A bundle's text with its signatures.
+#[derive(Clone, PartialEq, Message)]
+pub struct ContentText {
+    /// A signed bundle in JSON; empty if the sender does not hold it.
+    #[prost(string, tag = "1")]
+    pub bundle: String,
+}
