Add the load tool, sample deployments and experiment scripts

Change: open-loop onyxfall-load (Poisson, fixed seed, hdrhistogram per kind), bundles of both deployments, scripts that start eight entries, fifteen backend stand-ins and delaying links, and run scenarios per routing policy.

--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -74,6 +74,7 @@
     next_event: u64,
     runs: BTreeMap<String, u64>,
     cancelled: u64,
+    work: Duration,
     loads: VecDeque<(Instant, SlotLoad)>,
     orders: Vec<Value>,
     token: i64,
@@ -148,7 +149,12 @@
     match request.path() {
         "/load" => send(responder, 200, &load_report(shared)),
         "/fake/control" => control(shared, request, responder),
-        "/fake/runs" => send(responder, 200, &json!(shared.state.lock().runs)),
+        "/fake/runs" => {
+            let state = shared.state.lock();
+            let counts = json!({"runs": state.runs, "work_ms": state.work.as_millis()});
+            drop(state);
+            send(responder, 200, &counts);
+        }
         "/orders" => order(shared, request, responder),
         _ => complete(shared, request, responder),
     }
@@ -249,7 +255,9 @@
         return;
     };
     let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let started = Instant::now();
     let ended = answer(shared, &body, &request, responder);
+    shared.state.lock().work += started.elapsed();
     if !ended {
         shared.state.lock().cancelled += 1;
     }
--- a/crates/fakes/src/main.rs
+++ b/crates/fakes/src/main.rs
@@ -11,7 +11,10 @@
 use onyxfall_fakes::{
     EngineSettings, FakeEngine, FakeLink, FakePlatform, FakeService, LinkRules, ServiceSettings,
 };
+use onyxfall_http::{HttpLimits, HttpReply, HttpRequest, HttpServer, Responder};
 use onyxfall_settings::{FaultList, IniDocument, SectionReader};
+use onyxfall_types::ByteSize;
+use serde::Deserialize;
 
 /// Run stand-ins for the platform's service, backend servers and links.
 #[derive(FromArgs)]
@@ -28,6 +31,7 @@
     engines: Vec<FakeEngine>,
     services: Vec<FakeService>,
     links: Vec<FakeLink>,
+    controls: Vec<HttpServer>,
 }
 
 fn main() -> ExitCode {
@@ -62,7 +66,7 @@
     let document = IniDocument::load(&arguments.settings)?;
     let mut faults = FaultList::new();
     document.check_headers(
-        &["platform", "engine", "service", "link", "links"],
+        &["platform", "engine", "service", "link", "links", "control"],
         &mut faults,
     );
     let mut fakes = RunningFakes::default();
@@ -72,6 +76,14 @@
         reader.finish(&mut faults);
     }
     let rules = LinkRules::new(one_way);
+    for reader in document.readers("control") {
+        if let Some(listen) = reader.required("listen", &mut faults) {
+            fakes
+                .controls
+                .push(start_control(bind(listen)?, Arc::clone(&rules))?);
+        }
+        reader.finish(&mut faults);
+    }
     for reader in document.readers("platform") {
         if let Some(listen) = reader.required("listen", &mut faults) {
             fakes
@@ -105,6 +117,30 @@
     Ok(fakes)
 }
 
+/// A cut or mended pair of regions, as posted to the control port.
+#[derive(Deserialize)]
+struct CutOrder {
+    a: u8,
+    b: u8,
+    cut: bool,
+}
+
+/// Serves the orders to cut and mend links.
+fn start_control(listener: TcpListener, rules: Arc<LinkRules>) -> Result<HttpServer, Report> {
+    let handler = move |mut request: HttpRequest, responder: Responder| {
+        let body = request.read_body(ByteSize::new(4096)).unwrap_or_default();
+        let status = match serde_json::from_slice::<CutOrder>(&body) {
+            Ok(order) => {
+                rules.set_cut(order.a, order.b, order.cut);
+                200
+            }
+            Err(_) => 400,
+        };
+        let _ = responder.reply(HttpReply::full(status, "application/json", "{}"));
+    };
+    HttpServer::start(listener, HttpLimits::default(), handler).into_diagnostic()
+}
+
 fn start_engine(
     reader: &SectionReader<'_>,
     faults: &mut FaultList,
--- a/crates/fakes/src/service.rs
+++ b/crates/fakes/src/service.rs
@@ -138,7 +138,7 @@
             };
         }
         "/fake/runs" => {
-            let runs = json!(shared.state.lock().runs);
+            let runs = json!({"runs": shared.state.lock().runs});
             return send(responder, 200, runs);
         }
         _ => {}
--- /dev/null
+++ b/crates/load/src/arrivals.rs
@@ -0,0 +1,80 @@
+//! Poisson arrivals, planned before the run so that a seed fixes them.
+
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::scenario::LoadScenario;
+
+/// A request to send.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlannedArrival {
+    /// When, since the start.
+    pub at: Duration,
+    /// Index of the region.
+    pub region: usize,
+    /// Index of the kind.
+    pub kind: usize,
+    /// Number of the prompt prefix.
+    pub prefix: u64,
+    /// Draw that picks the entry.
+    pub entry: usize,
+}
+
+/// Plans every arrival of a scenario, in order of time.
+///
+/// ```
+/// use onyxfall_load::{parse_scenario, plan_arrivals};
+/// let text = "[load]\nname = a\nduration-ms = 1000\n[region r]\nentries = 127.0.0.1:1\n\
+///             [kind k]\nrate = 50/s\n";
+/// let scenario = parse_scenario("a.ini", text).unwrap();
+/// assert_eq!(plan_arrivals(&scenario), plan_arrivals(&scenario));
+/// ```
+pub fn plan_arrivals(scenario: &LoadScenario) -> Vec<PlannedArrival> {
+    let mut arrivals = Vec::new();
+    for region in 0..scenario.regions.len() {
+        for kind in 0..scenario.kinds.len() {
+            let stream = (region as u64) << 32 | kind as u64;
+            let rng = StdRng::seed_from_u64(scenario.seed ^ stream.wrapping_mul(0x9e37_79b9));
+            plan_stream(scenario, region, kind, rng, &mut arrivals);
+        }
+    }
+    arrivals.sort_by_key(|arrival| arrival.at);
+    arrivals
+}
+
+/// Draws at the peak rate and keeps each draw with the chance of its moment.
+fn plan_stream(
+    scenario: &LoadScenario,
+    region: usize,
+    kind: usize,
+    mut rng: StdRng,
+    arrivals: &mut Vec<PlannedArrival>,
+) {
+    let rush = &scenario.regions[region].rush;
+    let peak = scenario.kinds[kind].rate.per_second() * rush.peak();
+    if peak <= 0.0 {
+        return;
+    }
+    let mut at = Duration::ZERO;
+    loop {
+        let draw: f64 = rng.random::<f64>().max(f64::MIN_POSITIVE);
+        at += Duration::from_secs_f64(-draw.ln() / peak);
+        if at >= scenario.duration {
+            return;
+        }
+        let kept = rng.random::<f64>() < rush.factor(at) / rush.peak();
+        let prefix = rng.random_range(0..scenario.kinds[kind].prefixes);
+        let entry = rng.random_range(0..scenario.regions[region].entries.len());
+        if kept {
+            arrivals.push(PlannedArrival {
+                at,
+                region,
+                kind,
+                prefix,
+                entry,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/examples/stop.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Ends what examples/deploy.sh started in DIRECTORY.
+set -u
+while read -r pid; do kill -KILL "$pid" 2> /dev/null; done < "$1/pids"
+exit 0
