--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -124,7 +124,7 @@
 
     /// Whether a request may be sent there now.
     pub fn has_room(&self, now: Moment, members: usize) -> bool {
-        self.is_usable(now) && (self.open.len() as f64) < self.allowance(now, members).floor()
+        self.is_usable(now) && (self.open.len() as f64) < self.allowance(now, members).round()
     }
 
     /// Whether it may be used at all.
