--- /dev/null
+++ b/crates/bundle/tests/files.rs
@@ -0,0 +1,49 @@
+//! Text files with exact expected output: a bundle above a line `----`, what
+//! the parser and the verifier say below it. `ONYXFALL_BLESS=1` rewrites them.
+
+use std::fs;
+use std::path::Path;
+
+use onyxfall_bundle::{ContentDigest, canonical_text, parse_bundle, verify_bundle};
+use onyxfall_settings::IniDocument;
+
+const SEPARATOR: &str = "----\n";
+
+fn output(text: &str) -> String {
+    let document = match IniDocument::parse("bundle", text) {
+        Ok(document) => document,
+        Err(e) => return format!("{e}\n"),
+    };
+    let bundle = match parse_bundle(&document) {
+        Ok(bundle) => bundle,
+        Err(e) => return format!("{e}\n"),
+    };
+    match verify_bundle(&bundle) {
+        Ok(()) => format!(
+            "{bundle}\n{}\n",
+            ContentDigest::of(&canonical_text(&document))
+        ),
+        Err(faults) => faults.iter().map(|fault| format!("{fault}\n")).collect(),
+    }
+}
+
+#[test]
+fn files_give_their_output() {
+    let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/files");
+    let mut paths: Vec<_> = fs::read_dir(dir)
+        .unwrap()
+        .map(|entry| entry.unwrap().path())
+        .collect();
+    paths.sort();
+    assert!(paths.len() >= 5, "the files are there");
+    for path in paths {
+        let text = fs::read_to_string(&path).unwrap();
+        let (input, expected) = text.split_once(SEPARATOR).expect("a separator line");
+        let found = output(input);
+        if std::env::var_os("ONYXFALL_BLESS").is_some() {
+            fs::write(&path, format!("{input}{SEPARATOR}{found}")).unwrap();
+            continue;
+        }
+        assert_eq!(found, expected, "{}", path.display());
+    }
+}
--- a/crates/http/src/reply.rs
+++ b/crates/http/src/reply.rs
@@ -1,8 +1,9 @@
 //! Answers: whole, or streamed by the handler's thread.
 
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,11 +11,14 @@
 use hyper::body::{Body, Frame};
 use tokio::runtime::Handle;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Sleep;
 
 use crate::cancel::CancelToken;
 
 /// Chunks that may wait for a slow caller before the handler blocks.
 const STREAM_DEPTH: usize = 16;
+/// Time for the last bytes to leave before a broken answer is cut.
+const BREAK_PAUSE: Duration = Duration::from_millis(50);
 
 /// Status, headers and body of an answer.
 pub struct HttpReply {
@@ -176,14 +180,63 @@
     }
 }
 
+/// A streamed body on its way to the caller.
+pub(crate) struct StreamBody {
+    receiver: mpsc::Receiver<Chunk>,
+    guard: CancelOnDrop,
+    state: StreamState,
+}
+
+/// How far a streamed body has come.
+enum StreamState {
+    Open,
+    /// Broken off: what was sent before is given time to leave, since `hyper`
+    /// drops its buffer when a body fails.
+    Breaking(Pin<Box<Sleep>>),
+    Ended,
+}
+
+impl StreamBody {
+    pub(crate) fn new(receiver: mpsc::Receiver<Chunk>, guard: CancelOnDrop) -> Self {
+        Self {
+            receiver,
+            guard,
+            state: StreamState::Open,
+        }
+    }
+
+    fn poll_chunk(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        loop {
+            match &mut self.state {
+                StreamState::Ended => return Poll::Ready(None),
+                StreamState::Breaking(pause) => {
+                    ready!(pause.as_mut().poll(cx));
+                    self.state = StreamState::Ended;
+                    return Poll::Ready(Some(Err(io::Error::other("answer broke off"))));
+                }
+                StreamState::Open => match ready!(self.receiver.poll_recv(cx)) {
+                    Some(Chunk::Data(bytes)) => return Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                    Some(Chunk::Finish) => {
+                        self.state = StreamState::Ended;
+                        self.guard.disarm();
+                    }
+                    None => {
+                        let pause = Box::pin(tokio::time::sleep(BREAK_PAUSE));
+                        self.state = StreamState::Breaking(pause);
+                    }
+                },
+            }
+        }
+    }
+}
+
 /// The body handed to `hyper`.
 pub(crate) enum EdgeBody {
     Full(Option<Bytes>),
-    Stream {
-        receiver: mpsc::Receiver<Chunk>,
-        guard: CancelOnDrop,
-        ended: bool,
-    },
+    Stream(StreamBody),
 }
 
 impl Body for EdgeBody {
@@ -199,32 +252,14 @@
                 let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
                 Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
             }
-            Self::Stream { ended: true, .. } => Poll::Ready(None),
-            Self::Stream {
-                receiver,
-                guard,
-                ended,
-            } => match receiver.poll_recv(cx) {
-                Poll::Pending => Poll::Pending,
-                Poll::Ready(Some(Chunk::Data(bytes))) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
-                Poll::Ready(Some(Chunk::Finish)) => {
-                    *ended = true;
-                    guard.disarm();
-                    Poll::Ready(None)
-                }
-                Poll::Ready(None) => {
-                    *ended = true;
-                    let e = io::Error::other("answer broke off");
-                    Poll::Ready(Some(Err(e)))
-                }
-            },
+            Self::Stream(stream) => stream.poll_chunk(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Full(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
-            Self::Stream { ended, .. } => *ended,
+            Self::Stream(stream) => matches!(stream.state, StreamState::Ended),
         }
     }
 
@@ -233,7 +268,7 @@
             Self::Full(bytes) => {
                 hyper::body::SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
-            Self::Stream { .. } => hyper::body::SizeHint::default(),
+            Self::Stream(_) => hyper::body::SizeHint::default(),
         }
     }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::cancel::CancelToken;
-use crate::reply::{CancelOnDrop, EdgeBody, HttpReply, ReplyBody, Responder};
+use crate::reply::{CancelOnDrop, EdgeBody, HttpReply, ReplyBody, Responder, StreamBody};
 use crate::request::HttpRequest;
 
 /// Stack of a handler thread.
@@ -269,11 +269,7 @@
             into_response(reply, None)
         }
         Ok((reply, Some(chunks))) => {
-            let body = EdgeBody::Stream {
-                receiver: chunks,
-                guard,
-                ended: false,
-            };
+            let body = EdgeBody::Stream(StreamBody::new(chunks, guard));
             into_response(reply, Some(body))
         }
         Err(_) => {
--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -78,6 +78,7 @@
             enabled_escape: false,
             ..ParseOption::default()
         };
+        check_brackets(file, text)?;
         let ini = Ini::load_from_str_opt(text, option).map_err(|e| {
             let message = format!("not INI: {}", e.msg);
             let fault = fault_at(text, e.line.max(1), message);
@@ -216,6 +217,21 @@
     text.lines().enumerate().map(|(i, line)| (i + 1, line))
 }
 
+/// `rust-ini` reads on past a header without its `]` and reports the end of
+/// the file, so this is looked for first.
+fn check_brackets(file: &str, text: &str) -> Result<(), SettingsError> {
+    let is_open = |line: &str| line.trim().starts_with('[') && !line.trim().ends_with(']');
+    let faults: Vec<SettingsFault> = numbered_lines(text)
+        .filter(|(_, line)| is_open(line))
+        .map(|(number, _)| fault_at(text, number, "section header without `]`".to_owned()))
+        .collect();
+    if faults.is_empty() {
+        Ok(())
+    } else {
+        Err(SettingsError::new(file, text, faults))
+    }
+}
+
 fn line_header(line: &str) -> Option<&str> {
     line.trim()
         .strip_prefix('[')?
--- a/crates/settings/tests/faults.rs
+++ b/crates/settings/tests/faults.rs
@@ -75,7 +75,7 @@
         FaultCase {
             name: "not INI",
             text: "[listen\nport = 1\n",
-            expected: expect![[r#"test.ini:3: not INI: expecting "[Some(']')]" but found EOF."#]],
+            expected: expect!["test.ini:1: section header without `]`"],
         },
         FaultCase {
             name: "empty",
