--- /dev/null
+++ b/crates/slopes/src/memory.rs
@@ -0,0 +1,30 @@
+//! Memory and processor time of this process, from the kernel's accounts.
+
+/// Clock ticks a second in the kernel's accounts on Linux.
+const TICKS: f64 = 100.0;
+/// Bytes of a page.
+const PAGE: f64 = 4096.0;
+
+/// Resident bytes.
+pub(crate) fn resident_bytes() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text
+        .split_whitespace()
+        .nth(1)
+        .and_then(|pages| pages.parse::<f64>().ok());
+    pages.unwrap_or(0.0) * PAGE
+}
+
+/// Seconds of processor time used so far.
+pub(crate) fn processor_seconds() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let after = text.rsplit(')').next().unwrap_or("");
+    let fields: Vec<&str> = after.split_whitespace().collect();
+    let ticks = |index: usize| {
+        fields
+            .get(index)
+            .and_then(|f| f.parse::<f64>().ok())
+            .unwrap_or(0.0)
+    };
+    (ticks(11) + ticks(12)) / TICKS
+}
