Run experiments of several policies at once, each on addresses of its own

Cause: one policy after another takes four times as long and is not the same moment. The fair part of a server's slots is rounded down: with 3 entries and 4 slots it let 6 requests onto 4 slots.

--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -118,7 +118,7 @@
     /// in the data centre: what is spare, and at least a fair part.
     pub fn allowance(&self, now: Moment, members: usize) -> f64 {
         let cap = self.limit.get() * self.ramp(now);
-        let fair = (cap / members.max(1) as f64).ceil();
+        let fair = (cap / members.max(1) as f64).floor();
         (cap - self.others(now)).max(fair).max(1.0)
     }
 
--- a/experiments/scenario.sh
+++ b/experiments/scenario.sh
@@ -9,6 +9,7 @@
 set -euo pipefail
 deployment=$1
 scenario=$2
+net=${ONYXFALL_NET:-127.0}
 duration=${ONYXFALL_DURATION_MS:-45000}
 warmup=5000
 case $deployment in
@@ -31,40 +32,40 @@
 case $scenario in
 steady) ;;
 rush)
-  rush=("0:2.0 $third:0.4" "0:0.4 $third:2.0 $((2 * third)):0.4" "0:0.4 $((2 * third)):2.0") ;;
+  rush=("0:2.4 $third:0.3" "0:0.3 $third:2.4 $((2 * third)):0.3" "0:0.3 $((2 * third)):2.4") ;;
 capacity) rush=("0:1.0" "0:1.0" "0:1.0") ;;
 overload) rush=("0:2.2" "0:2.2" "0:2.2") ;;
 storm) rush=("0:1.6" "0:1.6" "0:1.6"); retries=4; heeds=no ;;
 slow) rush=("0:0.6" "0:0.6" "0:0.6")
-  event slow 100 http://127.0.1.101:8000/fake/control '{"slowness": 10}' ;;
+  event slow 100 http://$net.1.101:8000/fake/control '{"slowness": 10}' ;;
 without-slow) rush=("0:0.6" "0:0.6" "0:0.6")
-  event out 100 http://127.0.1.101:8000/fake/control '{"draining": true}' ;;
+  event out 100 http://$net.1.101:8000/fake/control '{"draining": true}' ;;
 region-loss) rush=("0:0.5" "0:0.5" "0:0.5")
   for n in 1 2 3 4; do
-    event "lost-$n" 15000 "http://127.0.1.10$n:8000/fake/control" '{"dead": true}'
-    event "back-$n" 30000 "http://127.0.1.10$n:8000/fake/control" '{}'
+    event "lost-$n" 15000 "http://$net.1.10$n:8000/fake/control" '{"dead": true}'
+    event "back-$n" 30000 "http://$net.1.10$n:8000/fake/control" '{}'
   done ;;
 partition)
-  event cut 12000 http://127.0.0.1:23791/ '{"a": 1, "b": 2, "cut": true}'
-  event cut-3 12000 http://127.0.0.1:23791/ '{"a": 1, "b": 3, "cut": true}'
-  event mend 30000 http://127.0.0.1:23791/ '{"a": 1, "b": 2, "cut": false}'
-  event mend-3 30000 http://127.0.0.1:23791/ '{"a": 1, "b": 3, "cut": false}' ;;
+  event cut 12000 http://$net.0.1:23791/ '{"a": 1, "b": 2, "cut": true}'
+  event cut-3 12000 http://$net.0.1:23791/ '{"a": 1, "b": 3, "cut": true}'
+  event mend 30000 http://$net.0.1:23791/ '{"a": 1, "b": 2, "cut": false}'
+  event mend-3 30000 http://$net.0.1:23791/ '{"a": 1, "b": 3, "cut": false}' ;;
 outage)
-  event down 8000 http://127.0.0.1:23790/fake/control '{"outage": true}'
-  event up 35000 http://127.0.0.1:23790/fake/control '{}' ;;
+  event down 8000 http://$net.0.1:23790/fake/control '{"outage": true}'
+  event up 35000 http://$net.0.1:23790/fake/control '{}' ;;
 *) echo "no such scenario: $scenario" >&2; exit 2 ;;
 esac
 
 counters=""
 for r in 1 2 3; do
-  for n in 101 102 103 104 201; do counters+="127.0.$r.$n:8000, "; done
+  for n in 101 102 103 104 201; do counters+="$net.$r.$n:8000, "; done
 done
 printf '[load]\nname = %s-%s\nduration-ms = %s\nwarmup-ms = %s\nseed = 7\ncounters = %s\n' \
   "$deployment" "$scenario" "$duration" $warmup "${counters%, }"
 for r in 1 2 3; do
   count=3; [ $r = 3 ] && count=2
   entries=""; admins=""
-  for n in $(seq 1 $count); do entries+="127.0.$r.$n:8080, "; admins+="127.0.$r.$n:9100, "; done
+  for n in $(seq 1 $count); do entries+="$net.$r.$n:8080, "; admins+="$net.$r.$n:9100, "; done
   printf '[region %s]\nentries = %s\nadmins = %s\nrush = %s\n' "${regions[r-1]}" "${entries%, }" "${admins%, }" "${rush[r-1]}"
 done
 kind() { printf '[kind %s]\nrate = %s/s\nweight = %s\nrepeatable = %s\ntokens = %s\nprefixes = %s\nstream = %s\nhome = %s\ndeadline-ms = %s\nretries = %s\nheeds-pause = %s\n' "$@" $retries $heeds; }
