Let entries of a data centre find each other through any one of them

Cause: entries that shared one seed never learned of each other while the platform listed no VMs: one entry of three got no request from other data centres (0 of 254), ranks and parts of grants were wrong. Change: heartbeats carry a hash of the serving members; who sees another asks, and dials whom it did not know. Also: one beat held three locks at once (a guard lived to the end of the expression); each is now released before the next.

--- a/crates/entry/src/control/beat.rs
+++ b/crates/entry/src/control/beat.rs
@@ -173,14 +173,25 @@
             };
         router.drains().iter().map(entry).collect::<Vec<_>>()
     });
+    // Each lock is released before the next is taken.
+    let (leaving, members) = {
+        let table = core.members.lock();
+        (
+            table.own().leaving,
+            table.serving_hash(&core.settings.center),
+        )
+    };
+    let servers = core.observed.lock().values().cloned().collect();
+    let records = core.config.lock().records_hash();
     EntryBeat {
         sequence,
-        leaving: core.members.lock().own().leaving,
-        servers: core.observed.lock().values().cloned().collect(),
+        leaving,
+        servers,
         queues: queues.unwrap_or_default(),
         drains: drains.unwrap_or_default(),
-        records: core.config.lock().records_hash(),
+        records,
         receiver_incarnation: 0,
+        members,
     }
 }
 
@@ -367,6 +378,7 @@
     take_drains(core, &beat.drains);
     if sender.center == core.settings.center {
         take_queues(core, &sender, &beat.queues);
+        compare_members(core, link, beat.members);
     }
     if beat.records != core.config.lock().records_hash() {
         link.send_control(core, PeerPayload::RecordsRequest(RecordsRequest {}));
@@ -464,6 +476,18 @@
     }
 }
 
+/// Asks a peer of the own data centre for its members if it sees others.
+fn compare_members(core: &EntryCore, link: &PeerLink, hash: u64) {
+    let center = &core.settings.center;
+    let is_same = core.members.lock().serving_hash(center) == hash;
+    if !is_same {
+        let request = MembersRequest {
+            center: center.to_string(),
+        };
+        link.send_control(core, PeerPayload::MembersRequest(request));
+    }
+}
+
 /// Refreshes a data centre's members, or asks for them if they have changed.
 fn take_members_hash(core: &EntryCore, link: &PeerLink, center: &CenterName, hash: u64) {
     if *center == core.settings.center {
@@ -505,17 +529,22 @@
     link.send_control(core, PeerPayload::Members(set));
 }
 
-/// Takes the members of another data centre.
+/// Takes the members of a data centre. Those of the own one are only hints:
+/// what counts is their own heartbeat, for which they are dialled.
 fn take_members(core: &EntryCore, set: &MemberSet) {
     let Ok(center) = set.center.parse::<CenterName>() else {
         return;
     };
-    if center == core.settings.center || set.members.is_empty() {
-        return;
-    }
     let beats: Vec<MemberBeat> = set.members.iter().filter_map(beat_of).collect();
     let now = core.now();
-    core.members.lock().hear_members(now, &center, &beats);
+    let mut members = core.members.lock();
+    if center == core.settings.center {
+        for beat in &beats {
+            members.hint(now, beat);
+        }
+    } else if !beats.is_empty() {
+        members.hear_members(now, &center, &beats);
+    }
 }
 
 /// Passes another data centre's load on within the own one.
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -274,3 +274,25 @@
     peer.send(PeerPayload::Cancel(AttemptCancel { attempt: 1 }));
     assert_ne!(peer.end_of(1).0.reason, "", "the stalled one is broken off");
 }
+
+#[test]
+fn entries_that_share_one_seed_find_each_other() {
+    let service = FakeService::start(loopback(1), ServiceSettings::default()).unwrap();
+    let engine = FakeEngine::start(loopback(1), EngineSettings::default()).unwrap();
+    let text = bundle(service.address(), engine.address());
+    let mut deployment = TestDeployment::new(&[1, 1, 1, 1]);
+    deployment.seed_only_first();
+    for index in 0..4 {
+        deployment.start_entry(index);
+    }
+    let content = deployment.sign(&(text + "[region r2]\n[data-centre c2]\nregion = r2\n"));
+    deployment.roll(content);
+    deployment.wait_in_force(content);
+    for index in 0..4 {
+        wait_until("all four are seen", || {
+            let address = deployment.callers(index);
+            let answer = support::try_call(address, "GET", "/v1/entries", &[], "");
+            answer.is_some_and(|answer| answer.body.matches("\"name\"").count() == 4)
+        });
+    }
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -66,6 +66,7 @@
     pub secrets: [SigningSecret; 2],
     places: Vec<EntryPlace>,
     pub entries: Vec<Option<EntryProcess>>,
+    seeds: usize,
     links: Vec<FakeLink>,
 }
 
@@ -91,16 +92,24 @@
         }
         let secret = |byte: &str| byte.repeat(32).parse().unwrap();
         let entries = regions.iter().map(|_| None).collect();
+        let secrets = [secret("01"), secret("02")];
+        let seeds = regions.len();
         Self {
             platform,
             rules,
-            secrets: [secret("01"), secret("02")],
+            secrets,
             places,
             entries,
+            seeds,
             links,
         }
     }
 
+    /// Lets entries know only the first one without the platform.
+    pub fn seed_only_first(&mut self) {
+        self.seeds = 1;
+    }
+
     /// Starts every entry and rolls `servers_and_kinds` as the first bundle.
     pub fn start(regions: &[usize], servers_and_kinds: &str) -> Self {
         let mut deployment = Self::new(regions);
@@ -148,12 +157,8 @@
         for (name, secret) in ["ann", "ben"].iter().zip(&self.secrets) {
             let _ = write!(text, "[operator {name}]\nkey = {}\n", secret.public());
         }
-        for (other, place) in self
-            .places
-            .iter()
-            .enumerate()
-            .filter(|(other, _)| *other != index)
-        {
+        let seeds = self.places.iter().take(self.seeds).enumerate();
+        for (other, place) in seeds.filter(|(other, _)| *other != index) {
             let _ = write!(
                 text,
                 "[peer vm-{other}]\ndata-centre = c{0}\nregion = r{0}\ncallers = {1}\npeers = {2}\n",
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -265,6 +265,9 @@
     /// Life of the receiver that the sender knows.
     #[prost(uint64, tag = "7")]
     pub receiver_incarnation: u64,
+    /// Hash of the serving members of the sender's data centre.
+    #[prost(fixed64, tag = "9")]
+    pub members: u64,
 }
 
 /// Report of one server.
