Put priority before deadline in the queue, and let the best priority queue in servers

Change: the half that is not guaranteed goes by priority, then deadline; requests of the best priority may queue in a server (1.6 times its allowance).

--- a/crates/policy/src/choose.rs
+++ b/crates/policy/src/choose.rs
@@ -38,6 +38,8 @@
     pub(crate) prefixes: &'a PrefixTable,
     pub(crate) members: usize,
     pub(crate) excluded: &'a [ServerId],
+    /// Whether the request may queue in a server, which honours its priority.
+    pub(crate) eager: bool,
     pub(crate) prefix: Option<PrefixKey>,
     pub(crate) service: Duration,
     pub(crate) prefix_share: f64,
@@ -94,7 +96,7 @@
     ) -> Option<ServerChoice> {
         candidates
             .filter(|server| !self.excluded.contains(server))
-            .filter(|server| self.servers[*server].has_room(self.now, self.members))
+            .filter(|server| self.servers[*server].has_room(self.now, self.members, self.eager))
             .map(|server| (self.score(server), rng.random::<u32>(), server))
             .min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)))
             .map(|(_, _, server)| self.choice(server))
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -3,14 +3,14 @@
 //! Every kind has a lane. Half of the service time is guaranteed to the lanes
 //! with work in proportion to their worth, so that scarce capacity goes where
 //! it counts and no lane starves; a lane that is behind its guarantee goes
-//! first. The other half goes by earliest deadline over all lanes, which meets
-//! every deadline whenever that is possible at all. Within a lane the earliest
-//! deadline goes first.
+//! first. The other half goes by the kinds' priority, then by earliest deadline.
+//! Within a lane the earliest deadline goes first.
 //!
 //! Invariants: an entry that cannot meet its deadline any more is handed out as
 //! expired at once, never kept; nothing that was started is wasted, since only
 //! waiting entries expire.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -45,6 +45,7 @@
 #[derive(Clone, Debug)]
 struct KindLane<T> {
     worth: f64,
+    priority: u8,
     /// Guaranteed service time less what was given, in seconds.
     credit: f64,
     work: Duration,
@@ -78,12 +79,14 @@
         }
     }
 
-    /// Declares a kind with its worth, such as weight per second of service.
-    pub fn add_lane(&mut self, kind: KindId, worth: f64) {
+    /// Declares a kind with its worth, such as weight per second of service,
+    /// and its priority; a smaller one goes first.
+    pub fn add_lane(&mut self, kind: KindId, worth: f64, priority: u8) {
         debug_assert!(worth > 0.0);
         let requests = BTreeMap::new();
         let lane = KindLane {
             worth,
+            priority,
             credit: 0.0,
             work: Duration::ZERO,
             requests,
@@ -115,19 +118,19 @@
     }
 
     /// Expected wait of a new request with `slots` working on this queue: the
-    /// work that is due before it, or its lane's own work at the guaranteed
+    /// work that goes before it by priority and deadline, or its lane's own work at the guaranteed
     /// share, whichever is less.
     pub fn expected_wait(&self, kind: KindId, deadline: Moment, slots: f64) -> Duration {
         let slots = slots.max(1.0);
-        let due: f64 = self
-            .lanes
-            .values()
-            .map(|lane| lane.due_before(deadline))
-            .sum();
-        let by_deadline = due / slots;
         let Some(lane) = self.lanes.get(&kind) else {
-            return Duration::from_secs_f64(by_deadline);
+            return Duration::ZERO;
+        };
+        let before = |other: &KindLane<T>| match other.priority.cmp(&lane.priority) {
+            Ordering::Less => other.work.as_secs_f64(),
+            Ordering::Equal => other.due_before(deadline),
+            Ordering::Greater => 0.0,
         };
+        let by_deadline = self.lanes.values().map(before).sum::<f64>() / slots;
         let busy = self
             .lanes
             .values()
@@ -143,6 +146,12 @@
         Duration::from_secs_f64(by_deadline.min(by_share))
     }
 
+    /// Priority of the lane from which the next request comes.
+    pub fn first_priority(&self) -> Option<u8> {
+        let kind = self.lane_behind().or_else(|| self.lane_due())?;
+        Some(self.lanes.get(&kind)?.priority)
+    }
+
     /// Adds a request.
     ///
     /// # Errors
@@ -261,9 +270,10 @@
             .map(|(kind, _)| kind)
     }
 
-    /// The lane whose first request is due earliest.
+    /// The lane that goes first by priority, then by its first deadline.
     fn lane_due(&self) -> Option<KindId> {
-        let first = |lane: &KindLane<T>| lane.requests.keys().next().copied();
+        let first =
+            |lane: &KindLane<T>| lane.requests.keys().next().map(|due| (lane.priority, *due));
         let lanes = self
             .lanes
             .iter()
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -215,6 +215,8 @@
     queue: WeightedQueue<RequestArrival>,
     mode: AwayMode,
     next_turn: usize,
+    /// Priority whose requests may queue in servers, if kinds differ in it.
+    top_priority: Option<u8>,
     from_away: BTreeMap<CenterId, u32>,
     peer_work: BTreeMap<VmName, Duration>,
 }
@@ -727,6 +729,7 @@
             prefixes: &self.prefixes,
             members: self.members,
             excluded: &arrival.excluded,
+            eager: self.pools[kind.model].top_priority == Some(kind.priority),
             prefix: arrival.prefix,
             service: self.estimates[arrival.kind].get(),
             prefix_share: kind.prefix_share,
@@ -936,13 +939,15 @@
         }
     }
 
+    /// Whether a server has room for what waits first.
     fn has_room(&self, now: Moment, model: ModelId) -> bool {
         let pool = &self.pools[model];
-        !pool.queue.is_empty()
-            && pool
-                .servers
-                .iter()
-                .any(|id| self.servers[*id].has_room(now, self.members))
+        let eager = pool
+            .queue
+            .first_priority()
+            .is_some_and(|p| pool.top_priority == Some(p));
+        let has_room = |id: &ServerId| self.servers[*id].has_room(now, self.members, eager);
+        !pool.queue.is_empty() && pool.servers.iter().any(has_room)
     }
 
     fn free_slots(&self, now: Moment, model: ModelId) -> u32 {
@@ -1039,7 +1044,7 @@
 ) -> ModelPool {
     let mut queue = WeightedQueue::new(settings.queue_limit);
     for (id, kind) in bundle.kinds.iter().filter(|(_, kind)| kind.model == model) {
-        queue.add_lane(id, lane_worth(bundle, kind));
+        queue.add_lane(id, lane_worth(bundle, kind), kind.priority);
     }
     let servers = bundle
         .servers
@@ -1052,11 +1057,21 @@
         queue,
         mode: AwayMode::default(),
         next_turn: 0,
+        top_priority: top_priority(bundle, model),
         from_away: BTreeMap::new(),
         peer_work: BTreeMap::new(),
     }
 }
 
+/// The best priority of a model's kinds, if they differ in it.
+fn top_priority(bundle: &ServiceBundle, model: ModelId) -> Option<u8> {
+    let kinds = bundle.kinds.values().filter(|kind| kind.model == model);
+    let priorities: Vec<u8> = kinds.map(|kind| kind.priority).collect();
+    let top = priorities.iter().min().copied();
+    let differ = priorities.iter().any(|priority| Some(*priority) != top);
+    top.filter(|_| differ)
+}
+
 /// Worth of a kind's lane: weight per second of service, the more the tail
 /// counts the more in favour of short kinds.
 fn lane_worth(bundle: &ServiceBundle, kind: &RequestKind) -> f64 {
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -23,6 +23,8 @@
 /// Requests per slot that may be under way: a short queue in the server keeps
 /// its slots busy while the news of a free one is on its way.
 const HEADROOM: f64 = 1.25;
+/// How much further requests of the best priority may go.
+const EAGER_FACTOR: f64 = 1.6;
 
 /// What a server reports of its load.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -125,9 +127,12 @@
         (cap - self.others(now)).max(fair).max(1.0)
     }
 
-    /// Whether a request may be sent there now.
-    pub fn has_room(&self, now: Moment, members: usize) -> bool {
-        self.is_usable(now) && (self.open.len() as f64) < self.allowance(now, members).round()
+    /// Whether a request may be sent there now; an eager one, which the server
+    /// puts before others, may also queue in it.
+    pub fn has_room(&self, now: Moment, members: usize, eager: bool) -> bool {
+        let factor = if eager { EAGER_FACTOR } else { 1.0 };
+        let allowance = (self.allowance(now, members) * factor).round();
+        self.is_usable(now) && (self.open.len() as f64) < allowance
     }
 
     /// Whether it may be used at all.
--- a/crates/policy/tests/parts.rs
+++ b/crates/policy/tests/parts.rs
@@ -27,8 +27,8 @@
 
 fn queue_of_two(worths: [f64; 2]) -> WeightedQueue<()> {
     let mut queue = WeightedQueue::new(1000);
-    queue.add_lane(KindId::from_index(0), worths[0]);
-    queue.add_lane(KindId::from_index(1), worths[1]);
+    queue.add_lane(KindId::from_index(0), worths[0], 5);
+    queue.add_lane(KindId::from_index(1), worths[1], 5);
     queue
 }
 
@@ -124,7 +124,7 @@
 #[test]
 fn a_full_queue_gives_the_request_back() {
     let mut queue = WeightedQueue::new(1);
-    queue.add_lane(KindId::from_index(0), 1.0);
+    queue.add_lane(KindId::from_index(0), 1.0, 5);
     queue.push(queued(1, 0, 10, 1)).unwrap();
     assert_eq!(queue.push(queued(2, 0, 10, 1)).unwrap_err().id, WaitId(2));
     assert!(queue.remove(WaitId(1)).is_some());
@@ -232,7 +232,7 @@
             server.report(at(0), &report(1, running));
         }
         assert_eq!(
-            server.has_room(at(case.age_ms), case.members),
+            server.has_room(at(case.age_ms), case.members, false),
             case.room,
             "{}",
             case.name
@@ -467,3 +467,29 @@
     assert_eq!(state(&table, "y"), MemberState::Alive, "listed again");
     assert_eq!(table.serving_hash(&center), hash);
 }
+
+#[test]
+fn a_better_priority_goes_first_but_not_beyond_the_guarantee() {
+    let mut queue = WeightedQueue::new(1000);
+    queue.add_lane(KindId::from_index(0), 1.0, 4);
+    queue.add_lane(KindId::from_index(1), 1.0, 6);
+    for id in 0..200 {
+        let kind = usize::try_from(id % 2).unwrap();
+        queue.push(queued(id, kind, 1_000_000, 10)).unwrap();
+    }
+    assert_eq!(queue.first_priority(), Some(4));
+    let firsts = (0..100)
+        .filter(|_| queue.pop(at(0)).next.unwrap().kind.index() == 0)
+        .count();
+    assert!((74..=76).contains(&firsts), "{firsts}");
+}
+
+#[test]
+fn an_eager_request_may_queue_in_a_server() {
+    let mut server = ServerState::new(4);
+    for id in 0..5 {
+        server.start(at(0), id, Duration::from_hours(1));
+    }
+    assert!(!server.has_room(at(0), 1, false));
+    assert!(server.has_room(at(0), 1, true));
+}
--- a/experiments/scenario.sh
+++ b/experiments/scenario.sh
@@ -32,6 +32,8 @@
 case $scenario in
 steady) ;;
 rush)
+  rush=("0:2.2 $third:0.2" "0:0.2 $third:2.2 $((2 * third)):0.2" "0:0.2 $((2 * third)):2.2") ;;
+heavy-rush)
   rush=("0:2.4 $third:0.3" "0:0.3 $third:2.4 $((2 * third)):0.3" "0:0.3 $((2 * third)):2.4") ;;
 capacity) rush=("0:1.0" "0:1.0" "0:1.0") ;;
 overload) rush=("0:2.2" "0:2.2" "0:2.2") ;;
