Take a server out when it stops reporting; split the router; read changes when a watch opens

Change: a server whose observer gets no report twice in a row has its circuit opened on every entry of its data centre, through the heartbeat. A watch that opens reads what changed before it.

--- a/crates/entry/src/control/observe.rs
+++ b/crates/entry/src/control/observe.rs
@@ -115,13 +115,26 @@
             Ok(report) => take_report(core, &server, &report),
             Err(e) => {
                 core.metrics.count(CounterName::ObservationFailures);
-                core.observed.lock().remove(&name_tag(server.name.as_str()));
                 log::debug!("no load report of {}: {e}", server.name);
+                note_silence(core, &server);
             }
         }
     }
 }
 
+/// A second look in a row without a report makes a server silent, for this VM
+/// and, by its heartbeats, for the others.
+fn note_silence(core: &EntryCore, server: &BackendServer) {
+    let tag = name_tag(server.name.as_str());
+    let former = core.observed.lock().remove(&tag);
+    let Some(mut load) = former else { return };
+    if load.silent {
+        apply_load(core, &load);
+    }
+    load.silent = true;
+    core.observed.lock().insert(tag, load);
+}
+
 fn look(agent: &ureq::Agent, server: &BackendServer) -> Result<ServerReport, String> {
     let url = format!("http://{}/load", server.address);
     let mut response = agent.get(&url).call().map_err(|e| e.to_string())?;
@@ -143,6 +156,7 @@
         running: report.running,
         queued: report.queued,
         draining: report.draining,
+        silent: false,
     };
     apply_load(core, &load);
     core.observed.lock().insert(load.server, load);
@@ -169,7 +183,12 @@
         draining: load.draining,
     };
     core.with_router(|router| {
-        if let Some(id) = router.server_by_tag(load.server) {
+        let Some(id) = router.server_by_tag(load.server) else {
+            return;
+        };
+        if load.silent {
+            router.report_silent(now, id);
+        } else {
             router.report(now, id, &report);
         }
     });
--- a/crates/entry/src/control/platform.rs
+++ b/crates/entry/src/control/platform.rs
@@ -20,12 +20,19 @@
 /// Duties of watching; two, so that one VM's loss does not blind the rest.
 const WATCH_DUTIES: [&str; 2] = ["platform-watch-0", "platform-watch-1"];
 const SPEAKER_DUTY: &str = "platform-directory";
+/// Pause before a watch that ended is opened again.
+const WATCH_PAUSE: Duration = Duration::from_millis(100);
+/// Pause after a watch that could not be opened.
+const FAILED_WATCH_PAUSE: Duration = Duration::from_secs(1);
 /// Part of the interval by which polls are spread.
 const JITTER: f64 = 0.3;
 
 fn is_watcher(core: &EntryCore) -> bool {
-    let members = core.members.lock();
-    WATCH_DUTIES.iter().any(|duty| members.has_duty(duty)) || core_is_new(core)
+    let has_duty = {
+        let members = core.members.lock();
+        WATCH_DUTIES.iter().any(|duty| members.has_duty(duty))
+    };
+    has_duty || core_is_new(core)
 }
 
 /// A VM without a bundle looks for itself, whoever has the duty.
@@ -42,6 +49,9 @@
 }
 
 /// Watches the head and the drains, until the stop.
+///
+/// What changed while no watch was open is read once a new one is, so that
+/// nothing falls between two watches.
 pub(crate) fn run_platform_watch(core: &Arc<EntryCore>, stop: &StopSignal) {
     let prefix = keys(core).drains();
     let root = prefix.trim_end_matches("drains/").to_owned();
@@ -50,17 +60,29 @@
             stop.wait(jittered(core.settings.platform_interval));
             continue;
         }
+        let mut is_open = false;
         let result = core.platform.watch(&root, &mut |event| {
+            if !is_open {
+                is_open = true;
+                if let Err(e) = read_changes(core) {
+                    log::debug!("platform read: {e}");
+                }
+            }
             take_event(core, event);
             if stop.is_stopped() || !is_watcher(core) {
                 return ControlFlow::Break(());
             }
             ControlFlow::Continue(())
         });
+        let pause = if is_open {
+            WATCH_PAUSE
+        } else {
+            FAILED_WATCH_PAUSE
+        };
         if let Err(e) = result {
             log::debug!("platform watch: {e}");
-            stop.wait(jittered(Duration::from_secs(1)));
         }
+        stop.wait(jittered(pause));
     }
 }
 
@@ -88,6 +110,17 @@
 
 fn poll(core: &Arc<EntryCore>) -> Result<(), PlatformError> {
     read_vms(core)?;
+    read_changes(core)?;
+    let speaks = core.members.lock().has_duty(SPEAKER_DUTY);
+    if speaks {
+        core.platform
+            .publish(core.settings.center.as_str(), &publish_directory(core))?;
+    }
+    Ok(())
+}
+
+/// Reads the head and the drains.
+fn read_changes(core: &Arc<EntryCore>) -> Result<(), PlatformError> {
     let keys = keys(core);
     if let Some(head) = core.platform.get(&keys.head())? {
         take_head(core, &head.value);
@@ -95,11 +128,6 @@
     for drain in core.platform.list(&keys.drains())? {
         take_drain(core, &drain.key);
     }
-    let speaks = core.members.lock().has_duty(SPEAKER_DUTY);
-    if speaks {
-        core.platform
-            .publish(core.settings.center.as_str(), &publish_directory(core))?;
-    }
     Ok(())
 }
 
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -9,14 +9,14 @@
 
 use bytes::Bytes;
 use onyxfall_http::{HttpLimits, HttpReply, HttpRequest, HttpServer, Responder};
-use onyxfall_types::{ByteSize, stable_hash};
+use onyxfall_types::stable_hash;
 use parking_lot::Mutex;
 use serde::Deserialize;
 use serde_json::{Value, json};
 
+use crate::control::{BODY_LIMIT, send, take_faults};
 use crate::slots::{SlotGate, SlotLoad};
 
-const BODY_LIMIT: ByteSize = ByteSize::new(1024 * 1024);
 const DEFAULT_TOKENS: u64 = 8;
 const MAX_EVENTS: usize = 256;
 
@@ -148,7 +148,11 @@
     }
     match request.path() {
         "/load" => send(responder, 200, &load_report(shared)),
-        "/fake/control" => control(shared, request, responder),
+        "/fake/control" => {
+            take_faults(request, responder, |faults| {
+                shared.state.lock().faults = faults;
+            });
+        }
         "/fake/runs" => {
             let state = shared.state.lock();
             let counts = json!({"runs": state.runs, "work_ms": state.work.as_millis()});
@@ -160,25 +164,6 @@
     }
 }
 
-fn send(responder: Responder, status: u16, body: &Value) {
-    let _ = responder.reply(HttpReply::full(
-        status,
-        "application/json",
-        body.to_string(),
-    ));
-}
-
-fn control(shared: &EngineShared, mut request: HttpRequest, responder: Responder) {
-    let body = request.read_body(BODY_LIMIT).unwrap_or_default();
-    match serde_json::from_slice(&body) {
-        Ok(faults) => {
-            shared.state.lock().faults = faults;
-            send(responder, 200, &json!({}));
-        }
-        Err(e) => send(responder, 400, &json!({"error": e.to_string()})),
-    }
-}
-
 /// Takes an order whose fencing token is not below the highest seen.
 fn order(shared: &EngineShared, mut request: HttpRequest, responder: Responder) {
     let body = request.read_body(BODY_LIMIT).unwrap_or_default();
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -4,6 +4,7 @@
 //! Each stand-in listens on loopback and takes its faults through a shared
 //! handle, or over HTTP at `/fake/control` when it runs in another process.
 
+mod control;
 mod engine;
 mod link;
 mod platform;
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -12,12 +12,12 @@
 use bytes::Bytes;
 use onyxfall_http::{HttpLimits, HttpReply, HttpRequest, HttpServer, Responder, StreamSender};
 use onyxfall_platform::{VmList, VmRecord};
-use onyxfall_types::ByteSize;
 use parking_lot::Mutex;
 use serde::Deserialize;
 use serde_json::{Value, json};
 
-const BODY_LIMIT: ByteSize = ByteSize::new(4 * 1024 * 1024);
+use crate::control::{BODY_LIMIT, send, take_faults};
+
 const VALUE_LIMIT: usize = 1024 * 1024;
 const WATCH_LOOK: Duration = Duration::from_millis(20);
 const WATCH_IDLE: Duration = Duration::from_secs(1);
@@ -129,26 +129,12 @@
     }
 }
 
-fn send(responder: Responder, status: u16, body: &Value) {
-    let _ = responder.reply(HttpReply::full(
-        status,
-        "application/json",
-        body.to_string(),
-    ));
-}
-
 fn handle(shared: &Arc<Mutex<PlatformState>>, mut request: HttpRequest, responder: Responder) {
     let path = request.path().to_owned();
-    let body = request.read_body(BODY_LIMIT).unwrap_or_default();
     if path == "/fake/control" {
-        return match serde_json::from_slice(&body) {
-            Ok(faults) => {
-                shared.lock().faults = faults;
-                send(responder, 200, &json!({}));
-            }
-            Err(e) => send(responder, 400, &json!({"error": e.to_string()})),
-        };
+        return take_faults(request, responder, |faults| shared.lock().faults = faults);
     }
+    let body = request.read_body(BODY_LIMIT).unwrap_or_default();
     let delay = shared.lock().faults.delay_ms;
     std::thread::sleep(Duration::from_millis(delay));
     {
--- a/crates/fakes/src/service.rs
+++ b/crates/fakes/src/service.rs
@@ -7,15 +7,13 @@
 use std::time::Duration;
 
 use onyxfall_http::{HttpLimits, HttpReply, HttpRequest, HttpServer, Responder};
-use onyxfall_types::ByteSize;
 use parking_lot::Mutex;
 use serde::Deserialize;
 use serde_json::json;
 
+use crate::control::{BODY_LIMIT, send, take_faults};
 use crate::slots::SlotGate;
 
-const BODY_LIMIT: ByteSize = ByteSize::new(1024 * 1024);
-
 /// How a service behaves.
 #[derive(Clone, Debug)]
 pub struct ServiceSettings {
@@ -107,13 +105,6 @@
 }
 
 fn handle(shared: &Arc<ServiceShared>, mut request: HttpRequest, responder: Responder) {
-    let send = |responder: Responder, status, body: serde_json::Value| {
-        let _ = responder.reply(HttpReply::full(
-            status,
-            "application/json",
-            body.to_string(),
-        ));
-    };
     let faults = shared.state.lock().faults.clone();
     match request.path() {
         "/load" => {
@@ -125,26 +116,20 @@
                 "slots": shared.settings.slots,
                 "draining": faults.draining,
             });
-            return send(responder, 200, report);
+            return send(responder, 200, &report);
         }
         "/fake/control" => {
-            let body = request.read_body(BODY_LIMIT).unwrap_or_default();
-            return match serde_json::from_slice(&body) {
-                Ok(faults) => {
-                    shared.state.lock().faults = faults;
-                    send(responder, 200, json!({}));
-                }
-                Err(e) => send(responder, 400, json!({"error": e.to_string()})),
-            };
+            let set = |faults| shared.state.lock().faults = faults;
+            return take_faults(request, responder, set);
         }
         "/fake/runs" => {
             let runs = json!({"runs": shared.state.lock().runs});
-            return send(responder, 200, runs);
+            return send(responder, 200, &runs);
         }
         _ => {}
     }
     if faults.refusing || faults.draining {
-        return send(responder, 429, json!({"error": "refusing"}));
+        return send(responder, 429, &json!({"error": "refusing"}));
     }
     let body = request.read_body(BODY_LIMIT).unwrap_or_default();
     let id = request
@@ -169,9 +154,6 @@
         return;
     }
     let path = request.path().to_owned();
-    send(
-        responder,
-        200,
-        json!({"id": id, "count": count, "path": path, "length": body.len()}),
-    );
+    let answer = json!({"id": id, "count": count, "path": path, "length": body.len()});
+    send(responder, 200, &answer);
 }
--- a/crates/policy/src/away.rs
+++ b/crates/policy/src/away.rs
@@ -16,8 +16,8 @@
 
 /// Price of leaving the home region at weight 1.
 const AWAY_PRICE: Duration = Duration::from_millis(100);
-const START_MARGIN: Duration = Duration::from_millis(100);
-const STOP_MARGIN: Duration = Duration::from_millis(10);
+const START_MARGIN: Duration = Duration::from_millis(40);
+const STOP_MARGIN: Duration = Duration::from_millis(5);
 /// Least time between two changes of mode.
 const MODE_DWELL: Duration = Duration::from_secs(3);
 
--- a/crates/policy/src/circuit.rs
+++ b/crates/policy/src/circuit.rs
@@ -115,6 +115,15 @@
         }
     }
 
+    /// Opens the breaker without an attempt: the server has fallen silent.
+    pub fn trip(&mut self, now: Moment) {
+        if self.is_closed() {
+            self.state = CircuitState::Open {
+                until: now + self.pause,
+            };
+        }
+    }
+
     /// Notes an attempt that says nothing about the server (cancelled).
     pub fn forget(&mut self) {
         if let CircuitState::HalfOpen { .. } = self.state {
--- /dev/null
+++ b/crates/policy/src/router/capacity.rs
@@ -0,0 +1,139 @@
+//! What capacity there is: slots, waits, free slots and grants for others.
+
+use std::time::Duration;
+
+use onyxfall_types::{CenterId, KindId, ModelId};
+
+use super::RequestRouter;
+use crate::center::ModelDigest;
+use crate::moment::Moment;
+use crate::server::ServerState;
+
+/// Part of the free slots that a data centre keeps from its grants.
+const GRANT_RESERVE: f64 = 0.1;
+
+impl RequestRouter {
+    /// How many times slower than usual the servers of a model answer, the
+    /// median. A queue in every server is no fault of one.
+    pub(super) fn usual_slowness(&self, now: Moment, model: ModelId) -> f64 {
+        let servers = self.pools[model]
+            .servers
+            .iter()
+            .map(|id| &self.servers[*id]);
+        let mut all: Vec<f64> = servers
+            .filter(|s| s.is_usable(now))
+            .map(|s| s.slowness(now))
+            .collect();
+        all.sort_unstable_by(f64::total_cmp);
+        all.get(all.len() / 2).copied().unwrap_or(1.0)
+    }
+
+    /// Slots that serve this VM's queue, a server slower than its peers
+    /// counted as less.
+    pub(super) fn pool_slots(&self, now: Moment, model: ModelId) -> f64 {
+        let usual = self.usual_slowness(now, model);
+        let servers = self.pools[model]
+            .servers
+            .iter()
+            .map(|id| &self.servers[*id]);
+        let slots = |server: &ServerState| {
+            server.allowance(now, self.members) / (server.slowness(now) / usual).max(1.0)
+        };
+        servers
+            .filter(|server| server.is_usable(now))
+            .map(slots)
+            .sum()
+    }
+
+    /// Expected wait in the own queue; `None` if no server is usable.
+    pub(super) fn local_wait(
+        &self,
+        now: Moment,
+        kind: KindId,
+        deadline: Moment,
+    ) -> Option<Duration> {
+        let model = self.kind(kind).model;
+        let slots = self.pool_slots(now, model);
+        if slots <= 0.0 {
+            return None;
+        }
+        let residual = self.estimates[kind].get().div_f64(slots.max(1.0));
+        Some(self.pools[model].queue.expected_wait(kind, deadline, slots) + residual)
+    }
+
+    pub(super) fn free_slots(&self, now: Moment, model: ModelId) -> u32 {
+        let pool = &self.pools[model];
+        if !pool.queue.is_empty() || !pool.peer_work.is_empty() {
+            return 0;
+        }
+        let usual = self.usual_slowness(now, model);
+        let servers = pool.servers.iter().map(|id| &self.servers[*id]);
+        let spare = |server: &ServerState| {
+            let spare = (f64::from(server.slots()) - server.busy(now)).max(0.0);
+            spare / (server.slowness(now) / usual).max(1.0)
+        };
+        let free: f64 = servers
+            .filter(|server| server.is_usable(now))
+            .map(spare)
+            .sum();
+        let free = (free * (1.0 - GRANT_RESERVE)).floor();
+        // A count of slots: not negative, far below 2^32.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let free = free.max(0.0) as u32;
+        free
+    }
+
+    pub(super) fn center_wait(&self, now: Moment, model: ModelId) -> Duration {
+        let pool = &self.pools[model];
+        let slots = self.pool_slots(now, model).max(1.0) * self.members as f64;
+        (pool.queue.work() + pool.peer_work.values().sum::<Duration>()).div_f64(slots)
+    }
+
+    /// What this data centre tells another one.
+    ///
+    /// `askers` counts the data centres among which a model's free slots are
+    /// split; `from_away` counts the requests that the other one has under way
+    /// here, over all entries.
+    pub fn digest_for(
+        &self,
+        now: Moment,
+        askers: impl Fn(ModelId) -> usize,
+        from_away: impl Fn(ModelId) -> u32,
+    ) -> Vec<ModelDigest> {
+        self.bundle
+            .models
+            .keys()
+            .filter(|model| !self.pools[*model].servers.is_empty())
+            .map(|model| {
+                let free = self.free_slots(now, model);
+                let part = free / u32::try_from(askers(model).max(1)).unwrap_or(u32::MAX);
+                let grant = from_away(model) + part;
+                ModelDigest {
+                    model,
+                    free,
+                    wait: self.center_wait(now, model),
+                    grant,
+                }
+            })
+            .collect()
+    }
+
+    /// Requests of `center` under way through this VM.
+    pub fn from_away(&self, center: CenterId, model: ModelId) -> u32 {
+        self.pools[model]
+            .from_away
+            .get(&center)
+            .copied()
+            .unwrap_or(0)
+    }
+
+    /// Counts a request that another data centre has under way here.
+    pub fn note_from_away(&mut self, center: CenterId, model: ModelId, started: bool) {
+        let count = self.pools[model].from_away.entry(center).or_default();
+        *count = if started {
+            *count + 1
+        } else {
+            count.saturating_sub(1)
+        };
+    }
+}
--- /dev/null
+++ b/crates/policy/src/router/decide.rs
@@ -0,0 +1,179 @@
+//! The decision about one request: here, away, wait or refuse.
+
+use std::time::Duration;
+
+use onyxfall_bundle::AwayRule;
+use onyxfall_types::{CenterId, ModelId, RefusalReason, RequestError};
+
+use super::kinds::{ArrivalOrigin, RequestArrival, RouteStep, RoutingPolicy};
+use super::{AttemptTarget, OpenAttempt, RequestRouter, refusal};
+use crate::away::{AwayChoice, AwayContext, objective_score};
+use crate::choose::{ChooseContext, ServerChoice};
+use crate::moment::Moment;
+use crate::queue::{QueuedRequest, WaitId};
+
+impl RequestRouter {
+    pub(super) fn route(&mut self, now: Moment, arrival: RequestArrival) -> RouteStep {
+        let kind = self.kind(arrival.kind);
+        let (model, service) = (kind.model, self.estimates[arrival.kind].get());
+        let remaining = arrival.deadline - now;
+        if self.pools[model].queue.is_empty()
+            && let Some(choice) = self.choose_local(now, &arrival)
+            && choice.expected <= remaining.max(service)
+        {
+            return self.start_local(now, &arrival, choice);
+        }
+        if arrival.origin == ArrivalOrigin::Peer {
+            let detail = "no free slot for a request from another data centre";
+            return RouteStep::Refuse(RequestError::not_run(RefusalReason::Overloaded, detail));
+        }
+        let wait = self.local_wait(now, arrival.kind, arrival.deadline);
+        let local = wait.map(|wait| wait + service);
+        let away = self.choose_away(now, &arrival);
+        if let Some(away) = self.prefer_away(now, model, local, away) {
+            return self.start_away(&arrival, away.center);
+        }
+        match local {
+            Some(local) if local <= remaining => self.enqueue(arrival, service),
+            _ => match away {
+                Some(away) => self.start_away(&arrival, away.center),
+                None => RouteStep::Refuse(refusal(wait)),
+            },
+        }
+    }
+
+    pub(super) fn prefer_away(
+        &mut self,
+        now: Moment,
+        model: ModelId,
+        local: Option<Duration>,
+        away: Option<AwayChoice>,
+    ) -> Option<AwayChoice> {
+        let away = away?;
+        let Some(local) = local else {
+            return Some(away);
+        };
+        let local = objective_score(&self.bundle.objective, local, Duration::ZERO);
+        self.pools[model]
+            .mode
+            .takes(now, local - away.score)
+            .then_some(away)
+    }
+
+    pub(super) fn enqueue(&mut self, arrival: RequestArrival, service: Duration) -> RouteStep {
+        let id = WaitId(self.next());
+        let model = self.kind(arrival.kind).model;
+        let request = QueuedRequest {
+            id,
+            kind: arrival.kind,
+            deadline: arrival.deadline,
+            service,
+            payload: arrival,
+        };
+        match self.pools[model].queue.push(request) {
+            Ok(()) => RouteStep::Wait(id),
+            Err(_) => RouteStep::Refuse(refusal(None)),
+        }
+    }
+
+    pub(super) fn choose_local(
+        &mut self,
+        now: Moment,
+        arrival: &RequestArrival,
+    ) -> Option<ServerChoice> {
+        let kind = &self.bundle.kinds[arrival.kind];
+        if !arrival
+            .allowed
+            .contains(self.bundle.centers[self.center].region)
+        {
+            return None;
+        }
+        let context = ChooseContext {
+            now,
+            pool: &self.pools[kind.model].servers,
+            servers: &self.servers,
+            prefixes: &self.prefixes,
+            members: self.members,
+            excluded: &arrival.excluded,
+            eager: self.pools[kind.model].top_priority == Some(kind.priority),
+            prefix: arrival.prefix,
+            service: self.estimates[arrival.kind].get(),
+            prefix_share: kind.prefix_share,
+            cost_weight: self.bundle.objective.cost,
+        };
+        context.choose(&mut self.rng)
+    }
+
+    pub(super) fn choose_away(&self, now: Moment, arrival: &RequestArrival) -> Option<AwayChoice> {
+        let kind = self.kind(arrival.kind);
+        let barred = self.settings.routing != RoutingPolicy::Expected
+            || arrival.origin == ArrivalOrigin::Peer
+            || kind.away == AwayRule::Never;
+        if barred {
+            return None;
+        }
+        let service = self.estimates[arrival.kind].get();
+        let context = AwayContext {
+            now,
+            bundle: &self.bundle,
+            centers: &self.centers,
+            own_center: self.center,
+            allowed: arrival.allowed,
+            model: kind.model,
+            service,
+            cold_work: service.mul_f64(kind.prefix_share),
+            remaining: arrival.deadline - now,
+        };
+        let choice = context.choose()?;
+        (!arrival.excluded_centers.contains(&choice.center)).then_some(choice)
+    }
+
+    pub(super) fn start_local(
+        &mut self,
+        now: Moment,
+        arrival: &RequestArrival,
+        choice: ServerChoice,
+    ) -> RouteStep {
+        debug_assert!(
+            arrival
+                .allowed
+                .contains(self.bundle.centers[self.center].region)
+        );
+        let attempt = self.next();
+        self.servers[choice.server].start(now, attempt, choice.service);
+        if let Some(prefix) = arrival.prefix {
+            self.prefixes.note_routed(prefix, choice.server, now);
+        }
+        let target = AttemptTarget::Server(choice.server);
+        let open = OpenAttempt {
+            target,
+            kind: arrival.kind,
+            expected: choice.service,
+        };
+        self.open.insert(attempt, open);
+        self.counts.local += 1;
+        RouteStep::Run {
+            attempt,
+            server: choice.server,
+        }
+    }
+
+    pub(super) fn start_away(&mut self, arrival: &RequestArrival, center: CenterId) -> RouteStep {
+        debug_assert!(arrival.origin == ArrivalOrigin::Caller, "one hop only");
+        debug_assert!(arrival.allowed.contains(self.bundle.centers[center].region));
+        let attempt = self.next();
+        self.centers.start(center, self.kind(arrival.kind).model);
+        let target = AttemptTarget::Center(center);
+        let expected = self.estimates[arrival.kind].get();
+        self.open.insert(
+            attempt,
+            OpenAttempt {
+                target,
+                kind: arrival.kind,
+                expected,
+            },
+        );
+        self.counts.away += 1;
+        RouteStep::Away { attempt, center }
+    }
+}
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -187,6 +187,14 @@
         self.circuit.fail(now)
     }
 
+    /// Notes that it has stopped reporting its load; one that never reported
+    /// any is not judged by that.
+    pub fn fall_silent(&mut self, now: Moment) {
+        if self.incarnation.get() != 0 {
+            self.circuit.trip(now);
+        }
+    }
+
     /// Notes an end that says nothing about the server.
     pub fn forget(&mut self) {
         self.circuit.forget();
--- a/crates/policy/tests/parts.rs
+++ b/crates/policy/tests/parts.rs
@@ -493,3 +493,17 @@
     assert!(!server.has_room(at(0), 1, false));
     assert!(server.has_room(at(0), 1, true));
 }
+
+#[test]
+fn a_server_that_falls_silent_gets_no_work_until_a_probe() {
+    let mut server = ServerState::new(4);
+    server.fall_silent(at(0));
+    assert!(
+        server.is_usable(at(0)),
+        "one that never reported is not judged"
+    );
+    server.report(at(0), &report(1, 0));
+    server.fall_silent(at(0));
+    assert!(!server.is_usable(at(100)));
+    assert!(server.is_usable(at(600)), "a probe after the pause");
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -288,6 +288,9 @@
     /// Whether it is leaving.
     #[prost(bool, tag = "5")]
     pub draining: bool,
+    /// Whether it has stopped reporting.
+    #[prost(bool, tag = "6")]
+    pub silent: bool,
 }
 
 /// Load of one model.
