--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -64,6 +64,15 @@
         }
     }
 
+    /// When the first bytes of the answer came.
+    pub(crate) fn first_byte(&self) -> Option<Instant> {
+        match self {
+            Self::Caller(answer) => answer.first_byte,
+            Self::Peer(answer) => answer.first_byte(),
+            Self::Memory(_) => None,
+        }
+    }
+
     /// Takes the next bytes.
     pub(crate) fn data(&mut self, bytes: Bytes) -> Result<(), SinkGone> {
         match self {
@@ -140,6 +149,7 @@
     head: Option<AnswerHead>,
     region: Option<RegionName>,
     held: BytesMut,
+    first_byte: Option<Instant>,
     stalled: Duration,
 }
 
@@ -161,6 +171,7 @@
             head: None,
             region: None,
             held: BytesMut::new(),
+            first_byte: None,
             stalled: Duration::ZERO,
         }
     }
@@ -168,12 +179,14 @@
     fn head(&mut self, head: AnswerHead) -> Result<(), SinkGone> {
         debug_assert!(self.stream.is_none(), "a visible answer is never replaced");
         self.held.clear();
+        self.first_byte = None;
         let streams = self.streaming && head.content_type.starts_with("text/event-stream");
         self.head = Some(head);
         if streams { self.start_stream() } else { Ok(()) }
     }
 
     fn data(&mut self, bytes: Bytes) -> Result<(), SinkGone> {
+        self.first_byte.get_or_insert_with(Instant::now);
         if self.stream.is_none() {
             if self.held.len() + bytes.len() <= self.max_held {
                 self.held.extend_from_slice(&bytes);
--- a/crates/entry/src/control/beat.rs
+++ b/crates/entry/src/control/beat.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use onyxfall_policy::{CenterDigest, MemberBeat, MemberState, ModelDigest};
+use onyxfall_policy::{CenterDigest, DrainSource, MemberBeat, MemberState, ModelDigest};
 use onyxfall_types::{CenterName, Incarnation, name_tag};
 use onyxfall_wire::{
     CenterLoad, ContentRequest, ContentText, DrainEntry, EntryBeat, MemberSet, MembersRequest,
@@ -128,7 +128,7 @@
         .name("peer-dial".to_owned())
         .stack_size(128 * 1024)
         .spawn(move || {
-            if let Ok(link) = core.links.link_to(&core, &peer) {
+            if let Ok(link) = core.links.try_link_to(&core, &peer) {
                 link.note_ping(sequence);
                 link.send_control(&core, payload);
             }
@@ -393,7 +393,7 @@
         let incarnation = Incarnation::new(drain.incarnation);
         let news = core.with_router(|router| router.drain(&name, incarnation));
         if news == Some(true) {
-            log::info!("server {name} is draining (peer)");
+            log::info!("server {name} is draining ({})", DrainSource::Peer.as_str());
         }
     }
 }
--- a/crates/entry/src/control/platform.rs
+++ b/crates/entry/src/control/platform.rs
@@ -9,7 +9,8 @@
 
 use onyxfall_bundle::{ContentDigest, HeadRecord, SignedBundle};
 use onyxfall_platform::{PlatformError, PlatformKeys, VmRole, VmState, WatchEvent};
-use onyxfall_types::Incarnation;
+use onyxfall_policy::DrainSource;
+use onyxfall_types::{Incarnation, ServerName};
 
 use crate::control::config::offer_content;
 use crate::control::directory::beat_of_record;
@@ -146,7 +147,7 @@
                 }
             }
             VmRole::Backend if record.state == VmState::Leaving => {
-                drain_server(core, &record.name, "platform-list");
+                drain_server(core, &record.name, DrainSource::PlatformList);
             }
             VmRole::Backend => {}
         }
@@ -215,18 +216,18 @@
         core.ask_stop();
         return;
     }
-    drain_server(core, name, "operator");
+    drain_server(core, name, DrainSource::Operator);
 }
 
-fn drain_server(core: &EntryCore, name: &str, source: &str) {
-    let Ok(name) = name.parse() else { return };
+fn drain_server(core: &EntryCore, name: &str, source: DrainSource) {
+    let Ok(name) = name.parse::<ServerName>() else {
+        return;
+    };
     let news = core.with_router(|router| {
-        let known = router
-            .bundle()
-            .server_id(&String::from(onyxfall_types::ServerName::clone(&name)));
-        known.is_some() && router.drain(&name, Incarnation::default())
+        let is_known = router.bundle().server_id(name.as_str()).is_some();
+        is_known && router.drain(&name, Incarnation::default())
     });
     if news == Some(true) {
-        log::info!("server {name} is draining ({source})");
+        log::info!("server {name} is draining ({})", source.as_str());
     }
 }
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -1,7 +1,7 @@
 //! State that the threads of one entry share.
 //!
-//! Locks are leaves: none is taken while another is held, and none is held
-//! across I/O. Waiting requests park on a channel of their own; whoever changes
+//! Locks are leaves but for two orders: router before demand, members before
+//! the table of links. None is held across I/O. Waiting requests park on a channel of their own; whoever changes
 //! the router's state wakes those that can go on.
 
 use std::collections::BTreeMap;
--- a/crates/entry/src/edge/admin.rs
+++ b/crates/entry/src/edge/admin.rs
@@ -1,61 +1,50 @@
 //! Metrics, health and status, on a port of their own.
-//!
-//! This is where `astra` fits: few short requests, whole answers.
 
 use std::fmt::Write as _;
 use std::io;
-use std::net::SocketAddr;
-use std::panic::catch_unwind;
+use std::net::TcpListener;
 use std::sync::Arc;
 
-use astra::{Body, Request, Response, ResponseBuilder, Server};
+use onyxfall_http::{HttpLimits, HttpReply, HttpServer};
 use onyxfall_policy::StopPhase;
 use serde_json::{Value, json};
 
 use crate::core::EntryCore;
 
-const WORKERS: usize = 8;
+/// Requests at once: scrapers and a person, not callers.
+const MAX_REQUESTS: usize = 16;
 
-/// Binds the admin port. `astra` panics where others return an error.
-pub(crate) fn bind_admin(address: SocketAddr) -> io::Result<(Server, SocketAddr)> {
-    let bound = catch_unwind(|| Server::bind(address).max_workers(WORKERS).http1_only());
-    let server = bound.map_err(|_| io::Error::from(io::ErrorKind::AddrInUse))?;
-    let address = server.local_addr()?;
-    Ok((server, address))
-}
-
-/// Serves the admin port; returns only on an error of its listener.
-pub(crate) fn serve_admin(core: &Arc<EntryCore>, server: Server) {
+/// Serves the admin port until the returned server is dropped.
+pub(crate) fn start_admin(core: &Arc<EntryCore>, listener: TcpListener) -> io::Result<HttpServer> {
     let core = Arc::clone(core);
-    let result = server.serve(move |request: Request, _info| answer(&core, &request));
-    log::error!("admin port ended: {result:?}");
+    let limits = HttpLimits {
+        max_connections: MAX_REQUESTS * 4,
+        max_requests: MAX_REQUESTS,
+        io_threads: 1,
+        ..HttpLimits::default()
+    };
+    HttpServer::start(listener, limits, move |request, responder| {
+        let _ = responder.reply(answer(&core, request.path()));
+    })
 }
 
-fn answer(core: &EntryCore, request: &Request) -> Response {
-    match request.uri().path() {
-        "/metrics" => reply(200, "text/plain; version=0.0.4", render_metrics(core)),
+fn answer(core: &EntryCore, path: &str) -> HttpReply {
+    match path {
+        "/metrics" => HttpReply::full(200, "text/plain; version=0.0.4", render_metrics(core)),
         "/healthz" => {
             let ready = core.bundle().is_some() && core.stop_phase() == StopPhase::Running;
             let status = if ready { 200 } else { 503 };
-            reply(
+            HttpReply::full(
                 status,
                 "application/json",
                 json!({"ready": ready}).to_string(),
             )
         }
-        "/status" => reply(200, "application/json", status(core).to_string()),
-        _ => reply(404, "text/plain", "no such path\n".to_owned()),
+        "/status" => HttpReply::full(200, "application/json", status(core).to_string()),
+        _ => HttpReply::full(404, "text/plain", "no such path\n"),
     }
 }
 
-fn reply(status: u16, content_type: &str, body: String) -> Response {
-    ResponseBuilder::new()
-        .status(status)
-        .header("content-type", content_type)
-        .body(Body::new(body))
-        .unwrap_or_else(|_| Response::new(Body::new("bad reply")))
-}
-
 fn render_metrics(core: &EntryCore) -> String {
     let mut text = core.metrics.render();
     let counts = core.with_router(|router| (router.counts(), router.waiting()));
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,8 +3,8 @@
 //!
 //! Layout is a supervisor tree: the root supervises the peers' listener, the
 //! control loops (beats, observation, platform) and the admin port; request
-//! threads belong to the HTTP edge. Shared state is one [`EntryCore`]; its
-//! locks are leaves, held for a decision and never across I/O.
+//! threads belong to the HTTP edge. Shared state is one `EntryCore`, whose locks
+//! are held for a decision and never across I/O.
 //!
 //! Invariants: no decision waits for the platform or another region; what
 //! arrives from a peer is never sent on (that path has no call to do so).
@@ -15,7 +15,6 @@
 mod control;
 mod core;
 mod edge;
-mod logging;
 mod metrics;
 mod peer;
 mod process;
@@ -25,7 +24,6 @@
 mod trace;
 
 pub use clock::EntryClock;
-pub use logging::start_logging;
 pub use process::{EntryProcess, StartError};
 pub use settings::{EntrySettings, LogLevel, SeedPeer, load_settings, parse_settings};
 pub use supervisor::{ChildSpec, RestartRule, StopSignal, Supervisor};
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -8,7 +8,8 @@
 
 use argh::FromArgs;
 use miette::{IntoDiagnostic, Report};
-use onyxfall_entry::{EntryProcess, load_settings, start_logging, start_tracing};
+use onyxfall_entry::{EntryProcess, load_settings, start_tracing};
+use onyxfall_logging::start_logging;
 
 /// Serve callers of one entry VM.
 #[derive(FromArgs)]
--- a/crates/entry/src/peer/links.rs
+++ b/crates/entry/src/peer/links.rs
@@ -50,6 +50,19 @@
         Ok(link)
     }
 
+    /// The link to a peer, dialled unless another thread is dialling it.
+    pub(crate) fn try_link_to(
+        &self,
+        core: &Arc<EntryCore>,
+        peer: &MemberBeat,
+    ) -> Result<Arc<PeerLink>, LinkDown> {
+        let slot = Arc::clone(self.slots.lock().entry(peer.name.clone()).or_default());
+        if slot.try_lock().is_none() {
+            return Err(LinkDown);
+        }
+        self.link_to(core, peer)
+    }
+
     /// Links that are up.
     pub(crate) fn open(&self) -> Vec<Arc<PeerLink>> {
         let slots: Vec<LinkSlot> = self.slots.lock().values().cloned().collect();
--- a/crates/entry/src/peer/reply.rs
+++ b/crates/entry/src/peer/reply.rs
@@ -20,6 +20,7 @@
     window: Arc<CreditWindow>,
     stall_timeout: Duration,
     started: bool,
+    first_byte: Option<Instant>,
     stalled: Duration,
 }
 
@@ -36,6 +37,7 @@
             window,
             stall_timeout,
             started: false,
+            first_byte: None,
             stalled: Duration::ZERO,
         }
     }
@@ -51,6 +53,7 @@
     }
 
     pub(crate) fn data(&mut self, mut bytes: Bytes) -> Result<(), SinkGone> {
+        self.first_byte.get_or_insert_with(Instant::now);
         while !bytes.is_empty() {
             let part = bytes.split_to(bytes.len().min(MAX_DATA));
             let waited = Instant::now();
@@ -68,6 +71,10 @@
         Ok(())
     }
 
+    pub(crate) fn first_byte(&self) -> Option<Instant> {
+        self.first_byte
+    }
+
     pub(crate) fn is_started(&self) -> bool {
         self.started
     }
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -13,7 +13,7 @@
 
 use crate::control::{run_beats, run_observers, run_platform_poll, run_platform_watch};
 use crate::core::EntryCore;
-use crate::edge::{bind_admin, handle_caller, overload_reply, serve_admin};
+use crate::edge::{handle_caller, overload_reply, start_admin};
 use crate::metrics::CounterName;
 use crate::peer::listen_for_peers;
 use crate::settings::EntrySettings;
@@ -43,6 +43,8 @@
 pub struct EntryProcess {
     core: Arc<EntryCore>,
     server: HttpServer,
+    /// Held so that it serves as long as the process.
+    admin: HttpServer,
     caller_address: SocketAddr,
     peer_address: SocketAddr,
     admin_address: SocketAddr,
@@ -89,9 +91,7 @@
     ) -> Result<Self, StartError> {
         let (caller_listener, caller_address) = listen(settings.caller_listen)?;
         let (peer_listener, peer_address) = listen(settings.peer_listen)?;
-        let address = settings.admin_listen;
-        let (admin, admin_address) =
-            bind_admin(address).map_err(|error| StartError::Listen { address, error })?;
+        let (admin_listener, admin_address) = listen(settings.admin_listen)?;
         let own = MemberBeat {
             name: settings.name.clone(),
             center: settings.center.clone(),
@@ -112,8 +112,9 @@
             handle_caller(&handler_core, request, responder);
         })
         .map_err(StartError::Thread)?;
+        let admin = start_admin(&core, admin_listener).map_err(StartError::Thread)?;
         let stop = StopSignal::new();
-        let tree = start_tree(&core, peer_listener, admin, &stop)?;
+        let tree = start_tree(&core, peer_listener, &stop)?;
         log::info!(
             "entry {} serves callers on {caller_address}",
             core.settings.name
@@ -121,6 +122,7 @@
         Ok(Self {
             core,
             server,
+            admin,
             caller_address,
             peer_address,
             admin_address,
@@ -180,6 +182,7 @@
             log::error!("{cut} requests were cut off at the bound of the stop");
         }
         self.server.shutdown(LAST_BYTES);
+        drop(self.admin);
         self.stop.stop();
         let _ = self.tree.join();
         self.core.links.close_all();
@@ -191,6 +194,7 @@
         self.stop.stop();
         self.core.links.close_all();
         drop(self.server);
+        drop(self.admin);
     }
 }
 
@@ -213,7 +217,6 @@
 fn start_tree(
     core: &Arc<EntryCore>,
     peer_listener: TcpListener,
-    admin: astra::Server,
     stop: &StopSignal,
 ) -> Result<JoinHandle<bool>, StartError> {
     let child = |name: &str, run: fn(&Arc<EntryCore>, &StopSignal)| {
@@ -239,12 +242,6 @@
     let peers = ChildSpec::new("peers", RestartRule::Always, move |stop| {
         listen_for_peers(&peer_core, &peer_listener, stop);
     });
-    // `astra` has no stop: its thread ends with the process.
-    let admin_core = Arc::clone(core);
-    thread::Builder::new()
-        .name("admin".to_owned())
-        .spawn(move || serve_admin(&admin_core, admin))
-        .map_err(StartError::Thread)?;
     let root = Supervisor::new("root", vec![control.into_child(), peers]);
     let stop = stop.clone();
     thread::Builder::new()
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -79,7 +79,9 @@
 ) -> Result<(), RequestError> {
     let started = Instant::now();
     let result = serve_into(core, context, &mut sink);
-    let first_byte = started.elapsed();
+    let first_byte = sink
+        .first_byte()
+        .map_or_else(|| started.elapsed(), |at| at - started);
     let result = match result {
         Ok(()) => sink.finish().map_err(|_| {
             let detail = "the caller went away before the end";
--- a/crates/entry/tests/configuration.rs
+++ b/crates/entry/tests/configuration.rs
@@ -81,9 +81,8 @@
     let id = OperationId::new("forced step");
     let head = change_head(&head, &step, &id, &operator, secret).unwrap();
     let text = serde_json::to_string(&head).unwrap();
-    client(deployment)
-        .put("/onyxfall/test/head", &text, None)
-        .unwrap();
+    let key = format!("/onyxfall/{}/head", deployment.name);
+    client(deployment).put(&key, &text, None).unwrap();
 }
 
 struct ForgeryCase {
@@ -146,8 +145,14 @@
     let deployment = TestDeployment::start(&[1], &bundle(service.address(), 1));
     let version = deployment.version(0);
     // Signed and well formed, but without this entry's data centre.
-    let other = "[bundle]\nname = test\n[region r1]\n[data-centre elsewhere]\nregion = r1\n";
-    let digest = deployment.operator(0).propose("bundle.ini", other).unwrap();
+    let other = format!(
+        "[bundle]\nname = {}\n[region r1]\n[data-centre elsewhere]\nregion = r1\n",
+        deployment.name
+    );
+    let digest = deployment
+        .operator(0)
+        .propose("bundle.ini", &other)
+        .unwrap();
     deployment.operator(0).sign_off(&digest).unwrap();
     deployment.operator(1).sign_off(&digest).unwrap();
     deployment.roll(digest);
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -47,14 +47,15 @@
 }
 
 impl TestPeer {
-    fn connect(address: SocketAddr) -> Self {
+    fn connect(deployment: &TestDeployment, index: usize) -> Self {
+        let address = deployment.peers(index);
         let stream = TcpStream::connect(address).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         let mut peer = Self {
             writer: FrameWriter::new(stream.try_clone().unwrap()),
             reader: FrameReader::new(stream),
         };
-        peer.send(PeerPayload::Hello(member("test")));
+        peer.send(PeerPayload::Hello(member(&deployment.name)));
         assert!(matches!(peer.next(), PeerPayload::Hello(_)));
         peer
     }
@@ -122,6 +123,7 @@
 #[test]
 fn malformed_input_closes_the_link_and_changes_nothing() {
     let bench = bench();
+    let name = bench.deployment.name.as_str();
     let hello = |hello: PeerHello| {
         let mut writer = FrameWriter::new(Vec::new());
         writer.write(&PeerPayload::Hello(hello).into()).unwrap();
@@ -152,14 +154,14 @@
             name: "other protocol",
             bytes: hello(PeerHello {
                 protocol: 99,
-                ..member("test")
+                ..member(name)
             }),
         },
         BytesCase {
             name: "no member",
             bytes: hello(PeerHello {
                 member: None,
-                ..member("test")
+                ..member(name)
             }),
         },
         BytesCase {
@@ -169,7 +171,7 @@
                     name: "Bad Name".to_owned(),
                     ..MemberEntry::default()
                 }),
-                ..member("test")
+                ..member(name)
             }),
         },
     ];
@@ -200,7 +202,7 @@
 #[test]
 fn stray_and_duplicate_frames_are_dropped_and_counted() {
     let bench = bench();
-    let mut peer = TestPeer::connect(bench.deployment.peers(0));
+    let mut peer = TestPeer::connect(&bench.deployment, 0);
     peer.send(PeerPayload::End(ReplyEnd {
         attempt: 99,
         ..ReplyEnd::default()
@@ -230,7 +232,7 @@
 #[test]
 fn the_receiver_serves_only_within_both_sides_limits() {
     let bench = bench();
-    let mut peer = TestPeer::connect(bench.deployment.peers(0));
+    let mut peer = TestPeer::connect(&bench.deployment, 0);
     peer.send(PeerPayload::Open(open(1, "post", &["r2"])));
     let (end, _) = peer.end_of(1);
     assert_eq!(
@@ -239,7 +241,7 @@
     );
     peer.send(PeerPayload::Open(open(2, "post", &["r1"])));
     assert_eq!(peer.end_of(2).0.verdict, "ran");
-    let mut other = TestPeer::connect(bench.deployment.peers(1));
+    let mut other = TestPeer::connect(&bench.deployment, 1);
     other.send(PeerPayload::Open(open(1, "far", &["r1", "r2"])));
     let (end, _) = other.end_of(1);
     assert_eq!(
@@ -260,7 +262,7 @@
 #[test]
 fn a_stream_without_credit_does_not_stall_the_others() {
     let bench = bench();
-    let mut peer = TestPeer::connect(bench.deployment.peers(0));
+    let mut peer = TestPeer::connect(&bench.deployment, 0);
     let mut stalled = open(1, "caption", &["r1"]);
     // Far more tokens than the initial credit, and none is ever granted.
     stalled.path = "/v1/chat/completions".to_owned();
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -59,8 +59,20 @@
     advertised: SocketAddr,
 }
 
+/// A name that no other deployment has: entries left over from one test must
+/// not take those of another, on a port used again, for their peers.
+fn unique_name() -> String {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    format!(
+        "test-{}-{}",
+        std::process::id(),
+        NEXT.fetch_add(1, Ordering::SeqCst)
+    )
+}
+
 /// A deployment; regions are `r1`, `r2`, ... with data centres `c1`, `c2`, ...
 pub struct TestDeployment {
+    pub name: String,
     pub platform: FakePlatform,
     pub rules: Arc<LinkRules>,
     pub secrets: [SigningSecret; 2],
@@ -94,7 +106,9 @@
         let entries = regions.iter().map(|_| None).collect();
         let secrets = [secret("01"), secret("02")];
         let seeds = regions.len();
+        let name = unique_name();
         Self {
+            name,
             platform,
             rules,
             secrets,
@@ -123,6 +137,9 @@
     }
 
     pub fn start_entry(&mut self, index: usize) {
+        if std::env::var_os("ONYXFALL_TEST_LOG").is_some() {
+            onyxfall_logging::start_logging("test", log::LevelFilter::Debug);
+        }
         let settings = parse_settings("test.ini", &self.settings(index)).unwrap();
         let until = Instant::now() + PATIENCE;
         loop {
@@ -143,12 +160,13 @@
         let region = place.region;
         let mut text = format!(
             "[vm]\nname = vm-{index}\ndata-centre = c{region}\nregion = r{region}\n\
-             deployment = test\n[listen]\ncallers = {}\npeers = {}\npeers-advertised = {}\n\
+             deployment = {}\n[listen]\ncallers = {}\npeers = {}\npeers-advertised = {}\n\
              peers-source = 127.0.{region}.1\nadmin = 127.0.{region}.1:0\n\
              [limits]\nbody-size = 64KiB\nconnect-ms = 1000\n\
              [platform]\nurl = {}\ninterval-ms = 200\nwatch-ms = 1000\ncalls-per-second = 100\n\
              [control]\nbeat-ms = 100\ndata-centre-beat-ms = 100\nobserve-ms = 50\n\
              suspect-ms = 2000\ngone-ms = 8000\n[stop]\ngrace-ms = 200\nbound-ms = 20000\n",
+            self.name,
             place.callers,
             place.peers,
             place.advertised,
@@ -177,7 +195,7 @@
     }
 
     pub fn bundle(&self, servers_and_kinds: &str) -> String {
-        let mut text = "[bundle]\nname = test\nregion-rtt-ms = 4\n".to_owned();
+        let mut text = format!("[bundle]\nname = {}\nregion-rtt-ms = 4\n", self.name);
         let mut regions: Vec<usize> = self.places.iter().map(|place| place.region).collect();
         regions.sort_unstable();
         regions.dedup();
@@ -200,7 +218,7 @@
         )));
         let secret = self.secrets[index].reveal().parse().unwrap();
         let name = ["ann", "ben"][index].parse().unwrap();
-        OperatorContext::new(store, "test", ring, name, secret)
+        OperatorContext::new(store, &self.name, ring, name, secret)
     }
 
     pub fn sign(&self, servers_and_kinds: &str) -> ContentDigest {
@@ -391,3 +409,11 @@
         RawBehaviour::Silent => while stream.read(&mut chunk).is_ok_and(|len| len > 0) {},
     }
 }
+
+impl Drop for TestDeployment {
+    fn drop(&mut self) {
+        for entry in self.entries.iter_mut().filter_map(Option::take) {
+            entry.kill();
+        }
+    }
+}
--- a/crates/entry/src/logging.rs
+++ b/crates/logging/src/lib.rs
@@ -6,6 +6,11 @@
 use serde_json::json;
 
 /// Starts logging for the process; a second call changes nothing.
+///
+/// ```
+/// onyxfall_logging::start_logging("example", log::LevelFilter::Warn);
+/// log::warn!("a line of JSON on standard error");
+/// ```
 pub fn start_logging(program: &'static str, level: LevelFilter) {
     let dispatch = fern::Dispatch::new()
         .level(level)
--- a/crates/operator/src/main.rs
+++ b/crates/operator/src/main.rs
@@ -8,6 +8,7 @@
 use argh::FromArgs;
 use miette::{IntoDiagnostic, Report, WrapErr, miette};
 use onyxfall_bundle::{ContentDigest, HeadRecord, SigningSecret};
+use onyxfall_logging::start_logging;
 use onyxfall_operator::{OperatorContext, RollPlan, load_operator_settings};
 use onyxfall_platform::PlatformClient;
 use onyxfall_types::RegionName;
@@ -124,6 +125,7 @@
 
 fn main() -> ExitCode {
     let arguments: OperatorArguments = argh::from_env();
+    start_logging("onyxfall", log::LevelFilter::Warn);
     match run(&arguments) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
--- a/crates/policy/src/away.rs
+++ b/crates/policy/src/away.rs
@@ -76,6 +76,7 @@
     pub(crate) centers: &'a CenterTable,
     pub(crate) own_center: CenterId,
     pub(crate) allowed: RegionSet,
+    pub(crate) excluded: &'a [CenterId],
     pub(crate) model: ModelId,
     pub(crate) service: Duration,
     pub(crate) cold_work: Duration,
@@ -88,6 +89,7 @@
         self.centers
             .iter()
             .filter(|(center, _)| *center != self.own_center)
+            .filter(|(center, _)| !self.excluded.contains(center))
             .filter(|(center, _)| self.allowed.contains(self.bundle.centers[*center].region))
             .filter(|(center, _)| self.centers.grant_left(self.now, *center, self.model) > 0)
             .filter_map(|(center, _)| self.option(center))
--- a/crates/policy/src/router/decide.rs
+++ b/crates/policy/src/router/decide.rs
@@ -119,13 +119,13 @@
             centers: &self.centers,
             own_center: self.center,
             allowed: arrival.allowed,
+            excluded: &arrival.excluded_centers,
             model: kind.model,
             service,
             cold_work: service.mul_f64(kind.prefix_share),
             remaining: arrival.deadline - now,
         };
-        let choice = context.choose()?;
-        (!arrival.excluded_centers.contains(&choice.center)).then_some(choice)
+        context.choose()
     }
 
     pub(super) fn start_local(
