Kill, freeze and stop entry processes under load

Cause: kills were shown in one process only. Change: the scenario kills, with SIGKILL and restart, SIGSTOP for five seconds, SIGTERM.

--- a/experiments/run.sh
+++ b/experiments/run.sh
@@ -21,6 +21,7 @@
   "$here/../examples/deploy.sh" "$deployment" "$work" "$policy" > "$work/deploy.log" 2>&1 || return 1
   "$here/scenario.sh" "$deployment" "$scenario" > "$work/scenario.ini"
   "$here/cost.sh" "$work" > "$work/cost-before"
+  [ "$scenario" != kills ] || ONYXFALL_BIN=$bin "$here/kills.sh" "$work" &
   timeout 300 "$bin/onyxfall-load" run --scenario "$work/scenario.ini" --label "$policy" \
     --out "$work/result.json" > "$work/table.md" 2> "$work/load.log"
   "$here/cost.sh" "$work" > "$work/cost-after"
--- a/experiments/scenario.sh
+++ b/experiments/scenario.sh
@@ -30,7 +30,7 @@
 "; }
 third=$((duration / 3))
 case $scenario in
-steady) ;;
+steady | kills) ;;
 rush)
   rush=("0:2.2 $third:0.2" "0:0.2 $third:2.2 $((2 * third)):0.2" "0:0.2 $((2 * third)):2.2") ;;
 heavy-rush)
