Let a request wait for a grant when no server here is usable

Change: if nothing here is usable but another data centre that may serve it is heard of, the request waits for a grant within its deadline. Conclusion: refused only when nobody permitted is heard of, or time is short.

--- a/crates/policy/src/router/decide.rs
+++ b/crates/policy/src/router/decide.rs
@@ -33,13 +33,33 @@
         if let Some(away) = self.prefer_away(now, model, local, away) {
             return self.start_away(&arrival, away.center);
         }
-        match local {
-            Some(local) if local <= remaining => self.enqueue(arrival, service),
-            _ => match away {
-                Some(away) => self.start_away(&arrival, away.center),
-                None => RouteStep::Refuse(refusal(wait)),
-            },
+        match (local, away) {
+            (Some(local), _) if local <= remaining => self.enqueue(arrival, service),
+            (_, Some(away)) => self.start_away(&arrival, away.center),
+            (None, None) if service <= remaining && self.may_get_grant(now, &arrival) => {
+                self.enqueue(arrival, service)
+            }
+            _ => RouteStep::Refuse(refusal(wait)),
+        }
+    }
+
+    /// Whether another data centre that is heard of serves the request's model,
+    /// so that a grant may come while it waits.
+    fn may_get_grant(&self, now: Moment, arrival: &RequestArrival) -> bool {
+        let kind = self.kind(arrival.kind);
+        if self.settings.routing != RoutingPolicy::Expected || kind.away == AwayRule::Never {
+            return false;
         }
+        self.centers
+            .iter()
+            .filter(|(center, _)| *center != self.center)
+            .filter(|(center, _)| !arrival.excluded_centers.contains(center))
+            .filter(|(center, _)| {
+                arrival
+                    .allowed
+                    .contains(self.bundle.centers[*center].region)
+            })
+            .any(|(_, view)| view.model(now, kind.model).is_some())
     }
 
     pub(super) fn prefer_away(
--- a/crates/policy/tests/router.rs
+++ b/crates/policy/tests/router.rs
@@ -9,7 +9,7 @@
     RequestRouter, RouteStep, allowed_regions,
 };
 use onyxfall_settings::IniDocument;
-use onyxfall_types::{RefusalReason, RunVerdict};
+use onyxfall_types::{Incarnation, RefusalReason, RunVerdict};
 
 const BUNDLE: &str = "
 [bundle]
@@ -56,6 +56,8 @@
     kind: &'static str,
     /// Requests that are under way on the only server.
     busy: usize,
+    /// Whether the only server is leaving.
+    drained: bool,
     /// Grants of b1 and of c1.
     grants: [u32; 2],
     /// Data centres that failed the request before.
@@ -69,6 +71,7 @@
     name: "free slot",
     kind: "free",
     busy: 0,
+    drained: false,
     grants: [5, 5],
     excluded: &[],
     deadline_ms: 5000,
@@ -76,7 +79,7 @@
     expected: "run s1",
 };
 
-const CASES: [DecisionCase; 10] = [
+const CASES: [DecisionCase; 13] = [
     BASE,
     DecisionCase {
         name: "full, granted",
@@ -127,6 +130,26 @@
         expected: "refuse overloaded",
         ..BASE
     },
+    DecisionCase {
+        name: "drained, granted",
+        drained: true,
+        expected: "away b1",
+        ..BASE
+    },
+    DecisionCase {
+        name: "drained, a grant may come",
+        drained: true,
+        grants: [0, 0],
+        expected: "wait",
+        ..BASE
+    },
+    DecisionCase {
+        name: "drained, never away",
+        kind: "near",
+        drained: true,
+        expected: "refuse overloaded",
+        ..BASE
+    },
     DecisionCase {
         name: "a peer's request is not sent on",
         busy: 1,
@@ -215,6 +238,9 @@
             );
             assert_eq!(describe(&bundle, &step), "run s1");
         }
+        if case.drained {
+            router.drain(&"s1".parse().unwrap(), Incarnation::new(1));
+        }
         hear(&mut router, &bundle, "b1", case.grants[0]);
         hear(&mut router, &bundle, "c1", case.grants[1]);
         let step = router.arrive(Moment::ZERO, arrival(&bundle, &case));
