Read once more: one look-up for a link, no work repeated per data centre

Found and mended, behaviour unchanged: - three places searched the list of open links for one name; PeerLinks::up asks its slot (one of them scanned all links for every peer and beat); - the speaker hashed all records and read its own state for every data centre it told; now once a round, and load is worked out only if its link is up; - run_on_issuer and a stand-in's send_line only called on; gone; - ReplyEnd.stalled_ms was sent and never read; gone (field 6 is not used again). Left as they are: callers in tests, load and try-out are alike by shape, but a test must not lean on the tool it checks. No figures: nothing was measured.

--- a/crates/entry/src/control/beat.rs
+++ b/crates/entry/src/control/beat.rs
@@ -113,12 +113,7 @@
 
 /// Dials on a thread of its own, so that a dead peer delays nobody's beat.
 fn send_to(core: &Arc<EntryCore>, peer: &MemberBeat, sequence: u64, payload: PeerPayload) {
-    let up = core
-        .links
-        .open()
-        .into_iter()
-        .find(|link| *link.name() == peer.name);
-    if let Some(link) = up {
+    if let Some(link) = core.links.up(&peer.name) {
         link.note_ping(sequence);
         link.send_control(core, payload);
         return;
@@ -201,24 +196,21 @@
         return;
     }
     let targets = load_targets(core);
+    let leaving = core.members.lock().own().leaving;
+    let records = core.config.lock().records_hash();
     for target in targets {
-        let mut beat = EntryBeat {
+        let beat = EntryBeat {
             sequence,
+            leaving,
+            records,
+            receiver_incarnation: target.incarnation.get(),
             ..EntryBeat::default()
         };
-        beat.leaving = core.members.lock().own().leaving;
-        beat.records = core.config.lock().records_hash();
-        beat.receiver_incarnation = target.incarnation.get();
         send_to(core, &target, sequence, PeerPayload::Beat(beat));
-        if let Some(load) = own_load(core, &target.center) {
-            let up = core
-                .links
-                .open()
-                .into_iter()
-                .find(|link| *link.name() == target.name);
-            if let Some(link) = up {
-                link.send_control(core, PeerPayload::Load(load));
-            }
+        if let Some(link) = core.links.up(&target.name)
+            && let Some(load) = own_load(core, &target.center)
+        {
+            link.send_control(core, PeerPayload::Load(load));
         }
     }
 }
--- a/crates/entry/src/edge/ticket.rs
+++ b/crates/entry/src/edge/ticket.rs
@@ -9,7 +9,7 @@
 use crate::answer::{AnswerHead, AnswerSink, HeldAnswer, MemoryAnswer};
 use crate::core::EntryCore;
 use crate::metrics::CounterName;
-use crate::peer::{AwayCall, run_on_issuer};
+use crate::peer::{AwayCall, run_on};
 use crate::serve::{RequestContext, RequestOrigin, serve_into};
 use crate::trace::header_of;
 
@@ -173,7 +173,7 @@
         ticket: Some(ticket),
     };
     let mut sink = AnswerSink::Memory(MemoryAnswer::default());
-    let result = run_on_issuer(core, &call, &issuer, &mut sink);
+    let result = run_on(core, &call, &issuer, &mut sink);
     // An earlier use of the ticket may have run, whatever this one's verdict
     // is; only the issuer's own word says not-run.
     result.map_err(|failure| {
--- a/crates/entry/src/peer/away.rs
+++ b/crates/entry/src/peer/away.rs
@@ -51,16 +51,6 @@
     run_on(core, call, &member, sink)
 }
 
-/// Has the issuer of the call's ticket serve the request.
-pub(crate) fn run_on_issuer(
-    core: &Arc<EntryCore>,
-    call: &AwayCall<'_>,
-    issuer: &MemberBeat,
-    sink: &mut AnswerSink,
-) -> Result<(), AttemptError> {
-    run_on(core, call, issuer, sink)
-}
-
 fn pick_member(core: &EntryCore, center: &CenterName) -> Option<MemberBeat> {
     let members = core.members.lock();
     let alive: Vec<&MemberBeat> = members.alive_in(center).map(|m| &m.beat).collect();
@@ -73,7 +63,8 @@
     members.others().find(hinted).map(|m| m.beat.clone())
 }
 
-fn run_on(
+/// Has one entry serve the request: a chosen one, or the issuer of its ticket.
+pub(crate) fn run_on(
     core: &Arc<EntryCore>,
     call: &AwayCall<'_>,
     member: &MemberBeat,
--- a/crates/entry/src/peer/links.rs
+++ b/crates/entry/src/peer/links.rs
@@ -63,15 +63,16 @@
         self.link_to(core, peer)
     }
 
+    /// The link to a peer, if one is up.
+    pub(crate) fn up(&self, peer: &VmName) -> Option<Arc<PeerLink>> {
+        let slot = Arc::clone(self.slots.lock().get(peer)?);
+        link_in(&slot)
+    }
+
     /// Links that are up.
     pub(crate) fn open(&self) -> Vec<Arc<PeerLink>> {
         let slots: Vec<LinkSlot> = self.slots.lock().values().cloned().collect();
-        let up = |slot: &LinkSlot| slot.try_lock().and_then(|place| place.clone());
-        slots
-            .iter()
-            .filter_map(up)
-            .filter(|link| !link.is_down())
-            .collect()
+        slots.iter().filter_map(link_in).collect()
     }
 
     /// Notes a link that a peer has dialled.
@@ -95,6 +96,12 @@
     }
 }
 
+/// The link of a slot, if it is up and nobody is dialling.
+fn link_in(slot: &LinkSlot) -> Option<Arc<PeerLink>> {
+    let link = slot.try_lock()?.clone()?;
+    (!link.is_down()).then_some(link)
+}
+
 fn dial(core: &Arc<EntryCore>, peer: &MemberBeat) -> Result<Arc<PeerLink>, String> {
     let stream = connect(core, peer.peer_address).map_err(|e| e.to_string())?;
     let copy = || stream.try_clone().map_err(|e| e.to_string());
--- a/crates/entry/src/peer/mod.rs
+++ b/crates/entry/src/peer/mod.rs
@@ -7,7 +7,7 @@
 mod listen;
 mod reply;
 
-pub(crate) use away::{AwayCall, run_away, run_on_issuer};
+pub(crate) use away::{AwayCall, run_away, run_on};
 pub(crate) use convert::{beat_of, member_entry};
 pub(crate) use link::PeerLink;
 pub(crate) use links::PeerLinks;
--- a/crates/entry/src/peer/reply.rs
+++ b/crates/entry/src/peer/reply.rs
@@ -101,7 +101,6 @@
         ReplyEnd {
             attempt: self.attempt,
             verdict: verdict.to_string(),
-            stalled_ms: u64::try_from(self.stalled.as_millis()).unwrap_or(0),
             ..ReplyEnd::default()
         }
     }
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -10,7 +10,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
-use onyxfall_http::{HttpLimits, HttpReply, HttpRequest, HttpServer, Responder, StreamSender};
+use onyxfall_http::{HttpLimits, HttpReply, HttpRequest, HttpServer, Responder};
 use onyxfall_platform::{VmList, VmRecord};
 use parking_lot::Mutex;
 use serde::Deserialize;
@@ -372,16 +372,12 @@
             continue;
         }
         idle = Instant::now();
-        if send_line(&stream, line(json!({ "events": events }))).is_err() {
+        if stream.send(line(json!({ "events": events }))).is_err() {
             return;
         }
     }
 }
 
-fn send_line(stream: &StreamSender, line: Bytes) -> Result<(), onyxfall_http::CallerGone> {
-    stream.send(line)
-}
-
 fn events_since(state: &PlatformState, seen: i64, start: &[u8], end: &[u8]) -> Vec<Value> {
     let from = state
         .history
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -228,9 +228,6 @@
     /// When to come back; 0 for no advice.
     #[prost(uint64, tag = "5")]
     pub retry_after_ms: u64,
-    /// Time lost to credit that did not come.
-    #[prost(uint64, tag = "6")]
-    pub stalled_ms: u64,
 }
 
 /// Gives an attempt up.
