--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -9,7 +9,7 @@
 use argh::FromArgs;
 use miette::{IntoDiagnostic, Report};
 use onyxfall_entry::{EntryProcess, load_settings, start_tracing};
-use onyxfall_logging::start_logging;
+use onyxfall_logging::{LogSink, start_logging};
 
 /// Serve callers of one entry VM.
 #[derive(FromArgs)]
@@ -40,7 +40,7 @@
         println!("{}: no fault", arguments.settings.display());
         return Ok(ExitCode::SUCCESS);
     }
-    start_logging("onyxfall-entry", settings.log_level.0);
+    start_logging("onyxfall-entry", settings.log_level.0, LogSink::Stdout);
     start_tracing();
     let asked = Arc::new(AtomicBool::new(false));
     for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -138,7 +138,11 @@
 
     pub fn start_entry(&mut self, index: usize) {
         if std::env::var_os("ONYXFALL_TEST_LOG").is_some() {
-            onyxfall_logging::start_logging("test", log::LevelFilter::Debug);
+            onyxfall_logging::start_logging(
+                "test",
+                log::LevelFilter::Debug,
+                onyxfall_logging::LogSink::Stderr,
+            );
         }
         let settings = parse_settings("test.ini", &self.settings(index)).unwrap();
         let until = Instant::now() + PATIENCE;
--- /dev/null
+++ b/crates/fleet/src/away.rs
@@ -0,0 +1,143 @@
+//! Whether a request leaves the region, and to which one.
+//!
+//! Every VM tells how long a usual request would wait for its region's servers.
+//! A request goes away when its own region cannot meet the goal and another one,
+//! round trip included, is better by a margin. What was sent away lately counts
+//! against the region that it went to until that region tells of it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use onyxfall_policy::Moment;
+use onyxfall_types::{RegionName, VmName};
+
+use crate::call::CallNeeds;
+
+/// Round trip between two regions, from the users' sheets (55 ms one way).
+pub const REGION_ROUND_TRIP: Duration = Duration::from_millis(112);
+/// Part of the goal up to which a request stays in its region.
+const STAY_PART: f64 = 0.5;
+/// Gain that pays for the bytes between regions and a prefix read anew.
+const AWAY_MARGIN: Duration = Duration::from_millis(60);
+/// Added to a region's wait for each request sent there since its last word:
+/// a prompt of 6,000 unread tokens at 112 a millisecond.
+const SENT_COST: Duration = Duration::from_millis(55);
+/// Age after which a VM's word no longer counts.
+const WORD_LIFE: Duration = Duration::from_secs(4);
+
+/// What a VM tells of one service in its region.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServiceLoad {
+    /// Expected time to a first byte for a usual request at the best server.
+    pub wait: Duration,
+    /// Servers that take work.
+    pub usable: u32,
+}
+
+#[derive(Clone, Debug)]
+struct VmWord {
+    region: RegionName,
+    heard: Moment,
+    loads: BTreeMap<u32, ServiceLoad>,
+    sent: u32,
+}
+
+/// Where a request could be sent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AwayOption {
+    /// The VM that would run it.
+    pub vm: VmName,
+    /// Expected time to the first byte, round trip included.
+    pub predicted: Duration,
+}
+
+/// What the VMs of other regions have told.
+#[derive(Clone, Debug, Default)]
+pub struct AwayTable {
+    words: BTreeMap<VmName, VmWord>,
+}
+
+impl AwayTable {
+    /// Takes a VM's word on its region.
+    pub fn hear(
+        &mut self,
+        now: Moment,
+        vm: &VmName,
+        region: &RegionName,
+        loads: BTreeMap<u32, ServiceLoad>,
+    ) {
+        let word = VmWord {
+            region: region.clone(),
+            heard: now,
+            loads,
+            sent: 0,
+        };
+        self.words.insert(vm.clone(), word);
+    }
+
+    /// Forgets a VM that is gone or leaving.
+    pub fn forget(&mut self, vm: &VmName) {
+        self.words.remove(vm);
+    }
+
+    /// Notes that a request is sent to a VM.
+    pub fn note_sent(&mut self, vm: &VmName) {
+        if let Some(word) = self.words.get_mut(vm) {
+            word.sent += 1;
+        }
+    }
+
+    /// The best VM of another region, if any may run the request.
+    pub fn best(
+        &self,
+        now: Moment,
+        needs: &CallNeeds,
+        service_tag: u32,
+        own_region: &RegionName,
+        excluded: &[VmName],
+    ) -> Option<AwayOption> {
+        self.words
+            .iter()
+            .filter(|(vm, word)| {
+                word.region != *own_region
+                    && needs.allows_region(&word.region)
+                    && now - word.heard < WORD_LIFE
+                    && !excluded.contains(vm)
+            })
+            .filter_map(|(vm, word)| {
+                let load = word.loads.get(&service_tag)?;
+                (load.usable > 0).then(|| AwayOption {
+                    vm: vm.clone(),
+                    predicted: REGION_ROUND_TRIP
+                        + load.wait
+                        + SENT_COST * self.sent_to(&word.region) / load.usable,
+                })
+            })
+            .min_by_key(|option| (option.predicted, self.sent_by(&option.vm)))
+    }
+
+    fn sent_to(&self, region: &RegionName) -> u32 {
+        self.words
+            .values()
+            .filter(|word| word.region == *region)
+            .map(|word| word.sent)
+            .sum()
+    }
+
+    fn sent_by(&self, vm: &VmName) -> u32 {
+        self.words.get(vm).map_or(0, |word| word.sent)
+    }
+}
+
+/// Whether a request is better off away than at `local`.
+///
+/// ```
+/// use onyxfall_fleet::goes_away;
+/// use std::time::Duration;
+/// let ms = Duration::from_millis;
+/// assert!(!goes_away(ms(600), ms(200), ms(120)));
+/// assert!(goes_away(ms(600), ms(900), ms(200)));
+/// ```
+pub fn goes_away(goal: Duration, local: Duration, away: Duration) -> bool {
+    local > goal.mul_f64(STAY_PART) && away + AWAY_MARGIN < local
+}
--- /dev/null
+++ b/crates/fleet/src/choose.rs
@@ -0,0 +1,155 @@
+//! Choice of a backend server of this VM's region.
+//!
+//! Servers are compared by the expected time to the first byte. Requests with
+//! the same shared prefix prefer the same server, by rendezvous hashing, so that
+//! it is read once; a server that is busy loses them to the next. A server whose
+//! breaker is open is chosen only when no other is left.
+
+use std::time::Duration;
+
+use onyxfall_policy::Moment;
+use onyxfall_types::ServerId;
+use rand::Rng;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::call::CallNeeds;
+use crate::cold::is_cold_sender;
+use crate::view::FleetView;
+
+/// Cost of choosing another server than the prefix's own: it reads the prefix
+/// anew and pushes others' prefixes out. Milliseconds per unread token come on
+/// top, by the prediction.
+const AFFINITY_COST: Duration = Duration::from_millis(25);
+/// Cost of a cold server, so that it gets work only when others are busy.
+const COLD_COST: Duration = Duration::from_millis(150);
+/// Spread of the random part that keeps VMs with the same view apart.
+const JITTER: Duration = Duration::from_millis(2);
+
+/// A server that a request could go to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServerChoice {
+    /// The server.
+    pub server: ServerId,
+    /// Expected time to the first byte.
+    pub predicted: Duration,
+}
+
+/// What the region has for a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum LocalOption {
+    /// A server with room.
+    Free(ServerChoice),
+    /// Servers that could run it are full.
+    Full,
+    /// Servers are cold or failing; one may be usable after a moment.
+    Resting,
+    /// There is no server here that may run it.
+    None,
+}
+
+impl FleetView {
+    /// The best server of this region for a request.
+    pub fn choose(
+        &mut self,
+        now: Moment,
+        needs: &CallNeeds,
+        excluded: &[ServerId],
+        rng: &mut impl Rng,
+    ) -> LocalOption {
+        let candidates: Vec<ServerId> = self.candidates(needs, excluded);
+        if candidates.is_empty() {
+            return LocalOption::None;
+        }
+        let roomy: Vec<ServerId> = candidates
+            .iter()
+            .copied()
+            .filter(|id| self.server(*id).has_room(needs))
+            .collect();
+        if roomy.is_empty() {
+            return LocalOption::Full;
+        }
+        let awake: Vec<ServerId> = roomy
+            .into_iter()
+            .filter(|id| self.may_send_cold(now, *id))
+            .collect();
+        let trusted: Vec<ServerId> = awake
+            .iter()
+            .copied()
+            .filter(|id| self.server(*id).is_trusted(now))
+            .collect();
+        let pool = if trusted.is_empty() { awake } else { trusted };
+        let owner = self.prefix_owner(needs, &pool);
+        let best = pool
+            .into_iter()
+            .map(|id| (self.cost(now, id, needs, owner, rng), id))
+            .min_by(|a, b| a.0.total_cmp(&b.0));
+        let Some((_, server)) = best else {
+            return LocalOption::Resting;
+        };
+        let predicted = self.server(server).predict(now, needs);
+        LocalOption::Free(ServerChoice { server, predicted })
+    }
+
+    /// Whether some server of this region that may run it has half its slots free.
+    pub fn has_half_free(&self, needs: &CallNeeds) -> bool {
+        self.candidates(needs, &[])
+            .iter()
+            .any(|id| self.server(*id).is_half_free(needs.engine))
+    }
+
+    fn candidates(&self, needs: &CallNeeds, excluded: &[ServerId]) -> Vec<ServerId> {
+        let region = &self.place().region;
+        if !needs.allows_region(region) {
+            return Vec::new();
+        }
+        self.servers_of(&needs.service)
+            .iter()
+            .copied()
+            .filter(|id| !excluded.contains(id))
+            .filter(|id| {
+                let server = self.server(*id);
+                server.region == *region
+                    && server.takes_work()
+                    && !self.is_evacuated(&server.record.center)
+            })
+            .collect()
+    }
+
+    fn may_send_cold(&mut self, now: Moment, id: ServerId) -> bool {
+        if !self.server(id).is_cold(now) {
+            return true;
+        }
+        let name = &self.server(id).record.name;
+        is_cold_sender(name, &self.place().vm, self.region_vms())
+            && self.server_mut(id).cold_share().has_one(now)
+    }
+
+    /// The server that rendezvous hashing gives the request's shared prefix.
+    fn prefix_owner(&self, needs: &CallNeeds, pool: &[ServerId]) -> Option<ServerId> {
+        let key = needs.prompt.affinity()?;
+        let rank = |id: &ServerId| {
+            let name = &self.server(*id).record.name;
+            xxh3_64_with_seed(name.as_str().as_bytes(), key)
+        };
+        pool.iter().copied().max_by_key(rank)
+    }
+
+    fn cost(
+        &self,
+        now: Moment,
+        id: ServerId,
+        needs: &CallNeeds,
+        owner: Option<ServerId>,
+        rng: &mut impl Rng,
+    ) -> f64 {
+        let server = self.server(id);
+        let mut cost = server.predict(now, needs);
+        if owner.is_some_and(|owner| owner != id) {
+            cost += AFFINITY_COST;
+        }
+        if server.is_cold(now) {
+            cost += COLD_COST;
+        }
+        cost.as_secs_f64() + rng.random::<f64>() * JITTER.as_secs_f64()
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,31 @@
+//! Decisions over a fleet of backend servers that come and go by themselves.
+//!
+//! Pure code: no I/O, no clock. The store's items enter through [`StoreMirror`],
+//! servers live in [`FleetView`], and a request asks [`FleetView::choose`] and
+//! [`AwayTable::best`] where to go. Limits that all VMs share ([`RetryShare`],
+//! [`ColdShare`]) are split so that no coordination is needed.
+
+mod away;
+mod budget;
+mod call;
+mod choose;
+mod cold;
+mod mirror;
+mod record;
+mod route;
+mod server;
+mod view;
+
+pub use away::{AwayOption, AwayTable, REGION_ROUND_TRIP, ServiceLoad, goes_away};
+pub use budget::{BudgetLimits, LEAST_VMS, RetryShare};
+pub use call::{CallNeeds, PromptPart, PromptSize};
+pub use choose::{LocalOption, ServerChoice};
+pub use cold::{ColdShare, SENDERS, is_cold_sender};
+pub use mirror::{MirrorChange, RETURN_WINDOW, StoreEvent, StoreHealth, StoreItem, StoreMirror};
+pub use record::{ServerPhase, ServerRecord};
+pub use route::{
+    AnswerShape, BackendService, CallerLimits, ConfigVersion, EngineLimits, RepeatRule, RouteRule,
+    RouteTable, RouteTarget,
+};
+pub use server::{AttemptResult, ServerState, WorkShare};
+pub use view::{FleetView, VmPlace};
--- /dev/null
+++ b/crates/fleet/src/mirror.rs
@@ -0,0 +1,225 @@
+//! A copy of the store's items that this VM acts on.
+//!
+//! The copy is fed by watches and whole reads, or by a peer whose copy is newer.
+//! Leases run out while the store is away, so an item that is missing after an
+//! outage is kept for a while: its owner writes it again if it lives. An item
+//! that vanishes while the store is well is gone at once.
+//!
+//! Invariant: an item is never replaced by one of a smaller revision.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use onyxfall_policy::Moment;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// How long an item may be missing after an outage. The users' letter gives two
+/// seconds for a live owner to be back; the rest is the way of the news.
+pub const RETURN_WINDOW: Duration = Duration::from_millis(2500);
+
+/// An item of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreItem {
+    /// Its key.
+    pub key: String,
+    /// Its value.
+    pub value: Bytes,
+    /// Revision of its last change.
+    pub revision: u64,
+}
+
+/// A change of one key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreEvent {
+    /// The item was written.
+    Put(StoreItem),
+    /// The key was deleted at this revision.
+    Delete {
+        /// The key.
+        key: String,
+        /// Revision of the deletion.
+        revision: u64,
+    },
+}
+
+/// What a change of the copy means for its readers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum MirrorChange {
+    /// The key has a new value.
+    Set(String, Bytes),
+    /// The key is gone.
+    Removed(String),
+}
+
+/// Whether the store was away shortly before the news.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreHealth {
+    /// It was well; what is missing is gone.
+    Steady,
+    /// It came back lately; what is missing may return.
+    Returned,
+}
+
+#[derive(Clone, Debug)]
+struct HeldItem {
+    value: Bytes,
+    revision: u64,
+    missing_since: Option<Moment>,
+}
+
+/// The copy.
+#[derive(Clone, Debug, Default)]
+pub struct StoreMirror {
+    items: BTreeMap<String, HeldItem>,
+    revision: u64,
+}
+
+impl StoreMirror {
+    /// Latest revision of the store that the copy reflects.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Whether nothing is known.
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// Hash over keys and revisions; equal copies have equal hashes.
+    pub fn hash(&self) -> u64 {
+        self.present()
+            .map(|(key, item)| xxh3_64(key.as_bytes()) ^ item.revision.wrapping_mul(0x9e37_79b9))
+            .fold(0, u64::wrapping_add)
+    }
+
+    /// Every item that is not missing.
+    pub fn snapshot(&self) -> Vec<StoreItem> {
+        self.present()
+            .map(|(key, item)| StoreItem {
+                key: key.clone(),
+                value: item.value.clone(),
+                revision: item.revision,
+            })
+            .collect()
+    }
+
+    /// Takes news of a watch.
+    pub fn apply(
+        &mut self,
+        now: Moment,
+        events: Vec<StoreEvent>,
+        health: StoreHealth,
+    ) -> Vec<MirrorChange> {
+        let mut changes = Vec::new();
+        for event in events {
+            match event {
+                StoreEvent::Put(item) => changes.extend(self.put(item)),
+                StoreEvent::Delete { key, revision } => {
+                    self.revision = self.revision.max(revision);
+                    changes.extend(self.delete(now, &key, revision, health));
+                }
+            }
+        }
+        changes
+    }
+
+    /// Takes every item under `prefix` as read at `revision` or later.
+    pub fn replace(
+        &mut self,
+        now: Moment,
+        prefix: &str,
+        items: Vec<StoreItem>,
+        revision: u64,
+        health: StoreHealth,
+    ) -> Vec<MirrorChange> {
+        let listed: std::collections::BTreeSet<String> =
+            items.iter().map(|item| item.key.clone()).collect();
+        let absent: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(key, item)| {
+                key.starts_with(prefix) && !listed.contains(*key) && item.revision <= revision
+            })
+            .map(|(key, _)| key.clone())
+            .collect();
+        let mut changes: Vec<MirrorChange> = items
+            .into_iter()
+            .filter_map(|item| self.put(item))
+            .collect();
+        for key in absent {
+            changes.extend(self.delete(now, &key, revision, health));
+        }
+        self.revision = self.revision.max(revision);
+        changes
+    }
+
+    /// Removes what has been missing for longer than [`RETURN_WINDOW`].
+    pub fn expire(&mut self, now: Moment) -> Vec<MirrorChange> {
+        let expired: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, item)| {
+                item.missing_since
+                    .is_some_and(|since| now - since >= RETURN_WINDOW)
+            })
+            .map(|(key, _)| key.clone())
+            .collect();
+        expired
+            .into_iter()
+            .map(|key| {
+                self.items.remove(&key);
+                MirrorChange::Removed(key)
+            })
+            .collect()
+    }
+
+    fn present(&self) -> impl Iterator<Item = (&String, &HeldItem)> {
+        self.items
+            .iter()
+            .filter(|(_, item)| item.missing_since.is_none())
+    }
+
+    fn put(&mut self, item: StoreItem) -> Option<MirrorChange> {
+        self.revision = self.revision.max(item.revision);
+        if let Some(held) = self.items.get_mut(&item.key) {
+            if held.revision > item.revision {
+                return None;
+            }
+            held.missing_since = None;
+            if held.revision == item.revision {
+                return None;
+            }
+        }
+        let held = HeldItem {
+            value: item.value.clone(),
+            revision: item.revision,
+            missing_since: None,
+        };
+        self.items.insert(item.key.clone(), held);
+        Some(MirrorChange::Set(item.key, item.value))
+    }
+
+    fn delete(
+        &mut self,
+        now: Moment,
+        key: &str,
+        revision: u64,
+        health: StoreHealth,
+    ) -> Option<MirrorChange> {
+        let held = self.items.get_mut(key)?;
+        if held.revision > revision {
+            return None;
+        }
+        match health {
+            StoreHealth::Returned => {
+                held.missing_since.get_or_insert(now);
+                None
+            }
+            StoreHealth::Steady => {
+                self.items.remove(key);
+                Some(MirrorChange::Removed(key.to_owned()))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/view.rs
@@ -0,0 +1,157 @@
+//! The backend servers that there are, as this VM knows them.
+//!
+//! Servers come and go by themselves; each life has a name and a [`ServerId`]
+//! that is never used again, so that the end of an attempt always finds the
+//! life that it was sent to.
+//!
+//! Invariant: a life that was seen leaving or gone never gets new work.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use onyxfall_policy::Moment;
+use onyxfall_types::{
+    CenterName, EntityMap, RegionName, ServerId, ServerName, ServiceName, VmName,
+};
+
+use crate::record::ServerRecord;
+use crate::route::RouteTable;
+use crate::server::ServerState;
+
+/// Where this VM stands.
+#[derive(Clone, Debug)]
+pub struct VmPlace {
+    /// Its name.
+    pub vm: VmName,
+    /// Its data centre.
+    pub center: CenterName,
+    /// Its region.
+    pub region: RegionName,
+    /// The region of every data centre.
+    pub centers: BTreeMap<CenterName, RegionName>,
+}
+
+/// The fleet.
+#[derive(Clone, Debug)]
+pub struct FleetView {
+    place: VmPlace,
+    servers: EntityMap<ServerId, ServerState>,
+    by_name: HashMap<ServerName, ServerId>,
+    by_service: BTreeMap<ServiceName, Vec<ServerId>>,
+    evacuated: BTreeSet<CenterName>,
+    region_vms: Vec<VmName>,
+}
+
+impl FleetView {
+    /// A view that knows no server.
+    pub fn new(place: VmPlace) -> Self {
+        Self {
+            place,
+            servers: EntityMap::new(),
+            by_name: HashMap::new(),
+            by_service: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
+            region_vms: Vec::new(),
+        }
+    }
+
+    /// Where this VM stands.
+    pub fn place(&self) -> &VmPlace {
+        &self.place
+    }
+
+    /// The VMs of this region, this one included or not.
+    pub fn region_vms(&self) -> &[VmName] {
+        &self.region_vms
+    }
+
+    /// Sets the VMs of this region.
+    pub fn set_region_vms(&mut self, vms: Vec<VmName>) {
+        self.region_vms = vms;
+    }
+
+    /// State of a server.
+    pub fn server(&self, id: ServerId) -> &ServerState {
+        &self.servers[id]
+    }
+
+    /// State of a server, to change it.
+    pub fn server_mut(&mut self, id: ServerId) -> &mut ServerState {
+        &mut self.servers[id]
+    }
+
+    /// A server by the name of its life.
+    pub fn find(&self, name: &str) -> Option<ServerId> {
+        self.by_name.get(name).copied()
+    }
+
+    /// The servers of a service that are not gone.
+    pub fn servers_of(&self, service: &ServiceName) -> &[ServerId] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Every server that is not gone.
+    pub fn live(&self) -> impl Iterator<Item = (ServerId, &ServerState)> {
+        self.by_service
+            .values()
+            .flatten()
+            .map(|id| (*id, &self.servers[*id]))
+    }
+
+    /// Whether servers of a data centre must get nothing.
+    pub fn is_evacuated(&self, center: &CenterName) -> bool {
+        self.evacuated.contains(center)
+    }
+
+    /// Takes a server's entry.
+    pub fn put_server(&mut self, now: Moment, record: ServerRecord, table: Option<&RouteTable>) {
+        if let Some(id) = self.find(record.name.as_str()) {
+            self.servers[id].update(now, record);
+            return;
+        }
+        let Some(region) = self.place.centers.get(&record.center).cloned() else {
+            return;
+        };
+        let service = table.and_then(|table| table.service(&record.service));
+        let cold_rate = service.map_or(0.0, |service| service.cold_rate);
+        let (name, service) = (record.name.clone(), record.service.clone());
+        let id = self
+            .servers
+            .push(ServerState::new(now, record, region, cold_rate));
+        self.by_name.insert(name, id);
+        self.by_service.entry(service).or_default().push(id);
+    }
+
+    /// Notes that a server's entry is gone, or that another life answered.
+    pub fn remove_server(&mut self, name: &str) {
+        let Some(id) = self.by_name.remove(name) else {
+            return;
+        };
+        self.servers[id].end_life();
+        for ids in self.by_service.values_mut() {
+            ids.retain(|other| *other != id);
+        }
+    }
+
+    /// Notes that a data centre is being evacuated.
+    pub fn evacuate(&mut self, center: CenterName) {
+        self.evacuated.insert(center);
+    }
+
+    /// Notes that a data centre is taken back; its servers may be cold.
+    pub fn take_back(&mut self, now: Moment, center: &CenterName, table: Option<&RouteTable>) {
+        if !self.evacuated.remove(center) {
+            return;
+        }
+        for ids in self.by_service.values() {
+            for id in ids {
+                let server = &mut self.servers[*id];
+                if server.record.center == *center {
+                    let service = table.and_then(|table| table.service(&server.record.service));
+                    let cold_for = service.map_or(Duration::ZERO, |service| service.cold_for);
+                    server.chill(now, cold_for);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,305 @@
+//! One attempt of a request: at a server of this region, or at another VM.
+//!
+//! Invariant: an attempt counts as not run only if no byte of it was written,
+//! or if the other side said so.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use onyxfall_adapter::{
+    AnswerKind, idle_limit, read_answer, set_expected_server, set_time_left, set_urgency,
+};
+use onyxfall_fleet::AttemptResult;
+use onyxfall_types::{RunVerdict, ServerId};
+
+use crate::call::{CallContext, SharedCall};
+use crate::connection::{HttpConnection, SendError};
+use crate::gateway::Gateway;
+use crate::open::OpenAttempt;
+use crate::relay::{PeerTarget, read_verdict, set_relay_headers};
+
+/// Largest body of a refusal that is read so that its connection can be kept.
+const REFUSAL_BODY_LIMIT: usize = 64 * 1024;
+/// Longest wait for the rest of a refusal.
+const REFUSAL_BODY_WAIT: Duration = Duration::from_millis(200);
+
+/// A server to try.
+#[derive(Clone, Debug)]
+pub(crate) struct ServerTarget {
+    /// The server.
+    pub(crate) id: ServerId,
+    /// Name of its life.
+    pub(crate) name: String,
+    /// Where it listens.
+    pub(crate) address: SocketAddr,
+    /// Expected time to the first byte.
+    pub(crate) predicted: Duration,
+}
+
+/// Head of an answer, with the body still to come.
+pub(crate) struct UpstreamAnswer {
+    /// Status as sent.
+    pub(crate) status: StatusCode,
+    /// Headers as sent.
+    pub(crate) headers: HeaderMap,
+    /// Body.
+    pub(crate) body: Incoming,
+    /// Connection that it comes on.
+    pub(crate) connection: HttpConnection,
+    /// Other end of the connection.
+    pub(crate) address: SocketAddr,
+    /// Booking of the attempt; none if another VM books it.
+    pub(crate) booking: Option<OpenAttempt>,
+}
+
+impl UpstreamAnswer {
+    /// Books the end, and keeps the connection if the answer is whole.
+    pub(crate) fn finish(mut self, gateway: &Gateway, result: AttemptResult) {
+        if let Some(booking) = &mut self.booking {
+            booking.finish(result);
+        }
+        let is_whole = matches!(result, AttemptResult::Succeeded | AttemptResult::Failed);
+        if is_whole {
+            let limit = idle_limit(&self.headers);
+            gateway.pool.put(self.address, self.connection, limit);
+        }
+    }
+}
+
+/// How an attempt ended.
+pub(crate) enum AttemptEnd {
+    /// An answer has begun.
+    Answer(Box<UpstreamAnswer>),
+    /// It did not run and will not.
+    NotRun {
+        /// Whether the request reached a server.
+        arrived: bool,
+        /// Why, for the log.
+        cause: &'static str,
+    },
+    /// It may have run, and brings no answer.
+    Lost {
+        /// Why, for the log.
+        cause: &'static str,
+    },
+}
+
+/// Sends a request to a server of this region.
+pub(crate) async fn try_server(
+    gateway: &Rc<Gateway>,
+    call: &SharedCall,
+    target: &ServerTarget,
+    extra: &HeaderMap,
+) -> AttemptEnd {
+    let mut booking = OpenAttempt::start(gateway, target.id, &call.needs);
+    let make = || {
+        let mut headers = call.headers.clone();
+        headers.extend(extra.clone());
+        set_expected_server(&mut headers, &target.name);
+        if call.needs.engine.is_some() {
+            set_urgency(&mut headers, call.rules.urgency);
+        }
+        set_time_left(&mut headers, call.time_left());
+        make_request(call, headers)
+    };
+    let (connection, response) = match exchange(gateway, call, target.address, make).await {
+        Ok(exchanged) => exchanged,
+        Err(failure) => {
+            booking.finish(failure.blame());
+            return failure.into_end();
+        }
+    };
+    let kind = read_answer(response.status(), response.headers(), &call.request_id);
+    match kind {
+        AnswerKind::Signed => {
+            booking.answer();
+            AttemptEnd::Answer(Box::new(upstream(
+                connection,
+                response,
+                target.address,
+                Some(booking),
+            )))
+        }
+        AnswerKind::NotRun => {
+            booking.finish(AttemptResult::Shed);
+            keep_after_refusal(gateway, target.address, connection, response).await;
+            AttemptEnd::NotRun {
+                arrived: true,
+                cause: "the server did not take it",
+            }
+        }
+        AnswerKind::WrongServer => {
+            booking.finish(AttemptResult::Unknown);
+            gateway.note_replaced(&target.name);
+            AttemptEnd::NotRun {
+                arrived: true,
+                cause: "another server has the address",
+            }
+        }
+        AnswerKind::Stray => {
+            booking.finish(AttemptResult::Broken);
+            AttemptEnd::Lost {
+                cause: "the answer is not this request's",
+            }
+        }
+    }
+}
+
+/// Passes a request on to a VM of another region.
+pub(crate) async fn try_peer(
+    gateway: &Rc<Gateway>,
+    call: &SharedCall,
+    target: &PeerTarget,
+    extra: &HeaderMap,
+) -> AttemptEnd {
+    let make = || {
+        let mut headers = call.headers.clone();
+        headers.extend(extra.clone());
+        set_relay_headers(&mut headers, gateway.vm(), call);
+        set_time_left(&mut headers, call.time_left());
+        make_request(call, headers)
+    };
+    let (connection, response) = match exchange(gateway, call, target.address, make).await {
+        Ok(exchanged) => exchanged,
+        Err(failure) => {
+            gateway.away.borrow_mut().forget(&target.vm);
+            return failure.into_end();
+        }
+    };
+    if let Some(word) = read_verdict(response.headers()) {
+        keep_after_refusal(gateway, target.address, connection, response).await;
+        return match word.verdict {
+            RunVerdict::NotRun => AttemptEnd::NotRun {
+                arrived: word.arrived,
+                cause: "the other region refused it",
+            },
+            RunVerdict::MayHaveRun | RunVerdict::Ran => AttemptEnd::Lost {
+                cause: "the other region lost it",
+            },
+        };
+    }
+    match read_answer(response.status(), response.headers(), &call.request_id) {
+        AnswerKind::Signed => AttemptEnd::Answer(Box::new(upstream(
+            connection,
+            response,
+            target.address,
+            None,
+        ))),
+        _ => AttemptEnd::Lost {
+            cause: "the other region's answer is not this request's",
+        },
+    }
+}
+
+/// Why an exchange brought no head of an answer.
+enum ExchangeFailure {
+    Unreachable,
+    Broken,
+    TimedOut,
+}
+
+impl ExchangeFailure {
+    fn blame(&self) -> AttemptResult {
+        match self {
+            Self::Unreachable | Self::Broken => AttemptResult::Broken,
+            Self::TimedOut => AttemptResult::Failed,
+        }
+    }
+
+    fn into_end(self) -> AttemptEnd {
+        match self {
+            Self::Unreachable => AttemptEnd::NotRun {
+                arrived: false,
+                cause: "no connection",
+            },
+            Self::Broken => AttemptEnd::Lost {
+                cause: "the connection broke",
+            },
+            Self::TimedOut => AttemptEnd::Lost {
+                cause: "no answer in time",
+            },
+        }
+    }
+}
+
+/// Sends a request on a kept connection or a new one, up to the answer's head.
+async fn exchange(
+    gateway: &Gateway,
+    call: &CallContext,
+    address: SocketAddr,
+    make: impl Fn() -> Request<Full<Bytes>>,
+) -> Result<(HttpConnection, Response<Incoming>), ExchangeFailure> {
+    let limit = call.time_left();
+    let exchanged = tokio::time::timeout(limit, async {
+        while let Some(mut kept) = gateway.pool.take(address) {
+            match kept.send(make()).await {
+                Ok(response) => return Ok((kept, response)),
+                // The other side had closed it; nothing was written.
+                Err(SendError::Unsent) => {}
+                Err(SendError::Broken(e)) => return Err(broken(address, &e)),
+            }
+        }
+        let opened = HttpConnection::open(address).await;
+        let mut connection = opened.map_err(|e| {
+            log::info!(address:% = address, error:% = e; "no connection");
+            ExchangeFailure::Unreachable
+        })?;
+        match connection.send(make()).await {
+            Ok(response) => Ok((connection, response)),
+            Err(SendError::Unsent) => Err(ExchangeFailure::Unreachable),
+            Err(SendError::Broken(e)) => Err(broken(address, &e)),
+        }
+    });
+    exchanged.await.unwrap_or(Err(ExchangeFailure::TimedOut))
+}
+
+fn broken(address: SocketAddr, error: &hyper::Error) -> ExchangeFailure {
+    log::info!(address:% = address, error:% = error; "connection broke");
+    ExchangeFailure::Broken
+}
+
+fn make_request(call: &CallContext, headers: HeaderMap) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.target.clone();
+    *request.headers_mut() = headers;
+    request
+}
+
+fn upstream(
+    connection: HttpConnection,
+    response: Response<Incoming>,
+    address: SocketAddr,
+    booking: Option<OpenAttempt>,
+) -> UpstreamAnswer {
+    let (head, body) = response.into_parts();
+    UpstreamAnswer {
+        status: head.status,
+        headers: head.headers,
+        body,
+        connection,
+        address,
+        booking,
+    }
+}
+
+/// Reads the rest of a refusal, so that its connection can serve again.
+async fn keep_after_refusal(
+    gateway: &Gateway,
+    address: SocketAddr,
+    connection: HttpConnection,
+    response: Response<Incoming>,
+) {
+    let (head, body) = response.into_parts();
+    let rest = Limited::new(body, REFUSAL_BODY_LIMIT).collect();
+    let read = tokio::time::timeout(REFUSAL_BODY_WAIT, rest).await;
+    if matches!(read, Ok(Ok(_))) {
+        let limit = idle_limit(&head.headers);
+        gateway.pool.put(address, connection, limit);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/beat.rs
@@ -0,0 +1,238 @@
+//! Heartbeats between VMs: what is told, and what is taken from them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use onyxfall_fleet::{CallNeeds, PromptSize, ServiceLoad, StoreItem, WorkShare};
+use onyxfall_policy::MemberBeat;
+use onyxfall_types::{Incarnation, RegionName, name_tag};
+use onyxfall_wire::{
+    MemberEntry, ServerWorkEntry, ServiceLoadEntry, SnapshotItem, StoreSnapshot, VmBeat,
+};
+
+use crate::gateway::Gateway;
+
+/// Least time between two heartbeats to one VM.
+const LEAST_INTERVAL: Duration = Duration::from_millis(400);
+/// VMs up to which the least interval holds; beyond, it grows with their number
+/// so that the work of a VM does not.
+const DENSE_VMS: usize = 16;
+
+/// Time between two heartbeats to one VM among `vms`.
+pub(crate) fn beat_interval(vms: usize) -> Duration {
+    let times = vms.div_ceil(DENSE_VMS).max(1);
+    LEAST_INTERVAL * u32::try_from(times).unwrap_or(u32::MAX)
+}
+
+/// A member as in frames.
+pub(crate) fn member_entry(beat: &MemberBeat) -> MemberEntry {
+    MemberEntry {
+        name: beat.name.to_string(),
+        center: beat.center.to_string(),
+        region: beat.region.to_string(),
+        incarnation: beat.incarnation.get(),
+        leaving: beat.leaving,
+        address: beat.address.to_string(),
+        peer_address: beat.peer_address.to_string(),
+    }
+}
+
+/// A member from a frame; none if a field is not what it should be.
+pub(crate) fn member_beat(entry: &MemberEntry) -> Option<MemberBeat> {
+    Some(MemberBeat {
+        name: entry.name.parse().ok()?,
+        center: entry.center.parse().ok()?,
+        region: entry.region.parse().ok()?,
+        incarnation: Incarnation::new(entry.incarnation),
+        leaving: entry.leaving,
+        address: entry.address.parse().ok()?,
+        peer_address: entry.peer_address.parse().ok()?,
+    })
+}
+
+/// This VM's heartbeat for a VM of `region`.
+pub(crate) fn own_beat(gateway: &Gateway, region: &RegionName) -> VmBeat {
+    let settings = gateway.settings();
+    let is_near = *region == settings.place.region;
+    let mirror = gateway.mirror.borrow();
+    VmBeat {
+        ready: gateway.is_ready(),
+        leaving: gateway.is_leaving(),
+        store_reached: gateway.store.borrow().is_reached(),
+        mirror_hash: mirror.hash(),
+        mirror_revision: mirror.revision(),
+        loads: if is_near { Vec::new() } else { loads(gateway) },
+        work: if is_near { work(gateway) } else { Vec::new() },
+    }
+}
+
+/// What this region has free, by service.
+fn loads(gateway: &Gateway) -> Vec<ServiceLoadEntry> {
+    let Some(table) = gateway.table() else {
+        return Vec::new();
+    };
+    let now = gateway.now();
+    let fleet = gateway.fleet.borrow();
+    let region = fleet.place().region.clone();
+    let mut entries = Vec::new();
+    for service in table.services() {
+        let usual = CallNeeds {
+            service: service.name.clone(),
+            engine: service.engine,
+            prompt: PromptSize::default(),
+            goal: Duration::from_secs(1),
+            home_regions: Vec::new(),
+        };
+        let waits: Vec<Duration> = fleet
+            .servers_of(&service.name)
+            .iter()
+            .map(|id| fleet.server(*id))
+            .filter(|server| {
+                server.region == region
+                    && server.takes_work()
+                    && server.is_trusted(now)
+                    && !server.is_cold(now)
+                    && server.has_room(&usual)
+                    && !fleet.is_evacuated(&server.record.center)
+            })
+            .map(|server| server.predict(now, &usual))
+            .collect();
+        let Some(least) = waits.iter().min() else {
+            continue;
+        };
+        entries.push(ServiceLoadEntry {
+            service: name_tag(service.name.as_str()),
+            wait_ms: u32::try_from(least.as_millis()).unwrap_or(u32::MAX),
+            usable: u32::try_from(waits.len()).unwrap_or(u32::MAX),
+        });
+    }
+    entries
+}
+
+/// This VM's work at the servers of its region.
+fn work(gateway: &Gateway) -> Vec<ServerWorkEntry> {
+    let fleet = gateway.fleet.borrow();
+    fleet
+        .live()
+        .filter(|(_, server)| server.own_work() != WorkShare::default())
+        .map(|(_, server)| {
+            let own = server.own_work();
+            ServerWorkEntry {
+                server: name_tag(server.record.name.as_str()),
+                requests: own.requests,
+                unread: own.unread,
+                memory: own.memory,
+            }
+        })
+        .collect()
+}
+
+/// Takes another VM's heartbeat; whether its copy of the store should be asked for.
+pub(crate) fn take_beat(gateway: &Gateway, from: &MemberBeat, beat: &VmBeat) -> bool {
+    let now = gateway.now();
+    let mut member = from.clone();
+    member.leaving = beat.leaving;
+    let news = gateway.members.borrow_mut().hear(now, &member);
+    if news {
+        log::info!(member = from.name.as_str(), leaving = beat.leaving; "member heard");
+    }
+    gateway
+        .ready_vms
+        .borrow_mut()
+        .insert(from.name.clone(), beat.ready);
+    if from.region == gateway.settings().place.region {
+        take_work(gateway, from, &beat.work);
+    } else if beat.ready {
+        take_loads(gateway, from, &beat.loads);
+    } else {
+        gateway.away.borrow_mut().forget(&from.name);
+    }
+    wants_snapshot(gateway, beat)
+}
+
+fn take_work(gateway: &Gateway, from: &MemberBeat, work: &[ServerWorkEntry]) {
+    let told: BTreeMap<u32, &ServerWorkEntry> =
+        work.iter().map(|entry| (entry.server, entry)).collect();
+    let mut fleet = gateway.fleet.borrow_mut();
+    let tags: Vec<_> = fleet
+        .live()
+        .map(|(id, server)| (id, name_tag(server.record.name.as_str())))
+        .collect();
+    for (id, tag) in tags {
+        let share = told
+            .get(&tag)
+            .map_or(WorkShare::default(), |entry| WorkShare {
+                requests: entry.requests,
+                unread: entry.unread,
+                memory: entry.memory,
+            });
+        fleet.server_mut(id).set_others(&from.name, share);
+    }
+}
+
+fn take_loads(gateway: &Gateway, from: &MemberBeat, loads: &[ServiceLoadEntry]) {
+    let loads = loads
+        .iter()
+        .map(|entry| {
+            let load = ServiceLoad {
+                wait: Duration::from_millis(u64::from(entry.wait_ms)),
+                usable: entry.usable,
+            };
+            (entry.service, load)
+        })
+        .collect();
+    let now = gateway.now();
+    let mut away = gateway.away.borrow_mut();
+    away.hear(now, &from.name, &from.region, loads);
+}
+
+/// A copy is asked for while the store does not answer here, if the other's is
+/// newer, or if there is none here at all.
+fn wants_snapshot(gateway: &Gateway, beat: &VmBeat) -> bool {
+    let mirror = gateway.mirror.borrow();
+    let is_other = beat.mirror_hash != mirror.hash() && beat.mirror_revision > 0;
+    let is_newer = beat.mirror_revision >= mirror.revision();
+    is_other && is_newer && !gateway.store.borrow().is_reached()
+}
+
+/// This VM's copy of the store.
+pub(crate) fn own_snapshot(gateway: &Gateway) -> StoreSnapshot {
+    let mirror = gateway.mirror.borrow();
+    let items = mirror
+        .snapshot()
+        .into_iter()
+        .map(|item| SnapshotItem {
+            key: item.key,
+            value: item.value,
+            revision: item.revision,
+        })
+        .collect();
+    StoreSnapshot {
+        revision: mirror.revision(),
+        items,
+    }
+}
+
+/// Takes another VM's copy of the store, unless the store itself answers here.
+pub(crate) fn take_snapshot(gateway: &Gateway, snapshot: StoreSnapshot) {
+    let now = gateway.now();
+    if gateway.store.borrow().is_reached() {
+        return;
+    }
+    let items: Vec<StoreItem> = snapshot
+        .items
+        .into_iter()
+        .map(|item| StoreItem {
+            key: item.key,
+            value: item.value,
+            revision: item.revision,
+        })
+        .collect();
+    log::info!(revision = snapshot.revision, items = items.len(); "copy of the store taken from a peer");
+    let health = gateway.store.borrow().health(now);
+    let changes = {
+        let mut mirror = gateway.mirror.borrow_mut();
+        mirror.replace(now, "", items, snapshot.revision, health)
+    };
+    gateway.apply_changes(changes);
+}
--- /dev/null
+++ b/crates/gateway/src/call.rs
@@ -0,0 +1,82 @@
+//! One request as this VM handles it.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Uri};
+use onyxfall_fleet::{CallNeeds, ConfigVersion};
+use onyxfall_types::VmName;
+
+/// Where a request came from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum CallOrigin {
+    /// A caller of this VM.
+    Caller,
+    /// Another VM; it is run here or refused, never passed on.
+    Peer(VmName),
+}
+
+/// What the route asks of the way a request is served.
+#[derive(Clone, Debug)]
+pub(crate) struct CallRules {
+    /// Whether it may be sent again after it may have run.
+    pub(crate) repeatable: bool,
+    /// Whether the answer is a series of events.
+    pub(crate) is_stream: bool,
+    /// Whether another server may go on with a broken stream.
+    pub(crate) resumable: bool,
+    /// Most servers that may run it.
+    pub(crate) max_attempts: u32,
+    /// Order of admission in a model server; 0 goes first.
+    pub(crate) urgency: u8,
+}
+
+/// A request, read whole and matched to its route.
+#[derive(Debug)]
+pub(crate) struct CallContext {
+    /// Id of the caller's attempt.
+    pub(crate) request_id: String,
+    /// Route that took it.
+    pub(crate) route: String,
+    /// Version of the configuration that it was matched by.
+    pub(crate) version: ConfigVersion,
+    /// What it needs of a server.
+    pub(crate) needs: CallNeeds,
+    /// How it may be served.
+    pub(crate) rules: CallRules,
+    /// Method as the caller sent it.
+    pub(crate) method: Method,
+    /// Path and query as the caller sent them.
+    pub(crate) target: Uri,
+    /// Headers for the server, without those that each attempt sets.
+    pub(crate) headers: HeaderMap,
+    /// Body, whole.
+    pub(crate) body: Bytes,
+    /// Where it came from.
+    pub(crate) origin: CallOrigin,
+    /// When its head had been read.
+    pub(crate) arrived: Instant,
+    /// When its answer must have ended.
+    pub(crate) deadline: Instant,
+}
+
+/// A request that attempts and answers share.
+pub(crate) type SharedCall = Rc<CallContext>;
+
+impl CallContext {
+    /// Time left until the deadline.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Time since it arrived.
+    pub(crate) fn age(&self) -> Duration {
+        self.arrived.elapsed()
+    }
+
+    /// Whether this VM may pass it on to another region.
+    pub(crate) fn may_leave(&self) -> bool {
+        self.origin == CallOrigin::Caller
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/connection.rs
@@ -0,0 +1,106 @@
+//! One outgoing HTTP/1.1 connection, and how it is dialled.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// Sent bytes that stay unacknowledged this long break the connection, so that
+/// a peer without power or behind a cut is found within a request's goal.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1500);
+/// Rest after which an idle connection is probed; the least that the kernel has.
+const PROBE_REST: Duration = Duration::from_secs(1);
+/// Longest time for a connection to come up: one lost opening packet is sent
+/// again by the kernel after a second, which is too late for any goal.
+pub(crate) const DIAL_LIMIT: Duration = Duration::from_millis(700);
+
+/// Ends a task when dropped, and with it the socket that the task owns.
+#[derive(Debug)]
+struct TaskGuard(JoinHandle<()>);
+
+impl Drop for TaskGuard {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// A connection that serves one request at a time. Dropping it closes it, which
+/// is how a request is cancelled at the other side.
+#[derive(Debug)]
+pub(crate) struct HttpConnection {
+    sender: SendRequest<Full<Bytes>>,
+    _task: TaskGuard,
+}
+
+/// Why a request brought no head of an answer.
+#[derive(Debug)]
+pub(crate) enum SendError {
+    /// No byte of it was written.
+    Unsent,
+    /// It may have been received.
+    Broken(hyper::Error),
+}
+
+/// Prepares a socket so that a silent peer is noticed.
+pub(crate) fn watch_peer(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_REST)
+        .with_interval(PROBE_REST);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))
+}
+
+/// Opens a TCP connection within `limit`.
+pub(crate) async fn dial(address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
+    let dialled = tokio::time::timeout(limit, TcpStream::connect(address)).await;
+    let stream = dialled.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    watch_peer(&stream)?;
+    Ok(stream)
+}
+
+impl HttpConnection {
+    /// Opens a connection.
+    pub(crate) async fn open(address: SocketAddr) -> io::Result<Self> {
+        let stream = dial(address, DIAL_LIMIT).await?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
+        let task = tokio::task::spawn_local(async move {
+            if let Err(e) = connection.await {
+                log::debug!("connection to {address} ended: {e}");
+            }
+        });
+        Ok(Self {
+            sender,
+            _task: TaskGuard(task),
+        })
+    }
+
+    /// Whether the next request can be sent at once.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        let sent = self.sender.try_send_request(request).await;
+        sent.map_err(|mut e| match e.take_message() {
+            Some(_) => SendError::Unsent,
+            None => SendError::Broken(e.into_error()),
+        })
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/listen.rs
@@ -0,0 +1,319 @@
+//! The ports of a gateway and what is served on each.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use onyxfall_adapter::{CallHead, forward_headers, read_call};
+use onyxfall_fleet::{CallNeeds, RouteRule, RouteTable};
+use onyxfall_types::{RefusalReason, RequestError, RunVerdict};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+use crate::body::ReplyBody;
+use crate::call::{CallContext, CallOrigin, CallRules};
+use crate::connection::watch_peer;
+use crate::directory::handle_directory;
+use crate::gateway::Gateway;
+use crate::links::serve_links;
+use crate::relay::handle_relayed;
+use crate::serve::serve;
+use crate::stop::{accepts, closes_connections, wait_for_close};
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// Idle limit and head size until a configuration names them.
+const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+const DEFAULT_HEAD: usize = 16 * 1024;
+/// The smallest buffer that hyper takes.
+const LEAST_BUFFER: usize = 8 * 1024;
+/// Pause after the system had no descriptor for a new connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Pause told to a caller that comes before the first configuration.
+const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+/// Step between the urgencies of two priorities, so that the order of admission
+/// in a model server follows the route's rank; 5 stands for none.
+const URGENCY_STEP: u8 = 2;
+
+/// What a port serves.
+#[derive(Clone, Copy, Debug)]
+enum PortKind {
+    Callers,
+    Status,
+    Relay,
+}
+
+/// Opens every port and starts serving.
+pub(crate) fn start(gateway: &Rc<Gateway>) -> io::Result<()> {
+    let settings = gateway.settings();
+    let ports = [
+        (settings.callers, PortKind::Callers),
+        (settings.ready, PortKind::Status),
+        (settings.directory, PortKind::Status),
+        (settings.relay, PortKind::Relay),
+    ];
+    for (address, kind) in ports {
+        let listener = bind(address)?;
+        tokio::task::spawn_local(accept_http(Rc::clone(gateway), listener, kind));
+    }
+    let listener = bind(settings.peers)?;
+    tokio::task::spawn_local(serve_links(Rc::clone(gateway), listener));
+    Ok(())
+}
+
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket
+        .bind(address)
+        .and_then(|()| socket.listen(BACKLOG))
+        .map_err(|e| io::Error::new(e.kind(), format!("cannot listen on {address}: {e}")))
+}
+
+/// Accepts the next connection; waits while the system has no descriptor left.
+pub(crate) async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                if let Err(e) = watch_peer(&stream) {
+                    log::warn!(error:% = e; "socket option refused");
+                }
+                return (stream, from);
+            }
+            Err(e) => {
+                log::warn!(error:% = e; "no connection accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn accept_http(gateway: Rc<Gateway>, listener: TcpListener, kind: PortKind) {
+    loop {
+        let (stream, _) = accept(&listener).await;
+        let gateway = Rc::clone(&gateway);
+        match kind {
+            PortKind::Callers => serve_connection(gateway, stream, handle_caller),
+            PortKind::Status => serve_connection(gateway, stream, handle_status),
+            PortKind::Relay => serve_connection(gateway, stream, handle_relayed),
+        }
+    }
+}
+
+fn serve_connection<F>(
+    gateway: Rc<Gateway>,
+    stream: TcpStream,
+    handle: impl Fn(Rc<Gateway>, Request<Incoming>) -> F + 'static,
+) where
+    F: Future<Output = Response<ReplyBody>> + 'static,
+{
+    let limits = gateway.table().map(|table| table.limits());
+    let idle = limits.map_or(DEFAULT_IDLE, |limits| limits.idle);
+    let head = limits.map_or(DEFAULT_HEAD, |limits| limits.max_head);
+    let served = Rc::clone(&gateway);
+    let service = service_fn(move |request| {
+        let handled = handle(Rc::clone(&served), request);
+        let guard = OpenRequest::start(&served);
+        async move {
+            let response = handled.await;
+            drop(guard);
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .auto_date_header(false)
+        .max_buf_size(head.max(LEAST_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::task::spawn_local(async move {
+        let mut connection = std::pin::pin!(connection);
+        let ended = tokio::select! {
+            ended = connection.as_mut() => ended,
+            () = wait_for_close(&gateway) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        if let Err(e) = ended {
+            log::debug!("a connection to this VM ended: {e}");
+        }
+    });
+}
+
+/// Counts a request as open while it lives.
+pub(crate) struct OpenRequest(Rc<Gateway>);
+
+impl OpenRequest {
+    /// Counts one more.
+    pub(crate) fn start(gateway: &Rc<Gateway>) -> Self {
+        gateway.open_requests.set(gateway.open_requests.get() + 1);
+        Self(Rc::clone(gateway))
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open_requests.set(self.0.open_requests.get() - 1);
+    }
+}
+
+async fn handle_status(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<ReplyBody> {
+    handle_directory(&gateway, request.uri())
+}
+
+async fn handle_caller(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<ReplyBody> {
+    let arrived = Instant::now();
+    let result = match read_request(&gateway, request, arrived).await {
+        Ok(call) => {
+            gateway.note_first(&call.needs.service);
+            serve(&gateway, &Rc::new(call)).await
+        }
+        Err(error) => {
+            gateway
+                .metrics
+                .note_end("none", error.reason.as_str(), arrived.elapsed());
+            log::info!(reason = error.reason.as_str(), detail = error.detail.as_str(); "request rejected");
+            Err(error)
+        }
+    };
+    let mut response = result.unwrap_or_else(|error| refusal(&error));
+    if closes_connections(&gateway) {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+/// Reads a request whole and matches it to its route.
+async fn read_request(
+    gateway: &Gateway,
+    request: Request<Incoming>,
+    arrived: Instant,
+) -> Result<CallContext, RequestError> {
+    let (head, body) = request.into_parts();
+    let table = gateway.table().ok_or_else(|| {
+        RequestError::not_run(RefusalReason::NotReady, "no configuration yet")
+            .with_retry_after(NOT_READY_RETRY)
+    })?;
+    let call = read_call(&head.headers).ok_or_else(|| {
+        RequestError::not_run(
+            RefusalReason::BadRequest,
+            "a request needs a host and an id",
+        )
+    })?;
+    let rule = table.find(&call.host, head.uri.path()).ok_or_else(|| {
+        RequestError::not_run(RefusalReason::UnknownKind, "no route takes this path")
+    })?;
+    let needs = needs_of(&table, rule, &call);
+    let time_left = call
+        .time_left
+        .map_or(rule.timeout, |left| left.min(rule.timeout));
+    if !accepts(gateway, time_left) {
+        let error = RequestError::not_run(RefusalReason::Stopping, "this VM is stopping");
+        return Err(error.with_retry_after(Duration::from_millis(50)));
+    }
+    let body = read_body(body, table.limits().max_body, time_left).await?;
+    Ok(CallContext {
+        request_id: call.request_id,
+        route: rule.name.to_string(),
+        version: table.version(),
+        rules: CallRules {
+            repeatable: rule.is_repeatable(),
+            is_stream: rule.is_stream(),
+            resumable: rule.is_resumable(),
+            max_attempts: rule.max_attempts,
+            urgency: rule
+                .priority
+                .saturating_mul(URGENCY_STEP)
+                .saturating_add(3)
+                .min(9),
+        },
+        needs,
+        method: head.method,
+        target: head.uri,
+        headers: forward_headers(&head.headers),
+        body,
+        origin: CallOrigin::Caller,
+        arrived,
+        deadline: arrived + time_left,
+    })
+}
+
+fn needs_of(table: &RouteTable, rule: &RouteRule, call: &CallHead) -> CallNeeds {
+    let service = rule.service_for(&call.request_id).clone();
+    let engine = table.service(&service).and_then(|service| service.engine);
+    CallNeeds {
+        service,
+        engine,
+        prompt: call.prompt.clone(),
+        goal: rule.goal,
+        home_regions: rule.home_regions.clone(),
+    }
+}
+
+/// Reads a body of at most `limit` bytes.
+pub(crate) async fn read_body(
+    body: Incoming,
+    limit: usize,
+    time_left: Duration,
+) -> Result<Bytes, RequestError> {
+    let reading = Limited::new(body, limit).collect();
+    match tokio::time::timeout(time_left, reading).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(RequestError::not_run(
+            RefusalReason::TooLarge,
+            "the body is too large",
+        )),
+        Ok(Err(e)) => {
+            let detail = format!("the body broke off: {e}");
+            Err(RequestError::not_run(RefusalReason::BadRequest, detail))
+        }
+        Err(_) => Err(RequestError::not_run(
+            RefusalReason::Deadline,
+            "the body came too slowly",
+        )),
+    }
+}
+
+/// The status of a refusal. 503 promises that the request did not run; 502 and
+/// 504 promise nothing.
+fn refusal_status(error: &RequestError) -> StatusCode {
+    let usual = StatusCode::from_u16(error.reason.status());
+    let usual = usual.unwrap_or(StatusCode::BAD_GATEWAY);
+    match error.verdict {
+        RunVerdict::NotRun if usual.is_client_error() => usual,
+        RunVerdict::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+        RunVerdict::MayHaveRun | RunVerdict::Ran if error.reason == RefusalReason::Deadline => {
+            StatusCode::GATEWAY_TIMEOUT
+        }
+        RunVerdict::MayHaveRun | RunVerdict::Ran => StatusCode::BAD_GATEWAY,
+    }
+}
+
+fn refusal(error: &RequestError) -> Response<ReplyBody> {
+    let status = refusal_status(error);
+    let mut response = Response::new(ReplyBody::whole(format!("{error}\n")));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    let verdict = HeaderValue::from_static(error.verdict.as_str());
+    headers.insert("onyxfall-verdict", verdict);
+    if let (StatusCode::SERVICE_UNAVAILABLE, Some(after)) = (status, error.retry_after) {
+        let seconds = format!("{:.3}", after.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            headers.insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/main.rs
@@ -0,0 +1,91 @@
+//! The `onyxfall-gateway` program: serves callers of one entry VM on a platform
+//! whose store holds the configuration and the list of backend servers.
+//!
+//! One event loop per process. State is one [`gateway::Gateway`] that the tasks
+//! of the loop share; it is borrowed for a decision and never across an await.
+//! Only the writer of logs has a thread of its own.
+
+mod attempt;
+mod beat;
+mod body;
+mod call;
+mod connection;
+mod directory;
+mod gateway;
+mod links;
+mod listen;
+mod metrics;
+mod open;
+mod pool;
+mod relay;
+mod reload;
+mod serve;
+mod settings;
+mod stop;
+mod store;
+mod stream;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use argh::FromArgs;
+use miette::{IntoDiagnostic, Report};
+use onyxfall_logging::{LogSink, start_logging};
+
+use crate::gateway::Gateway;
+use crate::settings::load_settings;
+
+/// Serve callers of one entry VM.
+#[derive(FromArgs)]
+struct GatewayArguments {
+    /// settings file (INI); by default the one that the platform names
+    #[argh(option)]
+    settings: Option<PathBuf>,
+
+    /// check the settings and exit
+    #[argh(switch)]
+    check_settings: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments: GatewayArguments = argh::from_env();
+    match run(arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(arguments: GatewayArguments) -> Result<(), Report> {
+    let path = arguments
+        .settings
+        .or_else(|| std::env::var_os(onyxfall_adapter::SETTINGS_VARIABLE).map(PathBuf::from))
+        .ok_or_else(|| miette::miette!("no settings file: give --settings"))?;
+    let settings = load_settings(&path)?;
+    if arguments.check_settings {
+        println!("{}: no fault", path.display());
+        return Ok(());
+    }
+    start_logging("onyxfall-gateway", log::LevelFilter::Info, LogSink::Stdout);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .into_diagnostic()?;
+    let local = tokio::task::LocalSet::new();
+    let result = local.block_on(&runtime, async {
+        let gateway = Rc::new(Gateway::new(settings));
+        listen::start(&gateway)?;
+        store::start(&gateway);
+        links::start(&gateway);
+        gateway::start_ticker(&gateway);
+        reload::start(&gateway, path);
+        log::info!(vm = gateway.vm().as_str(); "started");
+        stop::run(&gateway).await;
+        Ok::<(), std::io::Error>(())
+    });
+    log::logger().flush();
+    result.into_diagnostic()
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,63 @@
+//! Counters and times, as Prometheus text.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.95, 0.99];
+/// Highest recorded time in microseconds, two minutes.
+const MAX_MICROS: u64 = 120_000_000;
+
+/// All metrics of a gateway.
+#[derive(Default)]
+pub(crate) struct GatewayMetrics {
+    ends: RefCell<BTreeMap<(String, String), u64>>,
+    times: RefCell<BTreeMap<String, Histogram<u64>>>,
+    counters: RefCell<BTreeMap<&'static str, u64>>,
+}
+
+impl GatewayMetrics {
+    /// Counts the end of a request of a route.
+    pub(crate) fn note_end(&self, route: &str, outcome: &str, age: Duration) {
+        let key = (route.to_owned(), outcome.to_owned());
+        *self.ends.borrow_mut().entry(key).or_default() += 1;
+        let mut times = self.times.borrow_mut();
+        if !times.contains_key(route)
+            && let Ok(histogram) = Histogram::new_with_bounds(1, MAX_MICROS, 2)
+        {
+            times.insert(route.to_owned(), histogram);
+        }
+        if let Some(histogram) = times.get_mut(route) {
+            let micros = u64::try_from(age.as_micros()).unwrap_or(MAX_MICROS);
+            histogram.saturating_record(micros.max(1));
+        }
+    }
+
+    /// Counts one event.
+    pub(crate) fn count(&self, name: &'static str) {
+        *self.counters.borrow_mut().entry(name).or_default() += 1;
+    }
+
+    /// Everything as text.
+    pub(crate) fn render(&self) -> String {
+        let mut out = String::new();
+        for ((route, outcome), count) in self.ends.borrow().iter() {
+            let labels = format!("route=\"{route}\",outcome=\"{outcome}\"");
+            let _ = writeln!(out, "onyxfall_requests_total{{{labels}}} {count}");
+        }
+        for (route, histogram) in self.times.borrow().iter() {
+            for quantile in QUANTILES {
+                let seconds = histogram.value_at_quantile(quantile) as f64 / 1e6;
+                let labels = format!("route=\"{route}\",quantile=\"{quantile}\"");
+                let _ = writeln!(out, "onyxfall_request_seconds{{{labels}}} {seconds}");
+            }
+        }
+        for (name, count) in self.counters.borrow().iter() {
+            let _ = writeln!(out, "{name} {count}");
+        }
+        out
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/open.rs
@@ -0,0 +1,61 @@
+//! An attempt under way at a server: its bookkeeping ends with its owner.
+
+use std::rc::Rc;
+
+use onyxfall_fleet::{AttemptResult, CallNeeds};
+use onyxfall_types::ServerId;
+
+use crate::gateway::Gateway;
+
+/// Books an attempt at a server until it is finished or dropped. A drop without
+/// a result (the caller left) says nothing about the server.
+pub(crate) struct OpenAttempt {
+    gateway: Rc<Gateway>,
+    server: ServerId,
+    id: u64,
+    is_finished: bool,
+}
+
+impl OpenAttempt {
+    /// Books a new attempt.
+    pub(crate) fn start(gateway: &Rc<Gateway>, server: ServerId, needs: &CallNeeds) -> Self {
+        let id = gateway.next_attempt();
+        let now = gateway.now();
+        let mut fleet = gateway.fleet.borrow_mut();
+        let state = fleet.server_mut(server);
+        if state.is_cold(now) {
+            state.cold_share().try_take(now);
+        }
+        state.start(now, id, needs);
+        Self {
+            gateway: Rc::clone(gateway),
+            server,
+            id,
+            is_finished: false,
+        }
+    }
+
+    /// Notes the first byte of the answer.
+    pub(crate) fn answer(&self) {
+        let now = self.gateway.now();
+        let mut fleet = self.gateway.fleet.borrow_mut();
+        fleet.server_mut(self.server).answer(now, self.id);
+    }
+
+    /// Ends the attempt with a result.
+    pub(crate) fn finish(&mut self, result: AttemptResult) {
+        if self.is_finished {
+            return;
+        }
+        self.is_finished = true;
+        let now = self.gateway.now();
+        let mut fleet = self.gateway.fleet.borrow_mut();
+        fleet.server_mut(self.server).end(now, self.id, result);
+    }
+}
+
+impl Drop for OpenAttempt {
+    fn drop(&mut self) {
+        self.finish(AttemptResult::Unknown);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,170 @@
+//! Requests passed on between VMs of different regions.
+//!
+//! They travel as HTTP/1.1 on a port between VMs: cancelling is closing the
+//! connection, and a slow caller holds up its own stream only. What the sending
+//! VM has decided (service, goal, homes) comes along in headers of our own, so
+//! that both VMs may be on different versions of the configuration.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
+use hyper::body::Incoming;
+use onyxfall_adapter::{forward_headers, read_call};
+use onyxfall_fleet::CallNeeds;
+use onyxfall_types::{RefusalReason, RegionName, RequestError, RunVerdict, VmName};
+
+use crate::body::ReplyBody;
+use crate::call::{CallContext, CallOrigin, CallRules};
+use crate::gateway::Gateway;
+use crate::listen::read_body;
+use crate::serve::serve;
+
+const VM: &str = "onyxfall-vm";
+const SERVICE: &str = "onyxfall-service";
+const GOAL: &str = "onyxfall-goal-ms";
+const HOMES: &str = "onyxfall-homes";
+const URGENCY: &str = "onyxfall-urgency";
+const IS_STREAM: &str = "onyxfall-stream";
+const VERDICT: &str = "onyxfall-verdict";
+const ARRIVED: &str = "onyxfall-arrived";
+const OWN_HEADERS: [&str; 6] = [VM, SERVICE, GOAL, HOMES, URGENCY, IS_STREAM];
+
+/// Largest body that is taken from another VM, which has checked its caller's.
+const MAX_RELAYED_BODY: usize = 8 * 1024 * 1024;
+
+/// A VM to pass a request on to.
+#[derive(Clone, Debug)]
+pub(crate) struct PeerTarget {
+    /// Its name.
+    pub(crate) vm: VmName,
+    /// Where it takes requests of other VMs.
+    pub(crate) address: SocketAddr,
+}
+
+/// What another VM says of a request that it did not answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct PeerVerdict {
+    /// Whether it may have run.
+    pub(crate) verdict: RunVerdict,
+    /// Whether it reached a server.
+    pub(crate) arrived: bool,
+}
+
+/// Adds what the other VM must know.
+pub(crate) fn set_relay_headers(headers: &mut HeaderMap, vm: &VmName, call: &CallContext) {
+    let homes: Vec<&str> = call
+        .needs
+        .home_regions
+        .iter()
+        .map(RegionName::as_str)
+        .collect();
+    set(headers, VM, vm.as_str());
+    set(headers, SERVICE, call.needs.service.as_str());
+    set(headers, GOAL, &call.needs.goal.as_millis().to_string());
+    set(headers, URGENCY, &call.rules.urgency.to_string());
+    set(headers, HOMES, &homes.join(","));
+    if call.rules.is_stream {
+        set(headers, IS_STREAM, "1");
+    }
+}
+
+/// The verdict of another VM; none if the answer is a server's.
+pub(crate) fn read_verdict(headers: &HeaderMap) -> Option<PeerVerdict> {
+    let verdict = headers.get(VERDICT)?.to_str().ok()?.parse().ok()?;
+    let arrived = headers.get(ARRIVED).is_some_and(|value| value == "1");
+    Some(PeerVerdict { verdict, arrived })
+}
+
+/// Serves a request that another VM has passed on.
+pub(crate) async fn handle_relayed(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+) -> Response<ReplyBody> {
+    let arrived = Instant::now();
+    let result = match read_relayed(&gateway, request, arrived).await {
+        Ok(call) => serve(&gateway, &Rc::new(call)).await,
+        Err(error) => Err(error),
+    };
+    result.unwrap_or_else(|error| refuse_relayed(&error))
+}
+
+async fn read_relayed(
+    gateway: &Gateway,
+    request: Request<Incoming>,
+    arrived: Instant,
+) -> Result<CallContext, RequestError> {
+    let (head, body) = request.into_parts();
+    let bad = || RequestError::not_run(RefusalReason::BadRequest, "not a relayed request");
+    let call = read_call(&head.headers).ok_or_else(bad)?;
+    let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok());
+    let number = |name: &str| text(name).and_then(|t| t.parse::<u64>().ok());
+    let service = text(SERVICE)
+        .and_then(|name| name.parse().ok())
+        .ok_or_else(bad)?;
+    let vm: VmName = text(VM)
+        .and_then(|name| name.parse().ok())
+        .ok_or_else(bad)?;
+    let home_regions = text(HOMES)
+        .unwrap_or("")
+        .split(',')
+        .filter_map(|region| region.parse().ok())
+        .collect();
+    let table = gateway.table();
+    let engine = table
+        .as_ref()
+        .and_then(|table| table.service(&service)?.engine);
+    let needs = CallNeeds {
+        service,
+        engine,
+        prompt: call.prompt,
+        goal: Duration::from_millis(number(GOAL).ok_or_else(bad)?),
+        home_regions,
+    };
+    let time_left = call.time_left.ok_or_else(bad)?;
+    let mut headers = forward_headers(&head.headers);
+    for name in OWN_HEADERS {
+        headers.remove(name);
+    }
+    let body = read_body(body, MAX_RELAYED_BODY, time_left).await?;
+    Ok(CallContext {
+        request_id: call.request_id,
+        route: "relayed".to_owned(),
+        version: table.map(|table| table.version()).unwrap_or_default(),
+        needs,
+        rules: CallRules {
+            // The VM that passed it on decides about repeats.
+            repeatable: false,
+            is_stream: head.headers.contains_key(IS_STREAM),
+            resumable: false,
+            max_attempts: 1,
+            urgency: number(URGENCY)
+                .and_then(|u| u8::try_from(u).ok())
+                .unwrap_or(5),
+        },
+        method: head.method,
+        target: head.uri,
+        headers,
+        body,
+        origin: CallOrigin::Peer(vm),
+        arrived,
+        deadline: arrived + time_left,
+    })
+}
+
+fn refuse_relayed(error: &RequestError) -> Response<ReplyBody> {
+    let mut response = Response::new(ReplyBody::whole(""));
+    *response.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
+    let arrived = error.reason == RefusalReason::Backend;
+    let headers = response.headers_mut();
+    set(headers, VERDICT, error.verdict.as_str());
+    set(headers, ARRIVED, if arrived { "1" } else { "0" });
+    response
+}
+
+fn set(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(HeaderName::from_static(name), value);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,125 @@
+//! Settings of a gateway process, read from INI and checked on load.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use onyxfall_fleet::{BudgetLimits, VmPlace};
+use onyxfall_settings::{FaultList, IniDocument, SettingsError};
+use onyxfall_types::{CenterName, RegionName, VmName};
+
+const SECTION_KINDS: &[&str] = &["vm", "listen", "peers", "store", "bounds", "center"];
+/// Where settings name no grace, as long as the platforms known give.
+const DEFAULT_GRACE_S: u64 = 8;
+
+/// Everything that a gateway process is told.
+#[derive(Clone, Debug)]
+pub(crate) struct GatewaySettings {
+    /// Where this VM stands.
+    pub(crate) place: VmPlace,
+    /// Where callers are served.
+    pub(crate) callers: SocketAddr,
+    /// Where readiness and metrics are told.
+    pub(crate) ready: SocketAddr,
+    /// Where the directory is served.
+    pub(crate) directory: SocketAddr,
+    /// Where other VMs send heartbeats.
+    pub(crate) peers: SocketAddr,
+    /// Where other VMs pass requests on.
+    pub(crate) relay: SocketAddr,
+    /// Peer addresses to begin with; may be down or stale.
+    pub(crate) seeds: Vec<SocketAddr>,
+    /// The platform's store.
+    pub(crate) store: SocketAddr,
+    /// Time between the order to stop and the kill.
+    pub(crate) stop_grace: Duration,
+    /// Retry budget of each service.
+    pub(crate) retries: BudgetLimits,
+    /// How long callers may keep a directory answer.
+    pub(crate) directory_ttl: Duration,
+}
+
+/// Loads and checks a settings file.
+pub(crate) fn load_settings(path: &Path) -> Result<GatewaySettings, SettingsError> {
+    let document = IniDocument::load(path)?;
+    let mut faults = FaultList::new();
+    document.check_headers(SECTION_KINDS, &mut faults);
+    let read = read_sections(&document, &mut faults);
+    document.finish(faults)?;
+    read.ok_or_else(|| {
+        let cause = io::Error::other("a section is missing");
+        SettingsError::unreadable(document.file(), &cause)
+    })
+}
+
+fn read_sections(document: &IniDocument, faults: &mut FaultList) -> Option<GatewaySettings> {
+    let place = read_place(document, faults);
+    let listen = document.single("listen", faults)?;
+    let callers = listen.required("callers", faults);
+    let ready = listen.required("ready", faults);
+    let directory = listen.required("directory", faults);
+    let peers: Option<SocketAddr> = listen.required("peers", faults);
+    let ports: Vec<u16> = listen.list("peer-ports", faults);
+    if ports.is_empty() {
+        listen.fault("peer-ports", "expected a range, such as 7660,7675", faults);
+    }
+    listen.finish(faults);
+    let seeds_section = document.single("peers", faults)?;
+    let seeds = seeds_section.list("seeds", faults);
+    seeds_section.finish(faults);
+    let store_section = document.single("store", faults)?;
+    let store = store_section.required("address", faults);
+    store_section.finish(faults);
+    let bounds = document.single("bounds", faults)?;
+    let stop_grace =
+        Duration::from_secs(bounds.or_default("stop-grace-s", DEFAULT_GRACE_S, faults));
+    let retries = BudgetLimits {
+        ratio: bounds.or_default("retry-ratio", 0.1, faults),
+        extra: bounds.or_default("retry-extra", 0.0, faults),
+        window: Duration::from_secs(bounds.or_default("retry-window-s", 10, faults)),
+    };
+    let directory_ttl = Duration::from_secs(bounds.or_default("directory-ttl-s", 5, faults));
+    bounds.finish(faults);
+    let peers = peers?;
+    Some(GatewaySettings {
+        place: place?,
+        callers: callers?,
+        ready: ready?,
+        directory: directory?,
+        peers,
+        relay: SocketAddr::new(peers.ip(), *ports.first()?),
+        seeds,
+        store: store?,
+        stop_grace,
+        retries,
+        directory_ttl,
+    })
+}
+
+fn read_place(document: &IniDocument, faults: &mut FaultList) -> Option<VmPlace> {
+    let mut centers: BTreeMap<CenterName, RegionName> = BTreeMap::new();
+    for reader in document.readers("center") {
+        let name = reader.name(faults);
+        let region = reader.required("region", faults);
+        reader.finish(faults);
+        if let (Some(name), Some(region)) = (name, region) {
+            centers.insert(name, region);
+        }
+    }
+    let vm_section = document.single("vm", faults)?;
+    let vm: Option<VmName> = vm_section.required("name", faults);
+    let center: Option<CenterName> = vm_section.required("center", faults);
+    let region = center.as_ref().and_then(|name| centers.get(name)).cloned();
+    if region.is_none() {
+        vm_section.fault("center", "expected the name of a [center] section", faults);
+    }
+    vm_section.finish(faults);
+    Some(VmPlace {
+        vm: vm?,
+        center: center?,
+        region: region?,
+        centers,
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/store.rs
@@ -0,0 +1,257 @@
+//! The link to the platform's store: one watch for each prefix.
+//!
+//! A watch goes on from the revision of the last answer. When the history is
+//! gone everything is read again. While the store does not answer, the copy
+//! stays in force and peers may have a newer one.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use onyxfall_adapter::{
+    EventBatch, ItemPage, StoreError, WATCHED_PREFIXES, range_request, read_batch, read_page,
+    watch_request,
+};
+use onyxfall_fleet::{RETURN_WINDOW, StoreHealth};
+use onyxfall_policy::Moment;
+use rand::Rng;
+use thiserror::Error;
+
+use crate::connection::{HttpConnection, SendError};
+use crate::gateway::Gateway;
+
+/// How long the store may hold a watch. Each call is priced; a dead connection
+/// is found by probes, so this is the bound for a store that hangs.
+const WATCH_WAIT: Duration = Duration::from_secs(12);
+/// Longest time for an answer beyond the wait.
+const ANSWER_LIMIT: Duration = Duration::from_millis(1500);
+/// Pauses between calls that fail: from this, doubled, up to the next.
+const FIRST_PAUSE: Duration = Duration::from_millis(60);
+const LAST_PAUSE: Duration = Duration::from_millis(700);
+/// Largest answer: a page holds at most about a megabyte, in base64.
+const ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// What is known of the store's availability.
+#[derive(Debug, Default)]
+pub(crate) struct StoreLink {
+    /// Prefixes that are read and watched.
+    reached: [bool; WATCHED_PREFIXES.len()],
+    returned_at: Option<Moment>,
+}
+
+impl StoreLink {
+    /// Whether everything is read and watched.
+    pub(crate) fn is_reached(&self) -> bool {
+        self.reached.iter().all(|reached| *reached)
+    }
+
+    fn lose(&mut self, index: usize) -> bool {
+        std::mem::replace(&mut self.reached[index], false)
+    }
+
+    fn gain(&mut self, now: Moment, index: usize) -> bool {
+        if self.reached[index] {
+            return false;
+        }
+        self.reached[index] = true;
+        self.returned_at = Some(now);
+        true
+    }
+
+    /// How news is to be taken: leases may have run out during an outage.
+    pub(crate) fn health(&self, now: Moment) -> StoreHealth {
+        let lately = self.returned_at.is_some_and(|at| now - at < RETURN_WINDOW);
+        if lately || !self.is_reached() {
+            StoreHealth::Returned
+        } else {
+            StoreHealth::Steady
+        }
+    }
+}
+
+/// Why a call failed.
+#[derive(Debug, Error)]
+enum CallError {
+    #[error("{0}")]
+    Store(#[from] StoreError),
+    #[error("no connection: {0}")]
+    Unreachable(#[from] std::io::Error),
+    #[error("the connection broke")]
+    Broken,
+    #[error("no answer")]
+    TimedOut,
+}
+
+impl CallError {
+    fn is_history_gone(&self) -> bool {
+        matches!(self, Self::Store(StoreError::HistoryGone))
+    }
+}
+
+/// Starts a task for each watched prefix.
+pub(crate) fn start(gateway: &Rc<Gateway>) {
+    for index in 0..WATCHED_PREFIXES.len() {
+        let mut watch = PrefixWatch::new(gateway, index);
+        tokio::task::spawn_local(async move { watch.run().await });
+    }
+}
+
+struct PrefixWatch {
+    gateway: Rc<Gateway>,
+    index: usize,
+    connection: Option<HttpConnection>,
+    pause: Duration,
+}
+
+impl PrefixWatch {
+    fn new(gateway: &Rc<Gateway>, index: usize) -> Self {
+        Self {
+            gateway: Rc::clone(gateway),
+            index,
+            connection: None,
+            pause: FIRST_PAUSE,
+        }
+    }
+
+    async fn run(&mut self) {
+        loop {
+            let revision = loop {
+                match self.read_all().await {
+                    Ok(revision) => break revision,
+                    Err(e) => self.note_failure(&e).await,
+                }
+            };
+            self.note_success();
+            self.watch_from(revision).await;
+        }
+    }
+
+    /// Watches until the history is gone.
+    async fn watch_from(&mut self, mut revision: u64) {
+        let mut may_be_cut = true;
+        loop {
+            match self.watch(revision).await {
+                Ok(batch) => {
+                    self.note_success();
+                    may_be_cut = true;
+                    revision = batch.revision.max(revision);
+                    self.take_batch(batch);
+                }
+                Err(e) if e.is_history_gone() => {
+                    log::info!(prefix = self.prefix(); "history gone; reading everything");
+                    return;
+                }
+                // A waiting watch may be cut; only a second failure counts.
+                Err(CallError::Broken) if may_be_cut => {
+                    self.connection = None;
+                    may_be_cut = false;
+                }
+                Err(e) => self.note_failure(&e).await,
+            }
+        }
+    }
+
+    fn prefix(&self) -> &'static str {
+        WATCHED_PREFIXES[self.index]
+    }
+
+    fn take_batch(&self, batch: EventBatch) {
+        let now = self.gateway.now();
+        let health = self.gateway.store.borrow().health(now);
+        let changes = {
+            let mut mirror = self.gateway.mirror.borrow_mut();
+            mirror.apply(now, batch.events, health)
+        };
+        self.gateway.apply_changes(changes);
+    }
+
+    async fn read_all(&mut self) -> Result<u64, CallError> {
+        let mut items = Vec::new();
+        let mut revision = None;
+        let mut after: Option<String> = None;
+        loop {
+            let page = self.read_page(after.as_deref()).await?;
+            // The pages are no snapshot: watching goes on from the first one.
+            let first = *revision.get_or_insert(page.revision);
+            after = page.items.last().map(|item| item.key.clone());
+            let is_last = !page.has_more || after.is_none();
+            items.extend(page.items);
+            if is_last {
+                let now = self.gateway.now();
+                let health = self.gateway.store.borrow().health(now);
+                let changes = {
+                    let mut mirror = self.gateway.mirror.borrow_mut();
+                    mirror.replace(now, self.prefix(), items, first, health)
+                };
+                self.gateway.apply_changes(changes);
+                return Ok(first);
+            }
+        }
+    }
+
+    async fn read_page(&mut self, after: Option<&str>) -> Result<ItemPage, CallError> {
+        let host = self.store().to_string();
+        let request = range_request(&host, self.prefix(), after);
+        let (status, body) = self.call(request, Duration::ZERO).await?;
+        Ok(read_page(status, &body)?)
+    }
+
+    async fn watch(&mut self, revision: u64) -> Result<EventBatch, CallError> {
+        let host = self.store().to_string();
+        let request = watch_request(&host, self.prefix(), revision, WATCH_WAIT);
+        let (status, body) = self.call(request, WATCH_WAIT).await?;
+        Ok(read_batch(status, &body)?)
+    }
+
+    fn store(&self) -> SocketAddr {
+        self.gateway.settings().store
+    }
+
+    async fn call(
+        &mut self,
+        request: Request<Bytes>,
+        wait: Duration,
+    ) -> Result<(StatusCode, Bytes), CallError> {
+        let address = self.store();
+        self.gateway.metrics.count("onyxfall_store_calls_total");
+        let held = self.connection.take();
+        let called = tokio::time::timeout(wait + ANSWER_LIMIT, async {
+            let mut connection = match held.filter(HttpConnection::is_ready) {
+                Some(connection) => connection,
+                None => HttpConnection::open(address).await?,
+            };
+            let sent = connection.send(request.map(Full::new)).await;
+            let response = sent.map_err(|e| match e {
+                SendError::Unsent | SendError::Broken(_) => CallError::Broken,
+            })?;
+            let (head, body) = response.into_parts();
+            let body = Limited::new(body, ANSWER_BYTES).collect().await;
+            let body = body.map_err(|_| CallError::Broken)?.to_bytes();
+            Ok((connection, head.status, body))
+        });
+        let (connection, status, body) = called.await.unwrap_or(Err(CallError::TimedOut))?;
+        self.connection = Some(connection);
+        Ok((status, body))
+    }
+
+    fn note_success(&mut self) {
+        self.pause = FIRST_PAUSE;
+        let now = self.gateway.now();
+        if self.gateway.store.borrow_mut().gain(now, self.index) {
+            log::info!(prefix = self.prefix(); "store reached");
+        }
+    }
+
+    async fn note_failure(&mut self, error: &CallError) {
+        if self.gateway.store.borrow_mut().lose(self.index) {
+            log::warn!(prefix = self.prefix(), error:% = error; "store lost");
+        }
+        // Every VM comes back at the same moment; the spread keeps calls apart.
+        let spread = rand::rng().random_range(0.5..1.5);
+        tokio::time::sleep(self.pause.mul_f64(spread)).await;
+        self.pause = (self.pause * 2).min(LAST_PAUSE);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/stream.rs
@@ -0,0 +1,198 @@
+//! A stream of events passed on as it comes.
+//!
+//! Where the route allows it, another server goes on with a stream that broke
+//! off: then only whole events are passed on, and the id of the last one names
+//! the point to go on from. Otherwise bytes are passed on as they are, and a
+//! break breaks the caller's answer too, so that it never looks complete.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::future::LocalBoxFuture;
+use hyper::body::{Body, Frame};
+use onyxfall_fleet::AttemptResult;
+use tokio::time::Sleep;
+
+use crate::attempt::UpstreamAnswer;
+use crate::body::RelayError;
+use crate::call::SharedCall;
+use crate::gateway::Gateway;
+use crate::serve::{CallProgress, resume};
+
+/// End of an event in a stream.
+const EVENT_END: &[u8] = b"\n\n";
+/// Line of an event that holds its id.
+const ID_FIELD: &[u8] = b"id:";
+
+/// Cuts a stream into whole events.
+#[derive(Debug, Default)]
+struct EventBuffer {
+    rest: BytesMut,
+    last_id: Option<String>,
+}
+
+impl EventBuffer {
+    /// Adds bytes; returns the whole events that they complete.
+    fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        self.rest.extend_from_slice(bytes);
+        let end = self
+            .rest
+            .windows(EVENT_END.len())
+            .rposition(|window| window == EVENT_END)?;
+        let whole = self.rest.split_to(end + EVENT_END.len()).freeze();
+        if let Some(id) = last_event_id(&whole) {
+            self.last_id = Some(id);
+        }
+        Some(whole)
+    }
+}
+
+fn last_event_id(events: &[u8]) -> Option<String> {
+    let line = events
+        .split(|byte| *byte == b'\n')
+        .rev()
+        .find_map(|line| line.strip_prefix(ID_FIELD))?;
+    let id = std::str::from_utf8(line).ok()?;
+    Some(id.trim().to_owned())
+}
+
+/// What is going on with a stream.
+enum RelayState {
+    /// A server sends it.
+    Open(Box<UpstreamAnswer>),
+    /// Another server is being asked to go on.
+    Resuming(LocalBoxFuture<'static, Option<Box<UpstreamAnswer>>>),
+    /// It is over.
+    Ended,
+}
+
+/// A stream on its way to a caller or another VM.
+pub(crate) struct StreamRelay {
+    gateway: Rc<Gateway>,
+    call: SharedCall,
+    progress: CallProgress,
+    state: RelayState,
+    buffer: Option<EventBuffer>,
+    deadline: Pin<Box<Sleep>>,
+}
+
+impl StreamRelay {
+    /// Passes on the body of `answer`.
+    pub(crate) fn new(
+        gateway: &Rc<Gateway>,
+        call: &SharedCall,
+        progress: CallProgress,
+        answer: Box<UpstreamAnswer>,
+    ) -> Self {
+        gateway.open_streams.set(gateway.open_streams.get() + 1);
+        let resumable = call.rules.resumable && call.may_leave() && answer.status.is_success();
+        Self {
+            gateway: Rc::clone(gateway),
+            call: Rc::clone(call),
+            progress,
+            state: RelayState::Open(answer),
+            buffer: resumable.then(EventBuffer::default),
+            deadline: Box::pin(tokio::time::sleep_until(call.deadline.into())),
+        }
+    }
+
+    /// The next bytes.
+    pub(crate) fn poll_next(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, RelayError>>> {
+        if self.deadline.as_mut().poll(cx).is_ready() {
+            self.end(AttemptResult::Unknown, "deadline");
+            return Poll::Ready(Some(Err(RelayError::TimedOut)));
+        }
+        loop {
+            let polled = match &mut self.state {
+                RelayState::Ended => return Poll::Ready(None),
+                RelayState::Resuming(going_on) => match going_on.as_mut().poll(cx) {
+                    Poll::Pending => return Poll::Pending,
+                    Poll::Ready(Some(answer)) => {
+                        self.state = RelayState::Open(answer);
+                        continue;
+                    }
+                    Poll::Ready(None) => {
+                        self.end(AttemptResult::Broken, "broken off");
+                        return Poll::Ready(Some(Err(RelayError::Broken)));
+                    }
+                },
+                RelayState::Open(answer) => Pin::new(&mut answer.body).poll_frame(cx),
+            };
+            match polled {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Some(Ok(frame))) => {
+                    if let Some(frame) = self.pass(frame) {
+                        return Poll::Ready(Some(Ok(frame)));
+                    }
+                }
+                Poll::Ready(Some(Err(_))) => {
+                    if !self.try_resume() {
+                        self.end(AttemptResult::Broken, "broken off");
+                        return Poll::Ready(Some(Err(RelayError::Broken)));
+                    }
+                }
+                Poll::Ready(None) => return Poll::Ready(self.complete()),
+            }
+        }
+    }
+
+    fn pass(&mut self, frame: Frame<Bytes>) -> Option<Frame<Bytes>> {
+        let data = frame.into_data().ok()?;
+        match &mut self.buffer {
+            None => Some(Frame::data(data)),
+            Some(buffer) => buffer.push(&data).map(Frame::data),
+        }
+    }
+
+    /// The server ended the stream; what is left of an event is passed on.
+    fn complete(&mut self) -> Option<Result<Frame<Bytes>, RelayError>> {
+        self.end(AttemptResult::Succeeded, "served");
+        let rest = self.buffer.take().map(|buffer| buffer.rest.freeze())?;
+        (!rest.is_empty()).then(|| Ok(Frame::data(rest)))
+    }
+
+    fn try_resume(&mut self) -> bool {
+        let Some(buffer) = &mut self.buffer else {
+            return false;
+        };
+        buffer.rest.clear();
+        let last = buffer.last_id.clone();
+        let RelayState::Open(answer) = std::mem::replace(&mut self.state, RelayState::Ended) else {
+            return false;
+        };
+        answer.finish(&self.gateway, AttemptResult::Broken);
+        let gateway = Rc::clone(&self.gateway);
+        let call = Rc::clone(&self.call);
+        let progress = self.progress.clone();
+        self.progress.resumes += 1;
+        self.state = RelayState::Resuming(Box::pin(async move {
+            resume(&gateway, &call, progress, last).await
+        }));
+        true
+    }
+
+    fn end(&mut self, result: AttemptResult, outcome: &'static str) {
+        let state = std::mem::replace(&mut self.state, RelayState::Ended);
+        if let RelayState::Open(answer) = state {
+            answer.finish(&self.gateway, result);
+        }
+        if !self.progress.is_told {
+            self.progress.is_told = true;
+            self.gateway.tell_end(&self.call, &self.progress, outcome);
+        }
+    }
+}
+
+impl Drop for StreamRelay {
+    fn drop(&mut self) {
+        self.end(AttemptResult::Unknown, "the caller left");
+        let open = &self.gateway.open_streams;
+        open.set(open.get() - 1);
+    }
+}
--- a/crates/operator/src/main.rs
+++ b/crates/operator/src/main.rs
@@ -8,7 +8,7 @@
 use argh::FromArgs;
 use miette::{IntoDiagnostic, Report, WrapErr, miette};
 use onyxfall_bundle::{ContentDigest, HeadRecord, SigningSecret};
-use onyxfall_logging::start_logging;
+use onyxfall_logging::{LogSink, start_logging};
 use onyxfall_operator::{OperatorContext, RollPlan, load_operator_settings};
 use onyxfall_platform::PlatformClient;
 use onyxfall_types::RegionName;
@@ -125,7 +125,7 @@
 
 fn main() -> ExitCode {
     let arguments: OperatorArguments = argh::from_env();
-    start_logging("onyxfall", log::LevelFilter::Warn);
+    start_logging("onyxfall", log::LevelFilter::Warn, LogSink::Stderr);
     match run(&arguments) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
--- a/crates/types/src/entity.rs
+++ b/crates/types/src/entity.rs
@@ -80,6 +80,11 @@
     ServerId,
     "server"
 );
+entity_id!(
+    /// A route of one configuration.
+    RouteId,
+    "route"
+);
 entity_id!(
     /// A request kind of one bundle.
     KindId,
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -13,12 +13,13 @@
 
 pub use digest::{name_tag, stable_hash};
 pub use entity::{
-    AdapterId, CenterId, EntityId, EntityMap, KindId, ModelId, RegionId, ServerId, TeamId, VmId,
+    AdapterId, CenterId, EntityId, EntityMap, KindId, ModelId, RegionId, RouteId, ServerId, TeamId,
+    VmId,
 };
 pub use error::{RefusalReason, RequestError};
 pub use name::{
-    AdapterName, CenterName, KindName, ModelName, NameError, OperatorName, RegionName, ServerName,
-    TeamName, VmName,
+    AdapterName, CenterName, KindName, ModelName, NameError, OperatorName, RegionName, RouteName,
+    ServerName, ServiceName, TeamName, VmName,
 };
 pub use quantity::{ByteSize, Incarnation, QuantityError, RequestRate};
 pub use verdict::{RunVerdict, VerdictCell, VerdictError};
--- a/crates/types/src/name.rs
+++ b/crates/types/src/name.rs
@@ -114,6 +114,14 @@
     /// Name of a request kind, such as `photo-caption`.
     KindName
 );
+entity_name!(
+    /// Name of a service: a set of interchangeable backend servers.
+    ServiceName
+);
+entity_name!(
+    /// Name of a route of the configuration.
+    RouteName
+);
 entity_name!(
     /// Name of a model.
     ModelName
--- a/crates/wire/src/class.rs
+++ b/crates/wire/src/class.rs
@@ -41,11 +41,14 @@
             | PeerPayload::Ping(_)
             | PeerPayload::MembersRequest(_)
             | PeerPayload::Members(_)
+            | PeerPayload::VmBeat(_)
             | PeerPayload::Load(_) => Self::Control,
             PeerPayload::RecordsRequest(_)
             | PeerPayload::Records(_)
             | PeerPayload::ContentRequest(_)
-            | PeerPayload::Content(_) => Self::Configuration,
+            | PeerPayload::Content(_)
+            | PeerPayload::SnapshotRequest(_)
+            | PeerPayload::Snapshot(_) => Self::Configuration,
         }
     }
 }
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -30,10 +30,10 @@
     Malformed(prost::DecodeError),
     /// The stream failed.
     #[error("stream failed: {0}")]
-    Io(io::Error),
+    Io(#[from] io::Error),
 }
 
-fn codec() -> LengthDelimitedCodec {
+pub(crate) fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder()
         .max_frame_length(MAX_FRAME)
         .new_codec()
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,17 +11,20 @@
 //! its sender never uses again.
 
 mod class;
+mod codec;
 mod frame;
 mod message;
 mod window;
 
 pub use class::FrameClass;
+pub use codec::PeerCodec;
 pub use frame::{FrameError, FrameReader, FrameWriter, MAX_FRAME};
 pub use message::{
     AttemptCancel, CenterLoad, ContentRequest, ContentText, CreditGrant, DrainEntry, EntryBeat,
     MemberEntry, MemberSet, MembersRequest, ModelLoad, OpenMode, OpenRequest, PeerFrame, PeerHello,
     PeerPayload, PingRequest, PongReply, RecordSet, RecordsRequest, ReplyData, ReplyEnd, ReplyHead,
-    ServerLoad,
+    ServerLoad, ServerWorkEntry, ServiceLoadEntry, SnapshotItem, SnapshotRequest, StoreSnapshot,
+    VmBeat,
 };
 pub use window::{CreditWindow, INITIAL_CREDIT, frame_cost};
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -8,7 +8,7 @@
     /// What it carries; absent if this version does not know it.
     #[prost(
         oneof = "PeerPayload",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
     )]
     pub payload: Option<PeerPayload>,
 }
@@ -67,6 +67,15 @@
     /// The members of a data centre.
     #[prost(message, tag = "17")]
     Members(MemberSet),
+    /// Heartbeat of a VM whose configuration comes from the store.
+    #[prost(message, tag = "18")]
+    VmBeat(VmBeat),
+    /// Asks for a copy of the store.
+    #[prost(message, tag = "19")]
+    SnapshotRequest(SnapshotRequest),
+    /// A copy of the store.
+    #[prost(message, tag = "20")]
+    Snapshot(StoreSnapshot),
 }
 
 impl From<PeerPayload> for PeerFrame {
@@ -406,3 +415,89 @@
     #[prost(string, tag = "1")]
     pub bundle: String,
 }
+
+/// Heartbeat of a VM whose configuration comes from the store.
+#[derive(Clone, PartialEq, Message)]
+pub struct VmBeat {
+    /// Whether callers may be sent there.
+    #[prost(bool, tag = "1")]
+    pub ready: bool,
+    /// Whether it is stopping by plan.
+    #[prost(bool, tag = "2")]
+    pub leaving: bool,
+    /// Whether it reaches the store.
+    #[prost(bool, tag = "3")]
+    pub store_reached: bool,
+    /// Hash of its copy of the store.
+    #[prost(fixed64, tag = "4")]
+    pub mirror_hash: u64,
+    /// Revision of its copy of the store.
+    #[prost(uint64, tag = "5")]
+    pub mirror_revision: u64,
+    /// What its region has free, by service.
+    #[prost(message, repeated, tag = "6")]
+    pub loads: Vec<ServiceLoadEntry>,
+    /// Its own work at servers of its region; told within the region only.
+    #[prost(message, repeated, tag = "7")]
+    pub work: Vec<ServerWorkEntry>,
+}
+
+/// What a region has free of one service.
+#[derive(Clone, PartialEq, Message)]
+pub struct ServiceLoadEntry {
+    /// Tag of the service's name.
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    /// Expected time to a first byte for a usual request, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub wait_ms: u32,
+    /// Servers that take work.
+    #[prost(uint32, tag = "3")]
+    pub usable: u32,
+}
+
+/// Work of one VM at one server.
+#[derive(Clone, PartialEq, Message)]
+pub struct ServerWorkEntry {
+    /// Tag of the server's name.
+    #[prost(fixed32, tag = "1")]
+    pub server: u32,
+    /// Requests under way.
+    #[prost(uint32, tag = "2")]
+    pub requests: u32,
+    /// Prompt tokens not yet read.
+    #[prost(uint64, tag = "3")]
+    pub unread: u64,
+    /// Tokens of memory that the requests will hold.
+    #[prost(uint64, tag = "4")]
+    pub memory: u64,
+}
+
+/// Asks for the peer's copy of the store.
+#[derive(Clone, PartialEq, Message)]
+pub struct SnapshotRequest {}
+
+/// A copy of the store.
+#[derive(Clone, PartialEq, Message)]
+pub struct StoreSnapshot {
+    /// Revision that it reflects.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Its items.
+    #[prost(message, repeated, tag = "2")]
+    pub items: Vec<SnapshotItem>,
+}
+
+/// One item of a copy of the store.
+#[derive(Clone, PartialEq, Message)]
+pub struct SnapshotItem {
+    /// Key.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Value.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub value: bytes::Bytes,
+    /// Revision of its last change.
+    #[prost(uint64, tag = "3")]
+    pub revision: u64,
+}
