--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -225,6 +225,20 @@
         self.routes.is_empty()
     }
 
+    /// Regions that are a home for every route of a host; none if no route has homes.
+    pub fn homes_of_host(&self, host: &str) -> Option<Vec<RegionName>> {
+        let ids = self.by_host.get(host)?;
+        let mut bound = ids
+            .iter()
+            .map(|id| &self.routes[*id].home_regions)
+            .filter(|homes| !homes.is_empty());
+        let mut common = bound.next()?.clone();
+        for homes in bound {
+            common.retain(|region| homes.contains(region));
+        }
+        Some(common)
+    }
+
     /// The route of a request: the longest prefix of the host that begins the path.
     ///
     /// ```
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -48,7 +48,7 @@
 }
 
 /// The nearest VMs that serve: those of the caller's data centre, else of its
-/// region, else all.
+/// region, else of the homes that the host's routes have in common, else all.
 fn entries_for(gateway: &Gateway, query: &DirectoryQuery) -> Vec<SocketAddr> {
     let members = gateway.members.borrow();
     let ready = gateway.ready_vms.borrow();
@@ -74,6 +74,15 @@
     if !in_region.is_empty() {
         return in_region;
     }
+    let homes = query
+        .host
+        .as_deref()
+        .and_then(|host| gateway.table()?.homes_of_host(host))
+        .unwrap_or_default();
+    let in_homes = near(&|beat| homes.contains(&beat.region));
+    if !in_homes.is_empty() {
+        return in_homes;
+    }
     near(&|_| true)
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -227,11 +227,11 @@
         match (local, away) {
             (LocalOption::Free(choice), Some((target, predicted)))
                 if goes_away(call.needs.goal, choice.predicted, predicted)
-                    && !self.is_too_late(call, predicted) =>
+                    && !is_too_late(call, predicted) =>
             {
                 self.send_away(target)
             }
-            (LocalOption::Free(choice), _) if self.is_too_late(call, choice.predicted) => {
+            (LocalOption::Free(choice), _) if is_too_late(call, choice.predicted) => {
                 let after = choice.predicted.saturating_sub(call.needs.goal / 2);
                 RouteStep::Refuse(overloaded("no server can answer in time", after))
             }
@@ -242,10 +242,9 @@
                     id: choice.server,
                     name: record.name.to_string(),
                     address: record.address,
-                    predicted: choice.predicted,
                 })
             }
-            (_, Some((target, predicted))) if !self.is_too_late(call, predicted) => {
+            (_, Some((target, predicted))) if !is_too_late(call, predicted) => {
                 self.send_away(target)
             }
             (LocalOption::Full, _) => {
@@ -281,11 +280,6 @@
         Some((PeerTarget { vm, address }, option.predicted))
     }
 
-    fn is_too_late(&self, call: &CallContext, predicted: Duration) -> bool {
-        let bound = call.needs.goal.mul_f64(OVERLOAD_PART);
-        predicted > bound.min(call.time_left())
-    }
-
     /// Notes that another life of a server has its address.
     pub(crate) fn note_replaced(&self, server: &str) {
         log::info!(server; "another server has the address");
@@ -432,6 +426,11 @@
     }
 }
 
+fn is_too_late(call: &CallContext, predicted: Duration) -> bool {
+    let bound = call.needs.goal.mul_f64(OVERLOAD_PART);
+    predicted > bound.min(call.time_left())
+}
+
 fn overloaded(detail: &str, after: Duration) -> RequestError {
     let after = after.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1);
     RequestError::not_run(RefusalReason::Overloaded, detail).with_retry_after(after)
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -14,17 +14,15 @@
 use crate::links::tell_all;
 
 /// Time after the order in which requests are taken as ever: callers hold lists
-/// for two seconds, some of them three times as long.
-const ACCEPT_ALL: Duration = Duration::from_secs(3);
+/// for two seconds. Later, only those are taken whose whole time fits the grace:
+/// the platform holds a later one that is cut against this VM.
+const ACCEPT_ALL: Duration = Duration::from_millis(2800);
 /// Time after the order when answers begin to close their connections.
 const CLOSE_AFTER: Duration = Duration::from_millis(2200);
 /// Time before the end of the grace when the process ends.
-const END_MARGIN: Duration = Duration::from_millis(400);
+const END_MARGIN: Duration = Duration::from_millis(800);
 /// Time before the process's end when idle connections are closed.
 const LAST_ANSWERS: Duration = Duration::from_millis(600);
-/// A generation takes far less than its deadline; this is the longest that the
-/// usual one of the users' sheets takes.
-const USUAL_LONGEST: Duration = Duration::from_millis(3500);
 /// Least time that the process serves on after the order.
 const LEAST_SERVED: Duration = Duration::from_secs(5);
 /// Look whether everything is over.
@@ -81,7 +79,7 @@
     let (Some(age), Some(left)) = (age_of_stop(gateway), grace_left(gateway)) else {
         return true;
     };
-    age < ACCEPT_ALL || time_left.min(USUAL_LONGEST) <= left
+    age < ACCEPT_ALL || time_left <= left
 }
 
 /// Whether answers close their connections.
@@ -94,8 +92,8 @@
     loop {
         match grace_left(gateway) {
             None => tokio::time::sleep(Duration::from_secs(1)).await,
-            Some(left) if left > LAST_ANSWERS => tokio::time::sleep(left - LAST_ANSWERS).await,
-            Some(_) => return,
+            Some(left) if left <= LAST_ANSWERS => return,
+            Some(left) => tokio::time::sleep(left.saturating_sub(LAST_ANSWERS)).await,
         }
     }
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,7 +1,8 @@
-//! The link to the platform's store: one watch for each prefix.
+//! The link to the platform's store: one watch over everything that matters.
 //!
-//! A watch goes on from the revision of the last answer. When the history is
-//! gone everything is read again. While the store does not answer, the copy
+//! A watch goes on from the revision of the last answer. When it is cut, or the
+//! history is gone, everything is read again: a store that drops its history may
+//! cut watches before it refuses them. While the store does not answer, the copy
 //! stays in force and peers may have a newer one.
 
 use std::net::SocketAddr;
@@ -12,7 +13,7 @@
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use onyxfall_adapter::{
-    EventBatch, ItemPage, StoreError, WATCHED_PREFIXES, range_request, read_batch, read_page,
+    EventBatch, ItemPage, StoreError, WATCHED_PREFIX, range_request, read_batch, read_page,
     watch_request,
 };
 use onyxfall_fleet::{RETURN_WINDOW, StoreHealth};
@@ -25,7 +26,7 @@
 
 /// How long the store may hold a watch. Each call is priced; a dead connection
 /// is found by probes, so this is the bound for a store that hangs.
-const WATCH_WAIT: Duration = Duration::from_secs(12);
+const WATCH_WAIT: Duration = Duration::from_secs(8);
 /// Longest time for an answer beyond the wait.
 const ANSWER_LIMIT: Duration = Duration::from_millis(1500);
 /// Pauses between calls that fail: from this, doubled, up to the next.
@@ -37,26 +38,25 @@
 /// What is known of the store's availability.
 #[derive(Debug, Default)]
 pub(crate) struct StoreLink {
-    /// Prefixes that are read and watched.
-    reached: [bool; WATCHED_PREFIXES.len()],
+    is_reached: bool,
     returned_at: Option<Moment>,
 }
 
 impl StoreLink {
     /// Whether everything is read and watched.
     pub(crate) fn is_reached(&self) -> bool {
-        self.reached.iter().all(|reached| *reached)
+        self.is_reached
     }
 
-    fn lose(&mut self, index: usize) -> bool {
-        std::mem::replace(&mut self.reached[index], false)
+    fn lose(&mut self) -> bool {
+        std::mem::replace(&mut self.is_reached, false)
     }
 
-    fn gain(&mut self, now: Moment, index: usize) -> bool {
-        if self.reached[index] {
+    fn gain(&mut self, now: Moment) -> bool {
+        if self.is_reached {
             return false;
         }
-        self.reached[index] = true;
+        self.is_reached = true;
         self.returned_at = Some(now);
         true
     }
@@ -64,7 +64,7 @@
     /// How news is to be taken: leases may have run out during an outage.
     pub(crate) fn health(&self, now: Moment) -> StoreHealth {
         let lately = self.returned_at.is_some_and(|at| now - at < RETURN_WINDOW);
-        if lately || !self.is_reached() {
+        if lately || !self.is_reached {
             StoreHealth::Returned
         } else {
             StoreHealth::Steady
@@ -85,79 +85,49 @@
     TimedOut,
 }
 
-impl CallError {
-    fn is_history_gone(&self) -> bool {
-        matches!(self, Self::Store(StoreError::HistoryGone))
-    }
-}
-
-/// Starts a task for each watched prefix.
+/// Starts the task that reads and watches.
 pub(crate) fn start(gateway: &Rc<Gateway>) {
-    for index in 0..WATCHED_PREFIXES.len() {
-        let mut watch = PrefixWatch::new(gateway, index);
-        tokio::task::spawn_local(async move { watch.run().await });
-    }
+    let mut watch = StoreWatch {
+        gateway: Rc::clone(gateway),
+        connection: None,
+        pause: FIRST_PAUSE,
+    };
+    tokio::task::spawn_local(async move { watch.run().await });
 }
 
-struct PrefixWatch {
+struct StoreWatch {
     gateway: Rc<Gateway>,
-    index: usize,
     connection: Option<HttpConnection>,
     pause: Duration,
 }
 
-impl PrefixWatch {
-    fn new(gateway: &Rc<Gateway>, index: usize) -> Self {
-        Self {
-            gateway: Rc::clone(gateway),
-            index,
-            connection: None,
-            pause: FIRST_PAUSE,
-        }
-    }
-
+impl StoreWatch {
     async fn run(&mut self) {
         loop {
-            let revision = loop {
-                match self.read_all().await {
-                    Ok(revision) => break revision,
-                    Err(e) => self.note_failure(&e).await,
+            match self.read_all().await {
+                Ok(revision) => {
+                    self.note_success();
+                    let end = self.watch_from(revision).await;
+                    log::info!(cause:% = end; "watch ended; reading everything");
                 }
-            };
-            self.note_success();
-            self.watch_from(revision).await;
+                Err(e) => self.note_failure(&e).await,
+            }
         }
     }
 
-    /// Watches until the history is gone.
-    async fn watch_from(&mut self, mut revision: u64) {
-        let mut may_be_cut = true;
+    /// Watches until an answer fails; a cut is not yet a failure of the store.
+    async fn watch_from(&mut self, mut revision: u64) -> CallError {
         loop {
             match self.watch(revision).await {
                 Ok(batch) => {
-                    self.note_success();
-                    may_be_cut = true;
                     revision = batch.revision.max(revision);
                     self.take_batch(batch);
                 }
-                Err(e) if e.is_history_gone() => {
-                    log::info!(prefix = self.prefix(); "history gone; reading everything");
-                    return;
-                }
-                // A waiting watch may be cut; only a second failure counts.
-                Err(CallError::Broken) if may_be_cut => {
-                    self.connection = None;
-                    may_be_cut = false;
-                }
-                Err(e) => self.note_failure(&e).await,
+                Err(e) => return e,
             }
         }
     }
 
-    fn prefix(&self) -> &'static str {
-        WATCHED_PREFIXES[self.index]
-    }
-
     fn take_batch(&self, batch: EventBatch) {
         let now = self.gateway.now();
         let health = self.gateway.store.borrow().health(now);
@@ -184,7 +154,7 @@
                 let health = self.gateway.store.borrow().health(now);
                 let changes = {
                     let mut mirror = self.gateway.mirror.borrow_mut();
-                    mirror.replace(now, self.prefix(), items, first, health)
+                    mirror.replace(now, WATCHED_PREFIX, items, first, health)
                 };
                 self.gateway.apply_changes(changes);
                 return Ok(first);
@@ -194,14 +164,14 @@
 
     async fn read_page(&mut self, after: Option<&str>) -> Result<ItemPage, CallError> {
         let host = self.store().to_string();
-        let request = range_request(&host, self.prefix(), after);
+        let request = range_request(&host, WATCHED_PREFIX, after);
         let (status, body) = self.call(request, Duration::ZERO).await?;
         Ok(read_page(status, &body)?)
     }
 
     async fn watch(&mut self, revision: u64) -> Result<EventBatch, CallError> {
         let host = self.store().to_string();
-        let request = watch_request(&host, self.prefix(), revision, WATCH_WAIT);
+        let request = watch_request(&host, WATCHED_PREFIX, revision, WATCH_WAIT);
         let (status, body) = self.call(request, WATCH_WAIT).await?;
         Ok(read_batch(status, &body)?)
     }
@@ -217,9 +187,9 @@
     ) -> Result<(StatusCode, Bytes), CallError> {
         let address = self.store();
         self.gateway.metrics.count("onyxfall_store_calls_total");
-        let held = self.connection.take();
+        let kept = self.connection.take();
         let called = tokio::time::timeout(wait + ANSWER_LIMIT, async {
-            let mut connection = match held.filter(HttpConnection::is_ready) {
+            let mut connection = match kept.filter(HttpConnection::is_ready) {
                 Some(connection) => connection,
                 None => HttpConnection::open(address).await?,
             };
@@ -240,14 +210,14 @@
     fn note_success(&mut self) {
         self.pause = FIRST_PAUSE;
         let now = self.gateway.now();
-        if self.gateway.store.borrow_mut().gain(now, self.index) {
-            log::info!(prefix = self.prefix(); "store reached");
+        if self.gateway.store.borrow_mut().gain(now) {
+            log::info!("store reached");
         }
     }
 
     async fn note_failure(&mut self, error: &CallError) {
-        if self.gateway.store.borrow_mut().lose(self.index) {
-            log::warn!(prefix = self.prefix(), error:% = error; "store lost");
+        if self.gateway.store.borrow_mut().lose() {
+            log::warn!(error:% = error; "store lost");
         }
         // Every VM comes back at the same moment; the spread keeps calls apart.
         let spread = rand::rng().random_range(0.5..1.5);
