Send requests into the region that keeps their shared prefix; two probes break a silent connection

Rendezvous now ranks the servers of all regions that may run a request; it follows its prefix there if that saves 25 ms of reading and the first token stays within half the goal.

--- a/crates/fleet/src/away.rs
+++ b/crates/fleet/src/away.rs
@@ -12,6 +12,7 @@
 use onyxfall_types::{RegionName, VmName};
 
 use crate::call::CallNeeds;
+use crate::server::read_time;
 
 /// Round trip between two regions, from the users' sheets (55 ms one way).
 pub const REGION_ROUND_TRIP: Duration = Duration::from_millis(112);
@@ -19,6 +20,9 @@
 const STAY_PART: f64 = 0.5;
 /// Gain that pays for the bytes between regions and a prefix read anew.
 const AWAY_MARGIN: Duration = Duration::from_millis(60);
+/// Reading time that must be saved for a request to follow its prefix into
+/// another region: below, the bytes between regions cost more than they save.
+const PREFIX_GAIN: Duration = Duration::from_millis(25);
 /// Added to a region's wait for each request sent there since its last word:
 /// a prompt of 6,000 unread tokens at 112 a millisecond.
 const SENT_COST: Duration = Duration::from_millis(55);
@@ -42,11 +46,28 @@
     sent: u32,
 }
 
+/// A search for a region to send a request to.
+#[derive(Clone, Copy, Debug)]
+pub struct AwaySearch<'a> {
+    /// What the request needs.
+    pub needs: &'a CallNeeds,
+    /// Tag of its service's name.
+    pub service_tag: u32,
+    /// Region of this VM.
+    pub own_region: &'a RegionName,
+    /// Region where the request's shared prefix is kept, if any.
+    pub prefix_home: Option<&'a RegionName>,
+    /// VMs that were tried.
+    pub excluded: &'a [VmName],
+}
+
 /// Where a request could be sent.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AwayOption {
     /// The VM that would run it.
     pub vm: VmName,
+    /// Whether the request's shared prefix is kept in that region.
+    pub holds_prefix: bool,
     /// Expected time to the first byte, round trip included.
     pub predicted: Duration,
 }
@@ -87,35 +108,42 @@
         }
     }
 
-    /// The best VM of another region, if any may run the request.
-    pub fn best(
-        &self,
-        now: Moment,
-        needs: &CallNeeds,
-        service_tag: u32,
-        own_region: &RegionName,
-        excluded: &[VmName],
-    ) -> Option<AwayOption> {
+    /// The best VM of another region, if any may run the request; `prefix_home`
+    /// is the region where its shared prefix is kept.
+    pub fn best(&self, now: Moment, search: &AwaySearch<'_>) -> Option<AwayOption> {
         self.words
             .iter()
             .filter(|(vm, word)| {
-                word.region != *own_region
-                    && needs.allows_region(&word.region)
+                word.region != *search.own_region
+                    && search.needs.allows_region(&word.region)
                     && now - word.heard < WORD_LIFE
-                    && !excluded.contains(vm)
-            })
-            .filter_map(|(vm, word)| {
-                let load = word.loads.get(&service_tag)?;
-                (load.usable > 0).then(|| AwayOption {
-                    vm: vm.clone(),
-                    predicted: REGION_ROUND_TRIP
-                        + load.wait
-                        + SENT_COST * self.sent_to(&word.region) / load.usable,
-                })
+                    && !search.excluded.contains(vm)
             })
+            .filter_map(|(vm, word)| self.option(vm, word, search))
             .min_by_key(|option| (option.predicted, self.sent_by(&option.vm)))
     }
 
+    fn option(&self, vm: &VmName, word: &VmWord, search: &AwaySearch<'_>) -> Option<AwayOption> {
+        let load = word.loads.get(&search.service_tag)?;
+        if load.usable == 0 {
+            return None;
+        }
+        let prompt = &search.needs.prompt;
+        let holds_prefix = search.prefix_home == Some(&word.region);
+        let kept = if holds_prefix {
+            prompt.shared_tokens()
+        } else {
+            0
+        };
+        let unread = read_time(prompt.input.saturating_sub(kept));
+        let sent = SENT_COST * self.sent_to(&word.region) / load.usable;
+        Some(AwayOption {
+            vm: vm.clone(),
+            holds_prefix,
+            predicted: REGION_ROUND_TRIP + load.wait + sent + unread,
+        })
+    }
+
     fn sent_to(&self, region: &RegionName) -> u32 {
         self.words
             .values()
@@ -129,15 +157,26 @@
     }
 }
 
-/// Whether a request is better off away than at `local`.
+/// Whether a request is better off away than at a server of its region that
+/// answers after `local` and would read `unread` shared tokens anew.
 ///
 /// ```
 /// use onyxfall_fleet::goes_away;
 /// use std::time::Duration;
 /// let ms = Duration::from_millis;
-/// assert!(!goes_away(ms(600), ms(200), ms(120)));
-/// assert!(goes_away(ms(600), ms(900), ms(200)));
+/// assert!(!goes_away(ms(600), ms(200), 0, ms(120), false));
+/// assert!(goes_away(ms(600), ms(900), 0, ms(200), false));
+/// assert!(goes_away(ms(1000), ms(200), 5_000, ms(250), true));
 /// ```
-pub fn goes_away(goal: Duration, local: Duration, away: Duration) -> bool {
-    local > goal.mul_f64(STAY_PART) && away + AWAY_MARGIN < local
+pub fn goes_away(
+    goal: Duration,
+    local: Duration,
+    unread: u64,
+    away: Duration,
+    holds_prefix: bool,
+) -> bool {
+    let stay = goal.mul_f64(STAY_PART);
+    let is_faster = local > stay && away + AWAY_MARGIN < local;
+    let saves_reading = holds_prefix && read_time(unread) >= PREFIX_GAIN && away <= stay;
+    is_faster || saves_reading
 }
--- a/crates/fleet/src/call.rs
+++ b/crates/fleet/src/call.rs
@@ -39,6 +39,12 @@
         Some(parts.iter().fold(0, |key, part| chain(key, part.id)))
     }
 
+    /// Tokens of the parts that other requests may share.
+    pub fn shared_tokens(&self) -> u64 {
+        let shared = self.parts.len().saturating_sub(1);
+        self.parts[..shared].iter().map(|part| part.tokens).sum()
+    }
+
     /// Keys of every prefix with its tokens, shortest first.
     pub fn prefixes(&self) -> impl Iterator<Item = (u64, u64)> {
         self.parts.iter().scan((0_u64, 0_u64), |state, part| {
--- a/crates/fleet/src/choose.rs
+++ b/crates/fleet/src/choose.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use onyxfall_policy::Moment;
-use onyxfall_types::ServerId;
+use onyxfall_types::{RegionName, ServerId};
 use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -115,6 +115,26 @@
             .collect()
     }
 
+    /// The region of the server that holds the request's shared prefix, by
+    /// rendezvous hashing over the servers of every region that may run it. It
+    /// ranks them as the choice within a region does, so that the VM there finds
+    /// the same server.
+    pub fn prefix_home(&self, needs: &CallNeeds) -> Option<&RegionName> {
+        let pool: Vec<ServerId> = self
+            .servers_of(&needs.service)
+            .iter()
+            .copied()
+            .filter(|id| {
+                let server = self.server(*id);
+                needs.allows_region(&server.region)
+                    && server.takes_work()
+                    && !self.is_evacuated(&server.record.center)
+            })
+            .collect();
+        let owner = self.prefix_owner(needs, &pool)?;
+        Some(&self.server(owner).region)
+    }
+
     fn may_send_cold(&mut self, now: Moment, id: ServerId) -> bool {
         if !self.server(id).is_cold(now) {
             return true;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,7 +16,7 @@
 mod server;
 mod view;
 
-pub use away::{AwayOption, AwayTable, REGION_ROUND_TRIP, ServiceLoad, goes_away};
+pub use away::{AwayOption, AwaySearch, AwayTable, REGION_ROUND_TRIP, ServiceLoad, goes_away};
 pub use budget::{BudgetLimits, LEAST_VMS, RetryShare};
 pub use call::{CallNeeds, PromptPart, PromptSize};
 pub use choose::{LocalOption, ServerChoice};
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -32,6 +32,11 @@
 /// Service time of a plain service before any answer.
 const PLAIN_PRIOR: Duration = Duration::from_millis(30);
 
+/// Time that a model server takes to read `tokens` of a prompt.
+pub fn read_time(tokens: u64) -> Duration {
+    Duration::from_secs_f64(tokens as f64 / READ_TOKENS_PER_MS / 1e3)
+}
+
 /// Work of one VM at one server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WorkShare {
@@ -199,13 +204,22 @@
 
     /// Prompt tokens that it would have to read.
     pub fn unread_tokens(&self, now: Moment, prompt: &PromptSize) -> u64 {
-        let kept = prompt
+        prompt.input.saturating_sub(self.kept_tokens(now, prompt))
+    }
+
+    /// Tokens of parts that others share and that it would have to read.
+    pub fn unread_shared(&self, now: Moment, prompt: &PromptSize) -> u64 {
+        let shared = prompt.shared_tokens();
+        shared.saturating_sub(self.kept_tokens(now, prompt))
+    }
+
+    fn kept_tokens(&self, now: Moment, prompt: &PromptSize) -> u64 {
+        prompt
             .prefixes()
             .take_while(|(key, _)| self.kept.get(key).is_some_and(|at| now - *at < PREFIX_LIFE))
             .map(|(_, tokens)| tokens)
             .last()
-            .unwrap_or(0);
-        prompt.input.saturating_sub(kept)
+            .unwrap_or(0)
     }
 
     /// Expected time to the first byte of an answer.
@@ -213,7 +227,7 @@
         let work = self.work();
         let ms = if needs.engine.is_some() {
             let unread = work.unread + self.unread_tokens(now, &needs.prompt);
-            FIRST_TOKEN_BASE.as_secs_f64() * 1e3 + unread as f64 / READ_TOKENS_PER_MS
+            (FIRST_TOKEN_BASE + read_time(unread)).as_secs_f64() * 1e3
         } else {
             let slots = f64::from(self.record.slots.max(1));
             let turns = 1.0 + (f64::from(work.requests + 1) - slots).max(0.0) / slots;
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -19,6 +19,8 @@
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1500);
 /// Rest after which an idle connection is probed; the least that the kernel has.
 const PROBE_REST: Duration = Duration::from_secs(1);
+/// Unanswered probes after which a connection breaks.
+const PROBES: u32 = 2;
 /// Longest time for a connection to come up: one lost opening packet is sent
 /// again by the kernel after a second, which is too late for any goal.
 pub(crate) const DIAL_LIMIT: Duration = Duration::from_millis(700);
@@ -56,7 +58,8 @@
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
         .with_time(PROBE_REST)
-        .with_interval(PROBE_REST);
+        .with_interval(PROBE_REST)
+        .with_retries(PROBES);
     socket.set_tcp_keepalive(&probes)?;
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,7 +11,8 @@
 
 use onyxfall_adapter::{StoreKey, StoreNews, read_item, read_key};
 use onyxfall_fleet::{
-    AwayTable, FleetView, LocalOption, MirrorChange, RetryShare, RouteTable, StoreMirror, goes_away,
+    AwayOption, AwaySearch, AwayTable, FleetView, LocalOption, MirrorChange, RetryShare,
+    RouteTable, ServerChoice, StoreMirror, goes_away,
 };
 use onyxfall_policy::{MemberBeat, MemberTable, MemberTiming, Moment};
 use onyxfall_types::{Incarnation, RefusalReason, RequestError, ServiceName, VmName, name_tag};
@@ -223,40 +224,60 @@
             &progress.servers,
             &mut *self.rng.borrow_mut(),
         );
-        let away = self.best_away(now, call, progress);
+        let away = self
+            .best_away(now, call, progress)
+            .filter(|away| !is_too_late(call, away.predicted));
         match (local, away) {
-            (LocalOption::Free(choice), Some((target, predicted)))
-                if goes_away(call.needs.goal, choice.predicted, predicted)
-                    && !is_too_late(call, predicted) =>
-            {
-                self.send_away(target)
-            }
-            (LocalOption::Free(choice), _) if is_too_late(call, choice.predicted) => {
-                let after = choice.predicted.saturating_sub(call.needs.goal / 2);
-                RouteStep::Refuse(overloaded("no server can answer in time", after))
-            }
-            (LocalOption::Free(choice), _) => {
-                let fleet = self.fleet.borrow();
-                let record = &fleet.server(choice.server).record;
-                RouteStep::Server(ServerTarget {
-                    id: choice.server,
-                    name: record.name.to_string(),
-                    address: record.address,
-                })
-            }
-            (_, Some((target, predicted))) if !is_too_late(call, predicted) => {
-                self.send_away(target)
-            }
-            (LocalOption::Full, _) => {
+            (LocalOption::Free(choice), away) => self.weigh(now, call, choice, away),
+            (_, Some(away)) => self.send_away(away),
+            (LocalOption::Full, None) => {
                 RouteStep::Refuse(overloaded("every server is full", call.needs.goal / 2))
             }
-            (LocalOption::Resting | LocalOption::None, _) => wait_or_refuse(call),
+            (LocalOption::Resting | LocalOption::None, None) => wait_or_refuse(call),
         }
     }
 
-    fn send_away(&self, target: PeerTarget) -> RouteStep {
-        self.away.borrow_mut().note_sent(&target.vm);
-        RouteStep::Peer(target)
+    /// Decides between a server of this region and another region.
+    fn weigh(
+        &self,
+        now: Moment,
+        call: &SharedCall,
+        choice: ServerChoice,
+        away: Option<AwayOption>,
+    ) -> RouteStep {
+        let fleet = self.fleet.borrow();
+        let server = fleet.server(choice.server);
+        if let Some(away) = away {
+            let unread = server.unread_shared(now, &call.needs.prompt);
+            let (goal, local) = (call.needs.goal, choice.predicted);
+            if goes_away(goal, local, unread, away.predicted, away.holds_prefix) {
+                return self.send_away(away);
+            }
+        }
+        if is_too_late(call, choice.predicted) {
+            let after = choice.predicted.saturating_sub(call.needs.goal / 2);
+            return RouteStep::Refuse(overloaded("no server can answer in time", after));
+        }
+        RouteStep::Server(ServerTarget {
+            id: choice.server,
+            name: server.record.name.to_string(),
+            address: server.record.address,
+        })
+    }
+
+    fn send_away(&self, away: AwayOption) -> RouteStep {
+        self.away.borrow_mut().note_sent(&away.vm);
+        let port = self.settings().relay.port();
+        let members = self.members.borrow();
+        let Some(member) = members.get(&away.vm) else {
+            let detail = "the VM of the other region is gone";
+            return RouteStep::Refuse(overloaded(detail, Duration::ZERO));
+        };
+        let address = SocketAddr::new(member.beat.peer_address.ip(), port);
+        RouteStep::Peer(PeerTarget {
+            vm: away.vm,
+            address,
+        })
     }
 
     fn best_away(
@@ -264,20 +285,19 @@
         now: Moment,
         call: &CallContext,
         progress: &CallProgress,
-    ) -> Option<(PeerTarget, Duration)> {
+    ) -> Option<AwayOption> {
         if !call.may_leave() {
             return None;
         }
-        let tag = name_tag(call.needs.service.as_str());
-        let settings = self.settings();
-        let region = &settings.place.region;
-        let away = self.away.borrow();
-        let option = away.best(now, &call.needs, tag, region, &progress.vms)?;
-        let members = self.members.borrow();
-        let member = members.get(&option.vm)?;
-        let address = SocketAddr::new(member.beat.peer_address.ip(), settings.relay.port());
-        let vm = option.vm;
-        Some((PeerTarget { vm, address }, option.predicted))
+        let fleet = self.fleet.borrow();
+        let search = AwaySearch {
+            needs: &call.needs,
+            service_tag: name_tag(call.needs.service.as_str()),
+            own_region: &fleet.place().region,
+            prefix_home: fleet.prefix_home(&call.needs),
+            excluded: &progress.vms,
+        };
+        self.away.borrow().best(now, &search)
     }
 
     /// Notes that another life of a server has its address.
