--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -8,6 +8,7 @@
     DirectoryQuery, READY_PATH, RESOLVE_PATH, directory_body, read_directory_query,
 };
 use onyxfall_policy::{MemberBeat, MemberState};
+use onyxfall_types::RegionName;
 
 use crate::body::ReplyBody;
 use crate::gateway::Gateway;
@@ -47,8 +48,9 @@
     response
 }
 
-/// The nearest VMs that serve: those of the caller's data centre, else of its
-/// region, else of the homes that the host's routes have in common, else all.
+/// The VMs to name: the nearest that serve. Before a caller is led to a region
+/// that is neither its own nor a home, VMs that are stopping are named: they
+/// still serve, and data may not leave its homes.
 fn entries_for(gateway: &Gateway, query: &DirectoryQuery) -> Vec<SocketAddr> {
     let members = gateway.members.borrow();
     let ready = gateway.ready_vms.borrow();
@@ -60,30 +62,45 @@
         .map(|member| &member.beat)
         .chain(own)
         .collect();
-    let near = |is_near: &dyn Fn(&MemberBeat) -> bool| -> Vec<SocketAddr> {
-        let near = serving.iter().filter(|beat| is_near(beat));
-        near.map(|beat| beat.address).take(MAX_ADDRESSES).collect()
-    };
-    let center = query.center.as_deref();
-    let region = query.region.as_deref();
-    let in_center = near(&|beat| Some(beat.center.as_str()) == center);
-    if !in_center.is_empty() {
-        return in_center;
-    }
-    let in_region = near(&|beat| Some(beat.region.as_str()) == region);
-    if !in_region.is_empty() {
-        return in_region;
-    }
-    let homes = query
+    let stopping: Vec<&MemberBeat> = members
+        .others()
+        .filter(|member| member.state == MemberState::Leaving)
+        .map(|member| &member.beat)
+        .chain(gateway.is_leaving().then(|| members.own()))
+        .collect();
+    let homes = homes_of(gateway, query);
+    let center = |beat: &MemberBeat| Some(beat.center.as_str()) == query.center.as_deref();
+    let region = |beat: &MemberBeat| Some(beat.region.as_str()) == query.region.as_deref();
+    let home = |beat: &MemberBeat| homes.contains(&beat.region);
+    let choices = [
+        select(&serving, center),
+        select(&serving, region),
+        select(&serving, home),
+        select(&stopping, |beat| {
+            !homes.is_empty() && (region(beat) || home(beat))
+        }),
+        select(&serving, |_| true),
+    ];
+    let chosen = choices.into_iter().find(|chosen| !chosen.is_empty());
+    chosen.unwrap_or_default()
+}
+
+/// Regions that are a home for every bound route of the host that is asked for.
+fn homes_of(gateway: &Gateway, query: &DirectoryQuery) -> Vec<RegionName> {
+    query
         .host
         .as_deref()
         .and_then(|host| gateway.table()?.homes_of_host(host))
-        .unwrap_or_default();
-    let in_homes = near(&|beat| homes.contains(&beat.region));
-    if !in_homes.is_empty() {
-        return in_homes;
-    }
-    near(&|_| true)
+        .unwrap_or_default()
+}
+
+fn select(beats: &[&MemberBeat], takes: impl Fn(&MemberBeat) -> bool) -> Vec<SocketAddr> {
+    beats
+        .iter()
+        .filter(|beat| takes(beat))
+        .map(|beat| beat.address)
+        .take(MAX_ADDRESSES)
+        .collect()
 }
 
 fn plain(status: StatusCode, body: String) -> Response<ReplyBody> {
