Count homes by most routes of a host

Cause: the host's routes do not all have the same homes, so that the regions common to all were none.

--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -225,18 +225,20 @@
         self.routes.is_empty()
     }
 
-    /// Regions that are a home for every route of a host; none if no route has homes.
-    pub fn homes_of_host(&self, host: &str) -> Option<Vec<RegionName>> {
-        let ids = self.by_host.get(host)?;
-        let mut bound = ids
-            .iter()
-            .map(|id| &self.routes[*id].home_regions)
-            .filter(|homes| !homes.is_empty());
-        let mut common = bound.next()?.clone();
-        for homes in bound {
-            common.retain(|region| homes.contains(region));
+    /// Regions that are a home for most of a host's bound routes; empty if no
+    /// route has homes.
+    pub fn homes_of_host(&self, host: &str) -> Vec<RegionName> {
+        let ids = self.by_host.get(host).map_or(&[][..], Vec::as_slice);
+        let mut counts: BTreeMap<&RegionName, usize> = BTreeMap::new();
+        for region in ids.iter().flat_map(|id| &self.routes[*id].home_regions) {
+            *counts.entry(region).or_default() += 1;
         }
-        Some(common)
+        let most = counts.values().copied().max().unwrap_or(0);
+        counts
+            .into_iter()
+            .filter(|(_, count)| *count == most)
+            .map(|(region, _)| region.clone())
+            .collect()
     }
 
     /// The route of a request: the longest prefix of the host that begins the path.
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -85,12 +85,12 @@
     chosen.unwrap_or_default()
 }
 
-/// Regions that are a home for every bound route of the host that is asked for.
+/// Regions that are a home for most bound routes of the host that is asked for.
 fn homes_of(gateway: &Gateway, query: &DirectoryQuery) -> Vec<RegionName> {
     query
         .host
         .as_deref()
-        .and_then(|host| gateway.table()?.homes_of_host(host))
+        .and_then(|host| Some(gateway.table()?.homes_of_host(host)))
         .unwrap_or_default()
 }
 
