--- a/crates/fleet/src/away.rs
+++ b/crates/fleet/src/away.rs
@@ -23,9 +23,9 @@
 /// Reading time that must be saved for a request to follow its prefix into
 /// another region: below, the bytes between regions cost more than they save.
 const PREFIX_GAIN: Duration = Duration::from_millis(25);
-/// Added to a region's wait for each request sent there since its last word:
-/// a prompt of 6,000 unread tokens at 112 a millisecond.
-const SENT_COST: Duration = Duration::from_millis(55);
+/// Work that a request to a plain service brings: the sheets' 15 to 30 ms, on
+/// servers of six slots.
+const PLAIN_WORK: Duration = Duration::from_millis(5);
 /// Age after which a VM's word no longer counts.
 const WORD_LIFE: Duration = Duration::from_secs(4);
 
@@ -43,7 +43,8 @@
     region: RegionName,
     heard: Moment,
     loads: BTreeMap<u32, ServiceLoad>,
-    sent: u32,
+    /// Work sent there since its last word, by service.
+    sent: BTreeMap<u32, Duration>,
 }
 
 /// A search for a region to send a request to.
@@ -68,6 +69,8 @@
     pub vm: VmName,
     /// Whether the request's shared prefix is kept in that region.
     pub holds_prefix: bool,
+    /// Work that the request brings there.
+    pub work: Duration,
     /// Expected time to the first byte, round trip included.
     pub predicted: Duration,
 }
@@ -91,7 +94,7 @@
             region: region.clone(),
             heard: now,
             loads,
-            sent: 0,
+            sent: BTreeMap::new(),
         };
         self.words.insert(vm.clone(), word);
     }
@@ -101,10 +104,10 @@
         self.words.remove(vm);
     }
 
-    /// Notes that a request is sent to a VM.
-    pub fn note_sent(&mut self, vm: &VmName) {
-        if let Some(word) = self.words.get_mut(vm) {
-            word.sent += 1;
+    /// Notes that a request is sent to the VM of an option.
+    pub fn note_sent(&mut self, option: &AwayOption, service_tag: u32) {
+        if let Some(word) = self.words.get_mut(&option.vm) {
+            *word.sent.entry(service_tag).or_default() += option.work;
         }
     }
 
@@ -120,7 +123,7 @@
                     && !search.excluded.contains(vm)
             })
             .filter_map(|(vm, word)| self.option(vm, word, search))
-            .min_by_key(|option| (option.predicted, self.sent_by(&option.vm)))
+            .min_by_key(|option| (option.predicted, self.sent_by(option, search)))
     }
 
     fn option(&self, vm: &VmName, word: &VmWord, search: &AwaySearch<'_>) -> Option<AwayOption> {
@@ -135,25 +138,31 @@
         } else {
             0
         };
-        let unread = read_time(prompt.input.saturating_sub(kept));
-        let sent = SENT_COST * self.sent_to(&word.region) / load.usable;
+        let work = match search.needs.engine {
+            Some(_) => read_time(prompt.input.saturating_sub(kept)),
+            None => PLAIN_WORK,
+        };
+        let sent = self.sent_to(&word.region, search.service_tag) / load.usable;
         Some(AwayOption {
             vm: vm.clone(),
             holds_prefix,
-            predicted: REGION_ROUND_TRIP + load.wait + sent + unread,
+            work,
+            predicted: REGION_ROUND_TRIP + load.wait + sent + work,
         })
     }
 
-    fn sent_to(&self, region: &RegionName) -> u32 {
+    fn sent_to(&self, region: &RegionName, service_tag: u32) -> Duration {
         self.words
             .values()
             .filter(|word| word.region == *region)
-            .map(|word| word.sent)
+            .filter_map(|word| word.sent.get(&service_tag))
             .sum()
     }
 
-    fn sent_by(&self, vm: &VmName) -> u32 {
-        self.words.get(vm).map_or(0, |word| word.sent)
+    fn sent_by(&self, option: &AwayOption, search: &AwaySearch<'_>) -> Duration {
+        let word = self.words.get(&option.vm);
+        let sent = word.and_then(|word| word.sent.get(&search.service_tag));
+        sent.copied().unwrap_or_default()
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -230,7 +230,7 @@
             .filter(|away| !is_too_late(call, away.predicted));
         match (local, away) {
             (LocalOption::Free(choice), away) => self.weigh(now, call, choice, away),
-            (_, Some(away)) => self.send_away(away),
+            (_, Some(away)) => self.send_away(call, away),
             (LocalOption::Full, None) => {
                 RouteStep::Refuse(overloaded("every server is full", call.needs.goal / 2))
             }
@@ -252,7 +252,7 @@
             let unread = server.unread_shared(now, &call.needs.prompt);
             let (goal, local) = (call.needs.goal, choice.predicted);
             if goes_away(goal, local, unread, away.predicted, away.holds_prefix) {
-                return self.send_away(away);
+                return self.send_away(call, away);
             }
         }
         if is_too_late(call, choice.predicted) {
@@ -267,8 +267,9 @@
         })
     }
 
-    fn send_away(&self, away: AwayOption) -> RouteStep {
-        self.away.borrow_mut().note_sent(&away.vm);
+    fn send_away(&self, call: &CallContext, away: AwayOption) -> RouteStep {
+        let tag = name_tag(call.needs.service.as_str());
+        self.away.borrow_mut().note_sent(&away, tag);
         let port = self.settings().relay.port();
         let members = self.members.borrow();
         let Some(member) = members.get(&away.vm) else {
@@ -331,7 +332,8 @@
                 log::info!(
                     server = record.name.as_str(),
                     service = record.service.as_str(),
-                    phase:? = record.phase;
+                    phase:? = record.phase,
+                    cold_ms = millis(record.cold_left);
                     "server seen"
                 );
                 let mut fleet = self.fleet.borrow_mut();
