--- a/crates/entry/src/control/beat.rs
+++ b/crates/entry/src/control/beat.rs
@@ -333,7 +333,10 @@
         | PeerPayload::Data(_)
         | PeerPayload::Credit(_)
         | PeerPayload::End(_)
-        | PeerPayload::Cancel(_) => {
+        | PeerPayload::Cancel(_)
+        | PeerPayload::VmBeat(_)
+        | PeerPayload::SnapshotRequest(_)
+        | PeerPayload::Snapshot(_) => {
             core.metrics.count(crate::metrics::CounterName::StrayFrames);
         }
     }
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -8,10 +8,15 @@
 mod engine;
 mod link;
 mod platform;
+mod server;
 mod service;
+mod serving;
 mod slots;
+mod store;
 
 pub use engine::{EngineFaults, EngineSettings, FakeEngine};
 pub use link::{FakeLink, LinkRules};
 pub use platform::{FakePlatform, PlatformFaults};
+pub use server::{ReceivedRequest, ServerFailing, ServerStandIn};
 pub use service::{FakeService, ServiceFaults, ServiceSettings};
+pub use store::{StoreMode, StoreStandIn};
--- /dev/null
+++ b/crates/fakes/src/server.rs
@@ -0,0 +1,252 @@
+//! Stand-in of a backend server as the adapter speaks to it, with its failings.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming};
+use onyxfall_adapter::standin::{ReceivedCall, mark_not_run, received_call, sign_answer};
+use parking_lot::Mutex;
+use tokio::time::{Instant, Sleep};
+
+use crate::serving::ServingThread;
+
+/// What a server does with a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ServerFailing {
+    /// Runs it and answers whole.
+    #[default]
+    None,
+    /// Runs it and answers with a failure of its own.
+    Fails,
+    /// Does not run it and says so.
+    Sheds,
+    /// Is another life than the one that is meant, and says so.
+    Replaced,
+    /// Runs it and closes the connection without an answer.
+    Closes,
+    /// Runs it and gives the answer of another request.
+    Stray,
+    /// Runs it and breaks its answer off after the first event.
+    BreaksOff,
+    /// Runs it and never answers.
+    Mute,
+}
+
+/// A request as the stand-in received it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReceivedRequest {
+    /// What its head says.
+    pub call: ReceivedCall,
+    /// Method.
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// Body.
+    pub body: Bytes,
+}
+
+#[derive(Default)]
+struct ServerState {
+    failing: ServerFailing,
+    runs: Vec<ReceivedRequest>,
+    /// Answers that were under way when their connection closed.
+    cut: usize,
+}
+
+/// A running stand-in of a server.
+pub struct ServerStandIn {
+    state: Arc<Mutex<ServerState>>,
+    thread: ServingThread,
+}
+
+/// Events of a stream, in order; an event's id is its number.
+const EVENTS: [&str; 3] = [
+    "id: 1\ndata: a\n\n",
+    "id: 2\ndata: b\n\n",
+    "id: 3\ndata: c\n\n",
+];
+/// Pause before each event.
+const EVENT_PAUSE: Duration = Duration::from_millis(20);
+/// Path below which answers are streams.
+const STREAM_PATH: &str = "/stream/";
+
+impl ServerStandIn {
+    /// Starts it on a free port of `ip`.
+    ///
+    /// # Errors
+    ///
+    /// No port is free, or no thread can be started.
+    pub fn start(ip: IpAddr) -> io::Result<Self> {
+        let state = Arc::new(Mutex::new(ServerState::default()));
+        let served = Arc::clone(&state);
+        let thread = ServingThread::start(SocketAddr::new(ip, 0), move |request| {
+            answer(Arc::clone(&served), request)
+        })?;
+        Ok(Self { state, thread })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.thread.address()
+    }
+
+    /// Sets what it does with requests.
+    pub fn set_failing(&self, failing: ServerFailing) {
+        self.state.lock().failing = failing;
+    }
+
+    /// The requests that it ran.
+    pub fn runs(&self) -> Vec<ReceivedRequest> {
+        self.state.lock().runs.clone()
+    }
+
+    /// Answers that were under way when their connection closed.
+    pub fn cut(&self) -> usize {
+        self.state.lock().cut
+    }
+
+    /// The whole stream that it sends.
+    pub fn whole_stream() -> String {
+        EVENTS.concat()
+    }
+}
+
+/// Counts an answer as cut when its connection closes before its end.
+struct CutGuard {
+    state: Arc<Mutex<ServerState>>,
+    is_over: bool,
+}
+
+impl Drop for CutGuard {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.state.lock().cut += 1;
+        }
+    }
+}
+
+async fn answer(
+    state: Arc<Mutex<ServerState>>,
+    request: Request<Incoming>,
+) -> Result<Response<EventBody>, io::Error> {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    let call = received_call(&head.headers);
+    let failing = state.lock().failing;
+    match failing {
+        ServerFailing::Sheds => {
+            let mut refusal = whole(StatusCode::SERVICE_UNAVAILABLE, "");
+            mark_not_run(refusal.headers_mut());
+            return Ok(refusal);
+        }
+        ServerFailing::Replaced => return Ok(whole(StatusCode::MISDIRECTED_REQUEST, "")),
+        _ => {}
+    }
+    let target = head.uri.to_string();
+    let is_stream = target.starts_with(STREAM_PATH);
+    state.lock().runs.push(ReceivedRequest {
+        call: call.clone(),
+        method: head.method.to_string(),
+        target,
+        body,
+    });
+    let mut guard = CutGuard {
+        state,
+        is_over: false,
+    };
+    let mut response = match failing {
+        ServerFailing::Fails => whole(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
+        ServerFailing::Closes => {
+            guard.is_over = true;
+            return Err(io::Error::other("closed by the stand-in"));
+        }
+        ServerFailing::Mute => std::future::pending().await,
+        _ if is_stream => Response::new(EventBody::stream(&call, failing, guard)),
+        _ => {
+            guard.is_over = true;
+            whole(StatusCode::OK, "answer")
+        }
+    };
+    let id = match failing {
+        ServerFailing::Stray => "somebody-else",
+        _ => &call.request_id,
+    };
+    sign_answer(response.headers_mut(), id);
+    Ok(response)
+}
+
+fn whole(status: StatusCode, body: &'static str) -> Response<EventBody> {
+    let mut response = Response::new(EventBody::whole(body));
+    *response.status_mut() = status;
+    response
+}
+
+/// A body that is known whole, or a stream of events.
+pub struct EventBody {
+    events: Vec<&'static str>,
+    breaks: bool,
+    pause: Option<Pin<Box<Sleep>>>,
+    guard: Option<CutGuard>,
+}
+
+impl EventBody {
+    fn whole(body: &'static str) -> Self {
+        Self {
+            events: vec![body],
+            breaks: false,
+            pause: None,
+            guard: None,
+        }
+    }
+
+    fn stream(call: &ReceivedCall, failing: ServerFailing, guard: CutGuard) -> Self {
+        let sent = call.last_event.as_deref().and_then(|id| id.parse().ok());
+        let mut events = EVENTS[sent.unwrap_or(0)..].to_vec();
+        let breaks = failing == ServerFailing::BreaksOff;
+        if breaks {
+            events.truncate(1);
+        }
+        Self {
+            events,
+            breaks,
+            pause: Some(Box::pin(tokio::time::sleep(EVENT_PAUSE))),
+            guard: Some(guard),
+        }
+    }
+}
+
+impl Body for EventBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        let this = self.get_mut();
+        if let Some(pause) = &mut this.pause {
+            if pause.as_mut().poll(cx).is_pending() {
+                return Poll::Pending;
+            }
+            pause.as_mut().reset(Instant::now() + EVENT_PAUSE);
+        }
+        if !this.events.is_empty() {
+            let event = this.events.remove(0);
+            return Poll::Ready(Some(Ok(Frame::data(Bytes::from_static(event.as_bytes())))));
+        }
+        if let Some(guard) = &mut this.guard {
+            guard.is_over = true;
+        }
+        if this.breaks {
+            return Poll::Ready(Some(Err(io::Error::other("broken off by the stand-in"))));
+        }
+        Poll::Ready(None)
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/serving.rs
@@ -0,0 +1,117 @@
+//! A thread that serves HTTP with an event loop of its own.
+
+use std::error::Error;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::thread::{self, JoinHandle};
+
+use http::{Request, Response};
+use hyper::body::{Body, Bytes, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+
+/// A serving thread; dropping it closes the port and every connection.
+pub struct ServingThread {
+    address: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl ServingThread {
+    /// Serves `address` with `answer`; an error of it closes the connection
+    /// without an answer.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be listened on, or no thread can be started.
+    pub fn start<F, B, E>(
+        address: SocketAddr,
+        answer: impl Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    ) -> std::io::Result<Self>
+    where
+        F: Future<Output = Result<Response<B>, E>> + 'static,
+        B: Body<Data = Bytes> + 'static,
+        B::Error: Into<Box<dyn Error + Send + Sync>>,
+        E: Into<Box<dyn Error + Send + Sync>> + 'static,
+    {
+        let listener = std::net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let (stop, stopped) = oneshot::channel();
+        let thread = thread::Builder::new()
+            .name("stand-in".to_owned())
+            .spawn(move || serve(listener, stopped, &answer))?;
+        Ok(Self {
+            address,
+            stop: Some(stop),
+            thread: Some(thread),
+        })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for ServingThread {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        if let Some(thread) = self.thread.take()
+            && thread.join().is_err()
+        {
+            log::error!("a stand-in's thread panicked");
+        }
+    }
+}
+
+fn serve<F, B, E>(
+    listener: std::net::TcpListener,
+    stopped: oneshot::Receiver<()>,
+    answer: &(impl Fn(Request<Incoming>) -> F + Clone + Send + 'static),
+) where
+    F: Future<Output = Result<Response<B>, E>> + 'static,
+    B: Body<Data = Bytes> + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+    E: Into<Box<dyn Error + Send + Sync>> + 'static,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            log::error!("a stand-in has no event loop: {e}");
+            return;
+        }
+    };
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, async {
+        let listener = match TcpListener::from_std(listener) {
+            Ok(listener) => listener,
+            Err(e) => {
+                log::error!("a stand-in cannot listen: {e}");
+                return;
+            }
+        };
+        let accepting = async {
+            while let Ok((stream, _)) = listener.accept().await {
+                let service = service_fn(answer.clone());
+                tokio::task::spawn_local(async move {
+                    let connection = http1::Builder::new();
+                    let served = connection.serve_connection(TokioIo::new(stream), service);
+                    if let Err(e) = served.await {
+                        log::debug!("a connection to a stand-in ended: {e}");
+                    }
+                });
+            }
+        };
+        tokio::select! {
+            () = accepting => {}
+            _ = stopped => {}
+        }
+    });
+}
--- a/crates/fleet/src/away.rs
+++ b/crates/fleet/src/away.rs
@@ -138,7 +138,7 @@
         } else {
             0
         };
-        let work = match search.needs.engine {
+        let brought = match search.needs.engine {
             Some(_) => read_time(prompt.input.saturating_sub(kept)),
             None => PLAIN_WORK,
         };
@@ -146,8 +146,8 @@
         Some(AwayOption {
             vm: vm.clone(),
             holds_prefix,
-            work,
-            predicted: REGION_ROUND_TRIP + load.wait + sent + work,
+            work: brought,
+            predicted: REGION_ROUND_TRIP + load.wait + sent + brought,
         })
     }
 
--- /dev/null
+++ b/crates/fleet/tests/choice.rs
@@ -0,0 +1,438 @@
+//! Where requests go: routes, servers, regions.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use onyxfall_fleet::{
+    AnswerShape, AttemptResult, AwaySearch, AwayTable, CallNeeds, CallerLimits, ConfigVersion,
+    EngineLimits, FleetView, LocalOption, PromptPart, PromptSize, RepeatRule, RouteRule,
+    RouteTable, RouteTarget, ServerPhase, ServerRecord, ServiceLoad, VmPlace, WorkShare,
+};
+use onyxfall_policy::Moment;
+use onyxfall_types::{ServerId, VmName, name_tag};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+const ENGINE: EngineLimits = EngineLimits {
+    slots: 4,
+    memory_tokens: 40_000,
+};
+
+fn at(ms: u64) -> Moment {
+    Moment::from_duration(Duration::from_millis(ms))
+}
+
+fn view() -> FleetView {
+    let centers = [("c0", "r0"), ("c1", "r1")]
+        .into_iter()
+        .map(|(center, region)| (center.parse().unwrap(), region.parse().unwrap()))
+        .collect();
+    FleetView::new(VmPlace {
+        vm: "vm0".parse().unwrap(),
+        center: "c0".parse().unwrap(),
+        region: "r0".parse().unwrap(),
+        centers,
+    })
+}
+
+fn record(name: &str, center: &str, phase: ServerPhase) -> ServerRecord {
+    ServerRecord {
+        name: name.parse().unwrap(),
+        service: "svc".parse().unwrap(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        center: center.parse().unwrap(),
+        slots: 4,
+        phase,
+        cold_left: Duration::ZERO,
+    }
+}
+
+fn needs(shared: u64, input: u64) -> CallNeeds {
+    let part = |id, tokens| PromptPart { id, tokens };
+    CallNeeds {
+        service: "svc".parse().unwrap(),
+        engine: Some(ENGINE),
+        prompt: PromptSize {
+            parts: vec![part(1, shared), part(2, input - shared)],
+            input,
+            output: 100,
+        },
+        goal: Duration::from_secs(1),
+        home_regions: Vec::new(),
+    }
+}
+
+fn choose(view: &mut FleetView, needs: &CallNeeds, excluded: &[ServerId]) -> LocalOption {
+    view.choose(at(0), needs, excluded, &mut StdRng::seed_from_u64(1))
+}
+
+fn chosen(view: &mut FleetView, needs: &CallNeeds) -> ServerId {
+    match choose(view, needs, &[]) {
+        LocalOption::Free(choice) => choice.server,
+        other => panic!("no server: {other:?}"),
+    }
+}
+
+struct OptionCase {
+    name: &'static str,
+    prepare: fn(&mut FleetView),
+    homes: &'static [&'static str],
+    input: u64,
+    expected: fn(&LocalOption) -> bool,
+}
+
+#[test]
+fn only_servers_that_may_run_it_are_chosen() {
+    let is_none = |option: &LocalOption| *option == LocalOption::None;
+    let cases = [
+        OptionCase {
+            name: "a server of this region",
+            prepare: |view| view.put_server(at(0), record("s", "c0", ServerPhase::Ready), None),
+            homes: &[],
+            input: 1000,
+            expected: |option| matches!(option, LocalOption::Free(_)),
+        },
+        OptionCase {
+            name: "a server of another region",
+            prepare: |view| view.put_server(at(0), record("s", "c1", ServerPhase::Ready), None),
+            homes: &[],
+            input: 1000,
+            expected: is_none,
+        },
+        OptionCase {
+            name: "this region is no home",
+            prepare: |view| view.put_server(at(0), record("s", "c0", ServerPhase::Ready), None),
+            homes: &["r1"],
+            input: 1000,
+            expected: is_none,
+        },
+        OptionCase {
+            name: "a leaving server",
+            prepare: |view| {
+                let leaving = ServerPhase::Draining { left: None };
+                view.put_server(at(0), record("s", "c0", leaving), None);
+            },
+            homes: &[],
+            input: 1000,
+            expected: is_none,
+        },
+        OptionCase {
+            name: "a server that left after it was ready",
+            prepare: |view| {
+                view.put_server(at(0), record("s", "c0", ServerPhase::Ready), None);
+                view.remove_server("s");
+            },
+            homes: &[],
+            input: 1000,
+            expected: is_none,
+        },
+        OptionCase {
+            name: "an evacuated data centre",
+            prepare: |view| {
+                view.put_server(at(0), record("s", "c0", ServerPhase::Ready), None);
+                view.evacuate("c0".parse().unwrap());
+            },
+            homes: &[],
+            input: 1000,
+            expected: is_none,
+        },
+        OptionCase {
+            name: "a prompt beyond the server's memory",
+            prepare: |view| view.put_server(at(0), record("s", "c0", ServerPhase::Ready), None),
+            homes: &[],
+            input: 50_000,
+            expected: |option| *option == LocalOption::Full,
+        },
+        OptionCase {
+            name: "others have filled its slots",
+            prepare: |view| {
+                view.put_server(at(0), record("s", "c0", ServerPhase::Ready), None);
+                let id = view.find("s").unwrap();
+                let work = WorkShare {
+                    requests: 4,
+                    unread: 0,
+                    memory: 0,
+                };
+                view.server_mut(id)
+                    .set_others(&"vm1".parse().unwrap(), work);
+            },
+            homes: &[],
+            input: 1000,
+            expected: |option| *option == LocalOption::Full,
+        },
+    ];
+    for case in cases {
+        let mut view = view();
+        (case.prepare)(&mut view);
+        let mut needs = needs(500, case.input);
+        needs.home_regions = case
+            .homes
+            .iter()
+            .map(|home| home.parse().unwrap())
+            .collect();
+        let option = choose(&mut view, &needs, &[]);
+        assert!((case.expected)(&option), "{}: {option:?}", case.name);
+    }
+}
+
+#[test]
+fn a_shared_prefix_has_one_server_until_it_is_busy() {
+    let mut view = view();
+    for name in ["s0", "s1", "s2"] {
+        view.put_server(at(0), record(name, "c0", ServerPhase::Ready), None);
+    }
+    let needs = needs(5000, 6000);
+    let owner = chosen(&mut view, &needs);
+    for _ in 0..10 {
+        assert_eq!(chosen(&mut view, &needs), owner);
+    }
+    let busy = WorkShare {
+        requests: 1,
+        unread: 60_000,
+        memory: 0,
+    };
+    view.server_mut(owner)
+        .set_others(&"vm1".parse().unwrap(), busy);
+    assert_ne!(
+        chosen(&mut view, &needs),
+        owner,
+        "a busy server keeps the prefix"
+    );
+}
+
+#[test]
+fn the_last_server_is_never_ejected() {
+    let mut view = view();
+    view.put_server(at(0), record("s", "c0", ServerPhase::Ready), None);
+    let needs = needs(500, 1000);
+    for attempt in 0..20 {
+        let server = chosen(&mut view, &needs);
+        view.server_mut(server).start(at(0), attempt, &needs);
+        view.server_mut(server)
+            .end(at(0), attempt, AttemptResult::Broken);
+    }
+    chosen(&mut view, &needs);
+}
+
+#[test]
+fn work_is_booked_and_given_back() {
+    let mut view = view();
+    view.put_server(at(0), record("s", "c0", ServerPhase::Ready), None);
+    let needs = needs(500, 1000);
+    let id = view.find("s").unwrap();
+    view.server_mut(id).start(at(0), 1, &needs);
+    assert_eq!(
+        view.server(id).own_work(),
+        WorkShare {
+            requests: 1,
+            unread: 1000,
+            memory: 1100
+        }
+    );
+    view.server_mut(id).answer(at(5), 1);
+    assert_eq!(view.server(id).own_work().unread, 0, "the prompt is read");
+    view.server_mut(id).end(at(9), 1, AttemptResult::Succeeded);
+    assert_eq!(view.server(id).own_work(), WorkShare::default());
+}
+
+struct AwayCase {
+    name: &'static str,
+    /// Wait and usable servers of the VM in `r1`.
+    load: (u64, u32),
+    heard_ms: u64,
+    homes: &'static [&'static str],
+    excluded: &'static [&'static str],
+    goes: bool,
+}
+
+#[test]
+fn only_a_region_that_may_and_can_is_named() {
+    let usual = AwayCase {
+        name: "a free region",
+        load: (60, 2),
+        heard_ms: 0,
+        homes: &[],
+        excluded: &[],
+        goes: true,
+    };
+    let cases = [
+        AwayCase {
+            name: "no usable server",
+            load: (60, 0),
+            goes: false,
+            ..usual
+        },
+        AwayCase {
+            name: "not heard of lately",
+            heard_ms: 9000,
+            goes: false,
+            ..usual
+        },
+        AwayCase {
+            name: "no home",
+            homes: &["r0"],
+            goes: false,
+            ..usual
+        },
+        AwayCase {
+            name: "a home",
+            homes: &["r1"],
+            ..usual
+        },
+        AwayCase {
+            name: "tried before",
+            excluded: &["vm1"],
+            goes: false,
+            ..usual
+        },
+        usual,
+    ];
+    let (own, vm): (_, VmName) = ("r0".parse().unwrap(), "vm1".parse().unwrap());
+    for case in cases {
+        let mut table = AwayTable::default();
+        let load = ServiceLoad {
+            wait: Duration::from_millis(case.load.0),
+            usable: case.load.1,
+        };
+        let loads = BTreeMap::from([(name_tag("svc"), load)]);
+        table.hear(at(0), &vm, &"r1".parse().unwrap(), loads);
+        let mut needs = needs(500, 1000);
+        needs.home_regions = case
+            .homes
+            .iter()
+            .map(|home| home.parse().unwrap())
+            .collect();
+        let excluded: Vec<VmName> = case.excluded.iter().map(|vm| vm.parse().unwrap()).collect();
+        let search = AwaySearch {
+            needs: &needs,
+            service_tag: name_tag("svc"),
+            own_region: &own,
+            prefix_home: None,
+            excluded: &excluded,
+        };
+        let found = table.best(at(case.heard_ms), &search);
+        assert_eq!(found.is_some(), case.goes, "{}", case.name);
+    }
+}
+
+#[test]
+fn work_sent_away_counts_as_much_as_it_is() {
+    let (own, vm): (_, VmName) = ("r0".parse().unwrap(), "vm1".parse().unwrap());
+    let mut table = AwayTable::default();
+    let load = ServiceLoad {
+        wait: Duration::from_millis(30),
+        usable: 2,
+    };
+    let tags = [name_tag("svc"), name_tag("other")];
+    table.hear(
+        at(0),
+        &vm,
+        &"r1".parse().unwrap(),
+        tags.map(|tag| (tag, load)).into(),
+    );
+    let mut plain = needs(500, 1000);
+    plain.engine = None;
+    let best = |table: &AwayTable, needs: &CallNeeds, tag| {
+        let search = AwaySearch {
+            needs,
+            service_tag: tag,
+            own_region: &own,
+            prefix_home: None,
+            excluded: &[],
+        };
+        table.best(at(0), &search).unwrap()
+    };
+    let before = best(&table, &plain, tags[0]);
+    for _ in 0..30 {
+        let option = best(&table, &plain, tags[0]);
+        table.note_sent(&option, tags[0]);
+    }
+    let after = best(&table, &plain, tags[0]);
+    // Thirty requests of 5 ms over two servers.
+    assert_eq!(
+        after.predicted,
+        before.predicted + Duration::from_millis(75)
+    );
+    assert_eq!(
+        best(&table, &plain, tags[1]).predicted,
+        before.predicted,
+        "another service"
+    );
+}
+
+fn rule(path_prefix: &str, homes: &[&str]) -> RouteRule {
+    RouteRule {
+        name: "r".parse().unwrap(),
+        host: "a.example".to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        repeat: RepeatRule::Once,
+        shape: AnswerShape::Whole,
+        timeout: Duration::from_secs(1),
+        goal: Duration::from_secs(1),
+        priority: 0,
+        targets: vec![RouteTarget {
+            service: "svc".parse().unwrap(),
+            weight: 1,
+        }],
+        max_attempts: 1,
+        home_regions: homes.iter().map(|home| home.parse().unwrap()).collect(),
+    }
+}
+
+fn table(rules: Vec<RouteRule>) -> RouteTable {
+    let limits = CallerLimits {
+        max_head: 1,
+        max_body: 1,
+        idle: Duration::ZERO,
+    };
+    RouteTable::new(ConfigVersion(1), rules, Vec::new(), limits)
+}
+
+#[test]
+fn the_longest_prefix_takes_a_path() {
+    let table = table(vec![rule("/a/", &[]), rule("/a/b/", &[]), rule("/", &[])]);
+    let cases = [("/a/b/c", "/a/b/"), ("/a/bc", "/a/"), ("/x", "/")];
+    for (path, prefix) in cases {
+        let found = table.find("a.example", path).unwrap();
+        assert_eq!(found.path_prefix, prefix, "{path}");
+    }
+    assert!(table.find("b.example", "/a/").is_none());
+}
+
+#[test]
+fn homes_of_a_host_are_those_of_most_routes() {
+    let rules = vec![
+        rule("/a/", &["r0", "r1"]),
+        rule("/b/", &["r1"]),
+        rule("/c/", &["r2"]),
+        rule("/d/", &[]),
+    ];
+    let homes = table(rules).homes_of_host("a.example");
+    assert_eq!(homes, vec!["r1".parse().unwrap()]);
+    assert!(
+        table(vec![rule("/a/", &[])])
+            .homes_of_host("a.example")
+            .is_empty()
+    );
+}
+
+#[test]
+fn a_split_follows_its_weights_and_repeats_its_choice() {
+    let mut split = rule("/a/", &[]);
+    let target = |service: &str, weight| RouteTarget {
+        service: service.parse().unwrap(),
+        weight,
+    };
+    split.targets = vec![target("one", 90), target("two", 10)];
+    let ids: Vec<String> = (0..2000).map(|number| format!("id{number}")).collect();
+    let twos = ids
+        .iter()
+        .filter(|id| split.service_for(id).as_str() == "two")
+        .count();
+    assert!((100..300).contains(&twos), "{twos} of 2000 at a tenth");
+    assert!(
+        ids.iter()
+            .all(|id| split.service_for(id) == split.service_for(id))
+    );
+}
--- /dev/null
+++ b/crates/fleet/tests/mirror.rs
@@ -0,0 +1,125 @@
+//! The copy of the store, in tables of cases.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use onyxfall_fleet::{
+    MirrorChange, RETURN_WINDOW, StoreEvent, StoreHealth, StoreItem, StoreMirror,
+};
+use onyxfall_policy::Moment;
+
+fn at(ms: u64) -> Moment {
+    Moment::from_duration(Duration::from_millis(ms))
+}
+
+fn item(key: &str, revision: u64) -> StoreItem {
+    StoreItem {
+        key: key.to_owned(),
+        value: Bytes::from(revision.to_string()),
+        revision,
+    }
+}
+
+fn set(key: &str, revision: u64) -> MirrorChange {
+    MirrorChange::Set(key.to_owned(), Bytes::from(revision.to_string()))
+}
+
+fn removed(key: &str) -> MirrorChange {
+    MirrorChange::Removed(key.to_owned())
+}
+
+struct NewsCase {
+    name: &'static str,
+    event: StoreEvent,
+    health: StoreHealth,
+    /// What it means at once.
+    changes: Vec<MirrorChange>,
+    /// What it means when the return window is over.
+    later: Vec<MirrorChange>,
+}
+
+#[test]
+fn news_is_taken_by_revision_and_health() {
+    let deletion = |revision| StoreEvent::Delete {
+        key: "a".to_owned(),
+        revision,
+    };
+    let cases = [
+        NewsCase {
+            name: "a newer value",
+            event: StoreEvent::Put(item("a", 6)),
+            health: StoreHealth::Steady,
+            changes: vec![set("a", 6)],
+            later: vec![],
+        },
+        NewsCase {
+            name: "an older value",
+            event: StoreEvent::Put(item("a", 4)),
+            health: StoreHealth::Steady,
+            changes: vec![],
+            later: vec![],
+        },
+        NewsCase {
+            name: "a deletion in steady times",
+            event: deletion(6),
+            health: StoreHealth::Steady,
+            changes: vec![removed("a")],
+            later: vec![],
+        },
+        NewsCase {
+            name: "a deletion after an outage counts when its owner stays away",
+            event: deletion(6),
+            health: StoreHealth::Returned,
+            changes: vec![],
+            later: vec![removed("a")],
+        },
+        NewsCase {
+            name: "a deletion of an older life of the key",
+            event: deletion(4),
+            health: StoreHealth::Steady,
+            changes: vec![],
+            later: vec![],
+        },
+    ];
+    for case in cases {
+        let mut mirror = StoreMirror::default();
+        mirror.replace(at(0), "", vec![item("a", 5)], 5, StoreHealth::Steady);
+        let changes = mirror.apply(at(10), vec![case.event], case.health);
+        assert_eq!(changes, case.changes, "{}: at once", case.name);
+        let later = mirror.expire(at(10) + RETURN_WINDOW);
+        assert_eq!(later, case.later, "{}: later", case.name);
+    }
+}
+
+#[test]
+fn an_owner_that_returns_keeps_its_item() {
+    let mut mirror = StoreMirror::default();
+    mirror.replace(at(0), "", vec![item("a", 5)], 5, StoreHealth::Steady);
+    mirror.replace(at(10), "", vec![], 7, StoreHealth::Returned);
+    assert!(
+        mirror.snapshot().is_empty(),
+        "a missing item is not passed on"
+    );
+    let back = StoreEvent::Put(item("a", 8));
+    mirror.apply(at(500), vec![back], StoreHealth::Returned);
+    assert_eq!(mirror.expire(at(10) + RETURN_WINDOW), vec![]);
+    assert_eq!(mirror.snapshot(), vec![item("a", 8)]);
+}
+
+#[test]
+fn equal_copies_have_equal_hashes() {
+    let mut read = StoreMirror::default();
+    let items = vec![item("a", 5), item("b", 6)];
+    read.replace(at(0), "", items, 6, StoreHealth::Steady);
+    let mut watched = StoreMirror::default();
+    for event in [item("b", 4), item("a", 5), item("b", 6)] {
+        watched.apply(at(0), vec![StoreEvent::Put(event)], StoreHealth::Steady);
+    }
+    assert_eq!(read.hash(), watched.hash());
+    watched.apply(
+        at(1),
+        vec![StoreEvent::Put(item("b", 7))],
+        StoreHealth::Steady,
+    );
+    assert_ne!(read.hash(), watched.hash());
+}
--- /dev/null
+++ b/crates/fleet/tests/shares.rs
@@ -0,0 +1,95 @@
+//! Limits that all VMs share are never exceeded in sum, whatever each VM sees.
+
+use std::time::Duration;
+
+use onyxfall_fleet::{BudgetLimits, ColdShare, LEAST_VMS, RetryShare, SENDERS, is_cold_sender};
+use onyxfall_policy::Moment;
+use onyxfall_types::{ServerName, VmName};
+use proptest::prelude::*;
+
+const WINDOW: Duration = Duration::from_secs(10);
+/// What the platform allows a cold server beyond its rate in one second: half of
+/// the rate and three requests.
+const COLD_OVER: f64 = 1.5;
+const COLD_SLACK: f64 = 3.0;
+
+fn at(ms: u64) -> Moment {
+    Moment::from_duration(Duration::from_millis(ms))
+}
+
+fn vm(number: usize) -> VmName {
+    format!("vm{number}").parse().unwrap()
+}
+
+proptest! {
+    /// Repeats of all VMs in any window, against firsts of all VMs in it or in the
+    /// windows before, with VMs that know too few others.
+    #[test]
+    fn repeats_stay_within_the_budget(
+        vms in 1_usize..12,
+        missed in 0_usize..3,
+        extra in 0_u32..200,
+        steps in prop::collection::vec((0_u64..60, 0_usize..12, any::<bool>()), 1..600),
+    ) {
+        let limits = BudgetLimits { ratio: 0.2, extra: f64::from(extra), window: WINDOW };
+        let mut shares = vec![RetryShare::default(); vms];
+        let known = vms.saturating_sub(missed).max(1);
+        let (mut now, mut firsts, mut repeats) = (0, Vec::new(), Vec::new());
+        for (pause, who, is_first) in steps {
+            now += pause;
+            let share = &mut shares[who % vms];
+            if is_first {
+                share.note_first(at(now));
+                firsts.push(now);
+            } else if share.try_repeat(at(now), &limits, known) {
+                repeats.push(now);
+            }
+        }
+        let window = u64::try_from(WINDOW.as_millis()).unwrap();
+        let within = |times: &[u64], end: u64| {
+            times.iter().filter(|time| **time <= end && **time + window >= end).count() as f64
+        };
+        // Views that miss VMs overdraw the fixed part by their number at most;
+        // the part of the budget that is left unused covers one in five.
+        let divisor = known.max(LEAST_VMS) as f64;
+        let overdrawn = (vms as f64 / divisor).max(1.0);
+        for end in &repeats {
+            let allowed = limits.ratio * within(&firsts, *end) + limits.extra * overdrawn;
+            prop_assert!(within(&repeats, *end) <= allowed.max(0.0));
+        }
+    }
+
+    /// Arrivals at a cold server in one second stay within its bound while at
+    /// most one VM beyond the senders takes itself for one.
+    #[test]
+    fn a_cold_server_is_spared(
+        rate in 1.0_f64..20.0,
+        vms in 1_usize..9,
+        hidden in 0_usize..9,
+        viewer in 0_usize..9,
+    ) {
+        let server: ServerName = "s".parse().unwrap();
+        let all: Vec<VmName> = (0..vms).map(vm).collect();
+        let senders: Vec<bool> = (0..vms)
+            .map(|own| {
+                // One VM does not see one of the others.
+                let seen: Vec<VmName> = all
+                    .iter()
+                    .enumerate()
+                    .filter(|(other, _)| own != viewer || *other != hidden)
+                    .map(|(_, name)| name.clone())
+                    .collect();
+                is_cold_sender(&server, &all[own], &seen)
+            })
+            .collect();
+        prop_assert!(senders.iter().filter(|sends| **sends).count() <= SENDERS + 1);
+        let mut arrivals = 0;
+        for _ in senders.iter().filter(|sends| **sends) {
+            let mut share = ColdShare::new(at(0), rate);
+            for ms in 0..1000 {
+                arrivals += u32::from(share.try_take(at(ms)));
+            }
+        }
+        prop_assert!(f64::from(arrivals) <= rate * COLD_OVER + COLD_SLACK);
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/support/mod.rs
@@ -0,0 +1,325 @@
+//! A small site of stand-ins around real gateway processes, each on loopback
+//! addresses of its own.
+#![allow(dead_code)]
+
+use std::fmt::Write as _;
+use std::fs;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use onyxfall_adapter::standin::{
+    RouteShape, RouteText, caller_headers, config_key, document_body, server_body, server_key,
+};
+use onyxfall_fakes::{ServerStandIn, StoreStandIn};
+use onyxfall_fleet::{ServerPhase, ServerRecord};
+
+pub const HOST: &str = "a.example";
+pub const SERVICE: &str = "svc";
+/// Longest time for a site to get ready; generous, since machines are shared.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+const LOOK: Duration = Duration::from_millis(20);
+const CALL_LIMIT: Duration = Duration::from_secs(20);
+
+static NEXT_SITE: AtomicU32 = AtomicU32::new(1);
+
+/// Ports of a gateway; the same on every VM of a site.
+#[derive(Clone, Copy, Debug)]
+pub struct Ports {
+    pub callers: u16,
+    pub ready: u16,
+    pub directory: u16,
+    pub peers: u16,
+    pub relay: u16,
+}
+
+/// Loopback addresses that no other test uses, and ports that are free on them.
+pub struct Site {
+    pub store: StoreStandIn,
+    pub ports: Ports,
+    ips: Vec<Ipv4Addr>,
+    dir: PathBuf,
+}
+
+pub struct Gateway {
+    pub ip: Ipv4Addr,
+    pub ports: Ports,
+    pub child: Child,
+}
+
+impl Site {
+    pub fn start(vms: u8) -> Self {
+        let number = NEXT_SITE.fetch_add(1, Ordering::SeqCst);
+        let process = std::process::id();
+        let [_, _, high, low] = process.to_be_bytes();
+        let base = u8::try_from(number % 60).unwrap() * 4;
+        let ips: Vec<Ipv4Addr> = (0..vms)
+            .map(|vm| Ipv4Addr::new(127, 64 + (high % 64), low, base + vm + 1))
+            .collect();
+        let store = StoreStandIn::start(IpAddr::V4(ips[0])).unwrap();
+        let dir = std::env::temp_dir().join(format!("onyxfall-test-{process}-{number}"));
+        fs::create_dir_all(&dir).unwrap();
+        let ports = free_ports(&ips);
+        Self {
+            store,
+            ports,
+            ips,
+            dir,
+        }
+    }
+
+    pub fn ip(&self, vm: usize) -> IpAddr {
+        IpAddr::V4(self.ips[vm])
+    }
+
+    /// Writes the configuration with every kind of route.
+    pub fn configure(&self, version: u64) {
+        let route = |path_prefix, shape| RouteText {
+            host: HOST,
+            path_prefix,
+            shape,
+            service: SERVICE,
+            timeout: Duration::from_secs(3),
+            home_regions: &[],
+        };
+        let routes = [
+            route("/once/", RouteShape::Once),
+            route("/repeat/", RouteShape::Repeatable),
+            route("/stream/", RouteShape::Stream),
+            route("/stream/resume/", RouteShape::ResumableStream),
+        ];
+        let body = document_body(version, &routes, &[SERVICE]);
+        self.store.put(config_key(), body);
+    }
+
+    /// Announces a server of the data centre of a VM.
+    pub fn announce(&self, name: &str, server: &ServerStandIn, vm: usize) {
+        self.announce_as(name, server.address(), vm, ServerPhase::Ready);
+    }
+
+    pub fn announce_as(&self, name: &str, address: SocketAddr, vm: usize, phase: ServerPhase) {
+        let record = ServerRecord {
+            name: name.parse().unwrap(),
+            service: SERVICE.parse().unwrap(),
+            address,
+            center: format!("c{vm}").parse().unwrap(),
+            slots: 8,
+            phase,
+            cold_left: Duration::ZERO,
+        };
+        self.store.put(&server_key(name), server_body(&record));
+    }
+
+    /// Starts the gateway of a VM; each VM has a region of its own.
+    pub fn gateway(&self, vm: usize) -> Gateway {
+        self.gateway_with_store(vm, self.store.address())
+    }
+
+    pub fn gateway_with_store(&self, vm: usize, store: SocketAddr) -> Gateway {
+        let file = self.dir.join(format!("vm{vm}.ini"));
+        fs::write(&file, self.settings(vm, store)).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_onyxfall-gateway"))
+            .arg("--settings")
+            .arg(&file)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        Gateway {
+            ip: self.ips[vm],
+            ports: self.ports,
+            child,
+        }
+    }
+
+    fn settings(&self, vm: usize, store: SocketAddr) -> String {
+        let (ip, ports) = (self.ips[vm], self.ports);
+        let seeds: Vec<String> = self
+            .ips
+            .iter()
+            .map(|ip| format!("{ip}:{}", ports.peers))
+            .collect();
+        let mut centers = String::new();
+        for n in 0..self.ips.len() {
+            let _ = writeln!(centers, "[center c{n}]\nregion = r{n}");
+        }
+        format!(
+            "[vm]\nname = vm{vm}\ncenter = c{vm}\n\
+             [listen]\ncallers = {ip}:{}\nready = {ip}:{}\ndirectory = {ip}:{}\n\
+             peers = {ip}:{}\npeer-ports = {},{}\n\
+             [peers]\nseeds = {}\n[store]\naddress = {store}\n\
+             [bounds]\nstop-grace-s = 3\nretry-ratio = 1\nretry-extra = 100\n{centers}",
+            ports.callers,
+            ports.ready,
+            ports.directory,
+            ports.peers,
+            ports.relay,
+            ports.relay,
+            seeds.join(","),
+        )
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+fn free_ports(ips: &[Ipv4Addr]) -> Ports {
+    let mut found = Vec::new();
+    while found.len() < 5 {
+        let probe = TcpListener::bind((ips[0], 0)).unwrap();
+        let port = probe.local_addr().unwrap().port();
+        let others: Vec<_> = ips[1..]
+            .iter()
+            .map(|ip| TcpListener::bind((*ip, port)))
+            .collect();
+        if others.iter().all(Result::is_ok) && !found.contains(&port) {
+            found.push(port);
+        }
+    }
+    Ports {
+        callers: found[0],
+        ready: found[1],
+        directory: found[2],
+        peers: found[3],
+        relay: found[4],
+    }
+}
+
+impl Gateway {
+    pub fn callers(&self) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.ip), self.ports.callers)
+    }
+
+    pub fn ready(&self) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.ip), self.ports.ready)
+    }
+
+    pub fn directory(&self) -> SocketAddr {
+        SocketAddr::new(IpAddr::V4(self.ip), self.ports.directory)
+    }
+
+    pub fn is_ready(&self) -> bool {
+        let reply = get(self.ready(), onyxfall_adapter::READY_PATH);
+        reply.is_some_and(|reply| reply.status == StatusCode::OK)
+    }
+
+    pub fn wait_ready(&self) {
+        wait_for("a gateway to be ready", || self.is_ready());
+    }
+
+    /// Waits until a request is served, so that servers and peers are known.
+    pub fn wait_served(&self) {
+        wait_for("a request to be served", || {
+            let reply = call(self.callers(), "/repeat/first", "first");
+            reply.is_some_and(|reply| reply.status == StatusCode::OK)
+        });
+    }
+
+    pub fn signal(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args([signal, &pid]).status().unwrap();
+        assert!(status.success());
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub fn wait_for(what: &str, mut done: impl FnMut() -> bool) {
+    let until = Instant::now() + READY_LIMIT;
+    while !done() {
+        assert!(Instant::now() < until, "waited in vain for {what}");
+        thread::sleep(LOOK);
+    }
+}
+
+/// An answer as a caller sees it.
+#[derive(Debug)]
+pub struct Reply {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    /// Whether the body broke off.
+    pub broken: bool,
+}
+
+impl Reply {
+    pub fn text(&self) -> &str {
+        std::str::from_utf8(&self.body).unwrap()
+    }
+}
+
+/// Sends a request as a caller does; none if the connection brought no answer.
+pub fn call(address: SocketAddr, path: &str, id: &str) -> Option<Reply> {
+    let headers = caller_headers(HOST, id, Duration::from_secs(3));
+    send(
+        address,
+        Method::POST,
+        path,
+        headers,
+        Bytes::from_static(b"body"),
+    )
+}
+
+pub fn get(address: SocketAddr, path: &str) -> Option<Reply> {
+    send(address, Method::GET, path, HeaderMap::new(), Bytes::new())
+}
+
+fn runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap()
+}
+
+pub fn send(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Option<Reply> {
+    runtime().block_on(async {
+        let sent = tokio::time::timeout(CALL_LIMIT, async {
+            let stream = tokio::net::TcpStream::connect(address).await.ok()?;
+            let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+            tokio::spawn(connection);
+            let mut request = Request::new(Full::new(body));
+            *request.method_mut() = method;
+            *request.uri_mut() = path.parse().unwrap();
+            *request.headers_mut() = headers;
+            let response = sender.send_request(request).await.ok()?;
+            let (head, mut body) = response.into_parts();
+            let mut bytes = Vec::new();
+            let mut broken = false;
+            while let Some(frame) = body.frame().await {
+                let Ok(frame) = frame else {
+                    broken = true;
+                    break;
+                };
+                bytes.extend_from_slice(&frame.into_data().unwrap_or_default());
+            }
+            Some(Reply {
+                status: head.status,
+                headers: head.headers,
+                body: Bytes::from(bytes),
+                broken,
+            })
+        });
+        sent.await.expect("a call took too long")
+    })
+}
