--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -19,7 +19,7 @@
 const MAX_ADDRESSES: usize = 64;
 /// How long callers may keep an answer: short, so that a VM that dies is soon
 /// left; the settings' bound is the upper end.
-const DIRECTORY_TTL: std::time::Duration = std::time::Duration::from_secs(2);
+const DIRECTORY_TTL: std::time::Duration = std::time::Duration::from_secs(1);
 
 /// Answers on the ports for status and directory.
 pub(crate) fn handle_directory(gateway: &Gateway, target: &Uri) -> Response<ReplyBody> {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -44,7 +44,7 @@
 const RETRY_AFTER_RANGE: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(900));
 /// Silence after which another VM is suspected: a few heartbeats.
-const SUSPECT_AFTER: Duration = Duration::from_millis(2500);
+const SUSPECT_AFTER: Duration = Duration::from_millis(1300);
 const GONE_AFTER: Duration = Duration::from_secs(6);
 const FORGET_AFTER: Duration = Duration::from_mins(2);
 
