--- a/crates/fleet/src/choose.rs
+++ b/crates/fleet/src/choose.rs
@@ -22,7 +22,7 @@
 const AFFINITY_COST: Duration = Duration::from_millis(25);
 /// Part of the goal up to which a prefix's own server is taken at once. A first
 /// token gains nothing by coming earlier; the rest covers what a prediction errs.
-const OWNER_PART: f64 = 0.5;
+const OWNER_PART: f64 = 0.62;
 /// Cost of a cold server, so that it gets work only when others are busy.
 const COLD_COST: Duration = Duration::from_millis(150);
 /// Spread of the random part that keeps VMs with the same view apart.
