Keep connections to servers longer, and in the pool until they are ready

Now 40 s without a limit of the server's, 0.9 of its limit else; a request that may not be repeated takes only one that has rested for under 5 s, since older ones may have been forgotten.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,6 +21,7 @@
 use crate::connection::{HttpConnection, SendError};
 use crate::gateway::Gateway;
 use crate::open::OpenAttempt;
+use crate::pool::ConnectionChoice;
 use crate::relay::{PeerTarget, read_verdict, set_relay_headers};
 
 /// Largest body of a refusal that is read so that its connection can be kept.
@@ -236,7 +237,12 @@
 ) -> Result<(HttpConnection, Response<Incoming>), ExchangeFailure> {
     let limit = call.time_left();
     let exchanged = tokio::time::timeout(limit, async {
-        while let Some(mut kept) = gateway.pool.take(address) {
+        let choice = if call.rules.repeatable {
+            ConnectionChoice::Any
+        } else {
+            ConnectionChoice::Proven
+        };
+        while let Some(mut kept) = gateway.pool.take(address, choice) {
             match kept.send(make()).await {
                 Ok(response) => return Ok((kept, response)),
                 // The other side had closed it; nothing was written.
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -95,6 +95,11 @@
         self.sender.is_ready()
     }
 
+    /// Whether either side has closed it.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Sends a request and waits for the head of the answer.
     pub(crate) async fn send(
         &mut self,
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -10,17 +10,33 @@
 
 use crate::connection::HttpConnection;
 
-/// How long an idle connection is kept where the other side names no limit.
-const DEFAULT_IDLE: Duration = Duration::from_secs(8);
+/// How long an idle connection is kept where the other side names no limit: new
+/// connections to servers are dear, and a closed one is noticed.
+const DEFAULT_IDLE: Duration = Duration::from_secs(40);
 /// Part of the other side's limit that is used, so that a request does not
 /// cross its close.
-const IDLE_PART: f64 = 0.7;
+const IDLE_PART: f64 = 0.9;
+
+/// Longest rest of a connection that a request which may not be repeated uses: a
+/// server may have forgotten an older one without notice, and such a request
+/// would be lost with it.
+const SAFE_REST: Duration = Duration::from_secs(5);
 
 struct IdleConnection {
     connection: HttpConnection,
+    since: Instant,
     until: Instant,
 }
 
+/// Which kept connections will do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectionChoice {
+    /// Any that is open.
+    Any,
+    /// Only one that has served lately.
+    Proven,
+}
+
 /// The kept connections.
 #[derive(Default)]
 pub(crate) struct ConnectionPool {
@@ -29,15 +45,20 @@
 
 impl ConnectionPool {
     /// Takes a kept connection that can send at once.
-    pub(crate) fn take(&self, address: SocketAddr) -> Option<HttpConnection> {
+    pub(crate) fn take(
+        &self,
+        address: SocketAddr,
+        choice: ConnectionChoice,
+    ) -> Option<HttpConnection> {
+        let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&address)?;
-        while let Some(entry) = kept.pop() {
-            if entry.connection.is_ready() && Instant::now() < entry.until {
-                return Some(entry.connection);
-            }
+        kept.retain(|entry| !entry.connection.is_closed() && now < entry.until);
+        let newest = kept.iter().rposition(|entry| entry.connection.is_ready())?;
+        if choice == ConnectionChoice::Proven && now - kept[newest].since > SAFE_REST {
+            return None;
         }
-        None
+        Some(kept.remove(newest).connection)
     }
 
     /// Keeps a connection whose last answer is whole; `limit` is what the other
@@ -49,9 +70,11 @@
         limit: Option<Duration>,
     ) {
         let kept_for = limit.map_or(DEFAULT_IDLE, |limit| limit.mul_f64(IDLE_PART));
+        let now = Instant::now();
         let entry = IdleConnection {
             connection,
-            until: Instant::now() + kept_for,
+            since: now,
+            until: now + kept_for,
         };
         self.idle
             .borrow_mut()
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -95,6 +95,7 @@
             }
             Some(whole) => {
                 progress.last_cause = "the server failed";
+                tell_failed_attempt(call, &progress);
                 fallback = Some(whole);
             }
             None => progress.last_cause = "the answer broke off",
@@ -187,6 +188,11 @@
             progress.runs += 1;
         }
     }
+    tell_failed_attempt(call, progress);
+    check_repeat(gateway, call, progress)
+}
+
+fn tell_failed_attempt(call: &SharedCall, progress: &CallProgress) {
     log::info!(
         request = call.request_id.as_str(),
         target = progress.last_target.as_str(),
@@ -195,7 +201,6 @@
         cause = progress.last_cause;
         "attempt failed"
     );
-    check_repeat(gateway, call, progress)
 }
 
 /// Whether the request may be sent once more; takes it from the retry budget.
