Tell a request's story from its id: onyxfall explain, decisions with their inputs in the log

Lines now name what a decision compared (sent away: goal, local, away, unread shared tokens; refused: the best server's time). The module of a line is 'module'; 'target' is where a request went.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -252,12 +252,27 @@
             let unread = server.unread_shared(now, &call.needs.prompt);
             let (goal, local) = (call.needs.goal, choice.predicted);
             if goes_away(goal, local, unread, away.predicted, away.holds_prefix) {
+                log::info!(
+                    request = call.request_id.as_str(),
+                    target = away.vm.as_str(),
+                    goal_ms = millis(goal),
+                    local_ms = millis(local),
+                    away_ms = millis(away.predicted),
+                    unread_shared = unread,
+                    holds_prefix = away.holds_prefix;
+                    "sent away"
+                );
                 return self.send_away(call, away);
             }
         }
         if is_too_late(call, choice.predicted) {
             let after = choice.predicted.saturating_sub(call.needs.goal / 2);
-            return RouteStep::Refuse(overloaded("no server can answer in time", after));
+            let detail = format!(
+                "no server can answer in time: the best one after {} ms, the goal is {} ms",
+                millis(choice.predicted),
+                millis(call.needs.goal),
+            );
+            return RouteStep::Refuse(overloaded(&detail, after));
         }
         RouteStep::Server(ServerTarget {
             id: choice.server,
--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -50,7 +50,7 @@
     let level = record.level().as_str().to_ascii_lowercase();
     fields.0.insert("level".to_owned(), json!(level));
     fields.0.insert("program".to_owned(), json!(program));
-    fields.0.insert("target".to_owned(), json!(record.target()));
+    fields.0.insert("module".to_owned(), json!(record.target()));
     fields.0.insert("message".to_owned(), json!(message));
     if record.key_values().visit(&mut fields).is_err() {
         fields.0.insert("fields".to_owned(), json!("incomplete"));
--- a/crates/logging/src/writer.rs
+++ b/crates/logging/src/writer.rs
@@ -73,7 +73,7 @@
         }
         let left_out = ration.take_left_out();
         if left_out > 0 {
-            let note = format!("{{\"target\":\"log\",\"left_out\":{left_out}}}");
+            let note = format!("{{\"module\":\"log\",\"left_out\":{left_out}}}");
             if self.items.try_send(QueueItem::Line(note)).is_err() {
                 (0..left_out).for_each(|_| ration.note_lost());
             }
--- a/crates/operator/src/main.rs
+++ b/crates/operator/src/main.rs
@@ -9,7 +9,7 @@
 use miette::{IntoDiagnostic, Report, WrapErr, miette};
 use onyxfall_bundle::{ContentDigest, HeadRecord, SigningSecret};
 use onyxfall_logging::{LogSink, start_logging};
-use onyxfall_operator::{OperatorContext, RollPlan, load_operator_settings};
+use onyxfall_operator::{OperatorContext, RequestStory, RollPlan, load_operator_settings};
 use onyxfall_platform::PlatformClient;
 use onyxfall_types::RegionName;
 
@@ -36,6 +36,7 @@
     Drain(DrainCommand),
     Undrain(UndrainCommand),
     Status(StatusCommand),
+    Explain(ExplainCommand),
 }
 
 /// make an operator's key pair
@@ -123,6 +124,19 @@
 #[argh(subcommand, name = "status")]
 struct StatusCommand {}
 
+/// tell the story of one request from log files, or from standard input
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+struct ExplainCommand {
+    /// id of the request, as the caller or a log line names it
+    #[argh(positional)]
+    request: String,
+
+    /// log files of the VMs; standard input if there are none
+    #[argh(positional)]
+    logs: Vec<PathBuf>,
+}
+
 fn main() -> ExitCode {
     let arguments: OperatorArguments = argh::from_env();
     start_logging("onyxfall", log::LevelFilter::Warn, LogSink::Stderr);
@@ -144,6 +158,7 @@
             println!("{bundle}\ncontent {}", ContentDigest::of(&canonical));
             Ok(())
         }
+        OperatorCommand::Explain(command) => explain(command),
         command => run_stored(command, &open_context(&arguments.settings)?),
     }
 }
@@ -179,13 +194,35 @@
             println!("the drain of {} is taken back", command.name);
         }
         OperatorCommand::Status(_) => print_head(&context.head()?),
-        OperatorCommand::Keygen(_) | OperatorCommand::Check(_) => {
+        OperatorCommand::Keygen(_) | OperatorCommand::Check(_) | OperatorCommand::Explain(_) => {
             unreachable!("handled without the platform")
         }
     }
     Ok(())
 }
 
+fn explain(command: &ExplainCommand) -> Result<(), Report> {
+    let mut story = RequestStory::default();
+    for log in &command.logs {
+        let name = log.display().to_string();
+        let file = std::fs::File::open(log)
+            .into_diagnostic()
+            .wrap_err_with(|| name.clone())?;
+        let lines = std::io::BufReader::new(file);
+        let read = story.read(&name, &command.request, lines);
+        read.into_diagnostic().wrap_err(name)?;
+    }
+    if command.logs.is_empty() {
+        let lines = std::io::stdin().lock();
+        story.read("-", &command.request, lines).into_diagnostic()?;
+    }
+    if story.is_empty() {
+        return Err(miette!("no line speaks of request {}", command.request));
+    }
+    print!("{story}");
+    Ok(())
+}
+
 fn read(path: &Path) -> Result<(String, String), Report> {
     let file = path.display().to_string();
     let text = std::fs::read_to_string(path)
