--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -36,6 +36,10 @@
 /// Part of the goal for which a request waits for a usable server; a refusal
 /// later than a quarter of the goal counts as late.
 const PATIENCE_PART: f64 = 0.22;
+/// Age up to which a VM may not have heard of the other regions yet, and the
+/// part of the goal for which requests wait there: what waits is then served.
+const YOUNG: Duration = Duration::from_millis(1500);
+const YOUNG_PATIENCE_PART: f64 = 0.6;
 /// Part of the goal up to which an expected first byte is worth its work. A late
 /// answer earns a third and makes others late; a refusal at once lets the caller
 /// come back. Chosen by trials on the bench: 0.4 to 1.6.
@@ -234,7 +238,7 @@
             (LocalOption::Full, None) => {
                 RouteStep::Refuse(overloaded("every server is full", call.needs.goal / 2))
             }
-            (LocalOption::Resting | LocalOption::None, None) => wait_or_refuse(call),
+            (LocalOption::Resting | LocalOption::None, None) => self.wait_or_refuse(call),
         }
     }
 
@@ -282,6 +286,20 @@
         })
     }
 
+    /// Waits for a server while the caller's patience lasts.
+    fn wait_or_refuse(&self, call: &CallContext) -> RouteStep {
+        let part = if self.started.elapsed() < YOUNG {
+            YOUNG_PATIENCE_PART
+        } else {
+            PATIENCE_PART
+        };
+        let patience = call.needs.goal.mul_f64(part);
+        if call.age() + LOOK_AGAIN < patience {
+            return RouteStep::Later(LOOK_AGAIN);
+        }
+        RouteStep::Refuse(overloaded("no server is usable", call.needs.goal / 2))
+    }
+
     fn send_away(&self, call: &CallContext, away: AwayOption) -> RouteStep {
         let tag = name_tag(call.needs.service.as_str());
         self.away.borrow_mut().note_sent(&away, tag);
@@ -482,15 +500,6 @@
     RequestError::not_run(RefusalReason::Overloaded, detail).with_retry_after(after)
 }
 
-/// Waits for a server while the caller's patience lasts.
-fn wait_or_refuse(call: &CallContext) -> RouteStep {
-    let patience = call.needs.goal.mul_f64(PATIENCE_PART);
-    if call.age() + LOOK_AGAIN < patience {
-        return RouteStep::Later(LOOK_AGAIN);
-    }
-    RouteStep::Refuse(overloaded("no server is usable", call.needs.goal / 2))
-}
-
 /// Starts the task that lets time count.
 pub(crate) fn start_ticker(gateway: &Rc<Gateway>) {
     let gateway = Rc::clone(gateway);
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -121,7 +121,7 @@
                 () = tokio::time::sleep_until(until) => break,
                 () = gateway.beat_now.notified() => break,
                 frame = link.next() => match frame {
-                    Some(frame) => take_reply(gateway, frame?),
+                    Some(frame) => take_reply(gateway, &peer, frame?),
                     None => return Err(FrameError::Closed),
                 },
             }
@@ -129,8 +129,12 @@
     }
 }
 
-fn take_reply(gateway: &Gateway, frame: PeerFrame) {
+fn take_reply(gateway: &Gateway, peer: &MemberBeat, frame: PeerFrame) {
     match frame.payload {
+        Some(PeerPayload::VmBeat(beat)) => {
+            let wants = take_beat(gateway, peer, &beat);
+            gateway.note_snapshot_wish(&peer.name, wants);
+        }
         Some(PeerPayload::Members(set)) => take_members(gateway, &set),
         Some(PeerPayload::Snapshot(snapshot)) => take_snapshot(gateway, snapshot),
         other => log::debug!("unexpected reply on a link: {other:?}"),
@@ -160,6 +164,9 @@
     };
     send(&mut link, hello(gateway)).await?;
     send(&mut link, PeerPayload::Members(known_members(gateway))).await?;
+    // A VM that has just started must not wait until it is dialled in return.
+    let beat = own_beat(gateway, &peer.region);
+    send(&mut link, PeerPayload::VmBeat(beat)).await?;
     while let Some(frame) = link.next().await {
         match frame?.payload {
             Some(PeerPayload::VmBeat(beat)) => {
