--- a/crates/gateway/src/beat.rs
+++ b/crates/gateway/src/beat.rs
@@ -16,7 +16,7 @@
 const FAR_INTERVAL: Duration = Duration::from_millis(400);
 /// The same within a region, where they tell work at servers that are shared and
 /// their bytes cost nothing.
-const NEAR_INTERVAL: Duration = Duration::from_millis(150);
+const NEAR_INTERVAL: Duration = Duration::from_millis(60);
 /// VMs up to which the least interval holds; beyond, it grows with their number
 /// so that the work of a VM does not.
 const DENSE_VMS: usize = 16;
