Tell truly whether a relayed request reached a server

Cause: a refusal between VMs said so by its reason; one that several servers had turned away could say that it reached none, and the sender's retry budget missed an arrival. The new test fails before ('turned away by the server: arrived', left false, right true) and passes after.

--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -184,10 +184,10 @@
                 .metrics
                 .note_end("none", error.reason.as_str(), arrived.elapsed());
             log::info!(reason = error.reason.as_str(), detail = error.detail.as_str(); "request rejected");
-            Err(error)
+            Err(error.into())
         }
     };
-    let mut response = result.unwrap_or_else(|error| refusal(&error));
+    let mut response = result.unwrap_or_else(|failure| refusal(&failure.error));
     if closes_connections(&gateway) {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -19,7 +19,7 @@
 use crate::call::{CallContext, CallOrigin, CallRules};
 use crate::gateway::Gateway;
 use crate::listen::read_body;
-use crate::serve::serve;
+use crate::serve::{CallFailure, serve};
 
 const VM: &str = "onyxfall-vm";
 const SERVICE: &str = "onyxfall-service";
@@ -87,9 +87,9 @@
     let arrived = Instant::now();
     let result = match read_relayed(&gateway, request, arrived).await {
         Ok(call) => serve(&gateway, &Rc::new(call)).await,
-        Err(error) => Err(error),
+        Err(error) => Err(error.into()),
     };
-    result.unwrap_or_else(|error| refuse_relayed(&error))
+    result.unwrap_or_else(|failure| refuse_relayed(&failure))
 }
 
 async fn read_relayed(
@@ -155,13 +155,13 @@
     })
 }
 
-fn refuse_relayed(error: &RequestError) -> Response<ReplyBody> {
+fn refuse_relayed(failure: &CallFailure) -> Response<ReplyBody> {
     let mut response = Response::new(ReplyBody::whole(""));
     *response.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
-    let arrived = error.reason == RefusalReason::Backend;
+    let arrived = if failure.arrivals > 0 { "1" } else { "0" };
     let headers = response.headers_mut();
-    set(headers, VERDICT, error.verdict.as_str());
-    set(headers, ARRIVED, if arrived { "1" } else { "0" });
+    set(headers, VERDICT, failure.error.verdict.as_str());
+    set(headers, ARRIVED, arrived);
     response
 }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -64,11 +64,27 @@
     body: Bytes,
 }
 
+/// The end of a request without an answer of a server.
+#[derive(Debug)]
+pub(crate) struct CallFailure {
+    /// Why, and whether it may have run.
+    pub(crate) error: RequestError,
+    /// Attempts that reached a server.
+    pub(crate) arrivals: u32,
+}
+
+impl From<RequestError> for CallFailure {
+    /// A request that was refused before any attempt.
+    fn from(error: RequestError) -> Self {
+        Self { error, arrivals: 0 }
+    }
+}
+
 /// Serves a request; the answer may still be on its way when this returns.
 pub(crate) async fn serve(
     gateway: &Rc<Gateway>,
     call: &SharedCall,
-) -> Result<Response<ReplyBody>, RequestError> {
+) -> Result<Response<ReplyBody>, CallFailure> {
     let mut progress = CallProgress::default();
     let mut fallback: Option<WholeAnswer> = None;
     loop {
@@ -249,14 +265,17 @@
     progress: &CallProgress,
     fallback: Option<WholeAnswer>,
     mut error: RequestError,
-) -> Result<Response<ReplyBody>, RequestError> {
+) -> Result<Response<ReplyBody>, CallFailure> {
     if let Some(whole) = fallback {
         gateway.tell_end(call, progress, "the server's failure");
         return Ok(whole_reply(whole));
     }
     error.verdict = error.verdict.max(verdict_of(progress));
     gateway.tell_refusal(call, progress, &error);
-    Err(error)
+    Err(CallFailure {
+        error,
+        arrivals: progress.arrivals,
+    })
 }
 
 async fn read_whole(
--- /dev/null
+++ b/crates/gateway/tests/relay.rs
@@ -0,0 +1,112 @@
+//! Requests that another VM passes on: run here or refused, never passed on.
+
+mod support;
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method};
+use onyxfall_adapter::standin::caller_headers;
+use onyxfall_fakes::{ServerFailing, ServerStandIn};
+use support::{Gateway, HOST, Reply, SERVICE, Site, send};
+
+struct RelayCase {
+    name: &'static str,
+    failing: ServerFailing,
+    homes: &'static str,
+    /// Whether a server answers, and what is told if not.
+    verdict: Option<&'static str>,
+    arrived: bool,
+}
+
+fn relayed_headers(homes: &'static str) -> HeaderMap {
+    let mut headers = caller_headers(HOST, "relayed", Duration::from_secs(3));
+    let own = [
+        ("onyxfall-vm", "vm9"),
+        ("onyxfall-service", SERVICE),
+        ("onyxfall-goal-ms", "400"),
+        ("onyxfall-urgency", "3"),
+        ("onyxfall-homes", homes),
+    ];
+    for (name, value) in own {
+        headers.insert(name, HeaderValue::from_static(value));
+    }
+    headers
+}
+
+fn relay(gateway: &Gateway, homes: &'static str) -> Reply {
+    let address = SocketAddr::new(IpAddr::V4(gateway.ip), gateway.ports.relay);
+    let body = Bytes::from_static(b"body");
+    send(
+        address,
+        Method::POST,
+        "/once/x",
+        relayed_headers(homes),
+        body,
+    )
+    .unwrap()
+}
+
+#[test]
+fn a_relayed_request_is_run_or_refused_with_a_true_verdict() {
+    let cases = [
+        RelayCase {
+            name: "served",
+            failing: ServerFailing::None,
+            homes: "",
+            verdict: None,
+            arrived: true,
+        },
+        RelayCase {
+            name: "turned away by the server",
+            failing: ServerFailing::Sheds,
+            homes: "",
+            verdict: Some("not-run"),
+            arrived: true,
+        },
+        RelayCase {
+            name: "this region is no home",
+            failing: ServerFailing::None,
+            homes: "elsewhere",
+            verdict: Some("not-run"),
+            arrived: false,
+        },
+        RelayCase {
+            name: "lost at the server",
+            failing: ServerFailing::Closes,
+            homes: "",
+            verdict: Some("may-have-run"),
+            arrived: true,
+        },
+    ];
+    // A second region is there, so that passing on would be possible.
+    let site = Site::start(2);
+    let servers = [
+        ServerStandIn::start(site.ip(0)).unwrap(),
+        ServerStandIn::start(site.ip(1)).unwrap(),
+    ];
+    site.announce("s0", &servers[0], 0);
+    site.announce("s1", &servers[1], 1);
+    site.configure(1);
+    let gateways = [site.gateway(0), site.gateway(1)];
+    for gateway in &gateways {
+        gateway.wait_served();
+    }
+    let elsewhere = servers[1].runs().len();
+    for case in cases {
+        servers[0].set_failing(case.failing);
+        let reply = relay(&gateways[0], case.homes);
+        let told = |name: &str| reply.headers.get(name).map(|value| value.to_str().unwrap());
+        assert_eq!(told("onyxfall-verdict"), case.verdict, "{}", case.name);
+        if case.verdict.is_some() {
+            let arrived = told("onyxfall-arrived") == Some("1");
+            assert_eq!(arrived, case.arrived, "{}: arrived", case.name);
+        }
+    }
+    assert_eq!(
+        servers[1].runs().len(),
+        elsewhere,
+        "a relayed request was passed on"
+    );
+}
