--- a/crates/entry/src/control/beat.rs
+++ b/crates/entry/src/control/beat.rs
@@ -11,8 +11,8 @@
 use onyxfall_policy::{CenterDigest, DrainSource, MemberBeat, MemberState, ModelDigest};
 use onyxfall_types::{CenterName, Incarnation, name_tag};
 use onyxfall_wire::{
-    CenterLoad, ContentRequest, ContentText, DrainEntry, EntryBeat, MemberSet, MembersRequest,
-    ModelLoad, PeerPayload, PingRequest, PongReply, RecordSet, RecordsRequest,
+    CenterLoad, ContentRequest, ContentText, DrainEntry, EntryBeat, MemberEntry, MemberSet,
+    MembersRequest, ModelLoad, PeerPayload, PingRequest, PongReply, RecordSet, RecordsRequest,
 };
 
 use crate::control::config::offer_content;
@@ -20,7 +20,7 @@
 use crate::control::observe::apply_load;
 use crate::control::offer_records;
 use crate::core::EntryCore;
-use crate::peer::{PeerLink, beat_of, member_entry};
+use crate::peer::PeerLink;
 use crate::supervisor::StopSignal;
 
 const SPEAKER_DUTY: &str = "speaker";
@@ -515,7 +515,7 @@
         .lock()
         .serving_in(&name)
         .into_iter()
-        .map(member_entry)
+        .map(MemberEntry::from)
         .collect();
     let set = MemberSet {
         center: center.to_owned(),
@@ -530,7 +530,11 @@
     let Ok(center) = set.center.parse::<CenterName>() else {
         return;
     };
-    let beats: Vec<MemberBeat> = set.members.iter().filter_map(beat_of).collect();
+    let beats: Vec<MemberBeat> = set
+        .members
+        .iter()
+        .filter_map(MemberEntry::to_beat)
+        .collect();
     let now = core.now();
     let mut members = core.members.lock();
     if center == core.settings.center {
--- a/crates/entry/src/peer/mod.rs
+++ b/crates/entry/src/peer/mod.rs
@@ -8,7 +8,6 @@
 mod reply;
 
 pub(crate) use away::{AwayCall, run_away, run_on};
-pub(crate) use convert::{beat_of, member_entry};
 pub(crate) use link::PeerLink;
 pub(crate) use links::PeerLinks;
 pub(crate) use listen::listen_for_peers;
--- a/crates/gateway/src/beat.rs
+++ b/crates/gateway/src/beat.rs
@@ -5,10 +5,8 @@
 
 use onyxfall_fleet::{CallNeeds, PromptSize, ServiceLoad, StoreItem, WorkShare};
 use onyxfall_policy::MemberBeat;
-use onyxfall_types::{Incarnation, RegionName, name_tag};
-use onyxfall_wire::{
-    MemberEntry, ServerWorkEntry, ServiceLoadEntry, SnapshotItem, StoreSnapshot, VmBeat,
-};
+use onyxfall_types::{RegionName, name_tag};
+use onyxfall_wire::{ServerWorkEntry, ServiceLoadEntry, SnapshotItem, StoreSnapshot, VmBeat};
 
 use crate::gateway::Gateway;
 
@@ -28,32 +26,6 @@
     least * u32::try_from(times).unwrap_or(u32::MAX)
 }
 
-/// A member as in frames.
-pub(crate) fn member_entry(beat: &MemberBeat) -> MemberEntry {
-    MemberEntry {
-        name: beat.name.to_string(),
-        center: beat.center.to_string(),
-        region: beat.region.to_string(),
-        incarnation: beat.incarnation.get(),
-        leaving: beat.leaving,
-        address: beat.address.to_string(),
-        peer_address: beat.peer_address.to_string(),
-    }
-}
-
-/// A member from a frame; none if a field is not what it should be.
-pub(crate) fn member_beat(entry: &MemberEntry) -> Option<MemberBeat> {
-    Some(MemberBeat {
-        name: entry.name.parse().ok()?,
-        center: entry.center.parse().ok()?,
-        region: entry.region.parse().ok()?,
-        incarnation: Incarnation::new(entry.incarnation),
-        leaving: entry.leaving,
-        address: entry.address.parse().ok()?,
-        peer_address: entry.peer_address.parse().ok()?,
-    })
-}
-
 /// This VM's heartbeat for a VM of `region`.
 pub(crate) fn own_beat(gateway: &Gateway, region: &RegionName) -> VmBeat {
     let settings = gateway.settings();
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -13,15 +13,13 @@
 use futures_util::{SinkExt, StreamExt};
 use onyxfall_policy::MemberBeat;
 use onyxfall_wire::{
-    FrameError, MemberSet, PROTOCOL_VERSION, PeerCodec, PeerFrame, PeerHello, PeerPayload,
-    SnapshotRequest,
+    FrameError, MemberEntry, MemberSet, PROTOCOL_VERSION, PeerCodec, PeerFrame, PeerHello,
+    PeerPayload, SnapshotRequest,
 };
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::Framed;
 
-use crate::beat::{
-    beat_interval, member_beat, member_entry, own_beat, own_snapshot, take_beat, take_snapshot,
-};
+use crate::beat::{beat_interval, own_beat, own_snapshot, take_beat, take_snapshot};
 use crate::connection::dial;
 use crate::gateway::Gateway;
 use crate::listen::accept;
@@ -189,7 +187,7 @@
     PeerPayload::Hello(PeerHello {
         protocol: PROTOCOL_VERSION,
         deployment: String::new(),
-        member: Some(member_entry(members.own())),
+        member: Some(MemberEntry::from(members.own())),
     })
 }
 
@@ -202,7 +200,7 @@
         log::warn!(protocol = hello.protocol; "peer of another protocol refused");
         return None;
     }
-    let beat = member_beat(hello.member.as_ref()?)?;
+    let beat = hello.member.as_ref()?.to_beat()?;
     let now = gateway.now();
     gateway.members.borrow_mut().hint(now, &beat);
     Some(beat)
@@ -214,7 +212,7 @@
         center: String::new(),
         members: members
             .others()
-            .map(|member| member_entry(&member.beat))
+            .map(|member| MemberEntry::from(&member.beat))
             .collect(),
     }
 }
@@ -222,7 +220,7 @@
 fn take_members(gateway: &Gateway, set: &MemberSet) {
     let now = gateway.now();
     let mut members = gateway.members.borrow_mut();
-    for beat in set.members.iter().filter_map(member_beat) {
+    for beat in set.members.iter().filter_map(MemberEntry::to_beat) {
         members.hint(now, &beat);
     }
 }
--- /dev/null
+++ b/crates/gateway/src/news.rs
@@ -0,0 +1,82 @@
+//! What changes of the copy of the store mean for this VM.
+
+use std::rc::Rc;
+
+use onyxfall_adapter::{StoreKey, StoreNews, read_item, read_key};
+use onyxfall_fleet::{MirrorChange, RouteTable};
+
+use crate::gateway::Gateway;
+use crate::report::millis;
+
+impl Gateway {
+    /// Notes that another life of a server has its address.
+    pub(crate) fn note_replaced(&self, server: &str) {
+        log::info!(server; "another server has the address");
+        self.fleet.borrow_mut().remove_server(server);
+    }
+
+    /// Takes changes of the copy of the store.
+    pub(crate) fn apply_changes(&self, changes: Vec<MirrorChange>) {
+        for change in changes {
+            match change {
+                MirrorChange::Set(key, value) => match read_item(&key, &value) {
+                    Ok(news) => self.take_news(news),
+                    Err(e) => log::error!(key = key.as_str(), error:% = e; "item not understood"),
+                },
+                MirrorChange::Removed(key) => self.take_removal(&key),
+            }
+        }
+    }
+
+    fn take_news(&self, news: StoreNews) {
+        let now = self.now();
+        let table = self.table();
+        match news {
+            StoreNews::Config(next) => self.take_table(*next),
+            StoreNews::Server(record) => {
+                log::info!(
+                    server = record.name.as_str(),
+                    service = record.service.as_str(),
+                    phase:? = record.phase,
+                    cold_ms = millis(record.cold_left);
+                    "server seen"
+                );
+                let mut fleet = self.fleet.borrow_mut();
+                fleet.put_server(now, record, table.as_deref());
+            }
+            StoreNews::Evacuation(center) => {
+                log::info!(center = center.as_str(); "data centre is evacuated");
+                self.fleet.borrow_mut().evacuate(center);
+            }
+            StoreNews::Other => {}
+        }
+    }
+
+    /// Brings a configuration into force unless a newer one is.
+    fn take_table(&self, next: RouteTable) {
+        let held = self.table().map(|table| table.version());
+        if held.is_some_and(|held| held >= next.version()) {
+            log::warn!(version:% = next.version(); "older configuration ignored");
+            return;
+        }
+        log::info!(version:% = next.version(), routes = next.len(); "configuration in force");
+        *self.table.borrow_mut() = Some(Rc::new(next));
+    }
+
+    fn take_removal(&self, key: &str) {
+        match read_key(key) {
+            StoreKey::Server(name) => {
+                log::info!(server = name.as_str(); "server gone");
+                self.fleet.borrow_mut().remove_server(name.as_str());
+            }
+            StoreKey::Evacuation(center) => {
+                log::info!(center = center.as_str(); "data centre is taken back");
+                let (now, table) = (self.now(), self.table());
+                let mut fleet = self.fleet.borrow_mut();
+                fleet.take_back(now, &center, table.as_deref());
+            }
+            // A configuration is never withdrawn; the last one stays in force.
+            StoreKey::Config | StoreKey::Other => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/report.rs
@@ -0,0 +1,60 @@
+//! The last line of a request's log, and its count.
+
+use std::time::Duration;
+
+use onyxfall_types::RequestError;
+
+use crate::call::CallContext;
+use crate::gateway::Gateway;
+use crate::serve::CallProgress;
+
+impl Gateway {
+    /// Logs and counts the end of a request that a server answered.
+    pub(crate) fn tell_end(&self, call: &CallContext, progress: &CallProgress, outcome: &str) {
+        let age = call.age();
+        self.metrics.note_end(&call.route, outcome, age);
+        log::info!(
+            request = call.request_id.as_str(),
+            route = call.route.as_str(),
+            version:% = call.version,
+            target = progress.last_target.as_str(),
+            arrivals = progress.arrivals,
+            resumes = progress.resumes,
+            predicted_ms = millis(progress.predicted),
+            first_ms = millis(progress.first_byte),
+            age_ms = millis(age),
+            outcome;
+            "request ended"
+        );
+    }
+
+    /// Logs and counts a request that got no server's answer.
+    pub(crate) fn tell_refusal(
+        &self,
+        call: &CallContext,
+        progress: &CallProgress,
+        error: &RequestError,
+    ) {
+        let age = call.age();
+        self.metrics
+            .note_end(&call.route, error.reason.as_str(), age);
+        log::warn!(
+            request = call.request_id.as_str(),
+            route = call.route.as_str(),
+            version:% = call.version,
+            target = progress.last_target.as_str(),
+            arrivals = progress.arrivals,
+            cause = progress.last_cause,
+            age_ms = millis(age),
+            verdict = error.verdict.as_str(),
+            reason = error.reason.as_str(),
+            detail = error.detail.as_str();
+            "request refused"
+        );
+    }
+}
+
+/// A time as logs tell it.
+pub(crate) fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -17,7 +17,8 @@
 use crate::attempt::{AttemptEnd, UpstreamAnswer, try_peer, try_server};
 use crate::body::ReplyBody;
 use crate::call::SharedCall;
-use crate::gateway::{Gateway, RouteStep};
+use crate::decide::RouteStep;
+use crate::gateway::Gateway;
 use crate::stream::StreamRelay;
 
 /// Arrivals at servers that one request may cause, refusals included.
--- a/crates/gateway/tests/failings.rs
+++ b/crates/gateway/tests/failings.rs
@@ -7,7 +7,7 @@
 
 use onyxfall_adapter::standin::is_signed;
 use onyxfall_fakes::{ServerFailing, ServerStandIn};
-use support::{Site, call, wait_for};
+use support::{ServingSite, Site, call, wait_for};
 
 struct FailingCase {
     name: &'static str,
@@ -147,12 +147,11 @@
 
 #[test]
 fn requests_reach_servers_unchanged() {
-    let site = Site::start(1);
-    let server = ServerStandIn::start(site.ip(0)).unwrap();
-    site.announce("s0", &server, 0);
-    site.configure(1);
-    let gateway = site.gateway(0);
-    gateway.wait_served();
+    let ServingSite {
+        gateway,
+        server,
+        site: _site,
+    } = ServingSite::start();
     call(gateway.callers(), "/once/a%20b?c=d", "tested").unwrap();
     let run = server.runs().pop().unwrap();
     assert_eq!(run.target, "/once/a%20b?c=d");
@@ -165,12 +164,11 @@
 
 #[test]
 fn a_broken_stream_never_looks_whole() {
-    let site = Site::start(1);
-    let server = ServerStandIn::start(site.ip(0)).unwrap();
-    site.announce("s0", &server, 0);
-    site.configure(1);
-    let gateway = site.gateway(0);
-    gateway.wait_served();
+    let ServingSite {
+        gateway,
+        server,
+        site: _site,
+    } = ServingSite::start();
     let whole = call(gateway.callers(), "/stream/x", "whole").unwrap();
     assert!(!whole.broken);
     assert_eq!(whole.text(), ServerStandIn::whole_stream());
@@ -212,12 +210,11 @@
 
 #[test]
 fn a_server_is_left_when_its_caller_leaves() {
-    let site = Site::start(1);
-    let server = ServerStandIn::start(site.ip(0)).unwrap();
-    site.announce("s0", &server, 0);
-    site.configure(1);
-    let gateway = site.gateway(0);
-    gateway.wait_served();
+    let ServingSite {
+        gateway,
+        server,
+        site: _site,
+    } = ServingSite::start();
     server.set_failing(ServerFailing::Mute);
     let before = server.runs().len();
     let mut stream = std::net::TcpStream::connect(gateway.callers()).unwrap();
--- a/crates/gateway/tests/stop.rs
+++ b/crates/gateway/tests/stop.rs
@@ -5,16 +5,15 @@
 use std::process::Command;
 
 use onyxfall_fakes::ServerStandIn;
-use support::{Site, call, wait_for};
+use support::{ServingSite, call, wait_for};
 
 #[test]
 fn a_stopping_gateway_is_not_ready_but_serves_and_ends_cleanly() {
-    let site = Site::start(1);
-    let server = ServerStandIn::start(site.ip(0)).unwrap();
-    site.announce("s0", &server, 0);
-    site.configure(1);
-    let mut gateway = site.gateway(0);
-    gateway.wait_served();
+    let ServingSite {
+        mut gateway,
+        server: _server,
+        site: _site,
+    } = ServingSite::start();
     gateway.signal("-TERM");
     wait_for("the gateway to say that it leaves", || !gateway.is_ready());
     let reply = call(gateway.callers(), "/once/x", "late").unwrap();
@@ -25,12 +24,11 @@
 
 #[test]
 fn a_hangup_cuts_nothing() {
-    let site = Site::start(1);
-    let server = ServerStandIn::start(site.ip(0)).unwrap();
-    site.announce("s0", &server, 0);
-    site.configure(1);
-    let gateway = site.gateway(0);
-    gateway.wait_served();
+    let ServingSite {
+        gateway,
+        server: _server,
+        site: _site,
+    } = ServingSite::start();
     for number in 0..5 {
         gateway.signal("-HUP");
         let reply = call(gateway.callers(), "/stream/x", &format!("h{number}")).unwrap();
--- a/crates/gateway/tests/store.rs
+++ b/crates/gateway/tests/store.rs
@@ -5,7 +5,7 @@
 use onyxfall_adapter::standin::{config_key, server_key};
 use onyxfall_fakes::{ServerStandIn, StoreMode};
 use onyxfall_fleet::ServerPhase;
-use support::{Site, call, get, wait_for};
+use support::{ServingSite, Site, call, get, wait_for};
 
 #[test]
 fn without_a_configuration_requests_are_refused_as_not_run() {
@@ -26,12 +26,11 @@
 
 #[test]
 fn an_older_configuration_never_comes_into_force() {
-    let site = Site::start(1);
-    let server = ServerStandIn::start(site.ip(0)).unwrap();
-    site.announce("s0", &server, 0);
-    site.configure(5);
-    let gateway = site.gateway(0);
-    gateway.wait_served();
+    let ServingSite {
+        gateway,
+        server,
+        site,
+    } = ServingSite::start_at(5);
     let older = onyxfall_adapter::standin::document_body(4, &[], &[]);
     site.store.put(config_key(), older);
     // Later items are seen after the older configuration was.
@@ -74,12 +73,11 @@
 
 #[test]
 fn history_that_is_gone_is_read_anew() {
-    let site = Site::start(1);
-    let server = ServerStandIn::start(site.ip(0)).unwrap();
-    site.announce("s0", &server, 0);
-    site.configure(1);
-    let gateway = site.gateway(0);
-    gateway.wait_served();
+    let ServingSite {
+        gateway,
+        server: _server,
+        site,
+    } = ServingSite::start();
     let second = ServerStandIn::start(site.ip(0)).unwrap();
     site.store.set_mode(StoreMode::Refusing);
     site.announce("s1", &second, 0);
@@ -94,12 +92,11 @@
 
 #[test]
 fn a_gateway_serves_on_while_the_store_is_away() {
-    let site = Site::start(1);
-    let server = ServerStandIn::start(site.ip(0)).unwrap();
-    site.announce("s0", &server, 0);
-    site.configure(1);
-    let gateway = site.gateway(0);
-    gateway.wait_served();
+    let ServingSite {
+        gateway,
+        server: _server,
+        site,
+    } = ServingSite::start();
     for mode in [StoreMode::Refusing, StoreMode::Silent] {
         site.store.set_mode(mode);
         let reply = call(gateway.callers(), "/once/x", "away").unwrap();
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -173,6 +173,35 @@
     }
 }
 
+/// A site of one VM that serves, with one server.
+pub struct ServingSite {
+    // Fields drop in order: the gateway first, its surroundings after it.
+    pub gateway: Gateway,
+    pub server: ServerStandIn,
+    pub site: Site,
+}
+
+impl ServingSite {
+    pub fn start() -> Self {
+        Self::start_at(1)
+    }
+
+    /// With the configuration at `version`.
+    pub fn start_at(version: u64) -> Self {
+        let site = Site::start(1);
+        let server = ServerStandIn::start(site.ip(0)).unwrap();
+        site.announce("s0", &server, 0);
+        site.configure(version);
+        let gateway = site.gateway(0);
+        gateway.wait_served();
+        Self {
+            gateway,
+            server,
+            site,
+        }
+    }
+}
+
 fn free_ports(ips: &[Ipv4Addr]) -> Ports {
     let mut found = Vec::new();
     while found.len() < 5 {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,6 +13,7 @@
 mod class;
 mod codec;
 mod frame;
+mod member;
 mod message;
 mod window;
 
