Do not count a handler as cut whose answer was whole

The stop returned the count of handlers that had not come back yet, and a handler's thread may still be on its way from its finished answer when the last connection ends. Ruled out: a cut answer (the test had read the whole body before).

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -158,7 +158,12 @@
     pub fn shutdown(mut self, bound: Duration) -> usize {
         let _ = self.stop.send(true);
         if let (Some(done), Some(runtime)) = (self.done.take(), &self.runtime) {
-            let _ = runtime.block_on(async { tokio::time::timeout(bound, done).await });
+            let ended = runtime.block_on(async { tokio::time::timeout(bound, done).await });
+            if ended.is_ok() {
+                // Every connection has ended; a handler that is still on its way
+                // back from its answer was not cut.
+                return 0;
+            }
         }
         self.open_requests()
     }
--- a/crates/http/tests/edge.rs
+++ b/crates/http/tests/edge.rs
@@ -270,3 +270,18 @@
     );
     assert_eq!(stopper.join().unwrap(), 0, "nothing was cut");
 }
+
+#[test]
+fn a_handler_that_lingers_after_its_answer_was_not_cut() {
+    let (let_go, lingers) = mpsc::channel::<()>();
+    let lingers = std::sync::Mutex::new(lingers);
+    let server = start(HttpLimits::default(), move |_, responder| {
+        let reply = HttpReply::full(200, "text/plain", "whole");
+        assert!(responder.reply(reply).is_ok());
+        lingers.lock().unwrap().recv_timeout(PATIENCE).unwrap();
+    });
+    let answer = read_all(send(server.address(), GET));
+    assert!(answer.ends_with("whole"), "{answer}");
+    assert_eq!(server.shutdown(PATIENCE), 0, "its answer was whole");
+    let_go.send(()).unwrap();
+}
