--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -50,7 +50,19 @@
         self.is_finished = true;
         let now = self.gateway.now();
         let mut fleet = self.gateway.fleet.borrow_mut();
-        fleet.server_mut(self.server).end(now, self.id, result);
+        let state = fleet.server_mut(self.server);
+        let was_trusted = state.is_trusted(now);
+        state.end(now, self.id, result);
+        let is_trusted = state.is_trusted(now);
+        if was_trusted != is_trusted {
+            log::info!(
+                server = state.record.name.as_str(),
+                trusted = is_trusted,
+                result:? = result,
+                slowness = state.slowness(now);
+                "server judged anew"
+            );
+        }
     }
 }
 
