Keep stand-ins off the addresses whose ports a test has found free

A test looked for free ports on the gateway's address, and its stand-ins then took ports of the system's choice on the same address. Stand-ins now have addresses of their own, which a test checks.

--- a/crates/gateway/tests/stop.rs
+++ b/crates/gateway/tests/stop.rs
@@ -77,3 +77,14 @@
         assert!(said.contains(case.said), "{}: {said}", case.name);
     }
 }
+
+#[test]
+fn stand_ins_leave_a_gateways_ports_free() {
+    let ServingSite {
+        gateway,
+        server,
+        site,
+    } = ServingSite::start();
+    let stand_ins = [server.address().ip(), site.store.address().ip(), site.ip(0)];
+    assert!(!stand_ins.contains(&std::net::IpAddr::V4(gateway.ip)));
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -64,7 +64,7 @@
         let ips: Vec<Ipv4Addr> = (0..vms)
             .map(|vm| Ipv4Addr::new(127, 64 + (high % 64), low, base + vm + 1))
             .collect();
-        let store = StoreStandIn::start(IpAddr::V4(ips[0])).unwrap();
+        let store = StoreStandIn::start(stand_in_ip(ips[0])).unwrap();
         let dir = std::env::temp_dir().join(format!("onyxfall-test-{process}-{number}"));
         fs::create_dir_all(&dir).unwrap();
         let ports = free_ports(&ips);
@@ -76,8 +76,10 @@
         }
     }
 
+    /// Where stand-ins of a VM's data centre listen: never on the VM's own
+    /// address, since the ports found free there must stay so until it starts.
     pub fn ip(&self, vm: usize) -> IpAddr {
-        IpAddr::V4(self.ips[vm])
+        stand_in_ip(self.ips[vm])
     }
 
     /// Writes the configuration with every kind of route.
@@ -202,6 +204,11 @@
     }
 }
 
+fn stand_in_ip(vm: Ipv4Addr) -> IpAddr {
+    let [net, second, third, fourth] = vm.octets();
+    IpAddr::V4(Ipv4Addr::new(net, second + 64, third, fourth))
+}
+
 fn free_ports(ips: &[Ipv4Addr]) -> Ports {
     let mut found = Vec::new();
     while found.len() < 5 {
