--- a/crates/fleet/src/choose.rs
+++ b/crates/fleet/src/choose.rs
@@ -96,13 +96,6 @@
         LocalOption::Free(ServerChoice { server, predicted })
     }
 
-    /// Whether some server of this region that may run it has half its slots free.
-    pub fn has_half_free(&self, needs: &CallNeeds) -> bool {
-        self.candidates(needs, &[])
-            .iter()
-            .any(|id| self.server(*id).is_half_free(needs.engine))
-    }
-
     fn candidates(&self, needs: &CallNeeds, excluded: &[ServerId]) -> Vec<ServerId> {
         let region = &self.place().region;
         if !needs.allows_region(region) {
@@ -126,6 +119,8 @@
     /// ranks them as the choice within a region does, so that the VM there finds
     /// the same server.
     pub fn prefix_home(&self, needs: &CallNeeds) -> Option<&RegionName> {
+        // Without a shared prefix there is no owner to look for.
+        needs.prompt.affinity()?;
         let pool: Vec<ServerId> = self
             .servers_of(&needs.service)
             .iter()
--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -80,11 +80,6 @@
 }
 
 impl RouteRule {
-    /// Whether requests may be served in `region`.
-    pub fn allows_region(&self, region: &RegionName) -> bool {
-        self.home_regions.is_empty() || self.home_regions.contains(region)
-    }
-
     /// Whether a request may be sent again after it may have run.
     pub fn is_repeatable(&self) -> bool {
         self.repeat == RepeatRule::Repeatable
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -9,7 +9,6 @@
 use crate::call::{CallNeeds, PromptSize};
 use crate::cold::ColdShare;
 use crate::record::{ServerPhase, ServerRecord};
-use crate::route::EngineLimits;
 
 /// Prompt tokens that a model server reads in a millisecond; from the users'
 /// sheets. Slower servers are found by their answers ([`ServerState::slowness`]).
@@ -196,12 +195,6 @@
         }
     }
 
-    /// Whether under half of its slots are taken.
-    pub fn is_half_free(&self, engine: Option<EngineLimits>) -> bool {
-        let slots = engine.map_or(self.record.slots, |engine| engine.slots);
-        self.work().requests * 2 < slots
-    }
-
     /// Prompt tokens that it would have to read.
     pub fn unread_tokens(&self, now: Moment, prompt: &PromptSize) -> u64 {
         prompt.input.saturating_sub(self.kept_tokens(now, prompt))
