Watch the store with two VMs of a region; tell four VMs of each other region

Ruled out: longer times until suspicion (dead VMs stay in the directory longer).

Now the two first VMs of a region by rendezvous hashing watch and pass changes on; a VM tells only those of other regions for which it is among the first four.

--- a/crates/entry/src/control/beat.rs
+++ b/crates/entry/src/control/beat.rs
@@ -336,7 +336,8 @@
         | PeerPayload::Cancel(_)
         | PeerPayload::VmBeat(_)
         | PeerPayload::SnapshotRequest(_)
-        | PeerPayload::Snapshot(_) => {
+        | PeerPayload::Snapshot(_)
+        | PeerPayload::Delta(_) => {
             core.metrics.count(crate::metrics::CounterName::StrayFrames);
         }
     }
--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -39,6 +39,7 @@
     forgotten: u64,
     revision: u64,
     mode: StoreMode,
+    open_watches: usize,
 }
 
 #[derive(Default)]
@@ -104,6 +105,11 @@
         state.forgotten = state.revision;
     }
 
+    /// Watches that wait for a change now.
+    pub fn open_watches(&self) -> usize {
+        self.shared.state.lock().open_watches
+    }
+
     /// Sets how it behaves.
     pub fn set_mode(&self, mode: StoreMode) {
         self.shared.state.lock().mode = mode;
@@ -136,12 +142,30 @@
     })
 }
 
+/// Counts a watch as open while it lives.
+struct OpenWatch<'a>(&'a StoreShared);
+
+impl<'a> OpenWatch<'a> {
+    fn start(shared: &'a StoreShared) -> Self {
+        shared.state.lock().open_watches += 1;
+        Self(shared)
+    }
+}
+
+impl Drop for OpenWatch<'_> {
+    fn drop(&mut self) {
+        self.0.state.lock().open_watches -= 1;
+    }
+}
+
 async fn watch(shared: &StoreShared, after: u64, wait: Duration) -> Response<Full<Bytes>> {
     let changed = shared.changed.notified();
     if let Some(reply) = news(shared, after) {
         return reply;
     }
+    let open = OpenWatch::start(shared);
     let _ = tokio::time::timeout(wait.min(LONGEST_WATCH), changed).await;
+    drop(open);
     news(shared, after).unwrap_or_else(|| reply(StatusCode::OK, batch_body(&[], after)))
 }
 
--- /dev/null
+++ b/crates/fleet/src/follow.rs
@@ -0,0 +1,94 @@
+//! Whether a copy of the store that lives on other VMs' word is still whole.
+//!
+//! A VM that does not watch the store takes changes from VMs that do. A change
+//! may be lost with the connection that carried it, and later ones would hide
+//! that. So each change names the revision that it follows, heartbeats name the
+//! revision and hash of their sender's copy, and a copy that misses something is
+//! read from the store again.
+//!
+//! Invariant: a gap is remembered until everything was read.
+
+use std::time::Duration;
+
+use onyxfall_policy::Moment;
+
+/// How long a copy may be behind before it is read anew: longer than a change
+/// takes to come from a watcher, short against the bounds on configurations.
+pub const BEHIND_LIMIT: Duration = Duration::from_millis(700);
+/// Least time between two reads for these reasons.
+pub const CATCH_UP_PAUSE: Duration = Duration::from_secs(1);
+
+/// State of a copy of the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CopyState {
+    /// Revision that it reflects.
+    pub revision: u64,
+    /// Hash over its items.
+    pub hash: u64,
+}
+
+/// What is known of the gaps of this VM's copy.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CopyCheck {
+    newest_heard: u64,
+    older_since: Option<Moment>,
+    differs_since: Option<Moment>,
+    has_gap: bool,
+    read_at: Option<Moment>,
+}
+
+impl CopyCheck {
+    /// Notes a change that follows revision `base`, taken by a copy at `own`; a
+    /// change that is not whole leaves a gap as well.
+    ///
+    /// ```
+    /// use onyxfall_fleet::CopyCheck;
+    /// use onyxfall_policy::Moment;
+    /// let mut check = CopyCheck::default();
+    /// check.note_change(78, 78, true);
+    /// assert!(!check.is_due(Moment::ZERO));
+    /// check.note_change(79, 91, true);
+    /// assert!(check.is_due(Moment::ZERO));
+    /// ```
+    pub fn note_change(&mut self, own: u64, base: u64, is_whole: bool) {
+        self.has_gap |= own < base || !is_whole;
+    }
+
+    /// Notes the state of another VM's copy.
+    pub fn note_other(&mut self, now: Moment, own: CopyState, other: CopyState) {
+        self.newest_heard = self.newest_heard.max(other.revision);
+        if own.revision < self.newest_heard {
+            self.older_since.get_or_insert(now);
+        } else {
+            self.older_since = None;
+        }
+    }
+
+    /// Compares with the copy of a VM that watches for this one.
+    pub fn note_watcher(&mut self, now: Moment, own: CopyState, watcher: CopyState) {
+        if own.revision != watcher.revision {
+            return;
+        }
+        if own.hash == watcher.hash {
+            self.differs_since = None;
+        } else {
+            self.differs_since.get_or_insert(now);
+        }
+    }
+
+    /// Notes that everything was read.
+    pub fn note_read(&mut self, now: Moment) {
+        self.read_at = Some(now);
+        self.has_gap = false;
+        self.older_since = None;
+        self.differs_since = None;
+    }
+
+    /// Whether everything has to be read now.
+    pub fn is_due(&self, now: Moment) -> bool {
+        let lasts = |since: Option<Moment>| since.is_some_and(|since| now - since >= BEHIND_LIMIT);
+        let is_rested = self.read_at.is_none_or(|at| now - at >= CATCH_UP_PAUSE);
+        let misses = self.has_gap || lasts(self.older_since) || lasts(self.differs_since);
+        misses && is_rested
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 mod call;
 mod choose;
 mod cold;
+mod follow;
 mod mirror;
 mod record;
 mod route;
@@ -21,6 +22,7 @@
 pub use call::{CallNeeds, PromptPart, PromptSize};
 pub use choose::{LocalOption, ServerChoice};
 pub use cold::{ColdShare, SENDERS, is_cold_sender};
+pub use follow::{BEHIND_LIMIT, CATCH_UP_PAUSE, CopyCheck, CopyState};
 pub use mirror::{MirrorChange, RETURN_WINDOW, StoreEvent, StoreHealth, StoreItem, StoreMirror};
 pub use record::{ServerPhase, ServerRecord};
 pub use route::{
--- a/crates/fleet/src/mirror.rs
+++ b/crates/fleet/src/mirror.rs
@@ -7,11 +7,14 @@
 //!
 //! Invariant: an item is never replaced by one of a smaller revision.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bytes::Bytes;
 use onyxfall_policy::Moment;
+
+use crate::follow::CopyState;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// How long an item may be missing after an outage. The users' letter gives two
@@ -73,6 +76,8 @@
 pub struct StoreMirror {
     items: BTreeMap<String, HeldItem>,
     revision: u64,
+    /// Hash of the items; none after a change.
+    hash: Cell<Option<u64>>,
 }
 
 impl StoreMirror {
@@ -81,6 +86,11 @@
         self.revision
     }
 
+    /// Notes that the copy reflects the store up to `revision`.
+    pub fn note_revision(&mut self, revision: u64) {
+        self.revision = self.revision.max(revision);
+    }
+
     /// Whether nothing is known.
     pub fn is_empty(&self) -> bool {
         self.items.is_empty()
@@ -88,9 +98,28 @@
 
     /// Hash over keys and revisions; equal copies have equal hashes.
     pub fn hash(&self) -> u64 {
-        self.present()
+        if let Some(hash) = self.hash.get() {
+            return hash;
+        }
+        let hash = self
+            .present()
             .map(|(key, item)| xxh3_64(key.as_bytes()) ^ item.revision.wrapping_mul(0x9e37_79b9))
-            .fold(0, u64::wrapping_add)
+            .fold(0, u64::wrapping_add);
+        self.hash.set(Some(hash));
+        hash
+    }
+
+    /// Its revision and hash.
+    pub fn state(&self) -> CopyState {
+        CopyState {
+            revision: self.revision(),
+            hash: self.hash(),
+        }
+    }
+
+    /// Revision of an item's last change.
+    pub fn revision_of(&self, key: &str) -> Option<u64> {
+        self.items.get(key).map(|item| item.revision)
     }
 
     /// Every item that is not missing.
@@ -111,6 +140,7 @@
         events: Vec<StoreEvent>,
         health: StoreHealth,
     ) -> Vec<MirrorChange> {
+        self.hash.set(None);
         let mut changes = Vec::new();
         for event in events {
             match event {
@@ -133,6 +163,7 @@
         revision: u64,
         health: StoreHealth,
     ) -> Vec<MirrorChange> {
+        self.hash.set(None);
         let listed: std::collections::BTreeSet<String> =
             items.iter().map(|item| item.key.clone()).collect();
         let absent: Vec<String> = self
@@ -165,6 +196,9 @@
             })
             .map(|(key, _)| key.clone())
             .collect();
+        if !expired.is_empty() {
+            self.hash.set(None);
+        }
         expired
             .into_iter()
             .map(|key| {
--- a/crates/gateway/src/beat.rs
+++ b/crates/gateway/src/beat.rs
@@ -8,22 +8,28 @@
 use onyxfall_types::{RegionName, name_tag};
 use onyxfall_wire::{ServerWorkEntry, ServiceLoadEntry, SnapshotItem, StoreSnapshot, VmBeat};
 
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, VmStatus};
 
 /// Least time between two heartbeats to a VM of another region.
 const FAR_INTERVAL: Duration = Duration::from_millis(400);
 /// The same within a region, where they tell work at servers that are shared and
 /// their bytes cost nothing.
 const NEAR_INTERVAL: Duration = Duration::from_millis(60);
-/// VMs up to which the least interval holds; beyond, it grows with their number
-/// so that the work of a VM does not.
-const DENSE_VMS: usize = 16;
+/// VMs of a region up to which the least interval holds; beyond, it grows with
+/// their number so that the work of a VM does not.
+const DENSE_VMS: usize = 8;
+/// Longest time between two heartbeats: three are sent before a VM is suspected.
+const LONGEST_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Time between two heartbeats to one VM among `vms`.
-pub(crate) fn beat_interval(vms: usize, is_near: bool) -> Duration {
-    let least = if is_near { NEAR_INTERVAL } else { FAR_INTERVAL };
-    let times = vms.div_ceil(DENSE_VMS).max(1);
-    least * u32::try_from(times).unwrap_or(u32::MAX)
+/// Time between two heartbeats to one VM, with `near_vms` others in the region.
+/// Those told in other regions are few whatever the size of the fleet.
+pub(crate) fn beat_interval(near_vms: usize, is_near: bool) -> Duration {
+    if !is_near {
+        return FAR_INTERVAL;
+    }
+    let times = near_vms.div_ceil(DENSE_VMS).max(1);
+    let times = u32::try_from(times).unwrap_or(u32::MAX);
+    NEAR_INTERVAL.saturating_mul(times).min(LONGEST_INTERVAL)
 }
 
 /// This VM's heartbeat for a VM of `region`.
@@ -34,7 +40,7 @@
     VmBeat {
         ready: gateway.is_ready(),
         leaving: gateway.is_leaving(),
-        store_reached: gateway.store.borrow().is_reached(),
+        watches_store: gateway.store.borrow().is_watched(),
         mirror_hash: mirror.hash(),
         mirror_revision: mirror.revision(),
         loads: if is_near { Vec::new() } else { loads(gateway) },
@@ -112,11 +118,17 @@
     if news {
         log::info!(member = from.name.as_str(), leaving = beat.leaving; "member heard");
     }
+    let status = VmStatus {
+        is_ready: beat.ready,
+        watches_store: beat.watches_store,
+    };
     gateway
-        .ready_vms
+        .heard_vms
         .borrow_mut()
-        .insert(from.name.clone(), beat.ready);
-    if from.region == gateway.settings().place.region {
+        .insert(from.name.clone(), status);
+    let is_near = from.region == gateway.settings().place.region;
+    gateway.compare_copy(beat, is_near);
+    if is_near {
         take_work(gateway, from, &beat.work);
     } else if beat.ready {
         take_loads(gateway, from, &beat.loads);
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -53,12 +53,12 @@
 /// still serve, and data may not leave its homes.
 fn entries_for(gateway: &Gateway, query: &DirectoryQuery) -> Vec<SocketAddr> {
     let members = gateway.members.borrow();
-    let ready = gateway.ready_vms.borrow();
+    let heard = gateway.heard_vms.borrow();
     let own = gateway.is_ready().then(|| members.own());
     let serving: Vec<&MemberBeat> = members
         .others()
         .filter(|member| member.state == MemberState::Alive)
-        .filter(|member| ready.get(&member.beat.name) == Some(&true))
+        .filter(|member| heard.get(&member.beat.name).is_some_and(|vm| vm.is_ready))
         .map(|member| &member.beat)
         .chain(own)
         .collect();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -18,6 +19,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::pool::ConnectionPool;
 use crate::settings::GatewaySettings;
+use crate::share::StoreShare;
 use crate::store::StoreLink;
 
 /// Look at what has changed by time alone.
@@ -27,6 +29,15 @@
 const GONE_AFTER: Duration = Duration::from_secs(6);
 const FORGET_AFTER: Duration = Duration::from_mins(2);
 
+/// What a VM has said of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct VmStatus {
+    /// Callers may be sent to it.
+    pub(crate) is_ready: bool,
+    /// It watches the store and reaches it.
+    pub(crate) watches_store: bool,
+}
+
 /// Shared state of a gateway.
 pub(crate) struct Gateway {
     settings: RefCell<Rc<GatewaySettings>>,
@@ -36,12 +47,17 @@
     pub(crate) fleet: RefCell<FleetView>,
     pub(crate) mirror: RefCell<StoreMirror>,
     pub(crate) members: RefCell<MemberTable>,
-    /// Members that have said that callers may be sent to them.
-    pub(crate) ready_vms: RefCell<BTreeMap<VmName, bool>>,
+    /// What other VMs have said of themselves.
+    pub(crate) heard_vms: RefCell<BTreeMap<VmName, VmStatus>>,
+    /// Addresses of VMs that this VM has greeted.
+    pub(crate) greeted: RefCell<BTreeSet<SocketAddr>>,
+    /// VMs to which a link of this VM is up.
+    pub(crate) linked: RefCell<BTreeSet<VmName>>,
     pub(crate) away: RefCell<AwayTable>,
     retries: RefCell<BTreeMap<ServiceName, RetryShare>>,
     pub(crate) pool: ConnectionPool,
     pub(crate) store: RefCell<StoreLink>,
+    pub(crate) share: RefCell<StoreShare>,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) stop_asked: Cell<Option<Instant>>,
     pub(crate) open_requests: Cell<usize>,
@@ -87,11 +103,14 @@
             fleet: RefCell::new(FleetView::new(place)),
             mirror: RefCell::default(),
             members: RefCell::new(MemberTable::new(own, timing)),
-            ready_vms: RefCell::default(),
+            heard_vms: RefCell::default(),
+            greeted: RefCell::default(),
+            linked: RefCell::default(),
             away: RefCell::default(),
             retries: RefCell::default(),
             pool: ConnectionPool::default(),
             store: RefCell::default(),
+            share: RefCell::default(),
             metrics: GatewayMetrics::default(),
             stop_asked: Cell::new(None),
             open_requests: Cell::new(0),
@@ -188,12 +207,15 @@
         let now = self.now();
         let changed = self.members.borrow_mut().tick(now);
         for vm in changed {
-            let state = self.members.borrow().get(&vm).map(|member| member.state);
-            log::info!(member = vm.as_str(), state:? = state; "member changed");
+            self.tell_change(&vm);
             self.away.borrow_mut().forget(&vm);
             self.forget_work(&vm);
         }
         let expired = self.mirror.borrow_mut().expire(now);
+        if self.store.borrow().is_watched() {
+            let revision = self.mirror.borrow().revision();
+            self.pass_on(revision, &expired);
+        }
         self.apply_changes(expired);
         self.pool.sweep();
         let members = self.members.borrow();
@@ -206,6 +228,23 @@
         self.fleet.borrow_mut().set_region_vms(vms);
     }
 
+    /// Logs a member's new state. VMs that do not tell this one fall silent by
+    /// plan after their greeting.
+    fn tell_change(&self, vm: &VmName) {
+        let members = self.members.borrow();
+        let Some(member) = members.get(vm) else {
+            return;
+        };
+        let is_expected = member.beat.region != self.settings().place.region
+            && !self.heard_vms.borrow().contains_key(vm);
+        let level = if is_expected {
+            log::Level::Debug
+        } else {
+            log::Level::Info
+        };
+        log::log!(level, member = vm.as_str(), state:? = member.state; "member changed");
+    }
+
     /// Forgets the work of a VM that is gone.
     fn forget_work(&self, vm: &VmName) {
         let mut fleet = self.fleet.borrow_mut();
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -2,16 +2,18 @@
 //!
 //! A VM sends its heartbeats on connections that it dials itself, and answers
 //! what it is asked on connections that others dial. Whoever is heard of, in
-//! the settings, in a greeting or in a list of members, is dialled.
+//! the settings, in a greeting or in a list of members, is greeted once. A link
+//! stays up to the VMs of the region, and to those of other regions that this VM
+//! is to tell (see [`onyxfall_policy::FAR_PARTNERS`]).
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::{SinkExt, StreamExt};
-use onyxfall_policy::MemberBeat;
+use onyxfall_policy::{MemberBeat, MemberState, VmMember};
 use onyxfall_wire::{
     FrameError, MemberEntry, MemberSet, PROTOCOL_VERSION, PeerCodec, PeerFrame, PeerHello,
     PeerPayload, SnapshotRequest,
@@ -32,6 +34,13 @@
 const DIAL_PAUSE: Duration = Duration::from_millis(500);
 /// Pause between two looks for VMs that have no link yet.
 const LOOK: Duration = Duration::from_millis(200);
+/// Time between two lists of members on a link within the region, so that VMs of
+/// other regions that one VM hears of stay known to all. Far below the time
+/// after which a silent member is forgotten.
+const MEMBERS_INTERVAL: Duration = Duration::from_secs(30);
+/// Age up to which a VM passes on members that nobody was heard from yet: when
+/// all VMs start at once, names must spread before heartbeats do.
+const YOUNG: Duration = Duration::from_secs(10);
 /// Least time between two requests for a copy of the store on one link.
 const SNAPSHOT_PAUSE: Duration = Duration::from_millis(600);
 /// Bound on writing one frame; a peer that does not read loses its link.
@@ -58,14 +67,23 @@
     });
 }
 
-/// Addresses of every VM that is known, but this one.
+/// Addresses to which there is to be a link: those of VMs that are to be told or
+/// greeted, and those of the settings whose VM is unknown.
 fn wanted(gateway: &Gateway) -> BTreeSet<SocketAddr> {
     let settings = gateway.settings();
     let members = gateway.members.borrow();
-    members
+    let greeted = gateway.greeted.borrow();
+    let known: BTreeSet<SocketAddr> = members
         .others()
         .map(|member| member.beat.peer_address)
-        .chain(settings.seeds.iter().copied())
+        .collect();
+    let seeds = settings.seeds.iter().copied();
+    members
+        .others()
+        .map(|member| &member.beat)
+        .filter(|beat| members.tells(beat) || !greeted.contains(&beat.peer_address))
+        .map(|beat| beat.peer_address)
+        .chain(seeds.filter(|address| !known.contains(address)))
         .filter(|address| *address != settings.peers)
         .collect()
 }
@@ -80,7 +98,8 @@
     while wanted(gateway).contains(&address) {
         match dial(address, DIAL_LIMIT).await {
             Ok(stream) => {
-                if let Err(e) = run_link(gateway, stream).await {
+                let ended = run_link(gateway, stream, address).await;
+                if let Err(e) = ended {
                     log::info!(address:% = address, error:% = e; "link lost");
                 }
             }
@@ -90,8 +109,13 @@
     }
 }
 
-/// Sends heartbeats on a link that was dialled, and takes what comes back.
-async fn run_link(gateway: &Rc<Gateway>, stream: TcpStream) -> Result<(), FrameError> {
+/// Greets the VM at the other end of a link that was dialled, and tells it
+/// heartbeats for as long as it is to be told.
+async fn run_link(
+    gateway: &Rc<Gateway>,
+    stream: TcpStream,
+    address: SocketAddr,
+) -> Result<(), FrameError> {
     let mut link = Framed::new(stream, PeerCodec::default());
     send(&mut link, hello(gateway)).await?;
     let Some(greeting) = link.next().await else {
@@ -100,32 +124,110 @@
     let Some(peer) = take_hello(gateway, greeting?) else {
         return Err(FrameError::Closed);
     };
+    if let Some(Ok(frame)) = link.next().await {
+        take_reply(gateway, &peer, frame);
+    }
+    gateway.greeted.borrow_mut().insert(address);
+    if !gateway.members.borrow().tells(&peer) {
+        return Ok(());
+    }
     log::info!(member = peer.name.as_str(); "link up");
-    let mut asked: Option<tokio::time::Instant> = None;
-    loop {
-        let beat = own_beat(gateway, &peer.region);
-        send(&mut link, PeerPayload::VmBeat(beat)).await?;
-        if gateway.wants_snapshot_of(&peer.name)
-            && asked.is_none_or(|at| at.elapsed() >= SNAPSHOT_PAUSE)
-        {
-            asked = Some(tokio::time::Instant::now());
+    gateway.linked.borrow_mut().insert(peer.name.clone());
+    let ended = LinkTeller::new(gateway, &peer).run(&mut link).await;
+    gateway.linked.borrow_mut().remove(&peer.name);
+    ended
+}
+
+/// What is told on one link, and when it was last told.
+struct LinkTeller<'a> {
+    gateway: &'a Rc<Gateway>,
+    peer: &'a MemberBeat,
+    is_near: bool,
+    next_delta: u64,
+    asked_snapshot: Option<Instant>,
+    told_members: Instant,
+}
+
+impl<'a> LinkTeller<'a> {
+    fn new(gateway: &'a Rc<Gateway>, peer: &'a MemberBeat) -> Self {
+        Self {
+            gateway,
+            peer,
+            is_near: peer.region == gateway.settings().place.region,
+            next_delta: gateway.share.borrow().next_number(),
+            asked_snapshot: None,
+            told_members: Instant::now(),
+        }
+    }
+
+    /// Tells until the link breaks, or the other VM is no longer to be told.
+    async fn run(mut self, link: &mut FramedLink) -> Result<(), FrameError> {
+        while self.gateway.members.borrow().tells(self.peer) {
+            self.tell(link).await?;
+            self.listen(link).await?;
+        }
+        Ok(())
+    }
+
+    async fn tell(&mut self, link: &mut FramedLink) -> Result<(), FrameError> {
+        let gateway = self.gateway;
+        if self.is_near {
+            self.tell_deltas(link).await?;
+        }
+        let beat = own_beat(gateway, &self.peer.region);
+        send(link, PeerPayload::VmBeat(beat)).await?;
+        let may_ask = self
+            .asked_snapshot
+            .is_none_or(|at| at.elapsed() >= SNAPSHOT_PAUSE);
+        if may_ask && gateway.wants_snapshot_of(&self.peer.name) {
+            self.asked_snapshot = Some(Instant::now());
             let request = PeerPayload::SnapshotRequest(SnapshotRequest {});
-            send(&mut link, request).await?;
+            send(link, request).await?;
+        }
+        if self.is_near && self.told_members.elapsed() >= MEMBERS_INTERVAL {
+            self.told_members = Instant::now();
+            send(link, PeerPayload::Members(known_members(gateway))).await?;
         }
-        let vms = gateway.members.borrow().others().count();
-        let is_near = peer.region == gateway.settings().place.region;
-        let until = tokio::time::Instant::now() + beat_interval(vms, is_near);
+        Ok(())
+    }
+
+    async fn tell_deltas(&mut self, link: &mut FramedLink) -> Result<(), FrameError> {
+        let deltas = {
+            let share = self.gateway.share.borrow();
+            let deltas = share.deltas_from(self.next_delta);
+            self.next_delta = share.next_number();
+            deltas
+        };
+        for delta in deltas {
+            send(link, PeerPayload::Delta((*delta).clone())).await?;
+        }
+        Ok(())
+    }
+
+    /// Takes what comes back until the next heartbeat is due.
+    async fn listen(&self, link: &mut FramedLink) -> Result<(), FrameError> {
+        let until = tokio::time::Instant::now() + self.interval();
         loop {
             tokio::select! {
-                () = tokio::time::sleep_until(until) => break,
-                () = gateway.beat_now.notified() => break,
+                () = tokio::time::sleep_until(until) => return Ok(()),
+                () = self.gateway.beat_now.notified() => return Ok(()),
                 frame = link.next() => match frame {
-                    Some(frame) => take_reply(gateway, &peer, frame?),
+                    Some(frame) => take_reply(self.gateway, self.peer, frame?),
                     None => return Err(FrameError::Closed),
                 },
             }
         }
     }
+
+    fn interval(&self) -> Duration {
+        let own_region = &self.gateway.settings().place.region;
+        let members = self.gateway.members.borrow();
+        let near = members
+            .others()
+            .filter(|member| member.beat.region == *own_region)
+            .count();
+        beat_interval(near, self.is_near)
+    }
 }
 
 fn take_reply(gateway: &Gateway, peer: &MemberBeat, frame: PeerFrame) {
@@ -163,9 +265,11 @@
     };
     send(&mut link, hello(gateway)).await?;
     send(&mut link, PeerPayload::Members(known_members(gateway))).await?;
-    // A VM that has just started must not wait until it is dialled in return.
-    let beat = own_beat(gateway, &peer.region);
-    send(&mut link, PeerPayload::VmBeat(beat)).await?;
+    if gateway.members.borrow().tells(&peer) {
+        // A VM that has just started must not wait until it is dialled in return.
+        let beat = own_beat(gateway, &peer.region);
+        send(&mut link, PeerPayload::VmBeat(beat)).await?;
+    }
     while let Some(frame) = link.next().await {
         match frame?.payload {
             Some(PeerPayload::VmBeat(beat)) => {
@@ -176,6 +280,8 @@
                 let snapshot = PeerPayload::Snapshot(own_snapshot(gateway));
                 send(&mut link, snapshot).await?;
             }
+            Some(PeerPayload::Delta(delta)) => gateway.take_delta(&delta),
+            Some(PeerPayload::Members(set)) => take_members(gateway, &set),
             other => log::debug!("unexpected frame on a link: {other:?}"),
         }
     }
@@ -206,12 +312,22 @@
     Some(beat)
 }
 
+/// The members that this VM knows to live: those that it hears, and those to
+/// which it has a link. Others would be kept in memory by word of mouth alone.
 fn known_members(gateway: &Gateway) -> MemberSet {
     let members = gateway.members.borrow();
+    let linked = gateway.linked.borrow();
+    let is_young = gateway.started.elapsed() < YOUNG;
+    let is_known = |member: &VmMember| match member.state {
+        MemberState::Alive | MemberState::Leaving => true,
+        MemberState::Hinted => is_young || linked.contains(&member.beat.name),
+        MemberState::Suspect | MemberState::Gone => linked.contains(&member.beat.name),
+    };
     MemberSet {
         center: String::new(),
         members: members
             .others()
+            .filter(|member| is_known(member))
             .map(|member| MemberEntry::from(&member.beat))
             .collect(),
     }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -24,6 +24,7 @@
 mod report;
 mod serve;
 mod settings;
+mod share;
 mod stop;
 mod store;
 mod stream;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -32,6 +32,11 @@
 /// Pauses between calls that fail: from this, doubled, up to the next.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 const LAST_PAUSE: Duration = Duration::from_millis(700);
+/// The same for a VM that need not watch: it takes the copy of one that does, and
+/// refused calls are priced too.
+const LAST_IDLE_PAUSE: Duration = Duration::from_millis(2100);
+/// Look whether another VM watches.
+const FOLLOW_LOOK: Duration = Duration::from_millis(50);
 /// Largest answer: a page holds at most about a megabyte, in base64.
 const ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
@@ -39,15 +44,21 @@
 #[derive(Debug, Default)]
 pub(crate) struct StoreLink {
     is_reached: bool,
+    is_watched: bool,
     returned_at: Option<Moment>,
 }
 
 impl StoreLink {
-    /// Whether everything is read and watched.
+    /// Whether everything was read, and is watched by this VM or another one.
     pub(crate) fn is_reached(&self) -> bool {
         self.is_reached
     }
 
+    /// Whether this VM itself watches.
+    pub(crate) fn is_watched(&self) -> bool {
+        self.is_reached && self.is_watched
+    }
+
     fn lose(&mut self) -> bool {
         std::mem::replace(&mut self.is_reached, false)
     }
@@ -85,6 +96,19 @@
     TimedOut,
 }
 
+/// Why everything has to be read again.
+#[derive(Debug, Error)]
+enum WatchEnd {
+    #[error("the watch ended: {0}")]
+    Failed(CallError),
+    #[error("another VM watches")]
+    Relieved,
+    #[error("no VM is heard that watches")]
+    Unwatched,
+    #[error("the copy stays behind")]
+    Behind,
+}
+
 /// Starts the task that reads and watches.
 pub(crate) fn start(gateway: &Rc<Gateway>) {
     let mut watch = StoreWatch {
@@ -107,34 +131,66 @@
             match self.read_all().await {
                 Ok(revision) => {
                     self.note_success();
-                    let end = self.watch_from(revision).await;
-                    log::info!(cause:% = end; "watch ended; reading everything");
+                    let end = self.stay_current(revision).await;
+                    log::info!(cause:% = end; "reading everything");
                 }
                 Err(e) => self.note_failure(&e).await,
             }
         }
     }
 
-    /// Watches until an answer fails; a cut is not yet a failure of the store.
-    async fn watch_from(&mut self, mut revision: u64) -> CallError {
+    /// Keeps the copy current, by a watch or by what another VM passes on, until
+    /// everything has to be read again.
+    async fn stay_current(&mut self, revision: u64) -> WatchEnd {
+        if !self.gateway.follows_watcher() {
+            let end = self.watch_from(revision).await;
+            self.gateway.store.borrow_mut().is_watched = false;
+            if let WatchEnd::Failed(_) = end {
+                return end;
+            }
+        }
+        log::info!("another VM watches the store for this one");
+        self.follow().await
+    }
+
+    /// Watches until an answer fails, or another VM watches for this one; a cut
+    /// is not yet a failure of the store.
+    async fn watch_from(&mut self, mut revision: u64) -> WatchEnd {
+        self.gateway.store.borrow_mut().is_watched = true;
         loop {
             match self.watch(revision).await {
                 Ok(batch) => {
                     revision = batch.revision.max(revision);
                     self.take_batch(batch);
                 }
-                Err(e) => return e,
+                Err(e) => return WatchEnd::Failed(e),
+            }
+            if self.gateway.follows_watcher() {
+                return WatchEnd::Relieved;
+            }
+        }
+    }
+
+    /// Lives on what another VM passes on.
+    async fn follow(&self) -> WatchEnd {
+        while self.gateway.follows_watcher() {
+            if self.gateway.must_catch_up() {
+                return WatchEnd::Behind;
             }
+            tokio::time::sleep(FOLLOW_LOOK).await;
         }
+        WatchEnd::Unwatched
     }
 
     fn take_batch(&self, batch: EventBatch) {
         let now = self.gateway.now();
         let health = self.gateway.store.borrow().health(now);
+        let base = self.gateway.mirror.borrow().revision();
         let changes = {
             let mut mirror = self.gateway.mirror.borrow_mut();
             mirror.apply(now, batch.events, health)
         };
+        self.gateway.pass_on(base, &changes);
         self.gateway.apply_changes(changes);
     }
 
@@ -152,11 +208,14 @@
             if is_last {
                 let now = self.gateway.now();
                 let health = self.gateway.store.borrow().health(now);
+                let base = self.gateway.mirror.borrow().revision();
                 let changes = {
                     let mut mirror = self.gateway.mirror.borrow_mut();
                     mirror.replace(now, WATCHED_PREFIX, items, first, health)
                 };
+                self.gateway.pass_on(base, &changes);
                 self.gateway.apply_changes(changes);
+                self.gateway.note_caught_up();
                 return Ok(first);
             }
         }
@@ -222,6 +281,11 @@
         // Every VM comes back at the same moment; the spread keeps calls apart.
         let spread = rand::rng().random_range(0.5..1.5);
         tokio::time::sleep(self.pause.mul_f64(spread)).await;
-        self.pause = (self.pause * 2).min(LAST_PAUSE);
+        let longest = if self.gateway.has_watch_duty() {
+            LAST_PAUSE
+        } else {
+            LAST_IDLE_PAUSE
+        };
+        self.pause = (self.pause * 2).min(longest);
     }
 }
--- a/crates/gateway/tests/links.rs
+++ b/crates/gateway/tests/links.rs
@@ -72,7 +72,7 @@
     let Some(PeerPayload::VmBeat(beat)) = link.next() else {
         panic!("no heartbeat follows the greeting");
     };
-    assert!(beat.ready && beat.store_reached);
+    assert!(beat.ready && beat.watches_store);
     assert_eq!(
         beat.loads.len(),
         1,
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -46,6 +46,7 @@
     pub store: StoreStandIn,
     pub ports: Ports,
     ips: Vec<Ipv4Addr>,
+    regions: usize,
     dir: PathBuf,
 }
 
@@ -56,11 +57,17 @@
 }
 
 impl Site {
+    /// VMs with a region each.
     pub fn start(vms: u8) -> Self {
+        Self::start_in(vms, usize::from(vms))
+    }
+
+    /// VMs with a data centre each, in turn one of each region.
+    pub fn start_in(vms: u8, regions: usize) -> Self {
         let number = NEXT_SITE.fetch_add(1, Ordering::SeqCst);
         let process = std::process::id();
         let [_, _, high, low] = process.to_be_bytes();
-        let base = u8::try_from(number % 60).unwrap() * 4;
+        let base = u8::try_from(number % 25).unwrap() * 10;
         let ips: Vec<Ipv4Addr> = (0..vms)
             .map(|vm| Ipv4Addr::new(127, 64 + (high % 64), low, base + vm + 1))
             .collect();
@@ -72,6 +79,7 @@
             store,
             ports,
             ips,
+            regions,
             dir,
         }
     }
@@ -120,7 +128,7 @@
         self.store.put(&server_key(name), server_body(&record));
     }
 
-    /// Starts the gateway of a VM; each VM has a region of its own.
+    /// Starts the gateway of a VM.
     pub fn gateway(&self, vm: usize) -> Gateway {
         self.gateway_with_store(vm, self.store.address())
     }
@@ -150,7 +158,7 @@
             .collect();
         let mut centers = String::new();
         for n in 0..self.ips.len() {
-            let _ = writeln!(centers, "[center c{n}]\nregion = r{n}");
+            let _ = writeln!(centers, "[center c{n}]\nregion = r{}", n % self.regions);
         }
         format!(
             "[vm]\nname = vm{vm}\ncenter = c{vm}\n\
--- /dev/null
+++ b/crates/gateway/tests/watchers.rs
@@ -0,0 +1,77 @@
+//! Few VMs of a region watch the store; the others learn from them.
+
+mod support;
+
+use onyxfall_fakes::ServerStandIn;
+use support::{Gateway, Site, call, wait_for};
+
+/// VMs of the region, all in one.
+const VMS: u8 = 5;
+/// VMs that watch for a region.
+const WATCHERS: usize = 2;
+/// Looks in a row for which a state must hold to count as steady.
+const STEADY_LOOKS: usize = 40;
+
+fn start() -> (Vec<Gateway>, ServerStandIn, Site) {
+    let site = Site::start_in(VMS, 1);
+    let server = ServerStandIn::start(site.ip(0)).unwrap();
+    site.announce("s0", &server, 0);
+    site.configure(1);
+    let gateways: Vec<Gateway> = (0..usize::from(VMS)).map(|vm| site.gateway(vm)).collect();
+    for gateway in &gateways {
+        gateway.wait_served();
+    }
+    (gateways, server, site)
+}
+
+fn wait_watched(site: &Site) {
+    let mut looks = 0;
+    wait_for("two VMs to watch for the region", || {
+        let watches = site.store.open_watches();
+        looks = if (1..=WATCHERS).contains(&watches) {
+            looks + 1
+        } else {
+            0
+        };
+        looks >= STEADY_LOOKS
+    });
+}
+
+fn wait_in_force(gateway: &Gateway) {
+    wait_for("the new configuration", || {
+        let reply = call(gateway.callers(), "/once/x", "probe");
+        reply.is_some_and(|reply| reply.status.as_u16() == 404)
+    });
+}
+
+/// Writes a configuration without routes, which shows as 404.
+fn withdraw_routes(site: &Site, version: u64) {
+    let body = onyxfall_adapter::standin::document_body(version, &[], &[]);
+    let key = onyxfall_adapter::standin::config_key();
+    site.store.put(key, body);
+}
+
+#[test]
+fn few_vms_watch_and_all_learn_of_changes() {
+    let (gateways, _server, site) = start();
+    wait_watched(&site);
+    withdraw_routes(&site, 2);
+    for gateway in &gateways {
+        wait_in_force(gateway);
+    }
+    wait_watched(&site);
+}
+
+#[test]
+fn others_watch_when_the_watchers_are_gone() {
+    let (mut gateways, _server, site) = start();
+    wait_watched(&site);
+    // Whoever watches is among the first three or the last two: kill all but two,
+    // so that at least one VM that followed has to watch.
+    gateways.truncate(2);
+    wait_watched(&site);
+    withdraw_routes(&site, 2);
+    for gateway in &gateways {
+        wait_in_force(gateway);
+    }
+}
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -202,18 +202,28 @@
         }
     }
 
-    /// Takes a VM from the platform's list or the settings, if it is unknown.
+    /// Takes a VM that the platform's list, the settings or another VM names, if
+    /// it is unknown, or was not heard of for long and is of another region: VMs
+    /// of other regions need not be heard directly, so that the word of others is
+    /// all that is known of them.
     pub fn hint(&mut self, now: Moment, beat: &MemberBeat) {
         if beat.name == self.own.name {
             return;
         }
-        self.members
-            .entry(beat.name.clone())
-            .or_insert_with(|| VmMember {
-                beat: beat.clone(),
-                state: MemberState::Hinted,
-                heard: now,
-            });
+        let hinted = VmMember {
+            beat: beat.clone(),
+            state: MemberState::Hinted,
+            heard: now,
+        };
+        let Some(known) = self.members.get_mut(&beat.name) else {
+            self.members.insert(beat.name.clone(), hinted);
+            return;
+        };
+        let is_unheard = matches!(known.state, MemberState::Hinted | MemberState::Gone);
+        let is_far = beat.region != self.own.region;
+        if is_unheard && is_far && beat.incarnation >= known.beat.incarnation {
+            *known = hinted;
+        }
     }
 
     /// Takes "leaving" from the platform's list.
--- a/crates/wire/src/class.rs
+++ b/crates/wire/src/class.rs
@@ -48,7 +48,8 @@
             | PeerPayload::ContentRequest(_)
             | PeerPayload::Content(_)
             | PeerPayload::SnapshotRequest(_)
-            | PeerPayload::Snapshot(_) => Self::Configuration,
+            | PeerPayload::Snapshot(_)
+            | PeerPayload::Delta(_) => Self::Configuration,
         }
     }
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -8,7 +8,7 @@
     /// What it carries; absent if this version does not know it.
     #[prost(
         oneof = "PeerPayload",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
     )]
     pub payload: Option<PeerPayload>,
 }
@@ -76,6 +76,9 @@
     /// A copy of the store.
     #[prost(message, tag = "20")]
     Snapshot(StoreSnapshot),
+    /// Changes of the store, from a VM that watches it.
+    #[prost(message, tag = "21")]
+    Delta(StoreDelta),
 }
 
 impl From<PeerPayload> for PeerFrame {
@@ -425,9 +428,9 @@
     /// Whether it is stopping by plan.
     #[prost(bool, tag = "2")]
     pub leaving: bool,
-    /// Whether it reaches the store.
+    /// Whether it watches the store and reaches it.
     #[prost(bool, tag = "3")]
-    pub store_reached: bool,
+    pub watches_store: bool,
     /// Hash of its copy of the store.
     #[prost(fixed64, tag = "4")]
     pub mirror_hash: u64,
@@ -488,6 +491,26 @@
     pub items: Vec<SnapshotItem>,
 }
 
+/// Changes of a copy of the store.
+#[derive(Clone, PartialEq, Message)]
+pub struct StoreDelta {
+    /// Revision that the sender's copy reflects.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    /// Items as they were written; large ones are left out.
+    #[prost(message, repeated, tag = "2")]
+    pub items: Vec<SnapshotItem>,
+    /// Keys that are gone.
+    #[prost(string, repeated, tag = "3")]
+    pub removed: Vec<String>,
+    /// Revision of the sender's copy before these changes.
+    #[prost(uint64, tag = "4")]
+    pub base: u64,
+    /// Whether items were left out for their size.
+    #[prost(bool, tag = "5")]
+    pub is_partial: bool,
+}
+
 /// One item of a copy of the store.
 #[derive(Clone, PartialEq, Message)]
 pub struct SnapshotItem {
