Keep ports that a gateway test has found free from being held by another test's child

Between fork and exec a child holds its parent's listeners, so a port that one thread has just given back may still be taken while another thread starts a process.

Looking for ports and starting processes now exclude each other; a failing test prints its gateways' logs.

--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -6,8 +6,9 @@
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -30,6 +31,10 @@
 const CALL_LIMIT: Duration = Duration::from_secs(20);
 
 static NEXT_SITE: AtomicU32 = AtomicU32::new(1);
+/// Held while ports are looked for and while a process is started: a child holds
+/// its parent's listeners until it runs its program, so that a port just given
+/// back could still be taken when its gateway wants it.
+static SPAWNING: Mutex<()> = Mutex::new(());
 
 /// Ports of a gateway; the same on every VM of a site.
 #[derive(Clone, Copy, Debug)]
@@ -54,6 +59,7 @@
     pub ip: Ipv4Addr,
     pub ports: Ports,
     pub child: Child,
+    log: PathBuf,
 }
 
 impl Site {
@@ -136,16 +142,18 @@
     pub fn gateway_with_store(&self, vm: usize, store: SocketAddr) -> Gateway {
         let file = self.dir.join(format!("vm{vm}.ini"));
         fs::write(&file, self.settings(vm, store)).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_onyxfall-gateway"))
+        let log = self.dir.join(format!("vm{vm}.log"));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_onyxfall-gateway"));
+        command
             .arg("--settings")
             .arg(&file)
-            .stdout(Stdio::null())
-            .spawn()
-            .unwrap();
+            .stdout(fs::File::create(&log).unwrap());
+        let child = spawn(&mut command);
         Gateway {
             ip: self.ips[vm],
             ports: self.ports,
             child,
+            log,
         }
     }
 
@@ -217,7 +225,13 @@
     IpAddr::V4(Ipv4Addr::new(net, second + 64, third, fourth))
 }
 
+fn spawn(command: &mut Command) -> Child {
+    let _alone = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn().unwrap()
+}
+
 fn free_ports(ips: &[Ipv4Addr]) -> Ports {
+    let _alone = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
     let mut found = Vec::new();
     while found.len() < 5 {
         let probe = TcpListener::bind((ips[0], 0)).unwrap();
@@ -271,8 +285,8 @@
 
     pub fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
-        let status = Command::new("kill").args([signal, &pid]).status().unwrap();
-        assert!(status.success());
+        let mut kill = spawn(Command::new("kill").args([signal, &pid]));
+        assert!(kill.wait().unwrap().success());
     }
 }
 
@@ -280,6 +294,10 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if thread::panicking() {
+            let log = fs::read_to_string(&self.log).unwrap_or_default();
+            eprintln!("log of {}:\n{log}", self.ip);
+        }
     }
 }
 
