--- a/crates/fleet/src/choose.rs
+++ b/crates/fleet/src/choose.rs
@@ -2,8 +2,10 @@
 //!
 //! Requests with the same shared prefix go to the same server, by rendezvous
 //! hashing, so that it is read once, as long as that server answers well within
-//! the goal. Otherwise servers are compared by the expected time to the first
-//! byte. A server whose breaker is open is chosen only when no other is left.
+//! the goal; then to the next ones in the same order, so that all VMs spread a
+//! prefix over the same few servers. Otherwise servers are compared by the
+//! expected time to the first byte. A server whose breaker is open is chosen only
+//! when no other is left.
 
 use std::time::Duration;
 
@@ -23,6 +25,8 @@
 /// Part of the goal up to which a prefix's own server is taken at once. A first
 /// token gains nothing by coming earlier; the rest covers what a prediction errs.
 const OWNER_PART: f64 = 0.62;
+/// Servers in the order of hashing that are tried for a prefix before any other.
+const PREFIX_SERVERS: usize = 3;
 /// Cost of a cold server, so that it gets work only when others are busy.
 const COLD_COST: Duration = Duration::from_millis(150);
 /// Spread of the random part that keeps VMs with the same view apart.
@@ -35,6 +39,31 @@
     pub server: ServerId,
     /// Expected time to the first byte.
     pub predicted: Duration,
+    /// Why it was chosen.
+    pub reason: ChoiceReason,
+}
+
+/// Why a server was chosen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ChoiceReason {
+    /// It is the request's prefix's own server.
+    Owner,
+    /// It is one of the next in the order of the prefix's servers.
+    Successor,
+    /// It promises the earliest first byte.
+    #[default]
+    Earliest,
+}
+
+impl ChoiceReason {
+    /// Word for logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Owner => "owner",
+            Self::Successor => "successor",
+            Self::Earliest => "earliest",
+        }
+    }
 }
 
 /// What the region has for a request.
@@ -81,8 +110,17 @@
             .filter(|id| self.server(*id).is_trusted(now))
             .collect();
         let pool = if trusted.is_empty() { awake } else { trusted };
-        let owner = self.prefix_owner(needs, &pool);
-        if let Some(choice) = owner.and_then(|id| self.quick_owner(now, id, needs)) {
+        let ranked = self.prefix_servers(needs, &pool);
+        let owner = ranked.first().copied();
+        let quick = ranked
+            .into_iter()
+            .find_map(|id| self.quick_choice(now, id, needs));
+        if let Some(mut choice) = quick {
+            choice.reason = if Some(choice.server) == owner {
+                ChoiceReason::Owner
+            } else {
+                ChoiceReason::Successor
+            };
             return LocalOption::Free(choice);
         }
         let best = pool
@@ -93,7 +131,11 @@
             return LocalOption::Resting;
         };
         let predicted = self.server(server).predict(now, needs);
-        LocalOption::Free(ServerChoice { server, predicted })
+        LocalOption::Free(ServerChoice {
+            server,
+            predicted,
+            reason: ChoiceReason::Earliest,
+        })
     }
 
     fn candidates(&self, needs: &CallNeeds, excluded: &[ServerId]) -> Vec<ServerId> {
@@ -132,7 +174,7 @@
                     && !self.is_evacuated(&server.record.center)
             })
             .collect();
-        let owner = self.prefix_owner(needs, &pool)?;
+        let owner = *self.prefix_servers(needs, &pool).first()?;
         Some(&self.server(owner).region)
     }
 
@@ -145,24 +187,32 @@
             && self.server_mut(id).cold_share().has_one(now)
     }
 
-    /// The server that rendezvous hashing gives the request's shared prefix.
-    fn prefix_owner(&self, needs: &CallNeeds, pool: &[ServerId]) -> Option<ServerId> {
-        let key = needs.prompt.affinity()?;
-        let rank = |id: &ServerId| {
-            let name = &self.server(*id).record.name;
-            xxh3_64_with_seed(name.as_str().as_bytes(), key)
+    /// The first servers that rendezvous hashing gives the request's shared prefix.
+    fn prefix_servers(&self, needs: &CallNeeds, pool: &[ServerId]) -> Vec<ServerId> {
+        let Some(key) = needs.prompt.affinity() else {
+            return Vec::new();
         };
-        pool.iter().copied().max_by_key(rank)
+        let mut ranked: Vec<(u64, ServerId)> = pool
+            .iter()
+            .map(|id| {
+                let name = &self.server(*id).record.name;
+                (xxh3_64_with_seed(name.as_str().as_bytes(), key), *id)
+            })
+            .collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        ranked.truncate(PREFIX_SERVERS);
+        ranked.into_iter().map(|(_, id)| id).collect()
     }
 
-    /// The prefix's own server, if it answers well within the goal.
-    fn quick_owner(&self, now: Moment, id: ServerId, needs: &CallNeeds) -> Option<ServerChoice> {
+    /// A server of the prefix, if it answers well within the goal.
+    fn quick_choice(&self, now: Moment, id: ServerId, needs: &CallNeeds) -> Option<ServerChoice> {
         let server = self.server(id);
         let predicted = server.predict(now, needs);
         let is_quick = predicted <= needs.goal.mul_f64(OWNER_PART) && !server.is_cold(now);
         is_quick.then_some(ServerChoice {
             server: id,
             predicted,
+            reason: ChoiceReason::Owner,
         })
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,7 +20,7 @@
 pub use away::{AwayOption, AwaySearch, AwayTable, REGION_ROUND_TRIP, ServiceLoad, goes_away};
 pub use budget::{BudgetLimits, LEAST_VMS, RetryShare};
 pub use call::{CallNeeds, PromptPart, PromptSize};
-pub use choose::{LocalOption, ServerChoice};
+pub use choose::{ChoiceReason, LocalOption, ServerChoice};
 pub use cold::{ColdShare, SENDERS, is_cold_sender};
 pub use follow::{BEHIND_LIMIT, CATCH_UP_PAUSE, CopyCheck, CopyState};
 pub use mirror::{MirrorChange, RETURN_WINDOW, StoreEvent, StoreHealth, StoreItem, StoreMirror};
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,7 +14,7 @@
 use onyxfall_adapter::{
     AnswerKind, idle_limit, read_answer, set_expected_server, set_time_left, set_urgency,
 };
-use onyxfall_fleet::AttemptResult;
+use onyxfall_fleet::{AttemptResult, ChoiceReason};
 use onyxfall_types::{RunVerdict, ServerId};
 
 use crate::call::{CallContext, SharedCall};
@@ -40,6 +40,8 @@
     pub(crate) address: SocketAddr,
     /// Expected time to the first byte.
     pub(crate) predicted: Duration,
+    /// Why it was chosen.
+    pub(crate) reason: ChoiceReason,
 }
 
 /// Head of an answer, with the body still to come.
--- a/crates/gateway/src/decide.rs
+++ b/crates/gateway/src/decide.rs
@@ -106,6 +106,7 @@
             name: server.record.name.to_string(),
             address: server.record.address,
             predicted: choice.predicted,
+            reason: choice.reason,
         })
     }
 
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -18,6 +18,7 @@
             route = call.route.as_str(),
             version:% = call.version,
             target = progress.last_target.as_str(),
+            reason = progress.reason,
             arrivals = progress.arrivals,
             resumes = progress.resumes,
             predicted_ms = millis(progress.predicted),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -54,6 +54,8 @@
     pub(crate) first_byte: Duration,
     /// Where the last attempt went, for the log.
     pub(crate) last_target: String,
+    /// Why the last attempt went there, for the log.
+    pub(crate) reason: &'static str,
     /// Why the last attempt failed, for the log.
     pub(crate) last_cause: &'static str,
 }
@@ -172,12 +174,14 @@
             RouteStep::Server(target) => {
                 progress.servers.push(target.id);
                 progress.predicted = target.predicted;
+                progress.reason = target.reason.as_str();
                 progress.last_target.clone_from(&target.name);
                 return Ok(try_server(gateway, call, &target, extra).await);
             }
             RouteStep::Peer(target) => {
                 progress.vms.push(target.vm.clone());
                 progress.predicted = target.predicted;
+                progress.reason = "away";
                 progress.last_target = target.vm.to_string();
                 return Ok(try_peer(gateway, call, &target, extra).await);
             }
