Add a fault soak: real gateways as processes, harmed from outside by a seeded plan

Kills, planned stops, pauses, reloads, links to store, servers and callers slowed, reset, held in one way or both, a store that refuses, hangs or forgets, failing and replaced servers, new configurations, in overlapping series. Checked from what callers and stand-in servers see: doubled runs, false not-run, foreign or unsigned answers, streams, configurations that go back, gateways that end by themselves, recovery, drains.

--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -107,6 +107,13 @@
         self.state.lock().runs.clone()
     }
 
+    /// Ids of the requests that it ran, without the first `from`.
+    pub fn run_ids_from(&self, from: usize) -> Vec<String> {
+        let state = self.state.lock();
+        let runs = state.runs.iter().skip(from);
+        runs.map(|run| run.call.request_id.clone()).collect()
+    }
+
     /// Answers that were under way when their connection closed.
     pub fn cut(&self) -> usize {
         self.state.lock().cut
--- /dev/null
+++ b/crates/soak/src/callers.rs
@@ -0,0 +1,156 @@
+//! Callers that use the gateways throughout a run, on connections that they keep
+//! until these break, and what they saw.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use crossbeam::channel::{self, Receiver, Sender};
+use http::{Method, Request};
+use onyxfall_adapter::standin::{answered_id, caller_headers, is_signed};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use ureq::Agent;
+
+use crate::world::{HOST, RequestKind};
+
+/// Longest time that a caller waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(4);
+/// Pause between two requests of a caller.
+const PAUSE: Duration = Duration::from_millis(8);
+/// Largest answer that is read.
+const ANSWER_BYTES: u64 = 64 * 1024;
+
+/// What a caller saw of one request.
+#[derive(Clone, Debug)]
+pub(crate) struct CallReport {
+    /// Its id, which no other request has.
+    pub(crate) id: String,
+    /// Its kind.
+    pub(crate) kind: RequestKind,
+    /// Status; none if no answer began.
+    pub(crate) status: Option<u16>,
+    /// Whether the answer names this request and a server has signed it.
+    pub(crate) is_own: bool,
+    /// What came of the body.
+    pub(crate) body: String,
+    /// Whether the body ended as it should.
+    pub(crate) is_whole: bool,
+}
+
+/// A client that keeps its connections.
+pub(crate) fn new_agent() -> Agent {
+    Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(PATIENCE))
+        .build()
+        .into()
+}
+
+/// Sends one request and reads its answer.
+pub(crate) fn call(
+    agent: &Agent,
+    to: SocketAddr,
+    path: &str,
+    id: &str,
+    kind: RequestKind,
+) -> CallReport {
+    let mut report = CallReport {
+        id: id.to_owned(),
+        kind,
+        status: None,
+        is_own: false,
+        body: String::new(),
+        is_whole: false,
+    };
+    let mut request = Request::new("body");
+    *request.method_mut() = Method::POST;
+    let Ok(target) = format!("http://{to}{path}").parse() else {
+        return report;
+    };
+    *request.uri_mut() = target;
+    *request.headers_mut() = caller_headers(HOST, id, PATIENCE);
+    let Ok(answer) = agent.run(request) else {
+        return report;
+    };
+    let (head, body) = answer.into_parts();
+    report.status = Some(head.status.as_u16());
+    report.is_own = is_signed(&head.headers) && answered_id(&head.headers) == Some(id);
+    let mut bytes = Vec::new();
+    let read = body
+        .into_with_config()
+        .limit(ANSWER_BYTES)
+        .reader()
+        .read_to_end(&mut bytes);
+    report.is_whole = read.is_ok();
+    report.body = String::from_utf8_lossy(&bytes).into_owned();
+    report
+}
+
+/// Callers that are under way.
+pub(crate) struct CallerCrowd {
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+    reports: Receiver<CallReport>,
+}
+
+impl CallerCrowd {
+    /// Starts `count` callers of the gateways at `targets`.
+    pub(crate) fn start(seed: u64, count: usize, targets: &[SocketAddr]) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let (sender, reports) = channel::unbounded();
+        let threads = (0..count)
+            .map(|caller| {
+                let (stop, sender) = (Arc::clone(&stop), sender.clone());
+                let targets = targets.to_vec();
+                thread::spawn(move || run_caller(seed, caller, &targets, &stop, &sender))
+            })
+            .collect();
+        Self {
+            stop,
+            threads,
+            reports,
+        }
+    }
+
+    /// What was seen since the last call.
+    pub(crate) fn take_reports(&self) -> Vec<CallReport> {
+        self.reports.try_iter().collect()
+    }
+
+    /// Ends the callers; returns what they still saw.
+    pub(crate) fn finish(self) -> Vec<CallReport> {
+        self.stop.store(true, Ordering::Relaxed);
+        for thread in self.threads {
+            // A caller that panicked has told nothing more.
+            let _ = thread.join();
+        }
+        self.reports.try_iter().collect()
+    }
+}
+
+fn run_caller(
+    seed: u64,
+    caller: usize,
+    targets: &[SocketAddr],
+    stop: &AtomicBool,
+    reports: &Sender<CallReport>,
+) {
+    let mut rng = StdRng::seed_from_u64(seed ^ (caller as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    let agent = new_agent();
+    let mut number = 0_u64;
+    while !stop.load(Ordering::Relaxed) {
+        number += 1;
+        let to = targets[rng.random_range(0..targets.len())];
+        let kind = RequestKind::ALL[rng.random_range(0..RequestKind::ALL.len())];
+        let path = format!("{}x", kind.prefix());
+        let id = format!("c{caller}-{number}");
+        if reports.send(call(&agent, to, &path, &id, kind)).is_err() {
+            return;
+        }
+        thread::sleep(PAUSE);
+    }
+}
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,103 @@
+//! The `onyxfall-soak` program: runs real gateways as processes on loopback, does
+//! them harm from outside by a plan drawn from a seed, and checks the promises from
+//! what callers and backend servers see.
+//!
+//! A seed gives the same plan each time; what the processes make of it depends on
+//! their scheduling, so a failure may take several runs of its seed to show again.
+
+mod callers;
+mod checks;
+mod link;
+mod plan;
+mod run;
+mod world;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use argh::FromArgs;
+use miette::{IntoDiagnostic, Report, miette};
+
+use crate::plan::RunSize;
+
+/// Harm real gateways from outside, and check what they promise.
+#[derive(FromArgs)]
+struct SoakArguments {
+    /// first seed
+    #[argh(option, default = "1")]
+    seed: u64,
+
+    /// number of seeds, one after the other
+    #[argh(option, default = "1")]
+    seeds: u64,
+
+    /// time with faults, in seconds
+    #[argh(option, default = "8")]
+    seconds: u64,
+
+    /// gateways
+    #[argh(option, default = "6")]
+    vms: usize,
+
+    /// backend servers
+    #[argh(option, default = "6")]
+    servers: usize,
+
+    /// gateway program; by default the one beside this program
+    #[argh(option)]
+    program: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let arguments: SoakArguments = argh::from_env();
+    match run(&arguments) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(failed) => {
+            eprintln!("{failed} of {} seeds failed", arguments.seeds);
+            ExitCode::FAILURE
+        }
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Plays every seed; returns how many failed.
+fn run(arguments: &SoakArguments) -> Result<u64, Report> {
+    let beside = std::env::current_exe()
+        .into_diagnostic()?
+        .with_file_name("onyxfall-gateway");
+    let program = arguments.program.clone().unwrap_or(beside);
+    if !program.is_file() {
+        return Err(miette!("{}: no gateway program there", program.display()));
+    }
+    if arguments.vms == 0 || arguments.servers == 0 {
+        return Err(miette!("a run needs a gateway and a server"));
+    }
+    let size = RunSize {
+        vms: arguments.vms,
+        servers: arguments.servers,
+        time: Duration::from_secs(arguments.seconds),
+    };
+    let mut failed = 0;
+    for seed in arguments.seed..arguments.seed + arguments.seeds {
+        let result = run::play(&program, seed, &size).into_diagnostic()?;
+        let faults = result.plan.len();
+        let broken = result.broken.len();
+        println!(
+            "seed {seed}: {faults} faults, {broken} promises broken, requests by status {}",
+            result.summary
+        );
+        if broken > 0 {
+            failed += 1;
+            result.plan.iter().for_each(|fault| println!("  {fault}"));
+            result
+                .broken
+                .iter()
+                .for_each(|broken| println!("  {broken}"));
+        }
+    }
+    Ok(failed)
+}
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,158 @@
+//! What is done to a deployment, and when, drawn from a seed.
+//!
+//! Faults overlap on purpose: each kind comes in a series of its own, and nothing
+//! waits for another fault to end. The last part of a run is free of faults, so
+//! that recovery can be checked.
+
+use std::fmt;
+use std::time::Duration;
+
+use onyxfall_fakes::{ServerFailing, StoreMode};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::link::LinkMode;
+
+/// Bounds of the time that one fault lasts.
+const FAULT_MS: std::ops::Range<u64> = 200..2500;
+/// Mean time between the beginnings of two faults, in milliseconds.
+const FAULT_PAUSE_MS: u64 = 400;
+/// Pause before the first fault, so that every gateway serves.
+const LEAD: Duration = Duration::from_secs(1);
+
+/// A fault; `usize` names the VM or server that it strikes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// The gateway is killed, and started again at the end.
+    Kill(usize),
+    /// The gateway is told to stop, and started again once it has ended.
+    Stop(usize),
+    /// The gateway is paused.
+    Pause(usize),
+    /// The gateway is told to read its settings again.
+    Reload(usize),
+    /// The link between a gateway and the store.
+    StoreLink(usize, LinkMode),
+    /// The link between callers and a gateway.
+    CallerLink(usize, LinkMode),
+    /// The link between gateways and a server.
+    ServerLink(usize, LinkMode),
+    /// The store itself.
+    Store(StoreMode),
+    /// The store drops its history.
+    ForgetHistory,
+    /// What a server does with requests.
+    Server(usize, ServerFailing),
+    /// A server leaves and a new life takes its place.
+    Replace(usize),
+    /// A new configuration.
+    Configure,
+}
+
+impl Fault {
+    /// Whether it is over at once.
+    pub(crate) fn is_momentary(self) -> bool {
+        matches!(
+            self,
+            Self::Stop(_)
+                | Self::Reload(_)
+                | Self::ForgetHistory
+                | Self::Replace(_)
+                | Self::Configure
+        )
+    }
+}
+
+/// A fault with its time.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PlannedFault {
+    /// When it begins, from the start of the run.
+    pub(crate) at: Duration,
+    /// When it ends.
+    pub(crate) until: Duration,
+    /// What it is.
+    pub(crate) fault: Fault,
+}
+
+impl fmt::Display for PlannedFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (at, until) = (self.at.as_millis(), self.until.as_millis());
+        write!(f, "{at:>6} ms to {until:>6} ms {:?}", self.fault)
+    }
+}
+
+/// How large a run is.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RunSize {
+    /// Gateways.
+    pub(crate) vms: usize,
+    /// Servers.
+    pub(crate) servers: usize,
+    /// Time with faults.
+    pub(crate) time: Duration,
+}
+
+/// The faults of a seed, in the order of their beginning.
+pub(crate) fn draw_plan(seed: u64, size: &RunSize) -> Vec<PlannedFault> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let millis = u64::try_from(size.time.as_millis()).unwrap_or(u64::MAX);
+    let count = (millis / FAULT_PAUSE_MS).max(1);
+    let mut faults: Vec<PlannedFault> = (0..count)
+        .map(|_| {
+            let at = LEAD + Duration::from_millis(rng.random_range(0..millis.max(1)));
+            let lasts = Duration::from_millis(rng.random_range(FAULT_MS));
+            PlannedFault {
+                at,
+                until: at + lasts,
+                fault: draw_fault(&mut rng, size),
+            }
+        })
+        .collect();
+    faults.sort_by_key(|fault| fault.at);
+    faults
+}
+
+fn draw_fault(rng: &mut StdRng, size: &RunSize) -> Fault {
+    let vm = rng.random_range(0..size.vms);
+    let server = rng.random_range(0..size.servers);
+    match rng.random_range(0..14) {
+        0 => Fault::Kill(vm),
+        1 => Fault::Stop(vm),
+        2 | 3 => Fault::Pause(vm),
+        4 => Fault::Reload(vm),
+        5 | 6 => Fault::StoreLink(vm, draw_mode(rng)),
+        7 => Fault::CallerLink(vm, draw_mode(rng)),
+        8 => Fault::ServerLink(server, draw_mode(rng)),
+        9 => Fault::Store(if rng.random() {
+            StoreMode::Refusing
+        } else {
+            StoreMode::Silent
+        }),
+        10 => Fault::ForgetHistory,
+        11 => Fault::Server(server, draw_failing(rng)),
+        12 => Fault::Replace(server),
+        _ => Fault::Configure,
+    }
+}
+
+fn draw_mode(rng: &mut StdRng) -> LinkMode {
+    match rng.random_range(0..5) {
+        0 => LinkMode::Slow,
+        1 => LinkMode::Broken,
+        2 => LinkMode::HeldThere,
+        3 => LinkMode::HeldBack,
+        _ => LinkMode::Held,
+    }
+}
+
+fn draw_failing(rng: &mut StdRng) -> ServerFailing {
+    const ALL: [ServerFailing; 6] = [
+        ServerFailing::Fails,
+        ServerFailing::Sheds,
+        ServerFailing::Closes,
+        ServerFailing::Stray,
+        ServerFailing::BreaksOff,
+        ServerFailing::Mute,
+    ];
+    ALL[rng.random_range(0..ALL.len())]
+}
--- /dev/null
+++ b/crates/soak/src/world.rs
@@ -0,0 +1,368 @@
+//! The deployment under test: real gateways as processes, stand-ins around them,
+//! and a harmed link before each of them.
+
+use std::fmt::Write as _;
+use std::fs::{self, File};
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus};
+use std::time::Duration;
+
+use onyxfall_adapter::standin::{
+    RouteShape, RouteText, config_key, document_body, server_body, server_key,
+};
+use onyxfall_fakes::{ServerStandIn, StoreStandIn};
+use onyxfall_fleet::{ServerPhase, ServerRecord};
+use parking_lot::Mutex;
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::link::HarmedLink;
+use crate::plan::RunSize;
+
+/// Host that callers name.
+pub(crate) const HOST: &str = "a.example";
+const SERVICE: &str = "svc";
+/// Regions, each with gateways and servers in turn.
+const REGIONS: usize = 3;
+/// Time between the order to stop and the end of a gateway's life, in seconds.
+const GRACE_S: u64 = 3;
+
+/// Kinds of requests, with the start of their paths.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RequestKind {
+    /// Runs at most once.
+    Once,
+    /// May be repeated.
+    Repeatable,
+    /// A stream that runs at most once.
+    Stream,
+    /// A stream that may be resumed.
+    ResumableStream,
+}
+
+impl RequestKind {
+    /// Every kind.
+    pub(crate) const ALL: [Self; 4] = [
+        Self::Once,
+        Self::Repeatable,
+        Self::Stream,
+        Self::ResumableStream,
+    ];
+
+    /// Start of its paths.
+    pub(crate) const fn prefix(self) -> &'static str {
+        match self {
+            Self::Once => "/once/",
+            Self::Repeatable => "/repeat/",
+            Self::Stream => "/stream/",
+            Self::ResumableStream => "/stream/resume/",
+        }
+    }
+
+    /// Whether a request may run at most once.
+    pub(crate) const fn runs_once(self) -> bool {
+        matches!(self, Self::Once | Self::Stream)
+    }
+
+    /// Whether an answer is a series of events.
+    pub(crate) const fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::ResumableStream)
+    }
+
+    const fn shape(self) -> RouteShape {
+        match self {
+            Self::Once => RouteShape::Once,
+            Self::Repeatable => RouteShape::Repeatable,
+            Self::Stream => RouteShape::Stream,
+            Self::ResumableStream => RouteShape::ResumableStream,
+        }
+    }
+}
+
+/// Path that only version `version` of the configuration has a route for.
+pub(crate) fn version_path(version: u64) -> String {
+    format!("/at/{version}/")
+}
+
+/// One entry VM.
+pub(crate) struct SoakVm {
+    settings: PathBuf,
+    log: PathBuf,
+    /// Its process, unless it is down.
+    child: Option<Child>,
+    /// Lives so far.
+    pub(crate) life: u64,
+    /// Whether its process was told to end.
+    is_ending: bool,
+    /// Link between callers and it.
+    pub(crate) caller_link: HarmedLink,
+    /// Link between it and the store.
+    pub(crate) store_link: HarmedLink,
+}
+
+/// One backend server.
+pub(crate) struct SoakServer {
+    /// Lives so far; the name of the present one holds it.
+    life: u64,
+    /// The stand-ins of all its lives, the present one last.
+    pub(crate) lives: Vec<ServerStandIn>,
+    /// Link between gateways and it.
+    pub(crate) link: HarmedLink,
+}
+
+/// The deployment.
+pub(crate) struct SoakWorld {
+    program: PathBuf,
+    dir: PathBuf,
+    pub(crate) store: StoreStandIn,
+    pub(crate) vms: Vec<Mutex<SoakVm>>,
+    pub(crate) servers: Vec<Mutex<SoakServer>>,
+    pub(crate) version: Mutex<u64>,
+}
+
+impl SoakWorld {
+    /// Starts stand-ins and gateways; `seed` keeps the addresses of runs apart.
+    pub(crate) fn start(program: &Path, seed: u64, size: &RunSize) -> io::Result<Self> {
+        let dir = std::env::temp_dir().join(format!("onyxfall-soak-{}-{seed}", std::process::id()));
+        fs::create_dir_all(&dir)?;
+        let store = StoreStandIn::start(stand_in_ip())?;
+        let ips: Vec<Ipv4Addr> = (0..size.vms).map(vm_ip).collect();
+        let ports = free_ports(&ips)?;
+        let vms = (0..size.vms)
+            .map(|vm| {
+                let callers = SocketAddr::from((ips[vm], ports[0]));
+                let store_link = HarmedLink::start(stand_in_ip(), store.address())?;
+                let settings = dir.join(format!("vm{vm}.ini"));
+                let text = settings_text(vm, &ips, &ports, store_link.address());
+                fs::write(&settings, text)?;
+                Ok(Mutex::new(SoakVm {
+                    settings,
+                    log: dir.join(format!("vm{vm}.log")),
+                    child: None,
+                    life: 0,
+                    is_ending: false,
+                    caller_link: HarmedLink::start(stand_in_ip(), callers)?,
+                    store_link,
+                }))
+            })
+            .collect::<io::Result<_>>()?;
+        let servers = (0..size.servers)
+            .map(|_| {
+                let standin = ServerStandIn::start(stand_in_ip())?;
+                let link = HarmedLink::start(stand_in_ip(), standin.address())?;
+                let lives = vec![standin];
+                let life = 1;
+                Ok(Mutex::new(SoakServer { life, lives, link }))
+            })
+            .collect::<io::Result<_>>()?;
+        let world = Self {
+            program: program.to_owned(),
+            dir,
+            store,
+            vms,
+            servers,
+            version: Mutex::new(0),
+        };
+        for server in 0..size.servers {
+            world.announce(server, ServerPhase::Ready);
+        }
+        world.configure();
+        for vm in 0..size.vms {
+            world.start_vm(vm)?;
+        }
+        Ok(world)
+    }
+
+    /// Where the logs of the gateways are.
+    pub(crate) fn dir(&self) -> &Path {
+        &self.dir
+    }
+
+    /// Writes the next configuration.
+    pub(crate) fn configure(&self) {
+        let mut version = self.version.lock();
+        *version += 1;
+        let own_path = version_path(*version);
+        let route = |path_prefix, shape| RouteText {
+            host: HOST,
+            path_prefix,
+            shape,
+            service: SERVICE,
+            timeout: Duration::from_secs(3),
+            home_regions: &[],
+        };
+        let mut routes: Vec<RouteText<'_>> = RequestKind::ALL
+            .iter()
+            .map(|kind| route(kind.prefix(), kind.shape()))
+            .collect();
+        routes.push(route(&own_path, RouteShape::Repeatable));
+        let body = document_body(*version, &routes, &[SERVICE]);
+        self.store.put(config_key(), body);
+    }
+
+    fn announce(&self, server: usize, phase: ServerPhase) {
+        let state = self.servers[server].lock();
+        let name = server_name(server, state.life);
+        let record = ServerRecord {
+            name: name.parse().expect("a name of letters and digits"),
+            service: SERVICE.parse().expect("a name of letters"),
+            address: state.link.address(),
+            center: format!("c{}", server % REGIONS)
+                .parse()
+                .expect("a name of letters and digits"),
+            slots: 8,
+            phase,
+            cold_left: Duration::ZERO,
+        };
+        self.store.put(&server_key(&name), server_body(&record));
+    }
+
+    /// Lets a server leave, and a new life take its address.
+    pub(crate) fn replace(&self, server: usize) -> io::Result<()> {
+        self.drain(server);
+        let (old, standin) = {
+            let state = self.servers[server].lock();
+            (
+                server_name(server, state.life),
+                ServerStandIn::start(stand_in_ip())?,
+            )
+        };
+        self.store.delete(&server_key(&old));
+        {
+            let mut state = self.servers[server].lock();
+            state.link.set_target(standin.address());
+            state.lives.push(standin);
+            state.life += 1;
+        }
+        self.announce(server, ServerPhase::Ready);
+        Ok(())
+    }
+
+    /// Announces that a server leaves.
+    pub(crate) fn drain(&self, server: usize) {
+        self.announce(server, ServerPhase::Draining { left: None });
+    }
+
+    /// Starts the gateway of a VM, unless it runs.
+    pub(crate) fn start_vm(&self, vm: usize) -> io::Result<()> {
+        let mut state = self.vms[vm].lock();
+        if state.child.is_some() {
+            return Ok(());
+        }
+        let log = File::options().create(true).append(true).open(&state.log)?;
+        let child = Command::new(&self.program)
+            .arg("--settings")
+            .arg(&state.settings)
+            .stderr(log.try_clone()?)
+            .stdout(log)
+            .spawn()?;
+        state.child = Some(child);
+        state.life += 1;
+        state.is_ending = false;
+        Ok(())
+    }
+
+    /// Sends a signal to the gateway of a VM, if it runs.
+    pub(crate) fn signal(&self, vm: usize, signal: Signal) -> io::Result<()> {
+        let mut state = self.vms[vm].lock();
+        let Some(child) = &state.child else {
+            return Ok(());
+        };
+        let id = i32::try_from(child.id()).ok().and_then(Pid::from_raw);
+        if let Some(id) = id {
+            kill_process(id, signal)?;
+        }
+        state.is_ending |= matches!(signal, Signal::KILL | Signal::TERM);
+        Ok(())
+    }
+
+    /// Takes the end of a VM's process, if it has ended; an error if nobody had
+    /// told it to end.
+    pub(crate) fn take_end(&self, vm: usize) -> Result<bool, ExitStatus> {
+        let mut state = self.vms[vm].lock();
+        let Some(child) = &mut state.child else {
+            return Ok(true);
+        };
+        match child.try_wait() {
+            Ok(Some(status)) => {
+                state.child = None;
+                if state.is_ending {
+                    Ok(true)
+                } else {
+                    Err(status)
+                }
+            }
+            _ => Ok(false),
+        }
+    }
+}
+
+impl Drop for SoakWorld {
+    fn drop(&mut self) {
+        for vm in &self.vms {
+            if let Some(mut child) = vm.lock().child.take() {
+                // It may have ended by itself.
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+    }
+}
+
+fn server_name(server: usize, life: u64) -> String {
+    format!("s{server}-{life}")
+}
+
+fn own_bytes() -> (u8, u8) {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    (high % 32, low)
+}
+
+/// Address of a VM; loopback addresses of this process alone, since gateways need
+/// the same ports on every VM.
+fn vm_ip(vm: usize) -> Ipv4Addr {
+    let (high, low) = own_bytes();
+    let vm = u8::try_from(vm + 1).expect("a run has fewer than 255 VMs");
+    Ipv4Addr::new(127, 192 + high, low, vm)
+}
+
+/// Address of stand-ins and links; never a VM's, whose ports must stay free.
+fn stand_in_ip() -> IpAddr {
+    let (high, low) = own_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, 224 + high % 31, low, 1))
+}
+
+fn free_ports(ips: &[Ipv4Addr]) -> io::Result<[u16; 5]> {
+    let mut ports = [0; 5];
+    let mut held = Vec::new();
+    for port in &mut ports {
+        let first = TcpListener::bind((ips[0], 0))?;
+        *port = first.local_addr()?.port();
+        held.push(first);
+    }
+    Ok(ports)
+}
+
+fn settings_text(vm: usize, ips: &[Ipv4Addr], ports: &[u16; 5], store: SocketAddr) -> String {
+    let ip = ips[vm];
+    let [callers, ready, directory, peers, relay] = ports;
+    let seeds: Vec<String> = ips
+        .iter()
+        .take(3)
+        .map(|ip| format!("{ip}:{peers}"))
+        .collect();
+    let mut text = format!(
+        "[vm]\nname = vm{vm}\ncenter = c{}\n\
+         [listen]\ncallers = {ip}:{callers}\nready = {ip}:{ready}\ndirectory = {ip}:{directory}\n\
+         peers = {ip}:{peers}\npeer-ports = {relay},{relay}\n\
+         [peers]\nseeds = {}\n[store]\naddress = {store}\n\
+         [bounds]\nstop-grace-s = {GRACE_S}\nretry-ratio = 1\nretry-extra = 100\n",
+        vm % REGIONS,
+        seeds.join(","),
+    );
+    for region in 0..REGIONS {
+        let _ = writeln!(text, "[center c{region}]\nregion = r{region}");
+    }
+    text
+}
--- /dev/null
+++ b/crates/soak/tests/short.rs
@@ -0,0 +1,27 @@
+//! A short run with a fixed seed, and the seeds that ever failed.
+
+use std::process::Command;
+
+struct SeedCase {
+    seed: u64,
+    /// Why the seed is kept.
+    cause: &'static str,
+}
+
+const CASES: &[SeedCase] = &[SeedCase {
+    seed: 1,
+    cause: "a first look at every kind of fault",
+}];
+
+#[test]
+fn promises_hold_while_faults_overlap() {
+    for case in CASES {
+        let output = Command::new(env!("CARGO_BIN_EXE_onyxfall-soak"))
+            .args(["--seed", &case.seed.to_string(), "--seconds", "4"])
+            .output()
+            .unwrap();
+        let told = String::from_utf8_lossy(&output.stdout);
+        let errors = String::from_utf8_lossy(&output.stderr);
+        assert!(output.status.success(), "{}\n{told}\n{errors}", case.cause);
+    }
+}
