Dial links and servers anew long before the kernel sends a lost packet again

Cause: VMs that lose power together dial each other while some are still down; the opening packet is lost and sent again after a second.

Links are given up after 350 ms (1,200 before), connections to servers after 250 ms and to other regions after 400 ms (700 before).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,7 +18,7 @@
 use onyxfall_types::{RunVerdict, ServerId};
 
 use crate::call::{CallContext, SharedCall};
-use crate::connection::{HttpConnection, SendError};
+use crate::connection::{FAR_DIAL_LIMIT, HttpConnection, NEAR_DIAL_LIMIT, SendError};
 use crate::gateway::Gateway;
 use crate::open::OpenAttempt;
 use crate::pool::ConnectionChoice;
@@ -110,13 +110,14 @@
         set_time_left(&mut headers, call.time_left());
         make_request(call, headers)
     };
-    let (connection, response) = match exchange(gateway, call, target.address, make).await {
-        Ok(exchanged) => exchanged,
-        Err(failure) => {
-            booking.finish(failure.blame());
-            return failure.into_end();
-        }
-    };
+    let (connection, response) =
+        match exchange(gateway, call, target.address, NEAR_DIAL_LIMIT, make).await {
+            Ok(exchanged) => exchanged,
+            Err(failure) => {
+                booking.finish(failure.blame());
+                return failure.into_end();
+            }
+        };
     let kind = read_answer(response.status(), response.headers(), &call.request_id);
     match kind {
         AnswerKind::Signed => {
@@ -167,13 +168,14 @@
         set_time_left(&mut headers, call.time_left());
         make_request(call, headers)
     };
-    let (connection, response) = match exchange(gateway, call, target.address, make).await {
-        Ok(exchanged) => exchanged,
-        Err(failure) => {
-            gateway.away.borrow_mut().forget(&target.vm);
-            return failure.into_end();
-        }
-    };
+    let (connection, response) =
+        match exchange(gateway, call, target.address, FAR_DIAL_LIMIT, make).await {
+            Ok(exchanged) => exchanged,
+            Err(failure) => {
+                gateway.away.borrow_mut().forget(&target.vm);
+                return failure.into_end();
+            }
+        };
     if let Some(word) = read_verdict(response.headers()) {
         keep_after_refusal(gateway, target.address, connection, response).await;
         return match word.verdict {
@@ -235,6 +237,7 @@
     gateway: &Gateway,
     call: &CallContext,
     address: SocketAddr,
+    dial_limit: Duration,
     make: impl Fn() -> Request<Full<Bytes>>,
 ) -> Result<(HttpConnection, Response<Incoming>), ExchangeFailure> {
     let limit = call.time_left();
@@ -252,7 +255,7 @@
                 Err(SendError::Broken(e)) => return Err(broken(address, &e)),
             }
         }
-        let opened = HttpConnection::open(address).await;
+        let opened = HttpConnection::open(address, dial_limit).await;
         let mut connection = opened.map_err(|e| {
             log::info!(address:% = address, error:% = e; "no connection");
             ExchangeFailure::Unreachable
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -21,9 +21,13 @@
 const PROBE_REST: Duration = Duration::from_secs(1);
 /// Unanswered probes after which a connection breaks.
 const PROBES: u32 = 2;
-/// Longest time for a connection to come up: one lost opening packet is sent
-/// again by the kernel after a second, which is too late for any goal.
-pub(crate) const DIAL_LIMIT: Duration = Duration::from_millis(700);
+/// Longest time for a connection within the region to come up, which takes one to
+/// three milliseconds: a lost opening packet is sent again by the kernel after a
+/// second, which is too late for any goal, and another server can be tried. The
+/// rest is for a VM whose share of the processor is used up for a tenth of a second.
+pub(crate) const NEAR_DIAL_LIMIT: Duration = Duration::from_millis(250);
+/// The same to another region, a round trip of 110 ms away.
+pub(crate) const FAR_DIAL_LIMIT: Duration = Duration::from_millis(400);
 
 /// Ends a task when dropped, and with it the socket that the task owns.
 #[derive(Debug)]
@@ -73,9 +77,9 @@
 }
 
 impl HttpConnection {
-    /// Opens a connection.
-    pub(crate) async fn open(address: SocketAddr) -> io::Result<Self> {
-        let stream = dial(address, DIAL_LIMIT).await?;
+    /// Opens a connection within `limit`.
+    pub(crate) async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
+        let stream = dial(address, limit).await?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -28,12 +28,16 @@
 
 type FramedLink = Framed<TcpStream, PeerCodec>;
 
-/// Longest time for a link to come up: two regions are 110 ms apart.
-const DIAL_LIMIT: Duration = Duration::from_millis(1200);
+/// Longest time for a link to come up: three round trips between regions, and
+/// well below the second after which the kernel sends a lost opening packet again.
+const DIAL_LIMIT: Duration = Duration::from_millis(350);
 /// Pause before a link is dialled again.
 const DIAL_PAUSE: Duration = Duration::from_millis(500);
+/// The same while this VM is young: VMs that lost power together come back within
+/// some tenths of a second, and until a link is up no request can be sent away.
+const YOUNG_DIAL_PAUSE: Duration = Duration::from_millis(50);
 /// Pause between two looks for VMs that have no link yet.
-const LOOK: Duration = Duration::from_millis(200);
+const LOOK: Duration = Duration::from_millis(100);
 /// Time between two lists of members on a link within the region, so that VMs of
 /// other regions that one VM hears of stay known to all. Far below the time
 /// after which a silent member is forgotten.
@@ -105,7 +109,13 @@
             }
             Err(e) => log::debug!("no link to {address}: {e}"),
         }
-        tokio::time::sleep(DIAL_PAUSE).await;
+        let is_young = gateway.started.elapsed() < YOUNG;
+        let pause = if is_young {
+            YOUNG_DIAL_PAUSE
+        } else {
+            DIAL_PAUSE
+        };
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -29,6 +29,9 @@
 const WATCH_WAIT: Duration = Duration::from_secs(8);
 /// Longest time for an answer beyond the wait.
 const ANSWER_LIMIT: Duration = Duration::from_millis(1500);
+/// Longest time for a connection to the store to come up; it may be in another
+/// region, and slow.
+const DIAL_LIMIT: Duration = Duration::from_millis(700);
 /// Pauses between calls that fail: from this, doubled, up to the next.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 const LAST_PAUSE: Duration = Duration::from_millis(700);
@@ -250,7 +253,7 @@
         let called = tokio::time::timeout(wait + ANSWER_LIMIT, async {
             let mut connection = match kept.filter(HttpConnection::is_ready) {
                 Some(connection) => connection,
-                None => HttpConnection::open(address).await?,
+                None => HttpConnection::open(address, DIAL_LIMIT).await?,
             };
             let sent = connection.send(request.map(Full::new)).await;
             let response = sent.map_err(|e| match e {
