--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -167,8 +167,10 @@
             match self.watch(revision).await {
                 Ok(batch) => {
                     revision = batch.revision.max(revision);
-                    self.take_events(batch.events);
-                    tokio::time::sleep(BATCH_PAUSE).await;
+                    if !batch.events.is_empty() {
+                        self.take_events(batch.events);
+                        tokio::time::sleep(BATCH_PAUSE).await;
+                    }
                 }
                 Err(e) => return WatchEnd::Failed(e),
             }
