--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -330,7 +330,8 @@
     fn wait(&mut self, mut done: impl FnMut(&mut Self) -> bool) -> bool {
         let until = Instant::now() + RECOVERY;
         while !done(self) {
-            if Instant::now() > until {
+            // A gateway that was told to stop may end only now.
+            if Instant::now() > until || self.look_after_vms(&[]).is_err() {
                 return false;
             }
             thread::sleep(STEP);
