Pass a key that changed several times in a batch on as it stands

Cause: a watcher passed every value of a batch on, each with the key's last revision, so that the others took the first value and refused the rest as no newer: copies with equal hashes and an old configuration. The pause after a batch made it likely.

Ruled out: lost changes (bases and revisions followed each other), the store's outage.

fleet mirror::a_copy_that_is_passed_changes_equals_the_one_that_watches; the soak now draws failing servers and links more often.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,7 +23,9 @@
 pub use choose::{ChoiceReason, LocalOption, ServerChoice};
 pub use cold::{ColdShare, SENDERS, is_cold_sender};
 pub use follow::{BEHIND_LIMIT, CATCH_UP_PAUSE, CopyCheck, CopyState};
-pub use mirror::{MirrorChange, RETURN_WINDOW, StoreEvent, StoreHealth, StoreItem, StoreMirror};
+pub use mirror::{
+    MirrorChange, MirrorDelta, RETURN_WINDOW, StoreEvent, StoreHealth, StoreItem, StoreMirror,
+};
 pub use record::{ServerPhase, ServerRecord};
 pub use route::{
     AnswerShape, BackendService, CallerLimits, ConfigVersion, EngineLimits, RepeatRule, RouteRule,
--- a/crates/fleet/src/mirror.rs
+++ b/crates/fleet/src/mirror.rs
@@ -8,7 +8,7 @@
 //! Invariant: an item is never replaced by one of a smaller revision.
 
 use std::cell::Cell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -55,6 +55,30 @@
     Removed(String),
 }
 
+impl MirrorChange {
+    /// The key that changed.
+    pub fn key(&self) -> &String {
+        match self {
+            Self::Set(key, _) | Self::Removed(key) => key,
+        }
+    }
+}
+
+/// Changes of one copy, for another one.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct MirrorDelta {
+    /// Revision of the copy before them.
+    pub base: u64,
+    /// Revision of the copy after them.
+    pub revision: u64,
+    /// Items that have changed, as they stand.
+    pub items: Vec<StoreItem>,
+    /// Keys that are gone.
+    pub removed: Vec<String>,
+    /// Whether items were left out for their size.
+    pub is_partial: bool,
+}
+
 /// Whether the store was away shortly before the news.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StoreHealth {
@@ -86,11 +110,6 @@
         self.revision
     }
 
-    /// Notes that the copy reflects the store up to `revision`.
-    pub fn note_revision(&mut self, revision: u64) {
-        self.revision = self.revision.max(revision);
-    }
-
     /// Whether nothing is known.
     pub fn is_empty(&self) -> bool {
         self.items.is_empty()
@@ -117,9 +136,42 @@
         }
     }
 
-    /// Revision of an item's last change.
-    pub fn revision_of(&self, key: &str) -> Option<u64> {
-        self.items.get(key).map(|item| item.revision)
+    /// What to pass on to another copy after `changes`, which took this one from
+    /// revision `base` on; values above `largest` bytes are left out. A key that
+    /// changed several times is passed on as it stands now: revisions of its
+    /// earlier values are no longer known.
+    pub fn delta(&self, base: u64, changes: &[MirrorChange], largest: usize) -> MirrorDelta {
+        let keys: BTreeSet<&String> = changes.iter().map(MirrorChange::key).collect();
+        let mut delta = MirrorDelta {
+            base,
+            revision: self.revision,
+            ..MirrorDelta::default()
+        };
+        for key in keys {
+            match self.items.get(key) {
+                None => delta.removed.push(key.clone()),
+                Some(item) if item.value.len() > largest => delta.is_partial = true,
+                Some(item) => delta.items.push(StoreItem {
+                    key: key.clone(),
+                    value: item.value.clone(),
+                    revision: item.revision,
+                }),
+            }
+        }
+        delta
+    }
+
+    /// Takes what a copy that watches the store has passed on. It has waited for
+    /// items that may come back, so that what it removed is gone.
+    pub fn merge(&mut self, now: Moment, delta: MirrorDelta) -> Vec<MirrorChange> {
+        let revision = delta.revision;
+        let puts = delta.items.into_iter().map(StoreEvent::Put);
+        let deletions = delta.removed.into_iter();
+        let deletions = deletions.map(|key| StoreEvent::Delete { key, revision });
+        let events = puts.chain(deletions).collect();
+        let changes = self.apply(now, events, StoreHealth::Steady);
+        self.revision = self.revision.max(revision);
+        changes
     }
 
     /// Every item that is not missing.
@@ -164,8 +216,7 @@
         health: StoreHealth,
     ) -> Vec<MirrorChange> {
         self.hash.set(None);
-        let listed: std::collections::BTreeSet<String> =
-            items.iter().map(|item| item.key.clone()).collect();
+        let listed: BTreeSet<String> = items.iter().map(|item| item.key.clone()).collect();
         let absent: Vec<String> = self
             .items
             .iter()
--- a/crates/fleet/tests/mirror.rs
+++ b/crates/fleet/tests/mirror.rs
@@ -123,3 +123,57 @@
     );
     assert_ne!(read.hash(), watched.hash());
 }
+
+#[test]
+fn a_copy_that_is_passed_changes_equals_the_one_that_watches() {
+    let put = |key: &str, value: &'static str, revision| {
+        StoreEvent::Put(StoreItem {
+            key: key.to_owned(),
+            value: Bytes::from_static(value.as_bytes()),
+            revision,
+        })
+    };
+    let delete = |key: &str, revision| StoreEvent::Delete {
+        key: key.to_owned(),
+        revision,
+    };
+    let batches = [
+        vec![put("config", "v1", 1), put("s0", "ready", 2)],
+        // A key that changes several times in one batch.
+        vec![
+            put("config", "v2", 3),
+            put("config", "v3", 4),
+            put("config", "v4", 5),
+        ],
+        vec![
+            put("s1", "ready", 6),
+            delete("s1", 7),
+            put("s0", "draining", 8),
+        ],
+        vec![delete("s0", 9), put("s0", "ready", 10)],
+    ];
+    let mut watching = StoreMirror::default();
+    let mut following = StoreMirror::default();
+    for batch in batches {
+        let base = watching.revision();
+        let changes = watching.apply(Moment::ZERO, batch, StoreHealth::Steady);
+        let delta = watching.delta(base, &changes, usize::MAX);
+        following.merge(Moment::ZERO, delta);
+        assert_eq!(following.state(), watching.state());
+        assert_eq!(following.snapshot(), watching.snapshot());
+    }
+}
+
+#[test]
+fn a_large_value_is_left_out_and_said_to_be() {
+    let mut watching = StoreMirror::default();
+    let item = StoreItem {
+        key: "config".to_owned(),
+        value: Bytes::from_static(b"large"),
+        revision: 1,
+    };
+    let puts = vec![StoreEvent::Put(item)];
+    let changes = watching.apply(Moment::ZERO, puts, StoreHealth::Steady);
+    let delta = watching.delta(0, &changes, 4);
+    assert!(delta.is_partial && delta.items.is_empty());
+}
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -11,7 +11,7 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 
-use onyxfall_fleet::{CopyCheck, CopyState, MirrorChange, StoreEvent, StoreHealth, StoreItem};
+use onyxfall_fleet::{CopyCheck, CopyState, MirrorChange, MirrorDelta, StoreItem};
 use onyxfall_types::VmName;
 use onyxfall_wire::{SnapshotItem, StoreDelta, VmBeat};
 
@@ -95,25 +95,7 @@
         if !is_news || !self.has_watch_duty() {
             return;
         }
-        let mut delta = StoreDelta {
-            revision: mirror.revision(),
-            base,
-            ..StoreDelta::default()
-        };
-        for change in changes {
-            match change {
-                MirrorChange::Set(key, value) if value.len() <= PASSED_VALUE => {
-                    let revision = mirror.revision_of(key);
-                    delta.items.extend(revision.map(|revision| SnapshotItem {
-                        key: key.clone(),
-                        value: value.clone(),
-                        revision,
-                    }));
-                }
-                MirrorChange::Set(..) => delta.is_partial = true,
-                MirrorChange::Removed(key) => delta.removed.push(key.clone()),
-            }
-        }
+        let delta = to_wire(mirror.delta(base, changes, PASSED_VALUE));
         self.share.borrow_mut().push(delta);
         self.beat_now.notify_waiters();
     }
@@ -123,25 +105,10 @@
         if self.store.borrow().is_watched() {
             return;
         }
-        let puts = delta.items.iter().map(|item| {
-            StoreEvent::Put(StoreItem {
-                key: item.key.clone(),
-                value: item.value.clone(),
-                revision: item.revision,
-            })
-        });
-        let deletions = delta.removed.iter().map(|key| StoreEvent::Delete {
-            key: key.clone(),
-            revision: delta.revision,
-        });
-        let events = puts.chain(deletions).collect();
         let before = self.mirror.borrow().revision();
         let changes = {
             let mut mirror = self.mirror.borrow_mut();
-            // The watcher has waited for those that may come back.
-            let changes = mirror.apply(self.now(), events, StoreHealth::Steady);
-            mirror.note_revision(delta.revision);
-            changes
+            mirror.merge(self.now(), from_wire(delta))
         };
         self.share
             .borrow_mut()
@@ -172,3 +139,33 @@
         }
     }
 }
+
+fn to_wire(delta: MirrorDelta) -> StoreDelta {
+    let items = delta.items.into_iter().map(|item| SnapshotItem {
+        key: item.key,
+        value: item.value,
+        revision: item.revision,
+    });
+    StoreDelta {
+        revision: delta.revision,
+        items: items.collect(),
+        removed: delta.removed,
+        base: delta.base,
+        is_partial: delta.is_partial,
+    }
+}
+
+fn from_wire(delta: &StoreDelta) -> MirrorDelta {
+    let items = delta.items.iter().map(|item| StoreItem {
+        key: item.key.clone(),
+        value: item.value.clone(),
+        revision: item.revision,
+    });
+    MirrorDelta {
+        base: delta.base,
+        revision: delta.revision,
+        items: items.collect(),
+        removed: delta.removed.clone(),
+        is_partial: delta.is_partial,
+    }
+}
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -115,22 +115,22 @@
 fn draw_fault(rng: &mut StdRng, size: &RunSize) -> Fault {
     let vm = rng.random_range(0..size.vms);
     let server = rng.random_range(0..size.servers);
-    match rng.random_range(0..14) {
+    match rng.random_range(0..18) {
         0 => Fault::Kill(vm),
         1 => Fault::Stop(vm),
         2 | 3 => Fault::Pause(vm),
         4 => Fault::Reload(vm),
         5 | 6 => Fault::StoreLink(vm, draw_mode(rng)),
         7 => Fault::CallerLink(vm, draw_mode(rng)),
-        8 => Fault::ServerLink(server, draw_mode(rng)),
-        9 => Fault::Store(if rng.random() {
+        8 | 9 => Fault::ServerLink(server, draw_mode(rng)),
+        10 => Fault::Store(if rng.random() {
             StoreMode::Refusing
         } else {
             StoreMode::Silent
         }),
-        10 => Fault::ForgetHistory,
-        11 => Fault::Server(server, draw_failing(rng)),
-        12 => Fault::Replace(server),
+        11 => Fault::ForgetHistory,
+        12..=14 => Fault::Server(server, draw_failing(rng)),
+        15 => Fault::Replace(server),
         _ => Fault::Configure,
     }
 }
