Read the change once more: one conversion of items, one way to change the copy, less work per dial and choice

Written twice and now once: the conversion of items between copies and frames (four times), the test whether a region is this VM's own (six), the holders of the watch duty, and in store.rs 'change the copy, pass it on, act on it'.

Done twice or in the wrong place: reading everything put every item into the copy page by page and then all again (now the last page only removes what was not listed); every dial built the whole set of wanted addresses, at up to fifty dials a second and link while a VM is young (now it looks at one address); each request put all servers of a service in order to find one or three. Kept deltas had a count of references that every sender cloned away.

--- a/crates/fleet/src/choose.rs
+++ b/crates/fleet/src/choose.rs
@@ -110,7 +110,7 @@
             .filter(|id| self.server(*id).is_trusted(now))
             .collect();
         let pool = if trusted.is_empty() { awake } else { trusted };
-        let ranked = self.prefix_servers(needs, &pool);
+        let ranked = self.prefix_servers(needs, &pool, PREFIX_SERVERS);
         let owner = ranked.first().copied();
         let quick = ranked
             .into_iter()
@@ -174,7 +174,7 @@
                     && !self.is_evacuated(&server.record.center)
             })
             .collect();
-        let owner = *self.prefix_servers(needs, &pool).first()?;
+        let owner = *self.prefix_servers(needs, &pool, 1).first()?;
         Some(&self.server(owner).region)
     }
 
@@ -187,8 +187,9 @@
             && self.server_mut(id).cold_share().has_one(now)
     }
 
-    /// The first servers that rendezvous hashing gives the request's shared prefix.
-    fn prefix_servers(&self, needs: &CallNeeds, pool: &[ServerId]) -> Vec<ServerId> {
+    /// The first `count` servers that rendezvous hashing gives the request's shared
+    /// prefix. Each request asks, so only these are put in order.
+    fn prefix_servers(&self, needs: &CallNeeds, pool: &[ServerId], count: usize) -> Vec<ServerId> {
         let Some(key) = needs.prompt.affinity() else {
             return Vec::new();
         };
@@ -199,8 +200,11 @@
                 (xxh3_64_with_seed(name.as_str().as_bytes(), key), *id)
             })
             .collect();
+        if ranked.len() > count {
+            ranked.select_nth_unstable_by(count, |a, b| b.cmp(a));
+            ranked.truncate(count);
+        }
         ranked.sort_unstable_by(|a, b| b.cmp(a));
-        ranked.truncate(PREFIX_SERVERS);
         ranked.into_iter().map(|(_, id)| id).collect()
     }
 
--- a/crates/fleet/src/mirror.rs
+++ b/crates/fleet/src/mirror.rs
@@ -215,8 +215,24 @@
         revision: u64,
         health: StoreHealth,
     ) -> Vec<MirrorChange> {
-        self.hash.set(None);
         let listed: BTreeSet<String> = items.iter().map(|item| item.key.clone()).collect();
+        let puts = items.into_iter().map(StoreEvent::Put).collect();
+        let mut changes = self.apply(now, puts, health);
+        changes.extend(self.remove_unlisted(now, prefix, &listed, revision, health));
+        changes
+    }
+
+    /// Removes every item under `prefix` that was not among those `listed` when
+    /// the store was read at `revision` or later.
+    pub fn remove_unlisted(
+        &mut self,
+        now: Moment,
+        prefix: &str,
+        listed: &BTreeSet<String>,
+        revision: u64,
+        health: StoreHealth,
+    ) -> Vec<MirrorChange> {
+        self.hash.set(None);
         let absent: Vec<String> = self
             .items
             .iter()
@@ -225,15 +241,11 @@
             })
             .map(|(key, _)| key.clone())
             .collect();
-        let mut changes: Vec<MirrorChange> = items
-            .into_iter()
-            .filter_map(|item| self.put(item))
-            .collect();
-        for key in absent {
-            changes.extend(self.delete(now, &key, revision, health));
-        }
         self.revision = self.revision.max(revision);
-        changes
+        absent
+            .into_iter()
+            .filter_map(|key| self.delete(now, &key, revision, health))
+            .collect()
     }
 
     /// Removes what has been missing for longer than [`RETURN_WINDOW`].
--- a/crates/gateway/src/beat.rs
+++ b/crates/gateway/src/beat.rs
@@ -6,9 +6,10 @@
 use onyxfall_fleet::{CallNeeds, PromptSize, ServiceLoad, StoreItem, WorkShare};
 use onyxfall_policy::MemberBeat;
 use onyxfall_types::{RegionName, name_tag};
-use onyxfall_wire::{ServerWorkEntry, ServiceLoadEntry, SnapshotItem, StoreSnapshot, VmBeat};
+use onyxfall_wire::{ServerWorkEntry, ServiceLoadEntry, StoreSnapshot, VmBeat};
 
 use crate::gateway::{Gateway, VmStatus};
+use crate::share::{store_item, wire_item};
 
 /// Least time between two heartbeats to a VM of another region.
 const FAR_INTERVAL: Duration = Duration::from_millis(400);
@@ -34,8 +35,7 @@
 
 /// This VM's heartbeat for a VM of `region`.
 pub(crate) fn own_beat(gateway: &Gateway, region: &RegionName) -> VmBeat {
-    let settings = gateway.settings();
-    let is_near = *region == settings.place.region;
+    let is_near = gateway.is_near(region);
     let mirror = gateway.mirror.borrow();
     VmBeat {
         ready: gateway.is_ready(),
@@ -126,7 +126,7 @@
         .heard_vms
         .borrow_mut()
         .insert(from.name.clone(), status);
-    let is_near = from.region == gateway.settings().place.region;
+    let is_near = gateway.is_near(&from.region);
     gateway.compare_copy(beat, is_near);
     if is_near {
         take_work(gateway, from, &beat.work);
@@ -186,15 +186,7 @@
 /// This VM's copy of the store.
 pub(crate) fn own_snapshot(gateway: &Gateway) -> StoreSnapshot {
     let mirror = gateway.mirror.borrow();
-    let items = mirror
-        .snapshot()
-        .into_iter()
-        .map(|item| SnapshotItem {
-            key: item.key,
-            value: item.value,
-            revision: item.revision,
-        })
-        .collect();
+    let items = mirror.snapshot().into_iter().map(wire_item).collect();
     StoreSnapshot {
         revision: mirror.revision(),
         items,
@@ -207,15 +199,7 @@
     if gateway.store.borrow().is_reached() {
         return;
     }
-    let items: Vec<StoreItem> = snapshot
-        .items
-        .into_iter()
-        .map(|item| StoreItem {
-            key: item.key,
-            value: item.value,
-            revision: item.revision,
-        })
-        .collect();
+    let items: Vec<StoreItem> = snapshot.items.into_iter().map(store_item).collect();
     log::info!(revision = snapshot.revision, items = items.len(); "copy of the store taken from a peer");
     let health = gateway.store.borrow().health(now);
     let changes = {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,7 +11,7 @@
 
 use onyxfall_fleet::{AwayTable, FleetView, RetryShare, RouteTable, StoreMirror};
 use onyxfall_policy::{MemberBeat, MemberTable, MemberTiming, Moment};
-use onyxfall_types::{Incarnation, ServiceName, VmName};
+use onyxfall_types::{Incarnation, RegionName, ServiceName, VmName};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::sync::Notify;
@@ -128,6 +128,11 @@
         &self.vm
     }
 
+    /// Whether a region is this VM's own.
+    pub(crate) fn is_near(&self, region: &RegionName) -> bool {
+        *region == self.settings.borrow().place.region
+    }
+
     /// The settings in force.
     pub(crate) fn settings(&self) -> Rc<GatewaySettings> {
         Rc::clone(&self.settings.borrow())
@@ -219,10 +224,9 @@
         self.apply_changes(expired);
         self.pool.sweep();
         let members = self.members.borrow();
-        let region = &self.settings().place.region;
         let vms = members
             .others()
-            .filter(|member| member.beat.region == *region)
+            .filter(|member| self.is_near(&member.beat.region))
             .map(|member| member.beat.name.clone())
             .collect();
         self.fleet.borrow_mut().set_region_vms(vms);
@@ -235,8 +239,8 @@
         let Some(member) = members.get(vm) else {
             return;
         };
-        let is_expected = member.beat.region != self.settings().place.region
-            && !self.heard_vms.borrow().contains_key(vm);
+        let is_expected =
+            !self.is_near(&member.beat.region) && !self.heard_vms.borrow().contains_key(vm);
         let level = if is_expected {
             log::Level::Debug
         } else {
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
-use onyxfall_policy::{MemberBeat, MemberState, VmMember};
+use onyxfall_policy::{MemberBeat, MemberState, MemberTable, VmMember};
 use onyxfall_wire::{
     FrameError, MemberEntry, MemberSet, PROTOCOL_VERSION, PeerCodec, PeerFrame, PeerHello,
     PeerPayload,
@@ -76,7 +76,6 @@
 fn wanted(gateway: &Gateway) -> BTreeSet<SocketAddr> {
     let settings = gateway.settings();
     let members = gateway.members.borrow();
-    let greeted = gateway.greeted.borrow();
     let known: BTreeSet<SocketAddr> = members
         .others()
         .map(|member| member.beat.peer_address)
@@ -85,13 +84,33 @@
     members
         .others()
         .map(|member| &member.beat)
-        .filter(|beat| members.tells(beat) || !greeted.contains(&beat.peer_address))
+        .filter(|beat| wants_member(gateway, &members, beat))
         .map(|beat| beat.peer_address)
         .chain(seeds.filter(|address| !known.contains(address)))
         .filter(|address| *address != settings.peers)
         .collect()
 }
 
+fn wants_member(gateway: &Gateway, members: &MemberTable, beat: &MemberBeat) -> bool {
+    members.tells(beat) || !gateway.greeted.borrow().contains(&beat.peer_address)
+}
+
+/// Whether there is to be a link to one address that was wanted before. Asked
+/// before each dial, so it looks at the VMs of that address only.
+fn is_wanted(gateway: &Gateway, address: SocketAddr) -> bool {
+    let members = gateway.members.borrow();
+    let mut is_known = false;
+    for member in members.others() {
+        if member.beat.peer_address == address {
+            is_known = true;
+            if wants_member(gateway, &members, &member.beat) {
+                return true;
+            }
+        }
+    }
+    !is_known && gateway.settings().seeds.contains(&address)
+}
+
 /// Tells every VM at once of a change of this one; used when it leaves.
 pub(crate) fn tell_all(gateway: &Rc<Gateway>) {
     gateway.beat_now.notify_waiters();
@@ -99,7 +118,7 @@
 
 /// Keeps a link as long as its address is wanted.
 async fn keep_link(gateway: &Rc<Gateway>, address: SocketAddr) {
-    while wanted(gateway).contains(&address) {
+    while is_wanted(gateway, address) {
         let is_young = gateway.started.elapsed() < YOUNG;
         let (limit, pause) = if is_young {
             (YOUNG_DIAL_LIMIT, YOUNG_DIAL_PAUSE)
@@ -198,7 +217,7 @@
                 let snapshot = PeerPayload::Snapshot(own_snapshot(gateway));
                 send(&mut link, snapshot).await?;
             }
-            Some(PeerPayload::Delta(delta)) => gateway.take_delta(&delta),
+            Some(PeerPayload::Delta(delta)) => gateway.take_delta(delta),
             Some(PeerPayload::Members(set)) => take_members(gateway, &set),
             other => log::debug!("unexpected frame on a link: {other:?}"),
         }
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -9,9 +9,9 @@
 //! its region that says it watches.
 
 use std::collections::VecDeque;
-use std::rc::Rc;
 
 use onyxfall_fleet::{CopyCheck, CopyState, MirrorChange, MirrorDelta, StoreItem};
+use onyxfall_policy::MemberTable;
 use onyxfall_types::VmName;
 use onyxfall_wire::{SnapshotItem, StoreDelta, VmBeat};
 
@@ -27,10 +27,11 @@
 /// Changes kept for links that have not sent them yet; what a link misses shows
 /// at the other end as a gap, and is then read from the store.
 const KEPT_DELTAS: usize = 64;
+
 /// Changes to pass on, and how this VM's copy compares with what others tell.
 #[derive(Debug, Default)]
 pub(crate) struct StoreShare {
-    deltas: VecDeque<Rc<StoreDelta>>,
+    deltas: VecDeque<StoreDelta>,
     /// Number of the first delta that is kept.
     first: u64,
     check: CopyCheck,
@@ -43,13 +44,13 @@
     }
 
     /// The deltas from number `from` on that are still kept.
-    pub(crate) fn deltas_from(&self, from: u64) -> Vec<Rc<StoreDelta>> {
+    pub(crate) fn deltas_from(&self, from: u64) -> Vec<StoreDelta> {
         let skipped = usize::try_from(from.saturating_sub(self.first)).unwrap_or(usize::MAX);
         self.deltas.iter().skip(skipped).cloned().collect()
     }
 
     fn push(&mut self, delta: StoreDelta) {
-        self.deltas.push_back(Rc::new(delta));
+        self.deltas.push_back(delta);
         if self.deltas.len() > KEPT_DELTAS {
             self.deltas.pop_front();
             self.first += 1;
@@ -60,15 +61,13 @@
 impl Gateway {
     /// Whether this VM has to watch the store for its region.
     pub(crate) fn has_watch_duty(&self) -> bool {
-        let members = self.members.borrow();
-        let holders = members.duty_holders(WATCH_DUTY, STORE_WATCHERS);
-        holders.contains(&self.vm())
+        watch_holders(&self.members.borrow()).contains(&self.vm())
     }
 
     /// Whether another VM watches the store for this one.
     pub(crate) fn follows_watcher(&self) -> bool {
         let members = self.members.borrow();
-        let holders = members.duty_holders(WATCH_DUTY, STORE_WATCHERS);
+        let holders = watch_holders(&members);
         !holders.contains(&self.vm()) && holders.into_iter().any(|vm| self.is_watcher(vm))
     }
 
@@ -101,10 +100,12 @@
     }
 
     /// Takes changes that a watcher passes on; a VM that watches itself knows.
-    pub(crate) fn take_delta(&self, delta: &StoreDelta) {
+    pub(crate) fn take_delta(&self, delta: StoreDelta) {
         if self.store.borrow().is_watched() {
             return;
         }
+        let (revision, base) = (delta.revision, delta.base);
+        let is_whole = !delta.is_partial;
         let before = self.mirror.borrow().revision();
         let changes = {
             let mut mirror = self.mirror.borrow_mut();
@@ -113,10 +114,10 @@
         self.share
             .borrow_mut()
             .check
-            .note_change(before, delta.base, !delta.is_partial);
+            .note_change(before, base, is_whole);
         log::info!(
-            revision = delta.revision,
-            base = delta.base,
+            revision,
+            base,
             before,
             changes = changes.len();
             "changes of the store taken from a watcher"
@@ -140,32 +141,44 @@
     }
 }
 
-fn to_wire(delta: MirrorDelta) -> StoreDelta {
-    let items = delta.items.into_iter().map(|item| SnapshotItem {
+fn watch_holders(members: &MemberTable) -> Vec<&VmName> {
+    members.duty_holders(WATCH_DUTY, STORE_WATCHERS)
+}
+
+/// An item as other VMs get it.
+pub(crate) fn wire_item(item: StoreItem) -> SnapshotItem {
+    SnapshotItem {
         key: item.key,
         value: item.value,
         revision: item.revision,
-    });
+    }
+}
+
+/// An item of another VM's copy.
+pub(crate) fn store_item(item: SnapshotItem) -> StoreItem {
+    StoreItem {
+        key: item.key,
+        value: item.value,
+        revision: item.revision,
+    }
+}
+
+fn to_wire(delta: MirrorDelta) -> StoreDelta {
     StoreDelta {
         revision: delta.revision,
-        items: items.collect(),
+        items: delta.items.into_iter().map(wire_item).collect(),
         removed: delta.removed,
         base: delta.base,
         is_partial: delta.is_partial,
     }
 }
 
-fn from_wire(delta: &StoreDelta) -> MirrorDelta {
-    let items = delta.items.iter().map(|item| StoreItem {
-        key: item.key.clone(),
-        value: item.value.clone(),
-        revision: item.revision,
-    });
+fn from_wire(delta: StoreDelta) -> MirrorDelta {
     MirrorDelta {
         base: delta.base,
         revision: delta.revision,
-        items: items.collect(),
-        removed: delta.removed.clone(),
+        items: delta.items.into_iter().map(store_item).collect(),
+        removed: delta.removed,
         is_partial: delta.is_partial,
     }
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -5,6 +5,7 @@
 //! cut watches before it refuses them. While the store does not answer, the copy
 //! stays in force and peers may have a newer one.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,7 +17,7 @@
     EventBatch, ItemPage, StoreError, WATCHED_PREFIX, range_request, read_batch, read_page,
     watch_request,
 };
-use onyxfall_fleet::{RETURN_WINDOW, StoreEvent, StoreHealth};
+use onyxfall_fleet::{MirrorChange, RETURN_WINDOW, StoreEvent, StoreHealth, StoreMirror};
 use onyxfall_policy::Moment;
 use rand::Rng;
 use thiserror::Error;
@@ -192,19 +193,24 @@
     }
 
     fn take_events(&self, events: Vec<StoreEvent>) {
+        self.take(|mirror, now, health| mirror.apply(now, events, health));
+    }
+
+    /// Changes the copy, passes the changes on and acts on them.
+    fn take(
+        &self,
+        change: impl FnOnce(&mut StoreMirror, Moment, StoreHealth) -> Vec<MirrorChange>,
+    ) {
         let now = self.gateway.now();
         let health = self.gateway.store.borrow().health(now);
         let base = self.gateway.mirror.borrow().revision();
-        let changes = {
-            let mut mirror = self.gateway.mirror.borrow_mut();
-            mirror.apply(now, events, health)
-        };
+        let changes = change(&mut self.gateway.mirror.borrow_mut(), now, health);
         self.gateway.pass_on(base, &changes);
         self.gateway.apply_changes(changes);
     }
 
     async fn read_all(&mut self) -> Result<u64, CallError> {
-        let mut items = Vec::new();
+        let mut listed = BTreeSet::new();
         let mut revision = None;
         let mut after: Option<String> = None;
         loop {
@@ -215,19 +221,12 @@
             let is_last = !page.has_more || after.is_none();
             // The store may be a region away, and there may be many pages: what is
             // there counts at once, what is missing shows with the last page.
-            let puts = page.items.iter().cloned().map(StoreEvent::Put);
-            self.take_events(puts.collect());
-            items.extend(page.items);
+            listed.extend(page.items.iter().map(|item| item.key.clone()));
+            self.take_events(page.items.into_iter().map(StoreEvent::Put).collect());
             if is_last {
-                let now = self.gateway.now();
-                let health = self.gateway.store.borrow().health(now);
-                let base = self.gateway.mirror.borrow().revision();
-                let changes = {
-                    let mut mirror = self.gateway.mirror.borrow_mut();
-                    mirror.replace(now, WATCHED_PREFIX, items, first, health)
-                };
-                self.gateway.pass_on(base, &changes);
-                self.gateway.apply_changes(changes);
+                self.take(|mirror, now, health| {
+                    mirror.remove_unlisted(now, WATCHED_PREFIX, &listed, first, health)
+                });
                 self.gateway.note_caught_up();
                 return Ok(first);
             }
--- a/crates/gateway/src/teller.rs
+++ b/crates/gateway/src/teller.rs
@@ -35,7 +35,7 @@
         Self {
             gateway,
             peer,
-            is_near: peer.region == gateway.settings().place.region,
+            is_near: gateway.is_near(&peer.region),
             next_delta: gateway.share.borrow().next_number(),
             asked_snapshot: None,
             told_members: Instant::now(),
@@ -81,7 +81,7 @@
             deltas
         };
         for delta in deltas {
-            send(link, PeerPayload::Delta((*delta).clone())).await?;
+            send(link, PeerPayload::Delta(delta)).await?;
         }
         Ok(())
     }
@@ -102,11 +102,10 @@
     }
 
     fn interval(&self) -> Duration {
-        let own_region = &self.gateway.settings().place.region;
         let members = self.gateway.members.borrow();
         let near = members
             .others()
-            .filter(|member| member.beat.region == *own_region)
+            .filter(|member| self.gateway.is_near(&member.beat.region))
             .count();
         beat_interval(near, self.is_near)
     }
