--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -2,17 +2,14 @@
 //!
 //! The budget of a service is `ratio` times its requests in a window plus a
 //! fixed number, summed over all VMs. The part by ratio needs no sharing: each
-//! VM counts its own requests. The fixed number is divided by the VMs known, so
-//! that views that miss VMs are the only risk; [`LEAST_VMS`] bounds it at start.
+//! VM counts its own requests. The fixed number is divided by the VMs known, those
+//! lost lately included; a VM that does not know the others yet takes nothing of it.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use onyxfall_policy::Moment;
 
-/// VMs among which the fixed part is divided at least: a VM that has just
-/// started knows no other yet. Both deployments of today have seven or eight.
-pub const LEAST_VMS: usize = 8;
 /// Part of the budget that is used; the rest covers requests in flight and
 /// windows that do not line up with ours.
 const USED_PART: f64 = 0.8;
@@ -41,18 +38,19 @@
         self.firsts.push_back(now);
     }
 
-    /// Takes one repeat from the budget if it allows one.
+    /// Takes one repeat from the budget if it allows one. `vms` share the fixed part;
+    /// none while they are not known.
     ///
     /// ```
     /// use onyxfall_fleet::{BudgetLimits, RetryShare};
     /// use onyxfall_policy::Moment;
     /// let window = std::time::Duration::from_secs(10);
     /// let limits = BudgetLimits { ratio: 0.2, extra: 0.0, window };
-    /// assert!(!RetryShare::default().try_repeat(Moment::ZERO, &limits, 1));
+    /// assert!(!RetryShare::default().try_repeat(Moment::ZERO, &limits, Some(1)));
     /// ```
-    pub fn try_repeat(&mut self, now: Moment, limits: &BudgetLimits, vms: usize) -> bool {
+    pub fn try_repeat(&mut self, now: Moment, limits: &BudgetLimits, vms: Option<usize>) -> bool {
         self.forget(now, limits.window);
-        let fixed = limits.extra / vms.max(LEAST_VMS) as f64;
+        let fixed = vms.map_or(0.0, |vms| limits.extra / vms.max(1) as f64);
         let allowed = USED_PART * (limits.ratio * self.firsts.len() as f64 + fixed);
         if (self.repeats.len() + 1) as f64 > allowed {
             return false;
--- a/crates/fleet/src/call.rs
+++ b/crates/fleet/src/call.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use onyxfall_policy::Moment;
 use onyxfall_types::{RegionName, ServiceName};
 
 use crate::route::EngineLimits;
@@ -24,6 +25,8 @@
     pub input: u64,
     /// Most tokens of the answer.
     pub output: u64,
+    /// The caller's guess at the tokens of the answer.
+    pub output_guess: Option<u64>,
 }
 
 impl PromptSize {
@@ -32,6 +35,11 @@
         self.input + self.output
     }
 
+    /// Tokens of the answer, as far as the request tells.
+    pub fn likely_output(&self) -> u64 {
+        self.output_guess.unwrap_or(self.output).min(self.output)
+    }
+
     /// Hash over the shared parts, for affinity; none if nothing is shared.
     pub fn affinity(&self) -> Option<u64> {
         let shared = self.parts.len().saturating_sub(1).max(1);
@@ -71,6 +79,12 @@
     pub prompt: PromptSize,
     /// Time within which the answer (or its first event) is in time.
     pub goal: Duration,
+    /// Order of admission in a model server; 0 goes first.
+    pub urgency: u8,
+    /// When the caller leaves.
+    pub deadline: Moment,
+    /// Expected events of the answer; none if it is no stream, or not known.
+    pub events: Option<f64>,
     /// Regions that may serve it; empty for all.
     pub home_regions: Vec<RegionName>,
 }
--- a/crates/fleet/src/choose.rs
+++ b/crates/fleet/src/choose.rs
@@ -16,6 +16,8 @@
 
 use crate::call::CallNeeds;
 use crate::cold::is_cold_sender;
+use crate::predict::TimePrediction;
+use crate::switches::{ChoicePolicy, DecisionSwitch};
 use crate::view::FleetView;
 
 /// Cost of choosing another server than the prefix's own: it reads the prefix
@@ -25,6 +27,9 @@
 /// Part of the goal up to which a prefix's own server is taken at once. A first
 /// token gains nothing by coming earlier; the rest covers what a prediction errs.
 const OWNER_PART: f64 = 0.62;
+/// Part of the goal up to which others' work is no reason to leave it, however long
+/// the request's own prompt takes.
+const IDLE_PART: f64 = 0.1;
 /// Servers in the order of hashing that are tried for a prefix before any other.
 const PREFIX_SERVERS: usize = 3;
 /// Cost of a cold server, so that it gets work only when others are busy.
@@ -37,8 +42,8 @@
 pub struct ServerChoice {
     /// The server.
     pub server: ServerId,
-    /// Expected time to the first byte.
-    pub predicted: Duration,
+    /// Expected times.
+    pub predicted: TimePrediction,
     /// Why it was chosen.
     pub reason: ChoiceReason,
 }
@@ -53,6 +58,8 @@
     /// It promises the earliest first byte.
     #[default]
     Earliest,
+    /// It was its turn, or chance; a baseline's choice.
+    Baseline,
 }
 
 impl ChoiceReason {
@@ -62,6 +69,7 @@
             Self::Owner => "owner",
             Self::Successor => "successor",
             Self::Earliest => "earliest",
+            Self::Baseline => "baseline",
         }
     }
 }
@@ -100,17 +108,11 @@
         if roomy.is_empty() {
             return LocalOption::Full;
         }
-        let awake: Vec<ServerId> = roomy
-            .into_iter()
-            .filter(|id| self.may_send_cold(now, *id))
-            .collect();
-        let trusted: Vec<ServerId> = awake
-            .iter()
-            .copied()
-            .filter(|id| self.server(*id).is_trusted(now))
-            .collect();
-        let pool = if trusted.is_empty() { awake } else { trusted };
-        let ranked = self.prefix_servers(needs, &pool, PREFIX_SERVERS);
+        let pool = self.usable(now, roomy);
+        if let Some(choice) = self.baseline_choice(now, needs, &pool, rng) {
+            return LocalOption::Free(choice);
+        }
+        let ranked = self.prefix_servers(needs, &pool, self.prefix_count());
         let owner = ranked.first().copied();
         let quick = ranked
             .into_iter()
@@ -125,19 +127,67 @@
         }
         let best = pool
             .into_iter()
-            .map(|id| (self.cost(now, id, needs, owner, rng), id))
-            .min_by(|a, b| a.0.total_cmp(&b.0));
-        let Some((_, server)) = best else {
+            .map(|id| self.offer(now, id, needs, owner, rng))
+            .min_by(ServerOffer::compare);
+        let Some(best) = best else {
             return LocalOption::Resting;
         };
-        let predicted = self.server(server).predict(now, needs);
         LocalOption::Free(ServerChoice {
-            server,
-            predicted,
+            server: best.server,
+            predicted: best.predicted,
             reason: ChoiceReason::Earliest,
         })
     }
 
+    /// Of servers with room, those that may have a request now.
+    fn usable(&mut self, now: Moment, roomy: Vec<ServerId>) -> Vec<ServerId> {
+        let awake: Vec<ServerId> = roomy
+            .into_iter()
+            .filter(|id| self.may_send_cold(now, *id))
+            .collect();
+        if !self.switches().is_on(DecisionSwitch::CircuitBreaker) {
+            return awake;
+        }
+        let trusted: Vec<ServerId> = awake
+            .iter()
+            .copied()
+            .filter(|id| self.server(*id).is_trusted(now))
+            .collect();
+        if trusted.is_empty() { awake } else { trusted }
+    }
+
+    /// Servers in the order of hashing that are tried for a prefix before any other.
+    fn prefix_count(&self) -> usize {
+        if !self.switches().is_on(DecisionSwitch::PrefixOwner) {
+            0
+        } else if self.switches().is_on(DecisionSwitch::PrefixSpill) {
+            PREFIX_SERVERS
+        } else {
+            1
+        }
+    }
+
+    /// The choice of a policy that does not look at expected times.
+    fn baseline_choice(
+        &mut self,
+        now: Moment,
+        needs: &CallNeeds,
+        pool: &[ServerId],
+        rng: &mut impl Rng,
+    ) -> Option<ServerChoice> {
+        let index = match self.switches().policy() {
+            ChoicePolicy::Expected | ChoicePolicy::LocalOnly => return None,
+            ChoicePolicy::Random => rng.random_range(0..pool.len().max(1)),
+            ChoicePolicy::RoundRobin => self.next_turn() % pool.len().max(1),
+        };
+        let server = *pool.get(index)?;
+        Some(ServerChoice {
+            server,
+            predicted: self.predict(now, server, needs),
+            reason: ChoiceReason::Baseline,
+        })
+    }
+
     fn candidates(&self, needs: &CallNeeds, excluded: &[ServerId]) -> Vec<ServerId> {
         let region = &self.place().region;
         if !needs.allows_region(region) {
@@ -163,6 +213,9 @@
     pub fn prefix_home(&self, needs: &CallNeeds) -> Option<&RegionName> {
         // Without a shared prefix there is no owner to look for.
         needs.prompt.affinity()?;
+        if !self.switches().is_on(DecisionSwitch::PrefixHome) {
+            return None;
+        }
         let pool: Vec<ServerId> = self
             .servers_of(&needs.service)
             .iter()
@@ -179,7 +232,8 @@
     }
 
     fn may_send_cold(&mut self, now: Moment, id: ServerId) -> bool {
-        if !self.server(id).is_cold(now) {
+        let is_shared = self.switches().is_on(DecisionSwitch::ColdShare);
+        if !is_shared || !self.server(id).is_cold(now) {
             return true;
         }
         let name = &self.server(id).record.name;
@@ -211,8 +265,11 @@
     /// A server of the prefix, if it answers well within the goal.
     fn quick_choice(&self, now: Moment, id: ServerId, needs: &CallNeeds) -> Option<ServerChoice> {
         let server = self.server(id);
-        let predicted = server.predict(now, needs);
-        let is_quick = predicted <= needs.goal.mul_f64(OWNER_PART) && !server.is_cold(now);
+        let predicted = self.predict(now, id, needs);
+        let is_idle = predicted.backlog <= needs.goal.mul_f64(IDLE_PART);
+        let is_quick = (is_idle || predicted.loaded <= needs.goal.mul_f64(OWNER_PART))
+            && !server.is_cold(now)
+            && self.is_in_time(now, &predicted, needs);
         is_quick.then_some(ServerChoice {
             server: id,
             predicted,
@@ -220,22 +277,46 @@
         })
     }
 
-    fn cost(
+    fn offer(
         &self,
         now: Moment,
         id: ServerId,
         needs: &CallNeeds,
         owner: Option<ServerId>,
         rng: &mut impl Rng,
-    ) -> f64 {
-        let server = self.server(id);
-        let mut cost = server.predict(now, needs);
+    ) -> ServerOffer {
+        let predicted = self.predict(now, id, needs);
+        let mut cost = predicted.loaded;
         if owner.is_some_and(|owner| owner != id) {
             cost += AFFINITY_COST;
         }
-        if server.is_cold(now) {
+        if self.server(id).is_cold(now) {
             cost += COLD_COST;
         }
-        cost.as_secs_f64() + rng.random::<f64>() * JITTER.as_secs_f64()
+        ServerOffer {
+            server: id,
+            predicted,
+            is_late: !self.is_in_time(now, &predicted, needs),
+            cost: cost.as_secs_f64() + rng.random::<f64>() * JITTER.as_secs_f64(),
+        }
+    }
+}
+
+/// A server without regard to prefixes, and what speaks against it.
+#[derive(Clone, Copy, Debug)]
+struct ServerOffer {
+    server: ServerId,
+    predicted: TimePrediction,
+    /// The whole answer is expected after the caller has left.
+    is_late: bool,
+    /// Seconds that choosing it costs.
+    cost: f64,
+}
+
+impl ServerOffer {
+    /// Orders servers by what speaks against them.
+    fn compare(&self, other: &Self) -> std::cmp::Ordering {
+        let late = self.is_late.cmp(&other.is_late);
+        late.then(self.cost.total_cmp(&other.cost))
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,26 +10,38 @@
 mod call;
 mod choose;
 mod cold;
+mod flow;
 mod follow;
+mod learn;
 mod mirror;
+mod predict;
 mod record;
 mod route;
 mod server;
+mod switches;
 mod view;
+mod work;
 
-pub use away::{AwayOption, AwaySearch, AwayTable, REGION_ROUND_TRIP, ServiceLoad, goes_away};
-pub use budget::{BudgetLimits, LEAST_VMS, RetryShare};
+pub use away::{AwayOption, AwaySearch, AwayTable, ServiceLoad, goes_away};
+pub use budget::{BudgetLimits, RetryShare};
 pub use call::{CallNeeds, PromptPart, PromptSize};
 pub use choose::{ChoiceReason, LocalOption, ServerChoice};
 pub use cold::{ColdShare, SENDERS, is_cold_sender};
 pub use follow::{BEHIND_LIMIT, CATCH_UP_PAUSE, CopyCheck, CopyState};
+pub use learn::{
+    AnswerLengths, CostReport, EngineCosts, EngineLoad, LinearFit, PlainCosts, RoundTrips,
+    ServiceCosts,
+};
 pub use mirror::{
     MirrorChange, MirrorDelta, RETURN_WINDOW, StoreEvent, StoreHealth, StoreItem, StoreMirror,
 };
+pub use predict::TimePrediction;
 pub use record::{ServerPhase, ServerRecord};
 pub use route::{
     AnswerShape, BackendService, CallerLimits, ConfigVersion, EngineLimits, RepeatRule, RouteRule,
     RouteTable, RouteTarget,
 };
-pub use server::{AttemptResult, ServerState, WorkShare};
+pub use server::{AttemptResult, ServerState};
+pub use switches::{ChoicePolicy, DecisionSwitch, DecisionSwitches, UnknownName};
 pub use view::{FleetView, VmPlace};
+pub use work::{URGENCIES, UnreadTokens, WorkShare};
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -8,55 +8,26 @@
 
 use crate::call::{CallNeeds, PromptSize};
 use crate::cold::ColdShare;
+use crate::flow::FlowMeter;
+use crate::learn::EngineLoad;
 use crate::record::{ServerPhase, ServerRecord};
+use crate::work::{UnreadTokens, WorkShare};
 
-/// Prompt tokens that a model server reads in a millisecond; from the users'
-/// sheets. Slower servers are found by their answers ([`ServerState::slowness`]).
-const READ_TOKENS_PER_MS: f64 = 112.0;
-/// Time to a first token beside reading the prompt; measured on a calm day.
-const FIRST_TOKEN_BASE: Duration = Duration::from_millis(60);
-/// How long a prefix counts as kept; model servers drop what is unused longest,
-/// and at the sheets' load their memory turns over in about ten seconds.
-const PREFIX_LIFE: Duration = Duration::from_secs(10);
+/// Part of a server's memory that is left to kept prefixes at least.
+const LEAST_KEPT_PART: f64 = 0.1;
 /// Prefixes remembered for one server.
 const PREFIX_LIMIT: usize = 2048;
 /// Weight of a new sample in running estimates.
 const SAMPLE_GAIN: f64 = 0.15;
+/// The same for the pace of events, which many requests share: one slow answer says
+/// more of the batch at that time than of the server.
+const PACE_GAIN: f64 = 0.05;
 /// Bounds of the learned slowness.
 const SLOWNESS_RANGE: (f64, f64) = (0.8, 20.0);
 /// Pause after a server has said that it is full.
 const FULL_PAUSE: Duration = Duration::from_millis(120);
 /// Part of a model server's memory that admitted requests may fill.
 const MEMORY_PART: f64 = 0.9;
-/// Service time of a plain service before any answer.
-const PLAIN_PRIOR: Duration = Duration::from_millis(30);
-
-/// Time that a model server takes to read `tokens` of a prompt.
-pub fn read_time(tokens: u64) -> Duration {
-    Duration::from_secs_f64(tokens as f64 / READ_TOKENS_PER_MS / 1e3)
-}
-
-/// Work of one VM at one server.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct WorkShare {
-    /// Requests under way.
-    pub requests: u32,
-    /// Prompt tokens not yet known to be read.
-    pub unread: u64,
-    /// Memory that the requests will hold, in tokens.
-    pub memory: u64,
-}
-
-impl WorkShare {
-    fn add(self, other: Self) -> Self {
-        Self {
-            requests: self.requests + other.requests,
-            unread: self.unread + other.unread,
-            memory: self.memory + other.memory,
-        }
-    }
-}
-
 /// How an attempt at a server ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptResult {
@@ -72,12 +43,34 @@
     Unknown,
 }
 
+/// What a server had to do when an attempt was sent to it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum ServerLoad {
+    /// A model server's.
+    Engine(EngineLoad),
+    /// How many turns of its slots a request to a plain service waits, its own
+    /// included.
+    Plain(f64),
+}
+
 #[derive(Clone, Copy, Debug)]
 struct OpenAttempt {
     started: Moment,
     predicted: Duration,
     work: WorkShare,
-    has_answered: bool,
+    load: ServerLoad,
+    answered: Option<Moment>,
+}
+
+/// What the first byte of an answer shows.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FirstByte {
+    /// What the server had to do.
+    pub(crate) load: ServerLoad,
+    /// Time from the sending.
+    pub(crate) took: Duration,
+    /// How many times slower than expected the server is, this answer included.
+    pub(crate) slowness: f64,
 }
 
 /// State of one life of a server.
@@ -93,11 +86,19 @@
     full_until: Moment,
     circuit: CircuitBreaker,
     slowness: f64,
-    service_ms: f64,
+    pace_slowness: f64,
+    flow: FlowMeter,
     open: BTreeMap<u64, OpenAttempt>,
     own: WorkShare,
     others: BTreeMap<VmName, WorkShare>,
-    kept: HashMap<u64, Moment>,
+    /// Sum over `others`: each choice asks for it, for every server.
+    told: WorkShare,
+    /// What had flowed into its memory when each prefix was last used.
+    kept: HashMap<u64, f64>,
+    inflow: f64,
+    inflow_at: Moment,
+    /// Tokens that its memory holds; 0 for plain services.
+    memory_tokens: u64,
 }
 
 impl ServerState {
@@ -112,11 +113,16 @@
             full_until: Moment::ZERO,
             circuit: CircuitBreaker::new(),
             slowness: 1.0,
-            service_ms: PLAIN_PRIOR.as_secs_f64() * 1e3,
+            pace_slowness: 1.0,
+            flow: FlowMeter::default(),
             open: BTreeMap::new(),
             own: WorkShare::default(),
             others: BTreeMap::new(),
+            told: WorkShare::default(),
             kept: HashMap::new(),
+            inflow: 0.0,
+            inflow_at: now,
+            memory_tokens: 0,
         }
     }
 
@@ -163,23 +169,28 @@
         &mut self.cold_share
     }
 
-    /// Requests under way from this VM.
-    pub fn own_work(&self) -> WorkShare {
-        self.own
+    /// What this VM has under way there.
+    pub fn own_work(&self, now: Moment) -> WorkShare {
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let flow = self.flow.per_second(now).round() as u64;
+        WorkShare { flow, ..self.own }
     }
 
     /// Sets what another VM has under way there.
-    pub fn set_others(&mut self, vm: &VmName, work: WorkShare) {
+    pub fn set_others(&mut self, now: Moment, vm: &VmName, work: WorkShare) {
+        self.advance_inflow(now);
         if work == WorkShare::default() {
             self.others.remove(vm);
         } else {
             self.others.insert(vm.clone(), work);
         }
+        let none = WorkShare::default();
+        self.told = self.others.values().fold(none, |sum, w| sum.add(*w));
     }
 
     /// All work under way there, as far as known.
     pub fn work(&self) -> WorkShare {
-        self.others.values().fold(self.own, |sum, w| sum.add(*w))
+        self.own.add(self.told)
     }
 
     /// Whether another request fits.
@@ -207,26 +218,47 @@
     }
 
     fn kept_tokens(&self, now: Moment, prompt: &PromptSize) -> u64 {
+        let gone = self.inflow(now) - self.kept_room();
         prompt
             .prefixes()
-            .take_while(|(key, _)| self.kept.get(key).is_some_and(|at| now - *at < PREFIX_LIFE))
+            .take_while(|(key, _)| self.kept.get(key).is_some_and(|used| *used > gone))
             .map(|(_, tokens)| tokens)
             .last()
             .unwrap_or(0)
     }
 
-    /// Expected time to the first byte of an answer.
-    pub fn predict(&self, now: Moment, needs: &CallNeeds) -> Duration {
+    /// Tokens that may flow into its memory until a prefix that is not used again
+    /// has to give way: what running requests leave.
+    fn kept_room(&self) -> f64 {
+        let total = self.memory_tokens as f64;
+        (total - self.work().memory as f64).max(LEAST_KEPT_PART * total)
+    }
+
+    /// Tokens that have flowed into its memory, those of other VMs by what they tell.
+    fn inflow(&self, now: Moment) -> f64 {
+        self.inflow + self.told.flow as f64 * (now - self.inflow_at).as_secs_f64()
+    }
+
+    fn advance_inflow(&mut self, now: Moment) {
+        self.inflow = self.inflow(now);
+        self.inflow_at = now;
+    }
+
+    /// What it has to do when a request comes now.
+    pub(crate) fn load(&self, now: Moment, needs: &CallNeeds) -> ServerLoad {
         let work = self.work();
-        let ms = if needs.engine.is_some() {
-            let unread = work.unread + self.unread_tokens(now, &needs.prompt);
-            (FIRST_TOKEN_BASE + read_time(unread)).as_secs_f64() * 1e3
-        } else {
+        if needs.engine.is_none() {
             let slots = f64::from(self.record.slots.max(1));
-            let turns = 1.0 + (f64::from(work.requests + 1) - slots).max(0.0) / slots;
-            self.service_ms * turns
-        };
-        Duration::from_secs_f64(ms * self.slowness(now) / 1e3)
+            let waiting = (f64::from(work.requests) + 1.0 - slots).max(0.0);
+            return ServerLoad::Plain(1.0 + waiting / slots);
+        }
+        let ahead = work.unread.up_to(needs.urgency);
+        ServerLoad::Engine(EngineLoad {
+            own: self.unread_tokens(now, &needs.prompt),
+            ahead,
+            behind: work.unread.total() - ahead,
+            running: work.requests,
+        })
     }
 
     /// How many times slower than expected it answers; an attempt that is
@@ -236,7 +268,7 @@
             .open
             .values()
             .next()
-            .filter(|open| !open.has_answered)
+            .filter(|open| open.answered.is_none())
             .map_or(0.0, |open| {
                 (now - open.started).as_secs_f64() / open.predicted.as_secs_f64().max(1e-3)
             });
@@ -247,52 +279,91 @@
             .clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1)
     }
 
-    /// Notes that attempt `id` is sent.
-    pub fn start(&mut self, now: Moment, id: u64, needs: &CallNeeds) {
-        let predicted = self.predict(now, needs);
+    /// How many times slower than expected its answers came.
+    pub(crate) fn learned_slowness(&self) -> f64 {
+        self.slowness
+    }
+
+    /// How many times slower than expected its events follow each other.
+    pub(crate) fn pace_slowness(&self) -> f64 {
+        self.pace_slowness
+    }
+
+    /// Notes that the events of an answer took `ratio` of the expected time.
+    pub(crate) fn note_pace(&mut self, ratio: f64) {
+        let ratio = ratio.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
+        self.pace_slowness += PACE_GAIN * (ratio - self.pace_slowness);
+    }
+
+    /// Notes that attempt `id` is sent; its first byte is expected after `predicted`.
+    pub(crate) fn start(&mut self, now: Moment, id: u64, needs: &CallNeeds, predicted: Duration) {
+        let load = self.load(now, needs);
+        let unread = self.unread_tokens(now, &needs.prompt);
         let work = WorkShare {
             requests: 1,
-            unread: self.unread_tokens(now, &needs.prompt),
+            unread: UnreadTokens::of(needs.urgency, unread),
             memory: needs.prompt.memory(),
+            flow: 0,
         };
         if self.circuit.allows(now) {
             self.circuit.start(now);
         }
         self.own = self.own.add(work);
+        let brought = unread + needs.prompt.likely_output();
+        self.flow.note(now, brought);
+        self.advance_inflow(now);
+        self.inflow += brought as f64;
+        if let Some(engine) = needs.engine {
+            self.memory_tokens = engine.memory_tokens;
+        }
         let attempt = OpenAttempt {
             started: now,
             predicted,
             work,
-            has_answered: false,
+            load,
+            answered: None,
         };
         self.open.insert(id, attempt);
         self.keep(now, &needs.prompt);
     }
 
     /// Notes the first byte of attempt `id`.
-    pub fn answer(&mut self, now: Moment, id: u64) {
-        let Some(open) = self.open.get_mut(&id) else {
-            return;
-        };
-        if open.has_answered {
-            return;
+    pub(crate) fn answer(&mut self, now: Moment, id: u64) -> Option<FirstByte> {
+        let open = self.open.get_mut(&id)?;
+        if open.answered.is_some() {
+            return None;
         }
-        open.has_answered = true;
-        self.own.unread -= open.work.unread;
-        let (took, predicted) = (now - open.started, open.predicted);
-        open.work.unread = 0;
+        open.answered = Some(now);
+        let read = WorkShare {
+            unread: open.work.unread,
+            ..WorkShare::default()
+        };
+        self.own = self.own.without(read);
+        open.work = open.work.without(read);
+        let (took, predicted, load) = (now - open.started, open.predicted, open.load);
         let ratio = took.as_secs_f64() / predicted.as_secs_f64().max(1e-3);
         let ratio = (ratio * self.slowness).clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
         self.slowness += SAMPLE_GAIN * (ratio - self.slowness);
         self.circuit.succeed();
+        let slowness = self.slowness;
+        Some(FirstByte {
+            load,
+            took,
+            slowness,
+        })
+    }
+
+    /// What the server had to do when attempt `id` was sent, and the time since its
+    /// first byte.
+    pub(crate) fn since_answer(&self, now: Moment, id: u64) -> Option<(ServerLoad, Duration)> {
+        let open = self.open.get(&id)?;
+        Some((open.load, now - open.answered?))
     }
 
     /// Notes the end of attempt `id`.
     pub fn end(&mut self, now: Moment, id: u64, result: AttemptResult) {
         if let Some(open) = self.open.remove(&id) {
-            self.own.requests -= open.work.requests;
-            self.own.unread -= open.work.unread;
-            self.own.memory -= open.work.memory;
+            self.own = self.own.without(open.work);
         }
         match result {
             AttemptResult::Succeeded => {
@@ -314,12 +385,14 @@
     }
 
     fn keep(&mut self, now: Moment, prompt: &PromptSize) {
+        let inflow = self.inflow(now);
         if self.kept.len() >= PREFIX_LIMIT {
-            self.kept.retain(|_, at| now - *at < PREFIX_LIFE);
+            let gone = inflow - self.kept_room();
+            self.kept.retain(|_, used| *used > gone);
         }
         if self.kept.len() < PREFIX_LIMIT {
             self.kept
-                .extend(prompt.prefixes().map(|(key, _)| (key, now)));
+                .extend(prompt.prefixes().map(|(key, _)| (key, inflow)));
         }
     }
 }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -14,9 +14,11 @@
     CenterName, EntityMap, RegionName, ServerId, ServerName, ServiceName, VmName,
 };
 
+use crate::learn::ServiceCosts;
 use crate::record::ServerRecord;
 use crate::route::RouteTable;
 use crate::server::ServerState;
+use crate::switches::DecisionSwitches;
 
 /// Where this VM stands.
 #[derive(Clone, Debug)]
@@ -40,6 +42,12 @@
     by_service: BTreeMap<ServiceName, Vec<ServerId>>,
     evacuated: BTreeSet<CenterName>,
     region_vms: Vec<VmName>,
+    switches: DecisionSwitches,
+    costs: BTreeMap<ServiceName, ServiceCosts>,
+    /// Costs of a service of which nothing is known.
+    prior: ServiceCosts,
+    /// Number of choices so far, for the baseline that takes servers in turn.
+    turn: usize,
 }
 
 impl FleetView {
@@ -52,6 +60,10 @@
             by_service: BTreeMap::new(),
             evacuated: BTreeSet::new(),
             region_vms: Vec::new(),
+            switches: DecisionSwitches::default(),
+            costs: BTreeMap::new(),
+            prior: ServiceCosts::default(),
+            turn: 0,
         }
     }
 
@@ -70,6 +82,37 @@
         self.region_vms = vms;
     }
 
+    /// Which mechanisms are on.
+    pub fn switches(&self) -> &DecisionSwitches {
+        &self.switches
+    }
+
+    /// Turns mechanisms on and off.
+    pub fn set_switches(&mut self, switches: DecisionSwitches) {
+        self.switches = switches;
+    }
+
+    /// What is known of the costs of a service.
+    pub(crate) fn costs(&self, service: &ServiceName) -> &ServiceCosts {
+        self.costs.get(service).unwrap_or(&self.prior)
+    }
+
+    /// What is known of the costs of a service, to correct it.
+    pub(crate) fn costs_mut(&mut self, service: &ServiceName) -> &mut ServiceCosts {
+        self.costs.entry(service.clone()).or_default()
+    }
+
+    /// What is known of the costs of every service.
+    pub(crate) fn all_costs(&self) -> impl Iterator<Item = (&ServiceName, &ServiceCosts)> {
+        self.costs.iter()
+    }
+
+    /// A number that grows with each choice.
+    pub(crate) fn next_turn(&mut self) -> usize {
+        self.turn = self.turn.wrapping_add(1);
+        self.turn
+    }
+
     /// State of a server.
     pub fn server(&self, id: ServerId) -> &ServerState {
         &self.servers[id]
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -6,8 +6,9 @@
 
 use onyxfall_fleet::{
     AnswerShape, AttemptResult, AwaySearch, AwayTable, CallNeeds, CallerLimits, ConfigVersion,
-    EngineLimits, FleetView, LocalOption, PromptPart, PromptSize, RepeatRule, RouteRule,
-    RouteTable, RouteTarget, ServerPhase, ServerRecord, ServiceLoad, VmPlace, WorkShare,
+    EngineLimits, FleetView, LocalOption, PromptPart, PromptSize, RepeatRule, RoundTrips,
+    RouteRule, RouteTable, RouteTarget, ServerPhase, ServerRecord, ServiceLoad, UnreadTokens,
+    VmPlace, WorkShare,
 };
 use onyxfall_policy::Moment;
 use onyxfall_types::{ServerId, VmName, name_tag};
@@ -57,8 +58,12 @@
             parts: vec![part(1, shared), part(2, input - shared)],
             input,
             output: 100,
+            output_guess: None,
         },
         goal: Duration::from_secs(1),
+        urgency: 5,
+        deadline: at(60_000),
+        events: None,
         home_regions: Vec::new(),
     }
 }
@@ -151,11 +156,10 @@
                 let id = view.find("s").unwrap();
                 let work = WorkShare {
                     requests: 4,
-                    unread: 0,
-                    memory: 0,
+                    ..WorkShare::default()
                 };
                 view.server_mut(id)
-                    .set_others(&"vm1".parse().unwrap(), work);
+                    .set_others(at(0), &"vm1".parse().unwrap(), work);
             },
             homes: &[],
             input: 1000,
@@ -189,11 +193,11 @@
     }
     let busy = WorkShare {
         requests: 1,
-        unread: 60_000,
-        memory: 0,
+        unread: UnreadTokens::of(5, 60_000),
+        ..WorkShare::default()
     };
     view.server_mut(owner)
-        .set_others(&"vm1".parse().unwrap(), busy);
+        .set_others(at(0), &"vm1".parse().unwrap(), busy);
     assert_ne!(
         chosen(&mut view, &needs),
         owner,
@@ -208,9 +212,8 @@
     let needs = needs(500, 1000);
     for attempt in 0..20 {
         let server = chosen(&mut view, &needs);
-        view.server_mut(server).start(at(0), attempt, &needs);
-        view.server_mut(server)
-            .end(at(0), attempt, AttemptResult::Broken);
+        view.start_attempt(at(0), server, attempt, &needs);
+        view.end_attempt(at(0), server, attempt, AttemptResult::Broken, None);
     }
     chosen(&mut view, &needs);
 }
@@ -221,19 +224,24 @@
     view.put_server(at(0), record("s", "c0", ServerPhase::Ready), None);
     let needs = needs(500, 1000);
     let id = view.find("s").unwrap();
-    view.server_mut(id).start(at(0), 1, &needs);
+    view.start_attempt(at(0), id, 1, &needs);
+    // What has come lately fades over five seconds.
+    let flow = 1100 / 5;
     assert_eq!(
-        view.server(id).own_work(),
+        view.server(id).own_work(at(0)),
         WorkShare {
             requests: 1,
-            unread: 1000,
-            memory: 1100
+            unread: UnreadTokens::of(5, 1000),
+            memory: 1100,
+            flow,
         }
     );
-    view.server_mut(id).answer(at(5), 1);
-    assert_eq!(view.server(id).own_work().unread, 0, "the prompt is read");
-    view.server_mut(id).end(at(9), 1, AttemptResult::Succeeded);
-    assert_eq!(view.server(id).own_work(), WorkShare::default());
+    view.note_answer(at(5), id, 1);
+    let own = view.server(id).own_work(at(5));
+    assert_eq!(own.unread.total(), 0, "the prompt is read");
+    view.end_attempt(at(9), id, 1, AttemptResult::Succeeded, None);
+    let own = view.server(id).own_work(at(600_000));
+    assert_eq!(own, WorkShare::default());
 }
 
 struct AwayCase {
@@ -289,11 +297,14 @@
         usual,
     ];
     let (own, vm): (_, VmName) = ("r0".parse().unwrap(), "vm1".parse().unwrap());
+    let trips = RoundTrips::default();
     for case in cases {
         let mut table = AwayTable::default();
         let load = ServiceLoad {
             wait: Duration::from_millis(case.load.0),
             usable: case.load.1,
+            pace: Duration::ZERO,
+            backlog: Duration::ZERO,
         };
         let loads = BTreeMap::from([(name_tag("svc"), load)]);
         table.hear(at(0), &vm, &"r1".parse().unwrap(), loads);
@@ -309,6 +320,9 @@
             service_tag: name_tag("svc"),
             own_region: &own,
             prefix_home: None,
+            trips: &trips,
+            work: Duration::from_millis(5),
+            work_at_home: Duration::from_millis(5),
             excluded: &excluded,
         };
         let found = table.best(at(case.heard_ms), &search);
@@ -323,6 +337,8 @@
     let load = ServiceLoad {
         wait: Duration::from_millis(30),
         usable: 2,
+        pace: Duration::ZERO,
+        backlog: Duration::ZERO,
     };
     let tags = [name_tag("svc"), name_tag("other")];
     table.hear(
@@ -333,12 +349,16 @@
     );
     let mut plain = needs(500, 1000);
     plain.engine = None;
+    let trips = RoundTrips::default();
     let best = |table: &AwayTable, needs: &CallNeeds, tag| {
         let search = AwaySearch {
             needs,
             service_tag: tag,
             own_region: &own,
             prefix_home: None,
+            trips: &trips,
+            work: Duration::from_millis(5),
+            work_at_home: Duration::from_millis(5),
             excluded: &[],
         };
         table.best(at(0), &search).unwrap()
@@ -351,8 +371,8 @@
     let after = best(&table, &plain, tags[0]);
     // Thirty requests of 5 ms over two servers.
     assert_eq!(
-        after.predicted,
-        before.predicted + Duration::from_millis(75)
+        after.predicted.first,
+        before.predicted.first + Duration::from_millis(75)
     );
     assert_eq!(
         best(&table, &plain, tags[1]).predicted,
--- a/crates/fleet/tests/shares.rs
+++ b/crates/fleet/tests/shares.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use onyxfall_fleet::{BudgetLimits, ColdShare, LEAST_VMS, RetryShare, SENDERS, is_cold_sender};
+use onyxfall_fleet::{BudgetLimits, ColdShare, RetryShare, SENDERS, is_cold_sender};
 use onyxfall_policy::Moment;
 use onyxfall_types::{ServerName, VmName};
 use proptest::prelude::*;
@@ -41,7 +41,7 @@
             if is_first {
                 share.note_first(at(now));
                 firsts.push(now);
-            } else if share.try_repeat(at(now), &limits, known) {
+            } else if share.try_repeat(at(now), &limits, Some(known)) {
                 repeats.push(now);
             }
         }
@@ -51,14 +51,27 @@
         };
         // Views that miss VMs overdraw the fixed part by their number at most;
         // the part of the budget that is left unused covers one in five.
-        let divisor = known.max(LEAST_VMS) as f64;
-        let overdrawn = (vms as f64 / divisor).max(1.0);
+        let overdrawn = (vms as f64 / known as f64).max(1.0);
         for end in &repeats {
             let allowed = limits.ratio * within(&firsts, *end) + limits.extra * overdrawn;
             prop_assert!(within(&repeats, *end) <= allowed.max(0.0));
         }
     }
 
+    /// VMs that do not know the others yet take nothing of the part that all share.
+    #[test]
+    fn a_vm_that_knows_no_other_spends_its_own_part_only(
+        extra in 0_u32..2000,
+        firsts in 0_usize..100,
+        tries in 0_usize..100,
+    ) {
+        let limits = BudgetLimits { ratio: 0.2, extra: f64::from(extra), window: WINDOW };
+        let mut share = RetryShare::default();
+        (0..firsts).for_each(|_| share.note_first(at(0)));
+        let repeats = (0..tries).filter(|_| share.try_repeat(at(1), &limits, None)).count();
+        prop_assert!(repeats as f64 <= limits.ratio * firsts as f64);
+    }
+
     /// Arrivals at a cold server in one second stay within its bound while at
     /// most one VM beyond the senders takes itself for one.
     #[test]
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,11 +14,11 @@
 use onyxfall_adapter::{
     AnswerKind, idle_limit, read_answer, set_expected_server, set_time_left, set_urgency,
 };
-use onyxfall_fleet::{AttemptResult, ChoiceReason};
+use onyxfall_fleet::{AttemptResult, ChoiceReason, DecisionSwitch, TimePrediction};
 use onyxfall_types::{RunVerdict, ServerId};
 
 use crate::call::{CallContext, SharedCall};
-use crate::connection::{FAR_DIAL_LIMIT, HttpConnection, NEAR_DIAL_LIMIT, SendError};
+use crate::connection::{HttpConnection, LATE_DIAL_LIMIT, NEAR_DIAL_LIMIT, SendError};
 use crate::gateway::Gateway;
 use crate::open::OpenAttempt;
 use crate::pool::ConnectionChoice;
@@ -38,8 +38,8 @@
     pub(crate) name: String,
     /// Where it listens.
     pub(crate) address: SocketAddr,
-    /// Expected time to the first byte.
-    pub(crate) predicted: Duration,
+    /// Expected times.
+    pub(crate) predicted: TimePrediction,
     /// Why it was chosen.
     pub(crate) reason: ChoiceReason,
 }
@@ -58,13 +58,15 @@
     pub(crate) address: SocketAddr,
     /// Booking of the attempt; none if another VM books it.
     pub(crate) booking: Option<OpenAttempt>,
+    /// Events that have come so far.
+    pub(crate) events: u32,
 }
 
 impl UpstreamAnswer {
     /// Books the end, and keeps the connection if the answer is whole.
     pub(crate) fn finish(mut self, gateway: &Gateway, result: AttemptResult) {
         if let Some(booking) = &mut self.booking {
-            booking.finish(result);
+            booking.finish_stream(result, Some(self.events));
         }
         let is_whole = matches!(result, AttemptResult::Succeeded | AttemptResult::Failed);
         if is_whole {
@@ -105,13 +107,13 @@
         headers.extend(extra.clone());
         set_expected_server(&mut headers, &target.name);
         if call.needs.engine.is_some() {
-            set_urgency(&mut headers, call.rules.urgency);
+            set_urgency(&mut headers, call.needs.urgency);
         }
         set_time_left(&mut headers, call.time_left());
         make_request(call, headers)
     };
     let (connection, response) =
-        match exchange(gateway, call, target.address, NEAR_DIAL_LIMIT, make).await {
+        match exchange(gateway, call, target.address, near_limit(gateway), make).await {
             Ok(exchanged) => exchanged,
             Err(failure) => {
                 booking.finish(failure.blame());
@@ -168,14 +170,21 @@
         set_time_left(&mut headers, call.time_left());
         make_request(call, headers)
     };
-    let (connection, response) =
-        match exchange(gateway, call, target.address, FAR_DIAL_LIMIT, make).await {
-            Ok(exchanged) => exchanged,
-            Err(failure) => {
-                gateway.away.borrow_mut().forget(&target.vm);
-                return failure.into_end();
-            }
-        };
+    let (connection, response) = match exchange(
+        gateway,
+        call,
+        target.address,
+        far_limit(gateway, target),
+        make,
+    )
+    .await
+    {
+        Ok(exchanged) => exchanged,
+        Err(failure) => {
+            gateway.away.borrow_mut().forget(&target.vm);
+            return failure.into_end();
+        }
+    };
     if let Some(word) = read_verdict(response.headers()) {
         keep_after_refusal(gateway, target.address, connection, response).await;
         return match word.verdict {
@@ -201,6 +210,25 @@
     }
 }
 
+/// How long to wait for a connection to a server of the region.
+fn near_limit(gateway: &Gateway) -> Duration {
+    if gateway.is_on(DecisionSwitch::EarlyDial) {
+        NEAR_DIAL_LIMIT
+    } else {
+        LATE_DIAL_LIMIT
+    }
+}
+
+/// How long to wait for a connection to a VM of another region.
+fn far_limit(gateway: &Gateway, target: &PeerTarget) -> Duration {
+    if gateway.is_on(DecisionSwitch::EarlyDial) {
+        let limit = gateway.trips.borrow().dial_limit(Some(&target.region), 0);
+        limit.max(NEAR_DIAL_LIMIT)
+    } else {
+        LATE_DIAL_LIMIT
+    }
+}
+
 /// Why an exchange brought no head of an answer.
 enum ExchangeFailure {
     Unreachable,
@@ -296,6 +324,7 @@
         connection,
         address,
         booking,
+        events: 0,
     }
 }
 
--- a/crates/gateway/src/beat.rs
+++ b/crates/gateway/src/beat.rs
@@ -3,11 +3,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use onyxfall_fleet::{CallNeeds, PromptSize, ServiceLoad, StoreItem, WorkShare};
+use onyxfall_fleet::{
+    CallNeeds, PromptSize, ServiceLoad, StoreItem, TimePrediction, UnreadTokens, WorkShare,
+};
 use onyxfall_policy::MemberBeat;
 use onyxfall_types::{RegionName, name_tag};
 use onyxfall_wire::{ServerWorkEntry, ServiceLoadEntry, StoreSnapshot, VmBeat};
 
+use crate::costs::take_costs;
 use crate::gateway::{Gateway, VmStatus};
 use crate::share::{store_item, wire_item};
 
@@ -16,21 +19,23 @@
 /// The same within a region, where they tell work at servers that are shared and
 /// their bytes cost nothing.
 const NEAR_INTERVAL: Duration = Duration::from_millis(60);
-/// VMs of a region up to which the least interval holds; beyond, it grows with
-/// their number so that the work of a VM does not.
-const DENSE_VMS: usize = 8;
+/// Heartbeats that a VM sends within its region each second at most; with more VMs
+/// each hears it less often. 130 cost 0.2 % of a core.
+const NEAR_BEATS_PER_SECOND: f64 = 130.0;
 /// Longest time between two heartbeats: three are sent before a VM is suspected.
 const LONGEST_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Time between two heartbeats to one VM, with `near_vms` others in the region.
 /// Those told in other regions are few whatever the size of the fleet.
-pub(crate) fn beat_interval(near_vms: usize, is_near: bool) -> Duration {
+pub(crate) fn beat_interval(near_vms: usize, is_near: bool, is_dense: bool) -> Duration {
     if !is_near {
         return FAR_INTERVAL;
     }
-    let times = near_vms.div_ceil(DENSE_VMS).max(1);
-    let times = u32::try_from(times).unwrap_or(u32::MAX);
-    NEAR_INTERVAL.saturating_mul(times).min(LONGEST_INTERVAL)
+    if !is_dense {
+        return LONGEST_INTERVAL;
+    }
+    let shared = Duration::from_secs_f64(near_vms as f64 / NEAR_BEATS_PER_SECOND);
+    shared.clamp(NEAR_INTERVAL, LONGEST_INTERVAL)
 }
 
 /// This VM's heartbeat for a VM of `region`.
@@ -45,6 +50,7 @@
         mirror_revision: mirror.revision(),
         loads: if is_near { Vec::new() } else { loads(gateway) },
         work: if is_near { work(gateway) } else { Vec::new() },
+        costs: Vec::new(),
     }
 }
 
@@ -63,13 +69,17 @@
             engine: service.engine,
             prompt: PromptSize::default(),
             goal: Duration::from_secs(1),
+            urgency: 0,
+            deadline: now,
+            events: None,
             home_regions: Vec::new(),
         };
-        let waits: Vec<Duration> = fleet
+        let offers: Vec<(TimePrediction, Duration)> = fleet
             .servers_of(&service.name)
             .iter()
-            .map(|id| fleet.server(*id))
-            .filter(|server| {
+            .copied()
+            .filter(|id| {
+                let server = fleet.server(*id);
                 server.region == region
                     && server.takes_work()
                     && server.is_trusted(now)
@@ -77,34 +87,43 @@
                     && server.has_room(&usual)
                     && !fleet.is_evacuated(&server.record.center)
             })
-            .map(|server| server.predict(now, &usual))
+            .map(|id| {
+                let predicted = fleet.predict(now, id, &usual);
+                (predicted, fleet.predict_pace(now, id, &usual))
+            })
             .collect();
-        let Some(least) = waits.iter().min() else {
+        let Some((least, pace)) = offers.iter().min_by_key(|(offer, _)| offer.loaded) else {
             continue;
         };
         entries.push(ServiceLoadEntry {
             service: name_tag(service.name.as_str()),
-            wait_ms: u32::try_from(least.as_millis()).unwrap_or(u32::MAX),
-            usable: u32::try_from(waits.len()).unwrap_or(u32::MAX),
+            wait_ms: wire_millis(least.loaded),
+            backlog_ms: wire_millis(least.backlog),
+            pace_ms: wire_millis(*pace),
+            usable: u32::try_from(offers.len()).unwrap_or(u32::MAX),
         });
     }
     entries
 }
 
+fn wire_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// This VM's work at the servers of its region.
 fn work(gateway: &Gateway) -> Vec<ServerWorkEntry> {
+    let now = gateway.now();
     let fleet = gateway.fleet.borrow();
     fleet
         .live()
-        .filter(|(_, server)| server.own_work() != WorkShare::default())
-        .map(|(_, server)| {
-            let own = server.own_work();
-            ServerWorkEntry {
-                server: name_tag(server.record.name.as_str()),
-                requests: own.requests,
-                unread: own.unread,
-                memory: own.memory,
-            }
+        .map(|(_, server)| (server, server.own_work(now)))
+        .filter(|(_, own)| *own != WorkShare::default())
+        .map(|(server, own)| ServerWorkEntry {
+            server: name_tag(server.record.name.as_str()),
+            requests: own.requests,
+            unread: own.unread.as_slice().to_vec(),
+            memory: own.memory,
+            flow: own.flow,
         })
         .collect()
 }
@@ -126,6 +145,7 @@
         .heard_vms
         .borrow_mut()
         .insert(from.name.clone(), status);
+    take_costs(gateway, &from.name, &beat.costs);
     let is_near = gateway.is_near(&from.region);
     gateway.compare_copy(beat, is_near);
     if is_near {
@@ -141,6 +161,7 @@
 fn take_work(gateway: &Gateway, from: &MemberBeat, work: &[ServerWorkEntry]) {
     let told: BTreeMap<u32, &ServerWorkEntry> =
         work.iter().map(|entry| (entry.server, entry)).collect();
+    let now = gateway.now();
     let mut fleet = gateway.fleet.borrow_mut();
     let tags: Vec<_> = fleet
         .live()
@@ -151,10 +172,11 @@
             .get(&tag)
             .map_or(WorkShare::default(), |entry| WorkShare {
                 requests: entry.requests,
-                unread: entry.unread,
+                unread: UnreadTokens::from_slice(&entry.unread),
                 memory: entry.memory,
+                flow: entry.flow,
             });
-        fleet.server_mut(id).set_others(&from.name, share);
+        fleet.server_mut(id).set_others(now, &from.name, share);
     }
 }
 
@@ -165,6 +187,8 @@
             let load = ServiceLoad {
                 wait: Duration::from_millis(u64::from(entry.wait_ms)),
                 usable: entry.usable,
+                pace: Duration::from_millis(u64::from(entry.pace_ms)),
+                backlog: Duration::from_millis(u64::from(entry.backlog_ms)),
             };
             (entry.service, load)
         })
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -28,8 +28,6 @@
     pub(crate) resumable: bool,
     /// Most servers that may run it.
     pub(crate) max_attempts: u32,
-    /// Order of admission in a model server; 0 goes first.
-    pub(crate) urgency: u8,
 }
 
 /// A request, read whole and matched to its route.
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -26,8 +26,8 @@
 /// second, which is too late for any goal, and another server can be tried. The
 /// rest is for a VM whose share of the processor is used up for a tenth of a second.
 pub(crate) const NEAR_DIAL_LIMIT: Duration = Duration::from_millis(250);
-/// The same to another region, a round trip of 110 ms away.
-pub(crate) const FAR_DIAL_LIMIT: Duration = Duration::from_millis(400);
+/// The same where early dialling is off: past the kernel's second opening packet.
+pub(crate) const LATE_DIAL_LIMIT: Duration = Duration::from_millis(1200);
 
 /// Ends a task when dropped, and with it the socket that the task owns.
 #[derive(Debug)]
--- /dev/null
+++ b/crates/gateway/src/costs.rs
@@ -0,0 +1,98 @@
+//! What heartbeats tell of learned costs, and the lengths of answers.
+
+use std::time::{Duration, Instant};
+
+use onyxfall_fleet::{CostReport, PromptSize};
+use onyxfall_types::{VmName, name_tag};
+use onyxfall_wire::ServiceCostEntry;
+
+use crate::gateway::Gateway;
+
+/// Time between two heartbeats on a link that tell what was learned. A VM that has
+/// just started hears it in the first one; after that costs change slowly.
+pub(crate) const COSTS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// When costs were last told on a link.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct CostsTold(Option<Instant>);
+
+impl CostsTold {
+    /// What to tell now: nothing if it was told a moment ago.
+    pub(crate) fn due(&mut self, gateway: &Gateway) -> Vec<ServiceCostEntry> {
+        if self.0.is_some_and(|at| at.elapsed() < COSTS_INTERVAL) {
+            return Vec::new();
+        }
+        self.0 = Some(Instant::now());
+        own_costs(gateway)
+    }
+}
+
+/// What this VM has learned of each service.
+pub(crate) fn own_costs(gateway: &Gateway) -> Vec<ServiceCostEntry> {
+    let fleet = gateway.fleet.borrow();
+    fleet
+        .cost_reports()
+        .map(|(service, report)| ServiceCostEntry {
+            service: name_tag(service.as_str()),
+            first: report.first.map(narrow).to_vec(),
+            first_samples: report.first_samples,
+            pace: report.pace.map(narrow).to_vec(),
+            pace_samples: report.pace_samples,
+            plain_ms: narrow(report.plain_ms),
+            plain_samples: report.plain_samples,
+        })
+        .collect()
+}
+
+/// Takes what another VM has learned. Entries of services that are not known here,
+/// or of another form, are left out.
+pub(crate) fn take_costs(gateway: &Gateway, from: &VmName, entries: &[ServiceCostEntry]) {
+    let Some(table) = gateway.table() else {
+        return;
+    };
+    let now = gateway.now();
+    let mut fleet = gateway.fleet.borrow_mut();
+    for entry in entries {
+        let mut services = table.services();
+        let named = services.find(|service| name_tag(service.name.as_str()) == entry.service);
+        let (Some(service), Some(report)) = (named, read_entry(entry)) else {
+            continue;
+        };
+        if fleet.hear_costs(now, from, &service.name, report) {
+            gateway.metrics.count("onyxfall_absurd_costs_total");
+        }
+    }
+}
+
+fn read_entry(entry: &ServiceCostEntry) -> Option<CostReport> {
+    let first: [f32; 5] = entry.first.as_slice().try_into().ok()?;
+    let pace: [f32; 3] = entry.pace.as_slice().try_into().ok()?;
+    Some(CostReport {
+        first: first.map(f64::from),
+        first_samples: entry.first_samples,
+        pace: pace.map(f64::from),
+        pace_samples: entry.pace_samples,
+        plain_ms: f64::from(entry.plain_ms),
+        plain_samples: entry.plain_samples,
+    })
+}
+
+/// Costs are told in single precision, which halves the bytes of a heartbeat.
+#[allow(clippy::cast_possible_truncation)]
+fn narrow(weight: f64) -> f32 {
+    weight as f32
+}
+
+impl Gateway {
+    /// Expected events of an answer of a route.
+    pub(crate) fn expected_events(&self, route: &str, prompt: &PromptSize) -> Option<f64> {
+        let lengths = self.lengths.borrow();
+        lengths.expected(route, prompt.likely_output())
+    }
+
+    /// Takes a whole answer of `events`.
+    pub(crate) fn note_length(&self, route: &str, prompt: &PromptSize, events: u32) {
+        let mut lengths = self.lengths.borrow_mut();
+        lengths.learn(route, prompt.likely_output(), events);
+    }
+}
--- a/crates/gateway/src/decide.rs
+++ b/crates/gateway/src/decide.rs
@@ -1,9 +1,13 @@
 //! Where a request goes: a server of this region, another region, or nowhere.
 
+use std::borrow::Cow;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use onyxfall_fleet::{AwayOption, AwaySearch, LocalOption, ServerChoice, goes_away};
+use onyxfall_fleet::{
+    AwayOption, AwaySearch, CallNeeds, ChoicePolicy, DecisionSwitch, FleetView, LocalOption,
+    RoundTrips, ServerChoice, TimePrediction, goes_away,
+};
 use onyxfall_policy::Moment;
 use onyxfall_types::{RefusalReason, RequestError, name_tag};
 
@@ -23,10 +27,17 @@
 /// part of the goal for which requests wait there: what waits is then served.
 const YOUNG: Duration = Duration::from_millis(1500);
 const YOUNG_PATIENCE_PART: f64 = 0.6;
-/// Part of the goal up to which an expected first byte is worth its work. A late
-/// answer earns a third and makes others late; a refusal at once lets the caller
-/// come back. Chosen by trials on the bench: 0.4 to 1.6.
+/// Part of the goal up to which a prompt may be read behind all others at a server.
+/// Beyond, a request makes more others late than it is worth, the longer its own
+/// prompt the more; a refusal at once lets the caller come back.
 const OVERLOAD_PART: f64 = 0.7;
+/// Part of the goal up to which others' work is no reason to refuse: where hardly
+/// anything waits, refusing a long prompt helps nobody.
+const IDLE_PART: f64 = 0.1;
+/// Part of the expected time of a whole answer that four in five answers need at
+/// least. A request is refused for its end only if the caller will hardly get it:
+/// refusing at the expected time itself lost 0.01 of worth on days with a rush.
+const LIKELY_PART: f64 = 0.6;
 /// Bounds of the time after which a refused caller is told to come back.
 const RETRY_AFTER_RANGE: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(900));
@@ -46,15 +57,16 @@
     /// Decides where a request goes next.
     pub(crate) fn decide(&self, call: &SharedCall, progress: &CallProgress) -> RouteStep {
         let now = self.now();
+        let needs = remaining_needs(call, progress);
         let local = self.fleet.borrow_mut().choose(
             now,
-            &call.needs,
+            &needs,
             &progress.servers,
             &mut *self.rng.borrow_mut(),
         );
         let away = self
             .best_away(now, call, progress)
-            .filter(|away| !is_too_late(call, away.predicted));
+            .filter(|away| !self.is_too_late(call, &away.predicted));
         match (local, away) {
             (LocalOption::Free(choice), away) => self.weigh(now, call, choice, away),
             (_, Some(away)) => self.send_away(call, away),
@@ -75,16 +87,21 @@
     ) -> RouteStep {
         let fleet = self.fleet.borrow();
         let server = fleet.server(choice.server);
+        if self.settings().switches.policy() == ChoicePolicy::Random {
+            return self.weigh_at_random(now, call, &fleet, &choice);
+        }
         if let Some(away) = away {
             let unread = server.unread_shared(now, &call.needs.prompt);
-            let (goal, local) = (call.needs.goal, choice.predicted);
-            if goes_away(goal, local, unread, away.predicted, away.holds_prefix) {
+            let saved = fleet.read_time(&call.needs.service, unread);
+            let (goal, local) = (call.needs.goal, choice.predicted.loaded);
+            let there = away.predicted.loaded;
+            if goes_away(goal, local, saved, there, away.holds_prefix) {
                 log::info!(
                     request = call.request_id.as_str(),
                     target = away.vm.as_str(),
                     goal_ms = millis(goal),
                     local_ms = millis(local),
-                    away_ms = millis(away.predicted),
+                    away_ms = millis(there),
                     unread_shared = unread,
                     holds_prefix = away.holds_prefix;
                     "sent away"
@@ -92,22 +109,35 @@
                 return self.send_away(call, away);
             }
         }
-        if is_too_late(call, choice.predicted) {
-            let after = choice.predicted.saturating_sub(call.needs.goal / 2);
-            let detail = format!(
-                "no server can answer in time: the best one after {} ms, the goal is {} ms",
-                millis(choice.predicted),
-                millis(call.needs.goal),
-            );
-            return RouteStep::Refuse(overloaded(&detail, after));
+        if self.is_too_late(call, &choice.predicted) {
+            return RouteStep::Refuse(too_late(call, &choice.predicted));
+        }
+        RouteStep::Server(server_target(&fleet, &choice))
+    }
+
+    /// Sends the request to a region drawn by its usable servers; a baseline.
+    fn weigh_at_random(
+        &self,
+        now: Moment,
+        call: &SharedCall,
+        fleet: &FleetView,
+        choice: &ServerChoice,
+    ) -> RouteStep {
+        let trips = self.trips.borrow();
+        let search = plain_search(fleet, &trips, &call.needs);
+        let servers = fleet.servers_of(&call.needs.service).iter();
+        let own = servers.filter(|id| fleet.server(**id).region == fleet.place().region);
+        let own = u32::try_from(own.count()).unwrap_or(u32::MAX);
+        let drawn = if call.may_leave() {
+            let rng = &mut *self.rng.borrow_mut();
+            self.away.borrow().draw(now, &search, own, rng)
+        } else {
+            None
+        };
+        match drawn {
+            Some(away) => self.send_away(call, away),
+            None => RouteStep::Server(server_target(fleet, choice)),
         }
-        RouteStep::Server(ServerTarget {
-            id: choice.server,
-            name: server.record.name.to_string(),
-            address: server.record.address,
-            predicted: choice.predicted,
-            reason: choice.reason,
-        })
     }
 
     /// Waits for a server while the caller's patience lasts.
@@ -137,34 +167,97 @@
         RouteStep::Peer(PeerTarget {
             vm: away.vm,
             address,
+            region: member.beat.region.clone(),
             predicted: away.predicted,
         })
     }
 
+    /// Whether an answer comes too late to be worth its work: there is too much before
+    /// it, or the caller will have left.
+    fn is_too_late(&self, call: &CallContext, predicted: &TimePrediction) -> bool {
+        let refuses = self.is_on(DecisionSwitch::RefusePredicted);
+        let is_full = refuses
+            && predicted.backlog > call.needs.goal.mul_f64(IDLE_PART)
+            && predicted.loaded > call.needs.goal.mul_f64(OVERLOAD_PART);
+        let time_left = call.time_left();
+        let is_cut = predicted.whole.mul_f64(LIKELY_PART) > time_left
+            && self.is_on(DecisionSwitch::WholeAnswers);
+        is_full || is_cut || predicted.first > time_left
+    }
+
     fn best_away(
         &self,
         now: Moment,
         call: &CallContext,
         progress: &CallProgress,
     ) -> Option<AwayOption> {
-        if !call.may_leave() {
+        let policy = self.settings().switches.policy();
+        let stays = matches!(policy, ChoicePolicy::LocalOnly | ChoicePolicy::RoundRobin);
+        if stays || !call.may_leave() || !self.is_on(DecisionSwitch::SendAway) {
             return None;
         }
         let fleet = self.fleet.borrow();
+        let trips = self.trips.borrow();
         let search = AwaySearch {
-            needs: &call.needs,
-            service_tag: name_tag(call.needs.service.as_str()),
-            own_region: &fleet.place().region,
             prefix_home: fleet.prefix_home(&call.needs),
             excluded: &progress.vms,
+            ..plain_search(&fleet, &trips, &call.needs)
         };
         self.away.borrow().best(now, &search)
     }
 }
 
-fn is_too_late(call: &CallContext, predicted: Duration) -> bool {
-    let bound = call.needs.goal.mul_f64(OVERLOAD_PART);
-    predicted > bound.min(call.time_left())
+/// What a request needs from here on: of a stream, what the caller does not have yet.
+fn remaining_needs<'a>(call: &'a CallContext, progress: &CallProgress) -> Cow<'a, CallNeeds> {
+    if progress.events == 0 {
+        return Cow::Borrowed(&call.needs);
+    }
+    let mut needs = call.needs.clone();
+    needs.events = needs
+        .events
+        .map(|events| (events - f64::from(progress.events)).max(1.0));
+    Cow::Owned(needs)
+}
+
+/// A search that follows no prefix and leaves no VM out.
+fn plain_search<'a>(
+    fleet: &'a FleetView,
+    trips: &'a RoundTrips,
+    needs: &'a CallNeeds,
+) -> AwaySearch<'a> {
+    AwaySearch {
+        needs,
+        service_tag: name_tag(needs.service.as_str()),
+        own_region: &fleet.place().region,
+        prefix_home: None,
+        trips,
+        work: fleet.work_of(needs, 0),
+        work_at_home: fleet.work_of(needs, needs.prompt.shared_tokens()),
+        excluded: &[],
+    }
+}
+
+fn server_target(fleet: &FleetView, choice: &ServerChoice) -> ServerTarget {
+    let server = fleet.server(choice.server);
+    ServerTarget {
+        id: choice.server,
+        name: server.record.name.to_string(),
+        address: server.record.address,
+        predicted: choice.predicted,
+        reason: choice.reason,
+    }
+}
+
+fn too_late(call: &CallContext, predicted: &TimePrediction) -> RequestError {
+    let after = predicted.backlog.saturating_sub(call.needs.goal / 2);
+    let detail = format!(
+        "no server can answer in time: the best one begins after {} ms and ends after {} ms, the goal is {} ms, the caller leaves after {} ms",
+        millis(predicted.first),
+        millis(predicted.whole),
+        millis(call.needs.goal),
+        millis(call.time_left()),
+    );
+    overloaded(&detail, after)
 }
 
 fn overloaded(detail: &str, after: Duration) -> RequestError {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,7 +9,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use onyxfall_fleet::{AwayTable, FleetView, RetryShare, RouteTable, StoreMirror};
+use onyxfall_fleet::{
+    AnswerLengths, AwayTable, DecisionSwitch, FleetView, RetryShare, RoundTrips, RouteTable,
+    StoreMirror,
+};
 use onyxfall_policy::{MemberBeat, MemberTable, MemberTiming, Moment};
 use onyxfall_types::{Incarnation, RegionName, ServiceName, VmName};
 use rand::SeedableRng;
@@ -29,6 +32,10 @@
 const GONE_AFTER: Duration = Duration::from_secs(6);
 const FORGET_AFTER: Duration = Duration::from_mins(2);
 
+/// Age up to which a VM may not have heard of every other one. Greetings take three
+/// round trips, and lists of members spread within one more.
+const ALONE_FOR: Duration = Duration::from_millis(1500);
+
 /// What a VM has said of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct VmStatus {
@@ -54,6 +61,10 @@
     /// VMs to which a link of this VM is up.
     pub(crate) linked: RefCell<BTreeSet<VmName>>,
     pub(crate) away: RefCell<AwayTable>,
+    /// Round trips to other regions.
+    pub(crate) trips: RefCell<RoundTrips>,
+    /// Lengths of the answers of each route.
+    pub(crate) lengths: RefCell<AnswerLengths>,
     retries: RefCell<BTreeMap<ServiceName, RetryShare>>,
     pub(crate) pool: ConnectionPool,
     pub(crate) store: RefCell<StoreLink>,
@@ -96,17 +107,21 @@
             gone_after: GONE_AFTER,
             forget_after: FORGET_AFTER,
         };
+        let mut fleet = FleetView::new(place.clone());
+        fleet.set_switches(settings.switches.clone());
         Self {
-            vm: place.vm.clone(),
+            vm: place.vm,
             started: Instant::now(),
             table: RefCell::default(),
-            fleet: RefCell::new(FleetView::new(place)),
+            fleet: RefCell::new(fleet),
             mirror: RefCell::default(),
             members: RefCell::new(MemberTable::new(own, timing)),
             heard_vms: RefCell::default(),
             greeted: RefCell::default(),
             linked: RefCell::default(),
             away: RefCell::default(),
+            trips: RefCell::default(),
+            lengths: RefCell::default(),
             retries: RefCell::default(),
             pool: ConnectionPool::default(),
             store: RefCell::default(),
@@ -140,9 +155,16 @@
 
     /// Brings new settings into force.
     pub(crate) fn set_settings(&self, settings: GatewaySettings) {
+        let switches = settings.switches.clone();
+        self.fleet.borrow_mut().set_switches(switches);
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
+    /// Whether a mechanism of the decisions is on.
+    pub(crate) fn is_on(&self, switch: DecisionSwitch) -> bool {
+        self.settings.borrow().switches.is_on(switch)
+    }
+
     /// Time since the start.
     pub(crate) fn now(&self) -> Moment {
         Moment::from_duration(self.started.elapsed())
@@ -197,10 +219,17 @@
         retries.entry(service.clone()).or_default().note_first(now);
     }
 
+    /// Number of VMs, those lost lately included; none while this VM is too young to
+    /// have heard of all.
+    fn known_vms(&self) -> Option<usize> {
+        let others = self.members.borrow().others().count();
+        (self.started.elapsed() >= ALONE_FOR).then_some(others + 1)
+    }
+
     /// Takes one retry from the budget of a service.
     pub(crate) fn take_retry(&self, service: &ServiceName) -> bool {
         let now = self.now();
-        let vms = self.members.borrow().others().count() + 1;
+        let vms = self.known_vms();
         let limits = self.settings().retries;
         let mut retries = self.retries.borrow_mut();
         let share = retries.entry(service.clone()).or_default();
@@ -251,11 +280,12 @@
 
     /// Forgets the work of a VM that is gone.
     fn forget_work(&self, vm: &VmName) {
+        let now = self.now();
         let mut fleet = self.fleet.borrow_mut();
         let ids: Vec<_> = fleet.live().map(|(id, _)| id).collect();
         for id in ids {
             let none = onyxfall_fleet::WorkShare::default();
-            fleet.server_mut(id).set_others(vm, none);
+            fleet.server_mut(id).set_others(now, vm, none);
         }
     }
 }
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -10,9 +10,10 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_util::{SinkExt, StreamExt};
+use onyxfall_fleet::DecisionSwitch;
 use onyxfall_policy::{MemberBeat, MemberState, MemberTable, VmMember};
 use onyxfall_wire::{
     FrameError, MemberEntry, MemberSet, PROTOCOL_VERSION, PeerCodec, PeerFrame, PeerHello,
@@ -22,22 +23,21 @@
 use tokio_util::codec::Framed;
 
 use crate::beat::{own_beat, own_snapshot, take_beat, take_snapshot};
-use crate::connection::dial;
+use crate::connection::{LATE_DIAL_LIMIT, dial};
+use crate::costs::own_costs;
 use crate::gateway::Gateway;
 use crate::listen::accept;
 use crate::teller::LinkTeller;
 
 pub(crate) type FramedLink = Framed<TcpStream, PeerCodec>;
 
-/// Longest time for a link to come up: three round trips between regions, and
-/// well below the second after which the kernel sends a lost opening packet again.
-const DIAL_LIMIT: Duration = Duration::from_millis(350);
+/// Least limit of a dial, also to a VM next door: it may be without its processor
+/// for a tenth of a second.
+const LEAST_DIAL_LIMIT: Duration = Duration::from_millis(150);
 /// Pause before a link is dialled again.
 const DIAL_PAUSE: Duration = Duration::from_millis(500);
 /// The same while this VM is young: VMs that lost power together come back within
 /// some tenths of a second, and until a link is up no request can be sent away.
-/// The limit is one round trip between regions and half of another.
-const YOUNG_DIAL_LIMIT: Duration = Duration::from_millis(180);
 const YOUNG_DIAL_PAUSE: Duration = Duration::from_millis(20);
 /// Pause between two looks for VMs that have no link yet.
 const LOOK: Duration = Duration::from_millis(200);
@@ -118,32 +118,52 @@
 
 /// Keeps a link as long as its address is wanted.
 async fn keep_link(gateway: &Rc<Gateway>, address: SocketAddr) {
+    let mut failures = 0;
     while is_wanted(gateway, address) {
-        let is_young = gateway.started.elapsed() < YOUNG;
-        let (limit, pause) = if is_young {
-            (YOUNG_DIAL_LIMIT, YOUNG_DIAL_PAUSE)
-        } else {
-            (DIAL_LIMIT, DIAL_PAUSE)
-        };
-        match dial(address, limit).await {
+        let dialled = Instant::now();
+        match dial(address, dial_limit(gateway, address, failures)).await {
             Ok(stream) => {
-                let ended = run_link(gateway, stream, address).await;
+                failures = 0;
+                let ended = run_link(gateway, stream, address, dialled.elapsed()).await;
                 if let Err(e) = ended {
                     log::info!(address:% = address, error:% = e; "link lost");
                 }
             }
-            Err(e) => log::debug!("no link to {address}: {e}"),
+            Err(e) => {
+                failures += 1;
+                log::debug!("no link to {address}: {e}");
+            }
         }
-        tokio::time::sleep(pause).await;
+        let is_young = gateway.started.elapsed() < YOUNG;
+        tokio::time::sleep(if is_young {
+            YOUNG_DIAL_PAUSE
+        } else {
+            DIAL_PAUSE
+        })
+        .await;
     }
 }
 
+/// How long to wait for a link to an address, after `failures` in a row.
+fn dial_limit(gateway: &Gateway, address: SocketAddr, failures: u32) -> Duration {
+    if !gateway.is_on(DecisionSwitch::EarlyDial) {
+        return LATE_DIAL_LIMIT;
+    }
+    let members = gateway.members.borrow();
+    let mut others = members.others().map(|member| &member.beat);
+    let known = others.find(|beat| beat.peer_address == address);
+    let region = known.map(|beat| &beat.region);
+    let limit = gateway.trips.borrow().dial_limit(region, failures);
+    limit.max(LEAST_DIAL_LIMIT)
+}
+
 /// Greets the VM at the other end of a link that was dialled, and tells it
 /// heartbeats for as long as it is to be told.
 async fn run_link(
     gateway: &Rc<Gateway>,
     stream: TcpStream,
     address: SocketAddr,
+    took: Duration,
 ) -> Result<(), FrameError> {
     let mut link = Framed::new(stream, PeerCodec::default());
     send(&mut link, hello(gateway)).await?;
@@ -153,6 +173,7 @@
     let Some(peer) = take_hello(gateway, greeting?) else {
         return Err(FrameError::Closed);
     };
+    gateway.trips.borrow_mut().note(&peer.region, took);
     if let Some(Ok(frame)) = link.next().await {
         take_reply(gateway, &peer, frame);
     }
@@ -204,7 +225,8 @@
     send(&mut link, PeerPayload::Members(known_members(gateway))).await?;
     if gateway.members.borrow().tells(&peer) {
         // A VM that has just started must not wait until it is dialled in return.
-        let beat = own_beat(gateway, &peer.region);
+        let mut beat = own_beat(gateway, &peer.region);
+        beat.costs = own_costs(gateway);
         send(&mut link, PeerPayload::VmBeat(beat)).await?;
     }
     while let Some(frame) = link.next().await {
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -44,6 +44,9 @@
 /// Step between the urgencies of two priorities, so that the order of admission
 /// in a model server follows the route's rank; 5 stands for none.
 const URGENCY_STEP: u8 = 2;
+/// Urgency of the highest priority, and the last that there is.
+const FIRST_URGENCY: u8 = 3;
+const LAST_URGENCY: u8 = 9;
 
 /// What a port serves.
 #[derive(Clone, Copy, Debug)]
@@ -215,10 +218,10 @@
     let rule = table.find(&call.host, head.uri.path()).ok_or_else(|| {
         RequestError::not_run(RefusalReason::UnknownKind, "no route takes this path")
     })?;
-    let needs = needs_of(&table, rule, &call);
     let time_left = call
         .time_left
         .map_or(rule.timeout, |left| left.min(rule.timeout));
+    let needs = needs_of(gateway, &table, rule, &call, time_left);
     if !accepts(gateway, time_left) {
         let error = RequestError::not_run(RefusalReason::Stopping, "this VM is stopping");
         return Err(error.with_retry_after(Duration::from_millis(50)));
@@ -233,11 +236,6 @@
             is_stream: rule.is_stream(),
             resumable: rule.is_resumable(),
             max_attempts: rule.max_attempts,
-            urgency: rule
-                .priority
-                .saturating_mul(URGENCY_STEP)
-                .saturating_add(3)
-                .min(9),
         },
         needs,
         method: head.method,
@@ -250,14 +248,24 @@
     })
 }
 
-fn needs_of(table: &RouteTable, rule: &RouteRule, call: &CallHead) -> CallNeeds {
+fn needs_of(
+    gateway: &Gateway,
+    table: &RouteTable,
+    rule: &RouteRule,
+    call: &CallHead,
+    time_left: Duration,
+) -> CallNeeds {
     let service = rule.service_for(&call.request_id).clone();
     let engine = table.service(&service).and_then(|service| service.engine);
+    let urgency = rule.priority.saturating_mul(URGENCY_STEP);
     CallNeeds {
         service,
         engine,
         prompt: call.prompt.clone(),
         goal: rule.goal,
+        urgency: urgency.saturating_add(FIRST_URGENCY).min(LAST_URGENCY),
+        deadline: gateway.now() + time_left,
+        events: gateway.expected_events(rule.name.as_str(), &call.prompt),
         home_regions: rule.home_regions.clone(),
     }
 }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -10,6 +10,7 @@
 mod body;
 mod call;
 mod connection;
+mod costs;
 mod decide;
 mod directory;
 mod gateway;
@@ -71,7 +72,7 @@
         .ok_or_else(|| miette::miette!("no settings file: give --settings"))?;
     let settings = load_settings(&path)?;
     if arguments.check_settings {
-        println!("{}: no fault", path.display());
+        println!("{}: no fault; {}", path.display(), settings.switches);
         return Ok(());
     }
     start_logging("onyxfall-gateway", log::LevelFilter::Info, LogSink::Stdout);
@@ -87,7 +88,8 @@
         links::start(&gateway);
         gateway::start_ticker(&gateway);
         reload::start(&gateway, path);
-        log::info!(vm = gateway.vm().as_str(); "started");
+        let switches = gateway.settings().switches.clone();
+        log::info!(vm = gateway.vm().as_str(), decisions:% = switches; "started");
         stop::run(&gateway).await;
         Ok::<(), std::io::Error>(())
     });
--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -26,7 +26,7 @@
         if state.is_cold(now) {
             state.cold_share().try_take(now);
         }
-        state.start(now, id, needs);
+        fleet.start_attempt(now, server, id, needs);
         Self {
             gateway: Rc::clone(gateway),
             server,
@@ -39,20 +39,25 @@
     pub(crate) fn answer(&self) {
         let now = self.gateway.now();
         let mut fleet = self.gateway.fleet.borrow_mut();
-        fleet.server_mut(self.server).answer(now, self.id);
+        fleet.note_answer(now, self.server, self.id);
     }
 
     /// Ends the attempt with a result.
     pub(crate) fn finish(&mut self, result: AttemptResult) {
+        self.finish_stream(result, None);
+    }
+
+    /// Ends the attempt with a result; `events` of its answer have come.
+    pub(crate) fn finish_stream(&mut self, result: AttemptResult, events: Option<u32>) {
         if self.is_finished {
             return;
         }
         self.is_finished = true;
         let now = self.gateway.now();
         let mut fleet = self.gateway.fleet.borrow_mut();
-        let state = fleet.server_mut(self.server);
-        let was_trusted = state.is_trusted(now);
-        state.end(now, self.id, result);
+        let was_trusted = fleet.server(self.server).is_trusted(now);
+        fleet.end_attempt(now, self.server, self.id, result, events);
+        let state = fleet.server(self.server);
         let is_trusted = state.is_trusted(now);
         if was_trusted != is_trusted {
             log::info!(
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,7 +12,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use onyxfall_adapter::{forward_headers, read_call};
-use onyxfall_fleet::CallNeeds;
+use onyxfall_fleet::{CallNeeds, TimePrediction};
 use onyxfall_types::{RefusalReason, RegionName, RequestError, RunVerdict, VmName};
 
 use crate::body::ReplyBody;
@@ -25,11 +25,14 @@
 const SERVICE: &str = "onyxfall-service";
 const GOAL: &str = "onyxfall-goal-ms";
 const HOMES: &str = "onyxfall-homes";
+const ROUTE: &str = "onyxfall-route";
 const URGENCY: &str = "onyxfall-urgency";
 const IS_STREAM: &str = "onyxfall-stream";
 const VERDICT: &str = "onyxfall-verdict";
 const ARRIVED: &str = "onyxfall-arrived";
-const OWN_HEADERS: [&str; 6] = [VM, SERVICE, GOAL, HOMES, URGENCY, IS_STREAM];
+const OWN_HEADERS: [&str; 7] = [VM, SERVICE, GOAL, HOMES, ROUTE, URGENCY, IS_STREAM];
+/// Urgency of a request whose sender names none, in the middle of 0 to 9.
+const USUAL_URGENCY: u8 = 5;
 
 /// Largest body that is taken from another VM, which has checked its caller's.
 const MAX_RELAYED_BODY: usize = 8 * 1024 * 1024;
@@ -41,8 +44,10 @@
     pub(crate) vm: VmName,
     /// Where it takes requests of other VMs.
     pub(crate) address: SocketAddr,
-    /// Expected time to the first byte, round trip included.
-    pub(crate) predicted: Duration,
+    /// Its region.
+    pub(crate) region: RegionName,
+    /// Expected times, round trip included.
+    pub(crate) predicted: TimePrediction,
 }
 
 /// What another VM says of a request that it did not answer.
@@ -65,7 +70,8 @@
     set(headers, VM, vm.as_str());
     set(headers, SERVICE, call.needs.service.as_str());
     set(headers, GOAL, &call.needs.goal.as_millis().to_string());
-    set(headers, URGENCY, &call.rules.urgency.to_string());
+    set(headers, URGENCY, &call.needs.urgency.to_string());
+    set(headers, ROUTE, &call.route);
     set(headers, HOMES, &homes.join(","));
     if call.rules.is_stream {
         set(headers, IS_STREAM, "1");
@@ -117,14 +123,19 @@
     let engine = table
         .as_ref()
         .and_then(|table| table.service(&service)?.engine);
+    let time_left = call.time_left.ok_or_else(bad)?;
+    let route = text(ROUTE).unwrap_or("relayed").to_owned();
+    let urgency = number(URGENCY).and_then(|urgency| u8::try_from(urgency).ok());
     let needs = CallNeeds {
         service,
         engine,
-        prompt: call.prompt,
         goal: Duration::from_millis(number(GOAL).ok_or_else(bad)?),
+        urgency: urgency.unwrap_or(USUAL_URGENCY),
+        deadline: gateway.now() + time_left,
+        events: gateway.expected_events(&route, &call.prompt),
+        prompt: call.prompt,
         home_regions,
     };
-    let time_left = call.time_left.ok_or_else(bad)?;
     let mut headers = forward_headers(&head.headers);
     for name in OWN_HEADERS {
         headers.remove(name);
@@ -132,7 +143,7 @@
     let body = read_body(body, MAX_RELAYED_BODY, time_left).await?;
     Ok(CallContext {
         request_id: call.request_id,
-        route: "relayed".to_owned(),
+        route,
         version: table.map(|table| table.version()).unwrap_or_default(),
         needs,
         rules: CallRules {
@@ -141,9 +152,6 @@
             is_stream: head.headers.contains_key(IS_STREAM),
             resumable: false,
             max_attempts: 1,
-            urgency: number(URGENCY)
-                .and_then(|u| u8::try_from(u).ok())
-                .unwrap_or(5),
         },
         method: head.method,
         target: head.uri,
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -16,12 +16,15 @@
         log::info!(
             request = call.request_id.as_str(),
             route = call.route.as_str(),
+            region = self.settings().place.region.as_str(),
             version:% = call.version,
             target = progress.last_target.as_str(),
             reason = progress.reason,
             arrivals = progress.arrivals,
             resumes = progress.resumes,
-            predicted_ms = millis(progress.predicted),
+            sent_ms = millis(progress.sent),
+            predicted_ms = millis(progress.predicted.first),
+            predicted_end_ms = millis(progress.predicted.whole),
             first_ms = millis(progress.first_byte),
             age_ms = millis(age),
             outcome;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -11,7 +11,7 @@
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use onyxfall_adapter::{answer_headers, set_last_event};
-use onyxfall_fleet::AttemptResult;
+use onyxfall_fleet::{AttemptResult, TimePrediction};
 use onyxfall_types::{RefusalReason, RequestError, RunVerdict, ServerId, VmName};
 
 use crate::attempt::{AttemptEnd, UpstreamAnswer, try_peer, try_server};
@@ -46,10 +46,14 @@
     pub(crate) unreached: u32,
     /// Times that another server went on with the stream.
     pub(crate) resumes: u32,
+    /// Events that the caller has.
+    pub(crate) events: u32,
     /// Whether the end was logged.
     pub(crate) is_told: bool,
-    /// Expected time of the last attempt to its first byte.
-    pub(crate) predicted: Duration,
+    /// Expected times of the last attempt.
+    pub(crate) predicted: TimePrediction,
+    /// Age of the request when the last attempt was sent.
+    pub(crate) sent: Duration,
     /// Time from the request to the first byte of its answer.
     pub(crate) first_byte: Duration,
     /// Where the last attempt went, for the log.
@@ -173,6 +177,7 @@
             RouteStep::Refuse(error) => return Err(error),
             RouteStep::Server(target) => {
                 progress.servers.push(target.id);
+                progress.sent = call.age();
                 progress.predicted = target.predicted;
                 progress.reason = target.reason.as_str();
                 progress.last_target.clone_from(&target.name);
@@ -180,10 +185,17 @@
             }
             RouteStep::Peer(target) => {
                 progress.vms.push(target.vm.clone());
+                progress.sent = call.age();
                 progress.predicted = target.predicted;
                 progress.reason = "away";
                 progress.last_target = target.vm.to_string();
-                return Ok(try_peer(gateway, call, &target, extra).await);
+                let end = try_peer(gateway, call, &target, extra).await;
+                if matches!(end, AttemptEnd::Answer(_)) {
+                    let took = call.age().saturating_sub(progress.sent);
+                    let mut away = gateway.away.borrow_mut();
+                    away.note_first(&target.region, target.predicted.first, took);
+                }
+                return Ok(end);
             }
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,11 +6,19 @@
 use std::path::Path;
 use std::time::Duration;
 
-use onyxfall_fleet::{BudgetLimits, VmPlace};
+use onyxfall_fleet::{BudgetLimits, ChoicePolicy, DecisionSwitch, DecisionSwitches, VmPlace};
 use onyxfall_settings::{FaultList, IniDocument, SettingsError};
 use onyxfall_types::{CenterName, RegionName, VmName};
 
-const SECTION_KINDS: &[&str] = &["vm", "listen", "peers", "store", "bounds", "center"];
+const SECTION_KINDS: &[&str] = &[
+    "vm",
+    "listen",
+    "peers",
+    "store",
+    "bounds",
+    "center",
+    "decisions",
+];
 /// Where settings name no grace, as long as the platforms known give.
 const DEFAULT_GRACE_S: u64 = 8;
 
@@ -39,6 +47,8 @@
     pub(crate) retries: BudgetLimits,
     /// How long callers may keep a directory answer.
     pub(crate) directory_ttl: Duration,
+    /// Which mechanisms of the decisions are on.
+    pub(crate) switches: DecisionSwitches,
 }
 
 /// Loads and checks a settings file.
@@ -82,6 +92,7 @@
     };
     let directory_ttl = Duration::from_secs(bounds.or_default("directory-ttl-s", 5, faults));
     bounds.finish(faults);
+    let switches = read_switches(document, faults);
     let peers = peers?;
     Some(GatewaySettings {
         place: place?,
@@ -95,9 +106,21 @@
         stop_grace,
         retries,
         directory_ttl,
+        switches,
     })
 }
 
+/// The section may be left out: then everything is on.
+fn read_switches(document: &IniDocument, faults: &mut FaultList) -> DecisionSwitches {
+    let Some(decisions) = document.readers("decisions").next() else {
+        return DecisionSwitches::default();
+    };
+    let policy = decisions.or_default("policy", ChoicePolicy::Expected, faults);
+    let off: Vec<DecisionSwitch> = decisions.list("off", faults);
+    decisions.finish(faults);
+    DecisionSwitches::new(policy, off)
+}
+
 fn read_place(document: &IniDocument, faults: &mut FaultList) -> Option<VmPlace> {
     let mut centers: BTreeMap<CenterName, RegionName> = BTreeMap::new();
     for reader in document.readers("center") {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -59,6 +59,30 @@
     Some(id.trim().to_owned())
 }
 
+/// Counts the events of a stream by the empty lines that end them, whatever the
+/// pieces in which it comes.
+#[derive(Debug, Default)]
+struct EventCounter {
+    ends_in_newline: bool,
+}
+
+impl EventCounter {
+    /// Number of events that end in `bytes`.
+    fn count(&mut self, bytes: &[u8]) -> u32 {
+        let mut events = 0;
+        for byte in bytes {
+            let is_newline = *byte == b'\n';
+            if is_newline && self.ends_in_newline {
+                events += 1;
+                self.ends_in_newline = false;
+            } else {
+                self.ends_in_newline = is_newline;
+            }
+        }
+        events
+    }
+}
+
 /// What is going on with a stream.
 enum RelayState {
     /// A server sends it.
@@ -76,6 +100,9 @@
     progress: CallProgress,
     state: RelayState,
     buffer: Option<EventBuffer>,
+    counter: EventCounter,
+    /// Events passed on, of all servers.
+    events: u32,
     deadline: Pin<Box<Sleep>>,
 }
 
@@ -95,6 +122,8 @@
             progress,
             state: RelayState::Open(answer),
             buffer: resumable.then(EventBuffer::default),
+            counter: EventCounter::default(),
+            events: 0,
             deadline: Box::pin(tokio::time::sleep_until(call.deadline.into())),
         }
     }
@@ -144,6 +173,11 @@
 
     fn pass(&mut self, frame: Frame<Bytes>) -> Option<Frame<Bytes>> {
         let data = frame.into_data().ok()?;
+        let events = self.counter.count(&data);
+        self.events += events;
+        if let RelayState::Open(answer) = &mut self.state {
+            answer.events += events;
+        }
         match &mut self.buffer {
             None => Some(Frame::data(data)),
             Some(buffer) => buffer.push(&data).map(Frame::data),
@@ -152,6 +186,9 @@
 
     /// The server ended the stream; what is left of an event is passed on.
     fn complete(&mut self) -> Option<Result<Frame<Bytes>, RelayError>> {
+        let call = &self.call;
+        self.gateway
+            .note_length(&call.route, &call.needs.prompt, self.events);
         self.end(AttemptResult::Succeeded, "served");
         let rest = self.buffer.take().map(|buffer| buffer.rest.freeze())?;
         (!rest.is_empty()).then(|| Ok(Frame::data(rest)))
@@ -162,6 +199,7 @@
             return false;
         };
         buffer.rest.clear();
+        self.counter = EventCounter::default();
         let last = buffer.last_id.clone();
         let RelayState::Open(answer) = std::mem::replace(&mut self.state, RelayState::Ended) else {
             return false;
@@ -169,6 +207,7 @@
         answer.finish(&self.gateway, AttemptResult::Broken);
         let gateway = Rc::clone(&self.gateway);
         let call = Rc::clone(&self.call);
+        self.progress.events = self.events;
         let progress = self.progress.clone();
         self.progress.resumes += 1;
         self.state = RelayState::Resuming(Box::pin(async move {
--- a/crates/gateway/src/teller.rs
+++ b/crates/gateway/src/teller.rs
@@ -5,10 +5,12 @@
 use std::time::{Duration, Instant};
 
 use futures_util::StreamExt;
+use onyxfall_fleet::DecisionSwitch;
 use onyxfall_policy::MemberBeat;
 use onyxfall_wire::{FrameError, PeerPayload, SnapshotRequest};
 
 use crate::beat::{beat_interval, own_beat};
+use crate::costs::CostsTold;
 use crate::gateway::Gateway;
 use crate::links::{FramedLink, known_members, send, take_reply};
 
@@ -27,6 +29,7 @@
     next_delta: u64,
     asked_snapshot: Option<Instant>,
     told_members: Instant,
+    told_costs: CostsTold,
 }
 
 impl<'a> LinkTeller<'a> {
@@ -39,6 +42,7 @@
             next_delta: gateway.share.borrow().next_number(),
             asked_snapshot: None,
             told_members: Instant::now(),
+            told_costs: CostsTold::default(),
         }
     }
 
@@ -56,7 +60,10 @@
         if self.is_near {
             self.tell_deltas(link).await?;
         }
-        let beat = own_beat(gateway, &self.peer.region);
+        let mut beat = own_beat(gateway, &self.peer.region);
+        if self.is_near {
+            beat.costs = self.told_costs.due(gateway);
+        }
         send(link, PeerPayload::VmBeat(beat)).await?;
         let may_ask = self
             .asked_snapshot
@@ -107,6 +114,7 @@
             .others()
             .filter(|member| self.gateway.is_near(&member.beat.region))
             .count();
-        beat_interval(near, self.is_near)
+        let is_dense = self.gateway.is_on(DecisionSwitch::NearHeartbeats);
+        beat_interval(near, self.is_near, is_dense)
     }
 }
--- /dev/null
+++ b/crates/gateway/tests/settings.rs
@@ -0,0 +1,105 @@
+//! Settings are checked before anything starts.
+
+use std::fs;
+use std::process::Command;
+
+const USUAL: &str = "\
+[vm]
+name = vm1
+center = c1
+[center c1]
+region = r1
+[listen]
+callers = 127.0.0.1:1
+ready = 127.0.0.1:2
+directory = 127.0.0.1:3
+peers = 127.0.0.1:4
+peer-ports = 5,6
+[peers]
+[store]
+address = 127.0.0.1:7
+[bounds]
+";
+
+struct SettingsCase {
+    name: &'static str,
+    decisions: &'static str,
+    passes: bool,
+    /// What must be said.
+    said: &'static [&'static str],
+}
+
+#[test]
+fn mechanisms_are_named_or_refused() {
+    let cases = [
+        SettingsCase {
+            name: "no section",
+            decisions: "",
+            passes: true,
+            said: &["no fault; policy expected\n"],
+        },
+        SettingsCase {
+            name: "two mechanisms off",
+            decisions: "[decisions]\noff = send-away, prefix-spill\n",
+            passes: true,
+            said: &["policy expected, off: prefix-spill, send-away\n"],
+        },
+        SettingsCase {
+            name: "a baseline",
+            decisions: "[decisions]\npolicy = round-robin\n",
+            passes: true,
+            said: &["policy round-robin\n"],
+        },
+        SettingsCase {
+            name: "an unknown mechanism",
+            decisions: "[decisions]\noff = prefix-spil\n",
+            passes: false,
+            said: &[
+                "gateway.ini:17",
+                "unknown mechanism `prefix-spil`",
+                "prefix-spill,",
+            ],
+        },
+        SettingsCase {
+            name: "an unknown policy",
+            decisions: "[decisions]\npolicy = best\n",
+            passes: false,
+            said: &[
+                "gateway.ini:17",
+                "unknown policy `best`",
+                "expected, local-only",
+            ],
+        },
+        SettingsCase {
+            name: "an unknown key",
+            decisions: "[decisions]\non = send-away\n",
+            passes: false,
+            said: &["unknown key `on`"],
+        },
+    ];
+    for (number, case) in cases.iter().enumerate() {
+        let dir = std::env::temp_dir();
+        let dir = dir.join(format!("onyxfall-settings-{}-{number}", std::process::id()));
+        fs::create_dir_all(&dir).unwrap();
+        let path = dir.join("gateway.ini");
+        fs::write(&path, format!("{USUAL}{}", case.decisions)).unwrap();
+        let checked = Command::new(env!("CARGO_BIN_EXE_onyxfall-gateway"))
+            .arg("--settings")
+            .arg(&path)
+            .arg("--check-settings")
+            .output()
+            .unwrap();
+        fs::remove_dir_all(&dir).unwrap();
+        let said = [checked.stdout, checked.stderr].concat();
+        let said = String::from_utf8(said).unwrap();
+        assert_eq!(
+            checked.status.success(),
+            case.passes,
+            "{}: {said}",
+            case.name
+        );
+        for part in case.said {
+            assert!(said.contains(part), "{}: `{part}` in {said}", case.name);
+        }
+    }
+}
--- a/crates/operator/src/explain.rs
+++ b/crates/operator/src/explain.rs
@@ -109,7 +109,8 @@
     }
 }
 
-fn parse_line(line: &str) -> Option<(&str, Map<String, Value>)> {
+/// The prefix of a log's line and the fields of its object; none if it has no object.
+pub(crate) fn parse_line(line: &str) -> Option<(&str, Map<String, Value>)> {
     let start = line.find('{')?;
     let fields = serde_json::from_str(&line[start..]).ok()?;
     Some((line[..start].trim(), fields))
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -8,11 +8,13 @@
 mod error;
 mod explain;
 mod head;
+mod predictions;
 mod rollout;
 mod settings;
 
 pub use context::OperatorContext;
 pub use error::OperatorError;
 pub use explain::RequestStory;
+pub use predictions::{PredictionGroup, PredictionRatios, PredictionReport};
 pub use rollout::{RollPlan, RollProgress};
 pub use settings::{OperatorSettings, load_operator_settings, parse_operator_settings};
--- a/crates/operator/src/main.rs
+++ b/crates/operator/src/main.rs
@@ -1,5 +1,6 @@
 //! The `onyxfall` program: the operators' commands.
 
+use std::io::{self, BufRead, BufReader};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -9,7 +10,9 @@
 use miette::{IntoDiagnostic, Report, WrapErr, miette};
 use onyxfall_bundle::{ContentDigest, HeadRecord, SigningSecret};
 use onyxfall_logging::{LogSink, start_logging};
-use onyxfall_operator::{OperatorContext, RequestStory, RollPlan, load_operator_settings};
+use onyxfall_operator::{
+    OperatorContext, PredictionReport, RequestStory, RollPlan, load_operator_settings,
+};
 use onyxfall_platform::PlatformClient;
 use onyxfall_types::RegionName;
 
@@ -37,6 +40,7 @@
     Undrain(UndrainCommand),
     Status(StatusCommand),
     Explain(ExplainCommand),
+    Predictions(PredictionsCommand),
 }
 
 /// make an operator's key pair
@@ -137,6 +141,19 @@
     logs: Vec<PathBuf>,
 }
 
+/// compare predicted with measured times of requests from log files, or from standard input
+#[derive(FromArgs)]
+#[argh(subcommand, name = "predictions")]
+struct PredictionsCommand {
+    /// log files of the VMs; standard input if there are none
+    #[argh(positional)]
+    logs: Vec<PathBuf>,
+
+    /// write a plot (SVG)
+    #[argh(option)]
+    plot: Option<PathBuf>,
+}
+
 fn main() -> ExitCode {
     let arguments: OperatorArguments = argh::from_env();
     start_logging("onyxfall", log::LevelFilter::Warn, LogSink::Stderr);
@@ -159,6 +176,7 @@
             Ok(())
         }
         OperatorCommand::Explain(command) => explain(command),
+        OperatorCommand::Predictions(command) => predictions(command),
         command => run_stored(command, &open_context(&arguments.settings)?),
     }
 }
@@ -194,7 +212,10 @@
             println!("the drain of {} is taken back", command.name);
         }
         OperatorCommand::Status(_) => print_head(&context.head()?),
-        OperatorCommand::Keygen(_) | OperatorCommand::Check(_) | OperatorCommand::Explain(_) => {
+        OperatorCommand::Keygen(_)
+        | OperatorCommand::Check(_)
+        | OperatorCommand::Explain(_)
+        | OperatorCommand::Predictions(_) => {
             unreachable!("handled without the platform")
         }
     }
@@ -203,23 +224,46 @@
 
 fn explain(command: &ExplainCommand) -> Result<(), Report> {
     let mut story = RequestStory::default();
-    for log in &command.logs {
+    read_logs(&command.logs, |name, lines| {
+        story.read(name, &command.request, lines)
+    })?;
+    if story.is_empty() {
+        return Err(miette!("no line speaks of request {}", command.request));
+    }
+    print!("{story}");
+    Ok(())
+}
+
+fn predictions(command: &PredictionsCommand) -> Result<(), Report> {
+    let mut report = PredictionReport::default();
+    read_logs(&command.logs, |_, lines| report.read(lines))?;
+    if report.is_empty() {
+        return Err(miette!("no line tells of a prediction"));
+    }
+    print!("{report}");
+    if let Some(path) = &command.plot {
+        let plotted = report.plot(path);
+        plotted.map_err(|e| miette!("{}: {e}", path.display()))?;
+    }
+    Ok(())
+}
+
+/// Reads each log, or standard input (named `-`) if there is none.
+fn read_logs(
+    logs: &[PathBuf],
+    mut read: impl FnMut(&str, &mut dyn BufRead) -> io::Result<()>,
+) -> Result<(), Report> {
+    for log in logs {
         let name = log.display().to_string();
         let file = std::fs::File::open(log)
             .into_diagnostic()
             .wrap_err_with(|| name.clone())?;
-        let lines = std::io::BufReader::new(file);
-        let read = story.read(&name, &command.request, lines);
+        let read = read(&name, &mut BufReader::new(file));
         read.into_diagnostic().wrap_err(name)?;
     }
-    if command.logs.is_empty() {
-        let lines = std::io::stdin().lock();
-        story.read("-", &command.request, lines).into_diagnostic()?;
-    }
-    if story.is_empty() {
-        return Err(miette!("no line speaks of request {}", command.request));
+    if logs.is_empty() {
+        read("-", &mut io::stdin().lock()).into_diagnostic()?;
     }
-    print!("{story}");
     Ok(())
 }
 
--- /dev/null
+++ b/crates/operator/src/predictions.rs
@@ -0,0 +1,228 @@
+//! Predicted against measured times, read from the logs of gateways.
+//!
+//! A line `request ended` holds when the last attempt was sent, what was predicted
+//! for it and when its answer began and ended. The ratio of measured to predicted
+//! is told for each route and way: at home in the VM's region, or away in another.
+//! A ratio of 1 is a true prediction, 2 one of half of what it took.
+
+use std::collections::BTreeMap;
+use std::error::Error;
+use std::fmt;
+use std::io::{self, BufRead};
+use std::path::Path;
+
+use plotters::prelude::*;
+use serde_json::{Map, Value};
+
+use crate::explain::parse_line;
+
+const SIZE: (u32, u32) = (900, 500);
+const COLORS: [RGBColor; 6] = [BLUE, RED, GREEN, MAGENTA, CYAN, BLACK];
+/// Quantiles that are told.
+const QUANTILES: [f64; 3] = [0.5, 0.9, 0.99];
+/// Range of ratios in the plot.
+const PLOT_RANGE: (f64, f64) = (0.1, 10.0);
+/// Points of a curve in the plot.
+const PLOT_POINTS: usize = 100;
+/// Whole answers count from this predicted time on, in milliseconds: below, the end
+/// is the first byte's.
+const LEAST_MS: f64 = 1.0;
+
+/// Requests that are told together.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PredictionGroup {
+    /// Route.
+    pub route: String,
+    /// Region of the VM that told of it, where known, and whether it was sent away.
+    pub place: String,
+}
+
+/// Ratios of measured to predicted times of one group.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PredictionRatios {
+    first: Vec<f64>,
+    end: Vec<f64>,
+}
+
+/// Ratios of measured to predicted times, by route and way.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PredictionReport {
+    groups: BTreeMap<PredictionGroup, PredictionRatios>,
+}
+
+impl PredictionReport {
+    /// Takes the lines of a log.
+    ///
+    /// # Errors
+    ///
+    /// The log cannot be read.
+    ///
+    /// ```
+    /// use onyxfall_operator::PredictionReport;
+    /// let log = br#"{"message":"request ended","route":"a","reason":"owner","outcome":"served",
+    ///  "sent_ms":0,"predicted_ms":100,"first_ms":150}"#;
+    /// let line: Vec<u8> = log.iter().copied().filter(|byte| *byte != b'\n').collect();
+    /// let mut report = PredictionReport::default();
+    /// report.read(&line[..]).unwrap();
+    /// assert!(report.to_string().contains("1.50"));
+    /// ```
+    pub fn read(&mut self, log: impl BufRead) -> io::Result<()> {
+        for line in log.split(b'\n') {
+            let line = line?;
+            let line = String::from_utf8_lossy(&line);
+            if let Some((_, fields)) = parse_line(&line) {
+                self.take(&fields);
+            }
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, fields: &Map<String, Value>) {
+        let text = |name: &str| fields.get(name).and_then(Value::as_str);
+        let number = |name: &str| fields.get(name).and_then(Value::as_f64);
+        if text("message") != Some("request ended") {
+            return;
+        }
+        let (Some(route), Some(predicted), Some(first), Some(sent)) = (
+            text("route"),
+            number("predicted_ms"),
+            number("first_ms"),
+            number("sent_ms"),
+        ) else {
+            return;
+        };
+        // Of a request that was resumed, the first byte was not the last attempt's.
+        if predicted < LEAST_MS || first < sent || number("resumes").unwrap_or(0.0) > 0.0 {
+            return;
+        }
+        let way = if text("reason") == Some("away") {
+            "away"
+        } else {
+            "home"
+        };
+        let place = text("region").map_or(way.to_owned(), |region| format!("{region}, {way}"));
+        let group = PredictionGroup {
+            route: route.to_owned(),
+            place,
+        };
+        let ratios = self.groups.entry(group).or_default();
+        ratios.first.push((first - sent) / predicted);
+        let (end, age) = (number("predicted_end_ms"), number("age_ms"));
+        if let (Some(end), Some(age), Some("served")) = (end, age, text("outcome"))
+            && end > predicted
+        {
+            ratios.end.push((age - sent) / end);
+        }
+    }
+
+    /// Whether no log told of a prediction.
+    pub fn is_empty(&self) -> bool {
+        self.groups.is_empty()
+    }
+
+    /// The ratios of a group.
+    pub fn groups(&self) -> impl Iterator<Item = (&PredictionGroup, &PredictionRatios)> {
+        self.groups.iter()
+    }
+
+    /// Draws the ratio of measured to predicted first bytes of each route by
+    /// quantile, as SVG.
+    ///
+    /// # Errors
+    ///
+    /// The file cannot be written.
+    pub fn plot(&self, path: &Path) -> Result<(), Box<dyn Error>> {
+        let root = SVGBackend::new(path, SIZE).into_drawing_area();
+        root.fill(&WHITE)?;
+        let mut chart = ChartBuilder::on(&root)
+            .margin(20)
+            .x_label_area_size(40)
+            .y_label_area_size(60)
+            .build_cartesian_2d(0.0..1.0, (PLOT_RANGE.0..PLOT_RANGE.1).log_scale())?;
+        chart
+            .configure_mesh()
+            .x_desc("part of requests")
+            .y_desc("measured / predicted first byte")
+            .draw()?;
+        for (index, ratios) in self.groups.values().enumerate() {
+            let points = curve(&ratios.first);
+            chart.draw_series(LineSeries::new(points, COLORS[index % COLORS.len()]))?;
+        }
+        root.present()?;
+        Ok(())
+    }
+}
+
+impl PredictionRatios {
+    /// Number of requests.
+    pub fn len(&self) -> usize {
+        self.first.len()
+    }
+
+    /// Whether there is no request.
+    pub fn is_empty(&self) -> bool {
+        self.first.is_empty()
+    }
+
+    /// Ratio of first bytes that a part of the requests stays below.
+    pub fn first_quantile(&self, part: f64) -> Option<f64> {
+        quantile(&self.first, part)
+    }
+
+    /// The same for the ends of answers.
+    pub fn end_quantile(&self, part: f64) -> Option<f64> {
+        quantile(&self.end, part)
+    }
+}
+
+impl fmt::Display for PredictionReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:<16} {:<24} {:>8}  {:>20}  {:>20}",
+            "route", "place", "requests", "first p50 p90 p99", "end p50 p90 p99"
+        )?;
+        for (group, ratios) in &self.groups {
+            write!(
+                f,
+                "{:<16} {:<24} {:>8} ",
+                group.route,
+                group.place,
+                ratios.len()
+            )?;
+            write_quantiles(f, &ratios.first)?;
+            write_quantiles(f, &ratios.end)?;
+            writeln!(f)?;
+        }
+        Ok(())
+    }
+}
+
+fn write_quantiles(f: &mut fmt::Formatter<'_>, ratios: &[f64]) -> fmt::Result {
+    for part in QUANTILES {
+        match quantile(ratios, part) {
+            Some(ratio) => write!(f, " {ratio:>6.2}")?,
+            None => write!(f, " {:>6}", "-")?,
+        }
+    }
+    Ok(())
+}
+
+fn quantile(ratios: &[f64], part: f64) -> Option<f64> {
+    let mut sorted = ratios.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let last = sorted.len().checked_sub(1)?;
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let index = (part.clamp(0.0, 1.0) * last as f64).round() as usize;
+    sorted.get(index).copied()
+}
+
+fn curve(ratios: &[f64]) -> Vec<(f64, f64)> {
+    (0..=PLOT_POINTS)
+        .filter_map(|step| {
+            let part = step as f64 / PLOT_POINTS as f64;
+            let ratio = quantile(ratios, part)?;
+            Some((part, ratio.clamp(PLOT_RANGE.0, PLOT_RANGE.1)))
+        })
+        .collect()
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -24,8 +24,8 @@
     AttemptCancel, CenterLoad, ContentRequest, ContentText, CreditGrant, DrainEntry, EntryBeat,
     MemberEntry, MemberSet, MembersRequest, ModelLoad, OpenMode, OpenRequest, PeerFrame, PeerHello,
     PeerPayload, PingRequest, PongReply, RecordSet, RecordsRequest, ReplyData, ReplyEnd, ReplyHead,
-    ServerLoad, ServerWorkEntry, ServiceLoadEntry, SnapshotItem, SnapshotRequest, StoreDelta,
-    StoreSnapshot, VmBeat,
+    ServerLoad, ServerWorkEntry, ServiceCostEntry, ServiceLoadEntry, SnapshotItem, SnapshotRequest,
+    StoreDelta, StoreSnapshot, VmBeat,
 };
 pub use window::{CreditWindow, INITIAL_CREDIT, frame_cost};
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -443,6 +443,9 @@
     /// Its own work at servers of its region; told within the region only.
     #[prost(message, repeated, tag = "7")]
     pub work: Vec<ServerWorkEntry>,
+    /// What it has learned of services; not in every heartbeat.
+    #[prost(message, repeated, tag = "8")]
+    pub costs: Vec<ServiceCostEntry>,
 }
 
 /// What a region has free of one service.
@@ -457,6 +460,12 @@
     /// Servers that take work.
     #[prost(uint32, tag = "3")]
     pub usable: u32,
+    /// Expected time between two events of an answer, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub pace_ms: u32,
+    /// The part of the wait that is others' work, in milliseconds.
+    #[prost(uint32, tag = "5")]
+    pub backlog_ms: u32,
 }
 
 /// Work of one VM at one server.
@@ -468,12 +477,41 @@
     /// Requests under way.
     #[prost(uint32, tag = "2")]
     pub requests: u32,
-    /// Prompt tokens not yet read.
-    #[prost(uint64, tag = "3")]
-    pub unread: u64,
+    /// Prompt tokens not yet read, by urgency from the most urgent on.
+    #[prost(uint64, repeated, tag = "5")]
+    pub unread: Vec<u64>,
     /// Tokens of memory that the requests will hold.
     #[prost(uint64, tag = "4")]
     pub memory: u64,
+    /// Tokens a second that flow into the server's memory.
+    #[prost(uint64, tag = "6")]
+    pub flow: u64,
+}
+
+/// What a VM has learned of the costs of a service.
+#[derive(Clone, PartialEq, Message)]
+pub struct ServiceCostEntry {
+    /// Tag of the service's name.
+    #[prost(fixed32, tag = "1")]
+    pub service: u32,
+    /// Weights of the time to a first byte.
+    #[prost(float, repeated, tag = "2")]
+    pub first: Vec<f32>,
+    /// Answers behind them.
+    #[prost(uint32, tag = "3")]
+    pub first_samples: u32,
+    /// Weights of the time between two events.
+    #[prost(float, repeated, tag = "4")]
+    pub pace: Vec<f32>,
+    /// Answers behind them.
+    #[prost(uint32, tag = "5")]
+    pub pace_samples: u32,
+    /// Milliseconds of a request to a plain service.
+    #[prost(float, tag = "6")]
+    pub plain_ms: f32,
+    /// Answers behind it.
+    #[prost(uint32, tag = "7")]
+    pub plain_samples: u32,
 }
 
 /// Asks for the peer's copy of the store.
