Copy runs that may not be repeated to a second server after crashes, and go on from the copy

A first crash comes without warning; later ones follow within seconds. Change: fleet/backup decides by the crashes of the last seconds, the expected time of the run and what copying its memory costs ([costs] copied-gb); gateway/backup goes on after the last whole event. A copy's memory counts as work of the server that holds it. Test: gateway copies, a table of moments of death. Slowness of servers is learned in logarithms, so that predictions are medians.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -5,6 +5,7 @@
 //! handle, or over HTTP at `/fake/control` when it runs in another process.
 
 mod control;
+mod copies;
 mod engine;
 mod link;
 mod platform;
@@ -17,6 +18,6 @@
 pub use engine::{EngineFaults, EngineSettings, FakeEngine};
 pub use link::{FakeLink, LinkRules};
 pub use platform::{FakePlatform, PlatformFaults};
-pub use server::{ReceivedRequest, ServerFailing, ServerStandIn};
+pub use server::{DeathMoment, ReceivedRequest, ServerFailing, ServerStandIn};
 pub use service::{FakeService, ServiceFaults, ServiceSettings};
 pub use store::{StoreMode, StoreStandIn};
--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -15,6 +15,7 @@
 use parking_lot::Mutex;
 use tokio::time::{Instant, Sleep};
 
+use crate::copies::{put_copy, take_copy};
 use crate::serving::ServingThread;
 
 /// What a server does with a request.
@@ -37,6 +38,24 @@
     BreaksOff,
     /// Runs it and never answers.
     Mute,
+    /// Breaks off the streams that begin here, but goes on with others' runs whose copy
+    /// it holds.
+    Dies(DeathMoment),
+    /// The same, and has lost the copies that it held.
+    DiesWithCopies,
+}
+
+/// When a stream is broken off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DeathMoment {
+    /// Before its first event.
+    BeforeEvents,
+    /// After its first event.
+    AfterEvent,
+    /// In the middle of its second event.
+    InEvent,
+    /// After the last event, before the end.
+    BeforeEnd,
 }
 
 /// A request as the stand-in received it.
@@ -55,6 +74,7 @@
 #[derive(Default)]
 struct ServerState {
     failing: ServerFailing,
+    address: Option<SocketAddr>,
     runs: Vec<ReceivedRequest>,
     /// Answers that were under way when their connection closed.
     cut: usize,
@@ -89,6 +109,7 @@
         let thread = ServingThread::start(SocketAddr::new(ip, 0), move |request| {
             answer(Arc::clone(&served), request)
         })?;
+        state.lock().address = Some(thread.address());
         Ok(Self { state, thread })
     }
 
@@ -156,6 +177,17 @@
         ServerFailing::Replaced => return Ok(whole(StatusCode::MISDIRECTED_REQUEST, "")),
         _ => {}
     }
+    let address = state.lock().address;
+    if let (Some(run), Some(address)) = (&call.copy_from, address)
+        && (!take_copy(address, run) || failing == ServerFailing::DiesWithCopies)
+    {
+        let mut refusal = whole(StatusCode::SERVICE_UNAVAILABLE, "");
+        mark_not_run(refusal.headers_mut());
+        return Ok(refusal);
+    }
+    if let (Some(backup), Some(address)) = (call.copy_to, address) {
+        put_copy(backup, format!("{address}/{}", call.request_id));
+    }
     let target = head.uri.to_string();
     let is_stream = target.starts_with(STREAM_PATH);
     state.lock().runs.push(ReceivedRequest {
@@ -203,6 +235,23 @@
     guard: Option<CutGuard>,
 }
 
+impl DeathMoment {
+    /// Leaves what is sent before it.
+    fn cut(self, events: &mut Vec<&'static str>) {
+        match self {
+            Self::BeforeEvents => events.clear(),
+            Self::AfterEvent => events.truncate(1),
+            Self::InEvent => {
+                events.truncate(2);
+                if let Some(second) = events.get_mut(1) {
+                    *second = &second[..second.len() / 2];
+                }
+            }
+            Self::BeforeEnd => {}
+        }
+    }
+}
+
 impl EventBody {
     fn whole(body: &'static str) -> Self {
         Self {
@@ -216,10 +265,22 @@
     fn stream(call: &ReceivedCall, failing: ServerFailing, guard: CutGuard) -> Self {
         let sent = call.last_event.as_deref().and_then(|id| id.parse().ok());
         let mut events = EVENTS[sent.unwrap_or(0)..].to_vec();
-        let breaks = failing == ServerFailing::BreaksOff;
-        if breaks {
-            events.truncate(1);
-        }
+        let begins_here = call.copy_from.is_none();
+        let breaks = match failing {
+            ServerFailing::BreaksOff => {
+                events.truncate(1);
+                true
+            }
+            ServerFailing::Dies(moment) if begins_here => {
+                moment.cut(&mut events);
+                true
+            }
+            ServerFailing::DiesWithCopies if begins_here => {
+                DeathMoment::AfterEvent.cut(&mut events);
+                true
+            }
+            _ => false,
+        };
         Self {
             events,
             breaks,
--- a/crates/fleet/benches/choice.rs
+++ b/crates/fleet/benches/choice.rs
@@ -67,6 +67,8 @@
         engine: Some(EngineLimits {
             slots: 64,
             memory_tokens: 400_000,
+            token_bytes: 18_432,
+            keeps_backups: true,
         }),
         prompt: PromptSize {
             parts: vec![part(number % PREFIXES, 5000), part(1000 + number, 6000)],
--- a/crates/fleet/src/call.rs
+++ b/crates/fleet/src/call.rs
@@ -35,6 +35,11 @@
         self.input + self.output
     }
 
+    /// Tokens that the request is likely to hold in the end.
+    pub fn likely_memory(&self) -> u64 {
+        self.input.saturating_add(self.likely_output())
+    }
+
     /// Tokens of the answer, as far as the request tells.
     pub fn likely_output(&self) -> u64 {
         self.output_guess.unwrap_or(self.output).min(self.output)
--- a/crates/fleet/src/choose.rs
+++ b/crates/fleet/src/choose.rs
@@ -58,6 +58,8 @@
     /// It promises the earliest first byte.
     #[default]
     Earliest,
+    /// It holds a copy of the run.
+    Backup,
     /// It was its turn, or chance; a baseline's choice.
     Baseline,
 }
@@ -69,6 +71,7 @@
             Self::Owner => "owner",
             Self::Successor => "successor",
             Self::Earliest => "earliest",
+            Self::Backup => "backup",
             Self::Baseline => "baseline",
         }
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`ColdShare`]) are split so that no coordination is needed.
 
 mod away;
+mod backup;
 mod budget;
 mod call;
 mod choose;
@@ -23,6 +24,7 @@
 mod work;
 
 pub use away::{AwayOption, AwaySearch, AwayTable, ServiceLoad, goes_away};
+pub use backup::BackupDecision;
 pub use budget::{BudgetLimits, RetryShare};
 pub use call::{CallNeeds, PromptPart, PromptSize};
 pub use choose::{ChoiceReason, LocalOption, ServerChoice};
--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -123,6 +123,10 @@
     pub slots: u32,
     /// Tokens that running requests and cached prefixes share.
     pub memory_tokens: u64,
+    /// Bytes of memory of one token.
+    pub token_bytes: u64,
+    /// Whether its servers take copies of each other's runs.
+    pub keeps_backups: bool,
 }
 
 /// A set of interchangeable backend servers.
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -279,6 +279,16 @@
             .clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1)
     }
 
+    /// Notes that it holds a copy of a run.
+    pub fn hold_copy(&mut self, memory: u64) {
+        self.own = self.own.add(copy_share(memory));
+    }
+
+    /// Notes that the copy is no longer needed.
+    pub fn drop_copy(&mut self, memory: u64) {
+        self.own = self.own.without(copy_share(memory));
+    }
+
     /// How many times slower than expected its answers came.
     pub(crate) fn learned_slowness(&self) -> f64 {
         self.slowness
@@ -292,7 +302,7 @@
     /// Notes that the events of an answer took `ratio` of the expected time.
     pub(crate) fn note_pace(&mut self, ratio: f64) {
         let ratio = ratio.clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
-        self.pace_slowness += PACE_GAIN * (ratio - self.pace_slowness);
+        self.pace_slowness *= (ratio / self.pace_slowness).powf(PACE_GAIN);
     }
 
     /// Notes that attempt `id` is sent; its first byte is expected after `predicted`.
@@ -343,7 +353,8 @@
         let (took, predicted, load) = (now - open.started, open.predicted, open.load);
         let ratio = took.as_secs_f64() / predicted.as_secs_f64().max(1e-3);
         let ratio = (ratio * self.slowness).clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
-        self.slowness += SAMPLE_GAIN * (ratio - self.slowness);
+        // The mean of logarithms lies near the median, and half of all answers below it.
+        self.slowness *= (ratio / self.slowness).powf(SAMPLE_GAIN);
         self.circuit.succeed();
         let slowness = self.slowness;
         Some(FirstByte {
@@ -396,3 +407,11 @@
         }
     }
 }
+
+/// The work that a copy is at the server that holds it: memory, and nothing to do.
+fn copy_share(memory: u64) -> WorkShare {
+    WorkShare {
+        memory,
+        ..WorkShare::default()
+    }
+}
--- a/crates/fleet/src/switches.rs
+++ b/crates/fleet/src/switches.rs
@@ -93,6 +93,8 @@
         /// A place where the whole answer is expected to end after the caller has left
         /// is no place.
         WholeAnswers = "whole-answers",
+        /// Runs that may not be repeated are copied to a second server when that pays.
+        Backups = "backups",
         /// Servers that fail get no work for a while.
         CircuitBreaker = "circuit-breaker",
         /// A cold server's rate is shared between VMs.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -14,6 +14,7 @@
     CenterName, EntityMap, RegionName, ServerId, ServerName, ServiceName, VmName,
 };
 
+use crate::backup::CrashTable;
 use crate::learn::ServiceCosts;
 use crate::record::ServerRecord;
 use crate::route::RouteTable;
@@ -44,6 +45,7 @@
     region_vms: Vec<VmName>,
     switches: DecisionSwitches,
     costs: BTreeMap<ServiceName, ServiceCosts>,
+    crashes: CrashTable,
     /// Costs of a service of which nothing is known.
     prior: ServiceCosts,
     /// Number of choices so far, for the baseline that takes servers in turn.
@@ -62,6 +64,7 @@
             region_vms: Vec::new(),
             switches: DecisionSwitches::default(),
             costs: BTreeMap::new(),
+            crashes: CrashTable::new(),
             prior: ServiceCosts::default(),
             turn: 0,
         }
@@ -107,6 +110,16 @@
         self.costs.iter()
     }
 
+    /// Crashes seen lately.
+    pub(crate) fn crashes(&self) -> &CrashTable {
+        &self.crashes
+    }
+
+    /// Crashes seen lately, to note one.
+    pub(crate) fn crashes_mut(&mut self) -> &mut CrashTable {
+        &mut self.crashes
+    }
+
     /// A number that grows with each choice.
     pub(crate) fn next_turn(&mut self) -> usize {
         self.turn = self.turn.wrapping_add(1);
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -18,6 +18,8 @@
 const ENGINE: EngineLimits = EngineLimits {
     slots: 4,
     memory_tokens: 40_000,
+    token_bytes: 18_432,
+    keeps_backups: true,
 };
 
 fn at(ms: u64) -> Moment {
--- a/crates/fleet/tests/learn.rs
+++ b/crates/fleet/tests/learn.rs
@@ -182,6 +182,8 @@
         engine: Some(EngineLimits {
             slots: 64,
             memory_tokens: 1_000_000,
+            token_bytes: 18_432,
+            keeps_backups: true,
         }),
         prompt: PromptSize {
             parts: vec![PromptPart { id, tokens: input }],
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,11 +12,13 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use onyxfall_adapter::{
-    AnswerKind, idle_limit, read_answer, set_expected_server, set_time_left, set_urgency,
+    AnswerKind, idle_limit, read_answer, set_copy_to, set_expected_server, set_time_left,
+    set_urgency,
 };
 use onyxfall_fleet::{AttemptResult, ChoiceReason, DecisionSwitch, TimePrediction};
 use onyxfall_types::{RunVerdict, ServerId};
 
+use crate::backup::RunCopy;
 use crate::call::{CallContext, SharedCall};
 use crate::connection::{HttpConnection, LATE_DIAL_LIMIT, NEAR_DIAL_LIMIT, SendError};
 use crate::gateway::Gateway;
@@ -60,6 +62,8 @@
     pub(crate) booking: Option<OpenAttempt>,
     /// Events that have come so far.
     pub(crate) events: u32,
+    /// Where a copy of the run is kept, if anywhere.
+    pub(crate) copy: Option<RunCopy>,
 }
 
 impl UpstreamAnswer {
@@ -102,6 +106,12 @@
     extra: &HeaderMap,
 ) -> AttemptEnd {
     let mut booking = OpenAttempt::start(gateway, target.id, &call.needs);
+    // What goes on from a copy, or resumes, is not copied once more.
+    let copy = if extra.is_empty() {
+        gateway.start_copy(call, target)
+    } else {
+        None
+    };
     let make = || {
         let mut headers = call.headers.clone();
         headers.extend(extra.clone());
@@ -109,6 +119,9 @@
         if call.needs.engine.is_some() {
             set_urgency(&mut headers, call.needs.urgency);
         }
+        if let Some(copy) = &copy {
+            set_copy_to(&mut headers, copy.address);
+        }
         set_time_left(&mut headers, call.time_left());
         make_request(call, headers)
     };
@@ -124,12 +137,9 @@
     match kind {
         AnswerKind::Signed => {
             booking.answer();
-            AttemptEnd::Answer(Box::new(upstream(
-                connection,
-                response,
-                target.address,
-                Some(booking),
-            )))
+            let mut answer = upstream(connection, response, target.address, Some(booking));
+            answer.copy = copy;
+            AttemptEnd::Answer(Box::new(answer))
         }
         AnswerKind::NotRun => {
             booking.finish(AttemptResult::Shed);
@@ -325,6 +335,7 @@
         address,
         booking,
         events: 0,
+        copy: None,
     }
 }
 
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -17,15 +17,34 @@
     Peer(VmName),
 }
 
+/// What an answer is, and what becomes of one that breaks off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AnswerRule {
+    /// One body.
+    Whole,
+    /// A stream that is lost with its server: no other may go on with it, unless it
+    /// holds a copy of the run.
+    LostWithServer,
+    /// A stream that another server may go on with.
+    Resumable,
+    /// The same, where the VM that passed the request on sees to it.
+    ResumedBySender,
+}
+
+impl AnswerRule {
+    /// Whether the answer is a series of events.
+    pub(crate) fn is_stream(self) -> bool {
+        self != Self::Whole
+    }
+}
+
 /// What the route asks of the way a request is served.
 #[derive(Clone, Debug)]
 pub(crate) struct CallRules {
     /// Whether it may be sent again after it may have run.
     pub(crate) repeatable: bool,
-    /// Whether the answer is a series of events.
-    pub(crate) is_stream: bool,
-    /// Whether another server may go on with a broken stream.
-    pub(crate) resumable: bool,
+    /// What its answer is, and what becomes of one that breaks off.
+    pub(crate) answer: AnswerRule,
     /// Most servers that may run it.
     pub(crate) max_attempts: u32,
 }
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -16,12 +16,12 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use onyxfall_adapter::{CallHead, forward_headers, read_call};
-use onyxfall_fleet::{CallNeeds, RouteRule, RouteTable};
+use onyxfall_fleet::{AnswerShape, CallNeeds, RouteRule, RouteTable};
 use onyxfall_types::{RefusalReason, RequestError, RunVerdict};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::body::ReplyBody;
-use crate::call::{CallContext, CallOrigin, CallRules};
+use crate::call::{AnswerRule, CallContext, CallOrigin, CallRules};
 use crate::connection::watch_peer;
 use crate::directory::handle_directory;
 use crate::gateway::Gateway;
@@ -233,8 +233,7 @@
         version: table.version(),
         rules: CallRules {
             repeatable: rule.is_repeatable(),
-            is_stream: rule.is_stream(),
-            resumable: rule.is_resumable(),
+            answer: answer_rule(rule),
             max_attempts: rule.max_attempts,
         },
         needs,
@@ -248,6 +247,16 @@
     })
 }
 
+fn answer_rule(rule: &RouteRule) -> AnswerRule {
+    match rule.shape {
+        AnswerShape::Whole => AnswerRule::Whole,
+        AnswerShape::Stream {
+            resumable: true, ..
+        } => AnswerRule::Resumable,
+        AnswerShape::Stream { .. } => AnswerRule::LostWithServer,
+    }
+}
+
 fn needs_of(
     gateway: &Gateway,
     table: &RouteTable,
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -6,6 +6,7 @@
 //! Only the writer of logs has a thread of its own.
 
 mod attempt;
+mod backup;
 mod beat;
 mod body;
 mod call;
--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -56,6 +56,9 @@
         let now = self.gateway.now();
         let mut fleet = self.gateway.fleet.borrow_mut();
         let was_trusted = fleet.server(self.server).is_trusted(now);
+        if result == AttemptResult::Broken && events.is_some() {
+            fleet.note_crash(now, self.server);
+        }
         fleet.end_attempt(now, self.server, self.id, result, events);
         let state = fleet.server(self.server);
         let is_trusted = state.is_trusted(now);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,7 +16,7 @@
 use onyxfall_types::{RefusalReason, RegionName, RequestError, RunVerdict, VmName};
 
 use crate::body::ReplyBody;
-use crate::call::{CallContext, CallOrigin, CallRules};
+use crate::call::{AnswerRule, CallContext, CallOrigin, CallRules};
 use crate::gateway::Gateway;
 use crate::listen::read_body;
 use crate::serve::{CallFailure, serve};
@@ -27,10 +27,13 @@
 const HOMES: &str = "onyxfall-homes";
 const ROUTE: &str = "onyxfall-route";
 const URGENCY: &str = "onyxfall-urgency";
-const IS_STREAM: &str = "onyxfall-stream";
+const STREAM: &str = "onyxfall-stream";
+/// Kinds of streams: lost with their server, or resumed by the sender.
+const ONCE: &str = "once";
+const RESUMABLE: &str = "resumable";
 const VERDICT: &str = "onyxfall-verdict";
 const ARRIVED: &str = "onyxfall-arrived";
-const OWN_HEADERS: [&str; 7] = [VM, SERVICE, GOAL, HOMES, ROUTE, URGENCY, IS_STREAM];
+const OWN_HEADERS: [&str; 7] = [VM, SERVICE, GOAL, HOMES, ROUTE, URGENCY, STREAM];
 /// Urgency of a request whose sender names none, in the middle of 0 to 9.
 const USUAL_URGENCY: u8 = 5;
 
@@ -73,8 +76,10 @@
     set(headers, URGENCY, &call.needs.urgency.to_string());
     set(headers, ROUTE, &call.route);
     set(headers, HOMES, &homes.join(","));
-    if call.rules.is_stream {
-        set(headers, IS_STREAM, "1");
+    match call.rules.answer {
+        AnswerRule::Whole => {}
+        AnswerRule::LostWithServer => set(headers, STREAM, ONCE),
+        AnswerRule::Resumable | AnswerRule::ResumedBySender => set(headers, STREAM, RESUMABLE),
     }
 }
 
@@ -149,8 +154,11 @@
         rules: CallRules {
             // The VM that passed it on decides about repeats.
             repeatable: false,
-            is_stream: head.headers.contains_key(IS_STREAM),
-            resumable: false,
+            answer: match text(STREAM) {
+                None => AnswerRule::Whole,
+                Some(ONCE) => AnswerRule::LostWithServer,
+                Some(_) => AnswerRule::ResumedBySender,
+            },
             max_attempts: 1,
         },
         method: head.method,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -108,7 +108,7 @@
         progress.arrivals += 1;
         progress.runs += 1;
         progress.first_byte = call.age();
-        if call.rules.is_stream && answer.status.is_success() {
+        if call.rules.answer.is_stream() && answer.status.is_success() {
             return Ok(stream_reply(gateway, call, progress, answer));
         }
         match read_whole(gateway, call, *answer).await {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -18,9 +18,13 @@
     "bounds",
     "center",
     "decisions",
+    "costs",
 ];
 /// Where settings name no grace, as long as the platforms known give.
 const DEFAULT_GRACE_S: u64 = 8;
+/// Where settings name no cost of a copied GB: one request, so that a run of 20 MB is
+/// copied when 2 in 100 of its kind are being lost.
+const DEFAULT_COPIED_GB: f64 = 1.0;
 
 /// Everything that a gateway process is told.
 #[derive(Clone, Debug)]
@@ -47,6 +51,9 @@
     pub(crate) retries: BudgetLimits,
     /// How long callers may keep a directory answer.
     pub(crate) directory_ttl: Duration,
+    /// What copying a GB of a run's memory to another server costs, in requests that
+    /// may not be repeated and are lost.
+    pub(crate) copied_gb: f64,
     /// Which mechanisms of the decisions are on.
     pub(crate) switches: DecisionSwitches,
 }
@@ -93,6 +100,7 @@
     let directory_ttl = Duration::from_secs(bounds.or_default("directory-ttl-s", 5, faults));
     bounds.finish(faults);
     let switches = read_switches(document, faults);
+    let copied_gb = read_copied_gb(document, faults);
     let peers = peers?;
     Some(GatewaySettings {
         place: place?,
@@ -106,10 +114,22 @@
         stop_grace,
         retries,
         directory_ttl,
+        copied_gb,
         switches,
     })
 }
 
+/// The section may be left out.
+fn read_copied_gb(document: &IniDocument, faults: &mut FaultList) -> f64 {
+    let Some(costs) = document.readers("costs").next() else {
+        return DEFAULT_COPIED_GB;
+    };
+    let range = 0.0..=f64::MAX;
+    let copied_gb = costs.ranged("copied-gb", DEFAULT_COPIED_GB, range, faults);
+    costs.finish(faults);
+    copied_gb
+}
+
 /// The section may be left out: then everything is on.
 fn read_switches(document: &IniDocument, faults: &mut FaultList) -> DecisionSwitches {
     let Some(decisions) = document.readers("decisions").next() else {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -17,8 +17,9 @@
 use tokio::time::Sleep;
 
 use crate::attempt::UpstreamAnswer;
+use crate::backup::continue_run;
 use crate::body::RelayError;
-use crate::call::SharedCall;
+use crate::call::{AnswerRule, SharedCall};
 use crate::gateway::Gateway;
 use crate::serve::{CallProgress, resume};
 
@@ -115,13 +116,14 @@
         answer: Box<UpstreamAnswer>,
     ) -> Self {
         gateway.open_streams.set(gateway.open_streams.get() + 1);
-        let resumable = call.rules.resumable && call.may_leave() && answer.status.is_success();
+        let resumable = call.rules.answer == AnswerRule::Resumable && answer.status.is_success();
+        let is_copied = answer.copy.is_some();
         Self {
             gateway: Rc::clone(gateway),
             call: Rc::clone(call),
             progress,
             state: RelayState::Open(answer),
-            buffer: resumable.then(EventBuffer::default),
+            buffer: (resumable || is_copied).then(EventBuffer::default),
             counter: EventCounter::default(),
             events: 0,
             deadline: Box::pin(tokio::time::sleep_until(call.deadline.into())),
@@ -204,9 +206,21 @@
         let RelayState::Open(answer) = std::mem::replace(&mut self.state, RelayState::Ended) else {
             return false;
         };
+        let mut answer = answer;
+        let copy = answer.copy.take();
         answer.finish(&self.gateway, AttemptResult::Broken);
         let gateway = Rc::clone(&self.gateway);
         let call = Rc::clone(&self.call);
+        if self.call.rules.answer == AnswerRule::LostWithServer {
+            let (Some(copy), Some(last)) = (copy, last) else {
+                return false;
+            };
+            self.progress.resumes += 1;
+            self.state = RelayState::Resuming(Box::pin(async move {
+                continue_run(&gateway, &call, copy, &last).await
+            }));
+            return true;
+        }
         self.progress.events = self.events;
         let progress = self.progress.clone();
         self.progress.resumes += 1;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -18,13 +18,22 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use onyxfall_adapter::standin::{
-    RouteShape, RouteText, caller_headers, config_key, document_body, server_body, server_key,
+    RouteShape, RouteText, ServiceText, caller_headers, config_key, document_body, server_body,
+    server_key,
 };
 use onyxfall_fakes::{ServerStandIn, StoreStandIn};
-use onyxfall_fleet::{ServerPhase, ServerRecord};
+use onyxfall_fleet::{EngineLimits, ServerPhase, ServerRecord};
 
 pub const HOST: &str = "a.example";
 pub const SERVICE: &str = "svc";
+/// A service of model servers.
+pub const MODELS: &str = "models";
+const ENGINE: EngineLimits = EngineLimits {
+    slots: 8,
+    memory_tokens: 100_000,
+    token_bytes: 1000,
+    keeps_backups: true,
+};
 /// Longest time for a site to get ready; generous, since machines are shared.
 const READY_LIMIT: Duration = Duration::from_secs(20);
 const LOOK: Duration = Duration::from_millis(20);
@@ -111,8 +120,22 @@
             route("/repeat/", RouteShape::Repeatable),
             route("/stream/", RouteShape::Stream),
             route("/stream/resume/", RouteShape::ResumableStream),
+            RouteText {
+                service: MODELS,
+                ..route("/stream/model/", RouteShape::Stream)
+            },
+        ];
+        let services = [
+            ServiceText {
+                name: SERVICE,
+                engine: None,
+            },
+            ServiceText {
+                name: MODELS,
+                engine: Some(ENGINE),
+            },
         ];
-        let body = document_body(version, &routes, &[SERVICE]);
+        let body = document_body(version, &routes, &services);
         self.store.put(config_key(), body);
     }
 
@@ -122,9 +145,25 @@
     }
 
     pub fn announce_as(&self, name: &str, address: SocketAddr, vm: usize, phase: ServerPhase) {
+        self.announce_of(SERVICE, name, address, vm, phase);
+    }
+
+    /// Announces a model server of the data centre of a VM.
+    pub fn announce_model(&self, name: &str, server: &ServerStandIn, vm: usize) {
+        self.announce_of(MODELS, name, server.address(), vm, ServerPhase::Ready);
+    }
+
+    fn announce_of(
+        &self,
+        service: &str,
+        name: &str,
+        address: SocketAddr,
+        vm: usize,
+        phase: ServerPhase,
+    ) {
         let record = ServerRecord {
             name: name.parse().unwrap(),
-            service: SERVICE.parse().unwrap(),
+            service: service.parse().unwrap(),
             address,
             center: format!("c{vm}").parse().unwrap(),
             slots: 8,
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use onyxfall_adapter::standin::{
-    RouteShape, RouteText, config_key, document_body, server_body, server_key,
+    RouteShape, RouteText, ServiceText, config_key, document_body, server_body, server_key,
 };
 use onyxfall_fakes::{ServerStandIn, StoreStandIn};
 use onyxfall_fleet::{ServerPhase, ServerRecord};
@@ -197,7 +197,11 @@
             .map(|kind| route(kind.prefix(), kind.shape()))
             .collect();
         routes.push(route(&own_path, RouteShape::Repeatable));
-        let body = document_body(*version, &routes, &[SERVICE]);
+        let service = ServiceText {
+            name: SERVICE,
+            engine: None,
+        };
+        let body = document_body(*version, &routes, &[service]);
         self.store.put(config_key(), body);
     }
 
