--- a/crates/operator/src/predictions.rs
+++ b/crates/operator/src/predictions.rs
@@ -125,8 +125,14 @@
         self.groups.iter()
     }
 
-    /// Draws the ratio of measured to predicted first bytes of each route by
-    /// quantile, as SVG.
+    fn largest_groups(&self) -> impl Iterator<Item = (&PredictionGroup, &PredictionRatios)> {
+        let mut groups: Vec<_> = self.groups.iter().collect();
+        groups.sort_by_key(|(_, ratios)| std::cmp::Reverse(ratios.len()));
+        groups.into_iter()
+    }
+
+    /// Draws the ratio of measured to predicted first bytes of the groups with the most
+    /// requests by quantile, as SVG.
     ///
     /// # Errors
     ///
@@ -144,10 +150,18 @@
             .x_desc("part of requests")
             .y_desc("measured / predicted first byte")
             .draw()?;
-        for (index, ratios) in self.groups.values().enumerate() {
+        for ((group, ratios), color) in self.largest_groups().zip(COLORS) {
             let points = curve(&ratios.first);
-            chart.draw_series(LineSeries::new(points, COLORS[index % COLORS.len()]))?;
+            let name = format!("{} ({})", group.route, group.place);
+            chart
+                .draw_series(LineSeries::new(points, color))?
+                .label(name)
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 20, y)], color));
         }
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::UpperLeft)
+            .draw()?;
         root.present()?;
         Ok(())
     }
--- a/crates/operator/tests/predictions.rs
+++ b/crates/operator/tests/predictions.rs
@@ -43,4 +43,5 @@
     let text = std::fs::read_to_string(&path).unwrap();
     std::fs::remove_file(&path).unwrap();
     assert!(text.starts_with("<svg") && text.contains("polyline"));
+    assert!(text.contains("a (r1, home)"), "a legend names the curves");
 }
