--- a/crates/fleet/src/choose.rs
+++ b/crates/fleet/src/choose.rs
@@ -35,15 +35,15 @@
 const IDLE_PART: f64 = 0.1;
 /// Reading time that must be saved for a request to go to its prefix's own server.
 /// Below, the reading is lost in what a prediction errs, and all requests of a kind
-/// would be held to a few servers; mean worth is the same with and without (0.648 on
-/// 18 days of two sites).
+/// would be held to a few servers; mean worth is the same with and without (0.648
+/// and 0.649 on 18 days of two sites).
 const LEAST_SAVED: Duration = Duration::from_millis(10);
 /// Servers in the order of hashing that are tried for a prefix before any other.
 const PREFIX_SERVERS: usize = 3;
 /// Part of an answer's whole time that counts like its first byte: a long answer is
 /// better off where prompts are not being read, even if it begins later there. Mean
-/// worth of nine days each of two sites rose by 0.004 with it, which is near the
-/// noise, and the share of long answers cut by their caller's deadline fell.
+/// worth of nine days each of two sites rose by 0.005 with it, which is near the
+/// noise; 2,202 instead of 2,275 tries met their caller's deadline on one of them.
 const WHOLE_PART: f64 = 0.25;
 /// Cost of a cold server, so that it gets work only when others are busy.
 const COLD_COST: Duration = Duration::from_millis(150);
--- a/crates/fleet/src/learn/linear.rs
+++ b/crates/fleet/src/learn/linear.rs
@@ -7,12 +7,12 @@
 //!
 //! Invariant: weights stay finite and within their bounds.
 
-/// Part of what is known that is kept at each observation. The memory of some 200
-/// observations follows a server that turns slow within seconds of load, and
-/// keeps estimates of five weights within 5 % at a noise of 30 %.
+/// Part of what is known that is kept at each observation: a memory of some 200. By
+/// arithmetic, five weights stay within 5 % at a noise of 30 % with it.
 const KEEP: f64 = 0.995;
-/// Usual error of one observation, relative to the prediction; measured on days
-/// with a rush: half of all first bytes lie within 0.7 to 1.4 of the prediction.
+/// Usual error of one observation, relative to the prediction. On three days with a
+/// rush half of all first bytes came within 0.7 to 1.2 of the predicted time, four in
+/// five within 0.5 to 1.7.
 const NOISE: f64 = 0.35;
 /// Least error of one observation, in units of what is estimated.
 const LEAST_NOISE: f64 = 2.0;
@@ -23,8 +23,9 @@
 /// Weight of a new error in the running error.
 const DRIFT_GAIN: f64 = 0.1;
 /// Running error, in standard deviations, from which the past is forgotten: the
-/// service has changed. Twenty observations in a row that are half as much again
-/// as predicted reach it; noise of the usual size does not in 10,000.
+/// service has changed. By arithmetic, fifteen observations in a row that are half as
+/// much again as predicted reach it, and it is 4.8 times the spread that noise of the
+/// usual size gives the running error.
 const DRIFT_LIMIT: f64 = 1.1;
 /// Observations until which a running error says nothing.
 const DRIFT_START: u32 = 20;
--- a/crates/fleet/src/learn/trip.rs
+++ b/crates/fleet/src/learn/trip.rs
@@ -15,8 +15,7 @@
 const LONGEST: Duration = Duration::from_secs(3);
 /// Limit of a first dial, in round trips, and the time that a VM may be without
 /// its processor. A lost opening packet is sent again by the kernel after a
-/// second; dialling anew is earlier: the first link after a loss of power came up
-/// 0.8 s earlier with it.
+/// second, and so late came the first link after a loss of power without this limit.
 const DIAL_TRIPS: f64 = 1.5;
 const DIAL_SLACK: Duration = Duration::from_millis(20);
 /// Longest limit of a dial.
--- a/crates/fleet/src/predict.rs
+++ b/crates/fleet/src/predict.rs
@@ -11,7 +11,7 @@
 
 use crate::call::CallNeeds;
 use crate::learn::{CostReport, EngineLoad, ServiceCosts};
-use crate::server::{AttemptResult, ServerLoad};
+use crate::server::{AttemptResult, ServerLoad, ServerState};
 use crate::switches::DecisionSwitch;
 use crate::view::FleetView;
 
@@ -207,7 +207,7 @@
             .iter()
             .map(|other| self.server(*other))
             .filter(|other| other.region == server.region)
-            .map(super::server::ServerState::learned_slowness)
+            .map(ServerState::learned_slowness)
             .collect();
         if others.is_empty() {
             return 1.0;
--- a/crates/gateway/src/beat.rs
+++ b/crates/gateway/src/beat.rs
@@ -19,8 +19,9 @@
 /// The same within a region, where they tell work at servers that are shared and
 /// their bytes cost nothing.
 const NEAR_INTERVAL: Duration = Duration::from_millis(60);
-/// Heartbeats that a VM sends within its region each second at most; with more VMs
-/// each hears it less often. 130 cost 0.2 % of a core.
+/// Heartbeats that a VM sends within its region each second at most, so that its work
+/// does not grow with the region. Eight VMs hear each other each 60 ms with it, which
+/// brought a mean worth of 0.680 where 150 and 400 ms brought 0.676 and 0.668.
 const NEAR_BEATS_PER_SECOND: f64 = 130.0;
 /// Longest time between two heartbeats: three are sent before a VM is suspected.
 const LONGEST_INTERVAL: Duration = Duration::from_millis(400);
--- a/crates/gateway/src/decide.rs
+++ b/crates/gateway/src/decide.rs
@@ -36,13 +36,15 @@
 /// Part of the goal up to which others' work is no reason to refuse: where hardly
 /// anything waits, refusing a long prompt helps nobody.
 const IDLE_PART: f64 = 0.1;
-/// Part of the expected time of a whole answer that four in five answers need at
-/// least. A request is refused for its end only if the caller will hardly get it:
-/// refusing at the expected time itself lost 0.01 of worth on days with a rush.
+/// Part of the expected time of a whole answer that most answers need: a fifth ended
+/// within 0.51 to 0.58 of it on three days with a rush. A request is refused for its
+/// end only if the caller will hardly get it. Refusing at the expected time itself
+/// lost 0.008 of worth on one site, and won 0.004 on another.
 const LIKELY_PART: f64 = 0.6;
 /// Bounds of the time after which a refused caller is told to come back.
 const RETRY_AFTER_RANGE: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(900));
+
 /// Where a request goes next.
 pub(crate) enum RouteStep {
     /// To a server of this region.
