--- a/crates/fleet/src/backup.rs
+++ b/crates/fleet/src/backup.rs
@@ -13,6 +13,7 @@
 use onyxfall_types::{ServerId, ServiceName};
 
 use crate::call::CallNeeds;
+use crate::flow::FlowMeter;
 use crate::predict::TimePrediction;
 use crate::switches::DecisionSwitch;
 use crate::view::FleetView;
@@ -23,30 +24,32 @@
 const CRASH_FADE: Duration = Duration::from_secs(15);
 
 /// How often servers of a service crashed lately.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct CrashRecord {
-    sum: f64,
-    at: Moment,
+    flow: FlowMeter,
     /// Lives that were counted; each crashes once.
     counted: BTreeSet<ServerId>,
 }
 
+impl Default for CrashRecord {
+    fn default() -> Self {
+        Self {
+            flow: FlowMeter::new(CRASH_FADE),
+            counted: BTreeSet::new(),
+        }
+    }
+}
+
 impl CrashRecord {
     fn note(&mut self, now: Moment, server: ServerId) {
         if self.counted.insert(server) {
-            self.sum = self.faded(now) + 1.0;
-            self.at = now;
+            self.flow.note(now, 1);
         }
     }
 
-    fn faded(&self, now: Moment) -> f64 {
-        let age = (now - self.at).as_secs_f64();
-        self.sum * (-age / CRASH_FADE.as_secs_f64()).exp()
-    }
-
     /// Crashes of one of `servers` a second.
     fn rate(&self, now: Moment, servers: usize) -> f64 {
-        self.faded(now) / CRASH_FADE.as_secs_f64() / servers.max(1) as f64
+        self.flow.per_second(now) / servers.max(1) as f64
     }
 }
 
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -14,6 +14,10 @@
 use crate::record::{ServerPhase, ServerRecord};
 use crate::work::{UnreadTokens, WorkShare};
 
+/// Time in which what came to a server fades to a third: long enough for a steady
+/// figure at a few requests a second, short against the life of a prefix (tens of
+/// seconds).
+const FLOW_FADE: Duration = Duration::from_secs(5);
 /// Weight of a new sample in running estimates.
 const SAMPLE_GAIN: f64 = 0.15;
 /// The same for the pace of events, which many requests share: one slow answer says
@@ -106,7 +110,7 @@
             circuit: CircuitBreaker::new(),
             slowness: 1.0,
             pace_slowness: 1.0,
-            flow: FlowMeter::default(),
+            flow: FlowMeter::new(FLOW_FADE),
             open: BTreeMap::new(),
             own: WorkShare::default(),
             others: BTreeMap::new(),
