--- a/crates/entry/src/control/beat.rs
+++ b/crates/entry/src/control/beat.rs
@@ -334,7 +334,7 @@
         | PeerPayload::Credit(_)
         | PeerPayload::End(_)
         | PeerPayload::Cancel(_)
-        | PeerPayload::VmBeat(_)
+        | PeerPayload::Update(_)
         | PeerPayload::SnapshotRequest(_)
         | PeerPayload::Snapshot(_)
         | PeerPayload::Delta(_) => {
--- a/crates/entry/src/peer/convert.rs
+++ b/crates/entry/src/peer/convert.rs
@@ -12,6 +12,7 @@
         protocol: PROTOCOL_VERSION,
         deployment: core.settings.deployment.clone(),
         member: Some(member),
+        vm: None,
     })
 }
 
--- a/crates/entry/tests/peers.rs
+++ b/crates/entry/tests/peers.rs
@@ -38,6 +38,7 @@
             address: "127.0.2.1:1".to_owned(),
             peer_address: "127.0.2.1:2".to_owned(),
         }),
+        vm: None,
     }
 }
 
--- a/crates/fleet/benches/choice.rs
+++ b/crates/fleet/benches/choice.rs
@@ -46,16 +46,15 @@
         };
         view.put_server(at(0), record, None);
         let id = view.find(&name).unwrap();
-        for vm in 0..OTHER_VMS {
-            let work = WorkShare {
-                requests: 2,
-                unread: UnreadTokens::of(5, 900 * (server as u64 % 7)),
-                memory: 20_000,
-                flow: 2000,
-            };
-            let vm = format!("vm{}", vm + 1).parse().unwrap();
-            view.server_mut(id).set_others(at(0), &vm, work);
-        }
+        let one = WorkShare {
+            requests: 2,
+            unread: UnreadTokens::of(5, 900 * (server as u64 % 7)),
+            memory: 20_000,
+            flow: 2000,
+        };
+        let none = WorkShare::default();
+        let all = (0..OTHER_VMS).fold(none, |sum, _| sum.plus(one));
+        view.server_mut(id).set_others(at(0), all);
     }
     view
 }
--- a/crates/fleet/src/away.rs
+++ b/crates/fleet/src/away.rs
@@ -1,15 +1,15 @@
 //! Whether a request leaves the region, and to which one.
 //!
-//! Every VM tells how long a usual request would wait for its region's servers.
+//! Aggregators tell how long a usual request would wait for their region's servers.
 //! A request goes away when its own region cannot meet the goal and another one,
 //! round trip included, is better by a margin. What was sent away lately counts
-//! against the region that it went to until that region tells of it.
+//! against the region that it went to until that region's word can include it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use onyxfall_policy::Moment;
-use onyxfall_types::{RegionName, VmName};
+use onyxfall_types::RegionName;
 use rand::Rng;
 
 use crate::call::CallNeeds;
@@ -32,10 +32,13 @@
 const DELAY_RANGE: (f64, f64) = (0.5, 4.0);
 /// Events of an answer that are counted at most, against overflow.
 const MOST_GAPS: f64 = 1e6;
-/// Age after which a VM's word no longer counts.
+/// Age after which a word on a region no longer counts.
 const WORD_LIFE: Duration = Duration::from_secs(4);
+/// Time until a region's aggregators know of work that has arrived there: a report, a
+/// sum and the way of both.
+const KNOWN_AFTER: Duration = Duration::from_millis(100);
 
-/// What a VM tells of one service in its region.
+/// What an aggregator tells of one service in its region.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ServiceLoad {
     /// Expected time to a first byte for a usual request at the best server.
@@ -48,13 +51,32 @@
     pub pace: Duration,
 }
 
+/// Work that was sent to a region.
+#[derive(Clone, Copy, Debug)]
+struct SentWork {
+    at: Moment,
+    service_tag: u32,
+    work: Duration,
+}
+
+/// What is known of one region.
 #[derive(Clone, Debug)]
-struct VmWord {
-    region: RegionName,
-    heard: Moment,
+struct RegionWord {
+    /// When it was said.
+    said: Moment,
     loads: BTreeMap<u32, ServiceLoad>,
-    /// Work sent there since its last word, by service.
-    sent: BTreeMap<u32, Duration>,
+    /// Work sent there that the word cannot include.
+    sent: VecDeque<SentWork>,
+}
+
+impl RegionWord {
+    fn sent(&self, service_tag: u32) -> Duration {
+        self.sent
+            .iter()
+            .filter(|sent| sent.service_tag == service_tag)
+            .map(|sent| sent.work)
+            .sum()
+    }
 }
 
 /// A search for a region to send a request to.
@@ -74,15 +96,15 @@
     pub work: Duration,
     /// The same for the region that does.
     pub work_at_home: Duration,
-    /// VMs that were tried.
-    pub excluded: &'a [VmName],
+    /// Regions of which no VM is left to try.
+    pub excluded: &'a [RegionName],
 }
 
 /// Where a request could be sent.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AwayOption {
-    /// The VM that would run it.
-    pub vm: VmName,
+    /// The region that would run it.
+    pub region: RegionName,
     /// Whether the request's shared prefix is kept in that region.
     pub holds_prefix: bool,
     /// Work that the request brings there.
@@ -91,30 +113,57 @@
     pub predicted: TimePrediction,
 }
 
-/// What the VMs of other regions have told.
+/// What other regions have told.
 #[derive(Clone, Debug, Default)]
 pub struct AwayTable {
-    words: BTreeMap<VmName, VmWord>,
+    words: BTreeMap<RegionName, RegionWord>,
     /// Mean logarithm of how much longer first bytes took there than was told.
     delays: BTreeMap<RegionName, f64>,
 }
 
 impl AwayTable {
-    /// Takes a VM's word on its region.
+    /// Takes a word on a region that was said at `said`, `trip` away; an older one than
+    /// the last is left.
     pub fn hear(
         &mut self,
-        now: Moment,
-        vm: &VmName,
+        said: Moment,
         region: &RegionName,
+        trip: Duration,
         loads: BTreeMap<u32, ServiceLoad>,
     ) {
-        let word = VmWord {
-            region: region.clone(),
-            heard: now,
-            loads,
-            sent: BTreeMap::new(),
+        let Some(word) = self.words.get_mut(region) else {
+            let word = RegionWord {
+                said,
+                loads,
+                sent: VecDeque::new(),
+            };
+            self.words.insert(region.clone(), word);
+            return;
         };
-        self.words.insert(vm.clone(), word);
+        if word.said >= said {
+            return;
+        }
+        word.said = said;
+        word.loads = loads;
+        let unknown_for = trip / 2 + KNOWN_AFTER;
+        while word
+            .sent
+            .front()
+            .is_some_and(|sent| sent.at + unknown_for < said)
+        {
+            word.sent.pop_front();
+        }
+    }
+
+    /// The words on other regions that still count: when they were said, and what.
+    pub fn words(
+        &self,
+        now: Moment,
+    ) -> impl Iterator<Item = (&RegionName, Moment, &BTreeMap<u32, ServiceLoad>)> {
+        self.words
+            .iter()
+            .filter(move |(_, word)| now - word.said < WORD_LIFE)
+            .map(|(region, word)| (region, word.said, &word.loads))
     }
 
     /// Notes that a first byte came from a region after `took` where `predicted` was
@@ -131,26 +180,24 @@
         self.delays.get(region).map_or(1.0, |delay| delay.exp())
     }
 
-    /// Forgets a VM that is gone or leaving.
-    pub fn forget(&mut self, vm: &VmName) {
-        self.words.remove(vm);
-    }
-
-    /// Notes that a request is sent to the VM of an option.
-    pub fn note_sent(&mut self, option: &AwayOption, service_tag: u32) {
-        if let Some(word) = self.words.get_mut(&option.vm) {
-            *word.sent.entry(service_tag).or_default() += option.work;
+    /// Notes that a request is sent to the region of an option.
+    pub fn note_sent(&mut self, now: Moment, option: &AwayOption, service_tag: u32) {
+        if let Some(word) = self.words.get_mut(&option.region) {
+            word.sent.push_back(SentWork {
+                at: now,
+                service_tag,
+                work: option.work,
+            });
         }
     }
 
-    /// The best VM of another region, if any may run the request; `prefix_home`
-    /// is the region where its shared prefix is kept.
+    /// The best other region, if any may run the request.
     pub fn best(&self, now: Moment, search: &AwaySearch<'_>) -> Option<AwayOption> {
         self.options(now, search)
-            .min_by_key(|option| (option.predicted.first, self.sent_by(option, search)))
+            .min_by_key(|option| option.predicted.first)
     }
 
-    /// What each VM of another region that may run the request offers.
+    /// What each other region that may run the request offers.
     fn options<'a>(
         &'a self,
         now: Moment,
@@ -158,34 +205,39 @@
     ) -> impl Iterator<Item = AwayOption> + 'a {
         self.words
             .iter()
-            .filter(move |(vm, word)| {
-                word.region != *search.own_region
-                    && search.needs.allows_region(&word.region)
-                    && now - word.heard < WORD_LIFE
-                    && !search.excluded.contains(vm)
+            .filter(move |(region, word)| {
+                *region != search.own_region
+                    && search.needs.allows_region(region)
+                    && now - word.said < WORD_LIFE
+                    && !search.excluded.contains(region)
             })
-            .filter_map(move |(vm, word)| self.option(vm, word, search))
+            .filter_map(move |(region, word)| self.option(region, word, search))
     }
 
-    fn option(&self, vm: &VmName, word: &VmWord, search: &AwaySearch<'_>) -> Option<AwayOption> {
+    fn option(
+        &self,
+        region: &RegionName,
+        word: &RegionWord,
+        search: &AwaySearch<'_>,
+    ) -> Option<AwayOption> {
         let load = word.loads.get(&search.service_tag)?;
         if load.usable == 0 {
             return None;
         }
-        let holds_prefix = search.prefix_home == Some(&word.region);
+        let holds_prefix = search.prefix_home == Some(region);
         let brought = if holds_prefix {
             search.work_at_home
         } else {
             search.work
         };
-        let sent = self.sent_to(&word.region, search.service_tag) / load.usable;
-        let delay = self.delay(&word.region);
+        let sent = word.sent(search.service_tag) / load.usable;
+        let delay = self.delay(region);
         let there = (load.wait + sent + brought).mul_f64(delay);
-        let first = search.trips.to(&word.region) + there;
+        let first = search.trips.to(region) + there;
         let gaps = (search.needs.events.unwrap_or(1.0) - 1.0).max(0.0);
         let whole = first + load.pace.mul_f64(gaps.min(MOST_GAPS));
         Some(AwayOption {
-            vm: vm.clone(),
+            region: region.clone(),
             holds_prefix,
             work: brought,
             predicted: TimePrediction {
@@ -197,8 +249,8 @@
         })
     }
 
-    /// The VM with the least work sent there among those of a region drawn by its
-    /// usable servers, `own_usable` of them here; none if this region is drawn.
+    /// A region drawn by its usable servers, `own_usable` of them here; none if this
+    /// region is drawn.
     pub fn draw(
         &self,
         now: Moment,
@@ -206,40 +258,21 @@
         own_usable: u32,
         rng: &mut impl Rng,
     ) -> Option<AwayOption> {
-        let mut regions: BTreeMap<&RegionName, u32> = BTreeMap::new();
-        for word in self.words.values() {
-            let usable = word.loads.get(&search.service_tag).map_or(0, |l| l.usable);
-            if search.needs.allows_region(&word.region) && word.region != *search.own_region {
-                let most = regions.entry(&word.region).or_default();
-                *most = usable.max(*most);
-            }
-        }
-        let total = own_usable + regions.values().sum::<u32>();
+        let options: Vec<AwayOption> = self.options(now, search).collect();
+        let usable = |option: &AwayOption| {
+            let load = self.words[&option.region].loads.get(&search.service_tag);
+            load.map_or(0, |load| load.usable)
+        };
+        let total = own_usable.saturating_add(options.iter().map(usable).sum());
         let mut point = rng.random_range(0..total.max(1));
-        for (region, usable) in regions {
-            if point < usable {
-                let here = |vm: &VmName| self.words[vm].region == *region;
-                let options = self.options(now, search).filter(|o| here(&o.vm));
-                return options.min_by_key(|option| self.sent_by(option, search));
+        for option in options {
+            if point < usable(&option) {
+                return Some(option);
             }
-            point -= usable;
+            point -= usable(&option);
         }
         None
     }
-
-    fn sent_to(&self, region: &RegionName, service_tag: u32) -> Duration {
-        self.words
-            .values()
-            .filter(|word| word.region == *region)
-            .filter_map(|word| word.sent.get(&service_tag))
-            .sum()
-    }
-
-    fn sent_by(&self, option: &AwayOption, search: &AwaySearch<'_>) -> Duration {
-        let word = self.words.get(&option.vm);
-        let sent = word.and_then(|word| word.sent.get(&search.service_tag));
-        sent.copied().unwrap_or_default()
-    }
 }
 
 /// Whether a request is better off away than at a server of its region that
--- a/crates/fleet/src/backup.rs
+++ b/crates/fleet/src/backup.rs
@@ -113,20 +113,8 @@
     /// another data centre than the source's where there is one.
     fn backup_server(&self, now: Moment, source: ServerId, needs: &CallNeeds) -> Option<ServerId> {
         let place = &self.server(source).record.center;
-        let region = &self.server(source).region;
-        self.servers_of(&needs.service)
-            .iter()
-            .copied()
+        self.free_servers(now, needs)
             .filter(|id| *id != source)
-            .filter(|id| {
-                let server = self.server(*id);
-                server.region == *region
-                    && server.takes_work()
-                    && server.is_trusted(now)
-                    && !server.is_cold(now)
-                    && server.has_room(needs)
-                    && !self.is_evacuated(&server.record.center)
-            })
             .min_by_key(|id| {
                 let server = self.server(*id);
                 let work = server.work();
--- a/crates/fleet/src/choose.rs
+++ b/crates/fleet/src/choose.rs
@@ -211,16 +211,8 @@
         if !needs.allows_region(region) {
             return Vec::new();
         }
-        self.servers_of(&needs.service)
-            .iter()
-            .copied()
+        self.near_servers(&needs.service)
             .filter(|id| !excluded.contains(id))
-            .filter(|id| {
-                let server = self.server(*id);
-                server.region == *region
-                    && server.takes_work()
-                    && !self.is_evacuated(&server.record.center)
-            })
             .collect()
     }
 
@@ -238,12 +230,7 @@
             .servers_of(&needs.service)
             .iter()
             .copied()
-            .filter(|id| {
-                let server = self.server(*id);
-                needs.allows_region(&server.region)
-                    && server.takes_work()
-                    && !self.is_evacuated(&server.record.center)
-            })
+            .filter(|id| needs.allows_region(&self.server(*id).region) && self.takes_work(*id))
             .collect();
         let owner = *self.prefix_servers(needs, &pool, 1).first()?;
         Some(&self.server(owner).region)
--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -18,6 +18,12 @@
 /// Least time between two reads for these reasons.
 pub const CATCH_UP_PAUSE: Duration = Duration::from_secs(1);
 
+/// How long a copy may be behind before another VM's is asked for: a change takes some
+/// 0.2 s to come through two aggregators.
+pub const ASK_LIMIT: Duration = Duration::from_millis(250);
+/// Least time between two requests for other VMs' copies.
+const ASK_PAUSE: Duration = Duration::from_millis(500);
+
 /// State of a copy of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct CopyState {
@@ -35,6 +41,7 @@
     differs_since: Option<Moment>,
     has_gap: bool,
     read_at: Option<Moment>,
+    asked_at: Option<Moment>,
 }
 
 impl CopyCheck {
@@ -76,6 +83,35 @@
         }
     }
 
+    /// Whether to ask a VM whose copy is whole, in state `other`, for it; `own` is this
+    /// VM's copy, none if that is not whole.
+    ///
+    /// ```
+    /// use onyxfall_fleet::{CopyCheck, CopyState};
+    /// use onyxfall_policy::Moment;
+    /// let mut check = CopyCheck::default();
+    /// let other = CopyState { revision: 7, hash: 1 };
+    /// assert!(check.asks(Moment::ZERO, None, other));
+    /// assert!(!check.asks(Moment::ZERO, None, other), "asked a moment ago");
+    /// ```
+    pub fn asks(&mut self, now: Moment, own: Option<CopyState>, other: CopyState) -> bool {
+        let lasts = |since: Option<Moment>| since.is_some_and(|since| now - since >= ASK_LIMIT);
+        let wants = match own {
+            None => true,
+            Some(own) => {
+                let is_older = own.revision < other.revision && lasts(self.older_since);
+                let is_gapped = self.has_gap && own.revision <= other.revision;
+                is_older || is_gapped
+            }
+        };
+        let is_rested = self.asked_at.is_none_or(|at| now - at >= ASK_PAUSE);
+        if wants && is_rested {
+            self.asked_at = Some(now);
+            return true;
+        }
+        false
+    }
+
     /// Notes that everything was read.
     pub fn note_read(&mut self, now: Moment) {
         self.read_at = Some(now);
--- a/crates/fleet/src/learn/mod.rs
+++ b/crates/fleet/src/learn/mod.rs
@@ -15,5 +15,5 @@
 pub use engine::{EngineCosts, EngineLoad};
 pub use linear::LinearFit;
 pub use plain::PlainCosts;
-pub use service::{CostReport, ServiceCosts};
+pub use service::{CostReport, CostTeller, CostView, ServiceCosts};
 pub use trip::RoundTrips;
--- a/crates/fleet/src/learn/service.rs
+++ b/crates/fleet/src/learn/service.rs
@@ -15,9 +15,34 @@
 /// Age at which what another VM told counts no longer.
 const REPORT_LIFE: Duration = Duration::from_secs(20);
 
-/// What one VM has learned of a service.
+/// VMs that one report stands for at most.
+const MOST_VMS: u32 = 4096;
+
+/// Who tells a report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CostTeller {
+    /// A VM, of what it has learned itself.
+    Member,
+    /// A VM, of what others have learned.
+    Aggregator,
+}
+
+/// Whose answers a report of this VM rests on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CostView {
+    /// Its own.
+    Own,
+    /// Its own and those of VMs that tell theirs to it.
+    Partial,
+    /// Those of every VM.
+    All,
+}
+
+/// What one VM, or several together, have learned of a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct CostReport {
+    /// VMs behind it; 0 stands for one.
+    pub vms: u32,
     /// Weights of the time to a first byte.
     pub first: [f64; 5],
     /// Answers behind them.
@@ -39,9 +64,15 @@
             first: bound_first(&self.first),
             pace: bound_pace(&self.pace),
             plain_ms: bound_plain(self.plain_ms),
+            vms: self.vms.clamp(1, MOST_VMS),
             ..self
         }
     }
+
+    /// Answers that count: of each VM only so many.
+    fn weight(&self, samples: u32) -> f64 {
+        f64::from(samples.min(MOST_SAMPLES.saturating_mul(self.vms.max(1))))
+    }
 }
 
 /// What other VMs have learned, merged.
@@ -54,12 +85,60 @@
     plain_samples: f64,
 }
 
+/// Sums of reports, each by the answers behind it.
+#[derive(Clone, Copy, Debug, Default)]
+struct CostSums {
+    first: [f64; 5],
+    first_samples: f64,
+    pace: [f64; 3],
+    pace_samples: f64,
+    plain: f64,
+    plain_samples: f64,
+    vms: u32,
+}
+
+impl CostSums {
+    fn add(mut self, report: &CostReport) -> Self {
+        let first = report.weight(report.first_samples);
+        let pace = report.weight(report.pace_samples);
+        let plain = report.weight(report.plain_samples);
+        add(&mut self.first, &report.first, first);
+        add(&mut self.pace, &report.pace, pace);
+        self.plain += report.plain_ms * plain;
+        self.first_samples += first;
+        self.pace_samples += pace;
+        self.plain_samples += plain;
+        self.vms = self.vms.saturating_add(report.vms.max(1));
+        self
+    }
+
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn mean(&self) -> CostReport {
+        CostReport {
+            vms: self.vms,
+            first: self.first.map(|sum| sum / self.first_samples.max(1.0)),
+            first_samples: self.first_samples as u32,
+            pace: self.pace.map(|sum| sum / self.pace_samples.max(1.0)),
+            pace_samples: self.pace_samples as u32,
+            plain_ms: self.plain / self.plain_samples.max(1.0),
+            plain_samples: self.plain_samples as u32,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct HeardReport {
+    heard: Moment,
+    teller: CostTeller,
+    report: CostReport,
+}
+
 /// What is known of one service.
 #[derive(Clone, Debug, Default)]
 pub struct ServiceCosts {
     engine: EngineCosts,
     plain: PlainCosts,
-    reports: BTreeMap<VmName, (Moment, CostReport)>,
+    reports: BTreeMap<VmName, HeardReport>,
     told: ToldCosts,
 }
 
@@ -120,10 +199,12 @@
         &mut self.plain
     }
 
-    /// What this VM tells others: only what it has learned itself, so that no
-    /// figure comes back as news. None before the first answer.
-    pub fn report(&self) -> Option<CostReport> {
-        let report = CostReport {
+    /// What this VM tells others. A report of others' answers goes only to VMs that
+    /// do not tell it back, so that no figure comes back as news. None before the
+    /// first answer.
+    pub fn report(&self, view: CostView) -> Option<CostReport> {
+        let own = CostReport {
+            vms: 1,
             first: *self.engine.first.weights(),
             first_samples: self.engine.first.samples(),
             pace: *self.engine.pace.weights(),
@@ -131,17 +212,52 @@
             plain_ms: self.plain.service_ms(),
             plain_samples: self.plain.samples(),
         };
+        let others = self
+            .reports
+            .values()
+            .filter(|heard| match view {
+                CostView::Own => false,
+                CostView::Partial => heard.teller == CostTeller::Member,
+                CostView::All => true,
+            })
+            .map(|heard| &heard.report);
+        let sums = others.fold(CostSums::default().add(&own), CostSums::add);
+        let mut report = sums.mean();
+        if report.first_samples == 0 {
+            report.first = own.first;
+        }
+        if report.pace_samples == 0 {
+            report.pace = own.pace;
+        }
+        if report.plain_samples == 0 {
+            report.plain_ms = own.plain_ms;
+        }
         (report.first_samples + report.plain_samples > 0).then_some(report)
     }
 
-    /// Takes what another VM has learned; whether a figure was absurd and had to be
-    /// bounded.
-    pub fn hear(&mut self, now: Moment, vm: &VmName, report: CostReport) -> bool {
+    /// Takes what another VM tells; whether a figure was absurd and had to be bounded.
+    pub fn hear(
+        &mut self,
+        now: Moment,
+        vm: &VmName,
+        teller: CostTeller,
+        report: CostReport,
+    ) -> bool {
         let bounded = report.bounded();
-        self.reports.insert(vm.clone(), (now, bounded));
-        self.reports.retain(|_, (at, _)| now - *at < REPORT_LIFE);
-        self.told = merge(self.reports.values().map(|(_, report)| report));
-        bounded != report
+        let heard = HeardReport {
+            heard: now,
+            teller,
+            report: bounded,
+        };
+        self.reports.insert(vm.clone(), heard);
+        self.reports
+            .retain(|_, held| now - held.heard < REPORT_LIFE);
+        self.told = merge(self.reports.values().map(|held| &held.report));
+        let is_same = CostReport {
+            vms: bounded.vms,
+            ..report
+        };
+        bounded != is_same
     }
 }
 
@@ -156,22 +272,15 @@
 }
 
 fn merge<'a>(reports: impl Iterator<Item = &'a CostReport>) -> ToldCosts {
-    let (mut first, mut pace, mut plain) = ([0.0; 5], [0.0; 3], 0.0);
-    let mut told = ToldCosts::default();
-    for report in reports {
-        let weight = |samples: u32| f64::from(samples.min(MOST_SAMPLES));
-        add(&mut first, &report.first, weight(report.first_samples));
-        add(&mut pace, &report.pace, weight(report.pace_samples));
-        plain += report.plain_ms * weight(report.plain_samples);
-        told.first_samples += weight(report.first_samples);
-        told.pace_samples += weight(report.pace_samples);
-        told.plain_samples += weight(report.plain_samples);
+    let sums = reports.fold(CostSums::default(), CostSums::add);
+    let mean = sums.mean();
+    ToldCosts {
+        engine: EngineCosts::with_weights(&mean.first, &mean.pace),
+        first_samples: sums.first_samples,
+        pace_samples: sums.pace_samples,
+        plain: PlainCosts::with_time(mean.plain_ms),
+        plain_samples: sums.plain_samples,
     }
-    let first = first.map(|sum| sum / told.first_samples.max(1.0));
-    let pace = pace.map(|sum| sum / told.pace_samples.max(1.0));
-    told.engine = EngineCosts::with_weights(&first, &pace);
-    told.plain = PlainCosts::with_time(plain / told.plain_samples.max(1.0));
-    told
 }
 
 fn add<const N: usize>(sum: &mut [f64; N], weights: &[f64; N], factor: f64) {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -30,10 +30,10 @@
 pub use call::{CallNeeds, PromptPart, PromptSize};
 pub use choose::{ChoiceReason, LocalOption, ServerChoice};
 pub use cold::{ColdShare, SENDERS, is_cold_sender};
-pub use follow::{BEHIND_LIMIT, CATCH_UP_PAUSE, CopyCheck, CopyState};
+pub use follow::{ASK_LIMIT, BEHIND_LIMIT, CATCH_UP_PAUSE, CopyCheck, CopyState};
 pub use learn::{
-    AnswerLengths, CostReport, EngineCosts, EngineLoad, LinearFit, PlainCosts, RoundTrips,
-    ServiceCosts,
+    AnswerLengths, CostReport, CostTeller, CostView, EngineCosts, EngineLoad, LinearFit,
+    PlainCosts, RoundTrips, ServiceCosts,
 };
 pub use mirror::{
     MirrorChange, MirrorDelta, RETURN_WINDOW, StoreEvent, StoreHealth, StoreItem, StoreMirror,
--- a/crates/fleet/src/mirror.rs
+++ b/crates/fleet/src/mirror.rs
@@ -115,6 +115,11 @@
         self.items.is_empty()
     }
 
+    /// Whether an item is missing that may come back.
+    pub fn has_missing(&self) -> bool {
+        self.items.values().any(|item| item.missing_since.is_some())
+    }
+
     /// Hash over keys and revisions; equal copies have equal hashes.
     pub fn hash(&self) -> u64 {
         if let Some(hash) = self.hash.get() {
--- a/crates/fleet/src/predict.rs
+++ b/crates/fleet/src/predict.rs
@@ -10,7 +10,7 @@
 use onyxfall_types::{ServerId, ServiceName, VmName};
 
 use crate::call::CallNeeds;
-use crate::learn::{CostReport, EngineLoad, ServiceCosts};
+use crate::learn::{CostReport, CostTeller, CostView, EngineLoad, ServiceCosts};
 use crate::server::{AttemptResult, ServerLoad, ServerState};
 use crate::switches::DecisionSwitch;
 use crate::view::FleetView;
@@ -177,22 +177,23 @@
             .learn_rest(load, took, gaps, factor.max(1.0 / factor));
     }
 
-    /// What this VM has learned of each service.
-    pub fn cost_reports(&self) -> impl Iterator<Item = (&ServiceName, CostReport)> {
+    /// What this VM tells others of the costs of each service.
+    pub fn cost_reports(&self, view: CostView) -> impl Iterator<Item = (&ServiceName, CostReport)> {
         self.all_costs()
-            .filter_map(|(service, costs)| Some((service, costs.report()?)))
+            .filter_map(move |(service, costs)| Some((service, costs.report(view)?)))
     }
 
-    /// Takes what another VM has learned of a service; whether a figure was absurd
-    /// and had to be bounded.
+    /// Takes what another VM tells of the costs of a service; whether a figure was
+    /// absurd and had to be bounded.
     pub fn hear_costs(
         &mut self,
         now: Moment,
         vm: &VmName,
+        teller: CostTeller,
         service: &ServiceName,
         report: CostReport,
     ) -> bool {
-        self.learns() && self.costs_mut(service).hear(now, vm, report)
+        self.learns() && self.costs_mut(service).hear(now, vm, teller, report)
     }
 
     fn learns(&self) -> bool {
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use onyxfall_policy::{CircuitBreaker, Moment};
-use onyxfall_types::{RegionName, VmName};
+use onyxfall_types::RegionName;
 
 use crate::call::{CallNeeds, PromptSize};
 use crate::cold::ColdShare;
@@ -91,9 +91,8 @@
     flow: FlowMeter,
     open: BTreeMap<u64, OpenAttempt>,
     own: WorkShare,
-    others: BTreeMap<VmName, WorkShare>,
-    /// Sum over `others`: each choice asks for it, for every server.
-    told: WorkShare,
+    /// Other VMs' work, as they tell it.
+    others: WorkShare,
     kept: KeptPrefixes,
 }
 
@@ -113,8 +112,7 @@
             flow: FlowMeter::new(FLOW_FADE),
             open: BTreeMap::new(),
             own: WorkShare::default(),
-            others: BTreeMap::new(),
-            told: WorkShare::default(),
+            others: WorkShare::default(),
             kept: KeptPrefixes::new(now),
         }
     }
@@ -169,21 +167,15 @@
         WorkShare { flow, ..self.own }
     }
 
-    /// Sets what another VM has under way there.
-    pub fn set_others(&mut self, now: Moment, vm: &VmName, work: WorkShare) {
-        if work == WorkShare::default() {
-            self.others.remove(vm);
-        } else {
-            self.others.insert(vm.clone(), work);
-        }
-        let none = WorkShare::default();
-        self.told = self.others.values().fold(none, |sum, w| sum.add(*w));
-        self.kept.set_told_flow(now, self.told.flow);
+    /// Sets what all other VMs have under way there.
+    pub fn set_others(&mut self, now: Moment, work: WorkShare) {
+        self.others = work;
+        self.kept.set_told_flow(now, work.flow);
     }
 
     /// All work under way there, as far as known.
     pub fn work(&self) -> WorkShare {
-        self.own.add(self.told)
+        self.own.plus(self.others)
     }
 
     /// Whether another request fits.
@@ -251,7 +243,7 @@
 
     /// Notes that it holds a copy of a run.
     pub fn hold_copy(&mut self, memory: u64) {
-        self.own = self.own.add(copy_share(memory));
+        self.own = self.own.plus(copy_share(memory));
     }
 
     /// Notes that the copy is no longer needed.
@@ -288,7 +280,7 @@
         if self.circuit.allows(now) {
             self.circuit.start(now);
         }
-        self.own = self.own.add(work);
+        self.own = self.own.plus(work);
         let brought = unread + needs.prompt.likely_output();
         self.flow.note(now, brought);
         self.kept.bring(brought);
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -11,10 +11,11 @@
 
 use onyxfall_policy::Moment;
 use onyxfall_types::{
-    CenterName, EntityMap, RegionName, ServerId, ServerName, ServiceName, VmName,
+    CenterName, EntityMap, RegionName, ServerId, ServerName, ServiceName, VmName, name_tag,
 };
 
 use crate::backup::CrashTable;
+use crate::call::CallNeeds;
 use crate::learn::ServiceCosts;
 use crate::record::ServerRecord;
 use crate::route::RouteTable;
@@ -40,6 +41,8 @@
     place: VmPlace,
     servers: EntityMap<ServerId, ServerState>,
     by_name: HashMap<ServerName, ServerId>,
+    /// The same by [`name_tag`], which messages between VMs carry.
+    by_tag: HashMap<u32, ServerId>,
     by_service: BTreeMap<ServiceName, Vec<ServerId>>,
     evacuated: BTreeSet<CenterName>,
     region_vms: Vec<VmName>,
@@ -59,6 +62,7 @@
             place,
             servers: EntityMap::new(),
             by_name: HashMap::new(),
+            by_tag: HashMap::new(),
             by_service: BTreeMap::new(),
             evacuated: BTreeSet::new(),
             region_vms: Vec::new(),
@@ -141,6 +145,11 @@
         self.by_name.get(name).copied()
     }
 
+    /// A server that is not gone by the tag of its name.
+    pub fn find_tag(&self, tag: u32) -> Option<ServerId> {
+        self.by_tag.get(&tag).copied()
+    }
+
     /// The servers of a service that are not gone.
     pub fn servers_of(&self, service: &ServiceName) -> &[ServerId] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
@@ -159,6 +168,28 @@
         self.evacuated.contains(center)
     }
 
+    /// Whether a server's entry and data centre let it have new work.
+    pub(crate) fn takes_work(&self, id: ServerId) -> bool {
+        let server = self.server(id);
+        server.takes_work() && !self.is_evacuated(&server.record.center)
+    }
+
+    /// The servers of a service in this region that may have new work.
+    pub(crate) fn near_servers(&self, service: &ServiceName) -> impl Iterator<Item = ServerId> {
+        self.servers_of(service)
+            .iter()
+            .copied()
+            .filter(|id| self.server(*id).region == self.place.region && self.takes_work(*id))
+    }
+
+    /// The servers of this region that a request could be sent to at once.
+    pub fn free_servers(&self, now: Moment, needs: &CallNeeds) -> impl Iterator<Item = ServerId> {
+        self.near_servers(&needs.service).filter(move |id| {
+            let server = self.server(*id);
+            server.is_trusted(now) && !server.is_cold(now) && server.has_room(needs)
+        })
+    }
+
     /// Takes a server's entry.
     pub fn put_server(&mut self, now: Moment, record: ServerRecord, table: Option<&RouteTable>) {
         if let Some(id) = self.find(record.name.as_str()) {
@@ -174,6 +205,7 @@
         let id = self
             .servers
             .push(ServerState::new(now, record, region, cold_rate));
+        self.by_tag.insert(name_tag(name.as_str()), id);
         self.by_name.insert(name, id);
         self.by_service.entry(service).or_default().push(id);
     }
@@ -184,6 +216,7 @@
         let Some(id) = self.by_name.remove(name) else {
             return;
         };
+        self.by_tag.remove(&name_tag(name));
         if self.servers[id].takes_work() {
             self.note_crash(now, id);
         }
--- a/crates/fleet/src/work.rs
+++ b/crates/fleet/src/work.rs
@@ -73,7 +73,8 @@
 impl WorkShare {
     /// This work and another. What other VMs tell may be absurd, so sums do not
     /// overflow.
-    pub(crate) fn add(self, other: Self) -> Self {
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
         Self {
             requests: self.requests.saturating_add(other.requests),
             unread: self.unread.combine(other.unread, u64::saturating_add),
@@ -83,7 +84,8 @@
     }
 
     /// This work without another that is part of it.
-    pub(crate) fn without(self, other: Self) -> Self {
+    #[must_use]
+    pub fn without(self, other: Self) -> Self {
         Self {
             requests: self.requests.saturating_sub(other.requests),
             unread: self.unread.combine(other.unread, u64::saturating_sub),
--- a/crates/fleet/tests/backup.rs
+++ b/crates/fleet/tests/backup.rs
@@ -198,8 +198,7 @@
             flow: 0,
         };
         let id = server(&view, name);
-        view.server_mut(id)
-            .set_others(at(10_000), &"vm1".parse().unwrap(), full);
+        view.server_mut(id).set_others(at(10_000), full);
     }
     let third = choose(&view);
     assert_eq!(
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -11,7 +11,7 @@
     VmPlace, WorkShare,
 };
 use onyxfall_policy::Moment;
-use onyxfall_types::{ServerId, VmName, name_tag};
+use onyxfall_types::{RegionName, ServerId, name_tag};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
@@ -160,8 +160,7 @@
                     requests: 4,
                     ..WorkShare::default()
                 };
-                view.server_mut(id)
-                    .set_others(at(0), &"vm1".parse().unwrap(), work);
+                view.server_mut(id).set_others(at(0), work);
             },
             homes: &[],
             input: 1000,
@@ -198,8 +197,7 @@
         unread: UnreadTokens::of(5, 60_000),
         ..WorkShare::default()
     };
-    view.server_mut(owner)
-        .set_others(at(0), &"vm1".parse().unwrap(), busy);
+    view.server_mut(owner).set_others(at(0), busy);
     assert_ne!(
         chosen(&mut view, &needs),
         owner,
@@ -292,13 +290,13 @@
         },
         AwayCase {
             name: "tried before",
-            excluded: &["vm1"],
+            excluded: &["r1"],
             goes: false,
             ..usual
         },
         usual,
     ];
-    let (own, vm): (_, VmName) = ("r0".parse().unwrap(), "vm1".parse().unwrap());
+    let own = "r0".parse().unwrap();
     let trips = RoundTrips::default();
     for case in cases {
         let mut table = AwayTable::default();
@@ -309,14 +307,18 @@
             backlog: Duration::ZERO,
         };
         let loads = BTreeMap::from([(name_tag("svc"), load)]);
-        table.hear(at(0), &vm, &"r1".parse().unwrap(), loads);
+        table.hear(at(0), &"r1".parse().unwrap(), Duration::ZERO, loads);
         let mut needs = needs(500, 1000);
         needs.home_regions = case
             .homes
             .iter()
             .map(|home| home.parse().unwrap())
             .collect();
-        let excluded: Vec<VmName> = case.excluded.iter().map(|vm| vm.parse().unwrap()).collect();
+        let excluded: Vec<RegionName> = case
+            .excluded
+            .iter()
+            .map(|region| region.parse().unwrap())
+            .collect();
         let search = AwaySearch {
             needs: &needs,
             service_tag: name_tag("svc"),
@@ -334,7 +336,7 @@
 
 #[test]
 fn work_sent_away_counts_as_much_as_it_is() {
-    let (own, vm): (_, VmName) = ("r0".parse().unwrap(), "vm1".parse().unwrap());
+    let own = "r0".parse().unwrap();
     let mut table = AwayTable::default();
     let load = ServiceLoad {
         wait: Duration::from_millis(30),
@@ -345,8 +347,8 @@
     let tags = [name_tag("svc"), name_tag("other")];
     table.hear(
         at(0),
-        &vm,
         &"r1".parse().unwrap(),
+        Duration::ZERO,
         tags.map(|tag| (tag, load)).into(),
     );
     let mut plain = needs(500, 1000);
@@ -368,7 +370,7 @@
     let before = best(&table, &plain, tags[0]);
     for _ in 0..30 {
         let option = best(&table, &plain, tags[0]);
-        table.note_sent(&option, tags[0]);
+        table.note_sent(at(0), &option, tags[0]);
     }
     let after = best(&table, &plain, tags[0]);
     // Thirty requests of 5 ms over two servers.
@@ -473,8 +475,7 @@
         unread: UnreadTokens::of(5, 10_000),
         ..WorkShare::default()
     };
-    let vm: VmName = "vm1".parse().unwrap();
-    view.server_mut(owner).set_others(at(0), &vm, busy);
+    view.server_mut(owner).set_others(at(0), busy);
     assert_eq!(chosen(&mut view, &needs(5000, 5600)), owner, "a long part");
     assert_ne!(chosen(&mut view, &short), owner, "a short part");
 }
@@ -509,11 +510,10 @@
         unread: UnreadTokens::of(9, 15_000),
         ..WorkShare::default()
     };
-    let vm: VmName = "vm1".parse().unwrap();
     let mut long = needs(0, 100);
     long.events = Some(50.0);
     let alone = view.predict(now, ids[0], &long).whole;
-    view.server_mut(ids[0]).set_others(now, &vm, reading);
+    view.server_mut(ids[0]).set_others(now, reading);
     let beside = view.predict(now, ids[0], &long).whole;
     assert!(alone.as_millis().abs_diff(2000) < 250, "{alone:?}");
     assert!(beside > alone, "{beside:?} beside reading, {alone:?} alone");
--- a/crates/fleet/tests/learn.rs
+++ b/crates/fleet/tests/learn.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use onyxfall_fleet::{
-    AnswerLengths, AttemptResult, CallNeeds, CostReport, DecisionSwitch, DecisionSwitches,
-    EngineCosts, EngineLimits, EngineLoad, FleetView, PlainCosts, PromptPart, PromptSize,
-    RoundTrips, ServerPhase, ServerRecord, ServiceCosts, VmPlace, WorkShare,
+    AnswerLengths, AttemptResult, CallNeeds, CostReport, CostTeller, CostView, DecisionSwitch,
+    DecisionSwitches, EngineCosts, EngineLimits, EngineLoad, FleetView, PlainCosts, PromptPart,
+    PromptSize, RoundTrips, ServerPhase, ServerRecord, ServiceCosts, VmPlace, WorkShare,
 };
 use onyxfall_policy::Moment;
 use onyxfall_types::ServerId;
@@ -250,7 +250,7 @@
     view.set_switches(off);
     // What is learned of the one server is its slowness; of the service, nothing.
     play(&mut view, &[(server, 5.0)], 20);
-    assert_eq!(view.cost_reports().count(), 0);
+    assert_eq!(view.cost_reports(CostView::Own).count(), 0);
     assert!(
         view.read_time(&"svc".parse().unwrap(), 1000) == Duration::from_millis(20),
         "{before:?}"
@@ -262,10 +262,16 @@
     let mut learned = view();
     let server = add_server(&mut learned, "s", 64);
     play(&mut learned, &[(server, 1.0)], 100);
-    let (service, report) = learned.cost_reports().next().unwrap();
+    let (service, report) = learned.cost_reports(CostView::Own).next().unwrap();
     let mut fresh = view();
     let server = add_server(&mut fresh, "s", 64);
-    assert!(!fresh.hear_costs(at(0), &"vm1".parse().unwrap(), service, report));
+    assert!(!fresh.hear_costs(
+        at(0),
+        &"vm1".parse().unwrap(),
+        CostTeller::Member,
+        service,
+        report
+    ));
     let predicted = fresh
         .predict_first(at(0), server, &needs(1, 6000))
         .as_secs_f64()
@@ -285,6 +291,7 @@
 #[test]
 fn absurd_reports_are_bounded() {
     let usual = CostReport {
+        vms: 1,
         first: [40.0, 20.0, 12.0, 5.0, 4.0],
         first_samples: 100,
         pace: [40.0, 8.0, 8.0],
@@ -338,7 +345,12 @@
     };
     for case in cases {
         let mut costs = ServiceCosts::default();
-        let absurd = costs.hear(at(0), &"vm1".parse().unwrap(), case.report);
+        let absurd = costs.hear(
+            at(0),
+            &"vm1".parse().unwrap(),
+            CostTeller::Member,
+            case.report,
+        );
         assert_eq!(absurd, case.absurd, "{}", case.name);
         for ms in [costs.first_ms(&load), costs.plain_ms(), costs.read_ms(1000)] {
             assert!(ms.is_finite() && ms > 0.0, "{}: {ms}", case.name);
@@ -391,8 +403,7 @@
             flow: case.told,
             ..WorkShare::default()
         };
-        let other = "vm1".parse().unwrap();
-        view.server_mut(server).set_others(at(0), &other, told);
+        view.server_mut(server).set_others(at(0), told);
         for number in 0..=case.following {
             let now = at(number * 100);
             let call = if number == 0 {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -191,7 +191,7 @@
     {
         Ok(exchanged) => exchanged,
         Err(failure) => {
-            gateway.away.borrow_mut().forget(&target.vm);
+            gateway.note_relay_failed(&target.vm);
             return failure.into_end();
         }
     };
--- a/crates/gateway/src/costs.rs
+++ b/crates/gateway/src/costs.rs
@@ -1,16 +1,16 @@
-//! What heartbeats tell of learned costs, and the lengths of answers.
+//! What VMs tell each other of learned costs, and the lengths of answers.
 
 use std::time::{Duration, Instant};
 
-use onyxfall_fleet::{CostReport, PromptSize};
+use onyxfall_fleet::{CostReport, CostTeller, CostView, PromptSize};
 use onyxfall_types::{VmName, name_tag};
 use onyxfall_wire::ServiceCostEntry;
 
 use crate::gateway::Gateway;
 
-/// Time between two heartbeats on a link that tell what was learned. A VM that has
-/// just started hears it in the first one; after that costs change slowly.
-pub(crate) const COSTS_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two messages on a link that tell what was learned. A VM that has just
+/// started hears it in the first one; after that costs change slowly.
+const COSTS_INTERVAL: Duration = Duration::from_secs(1);
 
 /// When costs were last told on a link.
 #[derive(Clone, Copy, Debug, Default)]
@@ -18,21 +18,25 @@
 
 impl CostsTold {
     /// What to tell now: nothing if it was told a moment ago.
-    pub(crate) fn due(&mut self, gateway: &Gateway) -> Vec<ServiceCostEntry> {
+    pub(crate) fn due(&mut self, gateway: &Gateway, view: CostView) -> Vec<ServiceCostEntry> {
         if self.0.is_some_and(|at| at.elapsed() < COSTS_INTERVAL) {
             return Vec::new();
         }
-        self.0 = Some(Instant::now());
-        own_costs(gateway)
+        let costs = known_costs(gateway, view);
+        if !costs.is_empty() {
+            self.0 = Some(Instant::now());
+        }
+        costs
     }
 }
 
-/// What this VM has learned of each service.
-pub(crate) fn own_costs(gateway: &Gateway) -> Vec<ServiceCostEntry> {
+/// What this VM tells of the costs of each service.
+fn known_costs(gateway: &Gateway, view: CostView) -> Vec<ServiceCostEntry> {
     let fleet = gateway.fleet.borrow();
     fleet
-        .cost_reports()
+        .cost_reports(view)
         .map(|(service, report)| ServiceCostEntry {
+            vms: report.vms,
             service: name_tag(service.as_str()),
             first: report.first.map(narrow).to_vec(),
             first_samples: report.first_samples,
@@ -46,7 +50,15 @@
 
 /// Takes what another VM has learned. Entries of services that are not known here,
 /// or of another form, are left out.
-pub(crate) fn take_costs(gateway: &Gateway, from: &VmName, entries: &[ServiceCostEntry]) {
+pub(crate) fn take_costs(
+    gateway: &Gateway,
+    from: &VmName,
+    teller: CostTeller,
+    entries: &[ServiceCostEntry],
+) {
+    if entries.is_empty() {
+        return;
+    }
     let Some(table) = gateway.table() else {
         return;
     };
@@ -58,7 +70,7 @@
         let (Some(service), Some(report)) = (named, read_entry(entry)) else {
             continue;
         };
-        if fleet.hear_costs(now, from, &service.name, report) {
+        if fleet.hear_costs(now, from, teller, &service.name, report) {
             gateway.metrics.count("onyxfall_absurd_costs_total");
         }
     }
@@ -68,6 +80,7 @@
     let first: [f32; 5] = entry.first.as_slice().try_into().ok()?;
     let pace: [f32; 3] = entry.pace.as_slice().try_into().ok()?;
     Some(CostReport {
+        vms: entry.vms,
         first: first.map(f64::from),
         first_samples: entry.first_samples,
         pace: pace.map(f64::from),
--- a/crates/gateway/src/decide.rs
+++ b/crates/gateway/src/decide.rs
@@ -1,7 +1,6 @@
 //! Where a request goes: a server of this region, another region, or nowhere.
 
 use std::borrow::Cow;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use onyxfall_fleet::{
@@ -72,8 +71,8 @@
             .best_away(now, call, progress)
             .filter(|away| !self.is_too_late(call, &away.predicted));
         match (local, away) {
-            (LocalOption::Free(choice), away) => self.weigh(now, call, choice, away),
-            (_, Some(away)) => self.send_away(call, away),
+            (LocalOption::Free(choice), away) => self.weigh(now, call, choice, away, progress),
+            (_, Some(away)) => self.send_away(call, away, progress),
             (LocalOption::Full, None) => {
                 RouteStep::Refuse(overloaded("every server is full", call.needs.goal / 2))
             }
@@ -88,11 +87,12 @@
         call: &SharedCall,
         choice: ServerChoice,
         away: Option<AwayOption>,
+        progress: &CallProgress,
     ) -> RouteStep {
         let fleet = self.fleet.borrow();
         let server = fleet.server(choice.server);
         if self.settings().switches.policy() == ChoicePolicy::Random {
-            return self.weigh_at_random(now, call, &fleet, &choice);
+            return self.weigh_at_random(now, call, &fleet, &choice, progress);
         }
         if let Some(away) = away {
             let unread = server.unread_shared(now, &call.needs.prompt);
@@ -102,7 +102,7 @@
             if goes_away(goal, local, saved, there, away.holds_prefix) {
                 log::info!(
                     request = call.request_id.as_str(),
-                    target = away.vm.as_str(),
+                    region = away.region.as_str(),
                     goal_ms = millis(goal),
                     local_ms = millis(local),
                     away_ms = millis(there),
@@ -110,7 +110,7 @@
                     holds_prefix = away.holds_prefix;
                     "sent away"
                 );
-                return self.send_away(call, away);
+                return self.send_away(call, away, progress);
             }
         }
         if self.is_too_late(call, &choice.predicted) {
@@ -126,6 +126,7 @@
         call: &SharedCall,
         fleet: &FleetView,
         choice: &ServerChoice,
+        progress: &CallProgress,
     ) -> RouteStep {
         let trips = self.trips.borrow();
         let search = plain_search(fleet, &trips, &call.needs);
@@ -139,7 +140,7 @@
             None
         };
         match drawn {
-            Some(away) => self.send_away(call, away),
+            Some(away) => self.send_away(call, away, progress),
             None => RouteStep::Server(server_target(fleet, choice)),
         }
     }
@@ -158,20 +159,23 @@
         RouteStep::Refuse(overloaded("no server is usable", call.needs.goal / 2))
     }
 
-    fn send_away(&self, call: &CallContext, away: AwayOption) -> RouteStep {
-        let tag = name_tag(call.needs.service.as_str());
-        self.away.borrow_mut().note_sent(&away, tag);
-        let port = self.settings().relay.port();
-        let members = self.members.borrow();
-        let Some(member) = members.get(&away.vm) else {
-            let detail = "the VM of the other region is gone";
+    fn send_away(
+        &self,
+        call: &CallContext,
+        away: AwayOption,
+        progress: &CallProgress,
+    ) -> RouteStep {
+        let Some(target) = self.relay_target(&away.region, &progress.vms) else {
+            let detail = "no VM of the other region is left";
             return RouteStep::Refuse(overloaded(detail, Duration::ZERO));
         };
-        let address = SocketAddr::new(member.beat.peer_address.ip(), port);
+        let tag = name_tag(call.needs.service.as_str());
+        let now = self.now();
+        self.away.borrow_mut().note_sent(now, &away, tag);
         RouteStep::Peer(PeerTarget {
-            vm: away.vm,
-            address,
-            region: member.beat.region.clone(),
+            vm: target.vm,
+            address: target.address,
+            region: away.region,
             predicted: away.predicted,
         })
     }
@@ -200,11 +204,12 @@
         if stays || !call.may_leave() || !self.is_on(DecisionSwitch::SendAway) {
             return None;
         }
+        let excluded = self.closed_regions(&progress.vms);
         let fleet = self.fleet.borrow();
         let trips = self.trips.borrow();
         let search = AwaySearch {
             prefix_home: fleet.prefix_home(&call.needs),
-            excluded: &progress.vms,
+            excluded: &excluded,
             ..plain_search(&fleet, &trips, &call.needs)
         };
         self.away.borrow().best(now, &search)
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -7,7 +7,7 @@
 use onyxfall_adapter::{
     DirectoryQuery, READY_PATH, RESOLVE_PATH, directory_body, read_directory_query,
 };
-use onyxfall_policy::{MemberBeat, MemberState};
+use onyxfall_overlay::VmRecord;
 use onyxfall_types::RegionName;
 
 use crate::body::ReplyBody;
@@ -52,32 +52,32 @@
 /// that is neither its own nor a home, VMs that are stopping are named: they
 /// still serve, and data may not leave its homes.
 fn entries_for(gateway: &Gateway, query: &DirectoryQuery) -> Vec<SocketAddr> {
-    let members = gateway.members.borrow();
-    let heard = gateway.heard_vms.borrow();
-    let own = gateway.is_ready().then(|| members.own());
-    let serving: Vec<&MemberBeat> = members
-        .others()
-        .filter(|member| member.state == MemberState::Alive)
-        .filter(|member| heard.get(&member.beat.name).is_some_and(|vm| vm.is_ready))
-        .map(|member| &member.beat)
-        .chain(own)
+    let overlay = gateway.overlay.borrow();
+    let roster = overlay.roster();
+    let alive = || {
+        roster
+            .others()
+            .filter(|vm| vm.is_alive())
+            .map(|vm| &vm.record)
+    };
+    let serving: Vec<&VmRecord> = alive()
+        .filter(|vm| vm.status.is_ready && !vm.status.is_leaving)
+        .chain(gateway.is_ready().then(|| roster.own()))
         .collect();
-    let stopping: Vec<&MemberBeat> = members
-        .others()
-        .filter(|member| member.state == MemberState::Leaving)
-        .map(|member| &member.beat)
-        .chain(gateway.is_leaving().then(|| members.own()))
+    let stopping: Vec<&VmRecord> = alive()
+        .filter(|vm| vm.status.is_leaving)
+        .chain(gateway.is_leaving().then(|| roster.own()))
         .collect();
     let homes = homes_of(gateway, query);
-    let center = |beat: &MemberBeat| Some(beat.center.as_str()) == query.center.as_deref();
-    let region = |beat: &MemberBeat| Some(beat.region.as_str()) == query.region.as_deref();
-    let home = |beat: &MemberBeat| homes.contains(&beat.region);
+    let center = |vm: &VmRecord| Some(vm.center.as_str()) == query.center.as_deref();
+    let region = |vm: &VmRecord| Some(vm.region.as_str()) == query.region.as_deref();
+    let home = |vm: &VmRecord| homes.contains(&vm.region);
     let choices = [
         select(&serving, center),
         select(&serving, region),
         select(&serving, home),
-        select(&stopping, |beat| {
-            !homes.is_empty() && (region(beat) || home(beat))
+        select(&stopping, |vm| {
+            !homes.is_empty() && (region(vm) || home(vm))
         }),
         select(&serving, |_| true),
     ];
@@ -94,11 +94,10 @@
         .unwrap_or_default()
 }
 
-fn select(beats: &[&MemberBeat], takes: impl Fn(&MemberBeat) -> bool) -> Vec<SocketAddr> {
-    beats
-        .iter()
-        .filter(|beat| takes(beat))
-        .map(|beat| beat.address)
+fn select(vms: &[&VmRecord], takes: impl Fn(&VmRecord) -> bool) -> Vec<SocketAddr> {
+    vms.iter()
+        .filter(|vm| takes(vm))
+        .map(|vm| vm.address)
         .take(MAX_ADDRESSES)
         .collect()
 }
--- /dev/null
+++ b/crates/gateway/src/frames.rs
@@ -0,0 +1,163 @@
+//! Messages of the overlay as frames carry them.
+//!
+//! What does not make sense (an unknown data centre, no address, a relation of a later
+//! version) is left out here, so that the rest of the program meets typed values only.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+
+use bytes::Bytes;
+use onyxfall_fleet::{UnreadTokens, WorkShare};
+use onyxfall_overlay::{
+    LinkRelation, OverlayUpdate, RecordVersion, RosterWord, ServerTag, VmCapacity, VmRecord,
+    VmStatus, WordScope, WorkEntry, WorkWord,
+};
+use onyxfall_types::{CenterName, Incarnation, RegionName};
+use onyxfall_wire::{ServerWorkEntry, VmEntry, VmUpdate, VmWord, WorkSet};
+
+/// The regions of the data centres that the settings name.
+pub(crate) type CenterRegions = BTreeMap<CenterName, RegionName>;
+
+/// A VM as frames carry it.
+pub(crate) fn vm_entry(record: &VmRecord) -> VmEntry {
+    let ip = match record.address.ip() {
+        IpAddr::V4(ip) => Bytes::copy_from_slice(&ip.octets()),
+        IpAddr::V6(ip) => Bytes::copy_from_slice(&ip.octets()),
+    };
+    VmEntry {
+        name: record.name.to_string(),
+        center: record.center.to_string(),
+        incarnation: record.version.incarnation.get(),
+        change: record.version.change,
+        ip,
+        callers_port: record.address.port().into(),
+        peers_port: record.peer_address.port().into(),
+        millicores: record.capacity.millicores(),
+        ready: record.status.is_ready,
+        leaving: record.status.is_leaving,
+        watches_store: record.status.watches_store,
+    }
+}
+
+/// The VM of an entry; none if a field is malformed or its data centre is unknown.
+pub(crate) fn vm_record(entry: &VmEntry, regions: &CenterRegions) -> Option<VmRecord> {
+    let ip = read_ip(&entry.ip)?;
+    let address = |port: u32| Some(SocketAddr::new(ip, u16::try_from(port).ok()?));
+    let center: CenterName = entry.center.parse().ok()?;
+    Some(VmRecord {
+        name: entry.name.parse().ok()?,
+        region: regions.get(&center)?.clone(),
+        center,
+        address: address(entry.callers_port)?,
+        peer_address: address(entry.peers_port)?,
+        capacity: VmCapacity::from_millicores(entry.millicores),
+        version: RecordVersion {
+            incarnation: Incarnation::new(entry.incarnation),
+            change: entry.change,
+        },
+        status: VmStatus {
+            is_ready: entry.ready,
+            is_leaving: entry.leaving,
+            watches_store: entry.watches_store,
+        },
+    })
+}
+
+fn read_ip(bytes: &[u8]) -> Option<IpAddr> {
+    if let Ok(four) = <[u8; 4]>::try_from(bytes) {
+        return Some(IpAddr::from(four));
+    }
+    <[u8; 16]>::try_from(bytes).ok().map(IpAddr::from)
+}
+
+/// A message of the overlay as a frame carries it, without what the gateway adds.
+pub(crate) fn wire_update(update: &OverlayUpdate) -> VmUpdate {
+    VmUpdate {
+        relation: update.relation.number(),
+        record: update.record.as_ref().map(vm_entry),
+        word: update.word.as_ref().map(wire_word),
+        work: update.work.as_ref().map(wire_work),
+        is_warm: update.is_warm,
+        ..VmUpdate::default()
+    }
+}
+
+/// The message of the overlay in a frame; none if its relation is unknown.
+pub(crate) fn overlay_update(update: &VmUpdate, regions: &CenterRegions) -> Option<OverlayUpdate> {
+    let word = update
+        .word
+        .as_ref()
+        .and_then(|word| read_word(word, regions));
+    Some(OverlayUpdate {
+        relation: LinkRelation::from_number(update.relation)?,
+        record: update
+            .record
+            .as_ref()
+            .and_then(|entry| vm_record(entry, regions)),
+        word,
+        work: update.work.as_ref().map(read_work),
+        is_warm: update.is_warm,
+    })
+}
+
+fn wire_word(word: &RosterWord) -> VmWord {
+    VmWord {
+        scope: word.scope.number(),
+        is_whole: word.is_whole,
+        vms: word.records.iter().map(vm_entry).collect(),
+        gone: word.gone.iter().map(ToString::to_string).collect(),
+    }
+}
+
+fn read_word(word: &VmWord, regions: &CenterRegions) -> Option<RosterWord> {
+    Some(RosterWord {
+        scope: WordScope::from_number(word.scope)?,
+        is_whole: word.is_whole,
+        records: word
+            .vms
+            .iter()
+            .filter_map(|entry| vm_record(entry, regions))
+            .collect(),
+        gone: word
+            .gone
+            .iter()
+            .filter_map(|name| name.parse().ok())
+            .collect(),
+    })
+}
+
+fn wire_work(work: &WorkWord) -> WorkSet {
+    WorkSet {
+        is_whole: work.is_whole,
+        servers: work
+            .entries
+            .iter()
+            .map(|entry| ServerWorkEntry {
+                server: entry.server.0,
+                requests: entry.share.requests,
+                unread: entry.share.unread.as_slice().to_vec(),
+                memory: entry.share.memory,
+                flow: entry.share.flow,
+            })
+            .collect(),
+    }
+}
+
+fn read_work(work: &WorkSet) -> WorkWord {
+    WorkWord {
+        is_whole: work.is_whole,
+        entries: work
+            .servers
+            .iter()
+            .map(|entry| WorkEntry {
+                server: ServerTag(entry.server),
+                share: WorkShare {
+                    requests: entry.requests,
+                    unread: UnreadTokens::from_slice(&entry.unread),
+                    memory: entry.memory,
+                    flow: entry.flow,
+                },
+            })
+            .collect(),
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,8 +4,7 @@
 //! never across an await.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -13,37 +12,34 @@
     AnswerLengths, AwayTable, DecisionSwitch, FleetView, RetryShare, RoundTrips, RouteTable,
     StoreMirror,
 };
-use onyxfall_policy::{MemberBeat, MemberTable, MemberTiming, Moment};
-use onyxfall_types::{Incarnation, RegionName, ServiceName, VmName};
+use onyxfall_overlay::{KnownVm, OverlayNode, RecordVersion, RosterTiming, VmRecord, VmStatus};
+use onyxfall_policy::Moment;
+use onyxfall_types::{Incarnation, ServiceName, VmName};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::sync::Notify;
 
 use crate::metrics::GatewayMetrics;
 use crate::pool::ConnectionPool;
+use crate::relays::RelayTable;
 use crate::settings::GatewaySettings;
 use crate::share::StoreShare;
 use crate::store::StoreLink;
 
 /// Look at what has changed by time alone.
 const TICK: Duration = Duration::from_millis(250);
-/// Silence after which another VM is suspected: a few heartbeats.
-const SUSPECT_AFTER: Duration = Duration::from_millis(1300);
-const GONE_AFTER: Duration = Duration::from_secs(6);
+/// Silence after which another VM is not taken for alive: three signs of life.
+const SILENT_AFTER: Duration = Duration::from_millis(1300);
+/// Silence after which another VM is forgotten. Until then it counts where limits are
+/// shared, and is looked for.
 const FORGET_AFTER: Duration = Duration::from_mins(2);
 
 /// Age up to which a VM may not have heard of every other one. Greetings take three
 /// round trips, and lists of members spread within one more.
 const ALONE_FOR: Duration = Duration::from_millis(1500);
 
-/// What a VM has said of itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct VmStatus {
-    /// Callers may be sent to it.
-    pub(crate) is_ready: bool,
-    /// It watches the store and reaches it.
-    pub(crate) watches_store: bool,
-}
+/// Names of VMs in one line of the log.
+const LOGGED_NAMES: usize = 6;
 
 /// Shared state of a gateway.
 pub(crate) struct Gateway {
@@ -53,13 +49,11 @@
     pub(crate) table: RefCell<Option<Rc<RouteTable>>>,
     pub(crate) fleet: RefCell<FleetView>,
     pub(crate) mirror: RefCell<StoreMirror>,
-    pub(crate) members: RefCell<MemberTable>,
-    /// What other VMs have said of themselves.
-    pub(crate) heard_vms: RefCell<BTreeMap<VmName, VmStatus>>,
-    /// Addresses of VMs that this VM has greeted.
-    pub(crate) greeted: RefCell<BTreeSet<SocketAddr>>,
-    /// VMs to which a link of this VM is up.
-    pub(crate) linked: RefCell<BTreeSet<VmName>>,
+    /// This VM's end of the overlay: other VMs, and the work that they tell of.
+    pub(crate) overlay: RefCell<OverlayNode>,
+    /// When this VM last looked at its own work to tell it.
+    pub(crate) own_work_at: Cell<Option<Moment>>,
+    pub(crate) relays: RefCell<RelayTable>,
     pub(crate) away: RefCell<AwayTable>,
     /// Round trips to other regions.
     pub(crate) trips: RefCell<RoundTrips>,
@@ -73,10 +67,10 @@
     pub(crate) stop_asked: Cell<Option<Instant>>,
     pub(crate) open_requests: Cell<usize>,
     pub(crate) open_streams: Cell<usize>,
-    /// Sends a heartbeat on every link at once.
-    pub(crate) beat_now: Notify,
-    /// VMs whose copy of the store should be asked for.
-    snapshot_wishes: RefCell<BTreeSet<VmName>>,
+    /// Sends an update on every link that this VM has dialled at once.
+    pub(crate) tell_now: Notify,
+    /// Sends changes of the store to the VMs that report to this one.
+    pub(crate) deltas_now: Notify,
     pub(crate) rng: RefCell<StdRng>,
     next_attempt: Cell<u64>,
 }
@@ -93,20 +87,24 @@
 impl Gateway {
     pub(crate) fn new(settings: GatewaySettings) -> Self {
         let place = settings.place.clone();
-        let own = MemberBeat {
+        let own = VmRecord {
             name: place.vm.clone(),
             center: place.center.clone(),
             region: place.region.clone(),
-            incarnation: first_incarnation(),
-            leaving: false,
             address: settings.callers,
             peer_address: settings.peers,
+            capacity: settings.capacity,
+            version: RecordVersion {
+                incarnation: first_incarnation(),
+                change: 0,
+            },
+            status: VmStatus::default(),
         };
-        let timing = MemberTiming {
-            suspect_after: SUSPECT_AFTER,
-            gone_after: GONE_AFTER,
+        let timing = RosterTiming {
+            silent_after: SILENT_AFTER,
             forget_after: FORGET_AFTER,
         };
+        let overlay = OverlayNode::new(own, timing, settings.seeds.clone());
         let mut fleet = FleetView::new(place.clone());
         fleet.set_switches(settings.switches.clone());
         Self {
@@ -115,10 +113,9 @@
             table: RefCell::default(),
             fleet: RefCell::new(fleet),
             mirror: RefCell::default(),
-            members: RefCell::new(MemberTable::new(own, timing)),
-            heard_vms: RefCell::default(),
-            greeted: RefCell::default(),
-            linked: RefCell::default(),
+            overlay: RefCell::new(overlay),
+            own_work_at: Cell::new(None),
+            relays: RefCell::default(),
             away: RefCell::default(),
             trips: RefCell::default(),
             lengths: RefCell::default(),
@@ -130,8 +127,8 @@
             stop_asked: Cell::new(None),
             open_requests: Cell::new(0),
             open_streams: Cell::new(0),
-            beat_now: Notify::new(),
-            snapshot_wishes: RefCell::default(),
+            tell_now: Notify::new(),
+            deltas_now: Notify::new(),
             rng: RefCell::new(StdRng::from_os_rng()),
             next_attempt: Cell::new(1),
             settings: RefCell::new(Rc::new(settings)),
@@ -143,11 +140,6 @@
         &self.vm
     }
 
-    /// Whether a region is this VM's own.
-    pub(crate) fn is_near(&self, region: &RegionName) -> bool {
-        *region == self.settings.borrow().place.region
-    }
-
     /// The settings in force.
     pub(crate) fn settings(&self) -> Rc<GatewaySettings> {
         Rc::clone(&self.settings.borrow())
@@ -157,6 +149,7 @@
     pub(crate) fn set_settings(&self, settings: GatewaySettings) {
         let switches = settings.switches.clone();
         self.fleet.borrow_mut().set_switches(switches);
+        self.overlay.borrow_mut().set_seeds(settings.seeds.clone());
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
@@ -190,21 +183,6 @@
         self.open_streams.get()
     }
 
-    /// Notes whether a VM's copy of the store should be asked for.
-    pub(crate) fn note_snapshot_wish(&self, vm: &VmName, wants: bool) {
-        let mut wishes = self.snapshot_wishes.borrow_mut();
-        if wants {
-            wishes.insert(vm.clone());
-        } else {
-            wishes.remove(vm);
-        }
-    }
-
-    /// Whether a VM's copy of the store should be asked for.
-    pub(crate) fn wants_snapshot_of(&self, vm: &VmName) -> bool {
-        self.snapshot_wishes.borrow().contains(vm)
-    }
-
     /// A number for a new attempt.
     pub(crate) fn next_attempt(&self) -> u64 {
         let id = self.next_attempt.get();
@@ -222,7 +200,7 @@
     /// Number of VMs, those lost lately included; none while this VM is too young to
     /// have heard of all.
     fn known_vms(&self) -> Option<usize> {
-        let others = self.members.borrow().others().count();
+        let others = self.overlay.borrow().roster().others().count();
         (self.started.elapsed() >= ALONE_FOR).then_some(others + 1)
     }
 
@@ -236,60 +214,65 @@
         share.try_repeat(now, &limits, vms)
     }
 
-    /// Lets time count: silent members, missing items, idle connections.
+    /// Whether any other VM is known to live.
+    pub(crate) fn knows_others(&self) -> bool {
+        let overlay = self.overlay.borrow();
+        overlay.roster().others().any(KnownVm::is_alive)
+    }
+
+    /// Lets time count: silent VMs, missing items, idle connections.
     fn tick(&self) {
         let now = self.now();
-        let changed = self.members.borrow_mut().tick(now);
-        for vm in changed {
-            self.tell_change(&vm);
-            self.away.borrow_mut().forget(&vm);
-            self.forget_work(&vm);
-        }
-        let expired = self.mirror.borrow_mut().expire(now);
-        if self.store.borrow().is_watched() {
-            let revision = self.mirror.borrow().revision();
-            self.pass_on(revision, &expired);
-        }
+        self.overlay.borrow_mut().tick(now);
+        self.apply_work(now);
+        self.tell_changes();
+        self.refresh_status();
+        let (base, expired) = {
+            let mut mirror = self.mirror.borrow_mut();
+            (mirror.revision(), mirror.expire(now))
+        };
+        self.pass_on(base, &expired);
         self.apply_changes(expired);
         self.pool.sweep();
-        let members = self.members.borrow();
-        let vms = members
-            .others()
-            .filter(|member| self.is_near(&member.beat.region))
-            .map(|member| member.beat.name.clone())
-            .collect();
+        let overlay = self.overlay.borrow();
+        let roster = overlay.roster();
+        let near = roster.others().filter(|vm| roster.is_near(&vm.record));
+        let vms = near.map(|vm| vm.record.name.clone()).collect();
         self.fleet.borrow_mut().set_region_vms(vms);
     }
 
-    /// Logs a member's new state. VMs that do not tell this one fall silent by
-    /// plan after their greeting.
-    fn tell_change(&self, vm: &VmName) {
-        let members = self.members.borrow();
-        let Some(member) = members.get(vm) else {
+    /// Logs which VMs have come to life or fallen silent.
+    fn tell_changes(&self) {
+        let mut overlay = self.overlay.borrow_mut();
+        let mut news = overlay.roster_mut().take_news();
+        news.sort_unstable();
+        news.dedup();
+        if news.is_empty() {
             return;
-        };
-        let is_expected =
-            !self.is_near(&member.beat.region) && !self.heard_vms.borrow().contains_key(vm);
-        let level = if is_expected {
-            log::Level::Debug
-        } else {
-            log::Level::Info
-        };
-        log::log!(level, member = vm.as_str(), state:? = member.state; "member changed");
-    }
-
-    /// Forgets the work of a VM that is gone.
-    fn forget_work(&self, vm: &VmName) {
-        let now = self.now();
-        let mut fleet = self.fleet.borrow_mut();
-        let ids: Vec<_> = fleet.live().map(|(id, _)| id).collect();
-        for id in ids {
-            let none = onyxfall_fleet::WorkShare::default();
-            fleet.server_mut(id).set_others(now, vm, none);
         }
+        let roster = overlay.roster();
+        let is_alive = |vm: &&VmName| roster.get(vm).is_some_and(KnownVm::is_alive);
+        let (alive, silent): (Vec<&VmName>, Vec<&VmName>) = news.iter().partition(is_alive);
+        log::info!(
+            known = roster.others().count(),
+            alive = alive.len(),
+            silent = silent.len(),
+            first_alive:% = first_names(&alive),
+            first_silent:% = first_names(&silent);
+            "members changed"
+        );
     }
 }
 
+fn first_names(names: &[&VmName]) -> String {
+    let first: Vec<&str> = names
+        .iter()
+        .take(LOGGED_NAMES)
+        .map(|vm| vm.as_str())
+        .collect();
+    first.join(" ")
+}
+
 /// Starts the task that lets time count.
 pub(crate) fn start_ticker(gateway: &Rc<Gateway>) {
     let gateway = Rc::clone(gateway);
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -1,10 +1,8 @@
-//! Links between VMs: frames over TCP, one connection in each direction.
+//! Links between VMs: frames over TCP.
 //!
-//! A VM sends its heartbeats on connections that it dials itself, and answers
-//! what it is asked on connections that others dial. Whoever is heard of, in
-//! the settings, in a greeting or in a list of members, is greeted once. A link
-//! stays up to the VMs of the region, and to those of other regions that this VM
-//! is to tell (see [`onyxfall_policy::FAR_PARTNERS`]).
+//! The overlay plans which links this VM dials. On a link the VM that dialled it tells
+//! its updates at an interval that the relation asks for, and the other end answers
+//! those that want an answer. Changes of the store and copies of it go both ways.
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -14,22 +12,23 @@
 
 use futures_util::{SinkExt, StreamExt};
 use onyxfall_fleet::DecisionSwitch;
-use onyxfall_policy::{MemberBeat, MemberState, MemberTable, VmMember};
+use onyxfall_overlay::{LinkRelation, PlannedLink, VmRecord};
+use onyxfall_types::VmName;
 use onyxfall_wire::{
-    FrameError, MemberEntry, MemberSet, PROTOCOL_VERSION, PeerCodec, PeerFrame, PeerHello,
-    PeerPayload,
+    FrameError, PROTOCOL_VERSION, PeerCodec, PeerFrame, PeerHello, PeerPayload, SnapshotRequest,
+    VmUpdate,
 };
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::Framed;
 
-use crate::beat::{own_beat, own_snapshot, take_beat, take_snapshot};
 use crate::connection::{LATE_DIAL_LIMIT, dial};
-use crate::costs::own_costs;
+use crate::frames::{vm_entry, vm_record};
 use crate::gateway::Gateway;
 use crate::listen::accept;
-use crate::teller::LinkTeller;
+use crate::share::DeltaAudience;
+use crate::updates::UpdateTold;
 
-pub(crate) type FramedLink = Framed<TcpStream, PeerCodec>;
+type FramedLink = Framed<TcpStream, PeerCodec>;
 
 /// Least limit of a dial, also to a VM next door: it may be without its processor
 /// for a tenth of a second.
@@ -39,23 +38,23 @@
 /// The same while this VM is young: VMs that lost power together come back within
 /// some tenths of a second, and until a link is up no request can be sent away.
 const YOUNG_DIAL_PAUSE: Duration = Duration::from_millis(20);
-/// Pause between two looks for VMs that have no link yet.
-const LOOK: Duration = Duration::from_millis(200);
-/// Age up to which a VM passes on members that nobody was heard from yet: when
-/// all VMs start at once, names must spread before heartbeats do.
-const YOUNG: Duration = Duration::from_secs(10);
-/// A young VM looks more often.
-const YOUNG_LOOK: Duration = Duration::from_millis(20);
+/// Pause between two looks for links that are planned and not there.
+const LOOK: Duration = Duration::from_millis(100);
+/// The same while this VM is young.
+const YOUNG_LOOK: Duration = Duration::from_millis(10);
+/// Age up to which a VM counts as young here.
+const YOUNG: Duration = Duration::from_secs(5);
 /// Bound on writing one frame; a peer that does not read loses its link.
 const SEND_LIMIT: Duration = Duration::from_secs(2);
 
-/// Starts dialling the VMs that are known, now and later.
+/// Starts dialling the links that are planned, now and later.
 pub(crate) fn start(gateway: &Rc<Gateway>) {
     let gateway = Rc::clone(gateway);
     tokio::task::spawn_local(async move {
         let dialled: Rc<RefCell<BTreeSet<SocketAddr>>> = Rc::default();
         loop {
-            for address in wanted(&gateway) {
+            for link in gateway.planned_links() {
+                let address = link.address;
                 if dialled.borrow_mut().insert(address) {
                     let gateway = Rc::clone(&gateway);
                     let dialled = Rc::clone(&dialled);
@@ -71,60 +70,44 @@
     });
 }
 
-/// Addresses to which there is to be a link: those of VMs that are to be told or
-/// greeted, and those of the settings whose VM is unknown.
-fn wanted(gateway: &Gateway) -> BTreeSet<SocketAddr> {
-    let settings = gateway.settings();
-    let members = gateway.members.borrow();
-    let known: BTreeSet<SocketAddr> = members
-        .others()
-        .map(|member| member.beat.peer_address)
-        .collect();
-    let seeds = settings.seeds.iter().copied();
-    members
-        .others()
-        .map(|member| &member.beat)
-        .filter(|beat| wants_member(gateway, &members, beat))
-        .map(|beat| beat.peer_address)
-        .chain(seeds.filter(|address| !known.contains(address)))
-        .filter(|address| *address != settings.peers)
-        .collect()
-}
+impl Gateway {
+    fn planned_links(&self) -> Vec<PlannedLink> {
+        let now = self.now();
+        self.overlay.borrow_mut().plan(now).links.clone()
+    }
 
-fn wants_member(gateway: &Gateway, members: &MemberTable, beat: &MemberBeat) -> bool {
-    members.tells(beat) || !gateway.greeted.borrow().contains(&beat.peer_address)
-}
+    fn planned_link(&self, address: SocketAddr) -> Option<PlannedLink> {
+        let now = self.now();
+        self.overlay.borrow_mut().plan(now).at(address).cloned()
+    }
 
-/// Whether there is to be a link to one address that was wanted before. Asked
-/// before each dial, so it looks at the VMs of that address only.
-fn is_wanted(gateway: &Gateway, address: SocketAddr) -> bool {
-    let members = gateway.members.borrow();
-    let mut is_known = false;
-    for member in members.others() {
-        if member.beat.peer_address == address {
-            is_known = true;
-            if wants_member(gateway, &members, &member.beat) {
-                return true;
-            }
-        }
+    fn tell_interval(&self, relation: LinkRelation) -> Duration {
+        let is_dense = self.is_on(DecisionSwitch::NearHeartbeats);
+        let now = self.now();
+        self.overlay
+            .borrow_mut()
+            .plan(now)
+            .interval(relation, is_dense)
     }
-    !is_known && gateway.settings().seeds.contains(&address)
 }
 
 /// Tells every VM at once of a change of this one; used when it leaves.
 pub(crate) fn tell_all(gateway: &Rc<Gateway>) {
-    gateway.beat_now.notify_waiters();
+    gateway.refresh_status();
+    gateway.tell_now.notify_waiters();
 }
 
-/// Keeps a link as long as its address is wanted.
+/// Keeps a link as long as it is planned.
 async fn keep_link(gateway: &Rc<Gateway>, address: SocketAddr) {
     let mut failures = 0;
-    while is_wanted(gateway, address) {
+    while let Some(planned) = gateway.planned_link(address) {
         let dialled = Instant::now();
-        match dial(address, dial_limit(gateway, address, failures)).await {
+        match dial(address, dial_limit(gateway, &planned, failures)).await {
             Ok(stream) => {
                 failures = 0;
-                let ended = run_link(gateway, stream, address, dialled.elapsed()).await;
+                let ended = LinkEnd::new(gateway, stream)
+                    .tell(address, dialled.elapsed())
+                    .await;
                 if let Err(e) = ended {
                     log::info!(address:% = address, error:% = e; "link lost");
                 }
@@ -144,120 +127,198 @@
     }
 }
 
-/// How long to wait for a link to an address, after `failures` in a row.
-fn dial_limit(gateway: &Gateway, address: SocketAddr, failures: u32) -> Duration {
+/// How long to wait for a link to come up, after `failures` in a row.
+fn dial_limit(gateway: &Gateway, planned: &PlannedLink, failures: u32) -> Duration {
     if !gateway.is_on(DecisionSwitch::EarlyDial) {
         return LATE_DIAL_LIMIT;
     }
-    let members = gateway.members.borrow();
-    let mut others = members.others().map(|member| &member.beat);
-    let known = others.find(|beat| beat.peer_address == address);
-    let region = known.map(|beat| &beat.region);
+    let overlay = gateway.overlay.borrow();
+    let known = planned.vm.as_ref().and_then(|vm| overlay.roster().get(vm));
+    let region = known.map(|vm| &vm.record.region);
     let limit = gateway.trips.borrow().dial_limit(region, failures);
     limit.max(LEAST_DIAL_LIMIT)
 }
 
-/// Greets the VM at the other end of a link that was dialled, and tells it
-/// heartbeats for as long as it is to be told.
-async fn run_link(
-    gateway: &Rc<Gateway>,
-    stream: TcpStream,
-    address: SocketAddr,
-    took: Duration,
-) -> Result<(), FrameError> {
-    let mut link = Framed::new(stream, PeerCodec::default());
-    send(&mut link, hello(gateway)).await?;
-    let Some(greeting) = link.next().await else {
-        return Err(FrameError::Closed);
-    };
-    let Some(peer) = take_hello(gateway, greeting?) else {
-        return Err(FrameError::Closed);
-    };
-    gateway.trips.borrow_mut().note(&peer.region, took);
-    if let Some(Ok(frame)) = link.next().await {
-        take_reply(gateway, &peer, frame);
-    }
-    gateway.greeted.borrow_mut().insert(address);
-    if !gateway.members.borrow().tells(&peer) {
-        return Ok(());
-    }
-    log::info!(member = peer.name.as_str(); "link up");
-    gateway.linked.borrow_mut().insert(peer.name.clone());
-    let ended = LinkTeller::new(gateway, &peer).run(&mut link).await;
-    gateway.linked.borrow_mut().remove(&peer.name);
-    ended
-}
-
-pub(crate) fn take_reply(gateway: &Gateway, peer: &MemberBeat, frame: PeerFrame) {
-    match frame.payload {
-        Some(PeerPayload::VmBeat(beat)) => {
-            let wants = take_beat(gateway, peer, &beat);
-            gateway.note_snapshot_wish(&peer.name, wants);
-        }
-        Some(PeerPayload::Members(set)) => take_members(gateway, &set),
-        Some(PeerPayload::Snapshot(snapshot)) => take_snapshot(gateway, snapshot),
-        other => log::debug!("unexpected reply on a link: {other:?}"),
-    }
-}
-
 /// Accepts links that other VMs dial.
 pub(crate) async fn serve_links(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
         let (stream, from) = accept(&listener).await;
         let gateway = Rc::clone(&gateway);
         tokio::task::spawn_local(async move {
-            if let Err(e) = serve_link(&gateway, stream).await {
+            if let Err(e) = LinkEnd::new(&gateway, stream).serve().await {
                 log::debug!("link from {from} ended: {e}");
             }
         });
     }
 }
 
-async fn serve_link(gateway: &Rc<Gateway>, stream: TcpStream) -> Result<(), FrameError> {
-    let mut link = Framed::new(stream, PeerCodec::default());
-    let Some(greeting) = link.next().await else {
-        return Ok(());
-    };
-    let Some(peer) = take_hello(gateway, greeting?) else {
-        return Ok(());
-    };
-    send(&mut link, hello(gateway)).await?;
-    send(&mut link, PeerPayload::Members(known_members(gateway))).await?;
-    if gateway.members.borrow().tells(&peer) {
-        // A VM that has just started must not wait until it is dialled in return.
-        let mut beat = own_beat(gateway, &peer.region);
-        beat.costs = own_costs(gateway);
-        send(&mut link, PeerPayload::VmBeat(beat)).await?;
+/// One end of a link.
+struct LinkEnd<'a> {
+    gateway: &'a Rc<Gateway>,
+    link: FramedLink,
+    /// The VM at the other end, once it has said who it is.
+    peer: Option<VmRecord>,
+    told: UpdateTold,
+    next_delta: u64,
+}
+
+impl<'a> LinkEnd<'a> {
+    fn new(gateway: &'a Rc<Gateway>, stream: TcpStream) -> Self {
+        Self {
+            gateway,
+            link: Framed::new(stream, PeerCodec::default()),
+            peer: None,
+            told: UpdateTold::default(),
+            next_delta: gateway.share.borrow().next_number(),
+        }
+    }
+
+    /// Tells the VM at the other end of a link that was dialled in `took`, for as long
+    /// as the link is planned.
+    async fn tell(mut self, address: SocketAddr, took: Duration) -> Result<(), FrameError> {
+        self.send(hello(self.gateway)).await?;
+        while let Some(planned) = self.gateway.planned_link(address) {
+            if matches!(
+                planned.relation,
+                LinkRelation::Partial | LinkRelation::Report
+            ) {
+                self.send_deltas(DeltaAudience::Everyone).await?;
+            }
+            self.send_update(planned.relation).await?;
+            let until = tokio::time::Instant::now() + self.gateway.tell_interval(planned.relation);
+            loop {
+                let was_known = self.peer.is_some();
+                let frame = tokio::select! {
+                    () = tokio::time::sleep_until(until) => break,
+                    () = self.gateway.tell_now.notified() => break,
+                    frame = self.link.next() => frame,
+                };
+                self.take(frame.ok_or(FrameError::Closed)??).await?;
+                if let (false, Some(peer)) = (was_known, &self.peer) {
+                    let mut trips = self.gateway.trips.borrow_mut();
+                    trips.note(&peer.region, took);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Answers the VM that dialled the link.
+    async fn serve(mut self) -> Result<(), FrameError> {
+        let mut is_member = false;
+        loop {
+            let frame = tokio::select! {
+                frame = self.link.next() => frame,
+                () = self.gateway.deltas_now.notified() => {
+                    if is_member {
+                        self.send_deltas(DeltaAudience::Members).await?;
+                    }
+                    continue;
+                }
+            };
+            let Some(frame) = frame else {
+                return Ok(());
+            };
+            let is_greeted = self.peer.is_some();
+            let told = self.take(frame?).await?;
+            if !is_greeted {
+                self.send(hello(self.gateway)).await?;
+            }
+            if let Some(told) = told {
+                is_member = told.relation == Some(LinkRelation::Report);
+                if is_member {
+                    self.send_deltas(DeltaAudience::Members).await?;
+                }
+                if let Some(answer) = told.answer {
+                    self.send_update(answer).await?;
+                }
+            }
+        }
     }
-    while let Some(frame) = link.next().await {
-        match frame?.payload {
-            Some(PeerPayload::VmBeat(beat)) => {
-                let wants = take_beat(gateway, &peer, &beat);
-                gateway.note_snapshot_wish(&peer.name, wants);
+
+    /// Takes one frame; the first one must say who is at the other end.
+    async fn take(&mut self, frame: PeerFrame) -> Result<Option<ToldUpdate>, FrameError> {
+        let Some(peer) = self.peer.as_ref().map(|peer| peer.name.clone()) else {
+            let peer = take_hello(self.gateway, frame).ok_or(FrameError::Closed)?;
+            self.peer = Some(peer);
+            return Ok(None);
+        };
+        match frame.payload {
+            Some(PeerPayload::Update(update)) => {
+                return self.take_update(&peer, &update).await.map(Some);
             }
             Some(PeerPayload::SnapshotRequest(_)) => {
-                let snapshot = PeerPayload::Snapshot(own_snapshot(gateway));
-                send(&mut link, snapshot).await?;
+                let snapshot = self.gateway.own_snapshot();
+                self.send(PeerPayload::Snapshot(snapshot)).await?;
             }
-            Some(PeerPayload::Delta(delta)) => gateway.take_delta(delta),
-            Some(PeerPayload::Members(set)) => take_members(gateway, &set),
+            Some(PeerPayload::Snapshot(snapshot)) => self.gateway.take_snapshot(&peer, snapshot),
+            Some(PeerPayload::Delta(delta)) => self.gateway.take_delta(&peer, delta),
             other => log::debug!("unexpected frame on a link: {other:?}"),
         }
+        Ok(None)
+    }
+
+    async fn take_update(
+        &mut self,
+        peer: &VmName,
+        update: &VmUpdate,
+    ) -> Result<ToldUpdate, FrameError> {
+        let answer = self.gateway.take_update(peer, update);
+        if self.gateway.asks_copy_of(peer) {
+            let request = PeerPayload::SnapshotRequest(SnapshotRequest {});
+            self.send(request).await?;
+        }
+        Ok(ToldUpdate {
+            relation: LinkRelation::from_number(update.relation),
+            answer,
+        })
+    }
+
+    async fn send_update(&mut self, relation: LinkRelation) -> Result<(), FrameError> {
+        let peer = self.peer.as_ref().map(|peer| &peer.name);
+        let update = self.gateway.make_update(relation, peer, &mut self.told);
+        self.send(PeerPayload::Update(Box::new(update))).await
+    }
+
+    async fn send_deltas(&mut self, audience: DeltaAudience) -> Result<(), FrameError> {
+        let deltas = {
+            let share = self.gateway.share.borrow();
+            let deltas = share.deltas_from(self.next_delta, audience);
+            self.next_delta = share.next_number();
+            deltas
+        };
+        for delta in deltas {
+            self.send(PeerPayload::Delta(delta)).await?;
+        }
+        Ok(())
     }
-    Ok(())
+
+    async fn send(&mut self, payload: PeerPayload) -> Result<(), FrameError> {
+        let sent = tokio::time::timeout(SEND_LIMIT, self.link.send(payload.into())).await;
+        sent.map_err(|_| FrameError::Io(std::io::ErrorKind::TimedOut.into()))?
+    }
+}
+
+/// An update that was taken from the VM at the other end.
+struct ToldUpdate {
+    /// None if it is of a later version.
+    relation: Option<LinkRelation>,
+    answer: Option<LinkRelation>,
 }
 
 fn hello(gateway: &Gateway) -> PeerPayload {
-    let members = gateway.members.borrow();
+    gateway.refresh_status();
+    let overlay = gateway.overlay.borrow();
     PeerPayload::Hello(PeerHello {
         protocol: PROTOCOL_VERSION,
         deployment: String::new(),
-        member: Some(MemberEntry::from(members.own())),
+        member: None,
+        vm: Some(vm_entry(overlay.roster().own())),
     })
 }
 
 /// Takes a greeting; none if it is not one of this protocol.
-fn take_hello(gateway: &Gateway, frame: PeerFrame) -> Option<MemberBeat> {
+fn take_hello(gateway: &Gateway, frame: PeerFrame) -> Option<VmRecord> {
     let Some(PeerPayload::Hello(hello)) = frame.payload else {
         return None;
     };
@@ -265,43 +326,10 @@
         log::warn!(protocol = hello.protocol; "peer of another protocol refused");
         return None;
     }
-    let beat = hello.member.as_ref()?.to_beat()?;
-    let now = gateway.now();
-    gateway.members.borrow_mut().hint(now, &beat);
-    Some(beat)
-}
-
-/// The members that this VM knows to live: those that it hears, and those to
-/// which it has a link. Others would be kept in memory by word of mouth alone.
-pub(crate) fn known_members(gateway: &Gateway) -> MemberSet {
-    let members = gateway.members.borrow();
-    let linked = gateway.linked.borrow();
-    let is_young = gateway.started.elapsed() < YOUNG;
-    let is_known = |member: &VmMember| match member.state {
-        MemberState::Alive | MemberState::Leaving => true,
-        MemberState::Hinted => is_young || linked.contains(&member.beat.name),
-        MemberState::Suspect | MemberState::Gone => linked.contains(&member.beat.name),
-    };
-    MemberSet {
-        center: String::new(),
-        members: members
-            .others()
-            .filter(|member| is_known(member))
-            .map(|member| MemberEntry::from(&member.beat))
-            .collect(),
-    }
-}
-
-fn take_members(gateway: &Gateway, set: &MemberSet) {
+    let settings = gateway.settings();
+    let record = vm_record(hello.vm.as_ref()?, &settings.place.centers)?;
     let now = gateway.now();
-    let mut members = gateway.members.borrow_mut();
-    for beat in set.members.iter().filter_map(MemberEntry::to_beat) {
-        members.hint(now, &beat);
-    }
-}
-
-/// Writes one frame.
-pub(crate) async fn send(link: &mut FramedLink, payload: PeerPayload) -> Result<(), FrameError> {
-    let sent = tokio::time::timeout(SEND_LIMIT, link.send(payload.into())).await;
-    sent.map_err(|_| FrameError::Io(std::io::ErrorKind::TimedOut.into()))?
+    let mut overlay = gateway.overlay.borrow_mut();
+    overlay.roster_mut().hear(now, &record);
+    Some(record)
 }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -7,13 +7,13 @@
 
 mod attempt;
 mod backup;
-mod beat;
 mod body;
 mod call;
 mod connection;
 mod costs;
 mod decide;
 mod directory;
+mod frames;
 mod gateway;
 mod links;
 mod listen;
@@ -22,6 +22,7 @@
 mod open;
 mod pool;
 mod relay;
+mod relays;
 mod reload;
 mod report;
 mod serve;
@@ -30,7 +31,7 @@
 mod stop;
 mod store;
 mod stream;
-mod teller;
+mod updates;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,6 +17,8 @@
     ends: RefCell<BTreeMap<(String, String), u64>>,
     times: RefCell<BTreeMap<String, Histogram<u64>>>,
     counters: RefCell<BTreeMap<&'static str, u64>>,
+    /// Calls to the store by their cause.
+    store_calls: RefCell<BTreeMap<&'static str, u64>>,
 }
 
 impl GatewayMetrics {
@@ -38,7 +40,19 @@
 
     /// Counts one event.
     pub(crate) fn count(&self, name: &'static str) {
-        *self.counters.borrow_mut().entry(name).or_default() += 1;
+        self.count_more(name, 1);
+    }
+
+    /// Counts events.
+    pub(crate) fn count_more(&self, name: &'static str, events: u64) {
+        if events > 0 {
+            *self.counters.borrow_mut().entry(name).or_default() += events;
+        }
+    }
+
+    /// Counts a call to the store.
+    pub(crate) fn count_store_call(&self, cause: &'static str) {
+        *self.store_calls.borrow_mut().entry(cause).or_default() += 1;
     }
 
     /// Everything as text.
@@ -55,6 +69,12 @@
                 let _ = writeln!(out, "onyxfall_request_seconds{{{labels}}} {seconds}");
             }
         }
+        for (cause, count) in self.store_calls.borrow().iter() {
+            let _ = writeln!(
+                out,
+                "onyxfall_store_calls_total{{cause=\"{cause}\"}} {count}"
+            );
+        }
         for (name, count) in self.counters.borrow().iter() {
             let _ = writeln!(out, "{name} {count}");
         }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -61,6 +61,15 @@
         Some(kept.remove(newest).connection)
     }
 
+    /// Whether a kept connection could send at once.
+    pub(crate) fn has_idle(&self, address: SocketAddr) -> bool {
+        let now = Instant::now();
+        let idle = self.idle.borrow();
+        let kept = idle.get(&address).into_iter().flatten();
+        kept.into_iter()
+            .any(|entry| entry.connection.is_ready() && now < entry.until)
+    }
+
     /// Keeps a connection whose last answer is whole; `limit` is what the other
     /// side said of idle ones.
     pub(crate) fn put(
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use onyxfall_fleet::{BudgetLimits, ChoicePolicy, DecisionSwitch, DecisionSwitches, VmPlace};
+use onyxfall_overlay::VmCapacity;
 use onyxfall_settings::{FaultList, IniDocument, SettingsError};
 use onyxfall_types::{CenterName, RegionName, VmName};
 
@@ -31,6 +32,8 @@
 pub(crate) struct GatewaySettings {
     /// Where this VM stands.
     pub(crate) place: VmPlace,
+    /// Processor of this VM; larger ones have duties first.
+    pub(crate) capacity: VmCapacity,
     /// Where callers are served.
     pub(crate) callers: SocketAddr,
     /// Where readiness and metrics are told.
@@ -72,7 +75,7 @@
 }
 
 fn read_sections(document: &IniDocument, faults: &mut FaultList) -> Option<GatewaySettings> {
-    let place = read_place(document, faults);
+    let vm = read_vm(document, faults);
     let listen = document.single("listen", faults)?;
     let callers = listen.required("callers", faults);
     let ready = listen.required("ready", faults);
@@ -101,9 +104,10 @@
     bounds.finish(faults);
     let switches = read_switches(document, faults);
     let copied_gb = read_copied_gb(document, faults);
-    let peers = peers?;
+    let (vm, peers) = (vm?, peers?);
     Some(GatewaySettings {
-        place: place?,
+        place: vm.place,
+        capacity: vm.capacity,
         callers: callers?,
         ready: ready?,
         directory: directory?,
@@ -141,7 +145,13 @@
     DecisionSwitches::new(policy, off)
 }
 
-fn read_place(document: &IniDocument, faults: &mut FaultList) -> Option<VmPlace> {
+/// What the settings say of this VM.
+struct VmSettings {
+    place: VmPlace,
+    capacity: VmCapacity,
+}
+
+fn read_vm(document: &IniDocument, faults: &mut FaultList) -> Option<VmSettings> {
     let mut centers: BTreeMap<CenterName, RegionName> = BTreeMap::new();
     for reader in document.readers("center") {
         let name = reader.name(faults);
@@ -158,11 +168,15 @@
     if region.is_none() {
         vm_section.fault("center", "expected the name of a [center] section", faults);
     }
+    let capacity = vm_section.or_default("cores", VmCapacity::default(), faults);
     vm_section.finish(faults);
-    Some(VmPlace {
-        vm: vm?,
-        center: center?,
-        region: region?,
-        centers,
+    Some(VmSettings {
+        place: VmPlace {
+            vm: vm?,
+            center: center?,
+            region: region?,
+            centers,
+        },
+        capacity,
     })
 }
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -1,19 +1,22 @@
 //! Who watches the store for a region, and how the others learn of its changes.
 //!
 //! Each call of the store is priced, and its rate is shared by all VMs. So only
-//! [`STORE_WATCHERS`] VMs of a region watch; they pass changes on to the others
-//! of the region at once. Every VM still reads the store itself when it starts,
-//! when no watcher is heard, and when its copy stays behind what others tell.
+//! [`STORE_WATCHERS`] VMs of a region watch, aggregators of different data centres
+//! where there are any; they pass changes on, aggregators to their members. A VM takes
+//! its copy from another one, and reads the store itself only if it watches, or if its
+//! copy stays behind what others tell.
 //!
-//! Invariant: a VM goes without a watch of its own only while it hears a VM of
-//! its region that says it watches.
+//! Invariant: a change that a watcher passes on reaches every VM of the region, or the
+//! gap that it leaves shows in the revision of the next one.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
-use onyxfall_fleet::{CopyCheck, CopyState, MirrorChange, MirrorDelta, StoreItem};
-use onyxfall_policy::MemberTable;
+use onyxfall_fleet::{CopyCheck, CopyState, MirrorChange, MirrorDelta, StoreHealth, StoreItem};
+use onyxfall_overlay::{Roster, VmRecord};
+use onyxfall_policy::Moment;
 use onyxfall_types::VmName;
-use onyxfall_wire::{SnapshotItem, StoreDelta, VmBeat};
+use onyxfall_wire::{SnapshotItem, StoreDelta, StoreSnapshot};
 
 use crate::gateway::Gateway;
 
@@ -21,20 +24,48 @@
 const STORE_WATCHERS: usize = 2;
 /// Name of the duty among the VMs of a region.
 const WATCH_DUTY: &str = "watch store";
+/// How long nobody of the region may watch before the next VM in the order of the duty
+/// tries, and again until the one after it does: the store may turn some VMs away. An
+/// outage of nine seconds is met by 24 VMs of a region instead of all.
+const NEXT_WATCHER_AFTER: Duration = Duration::from_millis(400);
 /// Largest value that is passed on, in bytes. The links of small VMs are narrow,
 /// and a large configuration goes to all VMs sooner through the store's own link.
 const PASSED_VALUE: usize = 32 * 1024;
 /// Changes kept for links that have not sent them yet; what a link misses shows
-/// at the other end as a gap, and is then read from the store.
+/// at the other end as a gap, and is then asked for.
 const KEPT_DELTAS: usize = 64;
 
+/// Who is told of a change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DeltaAudience {
+    /// Every VM to which there is a link in the region.
+    Everyone,
+    /// VMs that report to this one: the others have it from elsewhere.
+    Members,
+}
+
+/// Another VM's copy of the store, as it tells.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct PeerCopy {
+    /// Its state.
+    pub(crate) state: CopyState,
+    /// Whether it holds everything.
+    pub(crate) is_whole: bool,
+}
+
 /// Changes to pass on, and how this VM's copy compares with what others tell.
 #[derive(Debug, Default)]
 pub(crate) struct StoreShare {
-    deltas: VecDeque<StoreDelta>,
+    deltas: VecDeque<(DeltaAudience, StoreDelta)>,
     /// Number of the first delta that is kept.
     first: u64,
     check: CopyCheck,
+    /// Whether this VM's copy holds everything.
+    is_whole: bool,
+    /// Since when no VM of the region says that it watches.
+    unwatched_since: Option<Moment>,
+    /// What the VM that was heard last told of its copy.
+    last_heard: Option<(VmName, PeerCopy)>,
 }
 
 impl StoreShare {
@@ -43,14 +74,21 @@
         self.first + self.deltas.len() as u64
     }
 
-    /// The deltas from number `from` on that are still kept.
-    pub(crate) fn deltas_from(&self, from: u64) -> Vec<StoreDelta> {
+    /// The deltas for an audience from number `from` on that are still kept.
+    pub(crate) fn deltas_from(&self, from: u64, audience: DeltaAudience) -> Vec<StoreDelta> {
         let skipped = usize::try_from(from.saturating_sub(self.first)).unwrap_or(usize::MAX);
-        self.deltas.iter().skip(skipped).cloned().collect()
+        let is_meant = |meant: DeltaAudience| match audience {
+            DeltaAudience::Everyone => meant == DeltaAudience::Everyone,
+            DeltaAudience::Members => true,
+        };
+        let kept = self.deltas.iter().skip(skipped);
+        kept.filter(|(meant, _)| is_meant(*meant))
+            .map(|(_, delta)| delta.clone())
+            .collect()
     }
 
-    fn push(&mut self, delta: StoreDelta) {
-        self.deltas.push_back(delta);
+    fn push(&mut self, audience: DeltaAudience, delta: StoreDelta) {
+        self.deltas.push_back((audience, delta));
         if self.deltas.len() > KEPT_DELTAS {
             self.deltas.pop_front();
             self.first += 1;
@@ -61,19 +99,41 @@
 impl Gateway {
     /// Whether this VM has to watch the store for its region.
     pub(crate) fn has_watch_duty(&self) -> bool {
-        watch_holders(&self.members.borrow()).contains(&self.vm())
-    }
-
-    /// Whether another VM watches the store for this one.
-    pub(crate) fn follows_watcher(&self) -> bool {
-        let members = self.members.borrow();
-        let holders = watch_holders(&members);
-        !holders.contains(&self.vm()) && holders.into_iter().any(|vm| self.is_watcher(vm))
+        let now = self.now();
+        let overlay = self.overlay.borrow();
+        let roster = overlay.roster();
+        let order = watch_order(roster);
+        let Some(rank) = order.iter().position(|name| **name == roster.own().name) else {
+            return false;
+        };
+        let is_watcher = |name: &&VmName| {
+            roster
+                .get(name)
+                .is_some_and(|vm| vm.record.status.watches_store)
+        };
+        let share = &mut *self.share.borrow_mut();
+        if order.iter().any(is_watcher) {
+            share.unwatched_since = None;
+        } else {
+            share.unwatched_since.get_or_insert(now);
+        }
+        if rank < STORE_WATCHERS {
+            return true;
+        }
+        if order[..rank].iter().any(is_watcher) {
+            return false;
+        }
+        let turn = u32::try_from(rank - STORE_WATCHERS + 1).unwrap_or(u32::MAX);
+        let waits = NEXT_WATCHER_AFTER.saturating_mul(turn);
+        self.store.borrow().is_watched()
+            || share
+                .unwatched_since
+                .is_some_and(|since| now - since >= waits)
     }
 
-    fn is_watcher(&self, vm: &VmName) -> bool {
-        let heard = self.heard_vms.borrow();
-        heard.get(vm).is_some_and(|status| status.watches_store)
+    /// Whether this VM's copy of the store holds everything.
+    pub(crate) fn copy_is_whole(&self) -> bool {
+        self.share.borrow().is_whole
     }
 
     /// Whether this VM's copy misses something, so that it must be read.
@@ -81,9 +141,11 @@
         self.share.borrow().check.is_due(self.now())
     }
 
-    /// Notes that everything was read.
+    /// Notes that this VM's copy holds everything.
     pub(crate) fn note_caught_up(&self) {
-        self.share.borrow_mut().check.note_read(self.now());
+        let mut share = self.share.borrow_mut();
+        share.check.note_read(self.now());
+        share.is_whole = true;
     }
 
     /// Keeps changes for the links to the other VMs of the region; `base` is the
@@ -91,16 +153,22 @@
     pub(crate) fn pass_on(&self, base: u64, changes: &[MirrorChange]) {
         let mirror = self.mirror.borrow();
         let is_news = !changes.is_empty() || mirror.revision() != base;
-        if !is_news || !self.has_watch_duty() {
-            return;
+        if is_news && self.store.borrow().is_watched() {
+            let delta = to_wire(mirror.delta(base, changes, PASSED_VALUE));
+            self.push_delta(DeltaAudience::Everyone, delta);
+        }
+    }
+
+    fn push_delta(&self, audience: DeltaAudience, delta: StoreDelta) {
+        self.share.borrow_mut().push(audience, delta);
+        self.deltas_now.notify_waiters();
+        if audience == DeltaAudience::Everyone {
+            self.tell_now.notify_waiters();
         }
-        let delta = to_wire(mirror.delta(base, changes, PASSED_VALUE));
-        self.share.borrow_mut().push(delta);
-        self.beat_now.notify_waiters();
     }
 
-    /// Takes changes that a watcher passes on; a VM that watches itself knows.
-    pub(crate) fn take_delta(&self, delta: StoreDelta) {
+    /// Takes changes that another VM passes on; a VM that watches itself knows.
+    pub(crate) fn take_delta(&self, from: &VmName, delta: StoreDelta) {
         if self.store.borrow().is_watched() {
             return;
         }
@@ -109,40 +177,134 @@
         let before = self.mirror.borrow().revision();
         let changes = {
             let mut mirror = self.mirror.borrow_mut();
-            mirror.merge(self.now(), from_wire(delta))
+            mirror.merge(self.now(), from_wire(delta.clone()))
         };
         self.share
             .borrow_mut()
             .check
             .note_change(before, base, is_whole);
+        if revision <= before && changes.is_empty() {
+            return;
+        }
         log::info!(
+            from = from.as_str(),
             revision,
             base,
             before,
             changes = changes.len();
-            "changes of the store taken from a watcher"
+            "changes of the store taken from another VM"
         );
+        self.push_delta(self.audience_beside(from), delta);
         self.apply_changes(changes);
     }
 
-    /// Compares this VM's copy with what a heartbeat tells of another's.
-    pub(crate) fn compare_copy(&self, beat: &VmBeat, is_near: bool) {
+    /// Who has not heard of a change that came from a VM: it tells aggregators itself,
+    /// unless it is a member of this one.
+    fn audience_beside(&self, from: &VmName) -> DeltaAudience {
+        let overlay = self.overlay.borrow();
+        let is_member = overlay.totals().members().any(|member| member == from);
+        if is_member {
+            DeltaAudience::Everyone
+        } else {
+            DeltaAudience::Members
+        }
+    }
+
+    /// Compares this VM's copy with what another VM tells of its own.
+    pub(crate) fn compare_copy(&self, from: &VmName, copy: PeerCopy) {
         let now = self.now();
         let own = self.mirror.borrow().state();
-        let other = CopyState {
-            revision: beat.mirror_revision,
-            hash: beat.mirror_hash,
+        let is_watcher = {
+            let overlay = self.overlay.borrow();
+            let vm = overlay.roster().get(from);
+            vm.is_some_and(|vm| {
+                overlay.roster().is_near(&vm.record) && vm.record.status.watches_store
+            })
         };
-        let check = &mut self.share.borrow_mut().check;
-        check.note_other(now, own, other);
-        if is_near && beat.watches_store {
-            check.note_watcher(now, own, other);
+        let share = &mut *self.share.borrow_mut();
+        share.check.note_other(now, own, copy.state);
+        if is_watcher {
+            share.check.note_watcher(now, own, copy.state);
         }
+        share.last_heard = Some((from.clone(), copy));
+    }
+
+    /// Whether to ask the VM that was heard last for its copy of the store.
+    pub(crate) fn asks_copy_of(&self, vm: &VmName) -> bool {
+        if self.store.borrow().is_watched() {
+            return false;
+        }
+        let now = self.now();
+        let own = self.mirror.borrow().state();
+        let share = &mut *self.share.borrow_mut();
+        let own = share.is_whole.then_some(own);
+        match &share.last_heard {
+            Some((heard, copy)) if heard == vm && copy.is_whole => {
+                share.check.asks(now, own, copy.state)
+            }
+            _ => false,
+        }
+    }
+
+    /// This VM's copy of the store.
+    pub(crate) fn own_snapshot(&self) -> StoreSnapshot {
+        let mirror = self.mirror.borrow();
+        let store = self.store.borrow();
+        let is_settled = !store.is_watched() || store.health(self.now()) == StoreHealth::Steady;
+        StoreSnapshot {
+            revision: mirror.revision(),
+            items: mirror.snapshot().into_iter().map(wire_item).collect(),
+            is_steady: self.copy_is_whole() && is_settled && !mirror.has_missing(),
+        }
+    }
+
+    /// Takes another VM's copy of the store, unless this VM watches the store itself.
+    pub(crate) fn take_snapshot(&self, from: &VmName, snapshot: StoreSnapshot) {
+        if self.store.borrow().is_watched() {
+            return;
+        }
+        let items: Vec<StoreItem> = snapshot.items.into_iter().map(store_item).collect();
+        log::info!(
+            from = from.as_str(),
+            revision = snapshot.revision,
+            items = items.len();
+            "copy of the store taken from another VM"
+        );
+        let health = if snapshot.is_steady {
+            StoreHealth::Steady
+        } else {
+            StoreHealth::Returned
+        };
+        let changes = {
+            let mut mirror = self.mirror.borrow_mut();
+            mirror.replace(self.now(), "", items, snapshot.revision, health)
+        };
+        self.note_caught_up();
+        self.apply_changes(changes);
     }
 }
 
-fn watch_holders(members: &MemberTable) -> Vec<&VmName> {
-    members.duty_holders(WATCH_DUTY, STORE_WATCHERS)
+/// The VMs of this region in the order in which they watch the store: aggregators
+/// before the others.
+fn watch_order(roster: &Roster) -> Vec<&VmName> {
+    let own = roster.own();
+    let levels = roster.levels();
+    let aggregators = levels.region(&own.region);
+    let is_aggregator = |vm: &VmRecord| {
+        aggregators
+            .iter()
+            .any(|aggregator| aggregator.name == vm.name)
+    };
+    let rest: Vec<&VmRecord> = roster
+        .others()
+        .filter(|vm| vm.is_staying() && roster.is_near(&vm.record))
+        .map(|vm| &vm.record)
+        .chain((!own.status.is_leaving).then_some(own))
+        .filter(|vm| !is_aggregator(vm))
+        .collect();
+    let mut order = roster.duty_order(WATCH_DUTY, aggregators);
+    order.extend(roster.duty_order(WATCH_DUTY, &rest));
+    order
 }
 
 /// An item as other VMs get it.
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -32,7 +32,6 @@
 pub(crate) async fn run(gateway: &Rc<Gateway>) {
     wait_for_order().await;
     gateway.stop_asked.set(Some(Instant::now()));
-    gateway.members.borrow_mut().leave();
     log::info!(open = gateway.open_requests.get(); "stopping");
     tell_all(gateway);
     let end = end_of(gateway);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,9 +1,11 @@
 //! The link to the platform's store: one watch over everything that matters.
 //!
-//! A watch goes on from the revision of the last answer. When it is cut, or the
-//! history is gone, everything is read again: a store that drops its history may
-//! cut watches before it refuses them. While the store does not answer, the copy
-//! stays in force and peers may have a newer one.
+//! A VM that starts reads the first page, which holds the configuration, and gets the
+//! rest from another VM; only those that watch, and the VMs of the settings' addresses,
+//! read everything. A watch goes on from the revision of the last answer. When it is
+//! cut, or the history is gone, everything is read again: a store that drops its
+//! history may cut watches before it refuses them. While the store does not answer, the
+//! copy stays in force and peers may have a newer one.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -39,6 +41,13 @@
 /// The same for a VM that need not watch: it takes the copy of one that does, and
 /// refused calls are priced too.
 const LAST_IDLE_PAUSE: Duration = Duration::from_millis(2100);
+/// Age from which a VM without a whole copy reads everything itself: another VM's copy
+/// takes some 0.4 s where all start at once.
+const READ_ALONE_AFTER: Duration = Duration::from_millis(1200);
+/// Spread of that age: all VMs may have started at once.
+const READ_ALONE_SPREAD: Duration = Duration::from_millis(800);
+/// The same where no other VM was heard yet.
+const ALONE_AFTER: Duration = Duration::from_millis(300);
 /// Pause after an answer of a watch, so that changes that come close together
 /// cost one call; far below the bounds on what must be in force.
 const BATCH_PAUSE: Duration = Duration::from_millis(150);
@@ -52,21 +61,18 @@
 pub(crate) struct StoreLink {
     is_reached: bool,
     is_watched: bool,
+    was_lost: bool,
     returned_at: Option<Moment>,
 }
 
 impl StoreLink {
-    /// Whether everything was read, and is watched by this VM or another one.
-    pub(crate) fn is_reached(&self) -> bool {
-        self.is_reached
-    }
-
     /// Whether this VM itself watches.
     pub(crate) fn is_watched(&self) -> bool {
         self.is_reached && self.is_watched
     }
 
     fn lose(&mut self) -> bool {
+        self.was_lost = true;
         std::mem::replace(&mut self.is_reached, false)
     }
 
@@ -75,14 +81,16 @@
             return false;
         }
         self.is_reached = true;
-        self.returned_at = Some(now);
+        if self.was_lost {
+            self.returned_at = Some(now);
+        }
         true
     }
 
     /// How news is to be taken: leases may have run out during an outage.
     pub(crate) fn health(&self, now: Moment) -> StoreHealth {
         let lately = self.returned_at.is_some_and(|at| now - at < RETURN_WINDOW);
-        if lately || !self.is_reached {
+        if lately || (!self.is_reached && self.was_lost) {
             StoreHealth::Returned
         } else {
             StoreHealth::Steady
@@ -103,25 +111,23 @@
     TimedOut,
 }
 
-/// Why everything has to be read again.
+/// Why a watch ended.
 #[derive(Debug, Error)]
 enum WatchEnd {
     #[error("the watch ended: {0}")]
     Failed(CallError),
     #[error("another VM watches")]
     Relieved,
-    #[error("no VM is heard that watches")]
-    Unwatched,
-    #[error("the copy stays behind")]
-    Behind,
 }
 
 /// Starts the task that reads and watches.
 pub(crate) fn start(gateway: &Rc<Gateway>) {
+    let spread = READ_ALONE_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
     let mut watch = StoreWatch {
         gateway: Rc::clone(gateway),
         connection: None,
         pause: FIRST_PAUSE,
+        patience: READ_ALONE_AFTER + spread,
     };
     tokio::task::spawn_local(async move { watch.run().await });
 }
@@ -130,41 +136,84 @@
     gateway: Rc<Gateway>,
     connection: Option<HttpConnection>,
     pause: Duration,
+    /// Age from which this VM reads everything itself if it has no whole copy.
+    patience: Duration,
 }
 
 impl StoreWatch {
     async fn run(&mut self) {
+        self.read_first().await;
         loop {
-            match self.read_all().await {
-                Ok(revision) => {
-                    self.note_success();
-                    let end = self.stay_current(revision).await;
-                    log::info!(cause:% = end; "reading everything");
-                }
-                Err(e) => self.note_failure(&e).await,
+            if self.gateway.has_watch_duty() {
+                self.hold_duty().await;
+            } else {
+                self.follow().await;
             }
         }
     }
 
-    /// Keeps the copy current, by a watch or by what another VM passes on, until
-    /// everything has to be read again.
-    async fn stay_current(&mut self, revision: u64) -> WatchEnd {
-        if !self.gateway.follows_watcher() {
-            let end = self.watch_from(revision).await;
-            self.gateway.store.borrow_mut().is_watched = false;
-            if let WatchEnd::Failed(_) = end {
-                return end;
+    /// Reads the first page at the start, with the configuration; all pages if other
+    /// VMs begin with this one.
+    async fn read_first(&mut self) {
+        let settings = self.gateway.settings();
+        let is_seed = settings.seeds.contains(&settings.peers);
+        let read = if is_seed {
+            self.read_all("start").await.map(|_| ())
+        } else {
+            self.read_start().await
+        };
+        match read {
+            Ok(()) => self.note_success(),
+            Err(e) => self.note_failure(&e).await,
+        }
+    }
+
+    async fn read_start(&mut self) -> Result<(), CallError> {
+        let page = self.read_page(None, "start").await?;
+        let (revision, is_all) = (page.revision, !page.has_more);
+        let listed = page.items.iter().map(|item| item.key.clone()).collect();
+        self.take_events(page.items.into_iter().map(StoreEvent::Put).collect());
+        if is_all {
+            self.note_listed(revision, &listed);
+        }
+        Ok(())
+    }
+
+    /// Watches the store for the region until that fails or another VM does. A VM
+    /// whose copy is whole goes on from it once a page has shown that the store
+    /// answers; after a failed watch everything is read.
+    async fn hold_duty(&mut self) {
+        let is_current = self.gateway.copy_is_whole() && !self.gateway.must_catch_up();
+        let held = self.gateway.mirror.borrow().revision();
+        let read = if is_current {
+            self.read_start().await.map(|()| held)
+        } else {
+            self.read_all("duty").await
+        };
+        let revision = match read {
+            Ok(revision) => revision,
+            Err(e) => return self.note_failure(&e).await,
+        };
+        self.note_success();
+        let mut end = self.watch_from(revision).await;
+        while let WatchEnd::Failed(_) = end {
+            log::info!(cause:% = end; "reading everything");
+            match self.read_all("cut").await {
+                Ok(revision) => {
+                    self.note_success();
+                    end = self.watch_from(revision).await;
+                }
+                Err(e) => return self.note_failure(&e).await,
             }
         }
         log::info!("another VM watches the store for this one");
-        self.follow().await
     }
 
     /// Watches until an answer fails, or another VM watches for this one; a cut
     /// is not yet a failure of the store.
     async fn watch_from(&mut self, mut revision: u64) -> WatchEnd {
-        self.gateway.store.borrow_mut().is_watched = true;
-        loop {
+        self.set_watched(true);
+        let end = loop {
             match self.watch(revision).await {
                 Ok(batch) => {
                     revision = batch.revision.max(revision);
@@ -173,23 +222,42 @@
                         tokio::time::sleep(BATCH_PAUSE).await;
                     }
                 }
-                Err(e) => return WatchEnd::Failed(e),
+                Err(e) => break WatchEnd::Failed(e),
             }
-            if self.gateway.follows_watcher() {
-                return WatchEnd::Relieved;
+            if !self.gateway.has_watch_duty() {
+                break WatchEnd::Relieved;
             }
-        }
+        };
+        self.set_watched(false);
+        end
+    }
+
+    fn set_watched(&self, is_watched: bool) {
+        self.gateway.store.borrow_mut().is_watched = is_watched;
+        self.gateway.refresh_status();
     }
 
-    /// Lives on what another VM passes on.
-    async fn follow(&self) -> WatchEnd {
-        while self.gateway.follows_watcher() {
-            if self.gateway.must_catch_up() {
-                return WatchEnd::Behind;
+    /// Lives on what other VMs pass on until this VM has to watch.
+    async fn follow(&mut self) {
+        while !self.gateway.has_watch_duty() {
+            if self.must_read() {
+                match self.read_all("behind").await {
+                    Ok(_) => self.note_success(),
+                    Err(e) => self.note_failure(&e).await,
+                }
             }
             tokio::time::sleep(FOLLOW_LOOK).await;
         }
-        WatchEnd::Unwatched
+    }
+
+    /// Whether this VM, which need not watch, has to read the store itself.
+    fn must_read(&self) -> bool {
+        if self.gateway.copy_is_whole() {
+            return self.gateway.must_catch_up();
+        }
+        let age = self.gateway.started.elapsed();
+        let is_alone = !self.gateway.knows_others();
+        age >= self.patience || (is_alone && age >= ALONE_AFTER)
     }
 
     fn take_events(&self, events: Vec<StoreEvent>) {
@@ -209,12 +277,13 @@
         self.gateway.apply_changes(changes);
     }
 
-    async fn read_all(&mut self) -> Result<u64, CallError> {
+    /// Reads every page; the revision from which a watch goes on.
+    async fn read_all(&mut self, cause: &'static str) -> Result<u64, CallError> {
         let mut listed = BTreeSet::new();
         let mut revision = None;
         let mut after: Option<String> = None;
         loop {
-            let page = self.read_page(after.as_deref()).await?;
+            let page = self.read_page(after.as_deref(), cause).await?;
             // The pages are no snapshot: watching goes on from the first one.
             let first = *revision.get_or_insert(page.revision);
             after = page.items.last().map(|item| item.key.clone());
@@ -224,26 +293,35 @@
             listed.extend(page.items.iter().map(|item| item.key.clone()));
             self.take_events(page.items.into_iter().map(StoreEvent::Put).collect());
             if is_last {
-                self.take(|mirror, now, health| {
-                    mirror.remove_unlisted(now, WATCHED_PREFIX, &listed, first, health)
-                });
-                self.gateway.note_caught_up();
+                self.note_listed(first, &listed);
                 return Ok(first);
             }
         }
     }
 
-    async fn read_page(&mut self, after: Option<&str>) -> Result<ItemPage, CallError> {
+    /// Takes note that the store holds nothing but the items listed.
+    fn note_listed(&self, revision: u64, listed: &BTreeSet<String>) {
+        self.take(|mirror, now, health| {
+            mirror.remove_unlisted(now, WATCHED_PREFIX, listed, revision, health)
+        });
+        self.gateway.note_caught_up();
+    }
+
+    async fn read_page(
+        &mut self,
+        after: Option<&str>,
+        cause: &'static str,
+    ) -> Result<ItemPage, CallError> {
         let host = self.store().to_string();
         let request = range_request(&host, WATCHED_PREFIX, after);
-        let (status, body) = self.call(request, Duration::ZERO).await?;
+        let (status, body) = self.call(request, Duration::ZERO, cause).await?;
         Ok(read_page(status, &body)?)
     }
 
     async fn watch(&mut self, revision: u64) -> Result<EventBatch, CallError> {
         let host = self.store().to_string();
         let request = watch_request(&host, WATCHED_PREFIX, revision, WATCH_WAIT);
-        let (status, body) = self.call(request, WATCH_WAIT).await?;
+        let (status, body) = self.call(request, WATCH_WAIT, "watch").await?;
         Ok(read_batch(status, &body)?)
     }
 
@@ -255,9 +333,10 @@
         &mut self,
         request: Request<Bytes>,
         wait: Duration,
+        cause: &'static str,
     ) -> Result<(StatusCode, Bytes), CallError> {
         let address = self.store();
-        self.gateway.metrics.count("onyxfall_store_calls_total");
+        self.gateway.metrics.count_store_call(cause);
         let kept = self.connection.take();
         let called = tokio::time::timeout(wait + ANSWER_LIMIT, async {
             let mut connection = match kept.filter(HttpConnection::is_ready) {
--- /dev/null
+++ b/crates/gateway/src/updates.rs
@@ -0,0 +1,265 @@
+//! What VMs tell each other: the overlay's own messages, with what this program adds
+//! to them (its copy of the store, learned costs, what regions have free).
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use onyxfall_fleet::{
+    CallNeeds, CopyState, CostTeller, CostView, PromptSize, ServiceLoad, TimePrediction, WorkShare,
+};
+use onyxfall_overlay::{LinkRelation, LinkState, ServerTag, VmStatus, WorkEntry};
+use onyxfall_policy::Moment;
+use onyxfall_types::{RegionName, VmName, name_tag};
+use onyxfall_wire::{RegionLoadEntry, ServiceLoadEntry, VmUpdate};
+
+use crate::costs::{CostsTold, take_costs};
+use crate::frames::{overlay_update, wire_update};
+use crate::gateway::Gateway;
+use crate::share::PeerCopy;
+
+/// Least time between two looks at this VM's own work: an aggregator tells hundreds of
+/// messages a second.
+const OWN_WORK_LOOK: Duration = Duration::from_millis(15);
+
+/// What was told in one direction of one link.
+#[derive(Default)]
+pub(crate) struct UpdateTold {
+    link: LinkState,
+    costs: CostsTold,
+    /// When the last word told of each region was said.
+    regions: BTreeMap<RegionName, Moment>,
+}
+
+impl Gateway {
+    /// What to tell on a link now.
+    pub(crate) fn make_update(
+        &self,
+        relation: LinkRelation,
+        peer: Option<&VmName>,
+        told: &mut UpdateTold,
+    ) -> VmUpdate {
+        let now = self.now();
+        self.refresh_status();
+        self.refresh_own_work(now);
+        let update = self
+            .overlay
+            .borrow_mut()
+            .tell(now, relation, peer, &mut told.link);
+        let mut update = wire_update(&update);
+        let copy = self.mirror.borrow().state();
+        update.copy_hash = copy.hash;
+        update.copy_revision = copy.revision;
+        update.copy_is_whole = self.copy_is_whole();
+        update.costs = cost_view(relation).map_or_else(Vec::new, |view| told.costs.due(self, view));
+        update.regions = self.region_words(now, relation, &mut told.regions);
+        update
+    }
+
+    /// Takes what a VM tells; what to answer with, if anything.
+    pub(crate) fn take_update(&self, from: &VmName, update: &VmUpdate) -> Option<LinkRelation> {
+        let now = self.now();
+        let settings = self.settings();
+        let Some(message) = overlay_update(update, &settings.place.centers) else {
+            self.metrics.count("onyxfall_unknown_updates_total");
+            return None;
+        };
+        let relation = message.relation;
+        let absurd = self.overlay.borrow_mut().take(now, from, &message);
+        self.metrics
+            .count_more("onyxfall_absurd_work_total", absurd as u64);
+        self.apply_work(now);
+        take_costs(self, from, cost_teller(relation), &update.costs);
+        self.take_regions(now, relation, &update.regions);
+        self.compare_copy(
+            from,
+            PeerCopy {
+                state: CopyState {
+                    revision: update.copy_revision,
+                    hash: update.copy_hash,
+                },
+                is_whole: update.copy_is_whole,
+            },
+        );
+        self.overlay.borrow().answer(from, relation)
+    }
+
+    /// Brings what this VM says of itself up to date; other VMs are told at once.
+    pub(crate) fn refresh_status(&self) {
+        let status = VmStatus {
+            is_ready: self.is_ready(),
+            is_leaving: self.is_leaving(),
+            watches_store: self.store.borrow().is_watched(),
+        };
+        if self.overlay.borrow_mut().roster_mut().set_status(status) {
+            self.tell_now.notify_waiters();
+        }
+    }
+
+    /// Sets other VMs' work where it has changed.
+    pub(crate) fn apply_work(&self, now: Moment) {
+        let mut overlay = self.overlay.borrow_mut();
+        let mut fleet = self.fleet.borrow_mut();
+        for server in overlay.totals_mut().take_news() {
+            if let Some(id) = fleet.find_tag(server.0) {
+                let work = overlay.totals().others(server);
+                fleet.server_mut(id).set_others(now, work);
+            }
+        }
+    }
+
+    fn refresh_own_work(&self, now: Moment) {
+        let looked = self.own_work_at.get();
+        if looked.is_some_and(|at| now - at < OWN_WORK_LOOK) {
+            return;
+        }
+        self.own_work_at.set(Some(now));
+        let fleet = self.fleet.borrow();
+        let work = fleet
+            .live()
+            .map(|(_, server)| (server, server.own_work(now)))
+            .filter(|(_, share)| *share != WorkShare::default())
+            .map(|(server, share)| WorkEntry {
+                server: ServerTag::of(server.record.name.as_str()),
+                share,
+            });
+        self.overlay.borrow_mut().totals_mut().set_own(work);
+    }
+
+    /// Words on regions that are news on a link.
+    fn region_words(
+        &self,
+        now: Moment,
+        relation: LinkRelation,
+        told: &mut BTreeMap<RegionName, Moment>,
+    ) -> Vec<RegionLoadEntry> {
+        match relation {
+            LinkRelation::Region => vec![RegionLoadEntry {
+                region: self.settings().place.region.to_string(),
+                age_ms: 0,
+                services: self.own_loads(now),
+            }],
+            LinkRelation::Digest | LinkRelation::StandbyDigest => self
+                .away
+                .borrow()
+                .words(now)
+                .filter(|(region, said, _)| told.insert((*region).clone(), *said) != Some(*said))
+                .map(|(region, said, loads)| RegionLoadEntry {
+                    region: region.to_string(),
+                    age_ms: wire_millis(now - said),
+                    services: loads
+                        .iter()
+                        .map(|(tag, load)| load_entry(*tag, load))
+                        .collect(),
+                })
+                .collect(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Takes words on other regions. An aggregator of a region tells of its own only.
+    fn take_regions(&self, now: Moment, relation: LinkRelation, words: &[RegionLoadEntry]) {
+        let own = self.settings().place.region.clone();
+        for word in words {
+            let Ok(region) = word.region.parse::<RegionName>() else {
+                continue;
+            };
+            if region == own {
+                continue;
+            }
+            let trip = self.trips.borrow().to(&region);
+            let mut age = Duration::from_millis(word.age_ms.into());
+            if relation == LinkRelation::Region {
+                age += trip / 2;
+            }
+            let loads = word
+                .services
+                .iter()
+                .map(|entry| (entry.service, read_load(entry)));
+            let said = now.before(age);
+            self.away
+                .borrow_mut()
+                .hear(said, &region, trip, loads.collect());
+        }
+    }
+
+    /// What this region has free, by service.
+    fn own_loads(&self, now: Moment) -> Vec<ServiceLoadEntry> {
+        let Some(table) = self.table() else {
+            return Vec::new();
+        };
+        let fleet = self.fleet.borrow();
+        let mut entries = Vec::new();
+        for service in table.services() {
+            let usual = CallNeeds {
+                service: service.name.clone(),
+                engine: service.engine,
+                prompt: PromptSize::default(),
+                goal: Duration::from_secs(1),
+                urgency: 0,
+                deadline: now,
+                events: None,
+                home_regions: Vec::new(),
+            };
+            let offers: Vec<(TimePrediction, Duration)> = fleet
+                .free_servers(now, &usual)
+                .map(|id| {
+                    (
+                        fleet.predict(now, id, &usual),
+                        fleet.predict_pace(now, id, &usual),
+                    )
+                })
+                .collect();
+            let Some((least, pace)) = offers.iter().min_by_key(|(offer, _)| offer.loaded) else {
+                continue;
+            };
+            let load = ServiceLoad {
+                wait: least.loaded,
+                usable: u32::try_from(offers.len()).unwrap_or(u32::MAX),
+                pace: *pace,
+                backlog: least.backlog,
+            };
+            entries.push(load_entry(name_tag(service.name.as_str()), &load));
+        }
+        entries
+    }
+}
+
+/// Whose costs a relation tells, if any.
+fn cost_view(relation: LinkRelation) -> Option<CostView> {
+    match relation {
+        LinkRelation::Report => Some(CostView::Own),
+        LinkRelation::Partial => Some(CostView::Partial),
+        LinkRelation::Digest => Some(CostView::All),
+        _ => None,
+    }
+}
+
+fn cost_teller(relation: LinkRelation) -> CostTeller {
+    match relation {
+        LinkRelation::Report => CostTeller::Member,
+        _ => CostTeller::Aggregator,
+    }
+}
+
+fn load_entry(service: u32, load: &ServiceLoad) -> ServiceLoadEntry {
+    ServiceLoadEntry {
+        service,
+        wait_ms: wire_millis(load.wait),
+        backlog_ms: wire_millis(load.backlog),
+        pace_ms: wire_millis(load.pace),
+        usable: load.usable,
+    }
+}
+
+fn read_load(entry: &ServiceLoadEntry) -> ServiceLoad {
+    ServiceLoad {
+        wait: Duration::from_millis(entry.wait_ms.into()),
+        usable: entry.usable,
+        pace: Duration::from_millis(entry.pace_ms.into()),
+        backlog: Duration::from_millis(entry.backlog_ms.into()),
+    }
+}
+
+fn wire_millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/gateway/tests/links.rs
+++ b/crates/gateway/tests/links.rs
@@ -2,32 +2,44 @@
 
 mod support;
 
-use std::net::{IpAddr, SocketAddr, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
+use bytes::Bytes;
 use onyxfall_fakes::ServerStandIn;
 use onyxfall_wire::{
-    FrameReader, FrameWriter, MemberEntry, PROTOCOL_VERSION, PeerHello, PeerPayload,
-    SnapshotRequest,
+    FrameReader, FrameWriter, PROTOCOL_VERSION, PeerHello, PeerPayload, SnapshotRequest, VmEntry,
+    VmUpdate,
 };
-use support::Site;
+use support::{Gateway, Site};
 
 /// Bound on one read, so that a test that fails ends.
 const READ_LIMIT: Duration = Duration::from_secs(20);
+/// Relations of the overlay by their numbers in frames.
+const SEEK: u32 = 2;
+const REGION: u32 = 4;
+const REFERRAL: u32 = 7;
 
-fn hello(protocol: u32) -> PeerPayload {
+/// A VM of the second region whose links come in on `port`.
+fn stranger(port: u16) -> VmEntry {
+    VmEntry {
+        name: "stranger".to_owned(),
+        center: "c1".to_owned(),
+        incarnation: 1,
+        ip: Bytes::copy_from_slice(&Ipv4Addr::LOCALHOST.octets()),
+        callers_port: 1,
+        peers_port: port.into(),
+        ready: true,
+        ..VmEntry::default()
+    }
+}
+
+fn hello(protocol: u32, port: u16) -> PeerPayload {
     PeerPayload::Hello(PeerHello {
         protocol,
         deployment: String::new(),
-        member: Some(MemberEntry {
-            name: "stranger".to_owned(),
-            center: "c1".to_owned(),
-            region: "r1".to_owned(),
-            incarnation: 1,
-            leaving: false,
-            address: "127.0.0.1:1".to_owned(),
-            peer_address: "127.0.0.1:1".to_owned(),
-        }),
+        member: None,
+        vm: Some(stranger(port)),
     })
 }
 
@@ -38,14 +50,17 @@
 
 impl Link {
     fn open(address: SocketAddr, greeting: PeerPayload) -> Self {
-        let stream = TcpStream::connect(address).unwrap();
+        let mut link = Self::over(TcpStream::connect(address).unwrap());
+        link.send(greeting);
+        link
+    }
+
+    fn over(stream: TcpStream) -> Self {
         stream.set_read_timeout(Some(READ_LIMIT)).unwrap();
-        let mut link = Self {
+        Self {
             reader: FrameReader::new(stream.try_clone().unwrap()),
             writer: FrameWriter::new(stream),
-        };
-        link.send(greeting);
-        link
+        }
     }
 
     fn send(&mut self, payload: PeerPayload) {
@@ -55,34 +70,76 @@
     fn next(&mut self) -> Option<PeerPayload> {
         self.reader.read().ok()?.0.payload
     }
+
+    /// The next update of a relation.
+    fn update(&mut self, relation: u32) -> Box<VmUpdate> {
+        loop {
+            match self.next() {
+                Some(PeerPayload::Update(update)) if update.relation == relation => {
+                    return update;
+                }
+                Some(_) => {}
+                None => panic!("the link ended before an update of relation {relation}"),
+            }
+        }
+    }
 }
 
-#[test]
-fn a_greeting_is_answered_with_members_and_a_heartbeat_at_once() {
+fn start() -> (Site, ServerStandIn, Gateway) {
     let site = Site::start(2);
     let server = ServerStandIn::start(site.ip(0)).unwrap();
     site.announce("s0", &server, 0);
     site.configure(1);
     let gateway = site.gateway(0);
     gateway.wait_served();
-    let peers = SocketAddr::new(IpAddr::V4(gateway.ip), site.ports.peers);
-    let mut link = Link::open(peers, hello(PROTOCOL_VERSION));
+    (site, server, gateway)
+}
+
+fn peers(site: &Site, gateway: &Gateway) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(gateway.ip), site.ports.peers)
+}
+
+#[test]
+fn a_vm_that_looks_for_others_is_answered_at_once() {
+    let (site, _server, gateway) = start();
+    let mut link = Link::open(peers(&site, &gateway), hello(PROTOCOL_VERSION, 1));
+    let seek = VmUpdate {
+        relation: SEEK,
+        record: Some(stranger(1)),
+        ..VmUpdate::default()
+    };
+    link.send(PeerPayload::Update(Box::new(seek)));
     assert!(matches!(link.next(), Some(PeerPayload::Hello(_))));
-    assert!(matches!(link.next(), Some(PeerPayload::Members(_))));
-    let Some(PeerPayload::VmBeat(beat)) = link.next() else {
-        panic!("no heartbeat follows the greeting");
+    let Some(PeerPayload::Update(answer)) = link.next() else {
+        panic!("no update follows the greeting");
     };
-    assert!(beat.ready && beat.watches_store);
-    assert_eq!(
-        beat.loads.len(),
-        1,
-        "another region is told what is free here"
-    );
+    assert_eq!(answer.relation, REFERRAL);
+    assert!(answer.copy_is_whole && answer.copy_revision > 0);
+    let word = answer.word.unwrap();
+    let named = word.vms.iter().find(|vm| vm.name == "vm0").unwrap();
+    assert!(named.ready && named.watches_store);
     link.send(PeerPayload::SnapshotRequest(SnapshotRequest {}));
     let Some(PeerPayload::Snapshot(snapshot)) = link.next() else {
         panic!("no copy of the store is given");
     };
     assert_eq!(snapshot.items.len(), 2);
+    assert!(snapshot.is_steady);
+}
+
+#[test]
+fn another_region_is_told_what_is_free_here() {
+    let (site, _server, gateway) = start();
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let port = listener.local_addr().unwrap().port();
+    let _greeting = Link::open(peers(&site, &gateway), hello(PROTOCOL_VERSION, port));
+    let (stream, _) = listener.accept().unwrap();
+    let mut link = Link::over(stream);
+    assert!(matches!(link.next(), Some(PeerPayload::Hello(_))));
+    link.send(hello(PROTOCOL_VERSION, port));
+    let update = link.update(REGION);
+    assert_eq!(update.regions.len(), 1);
+    assert_eq!(update.regions[0].region, "r0");
+    assert_eq!(update.regions[0].services.len(), 1);
 }
 
 #[test]
@@ -91,7 +148,6 @@
     site.configure(1);
     let gateway = site.gateway(0);
     gateway.wait_ready();
-    let peers = SocketAddr::new(IpAddr::V4(gateway.ip), site.ports.peers);
-    let mut link = Link::open(peers, hello(PROTOCOL_VERSION + 1));
+    let mut link = Link::open(peers(&site, &gateway), hello(PROTOCOL_VERSION + 1, 1));
     assert!(link.next().is_none(), "the link is closed without a word");
 }
--- /dev/null
+++ b/crates/overlay/src/node.rs
@@ -0,0 +1,247 @@
+//! One VM's end of the overlay: what it tells on each link, and what it takes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use onyxfall_policy::Moment;
+use onyxfall_types::VmName;
+
+use crate::evidence::WordScope;
+use crate::plan::{LinkPlan, LinkRelation};
+use crate::record::{RecordVersion, VmRecord};
+use crate::roster::{Roster, RosterTiming};
+use crate::totals::{WorkOrigin, WorkTold, WorkTotals, WorkView, WorkWord};
+use crate::word::{RosterWord, WordTold};
+
+/// Time after its first report in which an aggregator's sums may lack members: three
+/// reports of each.
+const WARM_AFTER: Duration = Duration::from_millis(300);
+/// Time between two choices of silent VMs to look for.
+const SEARCH_TURN: Duration = Duration::from_millis(700);
+
+/// One message between two VMs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OverlayUpdate {
+    /// What the sender is to the receiver.
+    pub relation: LinkRelation,
+    /// What the sender says of itself, if that is news on the link.
+    pub record: Option<VmRecord>,
+    /// Which VMs live, if that is news on the link.
+    pub word: Option<RosterWord>,
+    /// Work at servers, if this relation tells it.
+    pub work: Option<WorkWord>,
+    /// Whether the sums are those of all members; false for a while where the sender
+    /// has just become an aggregator.
+    pub is_warm: bool,
+}
+
+/// What was told in one direction of one link.
+#[derive(Clone, Debug, Default)]
+pub struct LinkState {
+    relation: Option<LinkRelation>,
+    record: Option<RecordVersion>,
+    word: WordTold,
+    work: WorkTold,
+}
+
+/// A VM's end of the overlay.
+#[derive(Clone, Debug)]
+pub struct OverlayNode {
+    roster: Roster,
+    totals: WorkTotals,
+    seeds: Vec<SocketAddr>,
+    /// The plan, and the roster's changes and the turn that it was worked out from.
+    plan: LinkPlan,
+    planned: Option<(u64, usize)>,
+    /// When the first report came to this VM since it has had none.
+    reported_since: Option<Moment>,
+}
+
+impl OverlayNode {
+    /// A VM that knows nobody but addresses to begin with.
+    pub fn new(own: VmRecord, timing: RosterTiming, seeds: Vec<SocketAddr>) -> Self {
+        Self {
+            roster: Roster::new(own, timing),
+            totals: WorkTotals::default(),
+            seeds,
+            plan: LinkPlan::default(),
+            planned: None,
+            reported_since: None,
+        }
+    }
+
+    /// The VMs that are known.
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// The VMs that are known, to change what this one says of itself.
+    pub fn roster_mut(&mut self) -> &mut Roster {
+        &mut self.roster
+    }
+
+    /// Work at servers.
+    pub fn totals(&self) -> &WorkTotals {
+        &self.totals
+    }
+
+    /// Work at servers, to set this VM's own.
+    pub fn totals_mut(&mut self) -> &mut WorkTotals {
+        &mut self.totals
+    }
+
+    /// Sets the addresses to begin with.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+        self.planned = None;
+    }
+
+    /// The links that this VM is to keep.
+    pub fn plan(&mut self, now: Moment) -> &LinkPlan {
+        let turns = u128::from(now.as_micros()) / SEARCH_TURN.as_micros();
+        let turn = usize::try_from(turns).unwrap_or_default();
+        let basis = (self.roster.changes(), turn);
+        if self.planned != Some(basis) {
+            self.planned = Some(basis);
+            self.plan = self.roster.plan(&self.seeds, turn);
+        }
+        &self.plan
+    }
+
+    /// What to tell now on a link to `peer`, which need not be known where it is not
+    /// answered.
+    pub fn tell(
+        &mut self,
+        now: Moment,
+        relation: LinkRelation,
+        peer: Option<&VmName>,
+        link: &mut LinkState,
+    ) -> OverlayUpdate {
+        if link.relation != Some(relation) {
+            link.relation = Some(relation);
+            link.work = WorkTold::default();
+        }
+        let own = self.roster.own();
+        let is_told = link.record == Some(own.version);
+        link.record = Some(own.version);
+        let record = (!is_told).then(|| own.clone());
+        OverlayUpdate {
+            relation,
+            record,
+            word: self.word(relation, link),
+            work: work_view(relation, peer).map(|view| self.totals.tell(view, &mut link.work)),
+            is_warm: self.is_warm(now),
+        }
+    }
+
+    fn word(&self, relation: LinkRelation, link: &mut LinkState) -> Option<RosterWord> {
+        match relation {
+            LinkRelation::Report | LinkRelation::Standby | LinkRelation::Seek => None,
+            LinkRelation::Partial => self.roster.tell(WordScope::Own, &mut link.word),
+            LinkRelation::Region => self.roster.tell(WordScope::Region, &mut link.word),
+            LinkRelation::Digest | LinkRelation::StandbyDigest => {
+                self.roster.tell(WordScope::Fleet, &mut link.word)
+            }
+            LinkRelation::Referral => self.roster.tell_aggregators(&mut link.word),
+        }
+    }
+
+    /// Takes a message; the number of absurd entries that were left out of it.
+    pub fn take(&mut self, now: Moment, from: &VmName, update: &OverlayUpdate) -> usize {
+        match &update.record {
+            Some(record) if record.name == *from => {
+                self.roster.hear(now, record);
+            }
+            _ => self.roster.hear_again(now, from),
+        }
+        if let Some(word) = &update.word {
+            self.roster.take_word(now, from, word);
+        }
+        let Some(work) = &update.work else {
+            self.totals.hear(now, from);
+            self.note_unreported(from, update.relation);
+            return 0;
+        };
+        match update.relation {
+            LinkRelation::Report => {
+                self.reported_since.get_or_insert(now);
+                self.totals.take(now, from, WorkOrigin::Member, true, work)
+            }
+            LinkRelation::Partial => {
+                self.totals
+                    .take(now, from, WorkOrigin::Aggregator, true, work)
+            }
+            LinkRelation::Digest => self.take_digest(now, from, work, update.is_warm),
+            _ => 0,
+        }
+    }
+
+    /// What this VM answers with to a message; none if it was only told.
+    pub fn answer(&self, from: &VmName, relation: LinkRelation) -> Option<LinkRelation> {
+        match relation {
+            LinkRelation::Report => Some(LinkRelation::Digest),
+            LinkRelation::Standby => Some(LinkRelation::StandbyDigest),
+            LinkRelation::Seek => Some(LinkRelation::Referral),
+            // The sender takes itself for an aggregator since it knows too few VMs.
+            LinkRelation::Partial if !self.plan.near_aggregators.contains(from) => {
+                Some(LinkRelation::StandbyDigest)
+            }
+            LinkRelation::Partial
+            | LinkRelation::Region
+            | LinkRelation::Digest
+            | LinkRelation::StandbyDigest
+            | LinkRelation::Referral => None,
+        }
+    }
+
+    /// Lets time count.
+    pub fn tick(&mut self, now: Moment) {
+        self.totals.expire(now);
+        if self.totals.members().next().is_none() {
+            self.reported_since = None;
+        }
+        self.roster.tick(now);
+    }
+
+    /// Takes the sum of everybody's work. A new aggregator's counts when its members
+    /// have reported to it; until then the former one's does.
+    fn take_digest(&mut self, now: Moment, from: &VmName, work: &WorkWord, is_warm: bool) -> usize {
+        let others: Vec<VmName> = self.totals.counted_aggregators(from);
+        let counts = is_warm || others.is_empty() || self.totals.counts(from);
+        let absurd = self
+            .totals
+            .take(now, from, WorkOrigin::Aggregator, counts, work);
+        if counts {
+            for other in others {
+                self.totals.remove(&other);
+            }
+        }
+        absurd
+    }
+
+    /// A member that now reports to another aggregator is counted there.
+    fn note_unreported(&mut self, from: &VmName, relation: LinkRelation) {
+        if relation == LinkRelation::Standby {
+            self.totals.remove(from);
+        }
+    }
+
+    fn is_warm(&self, now: Moment) -> bool {
+        self.reported_since
+            .is_some_and(|since| now - since >= WARM_AFTER)
+    }
+}
+
+/// The sum that a relation tells, if any.
+fn work_view(relation: LinkRelation, peer: Option<&VmName>) -> Option<WorkView<'_>> {
+    match relation {
+        LinkRelation::Report => Some(WorkView::Own),
+        LinkRelation::Partial => Some(WorkView::Partial),
+        LinkRelation::Digest => peer.map(WorkView::AllBut),
+        LinkRelation::Standby
+        | LinkRelation::Seek
+        | LinkRelation::Region
+        | LinkRelation::StandbyDigest
+        | LinkRelation::Referral => None,
+    }
+}
--- /dev/null
+++ b/crates/overlay/src/roster.rs
@@ -0,0 +1,298 @@
+//! Every VM of the fleet as this VM knows it.
+//!
+//! Records come by any way and the newest version stands. Whether a VM lives is a
+//! matter of evidence: it is heard here, or an aggregator names it in a word that is
+//! still fresh (see [`Evidence`]).
+//!
+//! Invariant: of one VM, an older record never replaces a newer one.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use onyxfall_policy::Moment;
+use onyxfall_types::VmName;
+
+use crate::evidence::{Evidence, WordScope};
+use crate::levels::aggregator_order;
+use crate::record::{VmRecord, VmStatus};
+use crate::word::RosterWord;
+
+/// When silence counts.
+#[derive(Clone, Copy, Debug)]
+pub struct RosterTiming {
+    /// Silence after which a VM is not taken for alive, and an aggregator's word counts
+    /// no longer.
+    pub silent_after: Duration,
+    /// Silence after which a VM is forgotten. Until then it counts where limits are
+    /// shared, and is looked for.
+    pub forget_after: Duration,
+}
+
+/// A VM as known here.
+#[derive(Clone, Debug)]
+pub struct KnownVm {
+    /// What it says of itself.
+    pub record: VmRecord,
+    /// Best evidence that it lives.
+    pub evidence: Evidence,
+    /// When this VM last heard it itself.
+    heard: Option<Moment>,
+    /// Last moment with any evidence.
+    seen: Moment,
+    /// Its order for the duty of an aggregator.
+    order: u64,
+}
+
+impl KnownVm {
+    /// Whether it lives, as far as known.
+    pub fn is_alive(&self) -> bool {
+        self.evidence > Evidence::None
+    }
+
+    pub(crate) fn order(&self) -> u64 {
+        self.order
+    }
+
+    /// Whether it lives and is not stopping.
+    pub fn is_staying(&self) -> bool {
+        self.is_alive() && !self.record.status.is_leaving
+    }
+}
+
+/// A word of another VM that counts while it is fresh.
+#[derive(Clone, Debug)]
+struct HeardWord {
+    heard: Moment,
+    names: BTreeSet<VmName>,
+}
+
+/// The VMs of the fleet.
+#[derive(Clone, Debug)]
+pub struct Roster {
+    own: VmRecord,
+    own_order: u64,
+    timing: RosterTiming,
+    vms: BTreeMap<VmName, KnownVm>,
+    words: BTreeMap<(VmName, WordScope), HeardWord>,
+    /// Grows with each change of a record or of evidence.
+    changes: u64,
+    /// VMs that have come to life or fallen silent since this was last asked for.
+    news: Vec<VmName>,
+}
+
+impl Roster {
+    /// A roster that knows only this VM.
+    pub fn new(own: VmRecord, timing: RosterTiming) -> Self {
+        Self {
+            own_order: aggregator_order(&own.name),
+            own,
+            timing,
+            vms: BTreeMap::new(),
+            words: BTreeMap::new(),
+            changes: 1,
+            news: Vec::new(),
+        }
+    }
+
+    /// What this VM says of itself.
+    pub fn own(&self) -> &VmRecord {
+        &self.own
+    }
+
+    pub(crate) fn own_order(&self) -> u64 {
+        self.own_order
+    }
+
+    /// Sets what changes in this VM's life; whether it is news.
+    pub fn set_status(&mut self, status: VmStatus) -> bool {
+        if self.own.status == status {
+            return false;
+        }
+        self.own.status = status;
+        self.own.version.change += 1;
+        self.changes += 1;
+        true
+    }
+
+    /// Every other VM, by name.
+    pub fn others(&self) -> impl Iterator<Item = &KnownVm> {
+        self.vms.values()
+    }
+
+    /// Another VM by name.
+    pub fn get(&self, name: &VmName) -> Option<&KnownVm> {
+        self.vms.get(name)
+    }
+
+    /// Whether a record is of this VM's region.
+    pub fn is_near(&self, record: &VmRecord) -> bool {
+        record.region == self.own.region
+    }
+
+    /// A number that grows with each change of a record or of evidence.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// VMs that have come to life or fallen silent since this was last asked.
+    pub fn take_news(&mut self) -> Vec<VmName> {
+        std::mem::take(&mut self.news)
+    }
+
+    /// Notes that a VM was heard, and what it says of itself.
+    pub fn hear(&mut self, now: Moment, record: &VmRecord) {
+        self.take_record(now, record);
+        if let Some(known) = self.vms.get_mut(&record.name) {
+            known.heard = Some(now);
+            self.weigh(now, &record.name);
+        }
+    }
+
+    /// Notes that a VM which said before who it is was heard once more.
+    pub fn hear_again(&mut self, now: Moment, name: &VmName) {
+        if let Some(known) = self.vms.get_mut(name) {
+            known.heard = Some(now);
+            if known.evidence < Evidence::Direct {
+                self.weigh(now, name);
+            }
+        }
+        for ((teller, _), word) in &mut self.words {
+            if teller == name {
+                word.heard = now;
+            }
+        }
+    }
+
+    /// Takes a word of another VM on who lives.
+    pub fn take_word(&mut self, now: Moment, from: &VmName, word: &RosterWord) {
+        let Some(teller) = self.vms.get(from) else {
+            return;
+        };
+        let region = teller.record.region.clone();
+        let is_meant = |record: &VmRecord| !word.scope.is_regional() || record.region == region;
+        let key = (from.clone(), word.scope);
+        let held = self.words.entry(key).or_insert_with(|| HeardWord {
+            heard: now,
+            names: BTreeSet::new(),
+        });
+        held.heard = now;
+        let mut weighed: BTreeSet<VmName> = word.gone.iter().cloned().collect();
+        if word.is_whole {
+            weighed.append(&mut held.names);
+        }
+        for name in &word.gone {
+            held.names.remove(name);
+        }
+        for record in word.records.iter().filter(|record| is_meant(record)) {
+            held.names.insert(record.name.clone());
+            weighed.insert(record.name.clone());
+        }
+        for record in &word.records {
+            self.take_record(now, record);
+        }
+        for name in weighed {
+            self.weigh(now, &name);
+        }
+    }
+
+    /// Lets silence count.
+    pub fn tick(&mut self, now: Moment) {
+        let timing = self.timing;
+        self.words
+            .retain(|_, word| now - word.heard < timing.silent_after);
+        let names: Vec<VmName> = self.vms.keys().cloned().collect();
+        for name in names {
+            self.weigh(now, &name);
+        }
+        let before = self.vms.len();
+        self.vms
+            .retain(|_, vm| vm.is_alive() || now - vm.seen < timing.forget_after);
+        if self.vms.len() != before {
+            self.changes += 1;
+        }
+    }
+
+    /// VMs that a word of a scope names, this one included.
+    pub(crate) fn named_in(&self, scope: WordScope) -> impl Iterator<Item = &VmRecord> {
+        let least = scope.least_evidence();
+        let others = self
+            .vms
+            .values()
+            .filter(move |vm| vm.evidence >= least)
+            .filter(move |vm| !scope.is_regional() || self.is_near(&vm.record))
+            .map(|vm| &vm.record);
+        others.chain([&self.own])
+    }
+
+    /// Takes a record if it is newer than the one held.
+    fn take_record(&mut self, now: Moment, record: &VmRecord) {
+        if record.name == self.own.name {
+            self.take_own(record);
+            return;
+        }
+        match self.vms.get_mut(&record.name) {
+            Some(known) if known.record.version >= record.version => {}
+            Some(known) => {
+                known.record = record.clone();
+                self.changes += 1;
+            }
+            None => {
+                let known = KnownVm {
+                    record: record.clone(),
+                    evidence: Evidence::None,
+                    heard: None,
+                    seen: now,
+                    order: aggregator_order(&record.name),
+                };
+                self.vms.insert(record.name.clone(), known);
+                self.changes += 1;
+            }
+        }
+    }
+
+    /// A record of this VM's name from a later life than its own: the clock went back
+    /// between two lives, and a later one still is taken.
+    fn take_own(&mut self, record: &VmRecord) {
+        if record.version.incarnation > self.own.version.incarnation {
+            self.own.version.incarnation = record.version.incarnation.next();
+            self.changes += 1;
+        }
+    }
+
+    /// Works out the evidence for a VM.
+    fn weigh(&mut self, now: Moment, name: &VmName) {
+        let timing = self.timing;
+        let own_region = self.own.region.clone();
+        let is_fresh = |at: Moment| now - at < timing.silent_after;
+        let Some(known) = self.vms.get(name) else {
+            return;
+        };
+        let evidence = if known.heard.is_some_and(is_fresh) {
+            Evidence::Direct
+        } else {
+            let named = self
+                .words
+                .iter()
+                .filter(|(_, word)| is_fresh(word.heard) && word.names.contains(name));
+            let is_near = known.record.region == own_region;
+            named
+                .map(|((_, scope), _)| scope.evidence(is_near))
+                .max()
+                .unwrap_or_default()
+        };
+        let Some(known) = self.vms.get_mut(name) else {
+            return;
+        };
+        if evidence > Evidence::None {
+            known.seen = now;
+        }
+        if known.evidence != evidence {
+            let was_alive = known.is_alive();
+            known.evidence = evidence;
+            self.changes += 1;
+            if known.is_alive() != was_alive {
+                self.news.push(name.clone());
+            }
+        }
+    }
+}
--- a/crates/policy/src/moment.rs
+++ b/crates/policy/src/moment.rs
@@ -27,6 +27,20 @@
         Self(u64::try_from(since_start.as_micros()).unwrap_or(u64::MAX))
     }
 
+    /// The moment `time` earlier, at the process's start at most.
+    ///
+    /// ```
+    /// use onyxfall_policy::Moment;
+    /// use std::time::Duration;
+    /// let second = Moment::from_duration(Duration::from_secs(1));
+    /// assert_eq!(second.before(Duration::from_secs(2)), Moment::ZERO);
+    /// ```
+    #[must_use]
+    pub fn before(self, time: Duration) -> Self {
+        let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+
     /// Microseconds since the start.
     pub const fn as_micros(self) -> u64 {
         self.0
--- a/crates/wire/src/class.rs
+++ b/crates/wire/src/class.rs
@@ -41,7 +41,7 @@
             | PeerPayload::Ping(_)
             | PeerPayload::MembersRequest(_)
             | PeerPayload::Members(_)
-            | PeerPayload::VmBeat(_)
+            | PeerPayload::Update(_)
             | PeerPayload::Load(_) => Self::Control,
             PeerPayload::RecordsRequest(_)
             | PeerPayload::Records(_)
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -8,7 +8,7 @@
     /// What it carries; absent if this version does not know it.
     #[prost(
         oneof = "PeerPayload",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 19, 20, 21, 22"
     )]
     pub payload: Option<PeerPayload>,
 }
@@ -67,9 +67,9 @@
     /// The members of a data centre.
     #[prost(message, tag = "17")]
     Members(MemberSet),
-    /// Heartbeat of a VM whose configuration comes from the store.
-    #[prost(message, tag = "18")]
-    VmBeat(VmBeat),
+    /// What one VM of the overlay tells another.
+    #[prost(message, tag = "22")]
+    Update(Box<VmUpdate>),
     /// Asks for a copy of the store.
     #[prost(message, tag = "19")]
     SnapshotRequest(SnapshotRequest),
@@ -98,9 +98,12 @@
     /// Name of the deployment.
     #[prost(string, tag = "2")]
     pub deployment: String,
-    /// The VM itself.
+    /// The VM itself, among entries.
     #[prost(message, optional, tag = "3")]
     pub member: Option<MemberEntry>,
+    /// The VM itself, among gateways.
+    #[prost(message, optional, tag = "4")]
+    pub vm: Option<VmEntry>,
 }
 
 /// A member as in a heartbeat.
@@ -419,33 +422,119 @@
     pub bundle: String,
 }
 
-/// Heartbeat of a VM whose configuration comes from the store.
+/// A VM as it describes itself.
 #[derive(Clone, PartialEq, Message)]
-pub struct VmBeat {
+pub struct VmEntry {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Its data centre.
+    #[prost(string, tag = "2")]
+    pub center: String,
+    /// Its life.
+    #[prost(uint64, tag = "3")]
+    pub incarnation: u64,
+    /// Changes within that life.
+    #[prost(uint32, tag = "4")]
+    pub change: u32,
+    /// Its address: four bytes, or sixteen.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub ip: bytes::Bytes,
+    /// Port for callers.
+    #[prost(uint32, tag = "6")]
+    pub callers_port: u32,
+    /// Port for other VMs.
+    #[prost(uint32, tag = "7")]
+    pub peers_port: u32,
+    /// Thousandths of a core.
+    #[prost(uint32, tag = "8")]
+    pub millicores: u32,
     /// Whether callers may be sent there.
-    #[prost(bool, tag = "1")]
+    #[prost(bool, tag = "9")]
     pub ready: bool,
     /// Whether it is stopping by plan.
-    #[prost(bool, tag = "2")]
+    #[prost(bool, tag = "10")]
     pub leaving: bool,
     /// Whether it watches the store and reaches it.
-    #[prost(bool, tag = "3")]
+    #[prost(bool, tag = "11")]
     pub watches_store: bool,
+}
+
+/// What one VM of the overlay tells another.
+#[derive(Clone, PartialEq, Message)]
+pub struct VmUpdate {
+    /// What the sender is to the receiver, by the order of the relations.
+    #[prost(uint32, tag = "1")]
+    pub relation: u32,
+    /// What the sender says of itself, if that is news on the link.
+    #[prost(message, optional, tag = "2")]
+    pub record: Option<VmEntry>,
+    /// Which VMs live, if that is news on the link.
+    #[prost(message, optional, tag = "3")]
+    pub word: Option<VmWord>,
+    /// Work at servers of the region, if the relation tells it.
+    #[prost(message, optional, tag = "4")]
+    pub work: Option<WorkSet>,
+    /// Whether the sender's sums are those of all its members.
+    #[prost(bool, tag = "5")]
+    pub is_warm: bool,
     /// Hash of its copy of the store.
-    #[prost(fixed64, tag = "4")]
-    pub mirror_hash: u64,
+    #[prost(fixed64, tag = "6")]
+    pub copy_hash: u64,
     /// Revision of its copy of the store.
-    #[prost(uint64, tag = "5")]
-    pub mirror_revision: u64,
-    /// What its region has free, by service.
-    #[prost(message, repeated, tag = "6")]
-    pub loads: Vec<ServiceLoadEntry>,
-    /// Its own work at servers of its region; told within the region only.
-    #[prost(message, repeated, tag = "7")]
-    pub work: Vec<ServerWorkEntry>,
-    /// What it has learned of services; not in every heartbeat.
-    #[prost(message, repeated, tag = "8")]
+    #[prost(uint64, tag = "7")]
+    pub copy_revision: u64,
+    /// Whether its copy holds everything.
+    #[prost(bool, tag = "8")]
+    pub copy_is_whole: bool,
+    /// What was learned of services; not in every message.
+    #[prost(message, repeated, tag = "9")]
     pub costs: Vec<ServiceCostEntry>,
+    /// What regions have free, if that is news on the link.
+    #[prost(message, repeated, tag = "10")]
+    pub regions: Vec<RegionLoadEntry>,
+}
+
+/// Which VMs live: whole at first, then what has changed.
+#[derive(Clone, PartialEq, Message)]
+pub struct VmWord {
+    /// Whom it names, by the order of the scopes.
+    #[prost(uint32, tag = "1")]
+    pub scope: u32,
+    /// Whether it replaces every earlier word on the link.
+    #[prost(bool, tag = "2")]
+    pub is_whole: bool,
+    /// VMs that are new, or have changed.
+    #[prost(message, repeated, tag = "3")]
+    pub vms: Vec<VmEntry>,
+    /// Names of VMs that are no longer vouched for.
+    #[prost(string, repeated, tag = "4")]
+    pub gone: Vec<String>,
+}
+
+/// Work at servers: whole at first, then what has changed.
+#[derive(Clone, PartialEq, Message)]
+pub struct WorkSet {
+    /// Whether servers that are not named have none.
+    #[prost(bool, tag = "1")]
+    pub is_whole: bool,
+    /// Work by server.
+    #[prost(message, repeated, tag = "2")]
+    pub servers: Vec<ServerWorkEntry>,
+}
+
+/// What a region has free.
+#[derive(Clone, PartialEq, Message)]
+pub struct RegionLoadEntry {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub region: String,
+    /// Age of the word when it was sent.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+    /// What is free, by service.
+    #[prost(message, repeated, tag = "3")]
+    pub services: Vec<ServiceLoadEntry>,
 }
 
 /// What a region has free of one service.
@@ -468,7 +557,7 @@
     pub backlog_ms: u32,
 }
 
-/// Work of one VM at one server.
+/// Work of one VM, or of several, at one server.
 #[derive(Clone, PartialEq, Message)]
 pub struct ServerWorkEntry {
     /// Tag of the server's name.
@@ -512,6 +601,9 @@
     /// Answers behind it.
     #[prost(uint32, tag = "7")]
     pub plain_samples: u32,
+    /// VMs behind all of these.
+    #[prost(uint32, tag = "8")]
+    pub vms: u32,
 }
 
 /// Asks for the peer's copy of the store.
@@ -527,6 +619,10 @@
     /// Its items.
     #[prost(message, repeated, tag = "2")]
     pub items: Vec<SnapshotItem>,
+    /// Whether what is missing in it is gone for good: the sender's copy is current,
+    /// and holds no item that may come back.
+    #[prost(bool, tag = "3")]
+    pub is_steady: bool,
 }
 
 /// Changes of a copy of the store.
