Even out regions' plain services by rates

Cause: at the large site two servers of six slots serve a region that at its peak asks for 92 in 100 of what they can do; they turn requests away at 30 of them (six run, 24 wait), after 0.15 s of waiting at most, where a request leaves its region only for 0.2 s.

Change: VMs tell rates of each service as they tell work; a region that is offered more than 0.8 of its capacity sends the rest by chance to regions that have told of spare capacity (`fleet/balance.rs`, switch `region-rates`).

--- a/crates/fleet/src/away.rs
+++ b/crates/fleet/src/away.rs
@@ -49,6 +49,8 @@
     pub usable: u32,
     /// Expected time between two events of an answer there.
     pub pace: Duration,
+    /// Thousandths of a request a second that a plain service there has to spare.
+    pub spare: u32,
 }
 
 /// Work that was sent to a region.
@@ -249,6 +251,37 @@
         })
     }
 
+    /// A region drawn by its spare capacity for a plain service, of those that answer
+    /// within `limit`; none by the chance that all of them together lack for `excess`
+    /// requests a second.
+    pub fn draw_spare(
+        &self,
+        now: Moment,
+        search: &AwaySearch<'_>,
+        limit: Duration,
+        excess: f64,
+        rng: &mut impl Rng,
+    ) -> Option<AwayOption> {
+        let options: Vec<(f64, AwayOption)> = self
+            .options(now, search)
+            .filter(|option| option.predicted.first <= limit)
+            .map(|option| {
+                let load = self.words[&option.region].loads.get(&search.service_tag);
+                let spare = load.map_or(0.0, |load| f64::from(load.spare) / 1e3);
+                (spare, option)
+            })
+            .collect();
+        let total: f64 = options.iter().map(|(spare, _)| spare).sum();
+        let mut point = rng.random::<f64>() * total.max(excess);
+        for (spare, option) in options {
+            if point < spare {
+                return Some(option);
+            }
+            point -= spare;
+        }
+        None
+    }
+
     /// A region drawn by its usable servers, `own_usable` of them here; none if this
     /// region is drawn.
     pub fn draw(
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod away;
 mod backup;
+mod balance;
 mod budget;
 mod call;
 mod choose;
@@ -27,6 +28,7 @@
 
 pub use away::{AwayOption, AwaySearch, AwayTable, ServiceLoad, goes_away};
 pub use backup::BackupDecision;
+pub use balance::RateKind;
 pub use budget::{BudgetLimits, RetryShare};
 pub use call::{CallNeeds, PromptPart, PromptSize};
 pub use choose::{ChoiceReason, LocalOption, ServerChoice};
--- a/crates/fleet/src/switches.rs
+++ b/crates/fleet/src/switches.rs
@@ -103,6 +103,9 @@
         EarlyDial = "early-dial",
         /// Times are predicted by what answers have taught, not by the prior alone.
         LearnedCosts = "learned-costs",
+        /// A region that is offered more of a plain service than it can do sends the rest
+        /// to regions with spare capacity.
+        RegionRates = "region-rates",
         /// Servers are drawn so that VMs with the same knowledge fill them evenly.
         LevelDraw = "level-draw",
         /// Heartbeats within a region are sent more often than needed to tell life.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -15,6 +15,7 @@
 };
 
 use crate::backup::CrashTable;
+use crate::balance::RateTable;
 use crate::call::CallNeeds;
 use crate::flow::FlowMeter;
 use crate::learn::ServiceCosts;
@@ -67,6 +68,7 @@
     knowledge_age: Duration,
     /// Requests of each service whose server was chosen by its load.
     drawn: BTreeMap<ServiceName, FlowMeter>,
+    rates: RateTable,
 }
 
 impl FleetView {
@@ -87,6 +89,7 @@
             turn: 0,
             knowledge_age: Duration::ZERO,
             drawn: BTreeMap::new(),
+            rates: RateTable::new(),
         }
     }
 
@@ -158,6 +161,16 @@
         &mut self.crashes
     }
 
+    /// Rates of services.
+    pub(crate) fn rates(&self) -> &RateTable {
+        &self.rates
+    }
+
+    /// Rates of services, to change them.
+    pub(crate) fn rates_mut(&mut self) -> &mut RateTable {
+        &mut self.rates
+    }
+
     /// A number that grows with each choice.
     pub(crate) fn next_turn(&mut self) -> usize {
         self.turn = self.turn.wrapping_add(1);
--- /dev/null
+++ b/crates/fleet/tests/balance.rs
@@ -0,0 +1,171 @@
+//! How much of a region's requests leaves it, by rates.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use onyxfall_fleet::{
+    AwaySearch, AwayTable, CallNeeds, DecisionSwitch, DecisionSwitches, FleetView, PromptSize,
+    RateKind, RoundTrips, ServerPhase, ServerRecord, ServiceLoad, VmPlace,
+};
+use onyxfall_policy::Moment;
+use onyxfall_types::{ServiceName, name_tag};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+fn at(ms: u64) -> Moment {
+    Moment::from_duration(Duration::from_millis(ms))
+}
+
+fn service() -> ServiceName {
+    "svc".parse().unwrap()
+}
+
+/// A region with two servers that do 400 requests a second together.
+fn view() -> FleetView {
+    let center = ("c0".parse().unwrap(), "r0".parse().unwrap());
+    let mut view = FleetView::new(VmPlace {
+        vm: "vm0".parse().unwrap(),
+        center: "c0".parse().unwrap(),
+        region: "r0".parse().unwrap(),
+        centers: [center].into(),
+    });
+    for server in 0..2 {
+        let record = ServerRecord {
+            name: format!("s{server}").parse().unwrap(),
+            service: service(),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+            center: "c0".parse().unwrap(),
+            slots: 6,
+            phase: ServerPhase::Ready,
+            cold_left: Duration::ZERO,
+        };
+        view.put_server(at(0), record, None);
+    }
+    // Every request takes 30 ms.
+    let id = view.find("s0").unwrap();
+    let needs = needs();
+    for attempt in 0..100 {
+        view.start_attempt(at(attempt * 40), id, attempt, &needs);
+        view.note_answer(at(attempt * 40 + 30), id, attempt);
+        let result = onyxfall_fleet::AttemptResult::Succeeded;
+        view.end_attempt(at(attempt * 40 + 30), id, attempt, result, None);
+    }
+    view
+}
+
+fn needs() -> CallNeeds {
+    CallNeeds {
+        service: service(),
+        engine: None,
+        prompt: PromptSize::default(),
+        goal: Duration::from_millis(400),
+        urgency: 9,
+        deadline: at(3_600_000),
+        events: None,
+        home_regions: Vec::new(),
+    }
+}
+
+struct RateCase {
+    name: &'static str,
+    offered: f64,
+    relayed: f64,
+    off: &'static [DecisionSwitch],
+    /// Part that leaves.
+    overflow: f64,
+}
+
+#[test]
+fn what_a_region_cannot_serve_well_leaves_it() {
+    let cases = [
+        RateCase {
+            name: "little is offered",
+            offered: 100.0,
+            relayed: 0.0,
+            off: &[],
+            overflow: 0.0,
+        },
+        RateCase {
+            name: "twice of what can be done well",
+            offered: 640.0,
+            relayed: 0.0,
+            off: &[],
+            overflow: 0.5,
+        },
+        RateCase {
+            name: "other regions' requests take their part",
+            offered: 320.0,
+            relayed: 80.0,
+            off: &[],
+            overflow: 0.25,
+        },
+        RateCase {
+            name: "turned off",
+            offered: 640.0,
+            relayed: 0.0,
+            off: &[DecisionSwitch::RegionRates],
+            overflow: 0.0,
+        },
+    ];
+    for case in cases {
+        let mut view = view();
+        let policy = DecisionSwitches::default().policy();
+        view.set_switches(DecisionSwitches::new(policy, case.off.iter().copied()));
+        let now = at(100_000);
+        view.note_rate(now, &service(), RateKind::Offered);
+        view.set_told_rate(RateKind::Offered.tag("svc"), case.offered);
+        view.set_told_rate(RateKind::Relayed.tag("svc"), case.relayed);
+        let overflow = view.overflow(now, &service());
+        let error = (overflow - case.overflow).abs();
+        assert!(error < 0.03, "{}: {overflow}", case.name);
+    }
+}
+
+#[test]
+fn spare_capacity_is_shared_and_never_exceeded_by_chance() {
+    let mut table = AwayTable::default();
+    let spare_of = [("r1", 100_000), ("r2", 50_000)];
+    for (region, spare) in spare_of {
+        let load = ServiceLoad {
+            wait: Duration::from_millis(30),
+            usable: 2,
+            spare,
+            ..ServiceLoad::default()
+        };
+        let loads = BTreeMap::from([(name_tag("svc"), load)]);
+        table.hear(at(0), &region.parse().unwrap(), Duration::ZERO, loads);
+    }
+    let own = "r0".parse().unwrap();
+    let (needs, trips) = (needs(), RoundTrips::default());
+    let search = AwaySearch {
+        needs: &needs,
+        service_tag: name_tag("svc"),
+        own_region: &own,
+        prefix_home: None,
+        trips: &trips,
+        work: Duration::from_millis(5),
+        work_at_home: Duration::from_millis(5),
+        excluded: &[],
+    };
+    let mut rng = StdRng::seed_from_u64(3);
+    let limit = Duration::from_millis(300);
+    let mut drawn: BTreeMap<Option<String>, u32> = BTreeMap::new();
+    for _ in 0..3000 {
+        let option = table.draw_spare(at(0), &search, limit, 300.0, &mut rng);
+        let region = option.map(|option| option.region.to_string());
+        *drawn.entry(region).or_default() += 1;
+    }
+    // 300 requests a second too many: 100 and 50 can be taken, the rest stays.
+    let part = |region: Option<&str>| f64::from(drawn[&region.map(str::to_owned)]) / 3000.0;
+    for (region, expected) in [(Some("r1"), 0.333), (Some("r2"), 0.167), (None, 0.5)] {
+        let found = part(region);
+        assert!((found - expected).abs() < 0.03, "{region:?}: {found}");
+    }
+    let too_far = Duration::from_millis(100);
+    assert!(
+        table
+            .draw_spare(at(0), &search, too_far, 300.0, &mut rng)
+            .is_none()
+    );
+}
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -305,6 +305,7 @@
             usable: case.load.1,
             pace: Duration::ZERO,
             backlog: Duration::ZERO,
+            spare: 0,
         };
         let loads = BTreeMap::from([(name_tag("svc"), load)]);
         table.hear(at(0), &"r1".parse().unwrap(), Duration::ZERO, loads);
@@ -343,6 +344,7 @@
         usable: 2,
         pace: Duration::ZERO,
         backlog: Duration::ZERO,
+        spare: 0,
     };
     let tags = [name_tag("svc"), name_tag("other")];
     table.hear(
--- a/crates/gateway/src/decide.rs
+++ b/crates/gateway/src/decide.rs
@@ -5,13 +5,14 @@
 
 use onyxfall_fleet::{
     AwayOption, AwaySearch, CallNeeds, ChoicePolicy, DecisionSwitch, FleetView, LocalOption,
-    RoundTrips, ServerChoice, TimePrediction, goes_away,
+    RateKind, RoundTrips, ServerChoice, TimePrediction, goes_away,
 };
 use onyxfall_policy::Moment;
 use onyxfall_types::{RefusalReason, RequestError, name_tag};
+use rand::Rng;
 
 use crate::attempt::ServerTarget;
-use crate::call::{CallContext, SharedCall};
+use crate::call::{CallContext, CallOrigin, SharedCall};
 use crate::gateway::Gateway;
 use crate::relay::PeerTarget;
 use crate::report::millis;
@@ -35,6 +36,9 @@
 /// Part of the goal up to which others' work is no reason to refuse: where hardly
 /// anything waits, refusing a long prompt helps nobody.
 const IDLE_PART: f64 = 0.1;
+/// Part of the goal within which another region must answer a request that this one has
+/// no room for: predictions err by some tens of milliseconds.
+const SPILL_PART: f64 = 0.75;
 /// Part of the expected time of a whole answer that most answers need: a fifth ended
 /// within 0.51 to 0.58 of it on three days with a rush. A request is refused for its
 /// end only if the caller will hardly get it. Refusing at the expected time itself
@@ -94,6 +98,9 @@
         if self.settings().switches.policy() == ChoicePolicy::Random {
             return self.weigh_at_random(now, call, &fleet, &choice, progress);
         }
+        if let Some(away) = self.spill(now, call, &fleet, progress) {
+            return self.send_away(call, away, progress);
+        }
         if let Some(away) = away {
             let unread = server.unread_shared(now, &call.needs.prompt);
             let saved = fleet.read_time(&call.needs.service, unread);
@@ -119,6 +126,62 @@
         RouteStep::Server(server_target(&fleet, &choice))
     }
 
+    /// The region that a request to a plain service goes to since this one is offered
+    /// more than it can do, by chance.
+    fn spill(
+        &self,
+        now: Moment,
+        call: &CallContext,
+        fleet: &FleetView,
+        progress: &CallProgress,
+    ) -> Option<AwayOption> {
+        let needs = &call.needs;
+        if needs.engine.is_some() || !self.leaves(call) {
+            return None;
+        }
+        let overflow = fleet.overflow(now, &needs.service);
+        let rng = &mut *self.rng.borrow_mut();
+        if overflow <= 0.0 || !rng.random_bool(overflow.min(1.0)) {
+            return None;
+        }
+        let excluded = self.closed_regions(&progress.vms);
+        let trips = self.trips.borrow();
+        let search = AwaySearch {
+            excluded: &excluded,
+            ..plain_search(fleet, &trips, needs)
+        };
+        let limit = needs.goal.mul_f64(SPILL_PART);
+        let excess = -fleet.spare(now, &needs.service);
+        let away = self.away.borrow();
+        let drawn = away.draw_spare(now, &search, limit, excess, rng)?;
+        log::info!(
+            request = call.request_id.as_str(),
+            region = drawn.region.as_str(),
+            overflow,
+            away_ms = millis(drawn.predicted.first);
+            "sent away, more is offered here than can be done"
+        );
+        Some(drawn)
+    }
+
+    /// Counts an attempt for the rates of its service.
+    pub(crate) fn note_rate(&self, call: &CallContext) {
+        let kind = match call.origin {
+            CallOrigin::Caller => RateKind::Offered,
+            CallOrigin::Peer(_) => RateKind::Relayed,
+        };
+        let now = self.now();
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.note_rate(now, &call.needs.service, kind);
+    }
+
+    /// Whether a request may leave the region.
+    fn leaves(&self, call: &CallContext) -> bool {
+        let policy = self.settings().switches.policy();
+        let stays = matches!(policy, ChoicePolicy::LocalOnly | ChoicePolicy::RoundRobin);
+        !stays && call.may_leave() && self.is_on(DecisionSwitch::SendAway)
+    }
+
     /// Sends the request to a region drawn by its usable servers; a baseline.
     fn weigh_at_random(
         &self,
@@ -199,9 +262,7 @@
         call: &CallContext,
         progress: &CallProgress,
     ) -> Option<AwayOption> {
-        let policy = self.settings().switches.policy();
-        let stays = matches!(policy, ChoicePolicy::LocalOnly | ChoicePolicy::RoundRobin);
-        if stays || !call.may_leave() || !self.is_on(DecisionSwitch::SendAway) {
+        if !self.leaves(call) {
             return None;
         }
         let excluded = self.closed_regions(&progress.vms);
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -114,10 +114,12 @@
     pub(crate) fn apply_work(&self, now: Moment) {
         let mut overlay = self.overlay.borrow_mut();
         let mut fleet = self.fleet.borrow_mut();
-        for server in overlay.totals_mut().take_news() {
-            if let Some(id) = fleet.find_tag(server.0) {
-                let work = overlay.totals().others(server);
+        for tag in overlay.totals_mut().take_news() {
+            let work = overlay.totals().others(tag);
+            if let Some(id) = fleet.find_tag(tag.0) {
                 fleet.server_mut(id).set_others(now, work);
+            } else {
+                fleet.set_told_rate(tag.0, work.flow as f64 / 1e3);
             }
         }
     }
@@ -137,6 +139,14 @@
                 server: ServerTag::of(server.record.name.as_str()),
                 share,
             });
+        let rates = fleet.own_rates(now).map(|(tag, rate)| WorkEntry {
+            server: ServerTag(tag),
+            share: WorkShare {
+                flow: thousandths(rate).into(),
+                ..WorkShare::default()
+            },
+        });
+        let work = work.chain(rates);
         self.overlay.borrow_mut().totals_mut().set_own(work);
     }
 
@@ -232,6 +242,11 @@
                 usable: u32::try_from(offers.len()).unwrap_or(u32::MAX),
                 pace: *pace,
                 backlog: least.backlog,
+                spare: if service.engine.is_none() {
+                    thousandths(fleet.spare(now, &service.name))
+                } else {
+                    0
+                },
             };
             entries.push(load_entry(name_tag(service.name.as_str()), &load));
         }
@@ -263,6 +278,7 @@
         backlog_ms: wire_millis(load.backlog),
         pace_ms: wire_millis(load.pace),
         usable: load.usable,
+        spare: load.spare,
     }
 }
 
@@ -272,9 +288,15 @@
         usable: entry.usable,
         pace: Duration::from_millis(entry.pace_ms.into()),
         backlog: Duration::from_millis(entry.backlog_ms.into()),
+        spare: entry.spare,
     }
 }
 
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn thousandths(rate: f64) -> u32 {
+    (rate.max(0.0) * 1e3).round() as u32
+}
+
 fn wire_millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -555,6 +555,9 @@
     /// The part of the wait that is others' work, in milliseconds.
     #[prost(uint32, tag = "5")]
     pub backlog_ms: u32,
+    /// Thousandths of a request a second that a plain service has to spare.
+    #[prost(uint32, tag = "6")]
+    pub spare: u32,
 }
 
 /// Work of one VM, or of several, at one server.
