Let all VMs vote on servers that fall silent

Cause: at 295 VMs each learns by requests of its own that a server is dark.

Ruled out: sharing rates of failures: a VM without network of its own would have a healthy server taken for dead; so each VM has one vote.

Change: votes good or bad by last sign, broken connections and overdue first bytes (`fleet/signs.rs`, switch `server-votes`), summed like work; a silent server gets nothing, what waits there and may be repeated is moved, resumable streams go on elsewhere. Tests: votes in a table, false suspicion over random paces with pauses and a VM without network, and over processes (fails with the votes off).

--- a/crates/fleet/benches/choice.rs
+++ b/crates/fleet/benches/choice.rs
@@ -51,6 +51,7 @@
             unread: UnreadTokens::of(5, 900 * (server as u64 % 7)),
             memory: 20_000,
             flow: 2000,
+            ..WorkShare::default()
         };
         let none = WorkShare::default();
         let all = (0..OTHER_VMS).fold(none, |sum, _| sum.plus(one));
--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -154,9 +154,8 @@
         let one = self.costs(service).plain_ms() / 1e3;
         let slots: f64 = self
             .near_servers(service)
-            .map(|id| self.server(id))
-            .filter(|server| server.is_trusted(now) && !server.is_cold(now))
-            .map(|server| f64::from(server.record.slots))
+            .filter(|id| self.is_trusted(now, *id) && !self.server(*id).is_cold(now))
+            .map(|id| f64::from(self.server(id).record.slots))
             .sum();
         slots / one.max(f64::MIN_POSITIVE)
     }
--- a/crates/fleet/src/choose.rs
+++ b/crates/fleet/src/choose.rs
@@ -169,7 +169,7 @@
         let trusted: Vec<ServerId> = awake
             .iter()
             .copied()
-            .filter(|id| self.server(*id).is_trusted(now))
+            .filter(|id| self.is_trusted(now, *id))
             .collect();
         if trusted.is_empty() { awake } else { trusted }
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -22,6 +22,7 @@
 mod record;
 mod route;
 mod server;
+mod signs;
 mod switches;
 mod view;
 mod work;
@@ -49,6 +50,7 @@
     RouteTable, RouteTarget,
 };
 pub use server::{AttemptResult, ServerState};
+pub use signs::ServerVotes;
 pub use switches::{ChoicePolicy, DecisionSwitch, DecisionSwitches, UnknownName};
 pub use view::{FleetView, VmPlace};
 pub use work::{URGENCIES, UnreadTokens, WorkShare};
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -12,6 +12,7 @@
 use crate::kept::KeptPrefixes;
 use crate::learn::EngineLoad;
 use crate::record::{ServerPhase, ServerRecord};
+use crate::signs::{ServerVotes, SignRecord};
 use crate::work::{UnreadTokens, WorkShare};
 
 /// Time in which what came to a server fades to a third: long enough for a steady
@@ -94,6 +95,7 @@
     /// Other VMs' work, as they tell it.
     others: WorkShare,
     kept: KeptPrefixes,
+    signs: SignRecord,
 }
 
 impl ServerState {
@@ -114,6 +116,7 @@
             own: WorkShare::default(),
             others: WorkShare::default(),
             kept: KeptPrefixes::new(now),
+            signs: SignRecord::default(),
         }
     }
 
@@ -164,7 +167,28 @@
     pub fn own_work(&self, now: Moment) -> WorkShare {
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let flow = self.flow.per_second(now).round() as u64;
-        WorkShare { flow, ..self.own }
+        WorkShare {
+            flow,
+            votes: self.own_vote(now),
+            ..self.own
+        }
+    }
+
+    /// This VM's vote on whether it lives.
+    fn own_vote(&self, now: Moment) -> ServerVotes {
+        let waiting = self.open.values().find(|open| open.answered.is_none());
+        let waiting = waiting.map(|open| (open.started, open.predicted));
+        self.signs.vote(now, waiting)
+    }
+
+    /// The votes of all VMs on whether it lives.
+    pub fn votes(&self, now: Moment) -> ServerVotes {
+        self.others.votes.plus(self.own_vote(now))
+    }
+
+    /// Notes a sign of life.
+    pub fn note_sign(&mut self, now: Moment) {
+        self.signs.note_sign(now);
     }
 
     /// Sets what all other VMs have under way there.
@@ -276,7 +300,7 @@
             requests: 1,
             unread: UnreadTokens::of(needs.urgency, unread),
             memory: needs.prompt.memory(),
-            flow: 0,
+            ..WorkShare::default()
         };
         if self.circuit.allows(now) {
             self.circuit.start(now);
@@ -306,6 +330,7 @@
             return None;
         }
         open.answered = Some(now);
+        self.signs.note_sign(now);
         let read = WorkShare {
             unread: open.work.unread,
             ..WorkShare::default()
@@ -340,16 +365,19 @@
         }
         match result {
             AttemptResult::Succeeded => {
+                self.signs.note_sign(now);
                 self.circuit.succeed();
             }
             AttemptResult::Failed => {
                 self.circuit.fail(now);
             }
             AttemptResult::Broken => {
+                self.signs.note_break(now);
                 self.circuit.fail(now);
                 self.circuit.trip(now);
             }
             AttemptResult::Shed => {
+                self.signs.note_sign(now);
                 self.circuit.forget();
                 self.full_until = now + FULL_PAUSE;
             }
--- a/crates/fleet/src/switches.rs
+++ b/crates/fleet/src/switches.rs
@@ -97,6 +97,9 @@
         Backups = "backups",
         /// Servers that fail get no work for a while.
         CircuitBreaker = "circuit-breaker",
+        /// A server that several VMs have no sign of life of gets no work from any, and
+        /// what waits there is moved.
+        ServerVotes = "server-votes",
         /// A cold server's rate is shared between VMs.
         ColdShare = "cold-share",
         /// Connections are dialled again long before the kernel would.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -22,7 +22,7 @@
 use crate::record::ServerRecord;
 use crate::route::RouteTable;
 use crate::server::ServerState;
-use crate::switches::DecisionSwitches;
+use crate::switches::{DecisionSwitch, DecisionSwitches};
 
 /// Requests for each slot of a plain service's server up to which it gets more, beside
 /// those that have ended since they were told. With 2 and nothing beside, a hundred VMs
@@ -233,10 +233,22 @@
     pub fn free_servers(&self, now: Moment, needs: &CallNeeds) -> impl Iterator<Item = ServerId> {
         self.near_servers(&needs.service).filter(move |id| {
             let server = self.server(*id);
-            server.is_trusted(now) && !server.is_cold(now) && self.has_room(*id, needs)
+            self.is_trusted(now, *id) && !server.is_cold(now) && self.has_room(*id, needs)
         })
     }
 
+    /// Whether a server may be sent an attempt: neither this VM's breaker nor the votes
+    /// of all VMs speak against it.
+    pub(crate) fn is_trusted(&self, now: Moment, id: ServerId) -> bool {
+        let server = self.server(id);
+        server.is_trusted(now) && !self.is_silent(now, id)
+    }
+
+    /// Whether a server is taken for silent by the votes of all VMs.
+    pub fn is_silent(&self, now: Moment, id: ServerId) -> bool {
+        self.switches().is_on(DecisionSwitch::ServerVotes) && self.server(id).votes(now).is_silent()
+    }
+
     /// Whether another request fits a server. Of other VMs' requests to a plain service
     /// some have ended since they were told.
     pub(crate) fn has_room(&self, id: ServerId, needs: &CallNeeds) -> bool {
--- a/crates/fleet/src/work.rs
+++ b/crates/fleet/src/work.rs
@@ -1,5 +1,7 @@
 //! What VMs have under way at a server, as they tell each other.
 
+use crate::signs::ServerVotes;
+
 /// Urgencies that a request can have; 0 goes first.
 pub const URGENCIES: usize = 10;
 
@@ -68,6 +70,8 @@
     pub memory: u64,
     /// Tokens a second that flow into the server's memory.
     pub flow: u64,
+    /// Whether it lives, as those VMs see it.
+    pub votes: ServerVotes,
 }
 
 impl WorkShare {
@@ -80,6 +84,7 @@
             unread: self.unread.combine(other.unread, u64::saturating_add),
             memory: self.memory.saturating_add(other.memory),
             flow: self.flow.saturating_add(other.flow),
+            votes: self.votes.plus(other.votes),
         }
     }
 
@@ -91,6 +96,7 @@
             unread: self.unread.combine(other.unread, u64::saturating_sub),
             memory: self.memory.saturating_sub(other.memory),
             flow: self.flow.saturating_sub(other.flow),
+            votes: self.votes.without(other.votes),
         }
     }
 }
--- a/crates/fleet/tests/backup.rs
+++ b/crates/fleet/tests/backup.rs
@@ -196,6 +196,7 @@
             unread: UnreadTokens::default(),
             memory: 0,
             flow: 0,
+            ..WorkShare::default()
         };
         let id = server(&view, name);
         view.server_mut(id).set_others(at(10_000), full);
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -234,6 +234,7 @@
             unread: UnreadTokens::of(5, 1000),
             memory: 1100,
             flow,
+            ..WorkShare::default()
         }
     );
     view.note_answer(at(5), id, 1);
--- /dev/null
+++ b/crates/fleet/tests/silence.rs
@@ -0,0 +1,228 @@
+//! When servers are taken for silent: votes, and false suspicion over random paces.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use onyxfall_fleet::{
+    AttemptResult, CallNeeds, EngineLimits, FleetView, PromptSize, ServerPhase, ServerRecord,
+    ServerVotes, VmPlace, WorkShare,
+};
+use onyxfall_policy::Moment;
+use onyxfall_types::ServerId;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const ENGINE: EngineLimits = EngineLimits {
+    slots: 24,
+    memory_tokens: 500_000,
+    token_bytes: 1000,
+    keeps_backups: false,
+};
+
+fn at(ms: u64) -> Moment {
+    Moment::from_duration(Duration::from_millis(ms))
+}
+
+fn view(vm: usize) -> (FleetView, ServerId) {
+    let center = ("c0".parse().unwrap(), "r0".parse().unwrap());
+    let mut view = FleetView::new(VmPlace {
+        vm: format!("vm{vm}").parse().unwrap(),
+        center: "c0".parse().unwrap(),
+        region: "r0".parse().unwrap(),
+        centers: [center].into(),
+    });
+    let record = ServerRecord {
+        name: "s".parse().unwrap(),
+        service: "svc".parse().unwrap(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        center: "c0".parse().unwrap(),
+        slots: 24,
+        phase: ServerPhase::Ready,
+        cold_left: Duration::ZERO,
+    };
+    view.put_server(at(0), record, None);
+    let id = view.find("s").unwrap();
+    (view, id)
+}
+
+fn needs() -> CallNeeds {
+    CallNeeds {
+        service: "svc".parse().unwrap(),
+        engine: Some(ENGINE),
+        prompt: PromptSize {
+            input: 1000,
+            output: 100,
+            ..PromptSize::default()
+        },
+        goal: Duration::from_millis(600),
+        urgency: 3,
+        deadline: at(3_600_000),
+        events: None,
+        home_regions: Vec::new(),
+    }
+}
+
+/// Gives each VM the sum of the others' votes.
+fn exchange(views: &mut [FleetView], id: ServerId, now: Moment) {
+    let votes: Vec<ServerVotes> = views
+        .iter()
+        .map(|view| view.server(id).own_work(now).votes)
+        .collect();
+    for (vm, view) in views.iter_mut().enumerate() {
+        let sum = |field: fn(&ServerVotes) -> u32| -> u32 {
+            let others = votes.iter().enumerate().filter(|(other, _)| *other != vm);
+            others.map(|(_, votes)| field(votes)).sum()
+        };
+        let others = WorkShare {
+            votes: ServerVotes {
+                good: sum(|votes| votes.good),
+                bad: sum(|votes| votes.bad),
+            },
+            ..WorkShare::default()
+        };
+        view.server_mut(id).set_others(now, others);
+    }
+}
+
+struct VoteCase {
+    name: &'static str,
+    /// Whether each VM has had an answer, a broken connection, or waits.
+    vms: &'static [VmSight],
+    silent: bool,
+}
+
+#[derive(Clone, Copy)]
+enum VmSight {
+    Answered,
+    Broken,
+    Waits,
+    Nothing,
+}
+
+#[test]
+fn servers_are_taken_for_silent_by_several_vms_only() {
+    use VmSight::{Answered, Broken, Nothing, Waits};
+    let cases = [
+        VoteCase {
+            name: "nobody knows anything",
+            vms: &[Nothing, Nothing],
+            silent: false,
+        },
+        VoteCase {
+            name: "one VM's connections break",
+            vms: &[Broken, Nothing, Nothing],
+            silent: false,
+        },
+        VoteCase {
+            name: "two VMs' connections break",
+            vms: &[Broken, Broken, Nothing],
+            silent: true,
+        },
+        VoteCase {
+            name: "two VMs wait for long",
+            vms: &[Waits, Waits, Nothing],
+            silent: true,
+        },
+        VoteCase {
+            name: "others have had answers",
+            vms: &[Broken, Waits, Answered, Answered],
+            silent: false,
+        },
+        VoteCase {
+            name: "many against one",
+            vms: &[Broken, Broken, Waits, Answered],
+            silent: true,
+        },
+    ];
+    for case in cases {
+        let (mut views, id) = (Vec::new(), view(0).1);
+        for (vm, sight) in case.vms.iter().enumerate() {
+            let (mut view, _) = view(vm);
+            match sight {
+                Answered => {
+                    view.start_attempt(at(900), id, 1, &needs());
+                    view.note_answer(at(1900), id, 1);
+                }
+                Broken => {
+                    view.start_attempt(at(900), id, 1, &needs());
+                    view.end_attempt(at(1900), id, 1, AttemptResult::Broken, None);
+                }
+                Waits => view.start_attempt(at(0), id, 1, &needs()),
+                Nothing => {}
+            }
+            views.push(view);
+        }
+        exchange(&mut views, id, at(2000));
+        for view in &views {
+            assert_eq!(view.is_silent(at(2000), id), case.silent, "{}", case.name);
+        }
+    }
+}
+
+/// Ten VMs send a server requests whose first bytes take any time up to three times
+/// the prediction; one VM is paused now and then, and one has no network.
+#[test]
+fn a_server_that_answers_is_never_taken_for_silent() {
+    let mut rng = StdRng::seed_from_u64(9);
+    let (mut views, id) = (Vec::new(), view(0).1);
+    for vm in 0..10 {
+        views.push(view(vm).0);
+    }
+    let mut open: Vec<(u64, usize, u64)> = Vec::new();
+    let mut attempt = 0;
+    for now in (0..60_000).step_by(10) {
+        let is_paused = |vm: usize| vm == 1 && now % 3000 < 300;
+        for (vm, view) in views.iter_mut().enumerate() {
+            if is_paused(vm) || !rng.random_bool(0.02) {
+                continue;
+            }
+            attempt += 1;
+            view.start_attempt(at(now), id, attempt, &needs());
+            let expected = view.predict_first(at(now), id, &needs()).as_millis();
+            let took = rng.random_range(5..=u64::try_from(expected).unwrap().max(10) * 3);
+            open.push((now + took, vm, attempt));
+        }
+        let (due, rest): (Vec<_>, Vec<_>) = open
+            .iter()
+            .partition(|(end, vm, _)| *end <= now && !is_paused(*vm));
+        open = rest;
+        for (_, vm, attempt) in due {
+            let has_network = vm != 2;
+            if has_network {
+                views[vm].note_answer(at(now), id, attempt);
+                views[vm].end_attempt(at(now), id, attempt, AttemptResult::Succeeded, None);
+            } else {
+                views[vm].end_attempt(at(now), id, attempt, AttemptResult::Broken, None);
+            }
+        }
+        if now % 100 == 0 {
+            exchange(&mut views, id, at(now));
+            let is_silent = views.iter().any(|view| view.is_silent(at(now), id));
+            assert!(!is_silent, "at {now} ms");
+        }
+    }
+}
+
+/// Time from a server's last sign until every VM takes it for silent.
+#[test]
+fn a_server_that_goes_dark_under_load_is_noticed_within_a_second() {
+    let (mut views, id) = (Vec::new(), view(0).1);
+    for vm in 0..10 {
+        let (mut view, _) = view(vm);
+        for number in 0..20 {
+            let now = number * 100 + 7 * vm as u64;
+            view.start_attempt(at(now), id, number, &needs());
+            if now < 1000 {
+                view.note_answer(at(now + 40), id, number);
+                view.end_attempt(at(now + 40), id, number, AttemptResult::Succeeded, None);
+            }
+        }
+        views.push(view);
+    }
+    exchange(&mut views, id, at(1100));
+    assert!(!views[0].is_silent(at(1100), id));
+    exchange(&mut views, id, at(2000));
+    for view in &views {
+        assert!(view.is_silent(at(2000), id));
+    }
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -25,6 +25,7 @@
 use crate::open::OpenAttempt;
 use crate::pool::ConnectionChoice;
 use crate::relay::{PeerTarget, read_verdict, set_relay_headers};
+use crate::silence::wait_for_silence;
 
 /// Largest body of a refusal that is read so that its connection can be kept.
 const REFUSAL_BODY_LIMIT: usize = 64 * 1024;
@@ -125,14 +126,23 @@
         set_time_left(&mut headers, call.time_left());
         make_request(call, headers)
     };
-    let (connection, response) =
-        match exchange(gateway, call, target.address, near_limit(gateway), make).await {
-            Ok(exchanged) => exchanged,
-            Err(failure) => {
-                booking.finish(failure.blame());
-                return failure.into_end();
-            }
-        };
+    let exchanged = exchange(gateway, call, target.address, near_limit(gateway), make);
+    // A request that may run only once waits on: the server may still answer.
+    let exchanged = if call.rules.repeatable {
+        tokio::select! {
+            exchanged = exchanged => exchanged,
+            () = wait_for_silence(Rc::clone(gateway), target.id) => Err(ExchangeFailure::Silent),
+        }
+    } else {
+        exchanged.await
+    };
+    let (connection, response) = match exchanged {
+        Ok(exchanged) => exchanged,
+        Err(failure) => {
+            booking.finish(failure.blame());
+            return failure.into_end();
+        }
+    };
     let kind = read_answer(response.status(), response.headers(), &call.request_id);
     match kind {
         AnswerKind::Signed => {
@@ -244,12 +254,14 @@
     Unreachable,
     Broken,
     TimedOut,
+    /// The server is taken for silent by all VMs.
+    Silent,
 }
 
 impl ExchangeFailure {
     fn blame(&self) -> AttemptResult {
         match self {
-            Self::Unreachable | Self::Broken => AttemptResult::Broken,
+            Self::Unreachable | Self::Broken | Self::Silent => AttemptResult::Broken,
             Self::TimedOut => AttemptResult::Failed,
         }
     }
@@ -266,6 +278,9 @@
             Self::TimedOut => AttemptEnd::Lost {
                 cause: "no answer in time",
             },
+            Self::Silent => AttemptEnd::Lost {
+                cause: "the server is silent",
+            },
         }
     }
 }
--- a/crates/gateway/src/frames.rs
+++ b/crates/gateway/src/frames.rs
@@ -7,7 +7,7 @@
 use std::net::{IpAddr, SocketAddr};
 
 use bytes::Bytes;
-use onyxfall_fleet::{UnreadTokens, WorkShare};
+use onyxfall_fleet::{ServerVotes, UnreadTokens, WorkShare};
 use onyxfall_overlay::{
     LinkRelation, OverlayUpdate, RecordVersion, RosterWord, ServerTag, VmCapacity, VmRecord,
     VmStatus, WordScope, WorkEntry, WorkWord,
@@ -138,6 +138,8 @@
                 unread: entry.share.unread.as_slice().to_vec(),
                 memory: entry.share.memory,
                 flow: entry.share.flow,
+                good: entry.share.votes.good,
+                bad: entry.share.votes.bad,
             })
             .collect(),
     }
@@ -156,6 +158,10 @@
                     unread: UnreadTokens::from_slice(&entry.unread),
                     memory: entry.memory,
                     flow: entry.flow,
+                    votes: ServerVotes {
+                        good: entry.good,
+                        bad: entry.bad,
+                    },
                 },
             })
             .collect(),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -72,6 +72,8 @@
     pub(crate) open_streams: Cell<usize>,
     /// Sends an update on every link that this VM has dialled at once.
     pub(crate) tell_now: Notify,
+    /// Wakes what waits for a server that is taken for silent.
+    pub(crate) silence: Notify,
     /// Sends changes of the store to the VMs that report to this one.
     pub(crate) deltas_now: Notify,
     pub(crate) rng: RefCell<StdRng>,
@@ -132,6 +134,7 @@
             open_requests: Cell::new(0),
             open_streams: Cell::new(0),
             tell_now: Notify::new(),
+            silence: Notify::new(),
             deltas_now: Notify::new(),
             rng: RefCell::new(StdRng::from_os_rng()),
             next_attempt: Cell::new(1),
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -28,6 +28,7 @@
 mod serve;
 mod settings;
 mod share;
+mod silence;
 mod stop;
 mod store;
 mod stream;
--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -35,6 +35,18 @@
         }
     }
 
+    /// Its server.
+    pub(crate) fn server(&self) -> ServerId {
+        self.server
+    }
+
+    /// Notes that more of the answer has come.
+    pub(crate) fn note_sign(&self) {
+        let now = self.gateway.now();
+        let mut fleet = self.gateway.fleet.borrow_mut();
+        fleet.server_mut(self.server).note_sign(now);
+    }
+
     /// Notes the first byte of the answer.
     pub(crate) fn answer(&self) {
         let now = self.gateway.now();
--- /dev/null
+++ b/crates/gateway/src/silence.rs
@@ -0,0 +1,53 @@
+//! Leaving a server that is taken for silent.
+//!
+//! What waits for such a server's answer and may be sent again is moved at once: its
+//! connection, which is closed with that, would break only after 1.5 s, and one that is
+//! merely idle after three.
+
+use std::rc::Rc;
+
+use onyxfall_policy::Moment;
+use onyxfall_types::ServerId;
+
+use crate::gateway::Gateway;
+
+/// Ends when a server is taken for silent.
+pub(crate) async fn wait_for_silence(gateway: Rc<Gateway>, server: ServerId) {
+    loop {
+        let noticed = gateway.silence.notified();
+        if gateway.is_silent(server) {
+            return;
+        }
+        noticed.await;
+    }
+}
+
+impl Gateway {
+    /// Whether a server is taken for silent.
+    pub(crate) fn is_silent(&self, server: ServerId) -> bool {
+        let now = self.now();
+        self.fleet.borrow().is_silent(now, server)
+    }
+
+    /// Logs that a server is now taken for silent, or no longer, and tells those that
+    /// wait for it.
+    pub(crate) fn note_silence(&self, now: Moment, server: ServerId, was_silent: bool) {
+        let fleet = self.fleet.borrow();
+        let is_silent = fleet.is_silent(now, server);
+        if is_silent == was_silent {
+            return;
+        }
+        let votes = fleet.server(server).votes(now);
+        log::info!(
+            server = fleet.server(server).record.name.as_str(),
+            silent = is_silent,
+            good = votes.good,
+            bad = votes.bad;
+            "server judged by all VMs"
+        );
+        if is_silent {
+            self.metrics.count("onyxfall_silent_servers_total");
+            self.silence.notify_waiters();
+        }
+    }
+}
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -22,6 +22,7 @@
 use crate::call::{AnswerRule, SharedCall};
 use crate::gateway::Gateway;
 use crate::serve::{CallProgress, resume};
+use crate::silence::wait_for_silence;
 
 /// End of an event in a stream.
 const EVENT_END: &[u8] = b"\n\n";
@@ -105,6 +106,8 @@
     /// Events passed on, of all servers.
     events: u32,
     deadline: Pin<Box<Sleep>>,
+    /// Ends when the server that sends it is taken for silent, if another one can go on.
+    silence: Option<LocalBoxFuture<'static, ()>>,
 }
 
 impl StreamRelay {
@@ -118,12 +121,14 @@
         gateway.open_streams.set(gateway.open_streams.get() + 1);
         let resumable = call.rules.answer == AnswerRule::Resumable && answer.status.is_success();
         let is_copied = answer.copy.is_some();
+        let can_go_on = resumable || is_copied;
         Self {
+            silence: can_go_on.then(|| silence_of(gateway, &answer)).flatten(),
             gateway: Rc::clone(gateway),
             call: Rc::clone(call),
             progress,
             state: RelayState::Open(answer),
-            buffer: (resumable || is_copied).then(EventBuffer::default),
+            buffer: can_go_on.then(EventBuffer::default),
             counter: EventCounter::default(),
             events: 0,
             deadline: Box::pin(tokio::time::sleep_until(call.deadline.into())),
@@ -145,6 +150,11 @@
                 RelayState::Resuming(going_on) => match going_on.as_mut().poll(cx) {
                     Poll::Pending => return Poll::Pending,
                     Poll::Ready(Some(answer)) => {
+                        // A run that goes on from its copy has no other one.
+                        self.silence = match self.call.rules.answer {
+                            AnswerRule::Resumable => silence_of(&self.gateway, &answer),
+                            _ => None,
+                        };
                         self.state = RelayState::Open(answer);
                         continue;
                     }
@@ -156,6 +166,12 @@
                 RelayState::Open(answer) => Pin::new(&mut answer.body).poll_frame(cx),
             };
             match polled {
+                Poll::Pending if self.is_silent(cx) => {
+                    if !self.try_resume() {
+                        self.end(AttemptResult::Broken, "broken off");
+                        return Poll::Ready(Some(Err(RelayError::Broken)));
+                    }
+                }
                 Poll::Pending => return Poll::Pending,
                 Poll::Ready(Some(Ok(frame))) => {
                     if let Some(frame) = self.pass(frame) {
@@ -173,12 +189,31 @@
         }
     }
 
+    /// Whether the server is taken for silent; asked while nothing comes.
+    fn is_silent(&mut self, cx: &mut Context<'_>) -> bool {
+        let has_last = self.buffer.as_ref().is_some_and(|b| b.last_id.is_some());
+        if self.call.rules.answer == AnswerRule::LostWithServer && !has_last {
+            return false;
+        }
+        let Some(silence) = &mut self.silence else {
+            return false;
+        };
+        if silence.as_mut().poll(cx).is_pending() {
+            return false;
+        }
+        self.silence = None;
+        true
+    }
+
     fn pass(&mut self, frame: Frame<Bytes>) -> Option<Frame<Bytes>> {
         let data = frame.into_data().ok()?;
         let events = self.counter.count(&data);
         self.events += events;
         if let RelayState::Open(answer) = &mut self.state {
             answer.events += events;
+            if let Some(booking) = &answer.booking {
+                booking.note_sign();
+            }
         }
         match &mut self.buffer {
             None => Some(Frame::data(data)),
@@ -243,6 +278,16 @@
     }
 }
 
+/// Ends when the server of an answer is taken for silent; none if another VM's answer
+/// is passed on.
+fn silence_of(
+    gateway: &Rc<Gateway>,
+    answer: &UpstreamAnswer,
+) -> Option<LocalBoxFuture<'static, ()>> {
+    let server = answer.booking.as_ref()?.server();
+    Some(Box::pin(wait_for_silence(Rc::clone(gateway), server)))
+}
+
 impl Drop for StreamRelay {
     fn drop(&mut self) {
         self.end(AttemptResult::Unknown, "the caller left");
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -112,22 +112,31 @@
 
     /// Sets other VMs' work where it has changed.
     pub(crate) fn apply_work(&self, now: Moment) {
-        let mut overlay = self.overlay.borrow_mut();
-        let mut fleet = self.fleet.borrow_mut();
-        for tag in overlay.totals_mut().take_news() {
-            let work = overlay.totals().others(tag);
-            if let Some(id) = fleet.find_tag(tag.0) {
-                fleet.server_mut(id).set_others(now, work);
-            } else {
-                let rate = work.flow as f64 / 1e3;
-                let mut away = self.away.borrow_mut();
-                if !fleet.set_told_rate(tag.0, rate) && !away.set_told_rate(now, tag.0, rate) {
-                    log::debug!("work told of an unknown server {}", tag.0);
+        let news = self.overlay.borrow_mut().totals_mut().take_news();
+        for tag in news {
+            let work = self.overlay.borrow().totals().others(tag);
+            let server = self.fleet.borrow().find_tag(tag.0);
+            match server {
+                Some(server) => {
+                    let was_silent = self.is_silent(server);
+                    let mut fleet = self.fleet.borrow_mut();
+                    fleet.server_mut(server).set_others(now, work);
+                    drop(fleet);
+                    self.note_silence(now, server, was_silent);
                 }
+                None => self.apply_rate(now, tag, work.flow as f64 / 1e3),
             }
         }
     }
 
+    /// Sets other VMs' rate with a short name.
+    fn apply_rate(&self, now: Moment, tag: ServerTag, rate: f64) {
+        let is_service = self.fleet.borrow_mut().set_told_rate(tag.0, rate);
+        if !is_service && !self.away.borrow_mut().set_told_rate(now, tag.0, rate) {
+            log::debug!("work told of an unknown server {}", tag.0);
+        }
+    }
+
     fn refresh_own_work(&self, now: Moment) {
         let looked = self.own_work_at.get();
         if looked.is_some_and(|at| now - at < OWN_WORK_LOOK) {
--- /dev/null
+++ b/crates/gateway/tests/silence.rs
@@ -0,0 +1,71 @@
+//! A server that falls silent is left by all VMs on the word of a few.
+
+mod support;
+
+use std::thread;
+
+use onyxfall_fakes::{ServerFailing, ServerStandIn};
+use support::{Gateway, Site, call, wait_for};
+
+/// Requests that each VM has under way at once.
+const CALLERS: usize = 6;
+
+/// Calls a VM from several callers at once; the ids of requests that got no success.
+fn call_all(gateway: &Gateway, path: &'static str, round: usize) -> Vec<String> {
+    let address = gateway.callers();
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|caller| {
+            let id = format!("{}-{round}-{caller}", gateway.ip);
+            thread::spawn(move || {
+                let reply = call(address, path, &id);
+                let is_served = reply.is_some_and(|reply| reply.status.is_success());
+                (!is_served).then_some(id)
+            })
+        })
+        .collect();
+    callers
+        .into_iter()
+        .filter_map(|caller| caller.join().unwrap())
+        .collect()
+}
+
+#[test]
+fn requests_that_may_be_repeated_leave_a_server_that_several_vms_miss() {
+    let site = Site::start_in(2, 1);
+    let servers = [
+        ServerStandIn::start(site.ip(0)).unwrap(),
+        ServerStandIn::start(site.ip(0)).unwrap(),
+    ];
+    site.announce("s0", &servers[0], 0);
+    site.announce("s1", &servers[1], 0);
+    site.configure(1);
+    let gateways = [site.gateway(0), site.gateway(1)];
+    for gateway in &gateways {
+        gateway.wait_served();
+    }
+    servers[0].set_failing(ServerFailing::Mute);
+    let muted_at = servers[0].runs().len();
+    // A request that stays at the mute server ends with its route's time, as a failure.
+    let mut round = 0;
+    wait_for("both VMs to have had requests at the mute server", || {
+        round += 1;
+        let (first, second) = thread::scope(|scope| {
+            let calls = gateways
+                .each_ref()
+                .map(|gateway| scope.spawn(move || call_all(gateway, "/repeat/x", round)));
+            let [first, second] = calls.map(|calls| calls.join().unwrap());
+            (first, second)
+        });
+        let met = servers[0].runs().split_off(muted_at);
+        let has_met = |gateway: &Gateway| {
+            let ip = gateway.ip.to_string();
+            met.iter().any(|run| run.call.request_id.starts_with(&ip))
+        };
+        if gateways.iter().all(has_met) {
+            assert_eq!(first, Vec::<String>::new(), "not served by the first VM");
+            assert_eq!(second, Vec::<String>::new(), "not served by the second VM");
+            return true;
+        }
+        false
+    });
+}
--- a/crates/overlay/src/totals.rs
+++ b/crates/overlay/src/totals.rs
@@ -419,6 +419,7 @@
 
 fn is_sensible(share: &WorkShare) -> bool {
     share.requests <= MOST_REQUESTS
+        && share.votes.good.max(share.votes.bad) <= MOST_REQUESTS
         && share.unread.total() <= MOST_TOKENS
         && share.memory <= MOST_TOKENS
         && share.flow <= MOST_TOKENS
--- a/crates/overlay/tests/totals.rs
+++ b/crates/overlay/tests/totals.rs
@@ -25,6 +25,7 @@
         unread: UnreadTokens::of(3, u64::from(requests) * 100),
         memory: u64::from(requests) * 1000,
         flow: 0,
+        ..WorkShare::default()
     }
 }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -578,6 +578,12 @@
     /// Tokens a second that flow into the server's memory.
     #[prost(uint64, tag = "6")]
     pub flow: u64,
+    /// VMs that have had a sign of life of the server lately.
+    #[prost(uint32, tag = "7")]
+    pub good: u32,
+    /// VMs that miss one.
+    #[prost(uint32, tag = "8")]
+    pub bad: u32,
 }
 
 /// What a VM has learned of the costs of a service.
