--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -26,7 +26,10 @@
     match target.path() {
         READY_PATH if gateway.is_ready() => plain(StatusCode::OK, "ready\n".to_owned()),
         READY_PATH => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
-        METRICS_PATH => plain(StatusCode::OK, gateway.metrics.render()),
+        METRICS_PATH => plain(
+            StatusCode::OK,
+            gateway.metrics.render() + &gateway.team_gauges(),
+        ),
         RESOLVE_PATH => resolve(gateway, target.query().unwrap_or("")),
         _ => plain(StatusCode::NOT_FOUND, "no such path\n".to_owned()),
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -11,6 +11,31 @@
 /// Highest recorded time in microseconds, two minutes.
 const MAX_MICROS: u64 = 120_000_000;
 
+/// Teams with counters of their own; those that come later are counted as `other`. A
+/// line is some 70 bytes, so that a thousand teams cost 150 KB a reading.
+pub(crate) const MOST_TEAMS: usize = 1000;
+
+/// What became of units that a team asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum QuotaOutcome {
+    /// They were within the limit.
+    Admitted,
+    /// They were beyond it.
+    Refused,
+    /// They were within it, and given back since nothing ran.
+    GivenBack,
+}
+
+impl QuotaOutcome {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Admitted => "admitted",
+            Self::Refused => "refused",
+            Self::GivenBack => "given-back",
+        }
+    }
+}
+
 /// All metrics of a gateway.
 #[derive(Default)]
 pub(crate) struct GatewayMetrics {
@@ -19,6 +44,8 @@
     counters: RefCell<BTreeMap<&'static str, u64>>,
     /// Calls to the store by their cause.
     store_calls: RefCell<BTreeMap<&'static str, u64>>,
+    /// Units of teams' limits.
+    team_units: RefCell<BTreeMap<String, BTreeMap<QuotaOutcome, u64>>>,
 }
 
 impl GatewayMetrics {
@@ -55,6 +82,16 @@
         *self.store_calls.borrow_mut().entry(cause).or_default() += 1;
     }
 
+    /// Counts units of a team's limit.
+    pub(crate) fn count_team(&self, team: &str, outcome: QuotaOutcome, units: u64) {
+        let mut teams = self.team_units.borrow_mut();
+        let is_known = teams.contains_key(team) || teams.len() < MOST_TEAMS;
+        let label = if is_known { team } else { "other" };
+        let counts = teams.entry(label.to_owned()).or_default();
+        let count = counts.entry(outcome).or_default();
+        *count = count.saturating_add(units);
+    }
+
     /// Everything as text.
     pub(crate) fn render(&self) -> String {
         let mut out = String::new();
@@ -75,6 +112,12 @@
                 "onyxfall_store_calls_total{{cause=\"{cause}\"}} {count}"
             );
         }
+        for (team, counts) in self.team_units.borrow().iter() {
+            for (outcome, units) in counts {
+                let labels = format!("team=\"{team}\",outcome=\"{}\"", outcome.as_str());
+                let _ = writeln!(out, "onyxfall_team_units_total{{{labels}}} {units}");
+            }
+        }
         for (name, count) in self.counters.borrow().iter() {
             let _ = writeln!(out, "{name} {count}");
         }
--- a/crates/gateway/src/teams.rs
+++ b/crates/gateway/src/teams.rs
@@ -1,5 +1,7 @@
 //! Whose request it is, and whether its team may send it now.
 
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
 use std::rc::Rc;
 
 use onyxfall_adapter::CallerCredential;
@@ -8,16 +10,18 @@
 };
 use onyxfall_overlay::KnownVm;
 use onyxfall_policy::Moment;
-use onyxfall_types::{RefusalReason, RequestError, TeamId};
+use onyxfall_types::{RefusalReason, RequestError, TeamId, TeamName};
 
 use crate::gateway::Gateway;
+use crate::metrics::{MOST_TEAMS, QuotaOutcome};
 use crate::report::millis;
 
 /// What an admitted request counts against its team's limit; given back if it did not
 /// run and will not.
 pub(crate) struct QuotaCharge {
     gateway: Rc<Gateway>,
-    team: u32,
+    team: TeamName,
+    tag: u32,
     cost: u64,
 }
 
@@ -25,7 +29,9 @@
     /// Gives it back: the request did not run.
     pub(crate) fn give_back(self) {
         let mut quotas = self.gateway.quotas.borrow_mut();
-        quotas.give_back(self.team, self.cost);
+        quotas.give_back(self.tag, self.cost);
+        let metrics = &self.gateway.metrics;
+        metrics.count_team(self.team.as_str(), QuotaOutcome::GivenBack, self.cost);
     }
 }
 
@@ -67,10 +73,18 @@
         let rng = &mut *gateway.rng.borrow_mut();
         quotas.admit(gateway.now(), tag, cost, rng)
     };
+    let outcome = match decision {
+        QuotaDecision::Admitted => QuotaOutcome::Admitted,
+        QuotaDecision::Refused { .. } => QuotaOutcome::Refused,
+    };
+    gateway
+        .metrics
+        .count_team(rule.name.as_str(), outcome, cost);
     match decision {
         QuotaDecision::Admitted => Ok(Some(QuotaCharge {
             gateway: Rc::clone(gateway),
-            team: tag,
+            team: rule.name.clone(),
+            tag,
             cost,
         })),
         QuotaDecision::Refused {
@@ -106,6 +120,27 @@
         self.quotas.borrow_mut().set_teams(self.now(), limited);
     }
 
+    /// The version in force, and of each team with a limit the limit and what is asked of
+    /// this VM, as metrics.
+    pub(crate) fn team_gauges(&self) -> String {
+        let Some(table) = self.table() else {
+            return String::new();
+        };
+        let mut out = format!("onyxfall_config_version {}\n", table.version().0);
+        let now = self.now();
+        let quotas = self.quotas.borrow();
+        let demands: BTreeMap<u32, f64> = quotas.own_demand(now).collect();
+        let teams = table.teams().into_iter().flat_map(TeamTable::iter);
+        for (_, rule) in teams.take(MOST_TEAMS) {
+            let Some(limit) = rule.quota else { continue };
+            let demand = demands.get(&rule.tag()).copied().unwrap_or(0.0);
+            let label = format!("{{team=\"{}\"}}", rule.name);
+            let _ = writeln!(out, "onyxfall_team_limit{label} {}", limit.rate);
+            let _ = writeln!(out, "onyxfall_team_demand{label} {demand:.0}");
+        }
+        out
+    }
+
     /// Tells the limits which VMs share them.
     pub(crate) fn refresh_quota_peers(&self, now: Moment) {
         let overlay = self.overlay.borrow();
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -11,6 +11,7 @@
 mod predictions;
 mod rollout;
 mod settings;
+mod teams;
 
 pub use context::OperatorContext;
 pub use error::OperatorError;
@@ -18,3 +19,4 @@
 pub use predictions::{PredictionGroup, PredictionRatios, PredictionReport};
 pub use rollout::{RollPlan, RollProgress};
 pub use settings::{OperatorSettings, load_operator_settings, parse_operator_settings};
+pub use teams::TeamReport;
--- a/crates/operator/src/main.rs
+++ b/crates/operator/src/main.rs
@@ -1,6 +1,7 @@
 //! The `onyxfall` program: the operators' commands.
 
 use std::io::{self, BufRead, BufReader};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -11,11 +12,14 @@
 use onyxfall_bundle::{ContentDigest, HeadRecord, SigningSecret};
 use onyxfall_logging::{LogSink, start_logging};
 use onyxfall_operator::{
-    OperatorContext, PredictionReport, RequestStory, RollPlan, load_operator_settings,
+    OperatorContext, PredictionReport, RequestStory, RollPlan, TeamReport, load_operator_settings,
 };
 use onyxfall_platform::PlatformClient;
 use onyxfall_types::RegionName;
 
+/// Longest wait for the metrics of one VM.
+const METRICS_LIMIT: Duration = Duration::from_secs(3);
+
 /// Propose, sign off, roll and withdraw bundles; drain VMs and servers.
 #[derive(FromArgs)]
 struct OperatorArguments {
@@ -41,6 +45,7 @@
     Status(StatusCommand),
     Explain(ExplainCommand),
     Predictions(PredictionsCommand),
+    Teams(TeamsCommand),
 }
 
 /// make an operator's key pair
@@ -154,6 +159,15 @@
     plot: Option<PathBuf>,
 }
 
+/// tell what teams use of their limits, summed over the metrics of gateways
+#[derive(FromArgs)]
+#[argh(subcommand, name = "teams")]
+struct TeamsCommand {
+    /// where gateways tell readiness and metrics, IP:PORT each
+    #[argh(positional)]
+    addresses: Vec<SocketAddr>,
+}
+
 fn main() -> ExitCode {
     let arguments: OperatorArguments = argh::from_env();
     start_logging("onyxfall", log::LevelFilter::Warn, LogSink::Stderr);
@@ -177,6 +191,7 @@
         }
         OperatorCommand::Explain(command) => explain(command),
         OperatorCommand::Predictions(command) => predictions(command),
+        OperatorCommand::Teams(command) => teams(command),
         command => run_stored(command, &open_context(&arguments.settings)?),
     }
 }
@@ -215,7 +230,8 @@
         OperatorCommand::Keygen(_)
         | OperatorCommand::Check(_)
         | OperatorCommand::Explain(_)
-        | OperatorCommand::Predictions(_) => {
+        | OperatorCommand::Predictions(_)
+        | OperatorCommand::Teams(_) => {
             unreachable!("handled without the platform")
         }
     }
@@ -248,6 +264,25 @@
     Ok(())
 }
 
+fn teams(command: &TeamsCommand) -> Result<(), Report> {
+    let config = ureq::Agent::config_builder().timeout_global(Some(METRICS_LIMIT));
+    let agent: ureq::Agent = config.build().into();
+    let mut report = TeamReport::default();
+    for address in &command.addresses {
+        let read = agent.get(format!("http://{address}/metrics")).call();
+        let read = read.and_then(|mut reply| reply.body_mut().read_to_string());
+        match read {
+            Ok(metrics) => report.read(&address.to_string(), &metrics),
+            Err(e) => eprintln!("{address}: {e}; its part is missing below"),
+        }
+    }
+    if report.is_empty() {
+        return Err(miette!("no VM told of a team"));
+    }
+    print!("{report}");
+    Ok(())
+}
+
 /// Reads each log, or standard input (named `-`) if there is none.
 fn read_logs(
     logs: &[PathBuf],
