Limits: what was used before a start counts only while more than the limit is asked for

Of 9,259 refusals beyond a limit a quarter met teams within theirs, in the four seconds after all VMs had been killed: a bucket of which nothing is known was taken as nearly full.

--- a/crates/fleet/src/quota.rs
+++ b/crates/fleet/src/quota.rs
@@ -152,6 +152,10 @@
     far: BTreeMap<RegionName, FarDemand>,
     /// Units that the side has admitted and that have not drained.
     level: f64,
+    /// The part of them that is not known, but may have been admitted before this process
+    /// began. It drains first, and counts only while more than the limit is asked for:
+    /// where all VMs are started anew, teams that keep to their limit lose nothing.
+    assumed: f64,
     /// When the level was last worked out, and what held from then on.
     at: Moment,
     held: SideState,
@@ -193,8 +197,9 @@
             near: 0.0,
             far: BTreeMap::new(),
             level,
+            assumed: level,
             at: now,
-            held: SideState::new(&limit, settings, side, level),
+            held: SideState::new(&limit, settings, side, 0.0),
             usual_part: 1.0 / peers.regions.max(1) as f64,
             part_at: now,
         }
@@ -263,7 +268,9 @@
     fn settle(&mut self, now: Moment, settings: &QuotaSettings, peers: &QuotaPeers) {
         let seconds = (now - self.at).as_secs_f64();
         let others = self.held.side.others * self.held.chance;
-        self.level = (self.level + (others - self.held.side.rate) * seconds).max(0.0);
+        let drained = self.held.side.rate * seconds;
+        self.level = (self.level + others * seconds - drained).max(0.0);
+        self.assumed = (self.assumed - drained).clamp(0.0, self.level);
         self.at = now;
         let side = match settings.way {
             QuotaWay::Pooled => self.side(now, peers),
@@ -271,7 +278,12 @@
                 QuotaSide::alone(&self.limit, peers.vms, self.own.per_second(now))
             }
         };
-        self.held = SideState::new(&self.limit, settings, side, self.level);
+        let counted = if side.demand > side.rate {
+            self.level
+        } else {
+            self.level - self.assumed
+        };
+        self.held = SideState::new(&self.limit, settings, side, counted);
     }
 }
 
@@ -332,7 +344,9 @@
         (used_up * FIRST_CHANCE * (1.0 - fill)).clamp(0.0, 1.0)
     }
 
-    /// Time until a request of `cost` would be within the limit if nothing else came.
+    /// Seconds until a request of `cost` would be within the limit if nothing else came.
+    /// Times as long as others that ask for the same take as well cost 0.004 to 0.014 of
+    /// worth on two days with a flood: callers came back too late.
     fn wait(&self, level: f64, cost: f64) -> f64 {
         let too_much = (level + cost - self.free).max(cost);
         too_much / self.rate.max(f64::MIN_POSITIVE)
