Give a watch up once other VMs have known more for a while

A watcher takes no changes from others and looked at what they tell only when it did not watch.

Ruled out: a read that was older than the change (v10 was the newest then), values too large to be passed on (21 KB).

--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -40,6 +40,10 @@
     revision: u64,
     mode: StoreMode,
     open_watches: usize,
+    /// Watches to come that are never answered.
+    deaf_watches: usize,
+    /// Watches that were answered.
+    answered_watches: usize,
 }
 
 #[derive(Default)]
@@ -110,6 +114,21 @@
         self.shared.state.lock().open_watches
     }
 
+    /// Lets the next watch wait for ever, whatever changes.
+    pub fn deafen_next_watch(&self) {
+        self.shared.state.lock().deaf_watches += 1;
+    }
+
+    /// Whether a watch that is to wait for ever has not come yet.
+    pub fn awaits_deaf_watch(&self) -> bool {
+        self.shared.state.lock().deaf_watches > 0
+    }
+
+    /// Watches that were answered so far.
+    pub fn answered_watches(&self) -> usize {
+        self.shared.state.lock().answered_watches
+    }
+
     /// Sets how it behaves.
     pub fn set_mode(&self, mode: StoreMode) {
         self.shared.state.lock().mode = mode;
@@ -137,11 +156,26 @@
                 .collect();
             reply(StatusCode::OK, page_body(&items, state.revision))
         }
-        Some(StoreCall::Watch { after, wait, .. }) => watch(&shared, after, wait).await,
+        Some(StoreCall::Watch { after, wait, .. }) => {
+            if take_deaf(&shared) {
+                std::future::pending::<()>().await;
+            }
+            let answer = watch(&shared, after, wait).await;
+            shared.state.lock().answered_watches += 1;
+            answer
+        }
         None => reply(StatusCode::NOT_FOUND, String::new()),
     })
 }
 
+/// Whether this watch is one that waits for ever.
+fn take_deaf(shared: &StoreShared) -> bool {
+    let mut state = shared.state.lock();
+    let is_deaf = state.deaf_watches > 0;
+    state.deaf_watches -= usize::from(is_deaf);
+    is_deaf
+}
+
 /// Counts a watch as open while it lives.
 struct OpenWatch<'a>(&'a StoreShared);
 
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -109,6 +109,8 @@
     Broken,
     #[error("no answer")]
     TimedOut,
+    #[error("other VMs know of changes that the watch did not bring")]
+    Deaf,
 }
 
 /// Why a watch ended.
@@ -132,6 +134,13 @@
     tokio::task::spawn_local(async move { watch.run().await });
 }
 
+/// Waits until this VM's copy has missed for a while what others know.
+async fn wait_until_behind(gateway: &Gateway) {
+    while !gateway.must_catch_up() {
+        tokio::time::sleep(FOLLOW_LOOK).await;
+    }
+}
+
 struct StoreWatch {
     gateway: Rc<Gateway>,
     connection: Option<HttpConnection>,
@@ -321,7 +330,13 @@
     async fn watch(&mut self, revision: u64) -> Result<EventBatch, CallError> {
         let host = self.store().to_string();
         let request = watch_request(&host, WATCHED_PREFIX, revision, WATCH_WAIT);
-        let (status, body) = self.call(request, WATCH_WAIT, "watch").await?;
+        // A watch may have gone silent, alone or with its connection. Until its own end it
+        // would leave this VM, and those that it watches for, behind for eight seconds.
+        let gateway = Rc::clone(&self.gateway);
+        let (status, body) = tokio::select! {
+            answer = self.call(request, WATCH_WAIT, "watch") => answer?,
+            () = wait_until_behind(&gateway) => return Err(CallError::Deaf),
+        };
         Ok(read_batch(status, &body)?)
     }
 
--- a/crates/gateway/tests/watchers.rs
+++ b/crates/gateway/tests/watchers.rs
@@ -75,3 +75,25 @@
         wait_in_force(gateway);
     }
 }
+
+/// Watches that the other watcher may end, half a second each, until a VM whose watch
+/// brings nothing has a change that all others know. Until the watch's own end it would
+/// take twenty.
+const MOST_WATCHES: usize = 12;
+
+#[test]
+fn a_watch_that_brings_nothing_is_given_up_once_others_know_more() {
+    let (gateways, _server, site) = start();
+    wait_watched(&site);
+    site.store.deafen_next_watch();
+    wait_for("a watch that waits for ever", || {
+        !site.store.awaits_deaf_watch()
+    });
+    let before = site.store.answered_watches();
+    withdraw_routes(&site, 2);
+    for gateway in &gateways {
+        wait_in_force(gateway);
+    }
+    let ended = site.store.answered_watches() - before;
+    assert!(ended < MOST_WATCHES, "{ended} watches ended until then");
+}
