--- a/crates/overlay/src/plan.rs
+++ b/crates/overlay/src/plan.rs
@@ -11,14 +11,15 @@
 use crate::roster::Roster;
 
 /// Time between two reports of a member. Work under way lasts some tenths of a second,
-/// and a figure that steers requests should be younger.
-const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// and a figure that steers requests should be younger: worth of three days with a rush
+/// at 68 VMs was 0.577 with 100 ms (and 60 between aggregators), 0.589 with 60 (and 45).
+const REPORT_INTERVAL: Duration = Duration::from_millis(60);
 /// Time between two signs of life, where nothing urgent is told: three are sent before
 /// a VM is taken for silent.
 const LIFE_INTERVAL: Duration = Duration::from_millis(400);
 /// Least time between two sums that aggregators tell each other. Eight VMs that heard
 /// each other each 60, 150 and 400 ms brought a mean worth of 0.680, 0.676 and 0.668.
-const PARTIAL_INTERVAL: Duration = Duration::from_millis(60);
+const PARTIAL_INTERVAL: Duration = Duration::from_millis(45);
 /// Sums that an aggregator tells others each second at most.
 const PARTIALS_PER_SECOND: f64 = 130.0;
 /// Silent VMs that an aggregator looks for at the same time.
