A watch is deaf only if it brings nothing while others know more

A watcher of another region is behind by a moment at nearly every look, was taken for deaf each second and read everything again. What counts now is the time of one watch: one that works answers at once if there is a later revision.

--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -71,6 +71,21 @@
         }
     }
 
+    /// Whether another VM has told of a later revision than `own`.
+    ///
+    /// ```
+    /// use onyxfall_fleet::{CopyCheck, CopyState};
+    /// use onyxfall_policy::Moment;
+    /// let mut check = CopyCheck::default();
+    /// let state = |revision| CopyState { revision, hash: 1 };
+    /// check.note_other(Moment::ZERO, state(7), state(8));
+    /// assert!(check.knows_later(7));
+    /// assert!(!check.knows_later(8));
+    /// ```
+    pub fn knows_later(&self, own: u64) -> bool {
+        own < self.newest_heard
+    }
+
     /// Compares with the copy of a VM that watches for this one.
     pub fn note_watcher(&mut self, now: Moment, own: CopyState, watcher: CopyState) {
         if own.revision != watcher.revision {
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -141,6 +141,12 @@
         self.share.borrow().check.is_due(self.now())
     }
 
+    /// Whether another VM has told of a later revision of the store.
+    pub(crate) fn knows_later_revision(&self) -> bool {
+        let own = self.mirror.borrow().revision();
+        self.share.borrow().check.knows_later(own)
+    }
+
     /// Notes that this VM's copy holds everything.
     pub(crate) fn note_caught_up(&self) {
         let mut share = self.share.borrow_mut();
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -19,7 +19,9 @@
     EventBatch, ItemPage, StoreError, WATCHED_PREFIX, range_request, read_batch, read_page,
     watch_request,
 };
-use onyxfall_fleet::{MirrorChange, RETURN_WINDOW, StoreEvent, StoreHealth, StoreMirror};
+use onyxfall_fleet::{
+    BEHIND_LIMIT, MirrorChange, RETURN_WINDOW, StoreEvent, StoreHealth, StoreMirror,
+};
 use onyxfall_policy::Moment;
 use rand::Rng;
 use thiserror::Error;
@@ -134,10 +136,18 @@
     tokio::task::spawn_local(async move { watch.run().await });
 }
 
-/// Waits until this VM's copy has missed for a while what others know.
-async fn wait_until_behind(gateway: &Gateway) {
-    while !gateway.must_catch_up() {
+/// Waits until others have known for a while what a watch that is under way has not
+/// brought: one that works answers at once. A VM that is behind by a moment again and
+/// again, as where changes never end, is not deaf, since its watch answers meanwhile.
+async fn wait_until_deaf(gateway: &Gateway) {
+    let mut waited = Duration::ZERO;
+    while waited < BEHIND_LIMIT {
         tokio::time::sleep(FOLLOW_LOOK).await;
+        waited = if gateway.knows_later_revision() {
+            waited + FOLLOW_LOOK
+        } else {
+            Duration::ZERO
+        };
     }
 }
 
@@ -335,7 +345,7 @@
         let gateway = Rc::clone(&self.gateway);
         let (status, body) = tokio::select! {
             answer = self.call(request, WATCH_WAIT, "watch") => answer?,
-            () = wait_until_behind(&gateway) => return Err(CallError::Deaf),
+            () = wait_until_deaf(&gateway) => return Err(CallError::Deaf),
         };
         Ok(read_batch(status, &body)?)
     }
