Sight: each run lost with its server is logged with the fingerprint of its request

Logs named requests by the caller's id only, which is new at each repeat, and said nothing of a run that broke off after its answer had begun. An attempt that never arrived no longer counts as one that broke off there. No decision changed.

--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -37,7 +37,9 @@
     Succeeded,
     /// It answered with a failure of its own.
     Failed,
-    /// It could not be reached, or broke off.
+    /// It could not be reached; the attempt never arrived.
+    Unreachable,
+    /// It broke off after the attempt was sent.
     Broken,
     /// It said that it was full.
     Shed,
@@ -371,7 +373,7 @@
             AttemptResult::Failed => {
                 self.circuit.fail(now);
             }
-            AttemptResult::Broken => {
+            AttemptResult::Unreachable | AttemptResult::Broken => {
                 self.signs.note_break(now);
                 self.circuit.fail(now);
                 self.circuit.trip(now);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -106,7 +106,7 @@
     target: &ServerTarget,
     extra: &HeaderMap,
 ) -> AttemptEnd {
-    let mut booking = OpenAttempt::start(gateway, target.id, &call.needs);
+    let mut booking = OpenAttempt::start(gateway, target.id, call);
     // What goes on from a copy, or resumes, is not copied once more.
     let copy = if extra.is_empty() {
         gateway.start_copy(call, target)
@@ -264,7 +264,8 @@
 impl ExchangeFailure {
     fn blame(&self) -> AttemptResult {
         match self {
-            Self::Unreachable | Self::Broken | Self::Silent => AttemptResult::Broken,
+            Self::Unreachable => AttemptResult::Unreachable,
+            Self::Broken | Self::Silent => AttemptResult::Broken,
             Self::TimedOut => AttemptResult::Failed,
         }
     }
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,11 +1,14 @@
 //! One request as this VM handles it.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use http::header::HOST;
 use http::{HeaderMap, Method, Uri};
 use onyxfall_fleet::{CallNeeds, ConfigVersion};
+use onyxfall_suspects::{CallerIdentity, FingerprintParts, RequestFingerprint};
 use onyxfall_types::{TeamName, VmName};
 
 /// Where a request came from.
@@ -58,6 +61,10 @@
     pub(crate) route: String,
     /// Team whose key it carried; none on public routes and where there are no teams.
     pub(crate) team: Option<TeamName>,
+    /// Whom it comes from; none if the VM that passed it on did not say.
+    pub(crate) caller: Option<CallerIdentity>,
+    /// Its fingerprint, once that was asked for.
+    pub(crate) fingerprint: OnceCell<RequestFingerprint>,
     /// Version of the configuration that it was matched by.
     pub(crate) version: ConfigVersion,
     /// What it needs of a server.
@@ -84,6 +91,20 @@
 pub(crate) type SharedCall = Rc<CallContext>;
 
 impl CallContext {
+    /// Digest of its content and caller; worked out only where it is asked for.
+    pub(crate) fn fingerprint(&self) -> RequestFingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let host = self.headers.get(HOST);
+            RequestFingerprint::of(&FingerprintParts {
+                method: self.method.as_str(),
+                host: host.map_or(&[], http::HeaderValue::as_bytes),
+                target: self.target.path_and_query().map_or("", |t| t.as_str()),
+                caller: self.caller.as_ref(),
+                body: &self.body,
+            })
+        })
+    }
+
     /// Time left until the deadline.
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -2,23 +2,28 @@
 
 use std::rc::Rc;
 
-use onyxfall_fleet::{AttemptResult, CallNeeds};
+use onyxfall_fleet::AttemptResult;
+use onyxfall_policy::Moment;
 use onyxfall_types::ServerId;
 
+use crate::call::SharedCall;
 use crate::gateway::Gateway;
+use crate::report::millis;
 
 /// Books an attempt at a server until it is finished or dropped. A drop without
 /// a result (the caller left) says nothing about the server.
 pub(crate) struct OpenAttempt {
     gateway: Rc<Gateway>,
+    call: SharedCall,
     server: ServerId,
     id: u64,
+    started: Moment,
     is_finished: bool,
 }
 
 impl OpenAttempt {
     /// Books a new attempt.
-    pub(crate) fn start(gateway: &Rc<Gateway>, server: ServerId, needs: &CallNeeds) -> Self {
+    pub(crate) fn start(gateway: &Rc<Gateway>, server: ServerId, call: &SharedCall) -> Self {
         let id = gateway.next_attempt();
         let now = gateway.now();
         let mut fleet = gateway.fleet.borrow_mut();
@@ -26,11 +31,13 @@
         if state.is_cold(now) {
             state.cold_share().try_take(now);
         }
-        fleet.start_attempt(now, server, id, needs);
+        fleet.start_attempt(now, server, id, &call.needs);
         Self {
             gateway: Rc::clone(gateway),
+            call: Rc::clone(call),
             server,
             id,
+            started: now,
             is_finished: false,
         }
     }
@@ -66,6 +73,9 @@
         }
         self.is_finished = true;
         let now = self.gateway.now();
+        if result == AttemptResult::Broken {
+            self.tell_lost(now, events);
+        }
         let mut fleet = self.gateway.fleet.borrow_mut();
         let was_trusted = fleet.server(self.server).is_trusted(now);
         if result == AttemptResult::Broken && events.is_some() {
@@ -86,6 +96,25 @@
     }
 }
 
+impl OpenAttempt {
+    /// Logs a run that broke off. The fingerprint shows whether the same request was on
+    /// other servers that broke off, whatever ids its callers gave it.
+    fn tell_lost(&self, now: Moment, events: Option<u32>) {
+        let fleet = self.gateway.fleet.borrow();
+        let server = fleet.server(self.server);
+        log::info!(
+            request = self.call.request_id.as_str(),
+            fingerprint:% = self.call.fingerprint(),
+            route = self.call.route.as_str(),
+            server = server.record.name.as_str(),
+            others = server.work().requests.saturating_sub(1),
+            events = events.unwrap_or(0),
+            ran_ms = millis(now - self.started);
+            "run lost with its server"
+        );
+    }
+}
+
 impl Drop for OpenAttempt {
     fn drop(&mut self) {
         self.finish(AttemptResult::Unknown);
--- /dev/null
+++ b/crates/suspects/src/fingerprint.rs
@@ -0,0 +1,164 @@
+//! What makes two requests the same one, sent again.
+//!
+//! Callers give each attempt a new id, so that repeats are told by what they ask for and
+//! who asks. The digest is cryptographic: nobody can make up a request that is taken for
+//! somebody else's, and it may be logged and sent to other VMs.
+
+use std::fmt;
+use std::net::IpAddr;
+use std::str::FromStr;
+
+use onyxfall_types::TeamName;
+use sha2::{Digest, Sha256};
+use thiserror::Error;
+
+/// Keeps these digests apart from any other use of the same hash.
+const DIGEST_LABEL: &[u8] = b"onyxfall request\0";
+/// Bytes of a fingerprint: half of the hash, which leaves 2^64 tries for a collision.
+const FINGERPRINT_BYTES: usize = 16;
+/// Starts of a caller's text form.
+const TEAM_PREFIX: &str = "team/";
+const ADDRESS_PREFIX: &str = "address/";
+
+/// Whom a request comes from, as far as its content alone does not tell.
+///
+/// ```
+/// use onyxfall_suspects::CallerIdentity;
+/// let caller: CallerIdentity = "address/10.0.0.1".parse().unwrap();
+/// assert_eq!(caller, CallerIdentity::Address([10, 0, 0, 1].into()));
+/// assert_eq!(caller.to_string(), "address/10.0.0.1");
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallerIdentity {
+    /// The team whose key it carries.
+    Team(TeamName),
+    /// Where it comes from, on routes and deployments without keys.
+    Address(IpAddr),
+}
+
+/// A text that names no caller.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("`{0}` names no caller: expected team/NAME or address/IP")]
+pub struct CallerError(String);
+
+impl fmt::Display for CallerIdentity {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Team(team) => write!(f, "{TEAM_PREFIX}{team}"),
+            Self::Address(address) => write!(f, "{ADDRESS_PREFIX}{address}"),
+        }
+    }
+}
+
+impl FromStr for CallerIdentity {
+    type Err = CallerError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let team = text.strip_prefix(TEAM_PREFIX);
+        if let Some(Ok(team)) = team.map(str::parse) {
+            return Ok(Self::Team(team));
+        }
+        let address = text.strip_prefix(ADDRESS_PREFIX);
+        if let Some(Ok(address)) = address.map(str::parse) {
+            return Ok(Self::Address(address));
+        }
+        Err(CallerError(text.to_owned()))
+    }
+}
+
+/// What a fingerprint is made of.
+#[derive(Clone, Copy, Debug)]
+pub struct FingerprintParts<'a> {
+    /// Method.
+    pub method: &'a str,
+    /// Host that the caller named.
+    pub host: &'a [u8],
+    /// Path and query.
+    pub target: &'a str,
+    /// Whom it comes from; none if a VM that passed it on did not say.
+    pub caller: Option<&'a CallerIdentity>,
+    /// Body.
+    pub body: &'a [u8],
+}
+
+/// Digest of a request's content and caller.
+///
+/// ```
+/// use onyxfall_suspects::{FingerprintParts, RequestFingerprint};
+/// let parts = FingerprintParts {
+///     method: "POST",
+///     host: b"a.example",
+///     target: "/x",
+///     caller: None,
+///     body: b"body",
+/// };
+/// let fingerprint = RequestFingerprint::of(&parts);
+/// assert_eq!(fingerprint.to_string().parse(), Ok(fingerprint));
+/// let other = FingerprintParts { body: b"other", ..parts };
+/// assert_ne!(RequestFingerprint::of(&other), fingerprint);
+/// ```
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestFingerprint([u8; FINGERPRINT_BYTES]);
+
+/// A text or bytes that are no fingerprint.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("not a fingerprint: expected {FINGERPRINT_BYTES} bytes, as text in hex")]
+pub struct FingerprintError;
+
+impl RequestFingerprint {
+    /// The fingerprint of a request. The length of each part counts, so that no two
+    /// requests share one by moving bytes from one part to the next.
+    pub fn of(parts: &FingerprintParts<'_>) -> Self {
+        let caller = parts.caller.map(ToString::to_string).unwrap_or_default();
+        let mut hasher = Sha256::new_with_prefix(DIGEST_LABEL);
+        let fields = [
+            parts.method.as_bytes(),
+            parts.host,
+            parts.target.as_bytes(),
+            caller.as_bytes(),
+            parts.body,
+        ];
+        for field in fields {
+            hasher.update((field.len() as u64).to_le_bytes());
+            hasher.update(field);
+        }
+        let digest = hasher.finalize();
+        let mut bytes = [0; FINGERPRINT_BYTES];
+        bytes.copy_from_slice(&digest[..FINGERPRINT_BYTES]);
+        Self(bytes)
+    }
+
+    /// Its bytes, for messages.
+    pub const fn as_bytes(&self) -> &[u8; FINGERPRINT_BYTES] {
+        &self.0
+    }
+}
+
+impl TryFrom<&[u8]> for RequestFingerprint {
+    type Error = FingerprintError;
+
+    fn try_from(bytes: &[u8]) -> Result<Self, Self::Error> {
+        bytes.try_into().map(Self).map_err(|_| FingerprintError)
+    }
+}
+
+impl fmt::Display for RequestFingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&hex::encode(self.0))
+    }
+}
+
+impl fmt::Debug for RequestFingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl FromStr for RequestFingerprint {
+    type Err = FingerprintError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let bytes = hex::decode(text).map_err(|_| FingerprintError)?;
+        Self::try_from(bytes.as_slice())
+    }
+}
