--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -18,6 +18,6 @@
 pub use engine::{EngineFaults, EngineSettings, FakeEngine};
 pub use link::{FakeLink, LinkRules};
 pub use platform::{FakePlatform, PlatformFaults};
-pub use server::{DeathMoment, ReceivedRequest, ServerFailing, ServerStandIn};
+pub use server::{CRASHING_BODY, DeathMoment, ReceivedRequest, ServerFailing, ServerStandIn};
 pub use service::{FakeService, ServiceFaults, ServiceSettings};
 pub use store::{StoreMode, StoreStandIn};
--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, Sleep};
 
 use crate::copies::{put_copy, take_copy};
-use crate::serving::ServingThread;
+use crate::serving::{ServingThread, StopSignal};
 
 /// What a server does with a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -45,6 +45,12 @@
     DiesWithCopies,
 }
 
+/// Body of a request that crashes the server that runs it.
+pub const CRASHING_BODY: &[u8] = b"crash";
+/// Time from the beginning of such a run to the crash: a model server crashed 40 to 180
+/// ms after it had begun.
+const CRASH_AFTER: Duration = Duration::from_millis(40);
+
 /// When a stream is broken off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DeathMoment {
@@ -78,6 +84,8 @@
     runs: Vec<ReceivedRequest>,
     /// Answers that were under way when their connection closed.
     cut: usize,
+    /// Whether a request has crashed it.
+    is_crashed: bool,
 }
 
 /// A running stand-in of a server.
@@ -106,8 +114,10 @@
     pub fn start(ip: IpAddr) -> io::Result<Self> {
         let state = Arc::new(Mutex::new(ServerState::default()));
         let served = Arc::clone(&state);
-        let thread = ServingThread::start(SocketAddr::new(ip, 0), move |request| {
-            answer(Arc::clone(&served), request)
+        let stop = StopSignal::default();
+        let crash = StopSignal::clone(&stop);
+        let thread = ServingThread::start(SocketAddr::new(ip, 0), stop, move |request| {
+            answer(Arc::clone(&served), StopSignal::clone(&crash), request)
         })?;
         state.lock().address = Some(thread.address());
         Ok(Self { state, thread })
@@ -135,6 +145,11 @@
         runs.map(|run| run.call.clone()).collect()
     }
 
+    /// Whether a request has crashed it: its port and connections are closed.
+    pub fn is_crashed(&self) -> bool {
+        self.state.lock().is_crashed
+    }
+
     /// Answers that were under way when their connection closed.
     pub fn cut(&self) -> usize {
         self.state.lock().cut
@@ -162,6 +177,7 @@
 
 async fn answer(
     state: Arc<Mutex<ServerState>>,
+    crash: StopSignal,
     request: Request<Incoming>,
 ) -> Result<Response<EventBody>, io::Error> {
     let (head, body) = request.into_parts();
@@ -194,8 +210,11 @@
         call: call.clone(),
         method: head.method.to_string(),
         target,
-        body,
+        body: body.clone(),
     });
+    if body == CRASHING_BODY {
+        crash_soon(Arc::clone(&state), crash);
+    }
     let mut guard = CutGuard {
         state,
         is_over: false,
@@ -221,6 +240,14 @@
     Ok(response)
 }
 
+fn crash_soon(state: Arc<Mutex<ServerState>>, crash: StopSignal) {
+    tokio::task::spawn_local(async move {
+        tokio::time::sleep(CRASH_AFTER).await;
+        state.lock().is_crashed = true;
+        crash.notify_one();
+    });
+}
+
 fn whole(status: StatusCode, body: &'static str) -> Response<EventBody> {
     let mut response = Response::new(EventBody::whole(body));
     *response.status_mut() = status;
--- a/crates/fakes/src/serving.rs
+++ b/crates/fakes/src/serving.rs
@@ -3,6 +3,7 @@
 use std::error::Error;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 
 use http::{Request, Response};
@@ -11,24 +12,28 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
-use tokio::sync::oneshot;
+use tokio::sync::Notify;
+
+/// Ends a serving thread: its port and every connection are closed at once.
+pub type StopSignal = Arc<Notify>;
 
 /// A serving thread; dropping it closes the port and every connection.
 pub struct ServingThread {
     address: SocketAddr,
-    stop: Option<oneshot::Sender<()>>,
+    stop: StopSignal,
     thread: Option<JoinHandle<()>>,
 }
 
 impl ServingThread {
-    /// Serves `address` with `answer`; an error of it closes the connection
-    /// without an answer.
+    /// Serves `address` with `answer` until `stop` is notified; an error of `answer`
+    /// closes the connection without an answer.
     ///
     /// # Errors
     ///
     /// The address cannot be listened on, or no thread can be started.
     pub fn start<F, B, E>(
         address: SocketAddr,
+        stop: StopSignal,
         answer: impl Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     ) -> std::io::Result<Self>
     where
@@ -40,13 +45,13 @@
         let listener = std::net::TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
-        let (stop, stopped) = oneshot::channel();
+        let stopped = Arc::clone(&stop);
         let thread = thread::Builder::new()
             .name("stand-in".to_owned())
-            .spawn(move || serve(listener, stopped, &answer))?;
+            .spawn(move || serve(listener, &stopped, &answer))?;
         Ok(Self {
             address,
-            stop: Some(stop),
+            stop,
             thread: Some(thread),
         })
     }
@@ -59,7 +64,7 @@
 
 impl Drop for ServingThread {
     fn drop(&mut self) {
-        drop(self.stop.take());
+        self.stop.notify_one();
         if let Some(thread) = self.thread.take()
             && thread.join().is_err()
         {
@@ -70,7 +75,7 @@
 
 fn serve<F, B, E>(
     listener: std::net::TcpListener,
-    stopped: oneshot::Receiver<()>,
+    stopped: &Notify,
     answer: &(impl Fn(Request<Incoming>) -> F + Clone + Send + 'static),
 ) where
     F: Future<Output = Result<Response<B>, E>> + 'static,
@@ -111,7 +116,7 @@
         };
         tokio::select! {
             () = accepting => {}
-            _ = stopped => {}
+            () = stopped.notified() => {}
         }
     });
 }
--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -15,7 +15,7 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use crate::serving::ServingThread;
+use crate::serving::{ServingThread, StopSignal};
 
 /// Longest time that the stand-in holds a watch; tests need no longer one.
 const LONGEST_WATCH: Duration = Duration::from_millis(500);
@@ -67,7 +67,8 @@
     pub fn start(ip: std::net::IpAddr) -> std::io::Result<Self> {
         let shared = Arc::new(StoreShared::default());
         let served = Arc::clone(&shared);
-        let thread = ServingThread::start(SocketAddr::new(ip, 0), move |request| {
+        let address = SocketAddr::new(ip, 0);
+        let thread = ServingThread::start(address, StopSignal::default(), move |request| {
             answer(Arc::clone(&served), request)
         })?;
         Ok(Self { shared, thread })
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -165,6 +165,11 @@
         self.announce_of(SERVICE, name, address, vm, phase);
     }
 
+    /// Takes a server's entry away.
+    pub fn retire(&self, name: &str) {
+        self.store.delete(&server_key(name));
+    }
+
     /// Announces a model server of the data centre of a VM.
     pub fn announce_model(&self, name: &str, server: &ServerStandIn, vm: usize) {
         self.announce_of(MODELS, name, server.address(), vm, ServerPhase::Ready);
@@ -396,14 +401,14 @@
 
 /// Sends a request as a caller does; none if the connection brought no answer.
 pub fn call(address: SocketAddr, path: &str, id: &str) -> Option<Reply> {
+    call_with(address, path, id, b"body")
+}
+
+/// The same with a body of its own.
+pub fn call_with(address: SocketAddr, path: &str, id: &str, body: &'static [u8]) -> Option<Reply> {
     let headers = caller_headers(HOST, id, Duration::from_secs(3));
-    send(
-        address,
-        Method::POST,
-        path,
-        headers,
-        Bytes::from_static(b"body"),
-    )
+    let body = Bytes::from_static(body);
+    send(address, Method::POST, path, headers, body)
 }
 
 pub fn get(address: SocketAddr, path: &str) -> Option<Reply> {
