--- a/crates/gateway/tests/crashing.rs
+++ b/crates/gateway/tests/crashing.rs
@@ -8,7 +8,8 @@
 //! Order of events: one caller's caption reached a server, which crashed 40 to 180 ms
 //! after it had begun to run it. The VM sent the caption on to the next server 1 to 4 ms
 //! later, four in half a second. The caller, whose answer had broken off, sent the same
-//! caption again, to another VM, under a new id. 28 servers crashed under it.
+//! caption again, to another VM, under a new id and from another address. 28 servers
+//! crashed under it.
 //!
 //! Cause: nothing that a VM learnt from a crash outlived the request. Each repeat was a new
 //! request to every VM, and a stream that could be resumed was resumed without a bound,
@@ -16,17 +17,19 @@
 //!
 //! Evidence: every server that crashed ran this one caption, and none crashed without it;
 //! requests ended with `resumes` 2 and `arrivals` 1 in the log, which is the count that
-//! should have stopped them.
+//! should have stopped them. While the caller's address counted as part of the request,
+//! 26 servers still crashed.
 
 mod support;
 
+use std::net::Ipv4Addr;
 use std::thread;
 use std::time::Duration;
 
 use http::StatusCode;
 use onyxfall_adapter::standin::is_signed;
 use onyxfall_fakes::{CRASHING_BODY, ServerFailing, ServerStandIn};
-use support::{Gateway, Reply, Site, call, call_with, wait_for};
+use support::{Gateway, Reply, Site, call, call_from, wait_for};
 
 const PATH: &str = "/stream/resume/x";
 /// Servers that one request may cost where VMs hear each other.
@@ -105,13 +108,15 @@
     gateways
 }
 
-/// The caller comes back to the VMs in turn; its answers.
+/// The caller comes back to the VMs in turn, each time from another address, as phones
+/// do; its answers.
 fn repeat(fleet: &mut CrashingFleet<'_>, gateways: &[Gateway]) -> Vec<Reply> {
     let mut replies = Vec::new();
     for number in 0..REPEATS {
         let gateway = &gateways[number % gateways.len()];
         let id = format!("repeat{number}");
-        replies.extend(call_with(gateway.callers(), PATH, &id, CRASHING_BODY));
+        let from = Ipv4Addr::new(127, 0, 1, u8::try_from(number + 1).unwrap());
+        replies.extend(call_from(from, gateway.callers(), PATH, &id, CRASHING_BODY));
         thread::sleep(REPEAT_PAUSE);
         fleet.replace_crashed();
     }
@@ -182,7 +187,8 @@
     let late = site.gateway(2);
     late.wait_served();
     thread::sleep(REPEAT_PAUSE);
-    let reply = call_with(late.callers(), PATH, "late", CRASHING_BODY).unwrap();
+    let from = Ipv4Addr::new(127, 0, 2, 1);
+    let reply = call_from(from, late.callers(), PATH, "late", CRASHING_BODY).unwrap();
     assert_eq!(fleet.arrivals(), before, "it reached no further server");
     assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -23,6 +23,7 @@
 };
 use onyxfall_fakes::{ServerStandIn, StoreStandIn};
 use onyxfall_fleet::{EngineLimits, ServerPhase, ServerRecord};
+use tokio::net::TcpSocket;
 
 pub const HOST: &str = "a.example";
 pub const SERVICE: &str = "svc";
@@ -401,14 +402,20 @@
 
 /// Sends a request as a caller does; none if the connection brought no answer.
 pub fn call(address: SocketAddr, path: &str, id: &str) -> Option<Reply> {
-    call_with(address, path, id, b"body")
+    call_from(Ipv4Addr::LOCALHOST, address, path, id, b"body")
 }
 
-/// The same with a body of its own.
-pub fn call_with(address: SocketAddr, path: &str, id: &str, body: &'static [u8]) -> Option<Reply> {
+/// The same with a body of its own, from an address of its own.
+pub fn call_from(
+    from: Ipv4Addr,
+    address: SocketAddr,
+    path: &str,
+    id: &str,
+    body: &'static [u8],
+) -> Option<Reply> {
     let headers = caller_headers(HOST, id, Duration::from_secs(3));
     let body = Bytes::from_static(body);
-    send(address, Method::POST, path, headers, body)
+    send_from(from, address, Method::POST, path, headers, body)
 }
 
 pub fn get(address: SocketAddr, path: &str) -> Option<Reply> {
@@ -428,10 +435,23 @@
     path: &str,
     headers: HeaderMap,
     body: Bytes,
+) -> Option<Reply> {
+    send_from(Ipv4Addr::LOCALHOST, address, method, path, headers, body)
+}
+
+fn send_from(
+    from: Ipv4Addr,
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: HeaderMap,
+    body: Bytes,
 ) -> Option<Reply> {
     runtime().block_on(async {
         let sent = tokio::time::timeout(CALL_LIMIT, async {
-            let stream = tokio::net::TcpStream::connect(address).await.ok()?;
+            let socket = TcpSocket::new_v4().unwrap();
+            socket.bind((from, 0).into()).unwrap();
+            let stream = socket.connect(address).await.ok()?;
             let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
             tokio::spawn(connection);
             let mut request = Request::new(Full::new(body));
