A request is its content and its team; the caller's address does not count

Where teams have keys, the team stays part of it: with content alone, a team could send what another one sends beside what crashes servers, and have it refused.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -8,7 +8,7 @@
 use http::header::HOST;
 use http::{HeaderMap, Method, Uri};
 use onyxfall_fleet::{CallNeeds, ConfigVersion};
-use onyxfall_suspects::{CallerIdentity, FingerprintParts, RequestFingerprint};
+use onyxfall_suspects::{FingerprintParts, RequestFingerprint};
 use onyxfall_types::{TeamName, VmName};
 
 /// Where a request came from.
@@ -61,8 +61,6 @@
     pub(crate) route: String,
     /// Team whose key it carried; none on public routes and where there are no teams.
     pub(crate) team: Option<TeamName>,
-    /// Whom it comes from; none if the VM that passed it on did not say.
-    pub(crate) caller: Option<CallerIdentity>,
     /// Its fingerprint, once that was asked for.
     pub(crate) fingerprint: OnceCell<RequestFingerprint>,
     /// Version of the configuration that it was matched by.
@@ -91,7 +89,7 @@
 pub(crate) type SharedCall = Rc<CallContext>;
 
 impl CallContext {
-    /// Digest of its content and caller; worked out only where it is asked for.
+    /// Digest of its content and team; worked out only where it is asked for.
     pub(crate) fn fingerprint(&self) -> RequestFingerprint {
         *self.fingerprint.get_or_init(|| {
             let host = self.headers.get(HOST);
@@ -99,7 +97,7 @@
                 method: self.method.as_str(),
                 host: host.map_or(&[], http::HeaderValue::as_bytes),
                 target: self.target.path_and_query().map_or("", |t| t.as_str()),
-                caller: self.caller.as_ref(),
+                team: self.team.as_ref(),
                 body: &self.body,
             })
         })
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -4,7 +4,7 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -18,7 +18,6 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use onyxfall_adapter::{CallHead, forward_headers, hide_credential, read_call};
 use onyxfall_fleet::{AnswerShape, CallNeeds, RouteRule, RouteTable, TeamRule};
-use onyxfall_suspects::CallerIdentity;
 use onyxfall_types::{RefusalReason, RequestError, RunVerdict};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
@@ -106,12 +105,10 @@
 
 async fn accept_http(gateway: Rc<Gateway>, listener: TcpListener, kind: PortKind) {
     loop {
-        let (stream, from) = accept(&listener).await;
+        let (stream, _) = accept(&listener).await;
         let gateway = Rc::clone(&gateway);
         match kind {
-            PortKind::Callers => serve_connection(gateway, stream, move |gateway, request| {
-                handle_caller(gateway, request, from.ip())
-            }),
+            PortKind::Callers => serve_connection(gateway, stream, handle_caller),
             PortKind::Status => serve_connection(gateway, stream, handle_status),
             PortKind::Relay => serve_connection(gateway, stream, handle_relayed),
         }
@@ -180,15 +177,11 @@
     handle_directory(&gateway, request.uri())
 }
 
-async fn handle_caller(
-    gateway: Rc<Gateway>,
-    request: Request<Incoming>,
-    from: IpAddr,
-) -> Response<ReplyBody> {
+async fn handle_caller(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<ReplyBody> {
     let arrived = Instant::now();
     let head = read_call(request.headers());
     let request_id = head.as_ref().map(|head| head.request_id.clone());
-    let result = match read_request(&gateway, request, head, from, arrived).await {
+    let result = match read_request(&gateway, request, head, arrived).await {
         Ok((call, charge)) => {
             gateway.note_first(&call.needs.service);
             let served = serve(&gateway, &Rc::new(call)).await;
@@ -230,7 +223,6 @@
     gateway: &Rc<Gateway>,
     request: Request<Incoming>,
     call: Option<CallHead>,
-    from: IpAddr,
     arrived: Instant,
 ) -> Result<(CallContext, Option<QuotaCharge>), RequestError> {
     let (head, body) = request.into_parts();
@@ -277,7 +269,6 @@
         request_id: call.request_id,
         route: rule.name.to_string(),
         team: team_rule.map(|team| team.name.clone()),
-        caller: Some(caller_of(team_rule, from)),
         fingerprint: OnceCell::new(),
         version: table.version(),
         rules: CallRules {
@@ -297,12 +288,6 @@
     Ok((call, charge))
 }
 
-fn caller_of(team: Option<&TeamRule>, from: IpAddr) -> CallerIdentity {
-    team.map_or(CallerIdentity::Address(from), |team| {
-        CallerIdentity::Team(team.name.clone())
-    })
-}
-
 fn answer_rule(rule: &RouteRule) -> AnswerRule {
     match rule.shape {
         AnswerShape::Whole => AnswerRule::Whole,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -26,7 +26,6 @@
 const SERVICE: &str = "onyxfall-service";
 const GOAL: &str = "onyxfall-goal-ms";
 const HOMES: &str = "onyxfall-homes";
-const CALLER: &str = "onyxfall-caller";
 const TEAM: &str = "onyxfall-team";
 const ROUTE: &str = "onyxfall-route";
 const URGENCY: &str = "onyxfall-urgency";
@@ -36,9 +35,7 @@
 const RESUMABLE: &str = "resumable";
 const VERDICT: &str = "onyxfall-verdict";
 const ARRIVED: &str = "onyxfall-arrived";
-const OWN_HEADERS: [&str; 9] = [
-    VM, SERVICE, GOAL, HOMES, CALLER, TEAM, ROUTE, URGENCY, STREAM,
-];
+const OWN_HEADERS: [&str; 8] = [VM, SERVICE, GOAL, HOMES, TEAM, ROUTE, URGENCY, STREAM];
 /// Urgency of a request whose sender names none, in the middle of 0 to 9.
 const USUAL_URGENCY: u8 = 5;
 
@@ -96,9 +93,6 @@
     set(headers, URGENCY, &call.needs.urgency.to_string());
     set(headers, ROUTE, &call.route);
     set(headers, HOMES, &call.needs.homes.to_string());
-    if let Some(caller) = &call.caller {
-        set(headers, CALLER, &caller.to_string());
-    }
     if let Some(team) = &call.team {
         set(headers, TEAM, team.as_str());
     }
@@ -147,10 +141,6 @@
         .ok_or_else(bad)?;
     let homes: HomeRegions = text(HOMES).unwrap_or("").parse().map_err(|_| bad())?;
     let team = text(TEAM).map(str::parse).transpose().map_err(|_| bad())?;
-    let caller = text(CALLER)
-        .map(str::parse)
-        .transpose()
-        .map_err(|_| bad())?;
     let table = gateway.table();
     let engine = table
         .as_ref()
@@ -181,7 +171,6 @@
         request_id: call.request_id,
         route,
         team,
-        caller,
         fingerprint: OnceCell::new(),
         version: table.map(|table| table.version()).unwrap_or_default(),
         needs,
--- a/crates/suspects/src/fingerprint.rs
+++ b/crates/suspects/src/fingerprint.rs
@@ -1,11 +1,13 @@
 //! What makes two requests the same one, sent again.
 //!
 //! Callers give each attempt a new id, so that repeats are told by what they ask for and
-//! who asks. The digest is cryptographic: nobody can make up a request that is taken for
-//! somebody else's, and it may be logged and sent to other VMs.
+//! by the team whose key they carry: no team can bring another one's request under
+//! suspicion. The address that a request comes from does not count, since phones change
+//! theirs and callers behind one gateway share it: while it counted, 26 servers crashed
+//! under one caller's request. The digest is cryptographic: nobody can make up a
+//! request that is taken for another, and it may be logged and sent to other VMs.
 
 use std::fmt;
-use std::net::IpAddr;
 use std::str::FromStr;
 
 use onyxfall_types::TeamName;
@@ -16,56 +18,6 @@
 const DIGEST_LABEL: &[u8] = b"onyxfall request\0";
 /// Bytes of a fingerprint: half of the hash, which leaves 2^64 tries for a collision.
 const FINGERPRINT_BYTES: usize = 16;
-/// Starts of a caller's text form.
-const TEAM_PREFIX: &str = "team/";
-const ADDRESS_PREFIX: &str = "address/";
-
-/// Whom a request comes from, as far as its content alone does not tell.
-///
-/// ```
-/// use onyxfall_suspects::CallerIdentity;
-/// let caller: CallerIdentity = "address/10.0.0.1".parse().unwrap();
-/// assert_eq!(caller, CallerIdentity::Address([10, 0, 0, 1].into()));
-/// assert_eq!(caller.to_string(), "address/10.0.0.1");
-/// ```
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum CallerIdentity {
-    /// The team whose key it carries.
-    Team(TeamName),
-    /// Where it comes from, on routes and deployments without keys.
-    Address(IpAddr),
-}
-
-/// A text that names no caller.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
-#[error("`{0}` names no caller: expected team/NAME or address/IP")]
-pub struct CallerError(String);
-
-impl fmt::Display for CallerIdentity {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Team(team) => write!(f, "{TEAM_PREFIX}{team}"),
-            Self::Address(address) => write!(f, "{ADDRESS_PREFIX}{address}"),
-        }
-    }
-}
-
-impl FromStr for CallerIdentity {
-    type Err = CallerError;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let team = text.strip_prefix(TEAM_PREFIX);
-        if let Some(Ok(team)) = team.map(str::parse) {
-            return Ok(Self::Team(team));
-        }
-        let address = text.strip_prefix(ADDRESS_PREFIX);
-        if let Some(Ok(address)) = address.map(str::parse) {
-            return Ok(Self::Address(address));
-        }
-        Err(CallerError(text.to_owned()))
-    }
-}
-
 /// What a fingerprint is made of.
 #[derive(Clone, Copy, Debug)]
 pub struct FingerprintParts<'a> {
@@ -75,13 +27,13 @@
     pub host: &'a [u8],
     /// Path and query.
     pub target: &'a str,
-    /// Whom it comes from; none if a VM that passed it on did not say.
-    pub caller: Option<&'a CallerIdentity>,
+    /// Team whose key it carries, if any.
+    pub team: Option<&'a TeamName>,
     /// Body.
     pub body: &'a [u8],
 }
 
-/// Digest of a request's content and caller.
+/// Digest of a request's content and team.
 ///
 /// ```
 /// use onyxfall_suspects::{FingerprintParts, RequestFingerprint};
@@ -89,7 +41,7 @@
 ///     method: "POST",
 ///     host: b"a.example",
 ///     target: "/x",
-///     caller: None,
+///     team: None,
 ///     body: b"body",
 /// };
 /// let fingerprint = RequestFingerprint::of(&parts);
@@ -109,13 +61,13 @@
     /// The fingerprint of a request. The length of each part counts, so that no two
     /// requests share one by moving bytes from one part to the next.
     pub fn of(parts: &FingerprintParts<'_>) -> Self {
-        let caller = parts.caller.map(ToString::to_string).unwrap_or_default();
+        let team = parts.team.map_or("", TeamName::as_str);
         let mut hasher = Sha256::new_with_prefix(DIGEST_LABEL);
         let fields = [
             parts.method.as_bytes(),
             parts.host,
             parts.target.as_bytes(),
-            caller.as_bytes(),
+            team.as_bytes(),
             parts.body,
         ];
         for field in fields {
--- a/crates/suspects/src/holder.rs
+++ b/crates/suspects/src/holder.rs
@@ -15,7 +15,7 @@
 ///     method: "GET",
 ///     host: b"a",
 ///     target: "/",
-///     caller: None,
+///     team: None,
 ///     body: b"",
 /// });
 /// let vms: Vec<VmName> = ["vm1", "vm2"].map(|name| name.parse().unwrap()).to_vec();
--- a/crates/suspects/src/lib.rs
+++ b/crates/suspects/src/lib.rs
@@ -18,9 +18,7 @@
 mod table;
 mod verdict;
 
-pub use fingerprint::{
-    CallerError, CallerIdentity, FingerprintError, FingerprintParts, RequestFingerprint,
-};
+pub use fingerprint::{FingerprintError, FingerprintParts, RequestFingerprint};
 pub use holder::holder_of;
 pub use life::{LifeTag, LifeTagError};
 pub use news::{CrashNews, LifeNews, RequestNews, SuspectNews, SuspectsTold};
--- a/crates/suspects/src/table.rs
+++ b/crates/suspects/src/table.rs
@@ -75,7 +75,7 @@
     ///     method: "POST",
     ///     host: b"a",
     ///     target: "/",
-    ///     caller: None,
+    ///     team: None,
     ///     body: b"body",
     /// });
     /// let mut table = SuspectTable::default();
--- a/crates/suspects/tests/verdicts.rs
+++ b/crates/suspects/tests/verdicts.rs
@@ -18,7 +18,7 @@
         method: "POST",
         host: b"a.example",
         target: "/x",
-        caller: None,
+        team: None,
         body: body.as_bytes(),
     })
 }
@@ -53,147 +53,149 @@
     verdict: &'static str,
 }
 
+use Event::{Alive, Lost, Served};
+
+const CASES: &[VerdictCase] = &[
+    VerdictCase {
+        name: "one server: hundreds of requests are on one that crashes",
+        events: &[Lost(0, "a", "s1")],
+        when: 10,
+        verdict: "clear",
+    },
+    VerdictCase {
+        name: "two, and nothing else crashed",
+        events: &[Lost(0, "a", "s1"), Lost(100, "a", "s2")],
+        when: 200,
+        verdict: "suspected",
+    },
+    VerdictCase {
+        name: "three, within half a second",
+        events: &[
+            Lost(0, "a", "s1"),
+            Lost(100, "a", "s2"),
+            Lost(400, "a", "s3"),
+        ],
+        when: 500,
+        verdict: "quarantined",
+    },
+    VerdictCase {
+        name: "three, minutes apart",
+        events: &[
+            Lost(0, "a", "s1"),
+            Lost(60_000, "a", "s2"),
+            Lost(120_000, "a", "s3"),
+        ],
+        when: 121_000,
+        verdict: "quarantined",
+    },
+    VerdictCase {
+        name: "the same server three times is one crash",
+        events: &[
+            Lost(0, "a", "s1"),
+            Lost(100, "a", "s1"),
+            Lost(400, "a", "s1"),
+        ],
+        when: 500,
+        verdict: "clear",
+    },
+    VerdictCase {
+        name: "three of a rack, in which others crashed without it",
+        events: &[
+            Lost(0, "a", "s1"),
+            Lost(20, "b", "s4"),
+            Lost(100, "a", "s2"),
+            Lost(200, "b", "s5"),
+            Lost(400, "a", "s3"),
+        ],
+        when: 500,
+        verdict: "clear",
+    },
+    VerdictCase {
+        name: "five, whatever crashed beside it",
+        events: &[
+            Lost(0, "a", "s1"),
+            Lost(20, "b", "s6"),
+            Lost(100, "a", "s2"),
+            Lost(200, "a", "s3"),
+            Lost(300, "a", "s4"),
+            Lost(400, "a", "s5"),
+        ],
+        when: 500,
+        verdict: "quarantined",
+    },
+    VerdictCase {
+        name: "connections broke, but the servers live",
+        events: &[
+            Lost(0, "a", "s1"),
+            Lost(100, "a", "s2"),
+            Lost(400, "a", "s3"),
+            Alive(700, "s1"),
+            Alive(700, "s2"),
+            Alive(700, "s3"),
+        ],
+        when: 800,
+        verdict: "clear",
+    },
+    VerdictCase {
+        name: "bytes that had come before the crash are no sign of life",
+        events: &[
+            Lost(0, "a", "s1"),
+            Lost(100, "a", "s2"),
+            Lost(400, "a", "s3"),
+            Alive(410, "s3"),
+        ],
+        when: 500,
+        verdict: "quarantined",
+    },
+    VerdictCase {
+        name: "it ran to a good end since",
+        events: &[
+            Lost(0, "a", "s1"),
+            Lost(100, "a", "s2"),
+            Lost(400, "a", "s3"),
+            Served(600, "a"),
+        ],
+        when: 700,
+        verdict: "clear",
+    },
+    VerdictCase {
+        name: "a server that lived on crashes under it later",
+        events: &[
+            Lost(0, "a", "s1"),
+            Alive(1000, "s1"),
+            Lost(5000, "a", "s1"),
+            Lost(5100, "a", "s2"),
+            Lost(5200, "a", "s3"),
+        ],
+        when: 5300,
+        verdict: "quarantined",
+    },
+    VerdictCase {
+        name: "after its time it may be tried once more, alone",
+        events: &[
+            Lost(0, "a", "s1"),
+            Lost(100, "a", "s2"),
+            Lost(400, "a", "s3"),
+        ],
+        when: 400 + 600_000,
+        verdict: "suspected",
+    },
+    VerdictCase {
+        name: "and is refused again after the next crash",
+        events: &[
+            Lost(0, "a", "s1"),
+            Lost(100, "a", "s2"),
+            Lost(400, "a", "s3"),
+            Lost(700_000, "a", "s4"),
+        ],
+        when: 700_100,
+        verdict: "quarantined",
+    },
+];
+
 #[test]
 fn requests_are_judged_by_the_servers_that_they_were_lost_with() {
-    use Event::{Alive, Lost, Served};
-    let cases = [
-        VerdictCase {
-            name: "one server: hundreds of requests are on one that crashes",
-            events: &[Lost(0, "a", "s1")],
-            when: 10,
-            verdict: "clear",
-        },
-        VerdictCase {
-            name: "two, and nothing else crashed",
-            events: &[Lost(0, "a", "s1"), Lost(100, "a", "s2")],
-            when: 200,
-            verdict: "suspected",
-        },
-        VerdictCase {
-            name: "three, within half a second",
-            events: &[
-                Lost(0, "a", "s1"),
-                Lost(100, "a", "s2"),
-                Lost(400, "a", "s3"),
-            ],
-            when: 500,
-            verdict: "quarantined",
-        },
-        VerdictCase {
-            name: "three, minutes apart",
-            events: &[
-                Lost(0, "a", "s1"),
-                Lost(60_000, "a", "s2"),
-                Lost(120_000, "a", "s3"),
-            ],
-            when: 121_000,
-            verdict: "quarantined",
-        },
-        VerdictCase {
-            name: "the same server three times is one crash",
-            events: &[
-                Lost(0, "a", "s1"),
-                Lost(100, "a", "s1"),
-                Lost(400, "a", "s1"),
-            ],
-            when: 500,
-            verdict: "clear",
-        },
-        VerdictCase {
-            name: "three of a rack, in which others crashed without it",
-            events: &[
-                Lost(0, "a", "s1"),
-                Lost(20, "b", "s4"),
-                Lost(100, "a", "s2"),
-                Lost(200, "b", "s5"),
-                Lost(400, "a", "s3"),
-            ],
-            when: 500,
-            verdict: "clear",
-        },
-        VerdictCase {
-            name: "five, whatever crashed beside it",
-            events: &[
-                Lost(0, "a", "s1"),
-                Lost(20, "b", "s6"),
-                Lost(100, "a", "s2"),
-                Lost(200, "a", "s3"),
-                Lost(300, "a", "s4"),
-                Lost(400, "a", "s5"),
-            ],
-            when: 500,
-            verdict: "quarantined",
-        },
-        VerdictCase {
-            name: "connections broke, but the servers live",
-            events: &[
-                Lost(0, "a", "s1"),
-                Lost(100, "a", "s2"),
-                Lost(400, "a", "s3"),
-                Alive(700, "s1"),
-                Alive(700, "s2"),
-                Alive(700, "s3"),
-            ],
-            when: 800,
-            verdict: "clear",
-        },
-        VerdictCase {
-            name: "bytes that had come before the crash are no sign of life",
-            events: &[
-                Lost(0, "a", "s1"),
-                Lost(100, "a", "s2"),
-                Lost(400, "a", "s3"),
-                Alive(410, "s3"),
-            ],
-            when: 500,
-            verdict: "quarantined",
-        },
-        VerdictCase {
-            name: "it ran to a good end since",
-            events: &[
-                Lost(0, "a", "s1"),
-                Lost(100, "a", "s2"),
-                Lost(400, "a", "s3"),
-                Served(600, "a"),
-            ],
-            when: 700,
-            verdict: "clear",
-        },
-        VerdictCase {
-            name: "a server that lived on crashes under it later",
-            events: &[
-                Lost(0, "a", "s1"),
-                Alive(1000, "s1"),
-                Lost(5000, "a", "s1"),
-                Lost(5100, "a", "s2"),
-                Lost(5200, "a", "s3"),
-            ],
-            when: 5300,
-            verdict: "quarantined",
-        },
-        VerdictCase {
-            name: "after its time it may be tried once more, alone",
-            events: &[
-                Lost(0, "a", "s1"),
-                Lost(100, "a", "s2"),
-                Lost(400, "a", "s3"),
-            ],
-            when: 400 + 600_000,
-            verdict: "suspected",
-        },
-        VerdictCase {
-            name: "and is refused again after the next crash",
-            events: &[
-                Lost(0, "a", "s1"),
-                Lost(100, "a", "s2"),
-                Lost(400, "a", "s3"),
-                Lost(700_000, "a", "s4"),
-            ],
-            when: 700_100,
-            verdict: "quarantined",
-        },
-    ];
-    for case in &cases {
+    for case in CASES {
         let mut table = SuspectTable::default();
         play(&mut table, case.events);
         let verdict = table.judge(at(case.when), request("a"));
@@ -207,7 +209,7 @@
     for (when, life) in [(0, "s1"), (100, "s2"), (400, "s3")] {
         table.note_crash(at(when), request("a"), LifeTag::of(life));
     }
-    let left = QUARANTINE.saturating_sub(Duration::from_secs(60));
+    let left = QUARANTINE.saturating_sub(Duration::from_mins(1));
     let verdict = table.judge(at(60_400), request("a"));
     assert_eq!(verdict, SuspectVerdict::Quarantined { left });
 }
