A server's life is its name and its birth; an entry that is not understood names no server

Cause: lives were told apart by their id alone, so that a server that starts again under its id kept breaker, votes, work, kept parts and warmth of its former life, and its crashes counted once.

Change: the birth is decoded with the entry; a later birth ends the former life (its id in the view is never used again, its tags find nobody, what waits there is given up), an earlier one changes nothing, by whichever way it comes. Tags of work and of lost lives are those of the life. An entry that is not understood, of a data centre or a state that is not known, takes its server off the list until a good one follows; counted in onyxfall_items_not_understood_total.

Weighed: ordering entries of one birth by their sequence. The copy of the store orders them by revision already, and a sequence written by another writer could keep out every good entry that follows.

--- a/crates/fleet/benches/choice.rs
+++ b/crates/fleet/benches/choice.rs
@@ -11,7 +11,7 @@
 use criterion::{Criterion, criterion_group, criterion_main};
 use onyxfall_fleet::{
     AttemptResult, CallNeeds, EngineLimits, FleetView, HomeRegions, LocalOption, PromptPart,
-    PromptSize, ServerPhase, ServerRecord, UnreadTokens, VmPlace, WorkShare,
+    PromptSize, ServerBirth, ServerPhase, ServerRecord, UnreadTokens, VmPlace, WorkShare,
 };
 use onyxfall_policy::Moment;
 use rand::SeedableRng;
@@ -37,6 +37,7 @@
         let name = format!("s{server}");
         let record = ServerRecord {
             name: name.parse().unwrap(),
+            born: ServerBirth::UNKNOWN,
             service: "svc".parse().unwrap(),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             center: "c0".parse().unwrap(),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 mod kept;
 mod learn;
 mod level;
+mod life;
 mod mirror;
 mod predict;
 mod quota;
@@ -44,6 +45,7 @@
     PlainCosts, RoundTrips, ServiceCosts,
 };
 pub use level::draw_by_level;
+pub use life::{BirthError, ServerBirth, ServerLife};
 pub use mirror::{
     MirrorChange, MirrorDelta, RETURN_WINDOW, StoreEvent, StoreHealth, StoreItem, StoreMirror,
 };
--- /dev/null
+++ b/crates/fleet/src/life.rs
@@ -0,0 +1,97 @@
+//! Lives of backend servers.
+//!
+//! A server that starts again may do so under the name that it had. It then knows nothing
+//! of before, so that whatever is kept of a server is kept for its life: its name and the
+//! moment of its start.
+
+use std::fmt;
+use std::str::FromStr;
+
+use onyxfall_types::{ServerName, stable_hash};
+use thiserror::Error;
+
+/// Between name and birth in a life's text form; no name holds it.
+const BIRTH_MARK: char = '@';
+
+/// The moment of a server's start by its own clock, in milliseconds of Unix time. Births
+/// of one name are compared with each other only.
+///
+/// ```
+/// use onyxfall_fleet::ServerBirth;
+/// let birth: ServerBirth = "1700000000000".parse().unwrap();
+/// assert!(birth > ServerBirth::UNKNOWN);
+/// assert_eq!(birth.to_string(), "1700000000000");
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServerBirth(u64);
+
+/// A text that is no birth.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("`{0}` is not a birth: expected milliseconds of Unix time")]
+pub struct BirthError(String);
+
+impl ServerBirth {
+    /// Of a server that does not say when it started; before any other.
+    pub const UNKNOWN: Self = Self(0);
+
+    /// A birth at so many milliseconds of Unix time.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis)
+    }
+
+    /// Milliseconds of Unix time.
+    pub const fn millis(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for ServerBirth {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for ServerBirth {
+    type Err = BirthError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let millis = text.parse().map_err(|_| BirthError(text.to_owned()))?;
+        Ok(Self(millis))
+    }
+}
+
+/// One life of a server.
+///
+/// ```
+/// use onyxfall_fleet::{ServerBirth, ServerLife};
+/// let life = ServerLife {
+///     name: "s1".parse().unwrap(),
+///     born: ServerBirth::from_millis(5),
+/// };
+/// assert_eq!(life.to_string(), "s1@5");
+/// let unborn = ServerLife { born: ServerBirth::UNKNOWN, ..life };
+/// assert_eq!(unborn.to_string(), "s1");
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServerLife {
+    /// The server's name.
+    pub name: ServerName,
+    /// When it started.
+    pub born: ServerBirth,
+}
+
+impl ServerLife {
+    /// Its hash, the same on every VM.
+    pub(crate) fn hash(&self) -> u64 {
+        stable_hash(&[&self.to_string()])
+    }
+}
+
+impl fmt::Display for ServerLife {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.born == ServerBirth::UNKNOWN {
+            return fmt::Display::fmt(&self.name, f);
+        }
+        write!(f, "{}{BIRTH_MARK}{}", self.name, self.born)
+    }
+}
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -5,6 +5,8 @@
 
 use onyxfall_types::{CenterName, ServerName, ServiceName};
 
+use crate::life::{ServerBirth, ServerLife};
+
 /// Whether a server takes new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerPhase {
@@ -17,11 +19,13 @@
     },
 }
 
-/// A server's entry. Every start of a server has a name of its own.
+/// A server's entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServerRecord {
-    /// Name of this life of the server.
+    /// Name of the server.
     pub name: ServerName,
+    /// When it started.
+    pub born: ServerBirth,
     /// Service that it belongs to.
     pub service: ServiceName,
     /// Where it listens.
@@ -35,3 +39,13 @@
     /// How much longer it stays cold, counted from the entry's writing.
     pub cold_left: Duration,
 }
+
+impl ServerRecord {
+    /// The life that wrote it.
+    pub fn life(&self) -> ServerLife {
+        ServerLife {
+            name: self.name.clone(),
+            born: self.born,
+        }
+    }
+}
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -84,9 +84,13 @@
     pub record: ServerRecord,
     /// Its region.
     pub region: RegionName,
+    /// Hash of its life.
+    life: u64,
     cold_until: Moment,
     cold_share: ColdShare,
     gone: bool,
+    /// Another life has its name: what ran here has ended.
+    is_replaced: bool,
     full_until: Moment,
     circuit: CircuitBreaker,
     slowness: f64,
@@ -106,9 +110,11 @@
         Self {
             cold_until: now + record.cold_left,
             cold_share: ColdShare::new(now, cold_rate),
+            life: record.life().hash(),
             record,
             region,
             gone: false,
+            is_replaced: false,
             full_until: Moment::ZERO,
             circuit: CircuitBreaker::new(),
             slowness: 1.0,
@@ -140,6 +146,28 @@
         self.gone = true;
     }
 
+    /// Notes that the server has started again: this life has ended, and what ran here.
+    pub(crate) fn replace(&mut self) {
+        self.gone = true;
+        self.is_replaced = true;
+    }
+
+    /// Whether the server has started again since.
+    pub fn is_replaced(&self) -> bool {
+        self.is_replaced
+    }
+
+    /// Hash of this life, the same on every VM.
+    pub fn life_hash(&self) -> u64 {
+        self.life
+    }
+
+    /// Short tag of this life in frequent messages: the low half of its hash.
+    pub fn tag(&self) -> u32 {
+        let [_, _, _, _, a, b, c, d] = self.life.to_be_bytes();
+        u32::from_be_bytes([a, b, c, d])
+    }
+
     /// Whether this life has ended.
     pub fn is_gone(&self) -> bool {
         self.gone
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -11,8 +11,7 @@
 
 use onyxfall_policy::Moment;
 use onyxfall_types::{
-    CenterName, EntityMap, RegionName, ServerId, ServerName, ServiceName, VmName, name_tag,
-    stable_hash,
+    CenterName, EntityMap, RegionName, ServerId, ServerName, ServiceName, VmName,
 };
 
 use crate::backup::CrashTable;
@@ -20,6 +19,7 @@
 use crate::call::CallNeeds;
 use crate::flow::FlowMeter;
 use crate::learn::ServiceCosts;
+use crate::life::ServerBirth;
 use crate::record::ServerRecord;
 use crate::route::RouteTable;
 use crate::server::ServerState;
@@ -39,6 +39,10 @@
 /// service two to five requests a second.
 const DRAWN_FADE: Duration = Duration::from_secs(3);
 
+/// Births that are kept, those of servers that are gone included: 100 bytes each, and
+/// twice the servers of the largest plan before the gone ones are dropped.
+const MOST_BIRTHS: usize = 24_000;
+
 /// Where this VM stands.
 #[derive(Clone, Debug)]
 pub struct VmPlace {
@@ -58,11 +62,13 @@
     place: VmPlace,
     servers: EntityMap<ServerId, ServerState>,
     by_name: HashMap<ServerName, ServerId>,
-    /// The same by [`name_tag`], which messages between VMs carry.
+    /// The same by the tag of its life, which messages between VMs carry.
     by_tag: HashMap<u32, ServerId>,
     /// The same by the whole hash, which tells lives apart among tens of thousands.
     by_life: HashMap<u64, ServerId>,
     by_service: BTreeMap<ServiceName, Vec<ServerId>>,
+    /// The latest birth that was seen under each name, also of servers that are gone.
+    births: HashMap<ServerName, ServerBirth>,
     evacuated: BTreeSet<CenterName>,
     region_vms: Vec<VmName>,
     switches: DecisionSwitches,
@@ -92,6 +98,7 @@
             by_tag: HashMap::new(),
             by_life: HashMap::new(),
             by_service: BTreeMap::new(),
+            births: HashMap::new(),
             evacuated: BTreeSet::new(),
             region_vms: Vec::new(),
             switches: DecisionSwitches::default(),
@@ -215,12 +222,12 @@
         self.by_name.get(name).copied()
     }
 
-    /// A server that is not gone by the tag of its name.
+    /// A server that is not gone by the tag of its life.
     pub fn find_tag(&self, tag: u32) -> Option<ServerId> {
         self.by_tag.get(&tag).copied()
     }
 
-    /// A server that is not gone by the hash of its name.
+    /// A server that is not gone by the hash of its life.
     pub fn find_life(&self, hash: u64) -> Option<ServerId> {
         self.by_life.get(&hash).copied()
     }
@@ -278,9 +285,12 @@
         server.is_trusted(now) && !self.is_silent(now, id)
     }
 
-    /// Whether a server is taken for silent by the votes of all VMs.
+    /// Whether a server is taken for silent by the votes of all VMs, or has started again
+    /// since.
     pub fn is_silent(&self, now: Moment, id: ServerId) -> bool {
-        self.switches().is_on(DecisionSwitch::ServerVotes) && self.server(id).votes(now).is_silent()
+        let server = self.server(id);
+        let votes = self.switches().is_on(DecisionSwitch::ServerVotes);
+        server.is_replaced() || (votes && server.votes(now).is_silent())
     }
 
     /// Whether another request fits a server. Of other VMs' requests to a plain service
@@ -291,35 +301,55 @@
         self.server(id).has_room(needs, PLAIN_TURNS + ended)
     }
 
-    /// Takes a server's entry.
+    /// Takes a server's entry. One of an earlier life changes nothing, whatever way it
+    /// came; one of a later life ends the life before.
     pub fn put_server(&mut self, now: Moment, record: ServerRecord, table: Option<&RouteTable>) {
-        if let Some(id) = self.find(record.name.as_str()) {
-            self.servers[id].update(now, record);
-            return;
-        }
         let Some(region) = self.place.centers.get(&record.center).cloned() else {
+            self.remove_server(now, record.name.as_str());
             return;
         };
+        if !self.note_birth(&record) {
+            return;
+        }
+        if let Some(id) = self.find(record.name.as_str()) {
+            if self.servers[id].record.born == record.born {
+                self.servers[id].update(now, record);
+                return;
+            }
+            self.remove_server(now, record.name.as_str());
+            self.servers[id].replace();
+        }
         let service = table.and_then(|table| table.service(&record.service));
         let cold_rate = service.map_or(0.0, |service| service.cold_rate);
         let (name, service) = (record.name.clone(), record.service.clone());
         let id = self
             .servers
             .push(ServerState::new(now, record, region, cold_rate));
-        self.by_tag.insert(name_tag(name.as_str()), id);
-        self.by_life.insert(stable_hash(&[name.as_str()]), id);
+        self.by_tag.insert(self.servers[id].tag(), id);
+        self.by_life.insert(self.servers[id].life_hash(), id);
         self.by_name.insert(name, id);
         self.by_service.entry(service).or_default().push(id);
     }
 
+    /// Notes a birth; false if a later one was seen under the same name.
+    fn note_birth(&mut self, record: &ServerRecord) -> bool {
+        if self.births.len() >= MOST_BIRTHS {
+            let by_name = &self.by_name;
+            self.births.retain(|name, _| by_name.contains_key(name));
+        }
+        let latest = self.births.entry(record.name.clone()).or_default();
+        *latest = record.born.max(*latest);
+        *latest == record.born
+    }
+
     /// Notes that a server's entry is gone, or that another life answered. One that did
     /// not say that it leaves has crashed, as far as anybody can tell.
     pub fn remove_server(&mut self, now: Moment, name: &str) {
         let Some(id) = self.by_name.remove(name) else {
             return;
         };
-        self.by_tag.remove(&name_tag(name));
-        self.by_life.remove(&stable_hash(&[name]));
+        self.by_tag.remove(&self.servers[id].tag());
+        self.by_life.remove(&self.servers[id].life_hash());
         if self.servers[id].takes_work() {
             self.note_crash(now, id);
         }
--- a/crates/fleet/tests/affinity.rs
+++ b/crates/fleet/tests/affinity.rs
@@ -6,7 +6,7 @@
 
 use onyxfall_fleet::{
     CallNeeds, EngineLimits, FleetView, HomeRegions, LocalOption, PromptPart, PromptSize,
-    ServerPhase, ServerRecord, UnreadTokens, VmPlace, WorkShare,
+    ServerBirth, ServerPhase, ServerRecord, UnreadTokens, VmPlace, WorkShare,
 };
 use onyxfall_policy::Moment;
 use onyxfall_types::ServerId;
@@ -36,6 +36,7 @@
     for server in 0..SERVERS {
         let record = ServerRecord {
             name: format!("s{server}").parse().unwrap(),
+            born: ServerBirth::UNKNOWN,
             service: "svc".parse().unwrap(),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             center: "c0".parse().unwrap(),
--- a/crates/fleet/tests/backup.rs
+++ b/crates/fleet/tests/backup.rs
@@ -5,8 +5,8 @@
 
 use onyxfall_fleet::{
     CallNeeds, ChoicePolicy, DecisionSwitch, DecisionSwitches, EngineLimits, FleetView,
-    HomeRegions, PromptPart, PromptSize, ServerPhase, ServerRecord, TimePrediction, UnreadTokens,
-    VmPlace, WorkShare,
+    HomeRegions, PromptPart, PromptSize, ServerBirth, ServerPhase, ServerRecord, TimePrediction,
+    UnreadTokens, VmPlace, WorkShare,
 };
 use onyxfall_policy::Moment;
 use onyxfall_types::ServerId;
@@ -33,6 +33,7 @@
     {
         let record = ServerRecord {
             name: format!("s{number}").parse().unwrap(),
+            born: ServerBirth::UNKNOWN,
             service: "svc".parse().unwrap(),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             center: center.parse().unwrap(),
--- a/crates/fleet/tests/balance.rs
+++ b/crates/fleet/tests/balance.rs
@@ -6,7 +6,7 @@
 
 use onyxfall_fleet::{
     AwaySearch, AwayTable, CallNeeds, DecisionSwitch, DecisionSwitches, FleetView, HomeRegions,
-    PromptSize, RateKind, RoundTrips, ServerPhase, ServerRecord, ServiceLoad, VmPlace,
+    PromptSize, RateKind, RoundTrips, ServerBirth, ServerPhase, ServerRecord, ServiceLoad, VmPlace,
 };
 use onyxfall_policy::Moment;
 use onyxfall_types::{ServiceName, name_tag};
@@ -33,6 +33,7 @@
     for server in 0..2 {
         let record = ServerRecord {
             name: format!("s{server}").parse().unwrap(),
+            born: ServerBirth::UNKNOWN,
             service: service(),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             center: "c0".parse().unwrap(),
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -7,8 +7,8 @@
 use onyxfall_fleet::{
     AnswerShape, AttemptResult, AwaySearch, AwayTable, CallNeeds, CallerLimits, ConfigVersion,
     EngineLimits, FleetView, HomeRegions, LocalOption, PromptPart, PromptSize, RepeatRule,
-    RoundTrips, RouteRule, RouteTable, RouteTarget, ServerPhase, ServerRecord, ServiceLoad,
-    UnreadTokens, VmPlace, WorkShare,
+    RoundTrips, RouteRule, RouteTable, RouteTarget, ServerBirth, ServerPhase, ServerRecord,
+    ServiceLoad, UnreadTokens, VmPlace, WorkShare,
 };
 use onyxfall_policy::Moment;
 use onyxfall_types::{RegionName, ServerId, name_tag};
@@ -42,6 +42,7 @@
 fn record(name: &str, center: &str, phase: ServerPhase) -> ServerRecord {
     ServerRecord {
         name: name.parse().unwrap(),
+        born: ServerBirth::UNKNOWN,
         service: "svc".parse().unwrap(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         center: center.parse().unwrap(),
--- a/crates/fleet/tests/herd.rs
+++ b/crates/fleet/tests/herd.rs
@@ -6,7 +6,7 @@
 
 use onyxfall_fleet::{
     AttemptResult, CallNeeds, DecisionSwitch, DecisionSwitches, FleetView, HomeRegions,
-    LocalOption, PromptSize, ServerPhase, ServerRecord, VmPlace, WorkShare,
+    LocalOption, PromptSize, ServerBirth, ServerPhase, ServerRecord, VmPlace, WorkShare,
 };
 use onyxfall_policy::Moment;
 use onyxfall_types::ServerId;
@@ -37,6 +37,7 @@
     for server in 0..SERVERS {
         let record = ServerRecord {
             name: format!("s{server}").parse().unwrap(),
+            born: ServerBirth::UNKNOWN,
             service: "svc".parse().unwrap(),
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             center: "c0".parse().unwrap(),
--- a/crates/fleet/tests/learn.rs
+++ b/crates/fleet/tests/learn.rs
@@ -6,8 +6,8 @@
 use onyxfall_fleet::{
     AnswerLengths, AttemptResult, CallNeeds, CostReport, CostTeller, CostView, DecisionSwitch,
     DecisionSwitches, EngineCosts, EngineLimits, EngineLoad, FleetView, HomeRegions, PlainCosts,
-    PromptPart, PromptSize, RoundTrips, ServerPhase, ServerRecord, ServiceCosts, VmPlace,
-    WorkShare,
+    PromptPart, PromptSize, RoundTrips, ServerBirth, ServerPhase, ServerRecord, ServiceCosts,
+    VmPlace, WorkShare,
 };
 use onyxfall_policy::Moment;
 use onyxfall_types::ServerId;
@@ -166,6 +166,7 @@
 fn add_server(view: &mut FleetView, name: &str, slots: u32) -> ServerId {
     let record = ServerRecord {
         name: name.parse().unwrap(),
+        born: ServerBirth::UNKNOWN,
         service: "svc".parse().unwrap(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         center: "c0".parse().unwrap(),
--- /dev/null
+++ b/crates/fleet/tests/lives.rs
@@ -0,0 +1,187 @@
+//! Servers that start again under their name: what was known of a former life is never
+//! used for a later one.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use onyxfall_fleet::{
+    AttemptResult, FleetView, ServerBirth, ServerPhase, ServerRecord, ServerVotes, VmPlace,
+    WorkShare,
+};
+use onyxfall_policy::Moment;
+use proptest::prelude::*;
+
+fn at(millis: u64) -> Moment {
+    Moment::from_duration(Duration::from_millis(millis))
+}
+
+fn view() -> FleetView {
+    let center: onyxfall_types::CenterName = "c1".parse().unwrap();
+    let region: onyxfall_types::RegionName = "r1".parse().unwrap();
+    FleetView::new(VmPlace {
+        vm: "vm1".parse().unwrap(),
+        center: center.clone(),
+        region: region.clone(),
+        centers: [(center, region)].into(),
+    })
+}
+
+fn record(name: &str, born: u64, port: u16, phase: ServerPhase) -> ServerRecord {
+    ServerRecord {
+        name: name.parse().unwrap(),
+        born: ServerBirth::from_millis(born),
+        service: "svc".parse().unwrap(),
+        address: ([10, 0, 0, 1], port).into(),
+        center: "c1".parse().unwrap(),
+        slots: 4,
+        phase,
+        cold_left: Duration::from_secs(5),
+    }
+}
+
+fn ready(name: &str, born: u64) -> ServerRecord {
+    record(name, born, 80, ServerPhase::Ready)
+}
+
+#[test]
+fn a_later_life_starts_without_what_was_known_of_the_former() {
+    let mut fleet = view();
+    fleet.put_server(at(0), ready("s1", 100), None);
+    let former = fleet.find("s1").unwrap();
+    let bad = WorkShare {
+        requests: 3,
+        votes: ServerVotes { good: 0, bad: 4 },
+        ..WorkShare::default()
+    };
+    fleet.server_mut(former).set_others(at(10), bad);
+    fleet
+        .server_mut(former)
+        .end(at(10), 1, AttemptResult::Broken);
+    let former_tag = fleet.server(former).tag();
+    assert!(fleet.is_silent(at(10), former));
+
+    fleet.put_server(at(6000), ready("s1", 7000), None);
+    let later = fleet.find("s1").unwrap();
+    assert_ne!(later, former, "another life");
+    assert!(fleet.server(former).is_gone() && fleet.server(former).is_replaced());
+    assert!(
+        fleet.is_silent(at(6000), former),
+        "what ran there has ended"
+    );
+    assert!(!fleet.is_silent(at(6000), later), "no vote of before");
+    assert!(fleet.server(later).is_trusted(at(6000)), "no breaker");
+    assert!(fleet.server(later).is_cold(at(6000)), "it is cold");
+    assert_eq!(
+        fleet.server(later).work(),
+        WorkShare::default(),
+        "and has no work"
+    );
+    assert_eq!(
+        fleet.find_tag(former_tag),
+        None,
+        "work told of before finds nobody"
+    );
+    assert_eq!(fleet.find_tag(fleet.server(later).tag()), Some(later));
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Put(&'static str, u64),
+    Drain(&'static str, u64),
+    Remove(&'static str),
+}
+
+struct OrderCase {
+    name: &'static str,
+    steps: &'static [Step],
+    /// Birth of the life that is known at the end, and whether it takes work.
+    known: Option<(u64, bool)>,
+}
+
+#[test]
+fn an_entry_of_a_former_life_changes_nothing() {
+    use Step::{Drain, Put, Remove};
+    let cases = [
+        OrderCase {
+            name: "late, after the later one",
+            steps: &[Put("s1", 200), Put("s1", 100)],
+            known: Some((200, true)),
+        },
+        OrderCase {
+            name: "late, and it was leaving",
+            steps: &[Put("s1", 200), Drain("s1", 100)],
+            known: Some((200, true)),
+        },
+        OrderCase {
+            name: "late, after the later one is gone",
+            steps: &[Put("s1", 200), Remove("s1"), Put("s1", 100)],
+            known: None,
+        },
+        OrderCase {
+            name: "the same life is back after its entry had lapsed",
+            steps: &[Put("s1", 200), Remove("s1"), Put("s1", 200)],
+            known: Some((200, true)),
+        },
+        OrderCase {
+            name: "the later one does not leave because the former did",
+            steps: &[Drain("s1", 100), Put("s1", 200)],
+            known: Some((200, true)),
+        },
+        OrderCase {
+            name: "a writer that says no birth comes after one that does",
+            steps: &[Put("s1", 200), Put("s1", 0)],
+            known: Some((200, true)),
+        },
+    ];
+    for case in &cases {
+        let mut fleet = view();
+        for step in case.steps {
+            match *step {
+                Put(name, born) => fleet.put_server(at(0), ready(name, born), None),
+                Drain(name, born) => {
+                    let phase = ServerPhase::Draining { left: None };
+                    fleet.put_server(at(0), record(name, born, 80, phase), None);
+                }
+                Remove(name) => fleet.remove_server(at(0), name),
+            }
+        }
+        let known = fleet.find("s1").map(|id| {
+            let server = fleet.server(id);
+            (server.record.born.millis(), server.takes_work())
+        });
+        assert_eq!(known, case.known, "{}", case.name);
+    }
+}
+
+const NAMES: [&str; 3] = ["s1", "s2", "s3"];
+
+proptest! {
+    /// Whatever the delays, repeats and losses of entries, a VM that has had the last one
+    /// of each server knows just these lives, and uses no other.
+    #[test]
+    fn every_order_of_entries_ends_in_the_latest_lives(
+        births in proptest::collection::vec((0..3usize, 1..6u64), 1..12),
+        order in proptest::collection::vec(0..12usize, 0..30),
+    ) {
+        let mut fleet = view();
+        let mut latest: BTreeMap<&str, u64> = BTreeMap::new();
+        for (name, born) in &births {
+            let newest = latest.entry(NAMES[*name]).or_default();
+            *newest = (*newest).max(*born);
+        }
+        let some = order.iter().filter_map(|index| births.get(*index));
+        let rest = latest.iter().map(|(name, born)| (*name, *born));
+        let all = some.map(|(name, born)| (NAMES[*name], *born)).chain(rest);
+        for (index, (name, born)) in all.enumerate() {
+            fleet.put_server(at(index as u64), ready(name, born), None);
+            let id = fleet.find(name).unwrap();
+            prop_assert!(!fleet.server(id).is_gone());
+        }
+        prop_assert_eq!(fleet.live().count(), latest.len());
+        for (name, born) in latest {
+            let id = fleet.find(name).unwrap();
+            prop_assert_eq!(fleet.server(id).record.born.millis(), born);
+            prop_assert_eq!(fleet.find_life(fleet.server(id).life_hash()), Some(id));
+        }
+    }
+}
--- a/crates/fleet/tests/silence.rs
+++ b/crates/fleet/tests/silence.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use onyxfall_fleet::{
-    AttemptResult, CallNeeds, EngineLimits, FleetView, HomeRegions, PromptSize, ServerPhase,
-    ServerRecord, ServerVotes, VmPlace, WorkShare,
+    AttemptResult, CallNeeds, EngineLimits, FleetView, HomeRegions, PromptSize, ServerBirth,
+    ServerPhase, ServerRecord, ServerVotes, VmPlace, WorkShare,
 };
 use onyxfall_policy::Moment;
 use onyxfall_types::ServerId;
@@ -33,6 +33,7 @@
     });
     let record = ServerRecord {
         name: "s".parse().unwrap(),
+        born: ServerBirth::UNKNOWN,
         service: "svc".parse().unwrap(),
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         center: "c0".parse().unwrap(),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -25,7 +25,7 @@
 use crate::open::OpenAttempt;
 use crate::pool::ConnectionChoice;
 use crate::relay::{PeerTarget, read_verdict, set_relay_headers};
-use crate::silence::wait_for_silence;
+use crate::silence::{wait_for_replacement, wait_for_silence};
 
 /// Largest body of a refusal that is read so that its connection can be kept.
 const REFUSAL_BODY_LIMIT: usize = 64 * 1024;
@@ -131,14 +131,17 @@
         make_request(call, headers)
     };
     let exchanged = exchange(gateway, call, target.address, near_limit(gateway), make);
-    // A request that may run only once waits on: the server may still answer.
+    // A request that may run only once waits on while the server may still answer.
     let exchanged = if call.rules.repeatable {
         tokio::select! {
             exchanged = exchanged => exchanged,
             () = wait_for_silence(Rc::clone(gateway), target.id) => Err(ExchangeFailure::Silent),
         }
     } else {
-        exchanged.await
+        tokio::select! {
+            exchanged = exchanged => exchanged,
+            () = wait_for_replacement(Rc::clone(gateway), target.id) => Err(ExchangeFailure::Silent),
+        }
     };
     let (connection, response) = match exchanged {
         Ok(exchanged) => exchanged,
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use onyxfall_adapter::{StoreKey, StoreNews, read_item, read_key};
+use onyxfall_adapter::{DecodeError, StoreKey, StoreNews, read_item, read_key};
 use onyxfall_fleet::{MirrorChange, RouteTable, TeamTable};
 
 use crate::gateway::Gateway;
@@ -21,13 +21,24 @@
             match change {
                 MirrorChange::Set(key, value) => match read_item(&key, &value) {
                     Ok(news) => self.take_news(news),
-                    Err(e) => log::error!(key = key.as_str(), error:% = e; "item not understood"),
+                    Err(e) => self.refuse_item(&key, &e),
                 },
                 MirrorChange::Removed(key) => self.take_removal(&key),
             }
         }
     }
 
+    /// An item that is not understood. A server's entry then names no server, also where
+    /// a good one stood before: who wrote it is not known.
+    fn refuse_item(&self, key: &str, error: &DecodeError) {
+        self.metrics.count("onyxfall_items_not_understood_total");
+        log::error!(key, error:% = error; "item not understood");
+        if let StoreKey::Server(name) = read_key(key) {
+            let mut fleet = self.fleet.borrow_mut();
+            fleet.remove_server(self.now(), name.as_str());
+        }
+    }
+
     fn take_news(&self, news: StoreNews) {
         let now = self.now();
         let table = self.table();
@@ -36,13 +47,19 @@
             StoreNews::Server(record) => {
                 log::info!(
                     server = record.name.as_str(),
+                    born:% = record.born,
                     service = record.service.as_str(),
                     phase:? = record.phase,
                     cold_ms = millis(record.cold_left);
                     "server seen"
                 );
                 let mut fleet = self.fleet.borrow_mut();
+                let before = fleet.find(record.name.as_str());
                 fleet.put_server(now, record, table.as_deref());
+                if before.is_some_and(|id| fleet.server(id).is_replaced()) {
+                    self.metrics.count("onyxfall_servers_reborn_total");
+                    self.silence.notify_waiters();
+                }
             }
             StoreNews::Evacuation(center) => {
                 log::info!(center = center.as_str(); "data centre is evacuated");
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -22,6 +22,17 @@
     }
 }
 
+/// Ends when a server has started again: what ran there has ended.
+pub(crate) async fn wait_for_replacement(gateway: Rc<Gateway>, server: ServerId) {
+    loop {
+        let noticed = gateway.silence.notified();
+        if gateway.fleet.borrow().server(server).is_replaced() {
+            return;
+        }
+        noticed.await;
+    }
+}
+
 impl Gateway {
     /// Whether a server is taken for silent.
     pub(crate) fn is_silent(&self, server: ServerId) -> bool {
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -127,7 +127,7 @@
 
     fn life_of(&self, server: ServerId) -> LifeTag {
         let fleet = self.fleet.borrow();
-        LifeTag::of(fleet.server(server).record.name.as_str())
+        LifeTag::from_number(fleet.server(server).life_hash())
     }
 
     /// What may be done with a request.
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -158,7 +158,7 @@
             .map(|(_, server)| (server, server.own_work(now)))
             .filter(|(_, share)| *share != WorkShare::default())
             .map(|(server, share)| WorkEntry {
-                server: ServerTag::of(server.record.name.as_str()),
+                server: ServerTag(server.tag()),
                 share,
             });
         let away = self.away.borrow();
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -22,7 +22,7 @@
     document_with_teams, server_body, server_key,
 };
 use onyxfall_fakes::{ServerStandIn, StoreStandIn};
-use onyxfall_fleet::{EngineLimits, ServerPhase, ServerRecord};
+use onyxfall_fleet::{EngineLimits, ServerBirth, ServerPhase, ServerRecord};
 use tokio::net::TcpSocket;
 
 pub const HOST: &str = "a.example";
@@ -186,6 +186,7 @@
     ) {
         let record = ServerRecord {
             name: name.parse().unwrap(),
+            born: ServerBirth::UNKNOWN,
             service: service.parse().unwrap(),
             address,
             center: format!("c{vm}").parse().unwrap(),
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -14,7 +14,7 @@
     server_key,
 };
 use onyxfall_fakes::{ServerStandIn, StoreStandIn};
-use onyxfall_fleet::{ServerPhase, ServerRecord};
+use onyxfall_fleet::{ServerBirth, ServerPhase, ServerRecord};
 use parking_lot::Mutex;
 use rustix::process::{Pid, Signal, kill_process};
 
@@ -221,6 +221,7 @@
         let name = server_name(server, state.life);
         let record = ServerRecord {
             name: name.parse().expect("a name of letters and digits"),
+            born: ServerBirth::UNKNOWN,
             service: SERVICE.parse().expect("a name of letters"),
             address: state.link.address(),
             center: format!("c{}", server % REGIONS)
