--- a/crates/gateway/src/backup.rs
+++ b/crates/gateway/src/backup.rs
@@ -89,7 +89,7 @@
     last_event: &str,
 ) -> Option<Box<UpstreamAnswer>> {
     let target = copy_target(gateway, call, &copy)?;
-    if gateway.judge(call) != SuspectVerdict::Clear {
+    if matches!(gateway.judge(call), SuspectVerdict::Quarantined { .. }) {
         return None;
     }
     if !gateway.take_retry(&call.needs.service) {
