--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -220,6 +220,14 @@
         }
     }
 
+    /// Moves the clock of a VM on, by its settings; taken with the next reload.
+    pub fn move_clock(&self, vm: usize, ahead: Duration) {
+        let file = self.dir.join(format!("vm{vm}.ini"));
+        let mut text = self.settings(vm, self.store.address());
+        let _ = write!(text, "[clock]\nahead-ms = {}\n", ahead.as_millis());
+        fs::write(file, text).unwrap();
+    }
+
     fn settings(&self, vm: usize, store: SocketAddr) -> String {
         let (ip, ports) = (self.ips[vm], self.ports);
         let seeds: Vec<String> = self
