Ages, deadlines and windows count a suspension

Cause: everything was timed by the steady clock, which stands still while a machine is suspended. Afterwards members, servers, connections and deadlines looked as fresh as before.

Before each request and by time a VM looks whether it was away; then it drops kept connections, reads the store anew and ends what has run out of time. Tests move the clock on by the section [clock] of the settings.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -26,6 +26,7 @@
 use crate::pool::ConnectionChoice;
 use crate::relay::{PeerTarget, read_verdict, set_relay_headers};
 use crate::silence::{wait_for_replacement, wait_for_silence};
+use crate::suspension::within_deadline;
 
 /// Largest body of a refusal that is read so that its connection can be kept.
 const REFUSAL_BODY_LIMIT: usize = 64 * 1024;
@@ -301,8 +302,7 @@
     dial_limit: Duration,
     make: impl Fn() -> Request<Full<Bytes>>,
 ) -> Result<(HttpConnection, Response<Incoming>), ExchangeFailure> {
-    let limit = call.time_left();
-    let exchanged = tokio::time::timeout(limit, async {
+    let exchanged = within_deadline(gateway, call, async {
         let choice = if call.rules.repeatable {
             ConnectionChoice::Any
         } else {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -2,11 +2,12 @@
 
 use std::cell::OnceCell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::HOST;
 use http::{HeaderMap, Method, Uri};
+use onyxfall_clock::BootInstant;
 use onyxfall_fleet::{CallNeeds, ConfigVersion};
 use onyxfall_suspects::{FingerprintParts, RequestFingerprint};
 use onyxfall_types::{TeamName, VmName};
@@ -80,9 +81,9 @@
     /// Where it came from.
     pub(crate) origin: CallOrigin,
     /// When its head had been read.
-    pub(crate) arrived: Instant,
+    pub(crate) arrived: BootInstant,
     /// When its answer must have ended.
-    pub(crate) deadline: Instant,
+    pub(crate) deadline: BootInstant,
 }
 
 /// A request that attempts and answers share.
@@ -105,7 +106,7 @@
 
     /// Time left until the deadline.
     pub(crate) fn time_left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.deadline.saturating_duration_since(BootInstant::now())
     }
 
     /// Time since it arrived.
--- a/crates/gateway/src/costs.rs
+++ b/crates/gateway/src/costs.rs
@@ -1,7 +1,8 @@
 //! What VMs tell each other of learned costs, and the lengths of answers.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use onyxfall_clock::BootInstant;
 use onyxfall_fleet::{CostReport, CostTeller, CostView, PromptSize};
 use onyxfall_types::{VmName, name_tag};
 use onyxfall_wire::ServiceCostEntry;
@@ -14,7 +15,7 @@
 
 /// When costs were last told on a link.
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct CostsTold(Option<Instant>);
+pub(crate) struct CostsTold(Option<BootInstant>);
 
 impl CostsTold {
     /// What to tell now: nothing if it was told a moment ago.
@@ -24,7 +25,7 @@
         }
         let costs = known_costs(gateway, view);
         if !costs.is_empty() {
-            self.0 = Some(Instant::now());
+            self.0 = Some(BootInstant::now());
         }
         costs
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,8 +6,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use onyxfall_clock::{BootInstant, SuspensionWatch};
 use onyxfall_fleet::{
     AnswerLengths, AwayTable, DecisionSwitch, FleetView, QuotaTable, RetryShare, RoundTrips,
     RouteTable, StoreMirror,
@@ -49,7 +50,7 @@
 pub(crate) struct Gateway {
     settings: RefCell<Rc<GatewaySettings>>,
     vm: VmName,
-    pub(crate) started: Instant,
+    pub(crate) started: BootInstant,
     pub(crate) table: RefCell<Option<Rc<RouteTable>>>,
     pub(crate) fleet: RefCell<FleetView>,
     pub(crate) mirror: RefCell<StoreMirror>,
@@ -72,10 +73,13 @@
     pub(crate) store: RefCell<StoreLink>,
     pub(crate) share: RefCell<StoreShare>,
     pub(crate) metrics: GatewayMetrics,
-    pub(crate) stop_asked: Cell<Option<Instant>>,
+    pub(crate) stop_asked: Cell<Option<BootInstant>>,
     pub(crate) open_requests: Cell<usize>,
     pub(crate) open_streams: Cell<usize>,
     /// Sends an update on every link that this VM has dialled at once.
+    /// Notified after a suspension.
+    pub(crate) woken: Notify,
+    pub(crate) suspension: Cell<SuspensionWatch>,
     pub(crate) tell_now: Notify,
     /// Wakes what waits for a server that is taken for silent.
     pub(crate) silence: Notify,
@@ -123,7 +127,7 @@
         quotas.set_settings(settings.quotas);
         Self {
             vm: place.vm,
-            started: Instant::now(),
+            started: BootInstant::now(),
             table: RefCell::default(),
             fleet: RefCell::new(fleet),
             mirror: RefCell::default(),
@@ -143,6 +147,8 @@
             stop_asked: Cell::new(None),
             open_requests: Cell::new(0),
             open_streams: Cell::new(0),
+            woken: Notify::new(),
+            suspension: Cell::new(SuspensionWatch::start()),
             tell_now: Notify::new(),
             silence: Notify::new(),
             deltas_now: Notify::new(),
@@ -241,6 +247,7 @@
 
     /// Lets time count: silent VMs, missing items, idle connections.
     fn tick(&self) {
+        self.look_for_suspension(BootInstant::now());
         let now = self.now();
         self.overlay.borrow_mut().tick(now);
         self.apply_work(now);
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -8,9 +8,10 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
+use onyxfall_clock::BootInstant;
 use onyxfall_fleet::DecisionSwitch;
 use onyxfall_overlay::{LinkRelation, PlannedLink, VmRecord};
 use onyxfall_types::VmName;
@@ -101,7 +102,7 @@
 async fn keep_link(gateway: &Rc<Gateway>, address: SocketAddr) {
     let mut failures = 0;
     while let Some(planned) = gateway.planned_link(address) {
-        let dialled = Instant::now();
+        let dialled = BootInstant::now();
         match dial(address, dial_limit(gateway, &planned, failures)).await {
             Ok(stream) => {
                 failures = 0;
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -6,7 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER, WWW_AUTHENTICATE};
@@ -17,6 +17,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use onyxfall_adapter::{CallHead, forward_headers, hide_credential, read_call};
+use onyxfall_clock::BootInstant;
 use onyxfall_fleet::{AnswerShape, CallNeeds, RouteRule, RouteTable, TeamRule};
 use onyxfall_types::{RefusalReason, RequestError, RunVerdict};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -178,7 +179,8 @@
 }
 
 async fn handle_caller(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<ReplyBody> {
-    let arrived = Instant::now();
+    let arrived = BootInstant::now();
+    gateway.look_for_suspension(arrived);
     let head = read_call(request.headers());
     let request_id = head.as_ref().map(|head| head.request_id.clone());
     let result = match read_request(&gateway, request, head, arrived).await {
@@ -223,7 +225,7 @@
     gateway: &Rc<Gateway>,
     request: Request<Incoming>,
     call: Option<CallHead>,
-    arrived: Instant,
+    arrived: BootInstant,
 ) -> Result<(CallContext, Option<QuotaCharge>), RequestError> {
     let (head, body) = request.into_parts();
     let table = gateway.table().ok_or_else(|| {
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -33,6 +33,7 @@
 mod store;
 mod stream;
 mod suspects;
+mod suspension;
 mod teams;
 mod updates;
 
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -6,9 +6,10 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::connection::HttpConnection;
+use onyxfall_clock::BootInstant;
 
 /// How long an idle connection is kept where the other side names no limit: new
 /// connections to servers are dear, and a closed one is noticed.
@@ -24,8 +25,8 @@
 
 struct IdleConnection {
     connection: HttpConnection,
-    since: Instant,
-    until: Instant,
+    since: BootInstant,
+    until: BootInstant,
 }
 
 /// Which kept connections will do.
@@ -50,7 +51,7 @@
         address: SocketAddr,
         choice: ConnectionChoice,
     ) -> Option<HttpConnection> {
-        let now = Instant::now();
+        let now = BootInstant::now();
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&address)?;
         kept.retain(|entry| !entry.connection.is_closed() && now < entry.until);
@@ -63,7 +64,7 @@
 
     /// Whether a kept connection could send at once.
     pub(crate) fn has_idle(&self, address: SocketAddr) -> bool {
-        let now = Instant::now();
+        let now = BootInstant::now();
         let idle = self.idle.borrow();
         let kept = idle.get(&address).into_iter().flatten();
         kept.into_iter()
@@ -79,7 +80,7 @@
         limit: Option<Duration>,
     ) {
         let kept_for = limit.map_or(DEFAULT_IDLE, |limit| limit.mul_f64(IDLE_PART));
-        let now = Instant::now();
+        let now = BootInstant::now();
         let entry = IdleConnection {
             connection,
             since: now,
@@ -92,9 +93,14 @@
             .push(entry);
     }
 
+    /// Closes all of them.
+    pub(crate) fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Closes what has been idle for too long.
     pub(crate) fn sweep(&self) {
-        let now = Instant::now();
+        let now = BootInstant::now();
         self.idle.borrow_mut().retain(|_, kept| {
             kept.retain(|entry| now < entry.until);
             !kept.is_empty()
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,11 +8,12 @@
 use std::cell::OnceCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use onyxfall_adapter::{forward_headers, read_call};
+use onyxfall_clock::BootInstant;
 use onyxfall_fleet::{CallNeeds, HomeRegions, RouteTable, TimePrediction};
 use onyxfall_types::{RefusalReason, RegionName, RequestError, RunVerdict, TeamName, VmName};
 
@@ -115,7 +116,7 @@
     gateway: Rc<Gateway>,
     request: Request<Incoming>,
 ) -> Response<ReplyBody> {
-    let arrived = Instant::now();
+    let arrived = BootInstant::now();
     let result = match read_relayed(&gateway, request, arrived).await {
         Ok(call) => serve(&gateway, &Rc::new(call)).await,
         Err(error) => Err(error.into()),
@@ -126,7 +127,7 @@
 async fn read_relayed(
     gateway: &Gateway,
     request: Request<Incoming>,
-    arrived: Instant,
+    arrived: BootInstant,
 ) -> Result<CallContext, RequestError> {
     let (head, body) = request.into_parts();
     let bad = || RequestError::not_run(RefusalReason::BadRequest, "not a relayed request");
--- a/crates/gateway/src/relays.rs
+++ b/crates/gateway/src/relays.rs
@@ -6,8 +6,9 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use onyxfall_clock::BootInstant;
 use onyxfall_overlay::Roster;
 use onyxfall_types::{RegionName, VmName};
 
@@ -34,7 +35,7 @@
     /// Changes of the roster that the targets were worked out from.
     basis: u64,
     targets: BTreeMap<RegionName, Vec<RelayTarget>>,
-    failed: BTreeMap<VmName, Instant>,
+    failed: BTreeMap<VmName, BootInstant>,
     turn: usize,
 }
 
@@ -107,7 +108,7 @@
     pub(crate) fn note_relay_failed(&self, vm: &VmName) {
         let mut relays = self.relays.borrow_mut();
         relays.failed.retain(|_, at| at.elapsed() < FAILED_REST);
-        relays.failed.insert(vm.clone(), Instant::now());
+        relays.failed.insert(vm.clone(), BootInstant::now());
     }
 
     fn relays(&self) -> std::cell::RefMut<'_, RelayTable> {
--- a/crates/gateway/src/reload.rs
+++ b/crates/gateway/src/reload.rs
@@ -6,6 +6,8 @@
 
 use tokio::signal::unix::{SignalKind, signal};
 
+use onyxfall_clock::BootInstant;
+
 use crate::gateway::Gateway;
 use crate::settings::load_settings;
 
@@ -48,7 +50,9 @@
 fn reload(gateway: &Gateway, path: &Path) {
     match load_settings(path) {
         Ok(settings) => {
+            onyxfall_clock::move_on(settings.ahead);
             gateway.set_settings(settings);
+            gateway.look_for_suspension(BootInstant::now());
             log::info!("settings reloaded");
         }
         Err(e) => log::error!(error:% = e; "settings not reloaded; the old ones stay"),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -21,6 +21,7 @@
 use crate::gateway::Gateway;
 use crate::relay::PeerReason;
 use crate::stream::StreamRelay;
+use crate::suspension::within_deadline;
 
 /// Arrivals at servers that one request may cause, refusals included.
 const MAX_ARRIVALS: u32 = 3;
@@ -318,9 +319,9 @@
     mut answer: UpstreamAnswer,
 ) -> Option<WholeAnswer> {
     let reading = Limited::new(&mut answer.body, WHOLE_LIMIT).collect();
-    let read = tokio::time::timeout(call.time_left(), reading).await;
-    let Ok(Ok(collected)) = read else {
-        let result = if read.is_err() {
+    let read = within_deadline(gateway, call, reading).await;
+    let Some(Ok(collected)) = read else {
+        let result = if read.is_none() {
             AttemptResult::Unknown
         } else {
             AttemptResult::Broken
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -25,6 +25,7 @@
     "quotas",
     "decisions",
     "costs",
+    "clock",
 ];
 /// Where settings name no grace, as long as the platforms known give.
 const DEFAULT_GRACE_S: u64 = 8;
@@ -88,6 +89,8 @@
     pub(crate) costs: CostSettings,
     /// How exactly teams are held to their limits.
     pub(crate) quotas: QuotaSettings,
+    /// How far the clock is moved on, for tests.
+    pub(crate) ahead: Duration,
     /// Which mechanisms of the decisions are on.
     pub(crate) switches: DecisionSwitches,
 }
@@ -133,6 +136,7 @@
     };
     let directory_ttl = Duration::from_secs(bounds.or_default("directory-ttl-s", 5, faults));
     bounds.finish(faults);
+    let ahead = read_clock(document, faults);
     let switches = read_switches(document, faults);
     let costs = read_costs(document, faults);
     let quotas = read_quotas(document, faults);
@@ -152,10 +156,21 @@
         directory_ttl,
         costs,
         quotas,
+        ahead,
         switches,
     })
 }
 
+/// The section is for tests only: it moves the process's clock on, as a suspension does.
+fn read_clock(document: &IniDocument, faults: &mut FaultList) -> Duration {
+    let Some(clock) = document.readers("clock").next() else {
+        return Duration::ZERO;
+    };
+    let ahead = clock.or_default("ahead-ms", 0, faults);
+    clock.finish(faults);
+    Duration::from_millis(ahead)
+}
+
 /// The section may be left out: then nothing beside the limits may be used.
 fn read_quotas(document: &IniDocument, faults: &mut FaultList) -> QuotaSettings {
     let usual = QuotaSettings::default();
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -6,12 +6,13 @@
 //! process ends shortly before the platform would kill it.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::gateway::Gateway;
 use crate::links::tell_all;
+use onyxfall_clock::BootInstant;
 
 /// Time after the order in which requests are taken as ever: callers hold lists
 /// for two seconds. Later, only those are taken whose whole time fits the grace:
@@ -31,11 +32,11 @@
 /// Waits for the order to stop, serves out the grace and returns.
 pub(crate) async fn run(gateway: &Rc<Gateway>) {
     wait_for_order().await;
-    gateway.stop_asked.set(Some(Instant::now()));
+    gateway.stop_asked.set(Some(BootInstant::now()));
     log::info!(open = gateway.open_requests.get(); "stopping");
     tell_all(gateway);
     let end = end_of(gateway);
-    while Instant::now() < end {
+    while BootInstant::now() < end {
         tokio::time::sleep(LOOK).await;
         let served_on = age_of_stop(gateway) >= Some(LEAST_SERVED);
         if served_on && gateway.open_requests.get() == 0 && gateway.open_streams() == 0 {
@@ -61,7 +62,7 @@
 }
 
 fn age_of_stop(gateway: &Gateway) -> Option<Duration> {
-    gateway.stop_asked.get().map(|asked| asked.elapsed())
+    gateway.stop_asked.get().map(BootInstant::elapsed)
 }
 
 fn grace_left(gateway: &Gateway) -> Option<Duration> {
@@ -69,8 +70,8 @@
     age_of_stop(gateway).map(|age| grace.saturating_sub(age + END_MARGIN))
 }
 
-fn end_of(gateway: &Gateway) -> Instant {
-    Instant::now() + grace_left(gateway).unwrap_or_default()
+fn end_of(gateway: &Gateway) -> BootInstant {
+    BootInstant::now() + grace_left(gateway).unwrap_or_default()
 }
 
 /// Whether a request that may take `time_left` is still taken.
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -64,6 +64,8 @@
     is_reached: bool,
     is_watched: bool,
     was_lost: bool,
+    /// When changes may have been missed, until everything is read.
+    missed_at: Option<Moment>,
     returned_at: Option<Moment>,
 }
 
@@ -73,6 +75,11 @@
         self.is_reached && self.is_watched
     }
 
+    /// Notes that changes may have been missed.
+    pub(crate) fn note_missed(&mut self, now: Moment) {
+        self.missed_at = Some(now);
+    }
+
     fn lose(&mut self) -> bool {
         self.was_lost = true;
         std::mem::replace(&mut self.is_reached, false)
@@ -111,6 +118,8 @@
     Broken,
     #[error("no answer")]
     TimedOut,
+    #[error("this VM was suspended")]
+    Suspended,
     #[error("other VMs know of changes that the watch did not bring")]
     Deaf,
 }
@@ -202,7 +211,9 @@
     /// whose copy is whole goes on from it once a page has shown that the store
     /// answers; after a failed watch everything is read.
     async fn hold_duty(&mut self) {
-        let is_current = self.gateway.copy_is_whole() && !self.gateway.must_catch_up();
+        let has_missed = self.gateway.store.borrow().missed_at.is_some();
+        let is_current =
+            self.gateway.copy_is_whole() && !self.gateway.must_catch_up() && !has_missed;
         let held = self.gateway.mirror.borrow().revision();
         let read = if is_current {
             self.read_start().await.map(|()| held)
@@ -271,6 +282,9 @@
 
     /// Whether this VM, which need not watch, has to read the store itself.
     fn must_read(&self) -> bool {
+        if self.gateway.store.borrow().missed_at.is_some() {
+            return true;
+        }
         if self.gateway.copy_is_whole() {
             return self.gateway.must_catch_up();
         }
@@ -323,6 +337,7 @@
         self.take(|mirror, now, health| {
             mirror.remove_unlisted(now, WATCHED_PREFIX, listed, revision, health)
         });
+        self.gateway.store.borrow_mut().missed_at = None;
         self.gateway.note_caught_up();
     }
 
@@ -346,6 +361,7 @@
         let (status, body) = tokio::select! {
             answer = self.call(request, WATCH_WAIT, "watch") => answer?,
             () = wait_until_deaf(&gateway) => return Err(CallError::Deaf),
+            () = gateway.woken.notified() => return Err(CallError::Suspended),
         };
         Ok(read_batch(status, &body)?)
     }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,7 +5,6 @@
 //! the point to go on from. Otherwise bytes are passed on as they are, and a
 //! break breaks the caller's answer too, so that it never looks complete.
 
-use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -14,7 +13,6 @@
 use futures_util::future::LocalBoxFuture;
 use hyper::body::{Body, Frame};
 use onyxfall_fleet::AttemptResult;
-use tokio::time::Sleep;
 
 use crate::attempt::UpstreamAnswer;
 use crate::backup::continue_run;
@@ -23,6 +21,7 @@
 use crate::gateway::Gateway;
 use crate::serve::{CallProgress, ResumedStream, resume};
 use crate::silence::wait_for_silence;
+use crate::suspension::wait_for_deadline;
 
 /// End of an event in a stream.
 const EVENT_END: &[u8] = b"\n\n";
@@ -105,7 +104,7 @@
     counter: EventCounter,
     /// Events passed on, of all servers.
     events: u32,
-    deadline: Pin<Box<Sleep>>,
+    deadline: LocalBoxFuture<'static, ()>,
     /// Ends when the server that sends it is taken for silent, if another one can go on.
     silence: Option<LocalBoxFuture<'static, ()>>,
 }
@@ -131,7 +130,7 @@
             buffer: can_go_on.then(EventBuffer::default),
             counter: EventCounter::default(),
             events: 0,
-            deadline: Box::pin(tokio::time::sleep_until(call.deadline.into())),
+            deadline: Box::pin(wait_for_deadline(Rc::clone(gateway), Rc::clone(call))),
         }
     }
 
--- a/crates/gateway/tests/suspension.rs
+++ b/crates/gateway/tests/suspension.rs
@@ -51,9 +51,14 @@
         504,
         "it may have run, its time is over"
     );
-    let log = gateway.log();
-    let age = told_age(&log, "waiting").expect("its end is logged");
+    let mut told = None;
+    wait_for("its end to be logged", || {
+        told = told_age(&gateway.log(), "waiting");
+        told.is_some()
+    });
+    let age = told.unwrap();
     assert!(u128::from(age) >= AWAY.as_millis(), "{age} ms are told");
+    let log = gateway.log();
     assert!(log.contains("\"message\":\"was suspended\""));
     server.set_failing(ServerFailing::None);
     gateway.wait_served();
