--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -128,6 +128,12 @@
         self.thread.address()
     }
 
+    /// Crashes it: its port and connections are closed; what it ran is still told.
+    pub fn crash(&self) {
+        self.state.lock().is_crashed = true;
+        self.thread.stop();
+    }
+
     /// Sets what it does with requests.
     pub fn set_failing(&self, failing: ServerFailing) {
         self.state.lock().failing = failing;
--- a/crates/fakes/src/serving.rs
+++ b/crates/fakes/src/serving.rs
@@ -56,6 +56,11 @@
         })
     }
 
+    /// Closes its port and every connection.
+    pub fn stop(&self) {
+        self.stop.notify_one();
+    }
+
     /// Where it listens.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -19,6 +19,11 @@
 const FAULT_PAUSE_MS: u64 = 400;
 /// Pause before the first fault, so that every gateway serves.
 const LEAD: Duration = Duration::from_secs(1);
+/// Entries change in a series of their own, so that the other faults of a seed stay
+/// those that it was first played with.
+const ENTRY_SERIES: u64 = 0x656e_7472_7965_7321;
+/// Mean time between the beginnings of two of these, in milliseconds.
+const ENTRY_PAUSE_MS: u64 = 1200;
 
 /// A fault; `usize` names the VM or server that it strikes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,6 +52,21 @@
     Replace(usize),
     /// A new configuration.
     Configure,
+    /// A server crashes and starts again under its name.
+    Rebirth(usize),
+    /// Another writer leaves something in a server's entry that is none.
+    Foreign(usize, ForeignEntry),
+}
+
+/// What another writer leaves in an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ForeignEntry {
+    /// Bytes that are no JSON.
+    Bytes,
+    /// A state that is not known.
+    State,
+    /// Fields of other types.
+    Types,
 }
 
 impl Fault {
@@ -59,6 +79,7 @@
                 | Self::ForgetHistory
                 | Self::Replace(_)
                 | Self::Configure
+                | Self::Rebirth(_)
         )
     }
 }
@@ -108,10 +129,31 @@
             }
         })
         .collect();
+    let mut rng = StdRng::seed_from_u64(seed ^ ENTRY_SERIES);
+    let count = (millis / ENTRY_PAUSE_MS).max(1);
+    faults.extend((0..count).map(|_| {
+        let at = LEAD + Duration::from_millis(rng.random_range(0..millis.max(1)));
+        let lasts = Duration::from_millis(rng.random_range(FAULT_MS));
+        PlannedFault {
+            at,
+            until: at + lasts,
+            fault: draw_entry_fault(&mut rng, size),
+        }
+    }));
     faults.sort_by_key(|fault| fault.at);
     faults
 }
 
+fn draw_entry_fault(rng: &mut StdRng, size: &RunSize) -> Fault {
+    let server = rng.random_range(0..size.servers);
+    match rng.random_range(0..4) {
+        0 => Fault::Foreign(server, ForeignEntry::Bytes),
+        1 => Fault::Foreign(server, ForeignEntry::State),
+        2 => Fault::Foreign(server, ForeignEntry::Types),
+        _ => Fault::Rebirth(server),
+    }
+}
+
 fn draw_fault(rng: &mut StdRng, size: &RunSize) -> Fault {
     let vm = rng.random_range(0..size.vms);
     let server = rng.random_range(0..size.servers);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -144,6 +144,11 @@
             Fault::Pause(vm) => self.world.signal(vm, Signal::STOP),
             Fault::Reload(vm) => self.world.signal(vm, Signal::HUP),
             Fault::Replace(server) => self.world.replace(server),
+            Fault::Rebirth(server) => self.world.restart(server),
+            Fault::Foreign(server, entry) => {
+                self.world.spoil(server, entry);
+                Ok(())
+            }
             Fault::StoreLink(vm, mode) => {
                 self.world.vms[vm].lock().store_link.set_mode(mode);
                 Ok(())
@@ -182,12 +187,17 @@
             Fault::CallerLink(vm, _) => self.begin(Fault::CallerLink(vm, LinkMode::Open)),
             Fault::ServerLink(server, _) => self.begin(Fault::ServerLink(server, LinkMode::Open)),
             Fault::Store(_) => self.begin(Fault::Store(StoreMode::Well)),
+            Fault::Foreign(server, _) => {
+                self.world.restore(server);
+                Ok(())
+            }
             Fault::Server(server, _) => self.begin(Fault::Server(server, ServerFailing::None)),
             Fault::Kill(_)
             | Fault::Stop(_)
             | Fault::Reload(_)
             | Fault::ForgetHistory
             | Fault::Replace(_)
+            | Fault::Rebirth(_)
             | Fault::Configure => Ok(()),
         }
     }
@@ -344,6 +354,7 @@
         | (Fault::StoreLink(a, _), Fault::StoreLink(b, _))
         | (Fault::CallerLink(a, _), Fault::CallerLink(b, _))
         | (Fault::ServerLink(a, _), Fault::ServerLink(b, _))
+        | (Fault::Foreign(a, _), Fault::Foreign(b, _))
         | (Fault::Server(a, _), Fault::Server(b, _)) => a == b,
         (Fault::Store(_), Fault::Store(_)) => true,
         _ => false,
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -19,7 +19,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::link::HarmedLink;
-use crate::plan::RunSize;
+use crate::plan::{ForeignEntry, RunSize};
 
 /// Host that callers name.
 pub(crate) const HOST: &str = "a.example";
@@ -107,8 +107,10 @@
 
 /// One backend server.
 pub(crate) struct SoakServer {
-    /// Lives so far; the name of the present one holds it.
+    /// Names so far; the present one holds it.
     life: u64,
+    /// Starts so far.
+    born: u64,
     /// The stand-ins of all its lives, the present one last.
     pub(crate) lives: Vec<ServerStandIn>,
     /// Link between gateways and it.
@@ -156,8 +158,12 @@
                 let standin = ServerStandIn::start(stand_in_ip())?;
                 let link = HarmedLink::start(stand_in_ip(), standin.address())?;
                 let lives = vec![standin];
-                let life = 1;
-                Ok(Mutex::new(SoakServer { life, lives, link }))
+                Ok(Mutex::new(SoakServer {
+                    life: 1,
+                    born: 1,
+                    lives,
+                    link,
+                }))
             })
             .collect::<io::Result<_>>()?;
         let world = Self {
@@ -221,7 +227,7 @@
         let name = server_name(server, state.life);
         let record = ServerRecord {
             name: name.parse().expect("a name of letters and digits"),
-            born: ServerBirth::UNKNOWN,
+            born: ServerBirth::from_millis(state.born),
             service: SERVICE.parse().expect("a name of letters"),
             address: state.link.address(),
             center: format!("c{}", server % REGIONS)
@@ -250,11 +256,51 @@
             state.link.set_target(standin.address());
             state.lives.push(standin);
             state.life += 1;
+            state.born += 1;
+        }
+        self.announce(server, ServerPhase::Ready);
+        Ok(())
+    }
+
+    /// Crashes a server; it starts again at once, under its name.
+    pub(crate) fn restart(&self, server: usize) -> io::Result<()> {
+        let standin = ServerStandIn::start(stand_in_ip())?;
+        {
+            let mut state = self.servers[server].lock();
+            if let Some(before) = state.lives.last() {
+                before.crash();
+            }
+            state.link.set_target(standin.address());
+            state.lives.push(standin);
+            state.born += 1;
         }
         self.announce(server, ServerPhase::Ready);
         Ok(())
     }
 
+    /// Leaves something in a server's entry that is none.
+    pub(crate) fn spoil(&self, server: usize, entry: ForeignEntry) {
+        let name = {
+            let state = self.servers[server].lock();
+            server_name(server, state.life)
+        };
+        let text = match entry {
+            ForeignEntry::Bytes => "\u{0}\u{fffd}[[[",
+            ForeignEntry::State => {
+                r#"{"Service":"svc","Address":"127.0.0.1:9","Zone":"c0","Slots":8,"State":"asleep"}"#
+            }
+            ForeignEntry::Types => {
+                r#"{"Service":7,"Address":[],"Zone":null,"Slots":"8","State":true,"born":-1}"#
+            }
+        };
+        self.store.put(&server_key(&name), text.to_owned());
+    }
+
+    /// Writes a server's own entry again.
+    pub(crate) fn restore(&self, server: usize) {
+        self.announce(server, ServerPhase::Ready);
+    }
+
     /// Announces that a server leaves.
     pub(crate) fn drain(&self, server: usize) {
         self.announce(server, ServerPhase::Draining { left: None });
