--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -232,7 +232,10 @@
         let (news, malformed) = read_suspects(update);
         self.metrics
             .count_more("onyxfall_absurd_suspects_total", malformed);
-        self.suspects.borrow_mut().table.take(now, &news);
+        let is_urgent = self.suspects.borrow_mut().table.take(now, &news);
+        if is_urgent {
+            self.tell_now.notify_waiters();
+        }
     }
 }
 
--- /dev/null
+++ b/crates/gateway/tests/crashing_fleet.rs
@@ -0,0 +1,53 @@
+//! A request that crashes its servers is stopped where VMs hear each other by way of
+//! others: regions of so many VMs that most of them report to a few.
+
+mod support;
+
+use std::thread;
+use std::time::Duration;
+
+use http::StatusCode;
+use onyxfall_fakes::{CRASHING_BODY, ServerStandIn};
+use support::{Gateway, Site, call_from};
+
+const VMS: u8 = 20;
+const REGIONS: usize = 2;
+const REGION_SERVERS: usize = 5;
+const PATH: &str = "/stream/resume/x";
+/// Servers that one request may cost where VMs hear each other.
+const LOST_SERVERS: usize = 3;
+const REPEATS: u8 = 10;
+/// Pause before each repeat; news takes four messages from a VM to one of another region.
+const REPEAT_PAUSE: Duration = Duration::from_millis(600);
+
+#[test]
+fn a_request_is_stopped_on_vms_that_hear_of_it_by_others() {
+    let site = Site::start_in(VMS, REGIONS);
+    let servers: Vec<ServerStandIn> = (0..REGIONS * REGION_SERVERS)
+        .map(|number| {
+            let vm = number % REGIONS;
+            let server = ServerStandIn::start(site.ip(vm)).unwrap();
+            site.announce(&format!("s{number}"), &server, vm);
+            server
+        })
+        .collect();
+    site.configure(1);
+    let gateways: Vec<Gateway> = (0..usize::from(VMS)).map(|vm| site.gateway(vm)).collect();
+    for gateway in &gateways {
+        gateway.wait_served();
+    }
+    let mut last = None;
+    for number in 0..REPEATS {
+        // Each time a VM of the other region.
+        let gateway = &gateways[usize::from(number) * 3 % gateways.len()];
+        let from = [127, 0, 3, number + 1].into();
+        let id = format!("repeat{number}");
+        last = call_from(from, gateway.callers(), PATH, &id, CRASHING_BODY);
+        thread::sleep(REPEAT_PAUSE);
+    }
+    let runs = servers.iter().flat_map(ServerStandIn::runs);
+    let arrivals = runs.filter(|run| run.body == CRASHING_BODY).count();
+    assert!(arrivals <= LOST_SERVERS, "{arrivals} arrivals");
+    let last = last.expect("the caller gets an answer");
+    assert_eq!(last.status, StatusCode::SERVICE_UNAVAILABLE);
+}
--- a/crates/suspects/src/table.rs
+++ b/crates/suspects/src/table.rs
@@ -197,8 +197,10 @@
         news
     }
 
-    /// Takes what another VM tells.
-    pub fn take(&mut self, now: Moment, news: &SuspectNews) {
+    /// Takes what another VM tells. Returns whether it is to be told on at once: a request
+    /// has been on more than one lost server.
+    pub fn take(&mut self, now: Moment, news: &SuspectNews) -> bool {
+        let mut is_urgent = false;
         for life in &news.lives {
             self.take_life_crash(life.life, now.before(life.crashed));
             if let Some(alive) = life.alive {
@@ -207,13 +209,16 @@
         }
         for request in &news.requests {
             for crash in &request.crashes {
-                self.take_crash(request.fingerprint, crash.life, now.before(crash.age));
+                let at = now.before(crash.age);
+                let is_news = self.take_crash(request.fingerprint, crash.life, at);
+                is_urgent |= is_news && request.crashes.len() > 1;
             }
             if let Some(served) = request.served {
                 self.note_served(now.before(served), request.fingerprint);
             }
         }
         self.bound();
+        is_urgent
     }
 
     /// Forgets what is old.
@@ -243,15 +248,18 @@
         self.changes = number;
     }
 
-    fn take_crash(&mut self, fingerprint: RequestFingerprint, life: LifeTag, at: Moment) {
+    /// Notes that a request was on `life` when that broke off; whether that is news.
+    fn take_crash(&mut self, fingerprint: RequestFingerprint, life: LifeTag, at: Moment) -> bool {
         let number = self.changes + 1;
         let known = self.lives.get(&life).copied();
         let of_life = known.unwrap_or_else(|| LifeRecord::new(at, number));
         let record = self.requests.entry(fingerprint).or_default();
-        if record.note_crash(life, at, &of_life) {
+        let is_news = record.note_crash(life, at, &of_life);
+        if is_news {
             record.changed = number;
             self.changes = number;
         }
+        is_news
     }
 
     /// Drops what was on the fewest servers, the oldest first, beyond the bounds.
