--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -17,6 +17,7 @@
     LifeTag, RequestFingerprint, SuspectTable, SuspectVerdict, SuspectsTold, holder_of,
 };
 use onyxfall_types::{RefusalReason, RegionName, RequestError, ServerId};
+use onyxfall_wire::VmUpdate;
 
 use crate::call::{CallContext, CallOrigin};
 use crate::decide::{RouteStep, server_target};
@@ -33,6 +34,9 @@
 /// its silence is noticed, 1.3 s.
 const HOLDER_RETRY: Duration = Duration::from_millis(900);
 
+/// The board of a gateway, which its tasks share.
+pub(crate) type SharedBoard = RefCell<SuspectBoard>;
+
 /// What this VM knows of requests that crash servers.
 #[derive(Debug, Default)]
 pub(crate) struct SuspectBoard {
@@ -213,11 +217,7 @@
     }
 
     /// What is news of suspects on a link.
-    pub(crate) fn tell_suspects(
-        &self,
-        told: &mut SuspectsTold,
-        update: &mut onyxfall_wire::VmUpdate,
-    ) {
+    pub(crate) fn tell_suspects(&self, told: &mut SuspectsTold, update: &mut VmUpdate) {
         let news = self.suspects.borrow().table.tell(self.now(), told);
         if !news.is_empty() {
             wire_suspects(&news, update);
@@ -225,7 +225,7 @@
     }
 
     /// Takes what another VM tells of suspects.
-    pub(crate) fn take_suspects(&self, now: Moment, update: &onyxfall_wire::VmUpdate) {
+    pub(crate) fn take_suspects(&self, now: Moment, update: &VmUpdate) {
         if update.suspects.is_empty() && update.lost_lives.is_empty() {
             return;
         }
@@ -252,6 +252,3 @@
     let detail = "servers crash under this request";
     RequestError::not_run(RefusalReason::Quarantined, detail).with_retry_after(left)
 }
-
-/// The board of a gateway.
-pub(crate) type SharedBoard = RefCell<SuspectBoard>;
