--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -24,6 +24,8 @@
 const ENTRY_SERIES: u64 = 0x656e_7472_7965_7321;
 /// Mean time between the beginnings of two of these, in milliseconds.
 const ENTRY_PAUSE_MS: u64 = 1200;
+/// Kinds of what other writers leave in entries.
+const FOREIGN_KINDS: usize = 15;
 
 /// A fault; `usize` names the VM or server that it strikes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,18 +57,8 @@
     /// A server crashes and starts again under its name.
     Rebirth(usize),
     /// Another writer leaves something in a server's entry that is none.
-    Foreign(usize, ForeignEntry),
-}
-
-/// What another writer leaves in an entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum ForeignEntry {
-    /// Bytes that are no JSON.
-    Bytes,
-    /// A state that is not known.
-    State,
-    /// Fields of other types.
-    Types,
+    /// The second number says what it is.
+    Foreign(usize, usize),
 }
 
 impl Fault {
@@ -146,11 +138,10 @@
 
 fn draw_entry_fault(rng: &mut StdRng, size: &RunSize) -> Fault {
     let server = rng.random_range(0..size.servers);
-    match rng.random_range(0..4) {
-        0 => Fault::Foreign(server, ForeignEntry::Bytes),
-        1 => Fault::Foreign(server, ForeignEntry::State),
-        2 => Fault::Foreign(server, ForeignEntry::Types),
-        _ => Fault::Rebirth(server),
+    if rng.random() {
+        Fault::Rebirth(server)
+    } else {
+        Fault::Foreign(server, rng.random_range(0..FOREIGN_KINDS))
     }
 }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -145,8 +145,8 @@
             Fault::Reload(vm) => self.world.signal(vm, Signal::HUP),
             Fault::Replace(server) => self.world.replace(server),
             Fault::Rebirth(server) => self.world.restart(server),
-            Fault::Foreign(server, entry) => {
-                self.world.spoil(server, entry);
+            Fault::Foreign(server, kind) => {
+                self.world.spoil(server, kind);
                 Ok(())
             }
             Fault::StoreLink(vm, mode) => {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -10,8 +10,8 @@
 use std::time::Duration;
 
 use onyxfall_adapter::standin::{
-    RouteShape, RouteText, ServiceText, TeamText, config_key, document_with_teams, server_body,
-    server_key,
+    RouteShape, RouteText, ServiceText, TeamText, config_key, document_with_teams, foreign_entries,
+    server_body, server_key,
 };
 use onyxfall_fakes::{ServerStandIn, StoreStandIn};
 use onyxfall_fleet::{ServerBirth, ServerPhase, ServerRecord};
@@ -19,7 +19,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::link::HarmedLink;
-use crate::plan::{ForeignEntry, RunSize};
+use crate::plan::RunSize;
 
 /// Host that callers name.
 pub(crate) const HOST: &str = "a.example";
@@ -223,9 +223,16 @@
     }
 
     fn announce(&self, server: usize, phase: ServerPhase) {
+        let record = self.record(server, phase);
+        let key = server_key(record.name.as_str());
+        self.store.put(&key, server_body(&record));
+    }
+
+    /// What a server writes of itself.
+    fn record(&self, server: usize, phase: ServerPhase) -> ServerRecord {
         let state = self.servers[server].lock();
         let name = server_name(server, state.life);
-        let record = ServerRecord {
+        ServerRecord {
             name: name.parse().expect("a name of letters and digits"),
             born: ServerBirth::from_millis(state.born),
             service: SERVICE.parse().expect("a name of letters"),
@@ -236,8 +243,7 @@
             slots: 8,
             phase,
             cold_left: Duration::ZERO,
-        };
-        self.store.put(&server_key(&name), server_body(&record));
+        }
     }
 
     /// Lets a server leave, and a new life take its address.
@@ -279,21 +285,11 @@
     }
 
     /// Leaves something in a server's entry that is none.
-    pub(crate) fn spoil(&self, server: usize, entry: ForeignEntry) {
-        let name = {
-            let state = self.servers[server].lock();
-            server_name(server, state.life)
-        };
-        let text = match entry {
-            ForeignEntry::Bytes => "\u{0}\u{fffd}[[[",
-            ForeignEntry::State => {
-                r#"{"Service":"svc","Address":"127.0.0.1:9","Zone":"c0","Slots":8,"State":"asleep"}"#
-            }
-            ForeignEntry::Types => {
-                r#"{"Service":7,"Address":[],"Zone":null,"Slots":"8","State":true,"born":-1}"#
-            }
-        };
-        self.store.put(&server_key(&name), text.to_owned());
+    pub(crate) fn spoil(&self, server: usize, kind: usize) {
+        let record = self.record(server, ServerPhase::Ready);
+        let kinds = foreign_entries(&record);
+        let left = kinds[kind % kinds.len()].text.clone();
+        self.store.put(&server_key(record.name.as_str()), left);
     }
 
     /// Writes a server's own entry again.
