--- a/crates/gateway/tests/crashing.rs
+++ b/crates/gateway/tests/crashing.rs
@@ -34,6 +34,8 @@
 const PATH: &str = "/stream/resume/x";
 /// Servers that one request may cost where VMs hear each other.
 const LOST_SERVERS: usize = 3;
+/// The same whatever else crashes.
+const MOST_LOST: usize = 6;
 /// Most servers that one request of a caller may reach, by the routes of a test site.
 const MAX_ATTEMPTS: usize = 2;
 /// Times that the caller comes back.
@@ -176,6 +178,31 @@
     }
 }
 
+/// Two such requests at once: each one's crashes are near the other's, which weigh half.
+#[test]
+fn two_requests_that_crash_their_servers_do_not_hide_each_other() {
+    let site = Site::start_in(3, 1);
+    let mut fleet = CrashingFleet::start(&site, 3);
+    site.configure(1);
+    let gateways = start_vms(&site, 3);
+    let paths = ["/stream/resume/one", "/stream/resume/other"];
+    for number in 0..REPEATS {
+        for path in paths {
+            let gateway = &gateways[number % gateways.len()];
+            let from = Ipv4Addr::new(127, 0, 4, u8::try_from(number + 1).unwrap());
+            let id = format!("{number} of {path}");
+            call_from(from, gateway.callers(), path, &id, CRASHING_BODY);
+        }
+        thread::sleep(REPEAT_PAUSE);
+        fleet.replace_crashed();
+    }
+    for path in paths {
+        let runs = fleet.lives.iter().flat_map(|life| life.server.runs());
+        let arrivals = runs.filter(|run| run.target == path).count();
+        assert!(arrivals <= MOST_LOST, "{path}: {arrivals} arrivals");
+    }
+}
+
 #[test]
 fn a_vm_that_starts_later_runs_it_no_more() {
     let site = Site::start_in(3, 1);
