That a server survived is kept for an hour from its news on

Cause: a life that another VM tells only as survived had no moment of its own, so that a VM that has run for over an hour forgot it at the next look at what is old, and the crashes that it had cleared counted again. Found by reading; a test with VMs 4,000 s old was judged quarantined before, clear after.

--- a/crates/suspects/src/record.rs
+++ b/crates/suspects/src/record.rs
@@ -22,7 +22,8 @@
     pub(crate) survivals: u32,
     /// When it broke off since the last of these, if it did.
     pub(crate) lost: Option<Moment>,
-    /// When it last broke off, as far as known here.
+    /// When news of it last came; it is forgotten by that, and one that is only known to
+    /// have survived has no other moment.
     pub(crate) noted: Moment,
     /// Number of the last change.
     pub(crate) changed: u64,
@@ -35,7 +36,6 @@
         if survivals < self.survivals {
             return false;
         }
-        self.noted = self.noted.max(lost.unwrap_or_default());
         let is_later = survivals > self.survivals;
         let is_earlier = lost.is_some_and(|at| self.lost.is_none_or(|known| at < known));
         if is_later {
--- a/crates/suspects/src/table.rs
+++ b/crates/suspects/src/table.rs
@@ -96,7 +96,7 @@
     /// ```
     pub fn note_crash(&mut self, now: Moment, fingerprint: RequestFingerprint, life: LifeTag) {
         let survivals = self.lives.get(&life).map_or(0, |record| record.survivals);
-        self.take_life(life, survivals, Some(now));
+        self.take_life(now, life, survivals, Some(now));
         let crash = CrashRecord { at: now, survivals };
         let good_runs = self.requests.get(&fingerprint).map_or(0, |r| r.good_runs);
         self.take_request(fingerprint, good_runs, &[(life, crash)]);
@@ -209,7 +209,7 @@
         let mut is_urgent = false;
         for life in &news.lives {
             let lost = life.lost.map(|age| now.before(age));
-            self.take_life(life.life, life.survivals, lost);
+            self.take_life(now, life.life, life.survivals, lost);
         }
         for request in &news.requests {
             let crashes: Vec<(LifeTag, CrashRecord)> = request
@@ -243,10 +243,11 @@
     }
 
     /// Takes what is known of a life; one that has never broken off is not kept.
-    fn take_life(&mut self, life: LifeTag, survivals: u32, lost: Option<Moment>) {
+    fn take_life(&mut self, now: Moment, life: LifeTag, survivals: u32, lost: Option<Moment>) {
         let number = self.changes + 1;
         let record = self.lives.entry(life).or_default();
         if record.note(survivals, lost) {
+            record.noted = now;
             record.changed = number;
             self.changes = number;
         }
--- a/crates/suspects/tests/verdicts.rs
+++ b/crates/suspects/tests/verdicts.rs
@@ -259,6 +259,25 @@
     }
 }
 
+/// On a VM that has run for more than an hour: that servers have survived is not forgotten
+/// with the next look at what is old, or what they cleared would count again.
+#[test]
+fn survivals_told_late_in_a_life_are_kept() {
+    let now = at(4_002_000);
+    let mut near = SuspectTable::default();
+    for life in ["s1", "s2", "s3"] {
+        let events = [
+            Event::Lost(4_000_000, "a", life),
+            Event::Alive(4_001_000, life),
+        ];
+        play(&mut near, &events);
+    }
+    let mut far = SuspectTable::default();
+    tell_all(now, &near, &mut far);
+    far.expire(now);
+    assert_eq!(far.judge(now, request("a")), SuspectVerdict::Clear);
+}
+
 /// A connection broke and the server lived on: the news, which is older with each way, is
 /// no second break. On a day with broken connections it went round and round between 68
 /// VMs, which cost a tenth of the day's worth in bytes between regions.
