--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -29,6 +29,7 @@
 mod switches;
 mod team;
 mod view;
+mod word;
 mod work;
 
 pub use away::{AwayOption, AwaySearch, AwayTable, ServiceLoad, goes_away};
@@ -61,4 +62,5 @@
 pub use switches::{ChoicePolicy, DecisionSwitch, DecisionSwitches, QuotaWay, UnknownName};
 pub use team::{KeyDigest, QuotaLimit, QuotaUnit, TeamRule, TeamTable};
 pub use view::{FleetView, REREAD_PRICE, VmPlace};
+pub use word::{RestWord, ServerWord};
 pub use work::{URGENCIES, UnreadTokens, WorkShare};
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,8 +12,8 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use onyxfall_adapter::{
-    AnswerKind, idle_limit, read_answer, set_copy_to, set_expected_server, set_team, set_time_left,
-    set_urgency,
+    AnswerKind, idle_limit, read_answer, read_word, set_copy_to, set_expected_server, set_team,
+    set_time_left, set_urgency,
 };
 use onyxfall_fleet::{AttemptResult, ChoiceReason, DecisionSwitch, TimePrediction};
 use onyxfall_types::{RunVerdict, ServerId};
@@ -152,6 +152,10 @@
         }
     };
     let kind = read_answer(response.status(), response.headers(), &call.request_id);
+    if kind != AnswerKind::WrongServer {
+        let word = read_word(response.status(), response.headers());
+        gateway.note_word(call, target.id, word);
+    }
     match kind {
         AnswerKind::Signed => {
             booking.answer();
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -36,6 +36,7 @@
 mod suspension;
 mod teams;
 mod updates;
+mod words;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
