What servers say of themselves in answers decides who gets work

Cause: leaving was believed by the store's entry alone, and each refusal was taken as 'full' for 0.12 s; the words in the heads of answers were read by nobody. Class: knowledge that comes by a second way and is thrown away there. Ruled out: an older entry that undid a known leaving (no such line in the record's logs), a request that waited with its server chosen (60 ms on its way), a pause passed over for want of others (eight other servers trusted). Now: leaving holds for the rest of a life, also where its entry is written again, lapses and comes back, or the word is read late; rest holds to its latest end (an hour at most), by every way to the server, then one request tries. Sends are checked once more when their connection is there. Where all servers rest, callers are told the first end at once.

--- a/crates/fleet/src/choose.rs
+++ b/crates/fleet/src/choose.rs
@@ -99,6 +99,8 @@
     Full,
     /// Servers are cold or failing; one may be usable after a moment.
     Resting,
+    /// Every server that could run it wants nothing from this VM before the moment.
+    Held(Moment),
     /// There is no server here that may run it.
     None,
 }
@@ -116,10 +118,13 @@
         if candidates.is_empty() {
             return LocalOption::None;
         }
+        if let Some(end) = self.earliest_rest_end(now, &candidates) {
+            return LocalOption::Held(end);
+        }
         let roomy: Vec<ServerId> = candidates
             .iter()
             .copied()
-            .filter(|id| self.has_room(*id, needs))
+            .filter(|id| self.server(*id).is_rested(now) && self.has_room(*id, needs))
             .collect();
         if roomy.is_empty() {
             return LocalOption::Full;
@@ -163,6 +168,10 @@
         if !needs.allows_region(&self.place().region) {
             return LocalOption::None;
         }
+        let candidates = self.candidates(needs, excluded);
+        if let Some(end) = self.earliest_rest_end(now, &candidates) {
+            return LocalOption::Held(end);
+        }
         let free = self.free_servers(now, needs);
         let free = free.filter(|id| !excluded.contains(id));
         let calmest = free.min_by_key(|id| self.server(*id).work().requests);
--- /dev/null
+++ b/crates/fleet/src/rest.rs
@@ -0,0 +1,70 @@
+//! The rest that a server wants from this VM.
+//!
+//! A server that turns a request away may name a time for which it wants nothing from the
+//! VM that asked. The time is kept whole, by every way to the server. After it one request
+//! tries whether the server is back; the others wait for its answer, so that a server that
+//! is as busy as before turns one request away and not all that were held back: 1 instead
+//! of up to 6 from as many callers (gateway test `resting`).
+//!
+//! Invariant: within a time of rest nothing is allowed, and after it one try at a time
+//! until the server has taken one.
+
+use std::time::Duration;
+
+use onyxfall_policy::Moment;
+
+/// Longest rest that is kept, an hour: a server that names a week has most likely mixed up
+/// its units, and a new life of it ends its rest in any case.
+const LONGEST_REST: Duration = Duration::from_hours(1);
+
+/// Rest of one life of a server.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ServerRest {
+    /// End of the time that it wants; of several the latest.
+    until: Moment,
+    /// Whether it has taken nothing since.
+    is_unproven: bool,
+    /// The attempt that tries whether it takes work again.
+    trial: Option<u64>,
+}
+
+impl ServerRest {
+    /// Notes that the server wants nothing for `time` from now on. A time that ends before
+    /// the present one shortens nothing: the server has asked for both.
+    pub(crate) fn ask(&mut self, now: Moment, time: Duration) {
+        self.until = self.until.max(now + time.min(LONGEST_REST));
+        self.is_unproven = true;
+        self.trial = None;
+    }
+
+    /// End of the time in which nothing may be sent; none if it is over.
+    pub(crate) fn end(&self, now: Moment) -> Option<Moment> {
+        (now < self.until).then_some(self.until)
+    }
+
+    /// Whether an attempt may be chosen for the server.
+    pub(crate) fn allows(&self, now: Moment) -> bool {
+        now >= self.until && !(self.is_unproven && self.trial.is_some())
+    }
+
+    /// Notes that an attempt is sent.
+    pub(crate) fn note_sent(&mut self, attempt: u64) {
+        if self.is_unproven {
+            self.trial.get_or_insert(attempt);
+        }
+    }
+
+    /// Notes that the server has taken an attempt.
+    pub(crate) fn note_taken(&mut self, attempt: u64) {
+        if self.trial == Some(attempt) {
+            *self = Self::default();
+        }
+    }
+
+    /// Notes that an attempt has ended, whatever it showed.
+    pub(crate) fn note_end(&mut self, attempt: u64) {
+        if self.trial == Some(attempt) {
+            self.trial = None;
+        }
+    }
+}
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -12,6 +12,7 @@
 use crate::kept::KeptPrefixes;
 use crate::learn::EngineLoad;
 use crate::record::{ServerPhase, ServerRecord};
+use crate::rest::ServerRest;
 use crate::signs::{ServerVotes, SignRecord};
 use crate::work::{UnreadTokens, WorkShare};
 
@@ -91,6 +92,9 @@
     gone: bool,
     /// Another life has its name: what ran here has ended.
     is_replaced: bool,
+    /// It has said in an answer that it leaves.
+    is_leaving: bool,
+    rest: ServerRest,
     full_until: Moment,
     circuit: CircuitBreaker,
     slowness: f64,
@@ -115,6 +119,8 @@
             region,
             gone: false,
             is_replaced: false,
+            is_leaving: false,
+            rest: ServerRest::default(),
             full_until: Moment::ZERO,
             circuit: CircuitBreaker::new(),
             slowness: 1.0,
@@ -178,14 +184,43 @@
         now < self.cold_until
     }
 
-    /// Whether its entry lets it have new work.
+    /// Whether its entry and its answers let it have new work.
     pub fn takes_work(&self) -> bool {
-        !self.gone && self.record.phase == ServerPhase::Ready
+        !self.gone && !self.is_leaving && self.record.phase == ServerPhase::Ready
     }
 
-    /// Whether its breaker lets an attempt pass.
+    /// Whether its breaker and the rest that it wants let an attempt pass.
     pub fn is_trusted(&self, now: Moment) -> bool {
-        self.circuit.allows(now) && now >= self.full_until
+        self.circuit.allows(now) && now >= self.full_until && self.is_rested(now)
+    }
+
+    /// Notes that it leaves; whether that is news.
+    pub(crate) fn note_leaving(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_leaving, true)
+    }
+
+    /// Notes that it wants nothing from this VM for `time`; whether it rests for longer by
+    /// that.
+    pub(crate) fn note_rest(&mut self, now: Moment, time: Duration) -> bool {
+        let before = self.rest.end(now);
+        self.rest.ask(now, time);
+        self.rest.end(now) > before
+    }
+
+    /// Whether it may be chosen as far as the rest goes that it wants.
+    pub(crate) fn is_rested(&self, now: Moment) -> bool {
+        self.rest.allows(now)
+    }
+
+    /// End of the rest that it wants; none if that is over.
+    pub fn rest_end(&self, now: Moment) -> Option<Moment> {
+        self.rest.end(now)
+    }
+
+    /// Takes over what the same life said of itself before its entry had lapsed.
+    pub(crate) fn inherit_word(&mut self, before: &Self) {
+        self.is_leaving = before.is_leaving;
+        self.rest = before.rest;
     }
 
     /// The share of its rate while it is cold.
@@ -340,6 +375,7 @@
         if self.circuit.allows(now) {
             self.circuit.start(now);
         }
+        self.rest.note_sent(id);
         self.own = self.own.plus(work);
         let brought = unread + needs.prompt.likely_output();
         self.flow.note(now, brought);
@@ -365,6 +401,7 @@
             return None;
         }
         open.answered = Some(now);
+        self.rest.note_taken(id);
         self.signs.note_sign(now);
         let read = WorkShare {
             unread: open.work.unread,
@@ -398,6 +435,7 @@
         if let Some(open) = self.open.remove(&id) {
             self.own = self.own.without(open.work);
         }
+        self.rest.note_end(id);
         match result {
             AttemptResult::Succeeded => {
                 self.signs.note_sign(now);
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -56,6 +56,13 @@
     pub centers: BTreeMap<CenterName, RegionName>,
 }
 
+/// The latest life under a name.
+#[derive(Clone, Copy, Debug)]
+struct LatestLife {
+    born: ServerBirth,
+    id: ServerId,
+}
+
 /// The fleet.
 #[derive(Clone, Debug)]
 pub struct FleetView {
@@ -67,8 +74,8 @@
     /// The same by the whole hash, which tells lives apart among tens of thousands.
     by_life: HashMap<u64, ServerId>,
     by_service: BTreeMap<ServiceName, Vec<ServerId>>,
-    /// The latest birth that was seen under each name, also of servers that are gone.
-    births: HashMap<ServerName, ServerBirth>,
+    /// The latest life that was seen under each name, also of servers that are gone.
+    latest: HashMap<ServerName, LatestLife>,
     evacuated: BTreeSet<CenterName>,
     region_vms: Vec<VmName>,
     switches: DecisionSwitches,
@@ -98,7 +105,7 @@
             by_tag: HashMap::new(),
             by_life: HashMap::new(),
             by_service: BTreeMap::new(),
-            births: HashMap::new(),
+            latest: HashMap::new(),
             evacuated: BTreeSet::new(),
             region_vms: Vec::new(),
             switches: DecisionSwitches::default(),
@@ -278,8 +285,8 @@
         })
     }
 
-    /// Whether a server may be sent an attempt: neither this VM's breaker nor the votes
-    /// of all VMs speak against it.
+    /// Whether a server may be sent an attempt: neither this VM's breaker, nor a rest that
+    /// the server wants, nor the votes of all VMs speak against it.
     pub(crate) fn is_trusted(&self, now: Moment, id: ServerId) -> bool {
         let server = self.server(id);
         server.is_trusted(now) && !self.is_silent(now, id)
@@ -308,7 +315,8 @@
             self.remove_server(now, record.name.as_str());
             return;
         };
-        if !self.note_birth(&record) {
+        let latest = self.latest.get(&record.name).copied();
+        if latest.is_some_and(|latest| latest.born > record.born) {
             return;
         }
         if let Some(id) = self.find(record.name.as_str()) {
@@ -321,25 +329,34 @@
         }
         let service = table.and_then(|table| table.service(&record.service));
         let cold_rate = service.map_or(0.0, |service| service.cold_rate);
-        let (name, service) = (record.name.clone(), record.service.clone());
-        let id = self
-            .servers
-            .push(ServerState::new(now, record, region, cold_rate));
+        let (name, service, born) = (record.name.clone(), record.service.clone(), record.born);
+        let mut state = ServerState::new(now, record, region, cold_rate);
+        if let Some(latest) = latest.filter(|latest| latest.born == born) {
+            state.inherit_word(&self.servers[latest.id]);
+        }
+        let id = self.servers.push(state);
+        self.note_latest(name.clone(), LatestLife { born, id });
         self.by_tag.insert(self.servers[id].tag(), id);
         self.by_life.insert(self.servers[id].life_hash(), id);
         self.by_name.insert(name, id);
         self.by_service.entry(service).or_default().push(id);
     }
 
-    /// Notes a birth; false if a later one was seen under the same name.
-    fn note_birth(&mut self, record: &ServerRecord) -> bool {
-        if self.births.len() >= MOST_BIRTHS {
+    /// The id under which the life of a server is known now: another one where its entry
+    /// had lapsed since.
+    pub(crate) fn same_life(&self, id: ServerId) -> ServerId {
+        let record = &self.server(id).record;
+        let latest = self.latest.get(&record.name);
+        let same = latest.filter(|latest| latest.born == record.born);
+        same.map_or(id, |latest| latest.id)
+    }
+
+    fn note_latest(&mut self, name: ServerName, latest: LatestLife) {
+        if self.latest.len() >= MOST_BIRTHS {
             let by_name = &self.by_name;
-            self.births.retain(|name, _| by_name.contains_key(name));
+            self.latest.retain(|name, _| by_name.contains_key(name));
         }
-        let latest = self.births.entry(record.name.clone()).or_default();
-        *latest = record.born.max(*latest);
-        *latest == record.born
+        self.latest.insert(name, latest);
     }
 
     /// Notes that a server's entry is gone, or that another life answered. One that did
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -131,7 +131,12 @@
         set_time_left(&mut headers, call.time_left());
         make_request(call, headers)
     };
-    let exchanged = exchange(gateway, call, target.address, near_limit(gateway), make);
+    let way = ExchangeWay {
+        address: target.address,
+        dial_limit: near_limit(gateway),
+        server: Some(target.id),
+    };
+    let exchanged = exchange(gateway, call, &way, make);
     // A request that may run only once waits on while the server may still answer.
     let exchanged = if call.rules.repeatable {
         tokio::select! {
@@ -202,15 +207,12 @@
         set_time_left(&mut headers, call.time_left());
         make_request(call, headers)
     };
-    let (connection, response) = match exchange(
-        gateway,
-        call,
-        target.address,
-        far_limit(gateway, target),
-        make,
-    )
-    .await
-    {
+    let way = ExchangeWay {
+        address: target.address,
+        dial_limit: far_limit(gateway, target),
+        server: None,
+    };
+    let (connection, response) = match exchange(gateway, call, &way, make).await {
         Ok(exchanged) => exchanged,
         Err(failure) => {
             gateway.note_relay_failed(&target.vm);
@@ -268,6 +270,8 @@
     TimedOut,
     /// The server is taken for silent by all VMs.
     Silent,
+    /// The server has said meanwhile that it wants no work.
+    Held,
 }
 
 impl ExchangeFailure {
@@ -276,6 +280,7 @@
             Self::Unreachable => AttemptResult::Unreachable,
             Self::Broken | Self::Silent => AttemptResult::Broken,
             Self::TimedOut => AttemptResult::Failed,
+            Self::Held => AttemptResult::Unknown,
         }
     }
 
@@ -294,7 +299,34 @@
             Self::Silent => AttemptEnd::Lost {
                 cause: "the server is silent",
             },
+            Self::Held => AttemptEnd::NotRun {
+                arrived: false,
+                cause: "the server wants no work",
+            },
+        }
+    }
+}
+
+/// Where a request is sent.
+struct ExchangeWay {
+    address: SocketAddr,
+    /// How long to wait for a connection.
+    dial_limit: Duration,
+    /// The server there; none if it is another VM.
+    server: Option<ServerId>,
+}
+
+impl ExchangeWay {
+    /// Fails if the server has said since it was chosen that it wants no work: a new
+    /// connection takes up to a quarter of a second, and none is to be sent after that.
+    fn check_wanted(&self, gateway: &Gateway) -> Result<(), ExchangeFailure> {
+        let now = gateway.now();
+        let is_wanted = |server| gateway.fleet.borrow().may_send(now, server);
+        if self.server.is_none_or(is_wanted) {
+            return Ok(());
         }
+        gateway.metrics.count("onyxfall_sends_held_total");
+        Err(ExchangeFailure::Held)
     }
 }
 
@@ -302,10 +334,10 @@
 async fn exchange(
     gateway: &Gateway,
     call: &CallContext,
-    address: SocketAddr,
-    dial_limit: Duration,
+    way: &ExchangeWay,
     make: impl Fn() -> Request<Full<Bytes>>,
 ) -> Result<(HttpConnection, Response<Incoming>), ExchangeFailure> {
+    let address = way.address;
     let exchanged = within_deadline(gateway, call, async {
         let choice = if call.rules.repeatable {
             ConnectionChoice::Any
@@ -313,6 +345,7 @@
             ConnectionChoice::Proven
         };
         while let Some(mut kept) = gateway.pool.take(address, choice) {
+            way.check_wanted(gateway)?;
             match kept.send(make()).await {
                 Ok(response) => return Ok((kept, response)),
                 // The other side had closed it; nothing was written.
@@ -320,11 +353,12 @@
                 Err(SendError::Broken(e)) => return Err(broken(address, &e)),
             }
         }
-        let opened = HttpConnection::open(address, dial_limit).await;
+        let opened = HttpConnection::open(address, way.dial_limit).await;
         let mut connection = opened.map_err(|e| {
             log::info!(address:% = address, error:% = e; "no connection");
             ExchangeFailure::Unreachable
         })?;
+        way.check_wanted(gateway)?;
         match connection.send(make()).await {
             Ok(response) => Ok((connection, response)),
             Err(SendError::Unsent) => Err(ExchangeFailure::Unreachable),
--- a/crates/gateway/src/backup.rs
+++ b/crates/gateway/src/backup.rs
@@ -128,8 +128,7 @@
     let fleet = gateway.fleet.borrow();
     let now = gateway.now();
     let server = fleet.server(copy.server);
-    let is_usable =
-        server.takes_work() && !server.is_cold(now) && !fleet.is_evacuated(&server.record.center);
+    let is_usable = fleet.may_send(now, copy.server) && !server.is_cold(now);
     is_usable.then(|| ServerTarget {
         id: copy.server,
         name: server.record.name.to_string(),
--- a/crates/gateway/src/decide.rs
+++ b/crates/gateway/src/decide.rs
@@ -47,6 +47,10 @@
 /// Bounds of the time after which a refused caller is told to come back.
 const RETRY_AFTER_RANGE: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_millis(900));
+/// Part of a time of rest, and least time, over which callers that are told its end are
+/// spread: they are not to come back in the same moment to a server that has just rested.
+const REST_SPREAD_PART: f64 = 0.2;
+const LEAST_REST_SPREAD: Duration = Duration::from_millis(300);
 
 /// Where a request goes next.
 pub(crate) enum RouteStep {
@@ -83,6 +87,7 @@
             (LocalOption::Full, None) => {
                 RouteStep::Refuse(overloaded("every server is full", call.needs.goal / 2))
             }
+            (LocalOption::Held(end), None) => self.wait_for_rest(call, end - now),
             (LocalOption::Resting | LocalOption::None, None) => {
                 self.wait_or_refuse(call, "no server is usable", call.needs.goal / 2)
             }
@@ -245,6 +250,22 @@
         RouteStep::Refuse(overloaded(detail, after))
     }
 
+    /// Waits where a server may have work again within the caller's patience; otherwise
+    /// refuses at once, to come back when the first of them may: nothing else that the
+    /// caller could wait for is known.
+    pub(crate) fn wait_for_rest(&self, call: &CallContext, left: Duration) -> RouteStep {
+        let patience = call.needs.goal.mul_f64(PATIENCE_PART);
+        if call.age() + left.max(LOOK_AGAIN) < patience {
+            return RouteStep::Later(LOOK_AGAIN);
+        }
+        let spread = left.mul_f64(REST_SPREAD_PART).max(LEAST_REST_SPREAD);
+        let part = self.rng.borrow_mut().random::<f64>();
+        let after = left.max(RETRY_AFTER_RANGE.0) + spread.mul_f64(part);
+        let detail = "every server wants nothing from this VM for a while";
+        let error = RequestError::not_run(RefusalReason::Overloaded, detail);
+        RouteStep::Refuse(error.with_retry_after(after))
+    }
+
     fn send_away(
         &self,
         call: &CallContext,
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -192,10 +192,11 @@
         let now = self.now();
         let fleet = self.fleet.borrow();
         let option = fleet.choose_alone(now, &call.needs, &progress.servers);
-        if let LocalOption::Free(choice) = option {
-            return RouteStep::Server(server_target(&fleet, &choice));
+        match option {
+            LocalOption::Free(choice) => RouteStep::Server(server_target(&fleet, &choice)),
+            LocalOption::Held(end) => self.wait_for_rest(call, end - now),
+            _ => self.wait_or_refuse(call, "no server is usable", call.needs.goal / 2),
         }
-        self.wait_or_refuse(call, "no server is usable", call.needs.goal / 2)
     }
 
     /// The VM that may run a suspected request: of those that live, in a region that may
