Soak and stand-ins send what servers say of themselves, and check it

A series of its own (each 0.45 s) lets servers leave by their answers alone, with the store saying ready until a new life takes their place, and turn away each first to third request asking for 0.7 s to 2 s, or for times that make no sense. Check: a request that a caller sends after any caller has had the answer that told a VM must not reach that server from that VM; no time granted. For that each VM's connections come from its own address (new setting source-address, which VMs with several addresses need in any case), and links keep it.

--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -114,6 +114,8 @@
 #[derive(Default)]
 struct ServerState {
     failing: ServerFailing,
+    /// Name of its life; requests for another one are turned away.
+    name: Option<String>,
     address: Option<SocketAddr>,
     word: SaidWord,
     arrivals: Vec<ArrivedRequest>,
@@ -175,6 +177,11 @@
         self.state.lock().failing = failing;
     }
 
+    /// Names its life: it turns requests away that are meant for another one.
+    pub fn set_name(&self, name: &str) {
+        self.state.lock().name = Some(name.to_owned());
+    }
+
     /// Sets what it says of itself.
     pub fn set_word(&self, word: SaidWord) {
         self.state.lock().word = word;
@@ -233,6 +240,13 @@
     }
 }
 
+/// Whether a request is meant for another life.
+fn is_for_another(state: &Mutex<ServerState>, call: &ReceivedCall) -> bool {
+    let state = state.lock();
+    let named = state.name.as_ref().zip(call.expected_server.as_ref());
+    named.is_some_and(|(own, expected)| own != expected)
+}
+
 /// Notes that a request has arrived; what is said in the answer to it.
 fn note_arrival(
     state: &Mutex<ServerState>,
@@ -259,6 +273,9 @@
 ) -> Result<Response<EventBody>, io::Error> {
     let (head, body) = request.into_parts();
     let call = received_call(&head.headers);
+    if is_for_another(&state, &call) {
+        return Ok(whole(StatusCode::MISDIRECTED_REQUEST, ""));
+    }
     let said = note_arrival(&state, head.extensions.get(), &call);
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
     let mut response = if let Some(rest) = said.rest {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -353,7 +353,7 @@
                 Err(SendError::Broken(e)) => return Err(broken(address, &e)),
             }
         }
-        let opened = HttpConnection::open(address, way.dial_limit).await;
+        let opened = HttpConnection::open(address, gateway.dial_plan(way.dial_limit)).await;
         let mut connection = opened.map_err(|e| {
             log::info!(address:% = address, error:% = e; "no connection");
             ExchangeFailure::Unreachable
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,7 +1,7 @@
 //! One outgoing HTTP/1.1 connection, and how it is dialled.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,7 +11,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 
 /// Sent bytes that stay unacknowledged this long break the connection, so that
@@ -68,18 +68,40 @@
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))
 }
 
-/// Opens a TCP connection within `limit`.
-pub(crate) async fn dial(address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
-    let dialled = tokio::time::timeout(limit, TcpStream::connect(address)).await;
+/// How a connection is dialled.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DialPlan {
+    /// Longest time until it is up.
+    pub(crate) limit: Duration,
+    /// Address that it comes from; none if the system picks one.
+    pub(crate) source: Option<IpAddr>,
+}
+
+/// Opens a TCP connection.
+pub(crate) async fn dial(address: SocketAddr, plan: DialPlan) -> io::Result<TcpStream> {
+    let connecting = connect(address, plan.source);
+    let dialled = tokio::time::timeout(plan.limit, connecting).await;
     let stream = dialled.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     watch_peer(&stream)?;
     Ok(stream)
 }
 
+async fn connect(address: SocketAddr, source: Option<IpAddr>) -> io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = match source {
+        IpAddr::V4(_) => TcpSocket::new_v4()?,
+        IpAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 impl HttpConnection {
-    /// Opens a connection within `limit`.
-    pub(crate) async fn open(address: SocketAddr, limit: Duration) -> io::Result<Self> {
-        let stream = dial(address, limit).await?;
+    /// Opens a connection.
+    pub(crate) async fn open(address: SocketAddr, plan: DialPlan) -> io::Result<Self> {
+        let stream = dial(address, plan).await?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use rand::rngs::StdRng;
 use tokio::sync::Notify;
 
+use crate::connection::DialPlan;
 use crate::metrics::GatewayMetrics;
 use crate::pool::ConnectionPool;
 use crate::relays::RelayTable;
@@ -183,6 +184,12 @@
         self.settings.borrow().switches.is_on(switch)
     }
 
+    /// How a connection is dialled that must be up within `limit`.
+    pub(crate) fn dial_plan(&self, limit: Duration) -> DialPlan {
+        let source = self.settings.borrow().source;
+        DialPlan { limit, source }
+    }
+
     /// Time since the start.
     pub(crate) fn now(&self) -> Moment {
         Moment::from_duration(self.started.elapsed())
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -103,7 +103,8 @@
     let mut failures = 0;
     while let Some(planned) = gateway.planned_link(address) {
         let dialled = BootInstant::now();
-        match dial(address, dial_limit(gateway, &planned, failures)).await {
+        let limit = dial_limit(gateway, &planned, failures);
+        match dial(address, gateway.dial_plan(limit)).await {
             Ok(stream) => {
                 failures = 0;
                 let ended = LinkEnd::new(gateway, stream)
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::ops::RangeInclusive;
 use std::path::Path;
 use std::time::Duration;
@@ -65,6 +65,8 @@
     pub(crate) place: VmPlace,
     /// Processor of this VM; larger ones have duties first.
     pub(crate) capacity: VmCapacity,
+    /// Address that this VM's own connections come from; none if the system picks one.
+    pub(crate) source: Option<IpAddr>,
     /// Where callers are served.
     pub(crate) callers: SocketAddr,
     /// Where readiness and metrics are told.
@@ -144,6 +146,7 @@
     Some(GatewaySettings {
         place: vm.place,
         capacity: vm.capacity,
+        source: vm.source,
         callers: callers?,
         ready: ready?,
         directory: directory?,
@@ -223,6 +226,7 @@
 struct VmSettings {
     place: VmPlace,
     capacity: VmCapacity,
+    source: Option<IpAddr>,
 }
 
 fn read_vm(document: &IniDocument, faults: &mut FaultList) -> Option<VmSettings> {
@@ -243,6 +247,7 @@
         vm_section.fault("center", "expected the name of a [center] section", faults);
     }
     let capacity = vm_section.or_default("cores", VmCapacity::default(), faults);
+    let source = vm_section.optional("source-address", faults);
     vm_section.finish(faults);
     Some(VmSettings {
         place: VmPlace {
@@ -252,5 +257,6 @@
             centers,
         },
         capacity,
+        source,
     })
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -380,9 +380,12 @@
         self.gateway.metrics.count_store_call(cause);
         let kept = self.connection.take();
         let called = tokio::time::timeout(wait + ANSWER_LIMIT, async {
-            let mut connection = match kept.filter(HttpConnection::is_ready) {
-                Some(connection) => connection,
-                None => HttpConnection::open(address, DIAL_LIMIT).await?,
+            let ready = kept.filter(HttpConnection::is_ready);
+            let mut connection = if let Some(connection) = ready {
+                connection
+            } else {
+                let plan = self.gateway.dial_plan(DIAL_LIMIT);
+                HttpConnection::open(address, plan).await?
             };
             let sent = connection.send(request.map(Full::new)).await;
             let response = sent.map_err(|e| match e {
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crossbeam::channel::{self, Receiver, Sender};
 use http::{Method, Request};
@@ -31,6 +31,10 @@
     pub(crate) id: String,
     /// Its kind.
     pub(crate) kind: RequestKind,
+    /// When it was sent.
+    pub(crate) sent: Instant,
+    /// When the head of its answer had come.
+    pub(crate) answered: Option<Instant>,
     /// Status; none if no answer began.
     pub(crate) status: Option<u16>,
     /// Whether the answer names this request and a server has signed it.
@@ -61,6 +65,8 @@
     let mut report = CallReport {
         id: id.to_owned(),
         kind,
+        sent: Instant::now(),
+        answered: None,
         status: None,
         is_own: false,
         body: String::new(),
@@ -79,6 +85,7 @@
         return report;
     };
     let (head, body) = answer.into_parts();
+    report.answered = Some(Instant::now());
     report.status = Some(head.status.as_u16());
     report.is_own = is_signed(&head.headers) && answered_id(&head.headers) == Some(id);
     let mut bytes = Vec::new();
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -33,6 +33,10 @@
     NotRecovered(String),
     /// A server that had left got work.
     SentAfterDrain(String),
+    /// A server that had said that it leaves got work.
+    SentWhileLeaving(String),
+    /// A server that had asked for rest got work before its end.
+    SentInRest(String),
     /// A server was told another team than the one that holds the caller's key.
     WrongTeam(String, Option<String>),
     /// A server got a caller's key.
--- a/crates/soak/src/link.rs
+++ b/crates/soak/src/link.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 
 /// Delay of a slow link in one direction.
 const SLOW: Duration = Duration::from_millis(80);
@@ -114,6 +114,16 @@
     let _ = stream.shutdown(Shutdown::Both);
 }
 
+/// Connects to the target from the address that the connection comes from, so that the
+/// target sees which VM it is.
+fn connect_as(near: &TcpStream, target: SocketAddr) -> io::Result<TcpStream> {
+    let source = SocketAddr::new(near.peer_addr()?.ip(), 0);
+    let socket = Socket::new(Domain::for_address(target), Type::STREAM, None)?;
+    socket.bind(&source.into())?;
+    socket.connect(&target.into())?;
+    Ok(socket.into())
+}
+
 fn forward(near: TcpStream, state: &Arc<Mutex<LinkState>>) {
     let (mode, target) = {
         let state = state.lock();
@@ -123,7 +133,7 @@
         reset(&near);
         return;
     }
-    let Ok(far) = TcpStream::connect(target) else {
+    let Ok(far) = connect_as(&near, target) else {
         reset(&near);
         return;
     };
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -10,6 +10,7 @@
 mod link;
 mod plan;
 mod run;
+mod words;
 mod world;
 
 use std::path::PathBuf;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -7,7 +7,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use onyxfall_fakes::{ServerFailing, StoreMode};
+use onyxfall_fakes::{AskedRest, ServerFailing, StoreMode};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -27,6 +27,15 @@
 /// Kinds of what other writers leave in entries.
 const FOREIGN_KINDS: usize = 15;
 
+/// Words of servers come in a series of their own, for the same reason.
+const WORD_SERIES: u64 = 0x776f_7264_735f_7331;
+/// Mean time between the beginnings of two of these, in milliseconds.
+const WORD_PAUSE_MS: u64 = 450;
+/// Times of rest that servers ask for, in seconds: whole, in part, absurd.
+const RESTS: [&str; 6] = ["1", "0.7", "2", "1.25", "-1", "soon"];
+/// Servers turn away every so-many-th request.
+const RESTS_EVERY: std::ops::Range<usize> = 1..4;
+
 /// A fault; `usize` names the VM or server that it strikes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -56,6 +65,11 @@
     Configure,
     /// A server crashes and starts again under its name.
     Rebirth(usize),
+    /// A server leaves and says so in its answers alone; at the end a new life takes its
+    /// place.
+    Leave(usize),
+    /// A server turns requests away and asks for rest.
+    Rest(usize, AskedRest),
     /// Another writer leaves something in a server's entry that is none.
     /// The second number says what it is.
     Foreign(usize, usize),
@@ -132,6 +146,17 @@
             fault: draw_entry_fault(&mut rng, size),
         }
     }));
+    let mut rng = StdRng::seed_from_u64(seed ^ WORD_SERIES);
+    let count = (millis / WORD_PAUSE_MS).max(1);
+    faults.extend((0..count).map(|_| {
+        let at = LEAD + Duration::from_millis(rng.random_range(0..millis.max(1)));
+        let lasts = Duration::from_millis(rng.random_range(FAULT_MS));
+        PlannedFault {
+            at,
+            until: at + lasts,
+            fault: draw_word(&mut rng, size),
+        }
+    }));
     faults.sort_by_key(|fault| fault.at);
     faults
 }
@@ -145,6 +170,18 @@
     }
 }
 
+fn draw_word(rng: &mut StdRng, size: &RunSize) -> Fault {
+    let server = rng.random_range(0..size.servers);
+    if rng.random_range(0..3) == 0 {
+        return Fault::Leave(server);
+    }
+    let rest = AskedRest {
+        seconds: RESTS[rng.random_range(0..RESTS.len())],
+        every: rng.random_range(RESTS_EVERY),
+    };
+    Fault::Rest(server, rest)
+}
+
 fn draw_fault(rng: &mut StdRng, size: &RunSize) -> Fault {
     let vm = rng.random_range(0..size.vms);
     let server = rng.random_range(0..size.servers);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,7 +1,7 @@
 //! One run: faults by plan, callers throughout, checks while it goes on and after.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -14,6 +14,7 @@
 use crate::checks::{BrokenPromise, PromiseChecks};
 use crate::link::LinkMode;
 use crate::plan::{Fault, PlannedFault, RunSize, draw_plan};
+use crate::words::{DisturbedPart, LifeArrivals, WordChecks};
 use crate::world::{RequestKind, SoakWorld, version_path};
 
 /// Pause between two steps of the run.
@@ -54,6 +55,7 @@
         seen: vec![(0, 0); size.vms],
         runs_read: vec![Vec::new(); size.servers],
         checks: PromiseChecks::default(),
+        words: WordChecks::default(),
         probes: 0,
         targets: targets.clone(),
         world: &world,
@@ -65,11 +67,13 @@
     run.wait_in_force();
     run.check_drain();
     for report in crowd.finish() {
-        run.checks.take_report(report);
+        run.take_report(report);
     }
     run.take_runs();
+    run.check_words();
     let broken = run.checks.broken();
-    let summary = format!("{:?}", run.checks.statuses);
+    let told = run.words.told;
+    let summary = format!("{:?}, {told} words of servers checked", run.checks.statuses);
     if !broken.is_empty() {
         eprintln!("logs of the gateways: {}", world.dir().display());
     }
@@ -89,6 +93,7 @@
     /// Runs already taken, by server and life.
     runs_read: Vec<Vec<usize>>,
     checks: PromiseChecks,
+    words: WordChecks,
     probes: u64,
 }
 
@@ -137,7 +142,14 @@
         Ok(())
     }
 
-    fn begin(&self, fault: Fault) -> io::Result<()> {
+    fn begin(&mut self, fault: Fault) -> io::Result<()> {
+        if let Some(part) = disturbed_part(fault) {
+            self.words.disturbances.begin(part);
+        }
+        self.set(fault)
+    }
+
+    fn set(&self, fault: Fault) -> io::Result<()> {
         match fault {
             Fault::Kill(vm) => self.world.signal(vm, Signal::KILL),
             Fault::Stop(vm) => self.world.signal(vm, Signal::TERM),
@@ -145,6 +157,14 @@
             Fault::Reload(vm) => self.world.signal(vm, Signal::HUP),
             Fault::Replace(server) => self.world.replace(server),
             Fault::Rebirth(server) => self.world.restart(server),
+            Fault::Leave(server) => {
+                self.world.leave(server);
+                Ok(())
+            }
+            Fault::Rest(server, rest) => {
+                self.world.rest(server, Some(rest));
+                Ok(())
+            }
             Fault::Foreign(server, kind) => {
                 self.world.spoil(server, kind);
                 Ok(())
@@ -180,18 +200,33 @@
         }
     }
 
-    fn end(&self, fault: Fault) -> io::Result<()> {
+    fn end(&mut self, fault: Fault) -> io::Result<()> {
+        self.lift(fault)?;
+        match disturbed_part(fault) {
+            // Until it is started again.
+            None | Some(DisturbedPart::Process(_)) => {}
+            Some(part) => self.words.disturbances.end(part),
+        }
+        Ok(())
+    }
+
+    fn lift(&self, fault: Fault) -> io::Result<()> {
         match fault {
             Fault::Pause(vm) => self.world.signal(vm, Signal::CONT),
-            Fault::StoreLink(vm, _) => self.begin(Fault::StoreLink(vm, LinkMode::Open)),
-            Fault::CallerLink(vm, _) => self.begin(Fault::CallerLink(vm, LinkMode::Open)),
-            Fault::ServerLink(server, _) => self.begin(Fault::ServerLink(server, LinkMode::Open)),
-            Fault::Store(_) => self.begin(Fault::Store(StoreMode::Well)),
+            Fault::StoreLink(vm, _) => self.set(Fault::StoreLink(vm, LinkMode::Open)),
+            Fault::CallerLink(vm, _) => self.set(Fault::CallerLink(vm, LinkMode::Open)),
+            Fault::ServerLink(server, _) => self.set(Fault::ServerLink(server, LinkMode::Open)),
+            Fault::Store(_) => self.set(Fault::Store(StoreMode::Well)),
             Fault::Foreign(server, _) => {
                 self.world.restore(server);
                 Ok(())
             }
-            Fault::Server(server, _) => self.begin(Fault::Server(server, ServerFailing::None)),
+            Fault::Server(server, _) => self.set(Fault::Server(server, ServerFailing::None)),
+            Fault::Leave(server) => self.world.succeed(server),
+            Fault::Rest(server, _) => {
+                self.world.rest(server, None);
+                Ok(())
+            }
             Fault::Kill(_)
             | Fault::Stop(_)
             | Fault::Reload(_)
@@ -213,21 +248,51 @@
         for vm in 0..self.targets.len() {
             let is_held = open.iter().any(|fault| fault.fault == Fault::Kill(vm));
             match self.world.take_end(vm) {
-                Ok(true) if !is_held => self.world.start_vm(vm)?,
+                Ok(true) if !is_held => self.restart_vm(vm)?,
                 Ok(_) => {}
                 Err(status) => {
                     let broken = BrokenPromise::Exited(format!("vm{vm}: {status}"));
                     self.checks.note(broken);
-                    self.world.start_vm(vm)?;
+                    self.words.disturbances.begin(DisturbedPart::Process(vm));
+                    self.restart_vm(vm)?;
                 }
             }
         }
         Ok(())
     }
 
+    fn restart_vm(&mut self, vm: usize) -> io::Result<()> {
+        self.world.start_vm(vm)?;
+        self.words.disturbances.end(DisturbedPart::Process(vm));
+        Ok(())
+    }
+
+    fn take_report(&mut self, report: CallReport) {
+        self.words.take_report(&report);
+        self.checks.take_report(report);
+    }
+
+    /// Compares what servers said of themselves with what reached them afterwards.
+    fn check_words(&mut self) {
+        let vms: Vec<IpAddr> = (0..self.targets.len()).map(SoakWorld::vm_address).collect();
+        for (server, state) in self.world.servers.iter().enumerate() {
+            for (life, standin) in state.lock().lives.iter().enumerate() {
+                let arrivals = standin.arrivals_from(0);
+                let arrivals = LifeArrivals {
+                    server,
+                    life,
+                    arrivals,
+                };
+                for broken in self.words.check(&arrivals, &vms) {
+                    self.checks.note(broken);
+                }
+            }
+        }
+    }
+
     fn take_what_was_seen(&mut self, crowd: &CallerCrowd) {
         for report in crowd.take_reports() {
-            self.checks.take_report(report);
+            self.take_report(report);
         }
         self.take_runs();
     }
@@ -248,13 +313,10 @@
     fn probe(&mut self, vm: usize, path: &str) -> CallReport {
         self.probes += 1;
         let id = format!("probe-{}", self.probes);
-        call(
-            &self.probe,
-            self.targets[vm],
-            path,
-            &id,
-            RequestKind::Repeatable,
-        )
+        let to = self.targets[vm];
+        let report = call(&self.probe, to, path, &id, RequestKind::Repeatable);
+        self.words.take_report(&report);
+        report
     }
 
     /// Whether a VM has a route of that version alone in force.
@@ -347,6 +409,16 @@
     }
 }
 
+/// What a fault disturbs, as far as that excuses.
+fn disturbed_part(fault: Fault) -> Option<DisturbedPart> {
+    match fault {
+        Fault::Pause(vm) => Some(DisturbedPart::Vm(vm)),
+        Fault::Kill(vm) | Fault::Stop(vm) => Some(DisturbedPart::Process(vm)),
+        Fault::ServerLink(server, _) => Some(DisturbedPart::Link(server)),
+        _ => None,
+    }
+}
+
 /// Whether two faults set the same thing.
 fn is_same_target(a: Fault, b: Fault) -> bool {
     match (a, b) {
@@ -354,6 +426,8 @@
         | (Fault::StoreLink(a, _), Fault::StoreLink(b, _))
         | (Fault::CallerLink(a, _), Fault::CallerLink(b, _))
         | (Fault::ServerLink(a, _), Fault::ServerLink(b, _))
+        | (Fault::Leave(a), Fault::Leave(b))
+        | (Fault::Rest(a, _), Fault::Rest(b, _))
         | (Fault::Foreign(a, _), Fault::Foreign(b, _))
         | (Fault::Server(a, _), Fault::Server(b, _)) => a == b,
         (Fault::Store(_), Fault::Store(_)) => true,
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -13,7 +13,7 @@
     RouteShape, RouteText, ServiceText, TeamText, config_key, document_with_teams, foreign_entries,
     server_body, server_key,
 };
-use onyxfall_fakes::{ServerStandIn, StoreStandIn};
+use onyxfall_fakes::{AskedRest, SaidWord, ServerStandIn, StoreStandIn};
 use onyxfall_fleet::{ServerBirth, ServerPhase, ServerRecord};
 use parking_lot::Mutex;
 use rustix::process::{Pid, Signal, kill_process};
@@ -111,6 +111,8 @@
     life: u64,
     /// Starts so far.
     born: u64,
+    /// What its present life says of itself.
+    word: SaidWord,
     /// The stand-ins of all its lives, the present one last.
     pub(crate) lives: Vec<ServerStandIn>,
     /// Link between gateways and it.
@@ -154,13 +156,15 @@
             })
             .collect::<io::Result<_>>()?;
         let servers = (0..size.servers)
-            .map(|_| {
+            .map(|server| {
                 let standin = ServerStandIn::start(stand_in_ip())?;
+                standin.set_name(&server_name(server, 1));
                 let link = HarmedLink::start(stand_in_ip(), standin.address())?;
                 let lives = vec![standin];
                 Ok(Mutex::new(SoakServer {
                     life: 1,
                     born: 1,
+                    word: SaidWord::default(),
                     lives,
                     link,
                 }))
@@ -184,6 +188,11 @@
         Ok(world)
     }
 
+    /// Address of a VM, which servers see.
+    pub(crate) fn vm_address(vm: usize) -> IpAddr {
+        IpAddr::V4(vm_ip(vm))
+    }
+
     /// Where the logs of the gateways are.
     pub(crate) fn dir(&self) -> &Path {
         &self.dir
@@ -249,19 +258,21 @@
     /// Lets a server leave, and a new life take its address.
     pub(crate) fn replace(&self, server: usize) -> io::Result<()> {
         self.drain(server);
-        let (old, standin) = {
-            let state = self.servers[server].lock();
-            (
-                server_name(server, state.life),
-                ServerStandIn::start(stand_in_ip())?,
-            )
-        };
+        self.succeed(server)
+    }
+
+    /// Lets a new life, under a new name, take a server's address.
+    pub(crate) fn succeed(&self, server: usize) -> io::Result<()> {
+        let standin = ServerStandIn::start(stand_in_ip())?;
+        let old = server_name(server, self.servers[server].lock().life);
         self.store.delete(&server_key(&old));
         {
             let mut state = self.servers[server].lock();
+            standin.set_name(&server_name(server, state.life + 1));
             state.link.set_target(standin.address());
             state.lives.push(standin);
             state.life += 1;
+            state.word = SaidWord::default();
             state.born += 1;
         }
         self.announce(server, ServerPhase::Ready);
@@ -273,17 +284,37 @@
         let standin = ServerStandIn::start(stand_in_ip())?;
         {
             let mut state = self.servers[server].lock();
+            standin.set_name(&server_name(server, state.life));
             if let Some(before) = state.lives.last() {
                 before.crash();
             }
             state.link.set_target(standin.address());
             state.lives.push(standin);
+            state.word = SaidWord::default();
             state.born += 1;
         }
         self.announce(server, ServerPhase::Ready);
         Ok(())
     }
 
+    /// Lets the present life of a server say in its answers that it leaves.
+    pub(crate) fn leave(&self, server: usize) {
+        self.set_word(server, |word| word.is_leaving = true);
+    }
+
+    /// Lets the present life of a server turn requests away, or no longer.
+    pub(crate) fn rest(&self, server: usize, rest: Option<AskedRest>) {
+        self.set_word(server, |word| word.rest = rest);
+    }
+
+    fn set_word(&self, server: usize, change: impl FnOnce(&mut SaidWord)) {
+        let mut state = self.servers[server].lock();
+        change(&mut state.word);
+        if let Some(life) = state.lives.last() {
+            life.set_word(state.word);
+        }
+    }
+
     /// Leaves something in a server's entry that is none.
     pub(crate) fn spoil(&self, server: usize, kind: usize) {
         let record = self.record(server, ServerPhase::Ready);
@@ -411,7 +442,7 @@
         .map(|ip| format!("{ip}:{peers}"))
         .collect();
     let mut text = format!(
-        "[vm]\nname = vm{vm}\ncenter = c{}\n\
+        "[vm]\nname = vm{vm}\ncenter = c{}\nsource-address = {ip}\n\
          [listen]\ncallers = {ip}:{callers}\nready = {ip}:{ready}\ndirectory = {ip}:{directory}\n\
          peers = {ip}:{peers}\npeer-ports = {relay},{relay}\n\
          [peers]\nseeds = {}\n[store]\naddress = {store}\n\
