--- a/crates/entry/tests/backend_faults.rs
+++ b/crates/entry/tests/backend_faults.rs
@@ -237,3 +237,27 @@
         });
     }
 }
+
+/// A server that refuses and names a time is not asked before its end; where no other
+/// serves the kind, callers are told at once, and when to come back. The refusal's time was
+/// read by nobody: the server was asked by each of the requests.
+#[test]
+fn a_server_that_names_a_time_of_rest_is_not_asked_before_its_end() {
+    let answer = "HTTP/1.1 429 Busy\r\nretry-after: 30\r\ncontent-length: 0\r\n\r\n";
+    let raw = RawBackend::start(1, RawBehaviour::Answer(answer));
+    let good = FakeService::start(loopback(1), ServiceSettings::default()).unwrap();
+    let deployment = TestDeployment::start(&[1], &bundle(raw.address, good.address()));
+    for _ in 0..10 {
+        let answer = call(deployment.callers(0), "/v1/services/once/x", &[], "{}");
+        assert_eq!(answer.verdict, "not-run", "{answer:?}");
+    }
+    assert_eq!(raw.count(), 1, "asked once");
+    let answer = call(deployment.callers(0), "/v1/services/once/x", &[], "{}");
+    let after: f64 = answer.retry_after.parse().unwrap();
+    assert!((20.0..=30.0).contains(&after), "back after {after} s");
+    for _ in 0..10 {
+        let answer = call(deployment.callers(0), "/v1/services/once-both/x", &[], "{}");
+        assert_eq!(answer.status, 200, "the other server serves: {answer:?}");
+    }
+    assert_eq!(raw.count(), 1, "still asked once");
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -287,6 +287,8 @@
 pub struct TestAnswer {
     pub status: u16,
     pub verdict: String,
+    /// Seconds after which the caller may come back; empty if none are told.
+    pub retry_after: String,
     pub request_id: String,
     pub region: String,
     pub body: String,
@@ -328,6 +330,7 @@
     let mut answer = TestAnswer {
         status: response.status().as_u16(),
         verdict: header("onyxfall-verdict"),
+        retry_after: header("retry-after"),
         request_id: header("onyxfall-request-id"),
         region: header("onyxfall-served-region"),
         ..TestAnswer::default()
