The entry program keeps the rest that servers ask for; one type for the rest and one for Retry-After

Cause: as at the gateway, a refusal's time was read by nobody. The rest of a server and the delay's text each stand once (policy ServerRest, types RetryDelay), used by both programs. The entry's servers say leaving in their reports; their interface has no such word in answers.

--- a/crates/entry/src/backend.rs
+++ b/crates/entry/src/backend.rs
@@ -13,7 +13,7 @@
 
 use bytes::Bytes;
 use onyxfall_http::CancelToken;
-use onyxfall_types::{RefusalReason, RequestError, RunVerdict, VerdictCell};
+use onyxfall_types::{RefusalReason, RequestError, RetryDelay, RunVerdict, VerdictCell};
 use parking_lot::Mutex;
 use ureq::config::Config;
 use ureq::unversioned::resolver::DefaultResolver;
@@ -48,13 +48,30 @@
     pub(crate) error: RequestError,
     /// Whether the other side refused it by contract.
     pub(crate) refused: bool,
+    /// The rest that the server wants from this VM, if it names one.
+    pub(crate) rest: Option<Duration>,
 }
 
 impl AttemptError {
-    fn failed(verdict: RunVerdict, reason: RefusalReason, detail: impl Into<String>) -> Self {
+    /// An attempt that ended with an error of the other side.
+    pub(crate) fn told(error: RequestError, refused: bool) -> Self {
+        Self {
+            error,
+            refused,
+            rest: None,
+        }
+    }
+
+    /// An attempt that failed here.
+    pub(crate) fn failed(
+        verdict: RunVerdict,
+        reason: RefusalReason,
+        detail: impl Into<String>,
+    ) -> Self {
         Self {
             error: RequestError::failed(verdict, reason, detail),
             refused: false,
+            rest: None,
         }
     }
 }
@@ -73,8 +90,8 @@
         let detail = format!("the backend server refused with {status}");
         let error = RequestError::not_run(RefusalReason::Overloaded, detail);
         return Err(AttemptError {
-            error,
-            refused: true,
+            rest: asked_rest(&response),
+            ..AttemptError::told(error, true)
         });
     }
     if status >= 500 {
@@ -96,6 +113,18 @@
     relay(call, response, sink)
 }
 
+/// The rest that a refusal asks for; one that is not understood asks for none.
+fn asked_rest(response: &ureq::http::Response<ureq::Body>) -> Option<Duration> {
+    let text = response.headers().get("retry-after")?.to_str().ok()?;
+    match text.parse::<RetryDelay>() {
+        Ok(delay) => Some(delay.time()),
+        Err(e) => {
+            log::debug!("the time of a refusal is not understood: {e}");
+            None
+        }
+    }
+}
+
 fn send(
     call: &BackendCall<'_>,
     link: &Arc<AttemptLink>,
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -196,6 +196,12 @@
         }
     }
 
+    /// Notes that the server of an attempt wants nothing from this VM for `time`.
+    pub(crate) fn note_rest(&self, attempt: u64, time: Duration) {
+        let now = self.now();
+        self.with_router(|router| router.note_rest(now, attempt, time));
+    }
+
     /// Reports the end of an attempt.
     pub(crate) fn end_attempt(&self, attempt: u64, outcome: AttemptOutcome, elapsed: Duration) {
         let now = self.now();
--- a/crates/entry/src/peer/away.rs
+++ b/crates/entry/src/peer/away.rs
@@ -30,13 +30,6 @@
     pub(crate) ticket: Option<&'a TicketId>,
 }
 
-fn failure(verdict: RunVerdict, reason: RefusalReason, detail: impl Into<String>) -> AttemptError {
-    AttemptError {
-        error: RequestError::failed(verdict, reason, detail),
-        refused: false,
-    }
-}
-
 /// Has an entry of `center` serve the request.
 pub(crate) fn run_away(
     core: &Arc<EntryCore>,
@@ -46,7 +39,11 @@
 ) -> Result<(), AttemptError> {
     let Some(member) = pick_member(core, center) else {
         let detail = format!("no entry of {center} is known");
-        return Err(failure(RunVerdict::NotRun, RefusalReason::Peer, detail));
+        return Err(AttemptError::failed(
+            RunVerdict::NotRun,
+            RefusalReason::Peer,
+            detail,
+        ));
     };
     run_on(core, call, &member, sink)
 }
@@ -71,7 +68,7 @@
     sink: &mut AnswerSink,
 ) -> Result<(), AttemptError> {
     let link = core.links.link_to(core, member).map_err(|_| {
-        failure(
+        AttemptError::failed(
             RunVerdict::NotRun,
             RefusalReason::Peer,
             format!("no link to {}", member.name),
@@ -123,7 +120,7 @@
 
 fn link_lost(link: &PeerLink) -> AttemptError {
     let detail = format!("the link to {} broke", link.name());
-    failure(RunVerdict::MayHaveRun, RefusalReason::Peer, detail)
+    AttemptError::failed(RunVerdict::MayHaveRun, RefusalReason::Peer, detail)
 }
 
 fn receive(
@@ -134,7 +131,7 @@
     sink: &mut AnswerSink,
 ) -> Result<(), AttemptError> {
     let gone = || {
-        failure(
+        AttemptError::failed(
             RunVerdict::MayHaveRun,
             RefusalReason::Cancelled,
             "the caller went away",
@@ -170,7 +167,7 @@
             Some(StreamEvent::Cancelled) => return Err(gone()),
             None => {
                 let detail = format!("{} gave no answer in time", link.name());
-                return Err(failure(
+                return Err(AttemptError::failed(
                     RunVerdict::MayHaveRun,
                     RefusalReason::Deadline,
                     detail,
@@ -191,8 +188,5 @@
     if end.retry_after_ms > 0 {
         error.retry_after = Some(Duration::from_millis(end.retry_after_ms));
     }
-    Err(AttemptError {
-        error,
-        refused: verdict == RunVerdict::NotRun,
-    })
+    Err(AttemptError::told(error, verdict == RunVerdict::NotRun))
 }
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -298,18 +298,12 @@
 ) -> Result<(), AttemptError> {
     let Some(bundle) = core.bundle() else {
         core.end_attempt(attempt, AttemptOutcome::Cancelled, Duration::ZERO);
-        return Err(AttemptError {
-            error: crate::core::not_ready(),
-            refused: false,
-        });
+        return Err(AttemptError::told(crate::core::not_ready(), false));
     };
     let Some(server) = bundle.servers.get(server).cloned() else {
         core.end_attempt(attempt, AttemptOutcome::Cancelled, Duration::ZERO);
         let error = RequestError::not_run(RefusalReason::Overloaded, "the bundle has changed");
-        return Err(AttemptError {
-            error,
-            refused: true,
-        });
+        return Err(AttemptError::told(error, true));
     };
     let kind = bundle
         .kind_id(context.kind.as_str())
@@ -339,6 +333,16 @@
     let started = Instant::now();
     let result = run_attempt(&call, sink);
     let elapsed = started.elapsed().saturating_sub(sink.stalled());
+    if let Err(failure) = &result
+        && let Some(rest) = failure.rest
+    {
+        core.note_rest(attempt, rest);
+        log::info!(
+            "server {} wants no work for {} ms",
+            server.name,
+            rest.as_millis()
+        );
+    }
     core.end_attempt(attempt, outcome_of(&result), elapsed);
     if result.is_err() {
         history.excluded.push(server.name);
@@ -370,10 +374,7 @@
     let Some((center, region, allowed)) = prepared else {
         core.end_attempt(attempt, AttemptOutcome::Cancelled, Duration::ZERO);
         let error = RequestError::not_run(RefusalReason::Overloaded, "the bundle has changed");
-        return Err(AttemptError {
-            error,
-            refused: true,
-        });
+        return Err(AttemptError::told(error, true));
     };
     let span = Span::enter_with_parent("away", &context.span)
         .with_property(|| ("center", center.to_string()));
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,7 +23,6 @@
 mod predict;
 mod quota;
 mod record;
-mod rest;
 mod route;
 mod server;
 mod signs;
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use onyxfall_policy::{CircuitBreaker, Moment};
+use onyxfall_policy::{CircuitBreaker, Moment, ServerRest};
 use onyxfall_types::RegionName;
 
 use crate::call::{CallNeeds, PromptSize};
@@ -12,7 +12,6 @@
 use crate::kept::KeptPrefixes;
 use crate::learn::EngineLoad;
 use crate::record::{ServerPhase, ServerRecord};
-use crate::rest::ServerRest;
 use crate::signs::{ServerVotes, SignRecord};
 use crate::work::{UnreadTokens, WorkShare};
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 mod prefix;
 mod queue;
 mod residency;
+mod rest;
 mod retry;
 mod router;
 mod server;
@@ -42,6 +43,7 @@
 pub use prefix::{CacheEvent, PrefixKey, PrefixTable};
 pub use queue::{QueuedRequest, WaitId, WeightedQueue};
 pub use residency::{RegionSet, allowed_regions};
+pub use rest::ServerRest;
 pub use retry::{BackoffCurve, RetryBudget};
 pub use router::{
     ArrivalOrigin, AttemptEnd, AttemptOutcome, PolicySettings, RequestArrival, RequestRouter,
--- a/crates/fleet/src/rest.rs
+++ b/crates/policy/src/rest.rs
@@ -11,15 +11,30 @@
 
 use std::time::Duration;
 
-use onyxfall_policy::Moment;
+use crate::moment::Moment;
 
 /// Longest rest that is kept, an hour: a server that names a week has most likely mixed up
 /// its units, and a new life of it ends its rest in any case.
 const LONGEST_REST: Duration = Duration::from_hours(1);
 
 /// Rest of one life of a server.
+///
+/// ```
+/// use onyxfall_policy::{Moment, ServerRest};
+/// use std::time::Duration;
+/// let second = Duration::from_secs(1);
+/// let mut rest = ServerRest::default();
+/// rest.ask(Moment::ZERO, second);
+/// assert!(!rest.allows(Moment::ZERO));
+/// let end = Moment::ZERO + second;
+/// assert!(rest.allows(end));
+/// rest.note_sent(7);
+/// assert!(!rest.allows(end), "one try at a time");
+/// rest.note_taken(7);
+/// assert!(rest.allows(end));
+/// ```
 #[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct ServerRest {
+pub struct ServerRest {
     /// End of the time that it wants; of several the latest.
     until: Moment,
     /// Whether it has taken nothing since.
@@ -31,38 +46,38 @@
 impl ServerRest {
     /// Notes that the server wants nothing for `time` from now on. A time that ends before
     /// the present one shortens nothing: the server has asked for both.
-    pub(crate) fn ask(&mut self, now: Moment, time: Duration) {
+    pub fn ask(&mut self, now: Moment, time: Duration) {
         self.until = self.until.max(now + time.min(LONGEST_REST));
         self.is_unproven = true;
         self.trial = None;
     }
 
     /// End of the time in which nothing may be sent; none if it is over.
-    pub(crate) fn end(&self, now: Moment) -> Option<Moment> {
+    pub fn end(&self, now: Moment) -> Option<Moment> {
         (now < self.until).then_some(self.until)
     }
 
     /// Whether an attempt may be chosen for the server.
-    pub(crate) fn allows(&self, now: Moment) -> bool {
+    pub fn allows(&self, now: Moment) -> bool {
         now >= self.until && !(self.is_unproven && self.trial.is_some())
     }
 
     /// Notes that an attempt is sent.
-    pub(crate) fn note_sent(&mut self, attempt: u64) {
+    pub fn note_sent(&mut self, attempt: u64) {
         if self.is_unproven {
             self.trial.get_or_insert(attempt);
         }
     }
 
     /// Notes that the server has taken an attempt.
-    pub(crate) fn note_taken(&mut self, attempt: u64) {
+    pub fn note_taken(&mut self, attempt: u64) {
         if self.trial == Some(attempt) {
             *self = Self::default();
         }
     }
 
     /// Notes that an attempt has ended, whatever it showed.
-    pub(crate) fn note_end(&mut self, attempt: u64) {
+    pub fn note_end(&mut self, attempt: u64) {
         if self.trial == Some(attempt) {
             self.trial = None;
         }
--- a/crates/policy/src/router/capacity.rs
+++ b/crates/policy/src/router/capacity.rs
@@ -61,6 +61,16 @@
         Some(self.pools[model].queue.expected_wait(kind, deadline, slots) + residual)
     }
 
+    /// Time until the first server of a model has rested, if all that could be used
+    /// otherwise want rest.
+    pub(super) fn rest_left(&self, now: Moment, model: ModelId) -> Option<Duration> {
+        let servers = self.pools[model].servers.iter();
+        let servers = servers.map(|id| &self.servers[*id]);
+        let ends = servers.filter(|server| !server.is_draining());
+        let end = ends.filter_map(|server| server.rest_end(now)).min()?;
+        Some(end - now)
+    }
+
     pub(super) fn free_slots(&self, now: Moment, model: ModelId) -> u32 {
         let pool = &self.pools[model];
         if !pool.queue.is_empty() || !pool.peer_work.is_empty() {
--- a/crates/policy/src/router/decide.rs
+++ b/crates/policy/src/router/decide.rs
@@ -39,7 +39,7 @@
             (None, None) if service <= remaining && self.may_get_grant(now, &arrival) => {
                 self.enqueue(arrival, service)
             }
-            _ => RouteStep::Refuse(refusal(wait)),
+            _ => RouteStep::Refuse(refusal(wait.or_else(|| self.rest_left(now, model)))),
         }
     }
 
--- a/crates/policy/src/router/mod.rs
+++ b/crates/policy/src/router/mod.rs
@@ -301,6 +301,14 @@
         }
     }
 
+    /// Notes that the server of an attempt wants nothing from this VM for `time`.
+    pub fn note_rest(&mut self, now: Moment, attempt: u64, time: Duration) {
+        let open = self.open.get(&attempt);
+        if let Some(AttemptTarget::Server(server)) = open.map(|open| open.target) {
+            self.servers[server].note_rest(now, time);
+        }
+    }
+
     /// Takes a server's load report.
     pub fn report(&mut self, now: Moment, server: ServerId, report: &LoadReport) {
         if self.servers.get(server).is_none() {
@@ -383,6 +391,9 @@
         server: ServerId,
     ) -> Option<ServerId> {
         let state = &mut self.servers[server];
+        if end.outcome == AttemptOutcome::Success {
+            state.note_taken(end.attempt);
+        }
         state.end(end.attempt);
         match end.outcome {
             AttemptOutcome::Success => {
--- a/crates/policy/src/server.rs
+++ b/crates/policy/src/server.rs
@@ -12,6 +12,7 @@
 use crate::circuit::CircuitBreaker;
 use crate::limit::AdaptiveLimit;
 use crate::moment::Moment;
+use crate::rest::ServerRest;
 
 const REPORT_FRESH: Duration = Duration::from_secs(2);
 const REPORT_FADE: Duration = Duration::from_secs(5);
@@ -62,6 +63,7 @@
     draining: bool,
     limit: AdaptiveLimit,
     circuit: CircuitBreaker,
+    rest: ServerRest,
     slowness: f64,
     slowness_at: Moment,
     ramp_from: Option<Moment>,
@@ -78,6 +80,7 @@
             draining: false,
             limit: AdaptiveLimit::new(slots),
             circuit: CircuitBreaker::new(),
+            rest: ServerRest::default(),
             slowness: 1.0,
             slowness_at: Moment::ZERO,
             ramp_from: None,
@@ -137,7 +140,22 @@
 
     /// Whether it may be used at all.
     pub fn is_usable(&self, now: Moment) -> bool {
-        !self.draining && self.circuit.allows(now)
+        !self.draining && self.circuit.allows(now) && self.rest.allows(now)
+    }
+
+    /// Notes that it wants nothing from this VM for `time`.
+    pub fn note_rest(&mut self, now: Moment, time: Duration) {
+        self.rest.ask(now, time);
+    }
+
+    /// End of the rest that it wants; none if that is over.
+    pub fn rest_end(&self, now: Moment) -> Option<Moment> {
+        self.rest.end(now)
+    }
+
+    /// Notes that it has taken attempt `id`.
+    pub fn note_taken(&mut self, id: u64) {
+        self.rest.note_taken(id);
     }
 
     /// How many times slower than its peers it answers; 1 is as expected.
@@ -159,6 +177,7 @@
         if self.circuit.allows(now) {
             self.circuit.start(now);
         }
+        self.rest.note_sent(id);
         self.open.push_back(OpenAttempt {
             id,
             started: now,
@@ -169,6 +188,7 @@
     /// Notes that attempt `id` ended, whatever its outcome.
     pub fn end(&mut self, id: u64) {
         self.open.retain(|open| open.id != id);
+        self.rest.note_end(id);
     }
 
     /// Notes a success that took `ratio` times the expected time.
@@ -208,6 +228,7 @@
         let reborn = report.incarnation > self.incarnation && self.incarnation.get() != 0;
         if reborn {
             self.circuit = CircuitBreaker::new();
+            self.rest = ServerRest::default();
             self.slowness = 1.0;
             self.ramp_from = Some(now);
         }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -9,6 +9,7 @@
 mod error;
 mod name;
 mod quantity;
+mod retry;
 mod verdict;
 
 pub use digest::{name_tag, stable_hash};
@@ -22,4 +23,5 @@
     ServerName, ServiceName, TeamName, VmName,
 };
 pub use quantity::{ByteSize, Incarnation, QuantityError, RequestRate};
+pub use retry::RetryDelay;
 pub use verdict::{RunVerdict, VerdictCell, VerdictError};
