Soak: suspensions, lives that follow a leaving one, servers that are kept out

- Suspensions in a series of their own: a process is stopped, and its clock is 1 to 60 s ahead when it goes on (by the seam of the settings; timers and the kernel's time-outs do not stand still with it, which the machine would need rights for).
- A server that leaves comes back under a new name or under its own; at the end every server's present life must get requests.

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -4,9 +4,10 @@
 //! so another attempt may still take its place. Answers that are not streamed
 //! are held back until whole, up to a limit.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use onyxfall_clock::BootInstant;
 use onyxfall_http::{HttpReply, Responder, StreamSender};
 use onyxfall_types::{RegionName, RequestError, RunVerdict};
 
@@ -65,7 +66,7 @@
     }
 
     /// When the first bytes of the answer came.
-    pub(crate) fn first_byte(&self) -> Option<Instant> {
+    pub(crate) fn first_byte(&self) -> Option<BootInstant> {
         match self {
             Self::Caller(answer) => answer.first_byte,
             Self::Peer(answer) => answer.first_byte(),
@@ -149,7 +150,7 @@
     head: Option<AnswerHead>,
     region: Option<RegionName>,
     held: BytesMut,
-    first_byte: Option<Instant>,
+    first_byte: Option<BootInstant>,
     stalled: Duration,
 }
 
@@ -186,7 +187,7 @@
     }
 
     fn data(&mut self, bytes: Bytes) -> Result<(), SinkGone> {
-        self.first_byte.get_or_insert_with(Instant::now);
+        self.first_byte.get_or_insert_with(BootInstant::now);
         if self.stream.is_none() {
             if self.held.len() + bytes.len() <= self.max_held {
                 self.held.extend_from_slice(&bytes);
@@ -194,7 +195,7 @@
             }
             self.start_stream()?;
         }
-        let started = Instant::now();
+        let started = BootInstant::now();
         let sent = self.stream.as_ref().ok_or(SinkGone)?.send(bytes);
         self.stalled += started.elapsed();
         sent.map_err(|_| SinkGone)
--- a/crates/entry/src/clock.rs
+++ b/crates/entry/src/clock.rs
@@ -1,20 +1,20 @@
-//! The process's monotonic clock as [`Moment`]s.
-
-use std::time::Instant;
+//! The process's clock as [`Moment`]s; it counts suspension, so that deadlines and ages
+//! do.
 
+use onyxfall_clock::BootInstant;
 use onyxfall_policy::Moment;
 
 /// Counts from the process's start.
 #[derive(Clone, Copy, Debug)]
 pub struct EntryClock {
-    started: Instant,
+    started: BootInstant,
 }
 
 impl EntryClock {
     /// A clock that starts now.
     pub fn start() -> Self {
         Self {
-            started: Instant::now(),
+            started: BootInstant::now(),
         }
     }
 
--- a/crates/entry/src/peer/link.rs
+++ b/crates/entry/src/peer/link.rs
@@ -10,9 +10,10 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crossbeam::channel::{Receiver, Sender, bounded};
+use onyxfall_clock::BootInstant;
 use onyxfall_policy::MemberBeat;
 use onyxfall_types::VmName;
 use onyxfall_wire::{
@@ -50,8 +51,8 @@
     queue: Sender<PeerFrame>,
     socket: TcpStream,
     streams: Mutex<HashMap<u64, Sender<StreamEvent>>>,
-    pings: Mutex<HashMap<u64, Instant>>,
-    heard: Mutex<Instant>,
+    pings: Mutex<HashMap<u64, BootInstant>>,
+    heard: Mutex<BootInstant>,
     down: AtomicBool,
 }
 
@@ -70,7 +71,7 @@
             socket,
             streams: Mutex::default(),
             pings: Mutex::default(),
-            heard: Mutex::new(Instant::now()),
+            heard: Mutex::new(BootInstant::now()),
             down: AtomicBool::new(false),
         });
         let (writer_core, writer_link) = (Arc::clone(core), Arc::clone(&link));
@@ -149,7 +150,7 @@
     pub(crate) fn note_ping(&self, sequence: u64) {
         let mut pings = self.pings.lock();
         pings.retain(|_, at| at.elapsed() < SEND_PATIENCE);
-        pings.insert(sequence, Instant::now());
+        pings.insert(sequence, BootInstant::now());
     }
 
     /// Round trip of an answered heartbeat.
@@ -158,7 +159,7 @@
     }
 
     pub(crate) fn note_heard(&self) {
-        *self.heard.lock() = Instant::now();
+        *self.heard.lock() = BootInstant::now();
     }
 
     /// Time since the last frame from the peer.
--- a/crates/entry/src/peer/reply.rs
+++ b/crates/entry/src/peer/reply.rs
@@ -1,9 +1,10 @@
 //! The receiving side's answer to another entry.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
+use onyxfall_clock::BootInstant;
 use onyxfall_types::{RequestError, RunVerdict};
 use onyxfall_wire::{CreditWindow, PeerPayload, ReplyData, ReplyEnd, ReplyHead, frame_cost};
 
@@ -20,7 +21,7 @@
     window: Arc<CreditWindow>,
     stall_timeout: Duration,
     started: bool,
-    first_byte: Option<Instant>,
+    first_byte: Option<BootInstant>,
     stalled: Duration,
 }
 
@@ -53,10 +54,10 @@
     }
 
     pub(crate) fn data(&mut self, mut bytes: Bytes) -> Result<(), SinkGone> {
-        self.first_byte.get_or_insert_with(Instant::now);
+        self.first_byte.get_or_insert_with(BootInstant::now);
         while !bytes.is_empty() {
             let part = bytes.split_to(bytes.len().min(MAX_DATA));
-            let waited = Instant::now();
+            let waited = BootInstant::now();
             let credited = self.window.take(frame_cost(part.len()), self.stall_timeout);
             self.stalled += waited.elapsed();
             if !credited {
@@ -71,7 +72,7 @@
         Ok(())
     }
 
-    pub(crate) fn first_byte(&self) -> Option<Instant> {
+    pub(crate) fn first_byte(&self) -> Option<BootInstant> {
         self.first_byte
     }
 
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -6,12 +6,13 @@
 //! attempt so far was not-run.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use crossbeam::channel::Receiver;
 use fastrace::Span;
 use onyxfall_bundle::{RequestKind, ServiceBundle};
+use onyxfall_clock::BootInstant;
 use onyxfall_http::CancelToken;
 use onyxfall_policy::{
     ArrivalOrigin, AttemptOutcome, BackoffCurve, Moment, PrefixKey, RegionSet, RequestArrival,
@@ -77,7 +78,7 @@
     context: &RequestContext,
     mut sink: AnswerSink,
 ) -> Result<(), RequestError> {
-    let started = Instant::now();
+    let started = BootInstant::now();
     let result = serve_into(core, context, &mut sink);
     let first_byte = sink
         .first_byte()
@@ -330,7 +331,7 @@
         cancel: &context.cancel,
     };
     sink.set_region(&core.settings.region);
-    let started = Instant::now();
+    let started = BootInstant::now();
     let result = run_attempt(&call, sink);
     let elapsed = started.elapsed().saturating_sub(sink.stalled());
     if let Err(failure) = &result
@@ -386,7 +387,7 @@
         ticket: None,
     };
     sink.set_region(&region);
-    let started = Instant::now();
+    let started = BootInstant::now();
     let result = run_away(core, &call, &center, sink);
     let elapsed = started.elapsed().saturating_sub(sink.stalled());
     core.end_attempt(attempt, outcome_of(&result), elapsed);
--- a/crates/entry/src/supervisor.rs
+++ b/crates/entry/src/supervisor.rs
@@ -9,9 +9,10 @@
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use onyxfall_clock::BootInstant;
 use parking_lot::Mutex;
 
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
@@ -186,7 +187,7 @@
 }
 
 fn keep_running(child: &ChildSpec, stop: &StopSignal, failed: &StopSignal) {
-    let mut failures: VecDeque<Instant> = VecDeque::new();
+    let mut failures: VecDeque<BootInstant> = VecDeque::new();
     let mut pause = FIRST_PAUSE;
     loop {
         let panicked = catch_unwind(AssertUnwindSafe(|| (child.run)(stop))).is_err();
@@ -197,7 +198,7 @@
             "{} ended early (panicked: {panicked}); starting it again",
             child.name
         );
-        let now = Instant::now();
+        let now = BootInstant::now();
         failures.push_back(now);
         failures.retain(|at| now - *at < WINDOW);
         if failures.len() > MAX_FAILURES {
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -4,8 +4,9 @@
 use std::io::{BufRead, BufReader};
 use std::ops::ControlFlow;
 use std::sync::Mutex;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use onyxfall_clock::BootInstant;
 use onyxfall_policy::{Moment, TokenBucket};
 use onyxfall_types::RunVerdict;
 use serde::de::DeserializeOwned;
@@ -58,7 +59,7 @@
 pub struct PlatformClient {
     settings: PlatformSettings,
     agent: ureq::Agent,
-    started: Instant,
+    started: BootInstant,
     ration: Mutex<TokenBucket>,
     counts: CallCounts,
 }
@@ -77,7 +78,7 @@
         Self {
             settings,
             agent,
-            started: Instant::now(),
+            started: BootInstant::now(),
             ration: Mutex::new(ration),
             counts: CallCounts::default(),
         }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -36,6 +36,22 @@
 /// Servers turn away every so-many-th request.
 const RESTS_EVERY: std::ops::Range<usize> = 1..4;
 
+/// Suspensions come in a series of their own, for the same reason.
+const AWAY_SERIES: u64 = 0x6177_6179_5f73_6572;
+/// Mean time between the beginnings of two of these, in milliseconds.
+const AWAY_PAUSE_MS: u64 = 1700;
+/// Seconds that a suspended VM's clock is ahead afterwards.
+const AWAY_S: std::ops::RangeInclusive<u64> = 1..=60;
+
+/// How the next life of a server is called.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NextLife {
+    /// By a new name.
+    Renamed,
+    /// As the one before; its birth tells them apart.
+    Reborn,
+}
+
 /// A fault; `usize` names the VM or server that it strikes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -45,6 +61,9 @@
     Stop(usize),
     /// The gateway is paused.
     Pause(usize),
+    /// The gateway is paused, and its clock has gone on by so many seconds afterwards, as
+    /// after a suspension.
+    Suspend(usize, u64),
     /// The gateway is told to read its settings again.
     Reload(usize),
     /// The link between a gateway and the store.
@@ -67,7 +86,7 @@
     Rebirth(usize),
     /// A server leaves and says so in its answers alone; at the end a new life takes its
     /// place.
-    Leave(usize),
+    Leave(usize, NextLife),
     /// A server turns requests away and asks for rest.
     Rest(usize, AskedRest),
     /// Another writer leaves something in a server's entry that is none.
@@ -157,6 +176,18 @@
             fault: draw_word(&mut rng, size),
         }
     }));
+    let mut rng = StdRng::seed_from_u64(seed ^ AWAY_SERIES);
+    let count = (millis / AWAY_PAUSE_MS).max(1);
+    faults.extend((0..count).map(|_| {
+        let at = LEAD + Duration::from_millis(rng.random_range(0..millis.max(1)));
+        let lasts = Duration::from_millis(rng.random_range(FAULT_MS));
+        let vm = rng.random_range(0..size.vms);
+        PlannedFault {
+            at,
+            until: at + lasts,
+            fault: Fault::Suspend(vm, rng.random_range(AWAY_S)),
+        }
+    }));
     faults.sort_by_key(|fault| fault.at);
     faults
 }
@@ -173,7 +204,12 @@
 fn draw_word(rng: &mut StdRng, size: &RunSize) -> Fault {
     let server = rng.random_range(0..size.servers);
     if rng.random_range(0..3) == 0 {
-        return Fault::Leave(server);
+        let next = if rng.random() {
+            NextLife::Renamed
+        } else {
+            NextLife::Reborn
+        };
+        return Fault::Leave(server, next);
     }
     let rest = AskedRest {
         seconds: RESTS[rng.random_range(0..RESTS.len())],
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -6,14 +6,14 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use onyxfall_fakes::{ServerFailing, StoreMode};
+use onyxfall_fakes::{ServerFailing, ServerStandIn, StoreMode};
 use rustix::process::Signal;
 use ureq::Agent;
 
 use crate::callers::{CallReport, CallerCrowd, call, new_agent};
 use crate::checks::{BrokenPromise, PromiseChecks};
 use crate::link::LinkMode;
-use crate::plan::{Fault, PlannedFault, RunSize, draw_plan};
+use crate::plan::{Fault, NextLife, PlannedFault, RunSize, draw_plan};
 use crate::words::{DisturbedPart, LifeArrivals, WordChecks};
 use crate::world::{RequestKind, SoakWorld, version_path};
 
@@ -65,6 +65,7 @@
     run.play_faults(&plan, &crowd, size)?;
     run.wait_served("after the faults");
     run.wait_in_force();
+    run.wait_used();
     run.check_drain();
     for report in crowd.finish() {
         run.take_report(report);
@@ -153,11 +154,11 @@
         match fault {
             Fault::Kill(vm) => self.world.signal(vm, Signal::KILL),
             Fault::Stop(vm) => self.world.signal(vm, Signal::TERM),
-            Fault::Pause(vm) => self.world.signal(vm, Signal::STOP),
+            Fault::Pause(vm) | Fault::Suspend(vm, _) => self.world.signal(vm, Signal::STOP),
             Fault::Reload(vm) => self.world.signal(vm, Signal::HUP),
             Fault::Replace(server) => self.world.replace(server),
             Fault::Rebirth(server) => self.world.restart(server),
-            Fault::Leave(server) => {
+            Fault::Leave(server, _) => {
                 self.world.leave(server);
                 Ok(())
             }
@@ -213,6 +214,10 @@
     fn lift(&self, fault: Fault) -> io::Result<()> {
         match fault {
             Fault::Pause(vm) => self.world.signal(vm, Signal::CONT),
+            Fault::Suspend(vm, seconds) => {
+                self.world.move_clock(vm, seconds)?;
+                self.world.signal(vm, Signal::CONT)
+            }
             Fault::StoreLink(vm, _) => self.set(Fault::StoreLink(vm, LinkMode::Open)),
             Fault::CallerLink(vm, _) => self.set(Fault::CallerLink(vm, LinkMode::Open)),
             Fault::ServerLink(server, _) => self.set(Fault::ServerLink(server, LinkMode::Open)),
@@ -222,7 +227,8 @@
                 Ok(())
             }
             Fault::Server(server, _) => self.set(Fault::Server(server, ServerFailing::None)),
-            Fault::Leave(server) => self.world.succeed(server),
+            Fault::Leave(server, NextLife::Renamed) => self.world.succeed(server),
+            Fault::Leave(server, NextLife::Reborn) => self.world.restart(server),
             Fault::Rest(server, _) => {
                 self.world.rest(server, None);
                 Ok(())
@@ -274,7 +280,9 @@
 
     /// Compares what servers said of themselves with what reached them afterwards.
     fn check_words(&mut self) {
-        let vms: Vec<IpAddr> = (0..self.targets.len()).map(SoakWorld::vm_address).collect();
+        let vms: Vec<IpAddr> = (0..self.targets.len())
+            .map(SoakWorld::source_address)
+            .collect();
         for (server, state) in self.world.servers.iter().enumerate() {
             for (life, standin) in state.lock().lives.iter().enumerate() {
                 let arrivals = standin.arrivals_from(0);
@@ -373,6 +381,22 @@
         }
     }
 
+    /// Waits until the present life of every server gets requests again: what was known of
+    /// its former ones must not keep it out.
+    fn wait_used(&mut self) {
+        let arrived = |run: &Self, server: usize| {
+            let state = run.world.servers[server].lock();
+            state.lives.last().map_or(0, ServerStandIn::arrived)
+        };
+        for server in 0..self.world.servers.len() {
+            let before = arrived(self, server);
+            if !self.wait(|run| arrived(run, server) > before) {
+                let what = format!("server {server} gets nothing in its last life");
+                self.checks.note(BrokenPromise::NotRecovered(what));
+            }
+        }
+    }
+
     /// Lets the first server leave: after a while, nothing more may reach it.
     fn check_drain(&mut self) {
         self.world.drain(0);
@@ -412,7 +436,7 @@
 /// What a fault disturbs, as far as that excuses.
 fn disturbed_part(fault: Fault) -> Option<DisturbedPart> {
     match fault {
-        Fault::Pause(vm) => Some(DisturbedPart::Vm(vm)),
+        Fault::Pause(vm) | Fault::Suspend(vm, _) => Some(DisturbedPart::Vm(vm)),
         Fault::Kill(vm) | Fault::Stop(vm) => Some(DisturbedPart::Process(vm)),
         Fault::ServerLink(server, _) => Some(DisturbedPart::Link(server)),
         _ => None,
@@ -422,11 +446,11 @@
 /// Whether two faults set the same thing.
 fn is_same_target(a: Fault, b: Fault) -> bool {
     match (a, b) {
-        (Fault::Pause(a), Fault::Pause(b))
+        (Fault::Pause(a) | Fault::Suspend(a, _), Fault::Pause(b) | Fault::Suspend(b, _))
         | (Fault::StoreLink(a, _), Fault::StoreLink(b, _))
         | (Fault::CallerLink(a, _), Fault::CallerLink(b, _))
         | (Fault::ServerLink(a, _), Fault::ServerLink(b, _))
-        | (Fault::Leave(a), Fault::Leave(b))
+        | (Fault::Leave(a, _), Fault::Leave(b, _))
         | (Fault::Rest(a, _), Fault::Rest(b, _))
         | (Fault::Foreign(a, _), Fault::Foreign(b, _))
         | (Fault::Server(a, _), Fault::Server(b, _)) => a == b,
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -92,6 +92,10 @@
 /// One entry VM.
 pub(crate) struct SoakVm {
     settings: PathBuf,
+    /// What the settings say, but for the clock.
+    text: String,
+    /// Seconds that its clock is ahead of the machine's.
+    ahead_s: u64,
     log: PathBuf,
     /// Its process, unless it is down.
     child: Option<Child>,
@@ -143,9 +147,11 @@
                 let store_link = HarmedLink::start(stand_in_ip(), store.address())?;
                 let settings = dir.join(format!("vm{vm}.ini"));
                 let text = settings_text(vm, &ips, &ports, store_link.address());
-                fs::write(&settings, text)?;
+                fs::write(&settings, &text)?;
                 Ok(Mutex::new(SoakVm {
                     settings,
+                    text,
+                    ahead_s: 0,
                     log: dir.join(format!("vm{vm}.log")),
                     child: None,
                     life: 0,
@@ -188,9 +194,9 @@
         Ok(world)
     }
 
-    /// Address of a VM, which servers see.
-    pub(crate) fn vm_address(vm: usize) -> IpAddr {
-        IpAddr::V4(vm_ip(vm))
+    /// Address that a VM's connections come from, which servers see.
+    pub(crate) fn source_address(vm: usize) -> IpAddr {
+        IpAddr::V4(source_ip(vm))
     }
 
     /// Where the logs of the gateways are.
@@ -261,7 +267,9 @@
         self.succeed(server)
     }
 
-    /// Lets a new life, under a new name, take a server's address.
+    /// Ends a server's life and lets a new one, under a new name, take its address. An
+    /// address is given on only after its server has ended, so that no connection is left
+    /// on which the former life could answer requests that are meant for the new one.
     pub(crate) fn succeed(&self, server: usize) -> io::Result<()> {
         let standin = ServerStandIn::start(stand_in_ip())?;
         let old = server_name(server, self.servers[server].lock().life);
@@ -269,6 +277,9 @@
         {
             let mut state = self.servers[server].lock();
             standin.set_name(&server_name(server, state.life + 1));
+            if let Some(before) = state.lives.last() {
+                before.crash();
+            }
             state.link.set_target(standin.address());
             state.lives.push(standin);
             state.life += 1;
@@ -352,6 +363,18 @@
         Ok(())
     }
 
+    /// Moves a VM's clock on; its gateway takes that with the reload that it is told of.
+    pub(crate) fn move_clock(&self, vm: usize, seconds: u64) -> io::Result<()> {
+        {
+            let mut state = self.vms[vm].lock();
+            state.ahead_s += seconds;
+            let ahead_ms = state.ahead_s * 1000;
+            let text = format!("{}[clock]\nahead-ms = {ahead_ms}\n", state.text);
+            fs::write(&state.settings, text)?;
+        }
+        self.signal(vm, Signal::HUP)
+    }
+
     /// Sends a signal to the gateway of a VM, if it runs.
     pub(crate) fn signal(&self, vm: usize, signal: Signal) -> io::Result<()> {
         let mut state = self.vms[vm].lock();
@@ -416,6 +439,13 @@
     Ipv4Addr::new(127, 192 + high, low, vm)
 }
 
+/// Address that the connections of a VM come from; not its own, where a connection could
+/// take a port that its gateway needs when it starts again.
+fn source_ip(vm: usize) -> Ipv4Addr {
+    let [_, high, low, last] = vm_ip(vm).octets();
+    Ipv4Addr::new(127, high - 32, low, last)
+}
+
 /// Address of stand-ins and links; never a VM's, whose ports must stay free.
 fn stand_in_ip() -> IpAddr {
     let (high, low) = own_bytes();
@@ -442,12 +472,13 @@
         .map(|ip| format!("{ip}:{peers}"))
         .collect();
     let mut text = format!(
-        "[vm]\nname = vm{vm}\ncenter = c{}\nsource-address = {ip}\n\
+        "[vm]\nname = vm{vm}\ncenter = c{}\nsource-address = {}\n\
          [listen]\ncallers = {ip}:{callers}\nready = {ip}:{ready}\ndirectory = {ip}:{directory}\n\
          peers = {ip}:{peers}\npeer-ports = {relay},{relay}\n\
          [peers]\nseeds = {}\n[store]\naddress = {store}\n\
          [bounds]\nstop-grace-s = {GRACE_S}\nretry-ratio = 1\nretry-extra = 100\n",
         vm % REGIONS,
+        source_ip(vm),
         seeds.join(","),
     );
     for region in 0..REGIONS {
