--- a/crates/entry/src/peer/link.rs
+++ b/crates/entry/src/peer/link.rs
@@ -155,7 +155,10 @@
 
     /// Round trip of an answered heartbeat.
     pub(crate) fn take_ping(&self, sequence: u64) -> Option<Duration> {
-        self.pings.lock().remove(&sequence).map(|at| at.elapsed())
+        self.pings
+            .lock()
+            .remove(&sequence)
+            .map(BootInstant::elapsed)
     }
 
     pub(crate) fn note_heard(&self) {
--- a/crates/fleet/tests/affinity.rs
+++ b/crates/fleet/tests/affinity.rs
@@ -1,17 +1,18 @@
 //! Short shared parts of prompts: kept to their own server as far as that costs little.
 
+mod support;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use onyxfall_fleet::{
     CallNeeds, EngineLimits, FleetView, HomeRegions, LocalOption, PromptPart, PromptSize,
-    ServerBirth, ServerPhase, ServerRecord, UnreadTokens, VmPlace, WorkShare,
+    ServerRecord, UnreadTokens, WorkShare,
 };
-use onyxfall_policy::Moment;
 use onyxfall_types::ServerId;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use support::{at, place, ready_server};
 
 const SERVERS: usize = 50;
 const VMS: usize = 60;
@@ -20,29 +21,13 @@
 const TURNS: u64 = 6;
 const SHARED: u64 = 200;
 
-fn at(ms: u64) -> Moment {
-    Moment::from_duration(Duration::from_millis(ms))
-}
-
 /// A VM of a region of many that know each other's work as it was 0.15 s ago.
 fn view() -> FleetView {
-    let center = ("c0".parse().unwrap(), "r0".parse().unwrap());
-    let mut view = FleetView::new(VmPlace {
-        vm: "vm0".parse().unwrap(),
-        center: "c0".parse().unwrap(),
-        region: "r0".parse().unwrap(),
-        centers: [center].into(),
-    });
+    let mut view = FleetView::new(place("vm0", &[("c0", "r0")]));
     for server in 0..SERVERS {
         let record = ServerRecord {
-            name: format!("s{server}").parse().unwrap(),
-            born: ServerBirth::UNKNOWN,
-            service: "svc".parse().unwrap(),
-            address: SocketAddr::from(([127, 0, 0, 1], 1)),
-            center: "c0".parse().unwrap(),
             slots: 32,
-            phase: ServerPhase::Ready,
-            cold_left: Duration::ZERO,
+            ..ready_server(&format!("s{server}"))
         };
         view.put_server(at(0), record, None);
     }
--- a/crates/fleet/tests/backup.rs
+++ b/crates/fleet/tests/backup.rs
@@ -1,45 +1,27 @@
 //! Which runs get a copy, and where.
 
-use std::net::SocketAddr;
+mod support;
+
 use std::time::Duration;
 
 use onyxfall_fleet::{
     CallNeeds, ChoicePolicy, DecisionSwitch, DecisionSwitches, EngineLimits, FleetView,
-    HomeRegions, PromptPart, PromptSize, ServerBirth, ServerPhase, ServerRecord, TimePrediction,
-    UnreadTokens, VmPlace, WorkShare,
+    HomeRegions, PromptPart, PromptSize, ServerRecord, TimePrediction, UnreadTokens, WorkShare,
 };
-use onyxfall_policy::Moment;
 use onyxfall_types::ServerId;
-
-fn at(ms: u64) -> Moment {
-    Moment::from_duration(Duration::from_millis(ms))
-}
+use support::{at, place, ready_server};
 
 /// A region of two data centres with three servers in each, and another region.
 fn view() -> FleetView {
-    let centers = [("c0", "r0"), ("c1", "r0"), ("c2", "r1")]
-        .into_iter()
-        .map(|(center, region)| (center.parse().unwrap(), region.parse().unwrap()))
-        .collect();
-    let mut view = FleetView::new(VmPlace {
-        vm: "vm0".parse().unwrap(),
-        center: "c0".parse().unwrap(),
-        region: "r0".parse().unwrap(),
-        centers,
-    });
+    let mut view = FleetView::new(place("vm0", &[("c0", "r0"), ("c1", "r0"), ("c2", "r1")]));
     for (number, center) in ["c0", "c0", "c0", "c1", "c1", "c1", "c2"]
         .iter()
         .enumerate()
     {
         let record = ServerRecord {
-            name: format!("s{number}").parse().unwrap(),
-            born: ServerBirth::UNKNOWN,
-            service: "svc".parse().unwrap(),
-            address: SocketAddr::from(([127, 0, 0, 1], 1)),
             center: center.parse().unwrap(),
             slots: 8,
-            phase: ServerPhase::Ready,
-            cold_left: Duration::ZERO,
+            ..ready_server(&format!("s{number}"))
         };
         view.put_server(at(0), record, None);
     }
--- a/crates/fleet/tests/balance.rs
+++ b/crates/fleet/tests/balance.rs
@@ -1,21 +1,18 @@
 //! How much of a region's requests leaves it, by rates.
 
+mod support;
+
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use onyxfall_fleet::{
     AwaySearch, AwayTable, CallNeeds, DecisionSwitch, DecisionSwitches, FleetView, HomeRegions,
-    PromptSize, RateKind, RoundTrips, ServerBirth, ServerPhase, ServerRecord, ServiceLoad, VmPlace,
+    PromptSize, RateKind, RoundTrips, ServerRecord, ServiceLoad,
 };
-use onyxfall_policy::Moment;
 use onyxfall_types::{ServiceName, name_tag};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-
-fn at(ms: u64) -> Moment {
-    Moment::from_duration(Duration::from_millis(ms))
-}
+use support::{at, place, ready_server};
 
 fn service() -> ServiceName {
     "svc".parse().unwrap()
@@ -23,23 +20,11 @@
 
 /// A region with two servers that do 400 requests a second together.
 fn view() -> FleetView {
-    let center = ("c0".parse().unwrap(), "r0".parse().unwrap());
-    let mut view = FleetView::new(VmPlace {
-        vm: "vm0".parse().unwrap(),
-        center: "c0".parse().unwrap(),
-        region: "r0".parse().unwrap(),
-        centers: [center].into(),
-    });
+    let mut view = FleetView::new(place("vm0", &[("c0", "r0")]));
     for server in 0..2 {
         let record = ServerRecord {
-            name: format!("s{server}").parse().unwrap(),
-            born: ServerBirth::UNKNOWN,
-            service: service(),
-            address: SocketAddr::from(([127, 0, 0, 1], 1)),
-            center: "c0".parse().unwrap(),
             slots: 6,
-            phase: ServerPhase::Ready,
-            cold_left: Duration::ZERO,
+            ..ready_server(&format!("s{server}"))
         };
         view.put_server(at(0), record, None);
     }
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -1,19 +1,20 @@
 //! Where requests go: routes, servers, regions.
 
+mod support;
+
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use onyxfall_fleet::{
     AnswerShape, AttemptResult, AwaySearch, AwayTable, CallNeeds, CallerLimits, ConfigVersion,
     EngineLimits, FleetView, HomeRegions, LocalOption, PromptPart, PromptSize, RepeatRule,
-    RoundTrips, RouteRule, RouteTable, RouteTarget, ServerBirth, ServerPhase, ServerRecord,
-    ServiceLoad, UnreadTokens, VmPlace, WorkShare,
+    RoundTrips, RouteRule, RouteTable, RouteTarget, ServerPhase, ServerRecord, ServiceLoad,
+    UnreadTokens, WorkShare,
 };
-use onyxfall_policy::Moment;
 use onyxfall_types::{RegionName, ServerId, name_tag};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use support::{at, place, ready_server};
 
 const ENGINE: EngineLimits = EngineLimits {
     slots: 4,
@@ -22,33 +23,15 @@
     keeps_backups: true,
 };
 
-fn at(ms: u64) -> Moment {
-    Moment::from_duration(Duration::from_millis(ms))
-}
-
 fn view() -> FleetView {
-    let centers = [("c0", "r0"), ("c1", "r1")]
-        .into_iter()
-        .map(|(center, region)| (center.parse().unwrap(), region.parse().unwrap()))
-        .collect();
-    FleetView::new(VmPlace {
-        vm: "vm0".parse().unwrap(),
-        center: "c0".parse().unwrap(),
-        region: "r0".parse().unwrap(),
-        centers,
-    })
+    FleetView::new(place("vm0", &[("c0", "r0"), ("c1", "r1")]))
 }
 
 fn record(name: &str, center: &str, phase: ServerPhase) -> ServerRecord {
     ServerRecord {
-        name: name.parse().unwrap(),
-        born: ServerBirth::UNKNOWN,
-        service: "svc".parse().unwrap(),
-        address: SocketAddr::from(([127, 0, 0, 1], 1)),
         center: center.parse().unwrap(),
-        slots: 4,
         phase,
-        cold_left: Duration::ZERO,
+        ..ready_server(name)
     }
 }
 
--- /dev/null
+++ b/crates/fleet/tests/fleets.rs
@@ -0,0 +1,195 @@
+//! Several VMs hear of servers that start again under their name, by the store, by each
+//! other and by watches that go on from before: late, twice, out of order or not at all.
+//! None ever uses a former life, and all end with the servers that there are.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use onyxfall_fleet::{
+    FleetView, MirrorChange, ServerBirth, ServerRecord, StoreEvent, StoreHealth, StoreItem,
+    StoreMirror,
+};
+use onyxfall_policy::Moment;
+use proptest::prelude::*;
+use support::{place, ready_server};
+
+const VMS: usize = 3;
+const NAMES: [&str; 3] = ["s1", "s2", "s3"];
+const NOW: Moment = Moment::ZERO;
+
+/// One VM: its copy of the store, and what it makes of it.
+struct TestVm {
+    mirror: StoreMirror,
+    fleet: FleetView,
+    /// The latest birth that it has seen under each name.
+    seen: BTreeMap<String, u64>,
+}
+
+impl TestVm {
+    fn new() -> Self {
+        let fleet = FleetView::new(place("vm1", &[("c0", "r0")]));
+        Self {
+            mirror: StoreMirror::default(),
+            fleet,
+            seen: BTreeMap::new(),
+        }
+    }
+
+    fn take(&mut self, changes: Vec<MirrorChange>) {
+        for change in changes {
+            match change {
+                MirrorChange::Set(name, value) => {
+                    let born: u64 = std::str::from_utf8(&value).unwrap().parse().unwrap();
+                    let seen = self.seen.entry(name.clone()).or_default();
+                    *seen = born.max(*seen);
+                    self.fleet.put_server(NOW, record(&name, born), None);
+                }
+                MirrorChange::Removed(name) => self.fleet.remove_server(NOW, &name),
+            }
+        }
+    }
+
+    fn hear(&mut self, events: Vec<StoreEvent>) {
+        let changes = self.mirror.apply(NOW, events, StoreHealth::Steady);
+        self.take(changes);
+    }
+
+    fn read_all(&mut self, items: Vec<StoreItem>, revision: u64) {
+        let health = StoreHealth::Steady;
+        let changes = self.mirror.replace(NOW, "", items, revision, health);
+        self.take(changes);
+    }
+
+    /// The births of the servers that it would use.
+    fn used(&self) -> BTreeMap<String, u64> {
+        let used = self.fleet.live().filter(|(_, server)| server.takes_work());
+        used.map(|(_, server)| {
+            let record = &server.record;
+            (record.name.to_string(), record.born.millis())
+        })
+        .collect()
+    }
+}
+
+fn record(name: &str, born: u64) -> ServerRecord {
+    ServerRecord {
+        born: ServerBirth::from_millis(born),
+        ..ready_server(name)
+    }
+}
+
+/// The store, whole, with its history.
+#[derive(Default)]
+struct TestStore {
+    items: BTreeMap<String, StoreItem>,
+    history: Vec<StoreEvent>,
+}
+
+impl TestStore {
+    fn revision(&self) -> u64 {
+        self.history.len() as u64
+    }
+
+    fn write(&mut self, name: &str, born: u64) {
+        let item = StoreItem {
+            key: name.to_owned(),
+            value: born.to_string().into_bytes().into(),
+            revision: self.revision() + 1,
+        };
+        self.items.insert(name.to_owned(), item.clone());
+        self.history.push(StoreEvent::Put(item));
+    }
+
+    fn delete(&mut self, name: &str) {
+        let revision = self.revision() + 1;
+        if self.items.remove(name).is_some() {
+            let key = name.to_owned();
+            self.history.push(StoreEvent::Delete { key, revision });
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// A server starts, or starts again.
+    Birth(usize),
+    /// A server writes its entry again.
+    Beat(usize),
+    /// An entry goes.
+    Lapse(usize),
+    /// A watch brings a part of the history, perhaps one that is known.
+    Watch(usize, prop::sample::Index, prop::sample::Index),
+    /// A VM takes another's copy.
+    Copy(usize, usize),
+    /// A VM reads everything.
+    Read(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let name = 0..NAMES.len();
+    prop_oneof![
+        name.clone().prop_map(Step::Birth),
+        name.clone().prop_map(Step::Beat),
+        name.prop_map(Step::Lapse),
+        (
+            0..VMS,
+            any::<prop::sample::Index>(),
+            any::<prop::sample::Index>()
+        )
+            .prop_map(|(vm, from, to)| Step::Watch(vm, from, to)),
+        (0..VMS, 0..VMS).prop_map(|(from, to)| Step::Copy(from, to)),
+        (0..VMS).prop_map(Step::Read),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(512))]
+
+    #[test]
+    fn no_vm_uses_a_former_life_and_all_end_alike(
+        steps in proptest::collection::vec(step(), 1..60),
+    ) {
+        let mut store = TestStore::default();
+        let mut births = [0_u64; NAMES.len()];
+        let mut vms: Vec<TestVm> = (0..VMS).map(|_| TestVm::new()).collect();
+        for step in steps {
+            match step {
+                Step::Birth(name) => {
+                    births[name] += 1;
+                    store.write(NAMES[name], births[name]);
+                }
+                Step::Beat(name) if births[name] > 0 => store.write(NAMES[name], births[name]),
+                Step::Lapse(name) => store.delete(NAMES[name]),
+                Step::Watch(vm, from, to) if !store.history.is_empty() => {
+                    let (from, to) = (from.index(store.history.len()), to.index(store.history.len()));
+                    let part = &store.history[from.min(to)..=from.max(to)];
+                    vms[vm].hear(part.to_vec());
+                }
+                Step::Beat(_) | Step::Watch(..) => {}
+                Step::Copy(from, to) => {
+                    let (items, revision) = (vms[from].mirror.snapshot(), vms[from].mirror.revision());
+                    vms[to].read_all(items, revision);
+                }
+                Step::Read(vm) => {
+                    let items = store.items.values().cloned().collect();
+                    vms[vm].read_all(items, store.revision());
+                }
+            }
+            for vm in &vms {
+                for (name, born) in vm.used() {
+                    prop_assert!(born >= vm.seen[&name], "{name} was born again since");
+                }
+            }
+        }
+        let truth: BTreeMap<String, u64> = store.items.iter().map(|(name, item)| {
+            let born = std::str::from_utf8(&item.value).unwrap().parse().unwrap();
+            (name.clone(), born)
+        }).collect();
+        for vm in &mut vms {
+            let items = store.items.values().cloned().collect();
+            vm.read_all(items, store.revision());
+            prop_assert_eq!(vm.used(), truth.clone());
+        }
+    }
+}
--- a/crates/fleet/tests/herd.rs
+++ b/crates/fleet/tests/herd.rs
@@ -1,17 +1,18 @@
 //! Many VMs that choose by knowledge of the same age, in virtual time.
 
+mod support;
+
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use onyxfall_fleet::{
     AttemptResult, CallNeeds, DecisionSwitch, DecisionSwitches, FleetView, HomeRegions,
-    LocalOption, PromptSize, ServerBirth, ServerPhase, ServerRecord, VmPlace, WorkShare,
+    LocalOption, PromptSize, ServerRecord, WorkShare,
 };
-use onyxfall_policy::Moment;
 use onyxfall_types::ServerId;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use support::{at, place, ready_server};
 
 const SERVERS: usize = 2;
 const SLOTS: u32 = 6;
@@ -22,28 +23,12 @@
 /// Time after which a request has waited for more than twice its own time.
 const SLOW_MS: u64 = 3 * SERVICE_MS;
 
-fn at(ms: u64) -> Moment {
-    Moment::from_duration(Duration::from_millis(ms))
-}
-
 fn view(vm: usize, vms: usize, age_ms: u64, off: &[DecisionSwitch]) -> FleetView {
-    let center = ("c0".parse().unwrap(), "r0".parse().unwrap());
-    let mut view = FleetView::new(VmPlace {
-        vm: format!("vm{vm}").parse().unwrap(),
-        center: "c0".parse().unwrap(),
-        region: "r0".parse().unwrap(),
-        centers: [center].into(),
-    });
+    let mut view = FleetView::new(place(&format!("vm{vm}"), &[("c0", "r0")]));
     for server in 0..SERVERS {
         let record = ServerRecord {
-            name: format!("s{server}").parse().unwrap(),
-            born: ServerBirth::UNKNOWN,
-            service: "svc".parse().unwrap(),
-            address: SocketAddr::from(([127, 0, 0, 1], 1)),
-            center: "c0".parse().unwrap(),
             slots: SLOTS,
-            phase: ServerPhase::Ready,
-            cold_left: Duration::ZERO,
+            ..ready_server(&format!("s{server}"))
         };
         view.put_server(at(0), record, None);
     }
--- a/crates/fleet/tests/learn.rs
+++ b/crates/fleet/tests/learn.rs
@@ -1,19 +1,20 @@
 //! What is learned of engines, plain services, answers and distances.
 
-use std::net::SocketAddr;
+mod support;
+
 use std::time::Duration;
 
 use onyxfall_fleet::{
     AnswerLengths, AttemptResult, CallNeeds, CostReport, CostTeller, CostView, DecisionSwitch,
     DecisionSwitches, EngineCosts, EngineLimits, EngineLoad, FleetView, HomeRegions, PlainCosts,
-    PromptPart, PromptSize, RoundTrips, ServerBirth, ServerPhase, ServerRecord, ServiceCosts,
-    VmPlace, WorkShare,
+    PromptPart, PromptSize, RoundTrips, ServerRecord, ServiceCosts, WorkShare,
 };
 use onyxfall_policy::Moment;
 use onyxfall_types::ServerId;
 use proptest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use support::{at, place, ready_server};
 
 /// Answers after which an estimate must hold.
 const LEARNING: usize = 50;
@@ -149,30 +150,14 @@
     }
 }
 
-fn at(ms: u64) -> Moment {
-    Moment::from_duration(Duration::from_millis(ms))
-}
-
 fn view() -> FleetView {
-    let center = ("c0".parse().unwrap(), "r0".parse().unwrap());
-    FleetView::new(VmPlace {
-        vm: "vm0".parse().unwrap(),
-        center: "c0".parse().unwrap(),
-        region: "r0".parse().unwrap(),
-        centers: [center].into(),
-    })
+    FleetView::new(place("vm0", &[("c0", "r0")]))
 }
 
 fn add_server(view: &mut FleetView, name: &str, slots: u32) -> ServerId {
     let record = ServerRecord {
-        name: name.parse().unwrap(),
-        born: ServerBirth::UNKNOWN,
-        service: "svc".parse().unwrap(),
-        address: SocketAddr::from(([127, 0, 0, 1], 1)),
-        center: "c0".parse().unwrap(),
         slots,
-        phase: ServerPhase::Ready,
-        cold_left: Duration::ZERO,
+        ..ready_server(name)
     };
     view.put_server(at(0), record, None);
     view.find(name).unwrap()
--- a/crates/fleet/tests/lives.rs
+++ b/crates/fleet/tests/lives.rs
@@ -1,46 +1,32 @@
 //! Servers that start again under their name: what was known of a former life is never
 //! used for a later one.
 
+mod support;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use onyxfall_fleet::{
-    AttemptResult, FleetView, ServerBirth, ServerPhase, ServerRecord, ServerVotes, VmPlace,
-    WorkShare,
+    AttemptResult, FleetView, ServerBirth, ServerPhase, ServerRecord, ServerVotes, WorkShare,
 };
-use onyxfall_policy::Moment;
 use proptest::prelude::*;
-
-fn at(millis: u64) -> Moment {
-    Moment::from_duration(Duration::from_millis(millis))
-}
+use support::{at, place, ready_server};
 
 fn view() -> FleetView {
-    let center: onyxfall_types::CenterName = "c1".parse().unwrap();
-    let region: onyxfall_types::RegionName = "r1".parse().unwrap();
-    FleetView::new(VmPlace {
-        vm: "vm1".parse().unwrap(),
-        center: center.clone(),
-        region: region.clone(),
-        centers: [(center, region)].into(),
-    })
+    FleetView::new(place("vm1", &[("c0", "r0")]))
 }
 
-fn record(name: &str, born: u64, port: u16, phase: ServerPhase) -> ServerRecord {
+fn record(name: &str, born: u64, phase: ServerPhase) -> ServerRecord {
     ServerRecord {
-        name: name.parse().unwrap(),
         born: ServerBirth::from_millis(born),
-        service: "svc".parse().unwrap(),
-        address: ([10, 0, 0, 1], port).into(),
-        center: "c1".parse().unwrap(),
-        slots: 4,
         phase,
         cold_left: Duration::from_secs(5),
+        ..ready_server(name)
     }
 }
 
 fn ready(name: &str, born: u64) -> ServerRecord {
-    record(name, born, 80, ServerPhase::Ready)
+    record(name, born, ServerPhase::Ready)
 }
 
 #[test]
@@ -140,7 +126,7 @@
                 Put(name, born) => fleet.put_server(at(0), ready(name, born), None),
                 Drain(name, born) => {
                     let phase = ServerPhase::Draining { left: None };
-                    fleet.put_server(at(0), record(name, born, 80, phase), None);
+                    fleet.put_server(at(0), record(name, born, phase), None);
                 }
                 Remove(name) => fleet.remove_server(at(0), name),
             }
--- a/crates/fleet/tests/mirror.rs
+++ b/crates/fleet/tests/mirror.rs
@@ -1,16 +1,13 @@
 //! The copy of the store, in tables of cases.
 
-use std::time::Duration;
+mod support;
 
 use bytes::Bytes;
 use onyxfall_fleet::{
     MirrorChange, RETURN_WINDOW, StoreEvent, StoreHealth, StoreItem, StoreMirror,
 };
 use onyxfall_policy::Moment;
-
-fn at(ms: u64) -> Moment {
-    Moment::from_duration(Duration::from_millis(ms))
-}
+use support::at;
 
 fn item(key: &str, revision: u64) -> StoreItem {
     StoreItem {
--- a/crates/fleet/tests/shares.rs
+++ b/crates/fleet/tests/shares.rs
@@ -1,11 +1,13 @@
 //! Limits that all VMs share are never exceeded in sum, whatever each VM sees.
 
+mod support;
+
 use std::time::Duration;
 
 use onyxfall_fleet::{BudgetLimits, ColdShare, RetryShare, SENDERS, is_cold_sender};
-use onyxfall_policy::Moment;
 use onyxfall_types::{ServerName, VmName};
 use proptest::prelude::*;
+use support::at;
 
 const WINDOW: Duration = Duration::from_secs(10);
 /// What the platform allows a cold server beyond its rate in one second: half of
@@ -13,10 +15,6 @@
 const COLD_OVER: f64 = 1.5;
 const COLD_SLACK: f64 = 3.0;
 
-fn at(ms: u64) -> Moment {
-    Moment::from_duration(Duration::from_millis(ms))
-}
-
 fn vm(number: usize) -> VmName {
     format!("vm{number}").parse().unwrap()
 }
--- a/crates/fleet/tests/silence.rs
+++ b/crates/fleet/tests/silence.rs
@@ -1,16 +1,18 @@
 //! When servers are taken for silent: votes, and false suspicion over random paces.
 
-use std::net::SocketAddr;
+mod support;
+
 use std::time::Duration;
 
 use onyxfall_fleet::{
-    AttemptResult, CallNeeds, EngineLimits, FleetView, HomeRegions, PromptSize, ServerBirth,
-    ServerPhase, ServerRecord, ServerVotes, VmPlace, WorkShare,
+    AttemptResult, CallNeeds, EngineLimits, FleetView, HomeRegions, PromptSize, ServerRecord,
+    ServerVotes, WorkShare,
 };
 use onyxfall_policy::Moment;
 use onyxfall_types::ServerId;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use support::{at, place, ready_server};
 
 const ENGINE: EngineLimits = EngineLimits {
     slots: 24,
@@ -19,27 +21,11 @@
     keeps_backups: false,
 };
 
-fn at(ms: u64) -> Moment {
-    Moment::from_duration(Duration::from_millis(ms))
-}
-
 fn view(vm: usize) -> (FleetView, ServerId) {
-    let center = ("c0".parse().unwrap(), "r0".parse().unwrap());
-    let mut view = FleetView::new(VmPlace {
-        vm: format!("vm{vm}").parse().unwrap(),
-        center: "c0".parse().unwrap(),
-        region: "r0".parse().unwrap(),
-        centers: [center].into(),
-    });
+    let mut view = FleetView::new(place(&format!("vm{vm}"), &[("c0", "r0")]));
     let record = ServerRecord {
-        name: "s".parse().unwrap(),
-        born: ServerBirth::UNKNOWN,
-        service: "svc".parse().unwrap(),
-        address: SocketAddr::from(([127, 0, 0, 1], 1)),
-        center: "c0".parse().unwrap(),
         slots: 24,
-        phase: ServerPhase::Ready,
-        cold_left: Duration::ZERO,
+        ..ready_server("s")
     };
     view.put_server(at(0), record, None);
     let id = view.find("s").unwrap();
--- a/crates/fleet/tests/words.rs
+++ b/crates/fleet/tests/words.rs
@@ -1,46 +1,32 @@
 //! What servers say of themselves in answers: leaving holds for the rest of a life, rest
 //! until its end, and neither for another life.
 
+mod support;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use onyxfall_fleet::{
-    CallNeeds, FleetView, HomeRegions, LocalOption, PromptSize, RestWord, ServerBirth, ServerPhase,
-    ServerRecord, ServerWord, VmPlace, WordNews,
+    CallNeeds, FleetView, HomeRegions, LocalOption, PromptSize, RestWord, ServerBirth,
+    ServerRecord, ServerWord, WordNews,
 };
 use onyxfall_policy::Moment;
 use onyxfall_types::ServerId;
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use support::{at, place, ready_server};
 
 const HOUR_MS: u64 = 3_600_000;
 
-fn at(millis: u64) -> Moment {
-    Moment::from_duration(Duration::from_millis(millis))
-}
-
 fn view() -> FleetView {
-    let center: onyxfall_types::CenterName = "c1".parse().unwrap();
-    let region: onyxfall_types::RegionName = "r1".parse().unwrap();
-    FleetView::new(VmPlace {
-        vm: "vm1".parse().unwrap(),
-        center: center.clone(),
-        region: region.clone(),
-        centers: [(center, region)].into(),
-    })
+    FleetView::new(place("vm1", &[("c0", "r0")]))
 }
 
 fn record(name: &str, born: u64) -> ServerRecord {
     ServerRecord {
-        name: name.parse().unwrap(),
         born: ServerBirth::from_millis(born),
-        service: "svc".parse().unwrap(),
-        address: ([10, 0, 0, 1], 80).into(),
-        center: "c1".parse().unwrap(),
-        slots: 4,
-        phase: ServerPhase::Ready,
-        cold_left: Duration::ZERO,
+        ..ready_server(name)
     }
 }
 
--- a/crates/gateway/tests/leaving.rs
+++ b/crates/gateway/tests/leaving.rs
@@ -20,15 +20,13 @@
 
 mod support;
 
-use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{HeaderValue, Method, StatusCode};
-use onyxfall_adapter::standin::{caller_headers, server_body, server_key};
+use http::StatusCode;
+use onyxfall_adapter::standin::{server_body, server_key};
 use onyxfall_fakes::{SaidWord, ServerFailing, ServerStandIn};
 use onyxfall_fleet::{ServerBirth, ServerPhase, ServerRecord};
-use support::{Gateway, HOST, Reply, SERVICE, Site, call, send, wait_for};
+use support::{Gateway, SERVICE, Site, call, relay, wait_used};
 
 const LEAVING: SaidWord = SaidWord {
     is_leaving: true,
@@ -78,19 +76,8 @@
         all
     }
 
-    /// Sends requests until one reaches a server.
     fn wait_used(&self, what: &str, server: &ServerStandIn) {
-        let before = server.arrived();
-        let mut asked = 0;
-        wait_for(what, || {
-            asked += 1;
-            call(
-                self.gateway.callers(),
-                "/repeat/x",
-                &format!("{what}{asked}"),
-            );
-            server.arrived() > before
-        });
+        wait_used(what, &self.gateway, server);
     }
 
     /// Lets the server say in an answer that it leaves.
@@ -107,7 +94,7 @@
             let id = format!("tested{number}");
             let reply = call(self.gateway.callers(), path, &id).unwrap();
             assert_eq!(reply.status, StatusCode::OK, "{name}: others serve it");
-            let reply = relay(&self.gateway, path, &format!("relayed{number}"));
+            let reply = relay(&self.gateway, path, &format!("relayed{number}"), &[]);
             assert_eq!(reply.status, StatusCode::OK, "{name}: others serve it");
         }
         let arrived = self.leaving.arrived() - before;
@@ -121,23 +108,6 @@
     site.store.put(&key, server_body(record));
 }
 
-/// Sends a request as a VM of another region passes it on.
-fn relay(gateway: &Gateway, path: &str, id: &str) -> Reply {
-    let mut headers = caller_headers(HOST, id, Duration::from_secs(3));
-    let own = [
-        ("onyxfall-vm", "vm9"),
-        ("onyxfall-service", SERVICE),
-        ("onyxfall-goal-ms", "400"),
-        ("onyxfall-homes", ""),
-    ];
-    for (name, value) in own {
-        headers.insert(name, HeaderValue::from_static(value));
-    }
-    let address = SocketAddr::new(IpAddr::V4(gateway.ip), gateway.ports.relay);
-    let body = Bytes::from_static(b"body");
-    send(address, Method::POST, path, headers, body).unwrap()
-}
-
 struct LeavingCase {
     name: &'static str,
     /// What the server does with the request by whose answer it tells.
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -2,14 +2,8 @@
 
 mod support;
 
-use std::net::{IpAddr, SocketAddr};
-use std::time::Duration;
-
-use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Method};
-use onyxfall_adapter::standin::caller_headers;
 use onyxfall_fakes::{ServerFailing, ServerStandIn};
-use support::{Gateway, HOST, Reply, SERVICE, Site, send};
+use support::{Site, relay};
 
 struct RelayCase {
     name: &'static str,
@@ -20,34 +14,6 @@
     arrived: bool,
 }
 
-fn relayed_headers(homes: &'static str) -> HeaderMap {
-    let mut headers = caller_headers(HOST, "relayed", Duration::from_secs(3));
-    let own = [
-        ("onyxfall-vm", "vm9"),
-        ("onyxfall-service", SERVICE),
-        ("onyxfall-goal-ms", "400"),
-        ("onyxfall-urgency", "3"),
-        ("onyxfall-homes", homes),
-    ];
-    for (name, value) in own {
-        headers.insert(name, HeaderValue::from_static(value));
-    }
-    headers
-}
-
-fn relay(gateway: &Gateway, homes: &'static str) -> Reply {
-    let address = SocketAddr::new(IpAddr::V4(gateway.ip), gateway.ports.relay);
-    let body = Bytes::from_static(b"body");
-    send(
-        address,
-        Method::POST,
-        "/once/x",
-        relayed_headers(homes),
-        body,
-    )
-    .unwrap()
-}
-
 #[test]
 fn a_relayed_request_is_run_or_refused_with_a_true_verdict() {
     let cases = [
@@ -96,7 +62,8 @@
     let elsewhere = servers[1].runs().len();
     for case in cases {
         servers[0].set_failing(case.failing);
-        let reply = relay(&gateways[0], case.homes);
+        let own = [("onyxfall-urgency", "3"), ("onyxfall-homes", case.homes)];
+        let reply = relay(&gateways[0], "/once/x", "relayed", &own);
         let told = |name: &str| reply.headers.get(name).map(|value| value.to_str().unwrap());
         assert_eq!(told("onyxfall-verdict"), case.verdict, "{}", case.name);
         if case.verdict.is_some() {
--- a/crates/gateway/tests/resting.rs
+++ b/crates/gateway/tests/resting.rs
@@ -23,7 +23,7 @@
 
 use http::StatusCode;
 use onyxfall_fakes::{AskedRest, SaidWord, ServerStandIn};
-use support::{Gateway, Site, call, wait_for};
+use support::{Gateway, Site, call, wait_used};
 
 const PATH: &str = "/repeat/x";
 /// Requests after which a server that could get one would have got one, of two servers.
@@ -74,15 +74,8 @@
         all
     }
 
-    /// Sends requests until one reaches a server.
     fn wait_used(&self, what: &str, server: &ServerStandIn) {
-        let before = server.arrived();
-        let mut asked = 0;
-        wait_for(what, || {
-            asked += 1;
-            call(self.gateway.callers(), PATH, &format!("{what}{asked}"));
-            server.arrived() > before
-        });
+        wait_used(what, &self.gateway, server);
     }
 
     /// Lets a server turn a request away.
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -13,7 +13,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode};
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -427,6 +427,38 @@
     send_from(from, address, Method::POST, path, headers, body)
 }
 
+/// Sends a request as a VM of another region passes it on, with a goal of 0.4 s.
+pub fn relay(
+    gateway: &Gateway,
+    path: &str,
+    id: &str,
+    own: &[(&'static str, &'static str)],
+) -> Reply {
+    let mut headers = caller_headers(HOST, id, Duration::from_secs(3));
+    let usual = [
+        ("onyxfall-vm", "vm9"),
+        ("onyxfall-service", SERVICE),
+        ("onyxfall-goal-ms", "400"),
+    ];
+    for (name, value) in usual.iter().chain(own) {
+        headers.insert(*name, HeaderValue::from_static(value));
+    }
+    let address = SocketAddr::new(IpAddr::V4(gateway.ip), gateway.ports.relay);
+    let body = Bytes::from_static(b"body");
+    send(address, Method::POST, path, headers, body).unwrap()
+}
+
+/// Sends requests to a gateway until one reaches a server.
+pub fn wait_used(what: &str, gateway: &Gateway, server: &ServerStandIn) {
+    let before = server.arrived();
+    let mut asked = 0;
+    wait_for(what, || {
+        asked += 1;
+        call(gateway.callers(), "/repeat/x", &format!("{what}{asked}"));
+        server.arrived() > before
+    });
+}
+
 pub fn get(address: SocketAddr, path: &str) -> Option<Reply> {
     send(address, Method::GET, path, HeaderMap::new(), Bytes::new())
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -138,56 +138,37 @@
     pub(crate) time: Duration,
 }
 
-/// The faults of a seed, in the order of their beginning.
-pub(crate) fn draw_plan(seed: u64, size: &RunSize) -> Vec<PlannedFault> {
+/// Draws one fault.
+type DrawFault = fn(&mut StdRng, &RunSize) -> Fault;
+
+/// Faults drawn from a seed of their own, one each `pause_ms` in the mean.
+fn draw_series(seed: u64, pause_ms: u64, size: &RunSize, draw: DrawFault) -> Vec<PlannedFault> {
     let mut rng = StdRng::seed_from_u64(seed);
     let millis = u64::try_from(size.time.as_millis()).unwrap_or(u64::MAX);
-    let count = (millis / FAULT_PAUSE_MS).max(1);
-    let mut faults: Vec<PlannedFault> = (0..count)
-        .map(|_| {
-            let at = LEAD + Duration::from_millis(rng.random_range(0..millis.max(1)));
-            let lasts = Duration::from_millis(rng.random_range(FAULT_MS));
-            PlannedFault {
-                at,
-                until: at + lasts,
-                fault: draw_fault(&mut rng, size),
-            }
-        })
-        .collect();
-    let mut rng = StdRng::seed_from_u64(seed ^ ENTRY_SERIES);
-    let count = (millis / ENTRY_PAUSE_MS).max(1);
-    faults.extend((0..count).map(|_| {
-        let at = LEAD + Duration::from_millis(rng.random_range(0..millis.max(1)));
-        let lasts = Duration::from_millis(rng.random_range(FAULT_MS));
-        PlannedFault {
-            at,
-            until: at + lasts,
-            fault: draw_entry_fault(&mut rng, size),
-        }
-    }));
-    let mut rng = StdRng::seed_from_u64(seed ^ WORD_SERIES);
-    let count = (millis / WORD_PAUSE_MS).max(1);
-    faults.extend((0..count).map(|_| {
-        let at = LEAD + Duration::from_millis(rng.random_range(0..millis.max(1)));
-        let lasts = Duration::from_millis(rng.random_range(FAULT_MS));
-        PlannedFault {
-            at,
-            until: at + lasts,
-            fault: draw_word(&mut rng, size),
-        }
-    }));
-    let mut rng = StdRng::seed_from_u64(seed ^ AWAY_SERIES);
-    let count = (millis / AWAY_PAUSE_MS).max(1);
-    faults.extend((0..count).map(|_| {
+    let count = (millis / pause_ms).max(1);
+    let planned = (0..count).map(|_| {
         let at = LEAD + Duration::from_millis(rng.random_range(0..millis.max(1)));
         let lasts = Duration::from_millis(rng.random_range(FAULT_MS));
-        let vm = rng.random_range(0..size.vms);
         PlannedFault {
             at,
             until: at + lasts,
-            fault: Fault::Suspend(vm, rng.random_range(AWAY_S)),
+            fault: draw(&mut rng, size),
         }
-    }));
+    });
+    planned.collect()
+}
+
+/// The faults of a seed, in the order of their beginning.
+pub(crate) fn draw_plan(seed: u64, size: &RunSize) -> Vec<PlannedFault> {
+    let mut faults = draw_series(seed, FAULT_PAUSE_MS, size, draw_fault);
+    let series: [(u64, u64, DrawFault); 3] = [
+        (ENTRY_SERIES, ENTRY_PAUSE_MS, draw_entry_fault),
+        (WORD_SERIES, WORD_PAUSE_MS, draw_word),
+        (AWAY_SERIES, AWAY_PAUSE_MS, draw_suspension),
+    ];
+    for (name, pause_ms, draw) in series {
+        faults.extend(draw_series(seed ^ name, pause_ms, size, draw));
+    }
     faults.sort_by_key(|fault| fault.at);
     faults
 }
@@ -218,6 +199,11 @@
     Fault::Rest(server, rest)
 }
 
+fn draw_suspension(rng: &mut StdRng, size: &RunSize) -> Fault {
+    let vm = rng.random_range(0..size.vms);
+    Fault::Suspend(vm, rng.random_range(AWAY_S))
+}
+
 fn draw_fault(rng: &mut StdRng, size: &RunSize) -> Fault {
     let vm = rng.random_range(0..size.vms);
     let server = rng.random_range(0..size.servers);
