--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -36,6 +36,22 @@
 /// Servers turn away every so-many-th request.
 const RESTS_EVERY: std::ops::Range<usize> = 1..4;
 
+/// Suspensions come in a series of their own, for the same reason.
+const AWAY_SERIES: u64 = 0x6177_6179_5f73_6572;
+/// Mean time between the beginnings of two of these, in milliseconds.
+const AWAY_PAUSE_MS: u64 = 1700;
+/// Seconds that a suspended VM's clock is ahead afterwards.
+const AWAY_S: std::ops::RangeInclusive<u64> = 1..=60;
+
+/// How the next life of a server is called.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NextLife {
+    /// By a new name.
+    Renamed,
+    /// As the one before; its birth tells them apart.
+    Reborn,
+}
+
 /// A fault; `usize` names the VM or server that it strikes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -45,6 +61,9 @@
     Stop(usize),
     /// The gateway is paused.
     Pause(usize),
+    /// The gateway is paused, and its clock has gone on by so many seconds afterwards, as
+    /// after a suspension.
+    Suspend(usize, u64),
     /// The gateway is told to read its settings again.
     Reload(usize),
     /// The link between a gateway and the store.
@@ -67,7 +86,7 @@
     Rebirth(usize),
     /// A server leaves and says so in its answers alone; at the end a new life takes its
     /// place.
-    Leave(usize),
+    Leave(usize, NextLife),
     /// A server turns requests away and asks for rest.
     Rest(usize, AskedRest),
     /// Another writer leaves something in a server's entry that is none.
@@ -119,44 +138,37 @@
     pub(crate) time: Duration,
 }
 
-/// The faults of a seed, in the order of their beginning.
-pub(crate) fn draw_plan(seed: u64, size: &RunSize) -> Vec<PlannedFault> {
+/// Draws one fault.
+type DrawFault = fn(&mut StdRng, &RunSize) -> Fault;
+
+/// Faults drawn from a seed of their own, one each `pause_ms` in the mean.
+fn draw_series(seed: u64, pause_ms: u64, size: &RunSize, draw: DrawFault) -> Vec<PlannedFault> {
     let mut rng = StdRng::seed_from_u64(seed);
     let millis = u64::try_from(size.time.as_millis()).unwrap_or(u64::MAX);
-    let count = (millis / FAULT_PAUSE_MS).max(1);
-    let mut faults: Vec<PlannedFault> = (0..count)
-        .map(|_| {
-            let at = LEAD + Duration::from_millis(rng.random_range(0..millis.max(1)));
-            let lasts = Duration::from_millis(rng.random_range(FAULT_MS));
-            PlannedFault {
-                at,
-                until: at + lasts,
-                fault: draw_fault(&mut rng, size),
-            }
-        })
-        .collect();
-    let mut rng = StdRng::seed_from_u64(seed ^ ENTRY_SERIES);
-    let count = (millis / ENTRY_PAUSE_MS).max(1);
-    faults.extend((0..count).map(|_| {
-        let at = LEAD + Duration::from_millis(rng.random_range(0..millis.max(1)));
-        let lasts = Duration::from_millis(rng.random_range(FAULT_MS));
-        PlannedFault {
-            at,
-            until: at + lasts,
-            fault: draw_entry_fault(&mut rng, size),
-        }
-    }));
-    let mut rng = StdRng::seed_from_u64(seed ^ WORD_SERIES);
-    let count = (millis / WORD_PAUSE_MS).max(1);
-    faults.extend((0..count).map(|_| {
+    let count = (millis / pause_ms).max(1);
+    let planned = (0..count).map(|_| {
         let at = LEAD + Duration::from_millis(rng.random_range(0..millis.max(1)));
         let lasts = Duration::from_millis(rng.random_range(FAULT_MS));
         PlannedFault {
             at,
             until: at + lasts,
-            fault: draw_word(&mut rng, size),
+            fault: draw(&mut rng, size),
         }
-    }));
+    });
+    planned.collect()
+}
+
+/// The faults of a seed, in the order of their beginning.
+pub(crate) fn draw_plan(seed: u64, size: &RunSize) -> Vec<PlannedFault> {
+    let mut faults = draw_series(seed, FAULT_PAUSE_MS, size, draw_fault);
+    let series: [(u64, u64, DrawFault); 3] = [
+        (ENTRY_SERIES, ENTRY_PAUSE_MS, draw_entry_fault),
+        (WORD_SERIES, WORD_PAUSE_MS, draw_word),
+        (AWAY_SERIES, AWAY_PAUSE_MS, draw_suspension),
+    ];
+    for (name, pause_ms, draw) in series {
+        faults.extend(draw_series(seed ^ name, pause_ms, size, draw));
+    }
     faults.sort_by_key(|fault| fault.at);
     faults
 }
@@ -173,7 +185,12 @@
 fn draw_word(rng: &mut StdRng, size: &RunSize) -> Fault {
     let server = rng.random_range(0..size.servers);
     if rng.random_range(0..3) == 0 {
-        return Fault::Leave(server);
+        let next = if rng.random() {
+            NextLife::Renamed
+        } else {
+            NextLife::Reborn
+        };
+        return Fault::Leave(server, next);
     }
     let rest = AskedRest {
         seconds: RESTS[rng.random_range(0..RESTS.len())],
@@ -182,6 +199,11 @@
     Fault::Rest(server, rest)
 }
 
+fn draw_suspension(rng: &mut StdRng, size: &RunSize) -> Fault {
+    let vm = rng.random_range(0..size.vms);
+    Fault::Suspend(vm, rng.random_range(AWAY_S))
+}
+
 fn draw_fault(rng: &mut StdRng, size: &RunSize) -> Fault {
     let vm = rng.random_range(0..size.vms);
     let server = rng.random_range(0..size.servers);
