A word that may be a reborn server's keeps that life without work for a while

Cause: a server that starts again under its name may answer before its entry is known; its word was noted for its former life and forgotten with it. Ruled out: an older entry (the log shows the births in order), a word of another server. A life is now told by when the word was read: after its birth (less 1 s for clocks that differ), the word may be its own, and it gets nothing for 20 s, then one try; a rest is taken over to its end. Births become moments by the time of day at the VM's start, so that later jumps of that clock change nothing. Births in the soak are the times of the starts (were counters).

--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -13,6 +13,7 @@
 use crate::learn::EngineLoad;
 use crate::record::{ServerPhase, ServerRecord};
 use crate::signs::{ServerVotes, SignRecord};
+use crate::word::{DOUBTFUL_LEAVING, DoubtfulWords};
 use crate::work::{UnreadTokens, WorkShare};
 
 /// Time in which what came to a server fades to a third: long enough for a steady
@@ -91,9 +92,11 @@
     gone: bool,
     /// Another life has its name: what ran here has ended.
     is_replaced: bool,
-    /// It has said in an answer that it leaves.
-    is_leaving: bool,
+    /// When it said in an answer that it leaves.
+    leaving_since: Option<Moment>,
     rest: ServerRest,
+    /// When it last asked for rest.
+    rest_asked: Option<Moment>,
     full_until: Moment,
     circuit: CircuitBreaker,
     slowness: f64,
@@ -118,8 +121,9 @@
             region,
             gone: false,
             is_replaced: false,
-            is_leaving: false,
+            leaving_since: None,
             rest: ServerRest::default(),
+            rest_asked: None,
             full_until: Moment::ZERO,
             circuit: CircuitBreaker::new(),
             slowness: 1.0,
@@ -185,7 +189,7 @@
 
     /// Whether its entry and its answers let it have new work.
     pub fn takes_work(&self) -> bool {
-        !self.gone && !self.is_leaving && self.record.phase == ServerPhase::Ready
+        !self.gone && self.leaving_since.is_none() && self.record.phase == ServerPhase::Ready
     }
 
     /// Whether its breaker and the rest that it wants let an attempt pass.
@@ -194,8 +198,15 @@
     }
 
     /// Notes that it leaves; whether that is news.
-    pub(crate) fn note_leaving(&mut self) -> bool {
-        !std::mem::replace(&mut self.is_leaving, true)
+    pub(crate) fn note_leaving(&mut self, now: Moment) -> bool {
+        let is_news = self.leaving_since.is_none();
+        self.leaving_since.get_or_insert(now);
+        is_news
+    }
+
+    /// When it said that it leaves, if it did.
+    pub(crate) fn leaving_since(&self) -> Option<Moment> {
+        self.leaving_since
     }
 
     /// Notes that it wants nothing from this VM for `time`; whether it rests for longer by
@@ -203,9 +214,25 @@
     pub(crate) fn note_rest(&mut self, now: Moment, time: Duration) -> bool {
         let before = self.rest.end(now);
         self.rest.ask(now, time);
+        self.rest_asked = Some(now);
         self.rest.end(now) > before
     }
 
+    /// The rest that it wants, if the moment of the asking passes.
+    pub(crate) fn asked_rest(&self, passes: impl Fn(Option<Moment>) -> bool) -> Option<ServerRest> {
+        passes(self.rest_asked).then_some(self.rest)
+    }
+
+    /// Counts what a former life seems to have said.
+    pub(crate) fn take_doubtful(&mut self, now: Moment, words: &DoubtfulWords) {
+        if words.leaves {
+            self.rest.ask(now, DOUBTFUL_LEAVING);
+        }
+        if let Some(rest) = words.rest {
+            self.rest.join(rest);
+        }
+    }
+
     /// Whether it may be chosen as far as the rest goes that it wants.
     pub(crate) fn is_rested(&self, now: Moment) -> bool {
         self.rest.allows(now)
@@ -218,8 +245,9 @@
 
     /// Takes over what the same life said of itself before its entry had lapsed.
     pub(crate) fn inherit_word(&mut self, before: &Self) {
-        self.is_leaving = before.is_leaving;
+        self.leaving_since = before.leaving_since;
         self.rest = before.rest;
+        self.rest_asked = before.rest_asked;
     }
 
     /// The share of its rate while it is cold.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -74,6 +74,8 @@
     /// The same by the whole hash, which tells lives apart among tens of thousands.
     by_life: HashMap<u64, ServerId>,
     by_service: BTreeMap<ServiceName, Vec<ServerId>>,
+    /// Unix time of the moment zero, by which births become moments.
+    unix_start: Duration,
     /// The latest life that was seen under each name, also of servers that are gone.
     latest: HashMap<ServerName, LatestLife>,
     evacuated: BTreeSet<CenterName>,
@@ -105,6 +107,7 @@
             by_tag: HashMap::new(),
             by_life: HashMap::new(),
             by_service: BTreeMap::new(),
+            unix_start: Duration::ZERO,
             latest: HashMap::new(),
             evacuated: BTreeSet::new(),
             region_vms: Vec::new(),
@@ -120,6 +123,17 @@
         }
     }
 
+    /// Sets the Unix time of the moment zero.
+    pub fn set_unix_start(&mut self, start: Duration) {
+        self.unix_start = start;
+    }
+
+    /// The moment of a birth by this VM's clock; zero for those before it.
+    pub(crate) fn moment_of(&self, born: ServerBirth) -> Moment {
+        let born = Duration::from_millis(born.millis());
+        Moment::from_duration(born.saturating_sub(self.unix_start))
+    }
+
     /// Where this VM stands.
     pub fn place(&self) -> &VmPlace {
         &self.place
@@ -331,8 +345,10 @@
         let cold_rate = service.map_or(0.0, |service| service.cold_rate);
         let (name, service, born) = (record.name.clone(), record.service.clone(), record.born);
         let mut state = ServerState::new(now, record, region, cold_rate);
-        if let Some(latest) = latest.filter(|latest| latest.born == born) {
-            state.inherit_word(&self.servers[latest.id]);
+        match latest {
+            Some(latest) if latest.born == born => state.inherit_word(&self.servers[latest.id]),
+            Some(latest) => state.take_doubtful(now, &self.doubtful_words(latest.id, born)),
+            None => {}
         }
         let id = self.servers.push(state);
         self.note_latest(name.clone(), LatestLife { born, id });
--- a/crates/fleet/src/word.rs
+++ b/crates/fleet/src/word.rs
@@ -5,14 +5,38 @@
 //! its answers had said that it leaves while only its entry counted, which the store did
 //! not take for as long. Both beliefs hold for this VM only: each VM learns of a leaving by
 //! its own first answer, and rest that is asked of one VM is not asked of others.
+//!
+//! A server that starts again under its name may answer before its entry is known here,
+//! and its word is then noted for its former life. Once the entry is known its birth tells:
+//! a word that was read after it may be the later life's, which gets no work for a while.
+//! Without that, a VM whose link to the store was held sent a reborn server work 0.4 s
+//! after it had said that it leaves.
 
 use std::time::Duration;
 
-use onyxfall_policy::Moment;
+use onyxfall_policy::{Moment, ServerRest};
 use onyxfall_types::ServerId;
 
+use crate::life::ServerBirth;
 use crate::view::FleetView;
 
+/// How much later than a word a birth must be for the word to be the former life's: clocks
+/// of servers and VMs may differ. A server that leaves serves on for three seconds at least
+/// before it can be born again.
+const BIRTH_DOUBT: Duration = Duration::from_secs(1);
+/// Time for which a life gets nothing that may have said that it leaves: leaving servers
+/// were seen to serve on for 12 s. After it one request tries.
+pub(crate) const DOUBTFUL_LEAVING: Duration = Duration::from_secs(20);
+
+/// Words that may be those of another life than the one that they were noted for.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct DoubtfulWords {
+    /// It leaves.
+    pub(crate) leaves: bool,
+    /// It wants rest.
+    pub(crate) rest: Option<ServerRest>,
+}
+
 /// Whether a server that turned a request away asks to be left alone for a while.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum RestWord {
@@ -49,7 +73,7 @@
     /// ```
     /// use onyxfall_fleet::{FleetView, ServerWord, VmPlace, WordNews};
     /// # use onyxfall_fleet::{ServerBirth, ServerPhase, ServerRecord};
-    /// # use onyxfall_policy::Moment;
+    /// # use onyxfall_policy::{Moment, ServerRest};
     /// # let (center, region): (onyxfall_types::CenterName, onyxfall_types::RegionName) =
     /// #     ("c1".parse().unwrap(), "r1".parse().unwrap());
     /// # let mut fleet = FleetView::new(VmPlace {
@@ -78,14 +102,38 @@
     pub fn take_word(&mut self, now: Moment, id: ServerId, word: &ServerWord) -> WordNews {
         let id = self.same_life(id);
         let server = self.server_mut(id);
-        let leaves = word.is_leaving && server.note_leaving();
+        let leaves = word.is_leaving && server.note_leaving(now);
         let rests = match word.rest {
             RestWord::For(time) => server.note_rest(now, time),
             RestWord::None | RestWord::Malformed => false,
         };
+        self.doubt_later_life(now, id);
         WordNews { leaves, rests }
     }
 
+    /// Lets the later life of a server that has started again count a word that was noted
+    /// for the former one only now.
+    fn doubt_later_life(&mut self, now: Moment, former: ServerId) {
+        let name = &self.server(former).record.name;
+        let Some(later) = self.find(name.as_str()).filter(|id| *id != former) else {
+            return;
+        };
+        let words = self.doubtful_words(former, self.server(later).record.born);
+        self.server_mut(later).take_doubtful(now, &words);
+    }
+
+    /// What a former life seems to have said, but may have been said by the one that was
+    /// born at `born`.
+    pub(crate) fn doubtful_words(&self, former: ServerId, born: ServerBirth) -> DoubtfulWords {
+        let born = self.moment_of(born);
+        let former = self.server(former);
+        let is_doubtful = |told: Option<Moment>| told.is_some_and(|at| born <= at + BIRTH_DOUBT);
+        DoubtfulWords {
+            leaves: is_doubtful(former.leaving_since()),
+            rest: former.asked_rest(is_doubtful),
+        }
+    }
+
     /// Whether a send to a server may begin now. A request whose server was chosen may
     /// have waited for a connection since.
     pub fn may_send(&self, now: Moment, id: ServerId) -> bool {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -90,18 +90,23 @@
     next_attempt: Cell<u64>,
 }
 
+/// The time of day at the start of the process. Later jumps of that clock change nothing.
+fn unix_start() -> Duration {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
+
 /// A number that is larger in a later life of a VM; should the clock have gone
 /// back, peers tell of the former life and a larger one is taken.
-fn first_incarnation() -> Incarnation {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    Incarnation::new(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+fn first_incarnation(start: Duration) -> Incarnation {
+    Incarnation::new(u64::try_from(start.as_millis()).unwrap_or(u64::MAX))
 }
 
 impl Gateway {
     pub(crate) fn new(settings: GatewaySettings) -> Self {
         let place = settings.place.clone();
+        let unix_start = unix_start();
         let own = VmRecord {
             name: place.vm.clone(),
             center: place.center.clone(),
@@ -110,7 +115,7 @@
             peer_address: settings.peers,
             capacity: settings.capacity,
             version: RecordVersion {
-                incarnation: first_incarnation(),
+                incarnation: first_incarnation(unix_start),
                 change: 0,
             },
             status: VmStatus::default(),
@@ -122,6 +127,7 @@
         };
         let overlay = OverlayNode::new(own, timing, settings.seeds.clone());
         let mut fleet = FleetView::new(place.clone());
+        fleet.set_unix_start(unix_start);
         fleet.set_switches(settings.switches.clone());
         fleet.set_reread_price(settings.costs.reread_price);
         let mut quotas = QuotaTable::default();
--- a/crates/policy/src/rest.rs
+++ b/crates/policy/src/rest.rs
@@ -53,6 +53,13 @@
         self.trial = None;
     }
 
+    /// Takes over what was asked of a life that may have been this one.
+    pub fn join(&mut self, other: Self) {
+        if other.until > self.until {
+            *self = other;
+        }
+    }
+
     /// End of the time in which nothing may be sent; none if it is over.
     pub fn end(&self, now: Moment) -> Option<Moment> {
         (now < self.until).then_some(self.until)
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -7,7 +7,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use onyxfall_adapter::standin::{
     RouteShape, RouteText, ServiceText, TeamText, config_key, document_with_teams, foreign_entries,
@@ -113,7 +113,7 @@
 pub(crate) struct SoakServer {
     /// Names so far; the present one holds it.
     life: u64,
-    /// Starts so far.
+    /// Unix milliseconds of its present life's start.
     born: u64,
     /// What its present life says of itself.
     word: SaidWord,
@@ -169,7 +169,7 @@
                 let lives = vec![standin];
                 Ok(Mutex::new(SoakServer {
                     life: 1,
-                    born: 1,
+                    born: unix_millis(),
                     word: SaidWord::default(),
                     lives,
                     link,
@@ -284,7 +284,7 @@
             state.lives.push(standin);
             state.life += 1;
             state.word = SaidWord::default();
-            state.born += 1;
+            state.born = unix_millis().max(state.born + 1);
         }
         self.announce(server, ServerPhase::Ready);
         Ok(())
@@ -302,7 +302,7 @@
             state.link.set_target(standin.address());
             state.lives.push(standin);
             state.word = SaidWord::default();
-            state.born += 1;
+            state.born = unix_millis().max(state.born + 1);
         }
         self.announce(server, ServerPhase::Ready);
         Ok(())
@@ -422,6 +422,12 @@
     }
 }
 
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.unwrap_or_default().as_millis();
+    u64::try_from(millis).unwrap_or(u64::MAX)
+}
+
 fn server_name(server: usize, life: u64) -> String {
     format!("s{server}-{life}")
 }
