Soak: a word counts as told only where its answer was given and read

Narrowed to these: what was said is noted once there is an answer; a caller's answer shows reading if it is a server's or the VM's 503; a link excuses only while the answer is under way, which is stricter than before for rest.

--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -247,23 +247,20 @@
     named.is_some_and(|(own, expected)| own != expected)
 }
 
-/// Notes that a request has arrived; what is said in the answer to it.
+/// Notes that a request has arrived; its number.
 fn note_arrival(
     state: &Mutex<ServerState>,
     from: Option<&PeerAddress>,
     call: &ReceivedCall,
-) -> SaidWord {
+) -> usize {
     let mut state = state.lock();
-    let number = state.arrivals.len() + 1;
-    let mut said = state.word;
-    said.rest = said.rest.filter(|rest| number.is_multiple_of(rest.every));
     state.arrivals.push(ArrivedRequest {
         at: Instant::now(),
         from: from.map_or(Ipv4Addr::UNSPECIFIED.into(), |peer| peer.0.ip()),
         request_id: call.request_id.clone(),
-        said,
+        said: SaidWord::default(),
     });
-    said
+    state.arrivals.len()
 }
 
 async fn answer(
@@ -276,19 +273,23 @@
     if is_for_another(&state, &call) {
         return Ok(whole(StatusCode::MISDIRECTED_REQUEST, ""));
     }
-    let said = note_arrival(&state, head.extensions.get(), &call);
+    let number = note_arrival(&state, head.extensions.get(), &call);
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    let mut said = state.lock().word;
+    said.rest = said.rest.filter(|rest| number.is_multiple_of(rest.every));
     let mut response = if let Some(rest) = said.rest {
         let mut refusal = whole(StatusCode::SERVICE_UNAVAILABLE, "");
         mark_not_run(refusal.headers_mut());
         ask_rest(refusal.headers_mut(), rest.seconds);
         refusal
     } else {
-        run(state, crash, &head, call, body).await?
+        run(Arc::clone(&state), crash, &head, call, body).await?
     };
     if said.is_leaving {
         say_leaving(response.headers_mut());
     }
+    // A request that gets no answer is told nothing.
+    state.lock().arrivals[number - 1].said = said;
     Ok(response)
 }
 
--- a/crates/soak/src/words.rs
+++ b/crates/soak/src/words.rs
@@ -1,10 +1,11 @@
 //! What servers said of themselves against what reached them afterwards.
 //!
-//! A VM that has passed an answer on has read its head before. So a request that a caller
-//! sends after any caller has had an answer by which a server told a VM that it leaves, or
-//! wants rest, must not reach that server from that VM: no time is granted for it, since
-//! what was on its way before was sent before. A freeze or restart of the VM, and a harmed
-//! link to a server that wants rest, excuse it: the answer may not have been read.
+//! A VM that has passed a server's answer on, or refuses with 503, has read the heads of
+//! the answers before it; one that ends a request for its deadline may not have. So a
+//! request that a caller sends after any caller has had an answer by which a server told a
+//! VM that it leaves, or wants rest, must not reach that server from that VM: no time is
+//! granted for it, since what was on its way before was sent before. A freeze or restart of
+//! the VM excuses it, and a link that is harmed while the answer is under way.
 
 use std::collections::BTreeMap;
 use std::net::IpAddr;
@@ -15,6 +16,9 @@
 use crate::callers::CallReport;
 use crate::checks::BrokenPromise;
 
+/// Status by which a VM refuses.
+const REFUSED: u16 = 503;
+
 /// Something whose disturbance excuses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum DisturbedPart {
@@ -57,7 +61,8 @@
 #[derive(Clone, Copy, Debug)]
 struct CallTimes {
     sent: Instant,
-    answered: Option<Instant>,
+    /// When the answer had come, if it shows that the VM had read what servers said.
+    read: Option<Instant>,
 }
 
 /// One life of a server, and what reached it.
@@ -95,7 +100,7 @@
     pub(crate) fn take_report(&mut self, report: &CallReport) {
         let times = CallTimes {
             sent: report.sent,
-            answered: report.answered,
+            read: report.answered.filter(|_| shows_reading(report)),
         };
         self.calls.insert(report.id.clone(), times);
     }
@@ -118,8 +123,8 @@
     fn told_words(&self, life: &LifeArrivals, vms: &[IpAddr]) -> Vec<ToldWord> {
         let mut told = Vec::new();
         for arrived in &life.arrivals {
-            let answered = self.calls.get(&arrived.request_id);
-            let read = answered.and_then(|times| times.answered);
+            let call = self.calls.get(&arrived.request_id);
+            let read = call.and_then(|times| times.read);
             let vm = vms.iter().position(|ip| *ip == arrived.from);
             let (Some(read), Some(vm)) = (read, vm) else {
                 continue;
@@ -154,13 +159,21 @@
             return false;
         }
         let is_disturbed = |part| self.disturbances.is_disturbed(part, word.said, arrived.at);
-        let may_be_unread = word.until.is_some() && is_disturbed(DisturbedPart::Link(server));
+        let link = DisturbedPart::Link(server);
+        let may_be_unread = self.disturbances.is_disturbed(link, word.said, word.read);
         let is_vm_disturbed = is_disturbed(DisturbedPart::Vm(word.vm))
             || is_disturbed(DisturbedPart::Process(word.vm));
         !is_vm_disturbed && !may_be_unread
     }
 }
 
+/// Whether an answer shows that its VM has read what the servers before it had said: it is
+/// a server's, or the VM's refusal. Callers of a suspended VM got 504 for requests whose
+/// refusals by a server it had never read.
+fn shows_reading(report: &CallReport) -> bool {
+    report.is_own || report.status == Some(REFUSED)
+}
+
 fn describe(word: &ToldWord, arrived: &ArrivedRequest, life: &LifeArrivals) -> BrokenPromise {
     let LifeArrivals { server, life, .. } = life;
     let after = (arrived.at - word.read).as_millis();
