--- a/crates/fleet/src/word.rs
+++ b/crates/fleet/src/word.rs
@@ -73,7 +73,7 @@
     /// ```
     /// use onyxfall_fleet::{FleetView, ServerWord, VmPlace, WordNews};
     /// # use onyxfall_fleet::{ServerBirth, ServerPhase, ServerRecord};
-    /// # use onyxfall_policy::{Moment, ServerRest};
+    /// # use onyxfall_policy::Moment;
     /// # let (center, region): (onyxfall_types::CenterName, onyxfall_types::RegionName) =
     /// #     ("c1".parse().unwrap(), "r1".parse().unwrap());
     /// # let mut fleet = FleetView::new(VmPlace {
