Tests of the gateway share entries and groups of servers

The entry of a server and its writing stood in entries and in leaving, starting and announcing a group of servers in resting and in crashing: each is in the support module once.

--- a/crates/gateway/tests/crashing.rs
+++ b/crates/gateway/tests/crashing.rs
@@ -223,13 +223,7 @@
 #[test]
 fn servers_that_go_on_with_a_stream_count_as_attempts() {
     let site = Site::start(1);
-    let servers: Vec<ServerStandIn> = (0..5)
-        .map(|number| {
-            let server = ServerStandIn::start(site.ip(0)).unwrap();
-            site.announce(&format!("s{number}"), &server, 0);
-            server
-        })
-        .collect();
+    let servers = site.start_servers(5);
     site.configure(1);
     let gateway = site.gateway(0);
     gateway.wait_served();
--- a/crates/gateway/tests/entries.rs
+++ b/crates/gateway/tests/entries.rs
@@ -5,10 +5,9 @@
 use std::thread;
 use std::time::Duration;
 
-use onyxfall_adapter::standin::{ForeignEntry, foreign_entries, server_body, server_key};
+use onyxfall_adapter::standin::{ForeignEntry, foreign_entries, server_key};
 use onyxfall_fakes::{CRASHING_BODY, ServerStandIn};
-use onyxfall_fleet::{ServerBirth, ServerPhase, ServerRecord};
-use support::{SERVICE, Site, call, call_from, wait_for};
+use support::{Site, call, call_from, record, wait_for};
 
 const PATH: &str = "/repeat/x";
 /// Servers that one request may cost.
@@ -21,25 +20,6 @@
 /// Kinds of entries that other writers leave.
 const FOREIGN_KINDS: usize = 15;
 
-/// What a server of the first VM's data centre writes of itself.
-fn record(name: &str, server: &ServerStandIn, born: u64) -> ServerRecord {
-    ServerRecord {
-        name: name.parse().unwrap(),
-        born: ServerBirth::from_millis(born),
-        service: SERVICE.parse().unwrap(),
-        address: server.address(),
-        center: "c0".parse().unwrap(),
-        slots: 8,
-        phase: ServerPhase::Ready,
-        cold_left: Duration::ZERO,
-    }
-}
-
-fn put(site: &Site, record: &ServerRecord) {
-    let key = server_key(record.name.as_str());
-    site.store.put(&key, server_body(record));
-}
-
 /// A server that starts again under its id is another life: each of its crashes counts
 /// against the request that caused it. While lives were told apart by their id alone, two
 /// servers that came back under theirs were crashed without end.
@@ -51,7 +31,7 @@
     let announce = |lives: &[Vec<ServerStandIn>], index: usize| {
         let life = lives[index].last().unwrap();
         let born = 1_000_000 + lives[index].len() as u64;
-        put(&site, &record(&format!("s{index}"), life, born));
+        site.put(&record(&format!("s{index}"), life, born));
     };
     announce(&lives, 0);
     announce(&lives, 1);
@@ -95,8 +75,8 @@
     let left = foreign_entries(&own_record);
     assert_eq!(left.len(), FOREIGN_KINDS);
     let ForeignEntry { name, text } = left[kind].clone();
-    put(&site, &record("good", &good, 5));
-    put(&site, &own_record);
+    site.put(&record("good", &good, 5));
+    site.put(&own_record);
     site.configure(1);
     let gateway = site.gateway(0);
     gateway.wait_served();
@@ -113,7 +93,7 @@
     site.store.put(&server_key("foreign"), text);
     // The entry of a third server shows that the foreign one has been read.
     let third = ServerStandIn::start(site.ip(0)).unwrap();
-    put(&site, &record("third", &third, 5));
+    site.put(&record("third", &third, 5));
     wait_for("the entry that followed to be read", || {
         call(gateway.callers(), PATH, "third");
         !third.runs().is_empty()
@@ -124,6 +104,6 @@
         assert!(reply.status.is_success(), "{name}: others are served");
     }
     assert_eq!(foreign.runs().len(), before, "{name}: it names no server");
-    put(&site, &own_record);
+    site.put(&own_record);
     is_used("its server to be used again");
 }
--- a/crates/gateway/tests/leaving.rs
+++ b/crates/gateway/tests/leaving.rs
@@ -23,10 +23,9 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use http::StatusCode;
-use onyxfall_adapter::standin::{server_body, server_key};
 use onyxfall_fakes::{SaidWord, ServerFailing, ServerStandIn};
-use onyxfall_fleet::{ServerBirth, ServerPhase, ServerRecord};
-use support::{Gateway, SERVICE, Site, call, relay, wait_used};
+use onyxfall_fleet::ServerRecord;
+use support::{Gateway, Site, call, record, relay, wait_used};
 
 const LEAVING: SaidWord = SaidWord {
     is_leaving: true,
@@ -43,26 +42,13 @@
     site: Site,
 }
 
-fn record(name: &str, server: &ServerStandIn, born: u64, slots: u32) -> ServerRecord {
-    ServerRecord {
-        name: name.parse().unwrap(),
-        born: ServerBirth::from_millis(born),
-        service: SERVICE.parse().unwrap(),
-        address: server.address(),
-        center: "c0".parse().unwrap(),
-        slots,
-        phase: ServerPhase::Ready,
-        cold_left: Duration::ZERO,
-    }
-}
-
 impl LeavingSite {
     fn start() -> Self {
         let site = Site::start(1);
         let leaving = ServerStandIn::start(site.ip(0)).unwrap();
         let other = ServerStandIn::start(site.ip(0)).unwrap();
-        put(&site, &record("leaving", &leaving, 5, 8));
-        put(&site, &record("other", &other, 5, 8));
+        site.put(&record("leaving", &leaving, 5));
+        site.put(&record("other", &other, 5));
         site.configure(1);
         let gateway = site.gateway(0);
         gateway.wait_served();
@@ -103,11 +89,6 @@
     }
 }
 
-fn put(site: &Site, record: &ServerRecord) {
-    let key = server_key(record.name.as_str());
-    site.store.put(&key, server_body(record));
-}
-
 struct LeavingCase {
     name: &'static str,
     /// What the server does with the request by whose answer it tells.
@@ -158,22 +139,26 @@
     site.let_leave(ServerFailing::None);
     let seen = |what: &str| {
         let third = ServerStandIn::start(site.site.ip(0)).unwrap();
-        put(&site.site, &record("third", &third, 5, 8));
+        site.site.put(&record("third", &third, 5));
         site.wait_used(what, &third);
         site.site.retire("third");
     };
-    put(&site.site, &record("leaving", &site.leaving, 5, 9));
+    let larger = ServerRecord {
+        slots: 9,
+        ..record("leaving", &site.leaving, 5)
+    };
+    site.site.put(&larger);
     seen("the entry that was written again to be read");
     site.check_unused("written again", "/repeat/x");
     site.site.retire("leaving");
     seen("the removal of the entry to be read");
-    put(&site.site, &record("leaving", &site.leaving, 5, 8));
+    site.site.put(&record("leaving", &site.leaving, 5));
     seen("the entry that came back to be read");
     site.check_unused("gone and back", "/repeat/x");
     let later = ServerStandIn::start(site.site.ip(0)).unwrap();
     // As late as a leaving server's next life is, which has served on for some seconds.
     let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap() + Duration::from_secs(5);
     let born = u64::try_from(born.as_millis()).unwrap();
-    put(&site.site, &record("leaving", &later, born, 8));
+    site.site.put(&record("leaving", &later, born));
     site.wait_used("a later life to be used", &later);
 }
--- a/crates/gateway/tests/resting.rs
+++ b/crates/gateway/tests/resting.rs
@@ -53,13 +53,7 @@
 impl RestingSite {
     fn start(count: usize) -> Self {
         let site = Site::start(1);
-        let servers: Vec<ServerStandIn> = (0..count)
-            .map(|number| {
-                let server = ServerStandIn::start(site.ip(0)).unwrap();
-                site.announce(&format!("s{number}"), &server, 0);
-                server
-            })
-            .collect();
+        let servers = site.start_servers(count);
         site.configure(1);
         let gateway = site.gateway(0);
         gateway.wait_served();
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -157,6 +157,22 @@
         write(&routes, &services)
     }
 
+    /// Starts and announces servers of the first VM's data centre, `s0` and on.
+    pub fn start_servers(&self, count: usize) -> Vec<ServerStandIn> {
+        let start = |number| {
+            let server = ServerStandIn::start(self.ip(0)).unwrap();
+            self.announce(&format!("s{number}"), &server, 0);
+            server
+        };
+        (0..count).map(start).collect()
+    }
+
+    /// Writes an entry.
+    pub fn put(&self, record: &ServerRecord) {
+        let key = server_key(record.name.as_str());
+        self.store.put(&key, server_body(record));
+    }
+
     /// Announces a server of the data centre of a VM.
     pub fn announce(&self, name: &str, server: &ServerStandIn, vm: usize) {
         self.announce_as(name, server.address(), vm, ServerPhase::Ready);
@@ -427,6 +443,20 @@
     send_from(from, address, Method::POST, path, headers, body)
 }
 
+/// What a server of the first VM's data centre writes of itself.
+pub fn record(name: &str, server: &ServerStandIn, born: u64) -> ServerRecord {
+    ServerRecord {
+        name: name.parse().unwrap(),
+        born: ServerBirth::from_millis(born),
+        service: SERVICE.parse().unwrap(),
+        address: server.address(),
+        center: "c0".parse().unwrap(),
+        slots: 8,
+        phase: ServerPhase::Ready,
+        cold_left: Duration::ZERO,
+    }
+}
+
 /// Sends a request as a VM of another region passes it on, with a goal of 0.4 s.
 pub fn relay(
     gateway: &Gateway,
