--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -8,9 +8,13 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
+use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use onyxfall_adapter::standin::{StoreCall, batch_body, page_body, read_store_call};
+use onyxfall_adapter::standin::{
+    StoreCall, StoreWrite, batch_body, is_store_write, page_body, read_store_call,
+    read_store_write, written_body,
+};
 use onyxfall_fleet::{StoreEvent, StoreItem};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -44,6 +48,38 @@
     deaf_watches: usize,
     /// Watches that were answered.
     answered_watches: usize,
+    /// Changes under a condition that were made.
+    writes: usize,
+    /// Such changes to come whose answer is lost.
+    lost_answers: usize,
+}
+
+impl StoreState {
+    /// Sets a key at the present revision.
+    fn set(&mut self, key: &str, value: Bytes) {
+        let item = StoreItem {
+            key: key.to_owned(),
+            value,
+            revision: self.revision,
+        };
+        self.history.push(StoreEvent::Put(item.clone()));
+        self.items.insert(key.to_owned(), item);
+    }
+
+    /// Makes a change if its condition holds; whether it was made.
+    fn write(&mut self, write: &StoreWrite) -> bool {
+        let revision = |key: &String| self.items.get(key).map_or(0, |item| item.revision);
+        let mut expected = write.expected.iter();
+        if !expected.all(|(key, expected)| revision(key) == *expected) {
+            return false;
+        }
+        self.revision += 1;
+        self.writes += 1;
+        for (key, value) in &write.set {
+            self.set(key, Bytes::from(value.clone()));
+        }
+        true
+    }
 }
 
 #[derive(Default)]
@@ -83,16 +119,26 @@
     pub fn put(&self, key: &str, value: String) {
         let mut state = self.shared.state.lock();
         state.revision += 1;
-        let item = StoreItem {
-            key: key.to_owned(),
-            value: Bytes::from(value),
-            revision: state.revision,
-        };
-        state.history.push(StoreEvent::Put(item.clone()));
-        state.items.insert(key.to_owned(), item);
+        state.set(key, Bytes::from(value));
         self.shared.changed.notify_waiters();
     }
 
+    /// The value of an item.
+    pub fn get(&self, key: &str) -> Option<Bytes> {
+        let state = self.shared.state.lock();
+        state.items.get(key).map(|item| item.value.clone())
+    }
+
+    /// Loses the answers of so many changes to come, which are made.
+    pub fn lose_write_answers(&self, count: usize) {
+        self.shared.state.lock().lost_answers += count;
+    }
+
+    /// Changes under a condition that were made so far.
+    pub fn writes(&self) -> usize {
+        self.shared.state.lock().writes
+    }
+
     /// Deletes an item.
     pub fn delete(&self, key: &str) {
         let mut state = self.shared.state.lock();
@@ -146,6 +192,9 @@
         StoreMode::Refusing => return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, String::new())),
         StoreMode::Silent => std::future::pending().await,
     }
+    if is_store_write(request.uri()) {
+        return write(&shared, request).await;
+    }
     Ok(match read_store_call(request.uri()) {
         Some(StoreCall::Range { prefix }) => {
             let state = shared.state.lock();
@@ -169,6 +218,36 @@
     })
 }
 
+async fn write(
+    shared: &StoreShared,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let Ok(body) = request.into_body().collect().await else {
+        return Ok(reply(StatusCode::BAD_REQUEST, String::new()));
+    };
+    let Some(write) = read_store_write(&body.to_bytes()) else {
+        return Ok(reply(StatusCode::BAD_REQUEST, String::new()));
+    };
+    let (is_made, revision, is_lost) = {
+        let mut state = shared.state.lock();
+        let is_made = state.write(&write);
+        let is_lost = is_made && state.lost_answers > 0;
+        state.lost_answers -= usize::from(is_lost);
+        (is_made, state.revision, is_lost)
+    };
+    if is_made {
+        shared.changed.notify_waiters();
+    }
+    if is_lost {
+        std::future::pending::<()>().await;
+    }
+    Ok(if is_made {
+        reply(StatusCode::OK, written_body(revision))
+    } else {
+        reply(StatusCode::PRECONDITION_FAILED, String::new())
+    })
+}
+
 /// Whether this watch is one that waits for ever.
 fn take_deaf(shared: &StoreShared) -> bool {
     let mut state = shared.state.lock();
--- a/crates/fleet/benches/choice.rs
+++ b/crates/fleet/benches/choice.rs
@@ -39,6 +39,7 @@
             name: name.parse().unwrap(),
             born: ServerBirth::UNKNOWN,
             service: "svc".parse().unwrap(),
+            version: None,
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             center: "c0".parse().unwrap(),
             slots: 64,
--- a/crates/fleet/src/choose.rs
+++ b/crates/fleet/src/choose.rs
@@ -114,7 +114,18 @@
         excluded: &[ServerId],
         rng: &mut impl Rng,
     ) -> LocalOption {
-        let candidates: Vec<ServerId> = self.candidates(needs, excluded);
+        let candidates = self.candidates(needs, excluded);
+        self.choose_among(now, needs, candidates, rng)
+    }
+
+    /// The best of some servers of this region for a request.
+    pub(crate) fn choose_among(
+        &mut self,
+        now: Moment,
+        needs: &CallNeeds,
+        candidates: Vec<ServerId>,
+        rng: &mut impl Rng,
+    ) -> LocalOption {
         if candidates.is_empty() {
             return LocalOption::None;
         }
@@ -122,8 +133,7 @@
             return LocalOption::Held(end);
         }
         let roomy: Vec<ServerId> = candidates
-            .iter()
-            .copied()
+            .into_iter()
             .filter(|id| self.server(*id).is_rested(now) && self.has_room(*id, needs))
             .collect();
         if roomy.is_empty() {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -28,6 +28,7 @@
 mod signs;
 mod switches;
 mod team;
+mod version;
 mod view;
 mod word;
 mod work;
--- a/crates/fleet/src/mirror.rs
+++ b/crates/fleet/src/mirror.rs
@@ -110,6 +110,11 @@
         self.revision
     }
 
+    /// Revision of an item's last change.
+    pub fn item_revision(&self, key: &str) -> Option<u64> {
+        self.items.get(key).map(|item| item.revision)
+    }
+
     /// Whether nothing is known.
     pub fn is_empty(&self) -> bool {
         self.items.is_empty()
--- a/crates/fleet/src/predict.rs
+++ b/crates/fleet/src/predict.rs
@@ -112,14 +112,12 @@
         self.server_mut(id).start(now, attempt, needs, predicted);
     }
 
-    /// Notes the first byte of an attempt.
-    pub fn note_answer(&mut self, now: Moment, id: ServerId, attempt: u64) {
-        let Some(seen) = self.server_mut(id).answer(now, attempt) else {
-            return;
-        };
+    /// Notes the first byte of an attempt; how many times slower than usual it came.
+    pub fn note_answer(&mut self, now: Moment, id: ServerId, attempt: u64) -> Option<f64> {
+        let seen = self.server_mut(id).answer(now, attempt)?;
         // A cold server's times say nothing of a warm one's.
         if !self.learns() || self.server(id).is_cold(now) {
-            return;
+            return Some(seen.ratio);
         }
         let factor = self.relative_slowness(id, seen.slowness);
         let took = seen.took.div_f64(factor);
@@ -130,10 +128,11 @@
             ServerLoad::Engine(load) => costs.engine_mut().learn_first(&load, took, doubt),
             ServerLoad::Plain(turns) => costs.plain_mut().learn(took, turns),
         }
+        Some(seen.ratio)
     }
 
     /// Notes the end of an attempt; `events` of its answer have come, if it is a
-    /// stream.
+    /// stream. How many times slower than usual they came, if that is known.
     pub fn end_attempt(
         &mut self,
         now: Moment,
@@ -141,13 +140,16 @@
         attempt: u64,
         result: AttemptResult,
         events: Option<u32>,
-    ) {
+    ) -> Option<f64> {
         let since = self.server(id).since_answer(now, attempt);
         self.server_mut(id).end(now, attempt, result);
         let gaps = f64::from(events.unwrap_or(0).saturating_sub(1));
         let is_whole = result == AttemptResult::Succeeded && gaps >= LEAST_GAPS;
-        if let (Some((ServerLoad::Engine(load), took)), true) = (since, is_whole) {
-            self.learn_rest(now, id, &load, took, gaps);
+        match (since, is_whole) {
+            (Some((ServerLoad::Engine(load), took)), true) => {
+                self.learn_rest(now, id, &load, took, gaps)
+            }
+            _ => None,
         }
     }
 
@@ -158,15 +160,15 @@
         load: &EngineLoad,
         took: Duration,
         gaps: f64,
-    ) {
+    ) -> Option<f64> {
         if !self.learns() || self.server(id).is_cold(now) {
-            return;
+            return None;
         }
         let service = self.server(id).record.service.clone();
         let predicted = self.costs(&service).pace_ms(load, gaps);
         let pace = took.div_f64(gaps);
-        if let Some(predicted) = predicted {
-            let ratio = pace.as_secs_f64() * 1e3 / predicted.max(f64::MIN_POSITIVE);
+        let ratio = predicted.map(|ms| pace.as_secs_f64() * 1e3 / ms.max(f64::MIN_POSITIVE));
+        if let Some(ratio) = ratio {
             self.server_mut(id).note_pace(ratio);
         }
         let factor = self.server(id).pace_slowness();
@@ -175,6 +177,7 @@
         costs
             .engine_mut()
             .learn_rest(load, took, gaps, factor.max(1.0 / factor));
+        ratio
     }
 
     /// What this VM tells others of the costs of each service.
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use onyxfall_types::{CenterName, ServerName, ServiceName};
+use onyxfall_types::{CenterName, ServerName, ServiceName, SoftwareVersion};
 
 use crate::life::{ServerBirth, ServerLife};
 
@@ -28,6 +28,8 @@
     pub born: ServerBirth,
     /// Service that it belongs to.
     pub service: ServiceName,
+    /// Version of its software, if it says so.
+    pub version: Option<SoftwareVersion>,
     /// Where it listens.
     pub address: SocketAddr,
     /// Its data centre.
--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -236,6 +236,11 @@
         self.services.get(name)
     }
 
+    /// Every route.
+    pub fn routes(&self) -> impl Iterator<Item = &RouteRule> {
+        self.routes.iter().map(|(_, rule)| rule)
+    }
+
     /// Every service.
     pub fn services(&self) -> impl Iterator<Item = &BackendService> {
         self.services.values()
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -76,6 +76,8 @@
     pub(crate) took: Duration,
     /// How many times slower than expected the server is, this answer included.
     pub(crate) slowness: f64,
+    /// How many times slower than usual this answer is.
+    pub(crate) ratio: f64,
 }
 
 /// State of one life of a server.
@@ -87,6 +89,8 @@
     pub region: RegionName,
     /// Hash of its life.
     life: u64,
+    /// When its entry was first seen.
+    seen: Moment,
     cold_until: Moment,
     cold_share: ColdShare,
     gone: bool,
@@ -114,6 +118,7 @@
     /// A server seen for the first time.
     pub fn new(now: Moment, record: ServerRecord, region: RegionName, cold_rate: f64) -> Self {
         Self {
+            seen: now,
             cold_until: now + record.cold_left,
             cold_share: ColdShare::new(now, cold_rate),
             life: record.life().hash(),
@@ -177,6 +182,11 @@
         u32::from_be_bytes([a, b, c, d])
     }
 
+    /// When its entry was first seen.
+    pub(crate) fn seen(&self) -> Moment {
+        self.seen
+    }
+
     /// Whether this life has ended.
     pub fn is_gone(&self) -> bool {
         self.gone
@@ -447,6 +457,7 @@
             load,
             took,
             slowness,
+            ratio,
         })
     }
 
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use onyxfall_policy::Moment;
+use onyxfall_rollout::VersionRule;
 use onyxfall_types::{
     CenterName, EntityMap, RegionName, ServerId, ServerName, ServiceName, VmName,
 };
@@ -95,6 +96,8 @@
     /// Delay that is accepted for 1,000 tokens of a shared part that need not be read
     /// again.
     reread_price: Duration,
+    /// Which versions of services may have requests, where two have servers.
+    pub(crate) version_rules: BTreeMap<ServiceName, VersionRule>,
 }
 
 impl FleetView {
@@ -120,6 +123,7 @@
             drawn: BTreeMap::new(),
             rates: RateTable::new(),
             reread_price: REREAD_PRICE,
+            version_rules: BTreeMap::new(),
         }
     }
 
@@ -277,8 +281,13 @@
         self.evacuated.contains(center)
     }
 
-    /// Whether a server's entry and data centre let it have new work.
+    /// Whether a server's entry, data centre and version let it have new work.
     pub(crate) fn takes_work(&self, id: ServerId) -> bool {
+        self.may_work(id) && self.is_usual_version(id)
+    }
+
+    /// Whether a server's entry and data centre let it have new work.
+    pub(crate) fn may_work(&self, id: ServerId) -> bool {
         let server = self.server(id);
         server.takes_work() && !self.is_evacuated(&server.record.center)
     }
--- a/crates/fleet/src/word.rs
+++ b/crates/fleet/src/word.rs
@@ -86,6 +86,7 @@
     /// #     name: "s1".parse().unwrap(),
     /// #     born: ServerBirth::UNKNOWN,
     /// #     service: "svc".parse().unwrap(),
+    /// #     version: None,
     /// #     address: "10.0.0.1:80".parse().unwrap(),
     /// #     center,
     /// #     slots: 4,
@@ -137,7 +138,7 @@
     /// Whether a send to a server may begin now. A request whose server was chosen may
     /// have waited for a connection since.
     pub fn may_send(&self, now: Moment, id: ServerId) -> bool {
-        self.takes_work(id) && self.server(id).rest_end(now).is_none()
+        self.may_work(id) && !self.is_closed_version(id) && self.server(id).rest_end(now).is_none()
     }
 
     /// When the first of these servers may have work again; none if one may have it now.
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -32,6 +32,7 @@
         name: name.parse().unwrap(),
         born: ServerBirth::UNKNOWN,
         service: "svc".parse().unwrap(),
+        version: None,
         address: ([127, 0, 0, 1], 1).into(),
         center: "c0".parse().unwrap(),
         slots: 4,
--- a/crates/gateway/src/decide.rs
+++ b/crates/gateway/src/decide.rs
@@ -70,6 +70,9 @@
         if let Some(step) = self.decide_suspect(call, progress) {
             return step;
         }
+        if let Some(step) = self.decide_version(call, progress) {
+            return step;
+        }
         let now = self.now();
         let needs = remaining_needs(call, progress);
         let local = self.fleet.borrow_mut().choose(
@@ -78,6 +81,10 @@
             &progress.servers,
             &mut *self.rng.borrow_mut(),
         );
+        let is_free = matches!(local, LocalOption::Free(_));
+        if let Some(step) = (!is_free).then(|| self.decide_spare(call)).flatten() {
+            return step;
+        }
         let away = self
             .best_away(now, call, progress)
             .filter(|away| !self.is_too_late(call, &away.predicted));
@@ -290,7 +297,7 @@
 
     /// Whether an answer comes too late to be worth its work: there is too much before
     /// it, or the caller will have left.
-    fn is_too_late(&self, call: &CallContext, predicted: &TimePrediction) -> bool {
+    pub(crate) fn is_too_late(&self, call: &CallContext, predicted: &TimePrediction) -> bool {
         let refuses = self.is_on(DecisionSwitch::RefusePredicted);
         let is_full = refuses
             && predicted.backlog > call.needs.goal.mul_f64(IDLE_PART)
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -28,7 +28,7 @@
         READY_PATH => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
         METRICS_PATH => plain(
             StatusCode::OK,
-            gateway.metrics.render() + &gateway.team_gauges(),
+            gateway.metrics.render() + &gateway.team_gauges() + &gateway.rollout_gauges(),
         ),
         RESOLVE_PATH => resolve(gateway, target.query().unwrap_or("")),
         _ => plain(StatusCode::NOT_FOUND, "no such path\n".to_owned()),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
 };
 use onyxfall_overlay::{KnownVm, OverlayNode, RecordVersion, RosterTiming, VmRecord, VmStatus};
 use onyxfall_policy::Moment;
+use onyxfall_rollout::RolloutTable;
 use onyxfall_types::{Incarnation, ServiceName, VmName};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -68,6 +69,10 @@
     retries: RefCell<BTreeMap<ServiceName, RetryShare>>,
     /// What teams use of their limits.
     pub(crate) quotas: RefCell<QuotaTable>,
+    /// Versions that the operator moves services to.
+    pub(crate) rollouts: RefCell<RolloutTable>,
+    /// Steps of roll-outs as they were last logged.
+    pub(crate) told_phases: RefCell<BTreeMap<ServiceName, &'static str>>,
     /// Requests that crash servers.
     pub(crate) suspects: SharedBoard,
     pub(crate) pool: ConnectionPool,
@@ -146,6 +151,8 @@
             lengths: RefCell::default(),
             retries: RefCell::default(),
             quotas: RefCell::new(quotas),
+            rollouts: RefCell::new(RolloutTable::new(place.region, unix_start)),
+            told_phases: RefCell::default(),
             suspects: SharedBoard::default(),
             pool: ConnectionPool::default(),
             store: RefCell::default(),
@@ -268,6 +275,7 @@
         self.refresh_status();
         self.refresh_quota_peers(now);
         self.refresh_suspects(now);
+        self.refresh_rollouts(now);
         let (base, expired) = {
             let mut mirror = self.mirror.borrow_mut();
             (mirror.revision(), mirror.expire(now))
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -4,6 +4,7 @@
 
 use onyxfall_adapter::{DecodeError, StoreKey, StoreNews, read_item, read_key};
 use onyxfall_fleet::{MirrorChange, RouteTable, TeamTable};
+use onyxfall_rollout::RolloutOrder;
 
 use crate::gateway::Gateway;
 use crate::report::millis;
@@ -20,7 +21,7 @@
         for change in changes {
             match change {
                 MirrorChange::Set(key, value) => match read_item(&key, &value) {
-                    Ok(news) => self.take_news(news),
+                    Ok(news) => self.take_news(&key, news),
                     Err(e) => self.refuse_item(&key, &e),
                 },
                 MirrorChange::Removed(key) => self.take_removal(&key),
@@ -33,16 +34,62 @@
     fn refuse_item(&self, key: &str, error: &DecodeError) {
         self.metrics.count("onyxfall_items_not_understood_total");
         log::error!(key, error:% = error; "item not understood");
-        if let StoreKey::Server(name) = read_key(key) {
-            let mut fleet = self.fleet.borrow_mut();
-            fleet.remove_server(self.now(), name.as_str());
+        match read_key(key) {
+            StoreKey::Server(name) => {
+                let mut fleet = self.fleet.borrow_mut();
+                fleet.remove_server(self.now(), name.as_str());
+            }
+            // What stood there before is no longer asked for.
+            StoreKey::Order(service) => {
+                self.rollouts.borrow_mut().withdraw(&service);
+                self.refresh_rollouts(self.now());
+            }
+            _ => {}
         }
     }
 
-    fn take_news(&self, news: StoreNews) {
+    /// Revision at which an item stands in the copy of the store.
+    fn item_revision(&self, key: &str) -> u64 {
+        self.mirror.borrow().item_revision(key).unwrap_or_default()
+    }
+
+    fn take_order(&self, key: &str, order: RolloutOrder) {
+        let revision = self.item_revision(key);
+        log::info!(
+            service = order.service.as_str(),
+            version = order.target.as_str(),
+            time_ms = millis(order.time),
+            revision;
+            "another version is ordered"
+        );
+        let is_known = self
+            .table()
+            .is_some_and(|table| table.service(&order.service).is_some());
+        if !is_known {
+            log::warn!(service = order.service.as_str(); "no such service is configured");
+        }
+        let mut rollouts = self.rollouts.borrow_mut();
+        rollouts.take_order(self.now(), revision, order);
+        drop(rollouts);
+        self.refresh_rollout_routes();
+        self.refresh_rollouts(self.now());
+    }
+
+    fn take_news(&self, key: &str, news: StoreNews) {
         let now = self.now();
         let table = self.table();
         match news {
+            StoreNews::Order(order) => self.take_order(key, order),
+            StoreNews::Rollout(service, record) => {
+                let revision = self.item_revision(key);
+                let mut rollouts = self.rollouts.borrow_mut();
+                rollouts.take_record(now, &service, revision, record);
+            }
+            StoreNews::Shift(service, region, order) => {
+                let revision = self.item_revision(key);
+                let mut rollouts = self.rollouts.borrow_mut();
+                rollouts.take_shift(now, &service, region, order, revision);
+            }
             StoreNews::Config(next) => self.take_table(*next),
             StoreNews::Server(record) => {
                 log::info!(
@@ -86,6 +133,7 @@
         );
         self.set_teams(&next);
         *self.table.borrow_mut() = Some(Rc::new(next));
+        self.refresh_rollout_routes();
     }
 
     fn take_removal(&self, key: &str) {
@@ -102,8 +150,14 @@
                 let mut fleet = self.fleet.borrow_mut();
                 fleet.take_back(now, &center, table.as_deref());
             }
-            // A configuration is never withdrawn; the last one stays in force.
-            StoreKey::Config | StoreKey::Other => {}
+            // A configuration is never withdrawn; the last one stays in force. So do records
+            // of roll-outs, which nobody deletes.
+            StoreKey::Config | StoreKey::Rollout(_) | StoreKey::Shift(..) | StoreKey::Other => {}
+            StoreKey::Order(service) => {
+                log::info!(service = service.as_str(); "order of another version is taken back");
+                self.rollouts.borrow_mut().withdraw(&service);
+                self.refresh_rollouts(self.now());
+            }
         }
     }
 }
--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -1,5 +1,6 @@
 //! An attempt under way at a server: its bookkeeping ends with its owner.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use onyxfall_fleet::AttemptResult;
@@ -23,6 +24,8 @@
     /// before its server crashes under it.
     is_from_start: bool,
     is_finished: bool,
+    /// How many times slower than usual its first byte came.
+    ratio: Cell<Option<f64>>,
     /// Counts the run where its request was on a server that broke off.
     suspect: Option<SuspectRun>,
 }
@@ -51,6 +54,7 @@
             started: now,
             is_from_start,
             is_finished: false,
+            ratio: Cell::new(None),
             suspect: SuspectRun::start(gateway, call),
         }
     }
@@ -71,7 +75,9 @@
     pub(crate) fn answer(&self) {
         let now = self.gateway.now();
         let mut fleet = self.gateway.fleet.borrow_mut();
-        fleet.note_answer(now, self.server, self.id);
+        let ratio = fleet.note_answer(now, self.server, self.id);
+        self.ratio
+            .set(ratio.filter(|_| fleet.is_warm(now, self.server)));
     }
 
     /// Ends the attempt with a result.
@@ -102,7 +108,7 @@
         if result == AttemptResult::Broken && events.is_some() {
             fleet.note_crash(now, self.server);
         }
-        fleet.end_attempt(now, self.server, self.id, result, events);
+        let pace = fleet.end_attempt(now, self.server, self.id, result, events);
         let state = fleet.server(self.server);
         let is_trusted = state.is_trusted(now);
         if was_trusted != is_trusted {
@@ -114,6 +120,11 @@
                 "server judged anew"
             );
         }
+        drop(fleet);
+        let ratio = self.ratio.get();
+        let ratio = ratio.map(|ratio| ratio.max(pace.unwrap_or_default()));
+        self.gateway
+            .note_outcome(&self.call, self.server, result, ratio);
     }
 }
 
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -292,7 +292,7 @@
 
 /// The VMs of this region in the order in which they watch the store: aggregators
 /// before the others.
-fn watch_order(roster: &Roster) -> Vec<&VmName> {
+pub(crate) fn watch_order(roster: &Roster) -> Vec<&VmName> {
     let own = roster.own();
     let levels = roster.levels();
     let aggregators = levels.region(&own.region);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -8,16 +8,11 @@
 //! copy stays in force and peers may have a newer one.
 
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
 use onyxfall_adapter::{
-    EventBatch, ItemPage, StoreError, WATCHED_PREFIX, range_request, read_batch, read_page,
-    watch_request,
+    EventBatch, ItemPage, WATCHED_PREFIX, range_request, read_batch, read_page, watch_request,
 };
 use onyxfall_fleet::{
     BEHIND_LIMIT, MirrorChange, RETURN_WINDOW, StoreEvent, StoreHealth, StoreMirror,
@@ -26,17 +21,12 @@
 use rand::Rng;
 use thiserror::Error;
 
-use crate::connection::{HttpConnection, SendError};
 use crate::gateway::Gateway;
+use crate::store_client::{CallError, StoreClient};
 
 /// How long the store may hold a watch. Each call is priced; a dead connection
 /// is found by probes, so this is the bound for a store that hangs.
 const WATCH_WAIT: Duration = Duration::from_secs(8);
-/// Longest time for an answer beyond the wait.
-const ANSWER_LIMIT: Duration = Duration::from_millis(1500);
-/// Longest time for a connection to the store to come up; it may be in another
-/// region, and slow.
-const DIAL_LIMIT: Duration = Duration::from_millis(700);
 /// Pauses between calls that fail: from this, doubled, up to the next.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 const LAST_PAUSE: Duration = Duration::from_millis(700);
@@ -55,8 +45,6 @@
 const BATCH_PAUSE: Duration = Duration::from_millis(150);
 /// Look whether another VM watches.
 const FOLLOW_LOOK: Duration = Duration::from_millis(50);
-/// Largest answer: a page holds at most about a megabyte, in base64.
-const ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
 /// What is known of the store's availability.
 #[derive(Debug, Default)]
@@ -107,23 +95,6 @@
     }
 }
 
-/// Why a call failed.
-#[derive(Debug, Error)]
-enum CallError {
-    #[error("{0}")]
-    Store(#[from] StoreError),
-    #[error("no connection: {0}")]
-    Unreachable(#[from] std::io::Error),
-    #[error("the connection broke")]
-    Broken,
-    #[error("no answer")]
-    TimedOut,
-    #[error("this VM was suspended")]
-    Suspended,
-    #[error("other VMs know of changes that the watch did not bring")]
-    Deaf,
-}
-
 /// Why a watch ended.
 #[derive(Debug, Error)]
 enum WatchEnd {
@@ -138,7 +109,7 @@
     let spread = READ_ALONE_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
     let mut watch = StoreWatch {
         gateway: Rc::clone(gateway),
-        connection: None,
+        client: StoreClient::new(gateway),
         pause: FIRST_PAUSE,
         patience: READ_ALONE_AFTER + spread,
     };
@@ -162,7 +133,7 @@
 
 struct StoreWatch {
     gateway: Rc<Gateway>,
-    connection: Option<HttpConnection>,
+    client: StoreClient,
     pause: Duration,
     /// Age from which this VM reads everything itself if it has no whole copy.
     patience: Duration,
@@ -346,61 +317,25 @@
         after: Option<&str>,
         cause: &'static str,
     ) -> Result<ItemPage, CallError> {
-        let host = self.store().to_string();
-        let request = range_request(&host, WATCHED_PREFIX, after);
-        let (status, body) = self.call(request, Duration::ZERO, cause).await?;
+        let request = range_request(&self.client.host(), WATCHED_PREFIX, after);
+        let (status, body) = self.client.call(request, Duration::ZERO, cause).await?;
         Ok(read_page(status, &body)?)
     }
 
     async fn watch(&mut self, revision: u64) -> Result<EventBatch, CallError> {
-        let host = self.store().to_string();
+        let host = self.client.host();
         let request = watch_request(&host, WATCHED_PREFIX, revision, WATCH_WAIT);
         // A watch may have gone silent, alone or with its connection. Until its own end it
         // would leave this VM, and those that it watches for, behind for eight seconds.
         let gateway = Rc::clone(&self.gateway);
         let (status, body) = tokio::select! {
-            answer = self.call(request, WATCH_WAIT, "watch") => answer?,
+            answer = self.client.call(request, WATCH_WAIT, "watch") => answer?,
             () = wait_until_deaf(&gateway) => return Err(CallError::Deaf),
             () = gateway.woken.notified() => return Err(CallError::Suspended),
         };
         Ok(read_batch(status, &body)?)
     }
 
-    fn store(&self) -> SocketAddr {
-        self.gateway.settings().store
-    }
-
-    async fn call(
-        &mut self,
-        request: Request<Bytes>,
-        wait: Duration,
-        cause: &'static str,
-    ) -> Result<(StatusCode, Bytes), CallError> {
-        let address = self.store();
-        self.gateway.metrics.count_store_call(cause);
-        let kept = self.connection.take();
-        let called = tokio::time::timeout(wait + ANSWER_LIMIT, async {
-            let ready = kept.filter(HttpConnection::is_ready);
-            let mut connection = if let Some(connection) = ready {
-                connection
-            } else {
-                let plan = self.gateway.dial_plan(DIAL_LIMIT);
-                HttpConnection::open(address, plan).await?
-            };
-            let sent = connection.send(request.map(Full::new)).await;
-            let response = sent.map_err(|e| match e {
-                SendError::Unsent | SendError::Broken(_) => CallError::Broken,
-            })?;
-            let (head, body) = response.into_parts();
-            let body = Limited::new(body, ANSWER_BYTES).collect().await;
-            let body = body.map_err(|_| CallError::Broken)?.to_bytes();
-            Ok((connection, head.status, body))
-        });
-        let (connection, status, body) = called.await.unwrap_or(Err(CallError::TimedOut))?;
-        self.connection = Some(connection);
-        Ok((status, body))
-    }
-
     fn note_success(&mut self) {
         self.pause = FIRST_PAUSE;
         let now = self.gateway.now();
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -129,6 +129,7 @@
                     drop(fleet);
                     self.note_silence(now, server, was_silent);
                 }
+                None if self.take_evidence(tag, &work) => {}
                 None => self.apply_rate(now, tag, work.flow),
             }
         }
@@ -174,7 +175,7 @@
                 ..WorkShare::default()
             },
         });
-        let work = work.chain(flows);
+        let work = work.chain(flows).chain(self.own_evidence());
         self.overlay.borrow_mut().totals_mut().set_own(work);
     }
 
@@ -191,6 +192,7 @@
                 age_ms: 0,
                 services: self.own_loads(now),
                 teams: demand_entries(self.quotas.borrow().region_demand(now)),
+                evidence: self.region_evidence(),
             }],
             LinkRelation::Digest | LinkRelation::StandbyDigest => self
                 .away
@@ -205,6 +207,7 @@
                         .map(|(tag, load)| load_entry(*tag, load))
                         .collect(),
                     teams: demand_entries(self.quotas.borrow().told_by(region)),
+                    evidence: self.far_evidence(region),
                 })
                 .collect(),
             _ => Vec::new(),
@@ -236,6 +239,7 @@
                 .iter()
                 .map(|entry| (entry.team, entry.demand as f64))
                 .collect();
+            self.take_far_evidence(&region, &word.evidence);
             self.quotas.borrow_mut().hear(said, &region, &demands);
             self.away
                 .borrow_mut()
--- /dev/null
+++ b/crates/gateway/tests/rollouts.rs
@@ -0,0 +1,305 @@
+//! Roll-outs by real gateways: few requests reach a version that is not proved, a bad one
+//! is given up, a good one takes over, and the store's record says so.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use http::StatusCode;
+use onyxfall_adapter::standin::{order_body, order_key, read_status, status_key};
+use onyxfall_fakes::{ServerFailing, ServerStandIn, StoreMode};
+use support::{Gateway, SERVICE, Site, call, record, wait_for};
+
+const OLD: &str = "v1";
+const NEW: &str = "v2";
+/// Time that an order gives; long enough for a busy machine.
+const SECONDS: f64 = 12.0;
+
+struct RolloutSite {
+    gateways: Vec<Gateway>,
+    old: Vec<ServerStandIn>,
+    new: Vec<ServerStandIn>,
+    site: Site,
+    asked: usize,
+}
+
+impl RolloutSite {
+    /// VMs of one region with servers of the old version.
+    fn start(vms: u8) -> Self {
+        let site = Site::start_in(vms, 1);
+        let mut started = Self {
+            gateways: Vec::new(),
+            old: Vec::new(),
+            new: Vec::new(),
+            site,
+            asked: 0,
+        };
+        started.old = started.add_servers(OLD);
+        started.site.configure(1);
+        started.gateways = (0..usize::from(vms))
+            .map(|vm| started.site.gateway(vm))
+            .collect();
+        for gateway in &started.gateways {
+            gateway.wait_served();
+        }
+        started
+    }
+
+    fn add_servers(&self, version: &str) -> Vec<ServerStandIn> {
+        let add = |number| {
+            let server = ServerStandIn::start(self.site.ip(0)).unwrap();
+            let mut entry = record(&format!("{version}-{number}"), &server, 5);
+            entry.version = Some(version.parse().unwrap());
+            self.site.put(&entry);
+            server
+        };
+        (0..3).map(add).collect()
+    }
+
+    /// Orders the new version and starts its servers.
+    fn order(&mut self, failing: ServerFailing) {
+        let body = order_body(SERVICE, NEW, SECONDS);
+        self.site.store.put(&order_key(SERVICE), body);
+        self.new = self.add_servers(NEW);
+        for server in &self.new {
+            server.set_failing(failing);
+        }
+    }
+
+    fn status(&self) -> Option<(String, String)> {
+        read_status(&self.site.store.get(&status_key(SERVICE))?)
+    }
+
+    fn wait_state(&mut self, state: &str) {
+        let wanted = Some((state.to_owned(), NEW.to_owned()));
+        wait_for(state, || {
+            self.ask(10);
+            self.status() == wanted
+        });
+    }
+
+    /// Sends requests; how many there were of each status.
+    fn ask(&mut self, count: usize) -> BTreeMap<u16, usize> {
+        let mut statuses = BTreeMap::new();
+        for _ in 0..count {
+            self.asked += 1;
+            let gateway = &self.gateways[self.asked % self.gateways.len()];
+            let id = format!("asked{}", self.asked);
+            let reply = call(gateway.callers(), "/repeat/x", &id);
+            let status = reply.map_or(0, |reply| reply.status.as_u16());
+            *statuses.entry(status).or_default() += 1;
+        }
+        statuses
+    }
+
+    fn arrived(servers: &[ServerStandIn]) -> usize {
+        servers.iter().map(ServerStandIn::arrived).sum()
+    }
+
+    /// Part of the requests that have reached the new version since there were `old` at
+    /// the old one.
+    fn new_part(&self, old: usize) -> f64 {
+        let new = Self::arrived(&self.new) as f64;
+        let old = (Self::arrived(&self.old) - old) as f64;
+        new / (new + old).max(1.0)
+    }
+}
+
+#[test]
+fn a_bad_version_is_given_up_and_gets_nothing_more() {
+    let mut site = RolloutSite::start(2);
+    site.order(ServerFailing::Fails);
+    let old = RolloutSite::arrived(&site.old);
+    site.wait_state("rolled_back");
+    assert!(RolloutSite::arrived(&site.new) > 0, "it was tried");
+    let part = site.new_part(old);
+    assert!(part <= 0.1, "{part} of all requests reached it");
+    site.ask(20);
+    let before = RolloutSite::arrived(&site.new);
+    let statuses = site.ask(100);
+    assert_eq!(RolloutSite::arrived(&site.new), before);
+    assert_eq!(statuses.get(&StatusCode::OK.as_u16()), Some(&100));
+}
+
+#[test]
+fn a_good_version_takes_over() {
+    let mut site = RolloutSite::start(2);
+    site.order(ServerFailing::None);
+    site.wait_state("running");
+    site.wait_state("completed");
+    let before = RolloutSite::arrived(&site.old);
+    let statuses = site.ask(50);
+    assert_eq!(RolloutSite::arrived(&site.old), before, "old servers stop");
+    assert_eq!(statuses.get(&StatusCode::OK.as_u16()), Some(&50));
+}
+
+#[test]
+fn an_order_that_is_taken_back_is_rolled_back() {
+    let mut site = RolloutSite::start(2);
+    site.order(ServerFailing::None);
+    site.wait_state("running");
+    site.site.store.delete(&order_key(SERVICE));
+    site.wait_state("rolled_back");
+    site.ask(10);
+    let before = RolloutSite::arrived(&site.new);
+    site.ask(60);
+    assert_eq!(RolloutSite::arrived(&site.new), before);
+}
+
+#[test]
+fn an_order_written_anew_is_a_new_roll_out() {
+    let mut site = RolloutSite::start(2);
+    site.order(ServerFailing::Fails);
+    site.wait_state("rolled_back");
+    for server in &site.new {
+        server.set_failing(ServerFailing::None);
+    }
+    let body = order_body(SERVICE, NEW, SECONDS);
+    site.site.store.put(&order_key(SERVICE), body);
+    site.wait_state("running");
+    site.wait_state("completed");
+}
+
+#[test]
+fn a_lost_answer_of_a_write_does_not_hold_a_roll_out() {
+    let mut site = RolloutSite::start(2);
+    site.site.store.lose_write_answers(2);
+    site.order(ServerFailing::Fails);
+    site.wait_state("rolled_back");
+}
+
+#[test]
+fn vms_close_a_bad_version_while_the_store_is_away() {
+    let mut site = RolloutSite::start(2);
+    site.order(ServerFailing::Fails);
+    wait_for("both VMs to send a sample", || {
+        site.gateways
+            .iter()
+            .all(|gateway| gateway.log().contains("\"phase\":\"sampling\""))
+    });
+    site.site.store.set_mode(StoreMode::Refusing);
+    wait_for("both VMs to give the version up", || {
+        site.ask(10);
+        site.gateways
+            .iter()
+            .all(|gateway| gateway.log().contains("version is given up"))
+    });
+    let before = RolloutSite::arrived(&site.new);
+    site.ask(60);
+    assert_eq!(RolloutSite::arrived(&site.new), before);
+    site.site.store.set_mode(StoreMode::Well);
+    site.wait_state("rolled_back");
+}
+
+#[test]
+fn the_writer_of_a_record_may_be_killed() {
+    let mut site = RolloutSite::start(3);
+    site.order(ServerFailing::Fails);
+    site.wait_state("running");
+    let is_writer = |gateway: &Gateway| gateway.log().contains("record of a roll-out");
+    let mut writer = None;
+    wait_for("a VM to log that it wrote", || {
+        writer = site.gateways.iter().position(is_writer);
+        writer.is_some()
+    });
+    let writer = writer.unwrap();
+    site.gateways[writer].signal("-KILL");
+    site.gateways.remove(writer);
+    site.wait_state("rolled_back");
+}
+
+struct BadOrder {
+    name: &'static str,
+    key: &'static str,
+    body: &'static str,
+}
+
+#[test]
+fn orders_that_make_no_sense_move_nothing() {
+    let cases = [
+        BadOrder {
+            name: "no JSON",
+            key: SERVICE,
+            body: "{",
+        },
+        BadOrder {
+            name: "no version",
+            key: SERVICE,
+            body: r#"{"Service":"svc","DurationS":12}"#,
+        },
+        BadOrder {
+            name: "no time",
+            key: SERVICE,
+            body: r#"{"Service":"svc","TargetVersion":"v2"}"#,
+        },
+        BadOrder {
+            name: "a negative time",
+            key: SERVICE,
+            body: r#"{"Service":"svc","TargetVersion":"v2","DurationS":-1}"#,
+        },
+        BadOrder {
+            name: "a time beyond all numbers",
+            key: SERVICE,
+            body: r#"{"Service":"svc","TargetVersion":"v2","DurationS":1e300}"#,
+        },
+        BadOrder {
+            name: "an empty version",
+            key: SERVICE,
+            body: r#"{"Service":"svc","TargetVersion":"","DurationS":12}"#,
+        },
+        BadOrder {
+            name: "another service than its key",
+            key: SERVICE,
+            body: r#"{"Service":"models","TargetVersion":"v2","DurationS":12}"#,
+        },
+        BadOrder {
+            name: "a service that is not known",
+            key: "unknown",
+            body: r#"{"Service":"unknown","TargetVersion":"v2","DurationS":12}"#,
+        },
+    ];
+    for case in &cases {
+        let mut site = RolloutSite::start(1);
+        site.site
+            .store
+            .put(&order_key(case.key), case.body.to_owned());
+        wait_for(case.name, || {
+            let log = site.gateways[0].log();
+            log.contains("item not understood") || log.contains("no such service")
+        });
+        let old = RolloutSite::arrived(&site.old);
+        let statuses = site.ask(40);
+        assert_eq!(
+            statuses.get(&StatusCode::OK.as_u16()),
+            Some(&40),
+            "{}",
+            case.name
+        );
+        let used = RolloutSite::arrived(&site.old) - old;
+        assert!(used >= 40, "{}: {used}", case.name);
+        assert_eq!(site.status(), None, "{}", case.name);
+    }
+}
+
+#[test]
+fn the_present_version_needs_no_roll_out() {
+    let mut site = RolloutSite::start(1);
+    let body = order_body(SERVICE, OLD, SECONDS);
+    site.site.store.put(&order_key(SERVICE), body);
+    let completed = Some(("completed".to_owned(), OLD.to_owned()));
+    wait_for("the record", || site.status() == completed);
+    let statuses = site.ask(40);
+    assert_eq!(statuses.get(&StatusCode::OK.as_u16()), Some(&40));
+}
+
+#[test]
+fn a_vm_that_hears_nobody_tries_no_new_version() {
+    let mut site = RolloutSite::start(2);
+    site.gateways.truncate(1);
+    std::thread::sleep(Duration::from_secs(3));
+    site.order(ServerFailing::None);
+    site.wait_state("running");
+    site.ask(100);
+    assert_eq!(RolloutSite::arrived(&site.new), 0);
+}
--- /dev/null
+++ b/crates/rollout/src/service.rs
@@ -0,0 +1,443 @@
+//! The roll-out of one service, as this VM knows it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use onyxfall_policy::Moment;
+use onyxfall_types::{RegionName, RouteName, SoftwareVersion};
+use rand::Rng;
+
+use crate::evidence::{RolloutEvidence, VersionSide};
+use crate::judge::{BadMetric, EvidenceWindows, RolloutJudgement};
+use crate::order::RolloutOrder;
+use crate::record::{RolloutReason, RolloutRecord, RolloutState};
+use crate::sample::SampleShare;
+use crate::timeline::RolloutTimeline;
+
+/// Time between two looks at the evidence.
+const JUDGE_INTERVAL: Duration = Duration::from_millis(200);
+/// Answers of the new version in a region without which it is not proved there.
+const LEAST_ANSWERS: u64 = 10;
+/// Requests a second of a region below which the sample is larger until there are so many
+/// answers, and the age from which that is known.
+const FEW_REQUESTS: f64 = 50.0;
+const SCARCE_ANSWERS: u64 = 40;
+const RATE_AFTER: Duration = Duration::from_secs(2);
+/// How long nothing is sent to the old servers after the record has said that they stop.
+/// Later the same versions may have servers again, by an ordinary release.
+const COMPLETED_GATE: Duration = Duration::from_secs(15);
+/// Age of the process from which an order that it sees was just written.
+const LIVE_AFTER: Duration = Duration::from_secs(3);
+
+/// Servers of a service in a region, by version.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServerCounts {
+    /// Of any other version than the one that is ordered.
+    pub old: usize,
+    /// Of the one that is ordered.
+    pub new: usize,
+}
+
+/// Where requests of a service go.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum RolloutPhase {
+    /// The store's record does not say yet that the roll-out runs.
+    Waiting,
+    /// A sample goes to the new version.
+    Sampling,
+    /// The region moves its traffic.
+    Shifting {
+        /// Part of the requests that go to the new version.
+        new_part: f64,
+        /// Whether the old servers may take what the new ones cannot.
+        old_is_spare: bool,
+    },
+    /// The old servers stop.
+    Completed,
+    /// The new version is given up.
+    RolledBack,
+}
+
+impl RolloutPhase {
+    /// Word for logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Waiting => "waiting",
+            Self::Sampling => "sampling",
+            Self::Shifting { .. } => "shifting",
+            Self::Completed => "completed",
+            Self::RolledBack => "rolled-back",
+        }
+    }
+}
+
+/// Which servers of a service may have requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VersionRule {
+    /// The version that is ordered.
+    pub target: SoftwareVersion,
+    /// The side that requests go to unless something else is said.
+    pub usual: VersionSide,
+    /// Whether nothing at all may begin at the other side.
+    pub other_is_closed: bool,
+}
+
+/// An order with the revision at which it stands in the store, which tells orders apart.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct HeldOrder {
+    pub(crate) order: RolloutOrder,
+    pub(crate) revision: u64,
+}
+
+/// A record with the revision at which it stands in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct HeldRecord {
+    record: RolloutRecord,
+    revision: u64,
+    seen: Moment,
+}
+
+/// A region's word that it moves its traffic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct ShiftMark {
+    order: u64,
+    revision: u64,
+    seen: Moment,
+}
+
+/// A change of the store that is due.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum DueWrite {
+    /// The record of the roll-out.
+    Record(RolloutRecord),
+    /// The word that this region moves its traffic.
+    Shift,
+}
+
+/// The roll-out of a service.
+#[derive(Clone, Debug)]
+pub(crate) struct ServiceRollout {
+    order: Option<HeldOrder>,
+    seen: Moment,
+    held: Option<HeldRecord>,
+    marks: BTreeMap<RegionName, ShiftMark>,
+    longest_answer: Duration,
+    pub(crate) evidence: RolloutEvidence,
+    windows: EvidenceWindows,
+    judged: Option<Moment>,
+    pub(crate) judgement: RolloutJudgement,
+    /// In which way this VM has found the version bad.
+    verdict: Option<BadMetric>,
+    sample: SampleShare,
+}
+
+impl ServiceRollout {
+    pub(crate) fn new() -> Self {
+        Self {
+            order: None,
+            seen: Moment::ZERO,
+            held: None,
+            marks: BTreeMap::new(),
+            longest_answer: Duration::ZERO,
+            evidence: RolloutEvidence::new(""),
+            windows: EvidenceWindows::default(),
+            judged: None,
+            judgement: RolloutJudgement::default(),
+            verdict: None,
+            sample: SampleShare::default(),
+        }
+    }
+
+    /// Takes the operator's order. Another one than before begins with no evidence.
+    pub(crate) fn take_order(&mut self, now: Moment, revision: u64, order: RolloutOrder) {
+        let order = HeldOrder { order, revision };
+        if self.order.as_ref() == Some(&order) {
+            return;
+        }
+        let ordered = &order.order;
+        let scope = format!("{}/{}/{revision}", ordered.service, ordered.target);
+        self.evidence = RolloutEvidence::new(&scope);
+        self.windows = EvidenceWindows::default();
+        self.judgement = RolloutJudgement::default();
+        self.verdict = None;
+        self.seen = now;
+        self.order = Some(order);
+    }
+
+    /// The operator has taken the order back.
+    pub(crate) fn withdraw(&mut self) {
+        self.order = None;
+    }
+
+    pub(crate) fn order(&self) -> Option<&HeldOrder> {
+        self.order.as_ref()
+    }
+
+    /// Takes the store's record.
+    pub(crate) fn take_record(&mut self, now: Moment, revision: u64, record: RolloutRecord) {
+        if self.held.as_ref().is_some_and(|h| h.revision >= revision) {
+            return;
+        }
+        let seen = now;
+        self.held = Some(HeldRecord {
+            record,
+            revision,
+            seen,
+        });
+    }
+
+    /// Takes a region's word that it moves its traffic.
+    pub(crate) fn take_mark(&mut self, now: Moment, region: RegionName, order: u64, revision: u64) {
+        let before = self.marks.get(&region);
+        if before.is_some_and(|mark| mark.revision >= revision) {
+            return;
+        }
+        let seen = before.filter(|mark| mark.order == order);
+        let seen = seen.map_or(now, |mark| mark.seen);
+        let mark = ShiftMark {
+            order,
+            revision,
+            seen,
+        };
+        self.marks.insert(region, mark);
+    }
+
+    /// Revision of a region's word; 0 if there is none.
+    pub(crate) fn mark_revision(&self, region: &RegionName) -> u64 {
+        self.marks.get(region).map_or(0, |mark| mark.revision)
+    }
+
+    /// Revision of the record; 0 if there is none.
+    pub(crate) fn record_revision(&self) -> u64 {
+        self.held.as_ref().map_or(0, |held| held.revision)
+    }
+
+    /// Makes the routes of the service known, and how long their answers may take.
+    pub(crate) fn set_routes(&mut self, routes: &[RouteName], longest_answer: Duration) {
+        for route in routes {
+            self.evidence.add_route(route);
+        }
+        self.longest_answer = longest_answer;
+    }
+
+    /// The record that answers the order in force; of a withdrawn order the last one.
+    fn current(&self) -> Option<&HeldRecord> {
+        let held = self.held.as_ref()?;
+        let order = self.order.as_ref().map(|order| order.revision);
+        order
+            .is_none_or(|order| order == held.record.order)
+            .then_some(held)
+    }
+
+    /// Time since the roll-out began.
+    fn age(&self, now: Moment, unix_start: Duration) -> Duration {
+        let is_live = self.seen - Moment::ZERO >= LIVE_AFTER;
+        let told = self.current().map(|held| held.record.began_ms);
+        let told = told.filter(|_| !is_live).map(|began| {
+            let began = Duration::from_millis(began);
+            (unix_start + (now - Moment::ZERO)).saturating_sub(began)
+        });
+        told.unwrap_or_default().max(now - self.seen)
+    }
+
+    fn timeline(&self) -> RolloutTimeline {
+        let time = self.order.as_ref().map_or(Duration::ZERO, |o| o.order.time);
+        RolloutTimeline::new(time, self.longest_answer)
+    }
+
+    /// Where requests go now in a region; none if they go anywhere.
+    pub(crate) fn phase(
+        &self,
+        now: Moment,
+        unix_start: Duration,
+        region: &RegionName,
+    ) -> Option<RolloutPhase> {
+        let state = self.current().map(|held| held.record.state);
+        match (state, &self.order) {
+            (Some(RolloutState::Completed), _) => {
+                let seen = self.current().map_or(now, |held| held.seen);
+                (now - seen < COMPLETED_GATE).then_some(RolloutPhase::Completed)
+            }
+            // An order that is taken back: the version gets nothing before the record says so.
+            (Some(RolloutState::RolledBack), _) | (Some(RolloutState::Running), None) => {
+                Some(RolloutPhase::RolledBack)
+            }
+            (None, None) => None,
+            (None, Some(_)) => Some(RolloutPhase::Waiting),
+            (Some(RolloutState::Running), Some(_)) if self.verdict.is_some() => {
+                Some(RolloutPhase::RolledBack)
+            }
+            (Some(RolloutState::Running), Some(order)) => {
+                let mark = self.marks.get(region);
+                let mark = mark.filter(|mark| mark.order == order.revision);
+                let Some(mark) = mark else {
+                    return Some(RolloutPhase::Sampling);
+                };
+                let (steps, age) = (self.timeline(), self.age(now, unix_start));
+                let shifted = age.saturating_sub(now - mark.seen);
+                Some(RolloutPhase::Shifting {
+                    new_part: steps.new_part(age, shifted),
+                    old_is_spare: age < steps.old_end,
+                })
+            }
+        }
+    }
+
+    /// Which servers may have requests, in a phase.
+    pub(crate) fn rule(&self, phase: RolloutPhase) -> Option<VersionRule> {
+        let target = match (&self.order, &self.held) {
+            (Some(order), _) => order.order.target.clone(),
+            (None, Some(held)) => held.record.target.clone(),
+            (None, None) => return None,
+        };
+        let (usual, other_is_closed) = match phase {
+            RolloutPhase::Waiting | RolloutPhase::RolledBack => (VersionSide::Old, true),
+            RolloutPhase::Sampling => (VersionSide::Old, false),
+            RolloutPhase::Shifting { .. } => (VersionSide::New, false),
+            RolloutPhase::Completed => (VersionSide::New, true),
+        };
+        Some(VersionRule {
+            target,
+            usual,
+            other_is_closed,
+        })
+    }
+
+    /// The side that a new request goes to, where that is not the usual one.
+    pub(crate) fn other_side(
+        &mut self,
+        now: Moment,
+        phase: RolloutPhase,
+        rng: &mut impl Rng,
+    ) -> Option<VersionSide> {
+        match phase {
+            RolloutPhase::Sampling => {
+                let is_scarce = self.is_scarce(now);
+                self.sample
+                    .count(is_scarce, rng)
+                    .then_some(VersionSide::New)
+            }
+            RolloutPhase::Shifting { new_part, .. } => {
+                (!rng.random_bool(new_part)).then_some(VersionSide::Old)
+            }
+            RolloutPhase::Waiting | RolloutPhase::Completed | RolloutPhase::RolledBack => None,
+        }
+    }
+
+    /// Whether so few requests come that the usual sample would prove nothing.
+    fn is_scarce(&self, now: Moment) -> bool {
+        let age = now - self.seen;
+        let rate = self.judgement.old_answers as f64 / age.as_secs_f64().max(1.0);
+        age >= RATE_AFTER && rate < FEW_REQUESTS && self.judgement.answers < SCARCE_ANSWERS
+    }
+
+    /// Counts a request that is sent to the new version as one of the sample.
+    pub(crate) fn take_sample(&mut self) {
+        self.sample.take();
+    }
+
+    /// Looks at the evidence; the verdict, if it is new.
+    pub(crate) fn judge(&mut self, now: Moment) -> Option<BadMetric> {
+        let is_running = self
+            .current()
+            .is_some_and(|held| held.record.state == RolloutState::Running);
+        let is_due = self.judged.is_none_or(|at| now - at >= JUDGE_INTERVAL);
+        if !is_running || !is_due || self.verdict.is_some() {
+            return None;
+        }
+        self.judged = Some(now);
+        self.judgement = self.windows.judge(now, &self.evidence);
+        self.verdict = self.judgement.bad();
+        self.verdict
+    }
+
+    /// Whether the new version does as well as the old one in this region.
+    fn is_proved(&self) -> bool {
+        self.judgement.is_clear() && self.judgement.answers >= LEAST_ANSWERS
+    }
+
+    /// The change of the store that is due.
+    pub(crate) fn due(
+        &self,
+        now: Moment,
+        unix_start: Duration,
+        region: &RegionName,
+        servers: &BTreeMap<RegionName, ServerCounts>,
+    ) -> Option<DueWrite> {
+        let Some(order) = &self.order else {
+            let held = self.held.as_ref()?;
+            let is_running = held.record.state == RolloutState::Running;
+            return is_running.then(|| end(&held.record, RolloutReason::Withdrawn));
+        };
+        let Some(held) = self.current() else {
+            return self.beginning(now, unix_start, order, servers);
+        };
+        if held.record.state != RolloutState::Running {
+            return None;
+        }
+        if let Some(metric) = self.verdict {
+            return Some(end(&held.record, metric.reason()));
+        }
+        let (steps, age) = (self.timeline(), self.age(now, unix_start));
+        let has_shifted = |region: &RegionName| {
+            let mark = self.marks.get(region);
+            mark.is_some_and(|mark| mark.order == order.revision)
+        };
+        let own = servers.get(region).copied().unwrap_or_default();
+        let is_turn = (steps.shift_at..steps.shift_until).contains(&age);
+        if is_turn && !has_shifted(region) && own.new > 0 && self.is_proved() {
+            return Some(DueWrite::Shift);
+        }
+        let mut serving = servers.iter().filter(|(_, n)| n.old + n.new > 0).peekable();
+        let is_shifted =
+            serving.peek().is_some() && serving.all(|(region, n)| n.new > 0 && has_shifted(region));
+        if is_shifted && age >= steps.complete_at {
+            return Some(end(&held.record, RolloutReason::Proved));
+        }
+        let is_late = !is_shifted && age >= steps.give_up_at;
+        is_late.then(|| end(&held.record, RolloutReason::Unproved))
+    }
+
+    /// The first record of an order. Where no server has another version, there is nothing
+    /// to move.
+    fn beginning(
+        &self,
+        now: Moment,
+        unix_start: Duration,
+        order: &HeldOrder,
+        servers: &BTreeMap<RegionName, ServerCounts>,
+    ) -> Option<DueWrite> {
+        let old: usize = servers.values().map(|counts| counts.old).sum();
+        let new: usize = servers.values().map(|counts| counts.new).sum();
+        if old == 0 && new == 0 {
+            return None;
+        }
+        let began = unix_start + (self.seen.min(now) - Moment::ZERO);
+        let (state, reason) = if old == 0 {
+            (RolloutState::Completed, RolloutReason::Proved)
+        } else {
+            (RolloutState::Running, RolloutReason::None)
+        };
+        Some(DueWrite::Record(RolloutRecord {
+            order: order.revision,
+            target: order.order.target.clone(),
+            began_ms: u64::try_from(began.as_millis()).unwrap_or(u64::MAX),
+            state,
+            reason,
+        }))
+    }
+}
+
+/// The record of a roll-out that has ended.
+fn end(record: &RolloutRecord, reason: RolloutReason) -> DueWrite {
+    let state = if reason == RolloutReason::Proved {
+        RolloutState::Completed
+    } else {
+        RolloutState::RolledBack
+    };
+    DueWrite::Record(RolloutRecord {
+        state,
+        reason,
+        ..record.clone()
+    })
+}
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -251,6 +251,7 @@
             name: name.parse().expect("a name of letters and digits"),
             born: ServerBirth::from_millis(state.born),
             service: SERVICE.parse().expect("a name of letters"),
+            version: None,
             address: state.link.address(),
             center: format!("c{}", server % REGIONS)
                 .parse()
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -11,6 +11,7 @@
 mod quantity;
 mod retry;
 mod verdict;
+mod version;
 
 pub use digest::{name_tag, stable_hash};
 pub use entity::{
@@ -25,3 +26,4 @@
 pub use quantity::{ByteSize, Incarnation, QuantityError, RequestRate};
 pub use retry::RetryDelay;
 pub use verdict::{RunVerdict, VerdictCell, VerdictError};
+pub use version::{SoftwareVersion, VersionError};
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -22,11 +22,11 @@
 pub use frame::{FrameError, FrameReader, FrameWriter, MAX_FRAME};
 pub use message::{
     AttemptCancel, CenterLoad, ContentRequest, ContentText, CreditGrant, DrainEntry, EntryBeat,
-    LostLifeEntry, MemberEntry, MemberSet, MembersRequest, ModelLoad, OpenMode, OpenRequest,
-    PeerFrame, PeerHello, PeerPayload, PingRequest, PongReply, RecordSet, RecordsRequest,
-    RegionLoadEntry, ReplyData, ReplyEnd, ReplyHead, ServerLoad, ServerWorkEntry, ServiceCostEntry,
-    ServiceLoadEntry, SnapshotItem, SnapshotRequest, StoreDelta, StoreSnapshot, SuspectEntry,
-    TeamDemandEntry, VmEntry, VmUpdate, VmWord, WorkSet,
+    EvidenceEntry, LostLifeEntry, MemberEntry, MemberSet, MembersRequest, ModelLoad, OpenMode,
+    OpenRequest, PeerFrame, PeerHello, PeerPayload, PingRequest, PongReply, RecordSet,
+    RecordsRequest, RegionLoadEntry, ReplyData, ReplyEnd, ReplyHead, ServerLoad, ServerWorkEntry,
+    ServiceCostEntry, ServiceLoadEntry, SnapshotItem, SnapshotRequest, StoreDelta, StoreSnapshot,
+    SuspectEntry, TeamDemandEntry, VmEntry, VmUpdate, VmWord, WorkSet,
 };
 pub use window::{CreditWindow, INITIAL_CREDIT, frame_cost};
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -579,6 +579,20 @@
     /// What teams with limits ask of the region.
     #[prost(message, repeated, tag = "4")]
     pub teams: Vec<TeamDemandEntry>,
+    /// What came of requests during roll-outs.
+    #[prost(message, repeated, tag = "5")]
+    pub evidence: Vec<EvidenceEntry>,
+}
+
+/// Counts of answers of one version on one route.
+#[derive(Clone, PartialEq, Message)]
+pub struct EvidenceEntry {
+    /// Short name of the counts.
+    #[prost(fixed32, tag = "1")]
+    pub tag: u32,
+    /// Answers, failures, those whose time is known, and the slow ones in steps.
+    #[prost(uint64, repeated, tag = "2")]
+    pub figures: Vec<u64>,
 }
 
 /// What one team asks of a region.
