--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -3,8 +3,11 @@
 
 use std::time::Duration;
 
-use onyxfall_fleet::{ServerBirth, ServerPhase, ServerRecord, VmPlace};
+use onyxfall_fleet::{FleetView, ServerBirth, ServerPhase, ServerRecord, VmPlace};
 use onyxfall_policy::Moment;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
 
 /// A moment so many milliseconds after the start.
 pub fn at(millis: u64) -> Moment {
@@ -40,3 +43,33 @@
         cold_left: Duration::ZERO,
     }
 }
+
+pub const CENTERS: [(&str, &str); 3] = [("c0", "r0"), ("c1", "r1"), ("c2", "r2")];
+
+/// Servers of the largest region, and of the others together, for each of its own.
+pub const NEAR: usize = 4380;
+pub const FAR_PART: usize = 2;
+
+pub fn numbered_record(number: usize, center: &str) -> ServerRecord {
+    ServerRecord {
+        address: ([10, 0, 0, 1], 80).into(),
+        center: center.parse().unwrap(),
+        ..ready_server(&format!("i-{number:08x}"))
+    }
+}
+
+/// A view of so many servers of its region, and as many of the others for each.
+pub fn large_view(vm: &str, near: usize, seed: u64) -> FleetView {
+    let mut numbers: Vec<usize> = (0..near * FAR_PART).collect();
+    numbers.shuffle(&mut StdRng::seed_from_u64(seed));
+    let mut view = FleetView::new(place(vm, &CENTERS));
+    for number in numbers {
+        let center = match number {
+            number if number < near => "c0",
+            number if number % 2 == 0 => "c1",
+            _ => "c2",
+        };
+        view.put_server(at(1), numbered_record(number, center), None);
+    }
+    view
+}
