A region works with the first servers of an order that all VMs share

Cause: each VM kept, weighed and told of every server of the fleet, though it sends a request or two a second. Full state of a server is 1 KB, and each look at the VM's own work and each choice went through all of them; an even spread read every shared part everywhere.

Servers of a service, region and version now stand in one order by hashing; the region works with the first 128 that take work, with twice as many while 0.4 of their places are taken. Of the others the entry alone is kept; one is woken when one before it goes or leaves.

Ruled out: slices by VM, in which every part would be read once in each slice.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,6 +20,7 @@
 mod level;
 mod life;
 mod mirror;
+mod pools;
 mod predict;
 mod quota;
 mod record;
@@ -51,6 +52,7 @@
 pub use mirror::{
     MirrorChange, MirrorDelta, RETURN_WINDOW, StoreEvent, StoreHealth, StoreItem, StoreMirror,
 };
+pub use pools::LEAST_WORKING;
 pub use predict::TimePrediction;
 pub use quota::{QuotaDecision, QuotaPeers, QuotaSettings, QuotaTable};
 pub use record::{ServerPhase, ServerRecord};
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -155,9 +155,10 @@
         self.cold_until = self.cold_until.max(now + left);
     }
 
-    /// Notes that this life has ended.
-    pub fn end_life(&mut self) {
+    /// Notes that this life has ended. What it kept is forgotten with it.
+    pub(crate) fn end_life(&mut self, now: Moment) {
         self.gone = true;
+        self.kept = KeptPrefixes::new(now);
     }
 
     /// Notes that the server has started again: this life has ended, and what ran here.
--- a/crates/fleet/src/version.rs
+++ b/crates/fleet/src/version.rs
@@ -61,13 +61,12 @@
         target: &SoftwareVersion,
     ) -> BTreeMap<RegionName, ServerCounts> {
         let mut counts: BTreeMap<RegionName, ServerCounts> = BTreeMap::new();
-        for id in self.servers_of(service) {
-            let server = self.server(*id);
-            let counts = counts.entry(server.region.clone()).or_default();
-            if server.record.version.as_ref() == Some(target) {
-                counts.new += 1;
+        for pool in self.pools().of_service(service) {
+            let counts = counts.entry(pool.key.region.clone()).or_default();
+            if pool.key.version.as_ref() == Some(target) {
+                counts.new += pool.servers.len();
             } else {
-                counts.old += 1;
+                counts.old += pool.servers.len();
             }
         }
         counts
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -21,6 +21,9 @@
 use crate::flow::FlowMeter;
 use crate::learn::ServiceCosts;
 use crate::life::ServerBirth;
+use crate::pools::{
+    DormantServer, LEAST_WORKING, PoolId, PoolKey, PoolPlace, PoolServer, PoolTable,
+};
 use crate::record::ServerRecord;
 use crate::route::RouteTable;
 use crate::server::ServerState;
@@ -61,7 +64,8 @@
 #[derive(Clone, Copy, Debug)]
 struct LatestLife {
     born: ServerBirth,
-    id: ServerId,
+    /// The latest one that this VM has worked with.
+    worked: Option<ServerId>,
 }
 
 /// The fleet.
@@ -74,7 +78,11 @@
     by_tag: HashMap<u32, ServerId>,
     /// The same by the whole hash, which tells lives apart among tens of thousands.
     by_life: HashMap<u64, ServerId>,
+    /// Servers that this VM works with.
     by_service: BTreeMap<ServiceName, Vec<ServerId>>,
+    pools: PoolTable,
+    /// Until when the servers of a data centre that was taken back may be cold.
+    chilled: BTreeMap<CenterName, Moment>,
     /// Unix time of the moment zero, by which births become moments.
     unix_start: Duration,
     /// The latest life that was seen under each name, also of servers that are gone.
@@ -110,6 +118,8 @@
             by_tag: HashMap::new(),
             by_life: HashMap::new(),
             by_service: BTreeMap::new(),
+            pools: PoolTable::default(),
+            chilled: BTreeMap::new(),
             unix_start: Duration::ZERO,
             latest: HashMap::new(),
             evacuated: BTreeSet::new(),
@@ -226,6 +236,11 @@
         &mut self.rates
     }
 
+    /// Servers by service, region and version.
+    pub(crate) fn pools(&self) -> &PoolTable {
+        &self.pools
+    }
+
     /// A number that grows with each choice.
     pub(crate) fn next_turn(&mut self) -> usize {
         self.turn = self.turn.wrapping_add(1);
@@ -342,29 +357,188 @@
         if latest.is_some_and(|latest| latest.born > record.born) {
             return;
         }
-        if let Some(id) = self.find(record.name.as_str()) {
-            if self.servers[id].record.born == record.born {
-                self.servers[id].update(now, record);
-                return;
-            }
-            self.remove_server(now, record.name.as_str());
-            self.servers[id].replace();
+        if self.update_server(now, &record, &region) {
+            return;
         }
+        let key = PoolKey {
+            service: record.service.clone(),
+            region,
+            version: record.version.clone(),
+        };
+        let pool = self.pools.id_of(&key);
         let service = table.and_then(|table| table.service(&record.service));
-        let cold_rate = service.map_or(0.0, |service| service.cold_rate);
-        let (name, service, born) = (record.name.clone(), record.service.clone(), record.born);
-        let mut state = ServerState::new(now, record, region, cold_rate);
-        match latest {
-            Some(latest) if latest.born == born => state.inherit_word(&self.servers[latest.id]),
-            Some(latest) => state.take_doubtful(now, &self.doubtful_words(latest.id, born)),
+        if let Some(service) = service {
+            self.pools.get_mut(pool).cold_rate = service.cold_rate;
+        }
+        self.note_latest(&record);
+        let record = self.with_shared_names(record, pool);
+        let place = self.pools.add(pool, DormantServer { record, seen: now });
+        self.settle_at(pool, &place);
+    }
+
+    /// Takes a newer entry of a server that is known; false if it is of another life, or
+    /// of a server that is not known.
+    fn update_server(&mut self, now: Moment, record: &ServerRecord, region: &RegionName) -> bool {
+        let Some(pool) = self.pools.pool_of(record.name.as_str()) else {
+            return false;
+        };
+        let key = &self.pools.get(pool).key;
+        let is_same_pool =
+            key.service == record.service && key.region == *region && key.version == record.version;
+        let record = self.with_shared_names(record.clone(), pool);
+        let worked = self.find(record.name.as_str());
+        let servers = &mut self.servers;
+        let held = match self.pools.entry_mut(&record.name) {
+            Some(PoolServer::Working(id)) => &mut servers[*id].record,
+            Some(PoolServer::Dormant(dormant)) => &mut dormant.record,
+            None => return false,
+        };
+        if held.born != record.born || !is_same_pool {
+            self.remove_server(now, record.name.as_str());
+            if let Some(id) = worked {
+                self.servers[id].replace();
+            }
+            return false;
+        }
+        let is_other_phase = held.phase != record.phase;
+        if let Some(id) = worked {
+            self.servers[id].update(now, record);
+        } else if let Some(PoolServer::Dormant(dormant)) = self.pools.entry_mut(&record.name) {
+            dormant.update(now, record);
+        }
+        if is_other_phase {
+            self.settle(pool);
+        }
+        true
+    }
+
+    /// An entry whose service and data centre are the names that the others have, so that
+    /// ten thousand entries do not hold as many copies of them.
+    fn with_shared_names(&self, record: ServerRecord, pool: PoolId) -> ServerRecord {
+        let key = &self.pools.get(pool).key;
+        let center = self.place.centers.get_key_value(&record.center);
+        ServerRecord {
+            service: if key.service == record.service {
+                key.service.clone()
+            } else {
+                record.service
+            },
+            version: if key.version == record.version {
+                key.version.clone()
+            } else {
+                record.version
+            },
+            center: center.map_or(record.center, |(center, _)| center.clone()),
+            ..record
+        }
+    }
+
+    /// Begins to work with a server.
+    fn wake(&mut self, pool: PoolId, place: &PoolPlace) {
+        let held = self.pools.get_mut(pool).servers.get_mut(place);
+        let Some(PoolServer::Dormant(dormant)) = held else {
+            return;
+        };
+        let DormantServer { record, seen } = (**dormant).clone();
+        let region = self.pools.get(pool).key.region.clone();
+        let cold_rate = self.pools.get(pool).cold_rate;
+        let (name, born) = (record.name.clone(), record.born);
+        let chilled = self.chilled.get(&record.center).copied();
+        let mut state = ServerState::new(seen, record, region, cold_rate);
+        if let Some(until) = chilled {
+            state.chill(seen, until - seen);
+        }
+        let worked = self.latest.get(&name).and_then(|latest| latest.worked);
+        match worked {
+            Some(former) if self.servers[former].record.born == born => {
+                state.inherit_word(&self.servers[former]);
+            }
+            Some(former) => state.take_doubtful(seen, &self.doubtful_words(former, born)),
             None => {}
         }
         let id = self.servers.push(state);
-        self.note_latest(name.clone(), LatestLife { born, id });
+        let servers = &mut self.pools.get_mut(pool).servers;
+        servers.insert(place.clone(), PoolServer::Working(id));
+        if let Some(latest) = self.latest.get_mut(&name) {
+            latest.worked = Some(id);
+        }
         self.by_tag.insert(self.servers[id].tag(), id);
         self.by_life.insert(self.servers[id].life_hash(), id);
         self.by_name.insert(name, id);
-        self.by_service.entry(service).or_default().push(id);
+    }
+
+    /// Works out with which servers of a pool this VM works, after a change at a place.
+    fn settle_at(&mut self, pool: PoolId, place: &PoolPlace) {
+        if self.pools.get(pool).is_within(place) {
+            self.settle(pool);
+        }
+    }
+
+    /// Works out with which servers of a pool this VM works.
+    fn settle(&mut self, pool: PoolId) {
+        let mut ready = 0;
+        let mut last = None;
+        let mut woken = Vec::new();
+        let held = self.pools.get(pool);
+        for (place, server) in &held.servers {
+            if ready >= held.working {
+                break;
+            }
+            let takes_work = match server {
+                PoolServer::Working(id) => self.may_work(*id),
+                PoolServer::Dormant(dormant) => {
+                    woken.push(place.clone());
+                    dormant.takes_work() && !self.is_evacuated(&dormant.record.center)
+                }
+            };
+            ready += usize::from(takes_work);
+            last = Some(place.clone());
+        }
+        let is_all = ready < held.working;
+        self.pools.get_mut(pool).last = last.filter(|_| !is_all);
+        for place in &woken {
+            self.wake(pool, place);
+        }
+        let service = self.pools.get(pool).key.service.clone();
+        self.list_working(&service);
+    }
+
+    /// Lists the servers of a service that this VM works with.
+    fn list_working(&mut self, service: &ServiceName) {
+        let mut listed = Vec::new();
+        for pool in self.pools.of_service(service) {
+            for (place, server) in &pool.servers {
+                if !pool.is_within(place) {
+                    break;
+                }
+                if let PoolServer::Working(id) = server {
+                    listed.push(*id);
+                }
+            }
+        }
+        self.by_service.insert(service.clone(), listed);
+    }
+
+    /// Works with more servers where those that are worked with are busy, and with fewer
+    /// where they have next to nothing to do.
+    pub fn resize_pools(&mut self) {
+        for pool in self.pools.ids() {
+            let held = self.pools.get(pool);
+            if held.key.region != self.place.region || held.servers.len() <= LEAST_WORKING {
+                continue;
+            }
+            let working = held.servers.iter().take_while(|(p, _)| held.is_within(p));
+            let (mut requests, mut slots) = (0.0, 0.0);
+            for (_, server) in working {
+                if let PoolServer::Working(id) = server {
+                    requests += f64::from(self.servers[*id].work().requests);
+                    slots += f64::from(self.servers[*id].record.slots);
+                }
+            }
+            if slots > 0.0 && self.pools.get_mut(pool).resize(requests / slots) {
+                self.settle(pool);
+            }
+        }
     }
 
     /// The id under which the life of a server is known now: another one where its entry
@@ -372,38 +546,51 @@
     pub(crate) fn same_life(&self, id: ServerId) -> ServerId {
         let record = &self.server(id).record;
         let latest = self.latest.get(&record.name);
-        let same = latest.filter(|latest| latest.born == record.born);
-        same.map_or(id, |latest| latest.id)
+        let worked = latest.and_then(|latest| latest.worked);
+        worked
+            .filter(|worked| self.server(*worked).record.born == record.born)
+            .unwrap_or(id)
     }
 
-    fn note_latest(&mut self, name: ServerName, latest: LatestLife) {
+    fn note_latest(&mut self, record: &ServerRecord) {
         if self.latest.len() >= MOST_BIRTHS {
-            let by_name = &self.by_name;
-            self.latest.retain(|name, _| by_name.contains_key(name));
+            let pools = &self.pools;
+            self.latest.retain(|name, _| pools.has(name.as_str()));
         }
-        self.latest.insert(name, latest);
+        let latest = self.latest.entry(record.name.clone());
+        let born = record.born;
+        let latest = latest.or_insert(LatestLife { born, worked: None });
+        latest.born = born;
     }
 
     /// Notes that a server's entry is gone, or that another life answered. One that did
     /// not say that it leaves has crashed, as far as anybody can tell.
     pub fn remove_server(&mut self, now: Moment, name: &str) {
-        let Some(id) = self.by_name.remove(name) else {
+        let Some((pool, place, server)) = self.pools.remove(name) else {
             return;
         };
-        self.by_tag.remove(&self.servers[id].tag());
-        self.by_life.remove(&self.servers[id].life_hash());
-        if self.servers[id].takes_work() {
-            self.note_crash(now, id);
+        if let PoolServer::Working(id) = server {
+            self.by_name.remove(name);
+            self.by_tag.remove(&self.servers[id].tag());
+            self.by_life.remove(&self.servers[id].life_hash());
+            if self.servers[id].takes_work() {
+                self.note_crash(now, id);
+            }
+            self.servers[id].end_life(now);
         }
-        self.servers[id].end_life();
-        for ids in self.by_service.values_mut() {
-            ids.retain(|other| *other != id);
+        self.settle_at(pool, &place);
+    }
+
+    fn settle_all(&mut self) {
+        for pool in self.pools.ids() {
+            self.settle(pool);
         }
     }
 
     /// Notes that a data centre is being evacuated.
     pub fn evacuate(&mut self, center: CenterName) {
         self.evacuated.insert(center);
+        self.settle_all();
     }
 
     /// Notes that a data centre is taken back; its servers may be cold.
@@ -411,15 +598,21 @@
         if !self.evacuated.remove(center) {
             return;
         }
-        for ids in self.by_service.values() {
-            for id in ids {
-                let server = &mut self.servers[*id];
-                if server.record.center == *center {
-                    let service = table.and_then(|table| table.service(&server.record.service));
-                    let cold_for = service.map_or(Duration::ZERO, |service| service.cold_for);
-                    server.chill(now, cold_for);
-                }
+        let cold_for = |service: &ServiceName| {
+            let service = table.and_then(|table| table.service(service));
+            service.map_or(Duration::ZERO, |service| service.cold_for)
+        };
+        for id in self.by_service.values().flatten() {
+            let server = &mut self.servers[*id];
+            if server.record.center == *center {
+                let left = cold_for(&server.record.service);
+                server.chill(now, left);
             }
         }
+        let services = table.into_iter().flat_map(RouteTable::services);
+        let longest = services.map(|service| service.cold_for).max();
+        let until = now + longest.unwrap_or_default();
+        self.chilled.insert(center.clone(), until);
+        self.settle_all();
     }
 }
--- a/crates/fleet/tests/size_memory.rs
+++ b/crates/fleet/tests/size_memory.rs
@@ -31,6 +31,7 @@
     let (first, second) = (between - before, after - between);
     assert!(first <= VIEW_BYTES, "{first} bytes");
     let each = second.saturating_sub(first) / (NEAR * FAR_PART);
+    println!("{first} bytes, and {each} for each further server");
     assert!(each <= SERVER_BYTES, "{each} bytes a server");
     drop((once, twice));
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -290,6 +290,7 @@
         let vms = near.map(|vm| vm.record.name.clone()).collect();
         let mut fleet = self.fleet.borrow_mut();
         fleet.set_region_vms(vms);
+        fleet.resize_pools();
         fleet.set_knowledge_age(age);
     }
 
