Failing test: a copy of the store that is larger than a message reaches nobody

15,000 entries of 600 bytes are one frame of 9 MB where 8 are allowed: the link breaks, is dialled again and asked again, and with it go the signs of life. The stand-in of the store now answers in pages.

--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::ops::Bound;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use onyxfall_adapter::standin::{
-    StoreCall, StoreWrite, batch_body, is_store_write, page_body, read_store_call,
+    PAGE_ITEMS, StoreCall, StoreWrite, batch_body, is_store_write, page_body, read_store_call,
     read_store_write, written_body,
 };
 use onyxfall_fleet::{StoreEvent, StoreItem};
@@ -196,14 +197,13 @@
         return write(&shared, request).await;
     }
     Ok(match read_store_call(request.uri()) {
-        Some(StoreCall::Range { prefix }) => {
+        Some(StoreCall::Range { prefix, after }) => {
             let state = shared.state.lock();
-            let items: Vec<StoreItem> = state
-                .items
-                .values()
-                .filter(|item| item.key.starts_with(&prefix))
-                .cloned()
-                .collect();
+            let begin = after.map_or(Bound::Included(prefix.clone()), Bound::Excluded);
+            let items = state.items.range((begin, Bound::Unbounded));
+            let items = items.map(|(_, item)| item);
+            let items = items.take_while(|item| item.key.starts_with(&prefix));
+            let items: Vec<StoreItem> = items.take(PAGE_ITEMS + 1).cloned().collect();
             reply(StatusCode::OK, page_body(&items, state.revision))
         }
         Some(StoreCall::Watch { after, wait, .. }) => {
--- /dev/null
+++ b/crates/gateway/tests/large_copy.rs
@@ -0,0 +1,44 @@
+//! A VM that the store turns away gets a large copy of it from another VM.
+
+mod support;
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use http::StatusCode;
+use onyxfall_fakes::ServerStandIn;
+use support::{Site, call, record, wait_for};
+
+/// Entries whose copy is larger than any one message may be.
+const ENTRIES: usize = 15_000;
+/// Text that makes entries as long as those of servers with models.
+const PADDING: &str = "a-model-with-a-long-name-and-adapters-of-its-own";
+
+#[test]
+fn a_copy_that_is_larger_than_a_message_reaches_a_vm_without_the_store() {
+    let site = Site::start_in(2, 1);
+    let server = ServerStandIn::start(site.ip(0)).unwrap();
+    site.put(&record("zz-served", &server, 5));
+    let models = PADDING.repeat(9);
+    for number in 0..ENTRIES {
+        let body = format!(
+            "{{\"Service\":\"other\",\"Address\":\"127.0.0.1:9\",\"Zone\":\"c0\",\
+             \"Version\":\"v1\",\"Slots\":4,\"State\":\"ready\",\"ColdLeftMs\":0,\
+             \"Models\":[\"{models}\"],\"Seq\":1,\"born\":1}}"
+        );
+        site.store.put(&format!("servers/i-{number:08x}"), body);
+    }
+    site.configure(1);
+    let first = site.gateway(0);
+    first.wait_served();
+    let nowhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
+    let second = site.gateway_with_store(1, nowhere);
+    wait_for("the VM without a store to serve", || {
+        let reply = call(second.callers(), "/repeat/x", "asked");
+        reply.is_some_and(|reply| reply.status == StatusCode::OK)
+    });
+    wait_for("its copy to be whole", || {
+        second
+            .log()
+            .contains("copy of the store taken from another VM")
+    });
+}
