Copies of the store go from VM to VM in parts

Cause: a copy was one frame. At 10,000 servers it is 4 MB, more than a small VM's link carries within the bound on writing a frame while 60 others ask too; the link broke, with it the signs of life, and each VM then read the store itself. Beyond 8 MB no copy could be sent at all. Each end kept the megabytes of its buffers, and each value held its whole frame.

Parts of 48 KB are made once for all who ask and go between updates; the receiver serves with what has come, removes what is not named only at the end, reads the store itself only while no part comes, and keeps values for themselves. Entries of servers that a VM does not work with are counted and no longer logged one by one.

Before: a VM turned away by a store of 15,000 entries of 600 bytes never served. After: it does (test large_copy; its look at the log is gone, since 150 lines a second are written at most: the entry that it serves with is the last of all, so that all parts have come).

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use tokio::sync::Notify;
 
 use crate::connection::DialPlan;
+use crate::copies::{IncomingCopy, MadeParts};
 use crate::metrics::GatewayMetrics;
 use crate::pool::ConnectionPool;
 use crate::relays::RelayTable;
@@ -78,6 +79,10 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) store: RefCell<StoreLink>,
     pub(crate) share: RefCell<StoreShare>,
+    /// This VM's copy of the store, cut into parts for others.
+    pub(crate) made_parts: RefCell<MadeParts>,
+    /// A copy of the store that another VM is giving to this one.
+    pub(crate) incoming_copy: RefCell<Option<IncomingCopy>>,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) stop_asked: Cell<Option<BootInstant>>,
     pub(crate) open_requests: Cell<usize>,
@@ -157,6 +162,8 @@
             pool: ConnectionPool::default(),
             store: RefCell::default(),
             share: RefCell::default(),
+            made_parts: RefCell::default(),
+            incoming_copy: RefCell::default(),
             metrics: GatewayMetrics::default(),
             stop_asked: Cell::new(None),
             open_requests: Cell::new(0),
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -23,6 +23,7 @@
 use tokio_util::codec::Framed;
 
 use crate::connection::{LATE_DIAL_LIMIT, dial};
+use crate::copies::OutgoingCopy;
 use crate::frames::{vm_entry, vm_record};
 use crate::gateway::Gateway;
 use crate::listen::accept;
@@ -164,6 +165,8 @@
     /// What the other end last told on this link.
     heard: Option<LinkRelation>,
     next_delta: u64,
+    /// The copy of the store that the other end has asked for.
+    outgoing: OutgoingCopy,
 }
 
 impl<'a> LinkEnd<'a> {
@@ -175,6 +178,7 @@
             told: UpdateTold::default(),
             heard: None,
             next_delta: gateway.share.borrow().next_number(),
+            outgoing: OutgoingCopy::default(),
         }
     }
 
@@ -193,7 +197,12 @@
             let until = tokio::time::Instant::now() + self.gateway.tell_interval(planned.relation);
             loop {
                 let was_known = self.peer.is_some();
+                let has_part = self.outgoing.has_next();
                 let frame = tokio::select! {
+                    () = tokio::task::yield_now(), if has_part => {
+                        self.send_part().await?;
+                        continue;
+                    }
                     () = tokio::time::sleep_until(until) => break,
                     () = self.gateway.tell_now.notified() => break,
                     frame = self.link.next() => frame,
@@ -212,8 +221,13 @@
     async fn serve(mut self) -> Result<(), FrameError> {
         let mut is_member = false;
         loop {
+            let has_part = self.outgoing.has_next();
             let frame = tokio::select! {
                 frame = self.link.next() => frame,
+                () = tokio::task::yield_now(), if has_part => {
+                    self.send_part().await?;
+                    continue;
+                }
                 () = self.gateway.deltas_now.notified() => {
                     if is_member {
                         self.send_deltas(DeltaAudience::Members).await?;
@@ -263,10 +277,9 @@
                 return self.take_update(&peer, &update).await.map(Some);
             }
             Some(PeerPayload::SnapshotRequest(_)) => {
-                let snapshot = self.gateway.own_snapshot();
-                self.send(PeerPayload::Snapshot(snapshot)).await?;
+                self.outgoing.begin(self.gateway.own_copy());
             }
-            Some(PeerPayload::Snapshot(snapshot)) => self.gateway.take_snapshot(&peer, snapshot),
+            Some(PeerPayload::Snapshot(part)) => self.gateway.take_copy_part(&peer, part),
             Some(PeerPayload::Delta(delta)) => self.gateway.take_delta(&peer, delta),
             other => log::debug!("unexpected frame on a link: {other:?}"),
         }
@@ -294,6 +307,14 @@
         self.send(PeerPayload::Update(Box::new(update))).await
     }
 
+    /// Sends the next part of the copy that the other end has asked for.
+    async fn send_part(&mut self) -> Result<(), FrameError> {
+        match self.outgoing.take_next() {
+            Some(part) => self.send(PeerPayload::Snapshot(part)).await,
+            None => Ok(()),
+        }
+    }
+
     async fn send_deltas(&mut self, audience: DeltaAudience) -> Result<(), FrameError> {
         let deltas = {
             let share = self.gateway.share.borrow();
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -10,6 +10,7 @@
 mod body;
 mod call;
 mod connection;
+mod copies;
 mod costs;
 mod decide;
 mod directory;
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 
 use onyxfall_adapter::{DecodeError, StoreKey, StoreNews, read_item, read_key};
-use onyxfall_fleet::{MirrorChange, RouteTable, TeamTable};
+use onyxfall_fleet::{MirrorChange, RouteTable, ServerRecord, TeamTable};
+use onyxfall_policy::Moment;
 use onyxfall_rollout::RolloutOrder;
 
 use crate::gateway::Gateway;
@@ -75,6 +76,32 @@
         self.refresh_rollouts(self.now());
     }
 
+    /// Takes a server's entry. Those of servers that this VM does not work with are only
+    /// counted: thousands of lines at once would push others out of the log.
+    fn take_server(&self, now: Moment, record: ServerRecord, table: Option<&RouteTable>) {
+        let mut fleet = self.fleet.borrow_mut();
+        let name = record.name.clone();
+        let before = fleet.find(name.as_str());
+        fleet.put_server(now, record, table);
+        if before.is_some_and(|id| fleet.server(id).is_replaced()) {
+            self.metrics.count("onyxfall_servers_reborn_total");
+            self.silence.notify_waiters();
+        }
+        let Some(id) = fleet.find(name.as_str()) else {
+            self.metrics.count("onyxfall_dormant_entries_total");
+            return;
+        };
+        let record = &fleet.server(id).record;
+        log::info!(
+            server = record.name.as_str(),
+            born:% = record.born,
+            service = record.service.as_str(),
+            phase:? = record.phase,
+            cold_ms = millis(record.cold_left);
+            "server seen"
+        );
+    }
+
     fn take_news(&self, key: &str, news: StoreNews) {
         let now = self.now();
         let table = self.table();
@@ -91,23 +118,7 @@
                 rollouts.take_shift(now, &service, region, order, revision);
             }
             StoreNews::Config(next) => self.take_table(*next),
-            StoreNews::Server(record) => {
-                log::info!(
-                    server = record.name.as_str(),
-                    born:% = record.born,
-                    service = record.service.as_str(),
-                    phase:? = record.phase,
-                    cold_ms = millis(record.cold_left);
-                    "server seen"
-                );
-                let mut fleet = self.fleet.borrow_mut();
-                let before = fleet.find(record.name.as_str());
-                fleet.put_server(now, record, table.as_deref());
-                if before.is_some_and(|id| fleet.server(id).is_replaced()) {
-                    self.metrics.count("onyxfall_servers_reborn_total");
-                    self.silence.notify_waiters();
-                }
-            }
+            StoreNews::Server(record) => self.take_server(now, record, table.as_deref()),
             StoreNews::Evacuation(center) => {
                 log::info!(center = center.as_str(); "data centre is evacuated");
                 self.fleet.borrow_mut().evacuate(center);
@@ -139,10 +150,11 @@
     fn take_removal(&self, key: &str) {
         match read_key(key) {
             StoreKey::Server(name) => {
-                log::info!(server = name.as_str(); "server gone");
-                self.fleet
-                    .borrow_mut()
-                    .remove_server(self.now(), name.as_str());
+                let mut fleet = self.fleet.borrow_mut();
+                if fleet.find(name.as_str()).is_some() {
+                    log::info!(server = name.as_str(); "server gone");
+                }
+                fleet.remove_server(self.now(), name.as_str());
             }
             StoreKey::Evacuation(center) => {
                 log::info!(center = center.as_str(); "data centre is taken back");
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -12,11 +12,12 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use onyxfall_fleet::{CopyCheck, CopyState, MirrorChange, MirrorDelta, StoreHealth, StoreItem};
+use bytes::Bytes;
+use onyxfall_fleet::{CopyCheck, CopyState, MirrorChange, MirrorDelta, StoreItem};
 use onyxfall_overlay::{Roster, VmRecord};
 use onyxfall_policy::Moment;
 use onyxfall_types::VmName;
-use onyxfall_wire::{SnapshotItem, StoreDelta, StoreSnapshot};
+use onyxfall_wire::{SnapshotItem, StoreDelta};
 
 use crate::gateway::Gateway;
 
@@ -237,7 +238,7 @@
 
     /// Whether to ask the VM that was heard last for its copy of the store.
     pub(crate) fn asks_copy_of(&self, vm: &VmName) -> bool {
-        if self.store.borrow().is_watched() {
+        if self.store.borrow().is_watched() || self.awaits_copy() {
             return false;
         }
         let now = self.now();
@@ -251,43 +252,6 @@
             _ => false,
         }
     }
-
-    /// This VM's copy of the store.
-    pub(crate) fn own_snapshot(&self) -> StoreSnapshot {
-        let mirror = self.mirror.borrow();
-        let store = self.store.borrow();
-        let is_settled = !store.is_watched() || store.health(self.now()) == StoreHealth::Steady;
-        StoreSnapshot {
-            revision: mirror.revision(),
-            items: mirror.snapshot().into_iter().map(wire_item).collect(),
-            is_steady: self.copy_is_whole() && is_settled && !mirror.has_missing(),
-        }
-    }
-
-    /// Takes another VM's copy of the store, unless this VM watches the store itself.
-    pub(crate) fn take_snapshot(&self, from: &VmName, snapshot: StoreSnapshot) {
-        if self.store.borrow().is_watched() {
-            return;
-        }
-        let items: Vec<StoreItem> = snapshot.items.into_iter().map(store_item).collect();
-        log::info!(
-            from = from.as_str(),
-            revision = snapshot.revision,
-            items = items.len();
-            "copy of the store taken from another VM"
-        );
-        let health = if snapshot.is_steady {
-            StoreHealth::Steady
-        } else {
-            StoreHealth::Returned
-        };
-        let changes = {
-            let mut mirror = self.mirror.borrow_mut();
-            mirror.replace(self.now(), "", items, snapshot.revision, health)
-        };
-        self.note_caught_up();
-        self.apply_changes(changes);
-    }
 }
 
 /// The VMs of this region in the order in which they watch the store: aggregators
@@ -322,11 +286,12 @@
     }
 }
 
-/// An item of another VM's copy.
+/// An item of another VM's copy. Its value is kept for itself: as a part of its frame it
+/// would hold the whole of it for as long as it stands.
 pub(crate) fn store_item(item: SnapshotItem) -> StoreItem {
     StoreItem {
         key: item.key,
-        value: item.value,
+        value: Bytes::copy_from_slice(&item.value),
         revision: item.revision,
     }
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -261,7 +261,8 @@
         }
         let age = self.gateway.started.elapsed();
         let is_alone = !self.gateway.knows_others();
-        age >= self.patience || (is_alone && age >= ALONE_AFTER)
+        let is_late = age >= self.patience && !self.gateway.awaits_copy();
+        is_late || (is_alone && age >= ALONE_AFTER)
     }
 
     fn take_events(&self, events: Vec<StoreEvent>) {
--- a/crates/gateway/tests/large_copy.rs
+++ b/crates/gateway/tests/large_copy.rs
@@ -10,6 +10,8 @@
 
 /// Entries whose copy is larger than any one message may be.
 const ENTRIES: usize = 15_000;
+/// Name of a server after all of these.
+const LAST_SERVER: &str = "zz-served";
 /// Text that makes entries as long as those of servers with models.
 const PADDING: &str = "a-model-with-a-long-name-and-adapters-of-its-own";
 
@@ -17,7 +19,7 @@
 fn a_copy_that_is_larger_than_a_message_reaches_a_vm_without_the_store() {
     let site = Site::start_in(2, 1);
     let server = ServerStandIn::start(site.ip(0)).unwrap();
-    site.put(&record("zz-served", &server, 5));
+    site.put(&record(LAST_SERVER, &server, 5));
     let models = PADDING.repeat(9);
     for number in 0..ENTRIES {
         let body = format!(
@@ -32,13 +34,9 @@
     first.wait_served();
     let nowhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
     let second = site.gateway_with_store(1, nowhere);
+    // The only server of the service is the last of all entries: the whole copy has come.
     wait_for("the VM without a store to serve", || {
         let reply = call(second.callers(), "/repeat/x", "asked");
         reply.is_some_and(|reply| reply.status == StatusCode::OK)
     });
-    wait_for("its copy to be whole", || {
-        second
-            .log()
-            .contains("copy of the store taken from another VM")
-    });
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -701,6 +701,12 @@
     /// and holds no item that may come back.
     #[prost(bool, tag = "3")]
     pub is_steady: bool,
+    /// Number of this part of the copy; the first is 0.
+    #[prost(uint32, tag = "4")]
+    pub part: u32,
+    /// Whether further parts follow.
+    #[prost(bool, tag = "5")]
+    pub has_more: bool,
 }
 
 /// Changes of a copy of the store.
