Young VMs spare cold servers; the order of watchers, births and reads of a large fleet

Now none until it knows another, or is old enough to be known to be alone.
Test shares, unchanged, and one more for the VM that is alone.
- The order in which VMs watch the store was worked out twenty times a second over all VMs of the fleet by each of them; now when a VM has changed.
- From 24,000 births on, each further entry looked at all of them: a read of 30,000 entries was not over after 20 s in a debug build; the bound now grows with the servers that live.
- A VM that has aggregators reads the store itself after 5 to 6.6 s in place of 1.2 to 2: hundreds at once take the store's link for half a minute, and each serves with its first page.

--- a/crates/fleet/src/choose.rs
+++ b/crates/fleet/src/choose.rs
@@ -281,8 +281,9 @@
             return true;
         }
         let name = &self.server(id).record.name;
-        is_cold_sender(name, &self.place().vm, self.region_vms())
-            && self.server_mut(id).cold_share().has_one(now)
+        let is_sender =
+            self.is_alone() || is_cold_sender(name, &self.place().vm, self.region_vms());
+        is_sender && self.server_mut(id).cold_share().has_one(now)
     }
 
     /// The first `count` servers that rendezvous hashing gives the request's shared
--- a/crates/fleet/src/cold.rs
+++ b/crates/fleet/src/cold.rs
@@ -39,7 +39,8 @@
     }
 }
 
-/// Whether `own` is among the VMs that may send to a cold server.
+/// Whether `own` is among the VMs that may send to a cold server. One that knows no other
+/// is not: VMs that start together would all take themselves for the first.
 pub fn is_cold_sender(server: &ServerName, own: &VmName, others: &[VmName]) -> bool {
     let rank = |vm: &VmName| stable_hash(&["cold", server.as_str(), vm.as_str()]);
     let mine = rank(own);
@@ -47,5 +48,5 @@
         .iter()
         .filter(|vm| *vm != own && rank(vm) > mine)
         .count();
-    before < SENDERS
+    !others.is_empty() && before < SENDERS
 }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -43,8 +43,8 @@
 /// service two to five requests a second.
 const DRAWN_FADE: Duration = Duration::from_secs(3);
 
-/// Births that are kept, those of servers that are gone included: 100 bytes each, and
-/// twice the servers of the largest plan before the gone ones are dropped.
+/// Births that are kept at least, those of servers that are gone included: 100 bytes each,
+/// and twice the servers of the largest plan before the gone ones are dropped.
 const MOST_BIRTHS: usize = 24_000;
 
 /// Where this VM stands.
@@ -87,8 +87,11 @@
     unix_start: Duration,
     /// The latest life that was seen under each name, also of servers that are gone.
     latest: HashMap<ServerName, LatestLife>,
+    /// Births from which those of servers that are gone are dropped.
+    most_births: usize,
     evacuated: BTreeSet<CenterName>,
     region_vms: Vec<VmName>,
+    is_alone: bool,
     switches: DecisionSwitches,
     costs: BTreeMap<ServiceName, ServiceCosts>,
     crashes: CrashTable,
@@ -122,8 +125,10 @@
             chilled: BTreeMap::new(),
             unix_start: Duration::ZERO,
             latest: HashMap::new(),
+            most_births: MOST_BIRTHS,
             evacuated: BTreeSet::new(),
             region_vms: Vec::new(),
+            is_alone: false,
             switches: DecisionSwitches::default(),
             costs: BTreeMap::new(),
             crashes: CrashTable::new(),
@@ -163,6 +168,16 @@
         self.region_vms = vms;
     }
 
+    /// Sets whether this VM is known to be the only one of its region.
+    pub fn set_alone(&mut self, is_alone: bool) {
+        self.is_alone = is_alone;
+    }
+
+    /// Whether this VM is known to be the only one of its region.
+    pub(crate) fn is_alone(&self) -> bool {
+        self.is_alone
+    }
+
     /// Sets how old other VMs' work is when it is known here.
     pub fn set_knowledge_age(&mut self, age: Duration) {
         self.knowledge_age = age;
@@ -553,9 +568,12 @@
     }
 
     fn note_latest(&mut self, record: &ServerRecord) {
-        if self.latest.len() >= MOST_BIRTHS {
+        if self.latest.len() >= self.most_births {
             let pools = &self.pools;
             self.latest.retain(|name, _| pools.has(name.as_str()));
+            // Where more servers live than that, a look for each new one would be a look
+            // at all.
+            self.most_births = MOST_BIRTHS.max(self.latest.len() * 2);
         }
         let latest = self.latest.entry(record.name.clone());
         let born = record.born;
--- a/crates/fleet/tests/shares.rs
+++ b/crates/fleet/tests/shares.rs
@@ -4,10 +4,16 @@
 
 use std::time::Duration;
 
-use onyxfall_fleet::{BudgetLimits, ColdShare, RetryShare, SENDERS, is_cold_sender};
+use onyxfall_fleet::{
+    BackendService, BudgetLimits, CallNeeds, CallerLimits, ColdShare, ConfigVersion, FleetView,
+    HomeRegions, LocalOption, PromptSize, RetryShare, RouteTable, SENDERS, ServerRecord,
+    is_cold_sender,
+};
 use onyxfall_types::{ServerName, VmName};
 use proptest::prelude::*;
-use support::at;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use support::{at, place, ready_server};
 
 const WINDOW: Duration = Duration::from_secs(10);
 /// What the platform allows a cold server beyond its rate in one second: half of
@@ -128,3 +134,50 @@
     let allowed = RATE * COLD_OVER + COLD_SLACK;
     assert!(f64::from(arrivals) <= allowed, "{arrivals} arrivals");
 }
+
+/// What a region's only VM may send to a cold server.
+#[test]
+fn only_a_vm_that_is_known_to_be_alone_sends_to_a_cold_server() {
+    for (is_alone, sends) in [(false, false), (true, true)] {
+        let mut view = FleetView::new(place("vm0", &[("c0", "r0")]));
+        let cold = ServerRecord {
+            cold_left: Duration::from_secs(3),
+            ..ready_server("s")
+        };
+        view.put_server(at(0), cold, Some(&cold_table()));
+        view.set_alone(is_alone);
+        let rng = &mut StdRng::seed_from_u64(1);
+        let chosen = view.choose(at(1000), &plain_needs(), &[], rng);
+        let is_free = matches!(chosen, LocalOption::Free(_));
+        assert_eq!(is_free, sends, "alone {is_alone}: {chosen:?}");
+    }
+}
+
+fn cold_table() -> RouteTable {
+    let service = BackendService {
+        name: "svc".parse().unwrap(),
+        max_connections: 10,
+        cold_for: Duration::from_secs(3),
+        cold_rate: 3.0,
+        engine: None,
+    };
+    let limits = CallerLimits {
+        max_head: 1,
+        max_body: 1,
+        idle: Duration::ZERO,
+    };
+    RouteTable::new(ConfigVersion(1), Vec::new(), vec![service], limits)
+}
+
+fn plain_needs() -> CallNeeds {
+    CallNeeds {
+        service: "svc".parse().unwrap(),
+        engine: None,
+        prompt: PromptSize::default(),
+        goal: Duration::from_millis(400),
+        urgency: 0,
+        deadline: at(10_000),
+        events: None,
+        homes: HomeRegions::Any,
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -79,6 +79,8 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) store: RefCell<StoreLink>,
     pub(crate) share: RefCell<StoreShare>,
+    /// The order in which VMs watch the store, and the roster's changes that it is of.
+    pub(crate) watch_order: RefCell<Option<(u64, Rc<[VmName]>)>>,
     /// This VM's copy of the store, cut into parts for others.
     pub(crate) made_parts: RefCell<MadeParts>,
     /// A copy of the store that another VM is giving to this one.
@@ -162,6 +164,7 @@
             pool: ConnectionPool::default(),
             store: RefCell::default(),
             share: RefCell::default(),
+            watch_order: RefCell::default(),
             made_parts: RefCell::default(),
             incoming_copy: RefCell::default(),
             metrics: GatewayMetrics::default(),
@@ -294,8 +297,9 @@
         let age = overlay.plan(now).knowledge_age();
         let roster = overlay.roster();
         let near = roster.others().filter(|vm| roster.is_near(&vm.record));
-        let vms = near.map(|vm| vm.record.name.clone()).collect();
+        let vms: Vec<VmName> = near.map(|vm| vm.record.name.clone()).collect();
         let mut fleet = self.fleet.borrow_mut();
+        fleet.set_alone(vms.is_empty() && self.started.elapsed() >= ALONE_FOR);
         fleet.set_region_vms(vms);
         fleet.resize_pools();
         fleet.set_knowledge_age(age);
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -73,6 +73,12 @@
 }
 
 impl Gateway {
+    /// Whether this VM reports to an aggregator, from which it gets what others tell.
+    pub(crate) fn is_member(&self) -> bool {
+        let now = self.now();
+        self.overlay.borrow_mut().plan(now).primary().is_some()
+    }
+
     fn planned_links(&self) -> Vec<PlannedLink> {
         let now = self.now();
         self.overlay.borrow_mut().plan(now).links.clone()
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -20,7 +20,6 @@
 use crate::decide::{RouteStep, server_target};
 use crate::gateway::Gateway;
 use crate::serve::CallProgress;
-use crate::share::watch_order;
 use crate::store_client::{CallError, StoreClient};
 
 /// Answers that a count can hold: beyond, what another VM tells is absurd.
@@ -278,11 +277,8 @@
         if !self.store.borrow().is_watched() {
             return None;
         }
-        let overlay = self.overlay.borrow();
-        let roster = overlay.roster();
-        let order = watch_order(roster);
-        let own = &roster.own().name;
-        let near_rank = order.iter().position(|name| *name == own)?;
+        let order = self.watch_order();
+        let near_rank = order.iter().position(|name| name == self.vm())?;
         let near_rank = u32::try_from(near_rank).unwrap_or(u32::MAX);
         let settings = self.settings();
         let mut regions: Vec<_> = settings.place.centers.values().collect();
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -10,6 +10,7 @@
 //! gap that it leaves shows in the revision of the next one.
 
 use std::collections::VecDeque;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -101,13 +102,13 @@
     /// Whether this VM has to watch the store for its region.
     pub(crate) fn has_watch_duty(&self) -> bool {
         let now = self.now();
+        let order = self.watch_order();
         let overlay = self.overlay.borrow();
         let roster = overlay.roster();
-        let order = watch_order(roster);
-        let Some(rank) = order.iter().position(|name| **name == roster.own().name) else {
+        let Some(rank) = order.iter().position(|name| *name == roster.own().name) else {
             return false;
         };
-        let is_watcher = |name: &&VmName| {
+        let is_watcher = |name: &VmName| {
             roster
                 .get(name)
                 .is_some_and(|vm| vm.record.status.watches_store)
@@ -132,6 +133,24 @@
                 .is_some_and(|since| now - since >= waits)
     }
 
+    /// The VMs of this region in the order in which they watch the store. Worked out anew
+    /// only when a VM has changed: it is asked for twenty times a second, and puts all VMs
+    /// of the fleet in order.
+    pub(crate) fn watch_order(&self) -> Rc<[VmName]> {
+        let overlay = self.overlay.borrow();
+        let changes = overlay.roster().changes();
+        let kept = &mut *self.watch_order.borrow_mut();
+        if let Some((of, order)) = kept
+            && *of == changes
+        {
+            return Rc::clone(order);
+        }
+        let order = watch_order(overlay.roster());
+        let order: Rc<[VmName]> = order.into_iter().cloned().collect();
+        *kept = Some((changes, Rc::clone(&order)));
+        order
+    }
+
     /// Whether this VM's copy of the store holds everything.
     pub(crate) fn copy_is_whole(&self) -> bool {
         self.share.borrow().is_whole
@@ -256,7 +275,7 @@
 
 /// The VMs of this region in the order in which they watch the store: aggregators
 /// before the others.
-pub(crate) fn watch_order(roster: &Roster) -> Vec<&VmName> {
+fn watch_order(roster: &Roster) -> Vec<&VmName> {
     let own = roster.own();
     let levels = roster.levels();
     let aggregators = levels.region(&own.region);
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -36,6 +36,10 @@
 /// Age from which a VM without a whole copy reads everything itself: another VM's copy
 /// takes some 0.4 s where all start at once.
 const READ_ALONE_AFTER: Duration = Duration::from_millis(1200);
+/// The same for a VM that others aggregate for: hundreds of them would read megabytes at
+/// once, the store's link would be taken for half a minute, and with its first page each
+/// can serve.
+const READ_BESIDE_AFTER: Duration = Duration::from_secs(5);
 /// Spread of that age: all VMs may have started at once.
 const READ_ALONE_SPREAD: Duration = Duration::from_millis(800);
 /// The same where no other VM was heard yet.
@@ -111,7 +115,7 @@
         gateway: Rc::clone(gateway),
         client: StoreClient::new(gateway),
         pause: FIRST_PAUSE,
-        patience: READ_ALONE_AFTER + spread,
+        spread,
     };
     tokio::task::spawn_local(async move { watch.run().await });
 }
@@ -135,8 +139,9 @@
     gateway: Rc<Gateway>,
     client: StoreClient,
     pause: Duration,
-    /// Age from which this VM reads everything itself if it has no whole copy.
-    patience: Duration,
+    /// This VM's part of the spread of the age from which it reads everything itself if it
+    /// has no whole copy.
+    spread: Duration,
 }
 
 impl StoreWatch {
@@ -261,7 +266,12 @@
         }
         let age = self.gateway.started.elapsed();
         let is_alone = !self.gateway.knows_others();
-        let is_late = age >= self.patience && !self.gateway.awaits_copy();
+        let patience = if self.gateway.is_member() {
+            READ_BESIDE_AFTER + self.spread * 2
+        } else {
+            READ_ALONE_AFTER + self.spread
+        };
+        let is_late = age >= patience && !self.gateway.awaits_copy();
         is_late || (is_alone && age >= ALONE_AFTER)
     }
 
