--- a/crates/overlay/tests/support/mod.rs
+++ b/crates/overlay/tests/support/mod.rs
@@ -48,6 +48,14 @@
     pub mean: f64,
 }
 
+/// What VMs tell, a second and VM.
+#[derive(Clone, Copy, Debug)]
+pub struct TellCount {
+    pub frames: FrameCount,
+    /// Records of VMs and figures of servers in the frames.
+    pub entries: FrameCount,
+}
+
 struct Frame {
     from: usize,
     to: usize,
@@ -82,6 +90,8 @@
     next_frame: u64,
     next_life: u64,
     counts: Vec<u64>,
+    /// Records and figures that each VM has sent.
+    entries: Vec<u64>,
 }
 
 fn record(shape: FleetShape, index: usize, life: u64) -> VmRecord {
@@ -133,6 +143,7 @@
             next_frame: 0,
             next_life: 0,
             counts: vec![0; count],
+            entries: vec![0; count],
         };
         fleet.nodes = (0..count).map(|index| fleet.fresh(index)).collect();
         fleet
@@ -209,13 +220,22 @@
 
     /// Frames of each VM over the next `time`.
     pub fn count_frames(&mut self, time: Duration) -> FrameCount {
+        self.count(time, |_| {}).frames
+    }
+
+    /// Frames of each VM, and what is in them, over the next `time`; `change` is called
+    /// each tenth of a second.
+    pub fn count(&mut self, time: Duration, mut change: impl FnMut(&mut Self)) -> TellCount {
         self.counts.fill(0);
-        self.run(time);
-        let per_second = |count: u64| count as f64 / time.as_secs_f64();
-        let total: u64 = self.counts.iter().sum();
-        FrameCount {
-            most: per_second(self.counts.iter().copied().max().unwrap_or(0)),
-            mean: per_second(total) / self.counts.len() as f64,
+        self.entries.fill(0);
+        let end = self.now + time;
+        while self.now < end {
+            change(self);
+            self.run(Duration::from_millis(100));
+        }
+        TellCount {
+            frames: a_second(&self.counts, time),
+            entries: a_second(&self.entries, time),
         }
     }
 
@@ -258,6 +278,17 @@
         self.nodes[index].totals_mut().set_own(entries);
     }
 
+    /// Sets the work of a VM: so many requests at one server.
+    pub fn work_at(&mut self, index: usize, server: u32, requests: u32) {
+        let share = WorkShare {
+            requests,
+            ..WorkShare::default()
+        };
+        let server = ServerTag(server);
+        let entry = WorkEntry { server, share };
+        self.nodes[index].totals_mut().set_own([entry]);
+    }
+
     /// Requests of other VMs that a VM knows of at a server.
     pub fn known_work(&self, index: usize, server: u32) -> u32 {
         self.nodes[index]
@@ -358,6 +389,7 @@
         let update = self.nodes[from].tell(self.now, relation, Some(&peer), state);
         let life = link.life;
         self.counts[from] += 1;
+        self.entries[from] += entries_of(&update);
         if self.dead.contains(&to) || self.is_cut(from, to) {
             self.links.remove(&pair);
             return;
@@ -411,3 +443,19 @@
         }
     }
 }
+
+fn a_second(counts: &[u64], time: Duration) -> FrameCount {
+    let per_second = |count: u64| count as f64 / time.as_secs_f64();
+    FrameCount {
+        most: per_second(counts.iter().copied().max().unwrap_or(0)),
+        mean: per_second(counts.iter().sum()) / counts.len() as f64,
+    }
+}
+
+/// Records and figures in a message.
+fn entries_of(update: &OverlayUpdate) -> u64 {
+    let word = update.word.as_ref();
+    let word = word.map_or(0, |word| word.records.len() + word.gone.len());
+    let work = update.work.as_ref().map_or(0, |work| work.entries.len());
+    (word + work) as u64
+}
