--- a/crates/overlay/tests/support/mod.rs
+++ b/crates/overlay/tests/support/mod.rs
@@ -454,8 +454,8 @@
 
 /// Records and figures in a message.
 fn entries_of(update: &OverlayUpdate) -> u64 {
-    let word = update.word.as_ref();
-    let word = word.map_or(0, |word| word.records.len() + word.gone.len());
-    let work = update.work.as_ref().map_or(0, |work| work.entries.len());
-    (word + work) as u64
+    let roster = update.word.as_ref();
+    let records = roster.map_or(0, |word| word.records.len() + word.gone.len());
+    let figures = update.work.as_ref().map_or(0, |work| work.entries.len());
+    (records + figures) as u64
 }
