--- a/crates/fleet/tests/mirror.rs
+++ b/crates/fleet/tests/mirror.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use onyxfall_fleet::{
-    MirrorChange, RETURN_WINDOW, StoreEvent, StoreHealth, StoreItem, StoreMirror,
+    MirrorChange, MirrorDelta, RETURN_WINDOW, StoreEvent, StoreHealth, StoreItem, StoreMirror,
 };
 use onyxfall_policy::Moment;
 use support::at;
@@ -175,6 +175,35 @@
     assert!(delta.is_partial && delta.items.is_empty());
 }
 
+/// What a VM told long ago, and another one hears only now.
+///
+/// Seen once: a link had been a standby's since the first second of a day. When the VM that
+/// had dialled it began to report on it, it was sent every change that was kept, from the
+/// first on, and passed them on. Servers that had gone 5.3 s before were there again, ready,
+/// on every VM of the data centre, and one got a request.
+#[test]
+fn an_item_that_was_deleted_does_not_come_back_by_old_news() {
+    let mut mirror = StoreMirror::default();
+    let steady = StoreHealth::Steady;
+    mirror.apply(at(0), vec![StoreEvent::Put(item("gone", 5))], steady);
+    mirror.apply(at(0), vec![StoreEvent::Put(item("kept", 6))], steady);
+    let key = "gone".to_owned();
+    let deleted = StoreEvent::Delete { key, revision: 9 };
+    assert_eq!(mirror.apply(at(1), vec![deleted], steady).len(), 1);
+    let old = MirrorDelta {
+        base: 2,
+        revision: 5,
+        items: vec![item("gone", 5)],
+        ..MirrorDelta::default()
+    };
+    assert_eq!(mirror.merge(at(2), old), Vec::new());
+    let copied = vec![item("gone", 5), item("kept", 6)];
+    let copy = mirror.replace(at(3), "", copied, 8, StoreHealth::Returned);
+    assert_eq!(copy, Vec::new());
+    let anew = vec![StoreEvent::Put(item("gone", 12))];
+    assert_eq!(mirror.apply(at(4), anew, steady), vec![set("gone", 12)]);
+}
+
 /// A change drawn by a property test: key, and whether it is written, deleted while the
 /// store is well, or missed after an outage.
 fn drawn_change(mirror: &mut StoreMirror, step: u64, key: u8, kind: u8) {
