News of other VMs does not bring back what was deleted since

Cause: a link sends the changes that were kept since it came up, once the other end reports on it. A standby's link may have been up since the start; the VM that began to report on it was sent the whole past, and a copy that had forgotten a deletion took the item as new.

A link now begins with the changes after the report, and a copy remembers the keys deleted last. Ruled out: taking no change whose revision is below the copy's, since changes come by two ways and one that is overtaken is still missing.

--- a/crates/fleet/src/mirror.rs
+++ b/crates/fleet/src/mirror.rs
@@ -5,9 +5,10 @@
 //! outage is kept for a while: its owner writes it again if it lives. An item
 //! that vanishes while the store is well is gone at once.
 //!
-//! Invariant: an item is never replaced by one of a smaller revision.
+//! Invariant: an item is never replaced by one of a smaller revision, and one that was
+//! deleted lately does not come back by news from before that.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +21,10 @@
 /// seconds for a live owner to be back; the rest is the way of the news.
 pub const RETURN_WINDOW: Duration = Duration::from_millis(2500);
 
+/// Deletions that are remembered, some 60 bytes each. Other VMs' news are seconds old at
+/// most, and a large fleet replaces ninety servers a second.
+const MOST_DELETIONS: usize = 2048;
+
 /// An item of the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoreItem {
@@ -104,6 +109,33 @@
     hash: u64,
     /// Keys of the items that are missing.
     missing: BTreeSet<String>,
+    deletions: RecentDeletions,
+}
+
+/// The keys that were deleted last, with the revision of it.
+#[derive(Clone, Debug, Default)]
+struct RecentDeletions {
+    revisions: HashMap<String, u64>,
+    order: VecDeque<String>,
+}
+
+impl RecentDeletions {
+    fn note(&mut self, key: &str, revision: u64) {
+        if self.revisions.insert(key.to_owned(), revision).is_none() {
+            self.order.push_back(key.to_owned());
+        }
+        if self.order.len() > MOST_DELETIONS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.revisions.remove(&oldest);
+        }
+    }
+
+    /// Whether an item was deleted after its revision.
+    fn covers(&self, item: &StoreItem) -> bool {
+        let deleted = self.revisions.get(&item.key);
+        deleted.is_some_and(|deleted| item.revision <= *deleted)
+    }
 }
 
 /// What an item adds to the hash of a copy.
@@ -270,6 +302,8 @@
         expired
             .into_iter()
             .map(|key| {
+                let held = self.items.get(&key).map(|item| item.revision);
+                self.deletions.note(&key, held.unwrap_or_default());
                 self.take_out(&key);
                 MirrorChange::Removed(key)
             })
@@ -298,6 +332,9 @@
         if held.as_ref().is_some_and(|h| h.revision > item.revision) {
             return None;
         }
+        if held.is_none() && self.deletions.covers(&item) {
+            return None;
+        }
         if let Some(held) = held
             && held.revision == item.revision
         {
@@ -342,6 +379,7 @@
                 None
             }
             StoreHealth::Steady => {
+                self.deletions.note(key, revision);
                 self.take_out(key);
                 Some(MirrorChange::Removed(key.to_owned()))
             }
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -198,6 +198,8 @@
                 LinkRelation::Partial | LinkRelation::Report
             ) {
                 self.send_deltas(DeltaAudience::Everyone).await?;
+            } else {
+                self.next_delta = self.gateway.share.borrow().next_number();
             }
             self.send_update(planned.relation).await?;
             let until = tokio::time::Instant::now() + self.gateway.tell_interval(planned.relation);
@@ -254,6 +256,10 @@
                 is_member = told.relation == Some(LinkRelation::Report);
                 if is_member {
                     self.send_deltas(DeltaAudience::Members).await?;
+                } else {
+                    // It hears of changes elsewhere. Should it report here later, those of
+                    // now would be old, and have been undone since.
+                    self.next_delta = self.gateway.share.borrow().next_number();
                 }
                 if let Some(answer) = told.answer {
                     self.send_update(answer).await?;
