--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -256,7 +256,11 @@
                 status.service, status.target
             );
             let phase = status.phase.as_str();
-            let _ = writeln!(out, "onyxfall_rollout{{{label},phase=\"{phase}\"}} 1");
+            let reason = status.reason;
+            let _ = writeln!(
+                out,
+                "onyxfall_rollout{{{label},phase=\"{phase}\",reason=\"{reason}\"}} 1"
+            );
             let weight = status.judgement.weight;
             let _ = writeln!(out, "onyxfall_rollout_weight{{{label}}} {weight:.3}");
             for (route, old, new) in &status.routes {
@@ -265,6 +269,10 @@
                     let (all, bad) = (counts.answers, counts.failures);
                     let _ = writeln!(out, "onyxfall_rollout_answers{{{label}}} {all}");
                     let _ = writeln!(out, "onyxfall_rollout_failures{{{label}}} {bad}");
+                    for (slow, ratio) in counts.slow.iter().zip(SLOW_RATIOS) {
+                        let label = format!("{label},ratio=\"{ratio}\"");
+                        let _ = writeln!(out, "onyxfall_rollout_slow{{{label}}} {slow}");
+                    }
                 }
             }
         }
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -12,6 +12,7 @@
 mod rollout;
 mod settings;
 mod teams;
+mod versions;
 
 pub use context::OperatorContext;
 pub use error::OperatorError;
@@ -20,3 +21,4 @@
 pub use rollout::{RollPlan, RollProgress};
 pub use settings::{OperatorSettings, load_operator_settings, parse_operator_settings};
 pub use teams::TeamReport;
+pub use versions::VersionReport;
--- a/crates/operator/src/main.rs
+++ b/crates/operator/src/main.rs
@@ -12,7 +12,8 @@
 use onyxfall_bundle::{ContentDigest, HeadRecord, SigningSecret};
 use onyxfall_logging::{LogSink, start_logging};
 use onyxfall_operator::{
-    OperatorContext, PredictionReport, RequestStory, RollPlan, TeamReport, load_operator_settings,
+    OperatorContext, PredictionReport, RequestStory, RollPlan, TeamReport, VersionReport,
+    load_operator_settings,
 };
 use onyxfall_platform::PlatformClient;
 use onyxfall_types::RegionName;
@@ -46,6 +47,7 @@
     Explain(ExplainCommand),
     Predictions(PredictionsCommand),
     Teams(TeamsCommand),
+    Rollout(RolloutCommand),
 }
 
 /// make an operator's key pair
@@ -168,6 +170,15 @@
     addresses: Vec<SocketAddr>,
 }
 
+/// tell how far the roll-outs of services are, from the metrics of gateways
+#[derive(FromArgs)]
+#[argh(subcommand, name = "rollout")]
+struct RolloutCommand {
+    /// where gateways tell readiness and metrics, IP:PORT each
+    #[argh(positional)]
+    addresses: Vec<SocketAddr>,
+}
+
 fn main() -> ExitCode {
     let arguments: OperatorArguments = argh::from_env();
     start_logging("onyxfall", log::LevelFilter::Warn, LogSink::Stderr);
@@ -192,6 +203,7 @@
         OperatorCommand::Explain(command) => explain(command),
         OperatorCommand::Predictions(command) => predictions(command),
         OperatorCommand::Teams(command) => teams(command),
+        OperatorCommand::Rollout(command) => rollout(command),
         command => run_stored(command, &open_context(&arguments.settings)?),
     }
 }
@@ -231,7 +243,8 @@
         | OperatorCommand::Check(_)
         | OperatorCommand::Explain(_)
         | OperatorCommand::Predictions(_)
-        | OperatorCommand::Teams(_) => {
+        | OperatorCommand::Teams(_)
+        | OperatorCommand::Rollout(_) => {
             unreachable!("handled without the platform")
         }
     }
@@ -265,17 +278,8 @@
 }
 
 fn teams(command: &TeamsCommand) -> Result<(), Report> {
-    let config = ureq::Agent::config_builder().timeout_global(Some(METRICS_LIMIT));
-    let agent: ureq::Agent = config.build().into();
     let mut report = TeamReport::default();
-    for address in &command.addresses {
-        let read = agent.get(format!("http://{address}/metrics")).call();
-        let read = read.and_then(|mut reply| reply.body_mut().read_to_string());
-        match read {
-            Ok(metrics) => report.read(&address.to_string(), &metrics),
-            Err(e) => eprintln!("{address}: {e}; its part is missing below"),
-        }
-    }
+    read_metrics(&command.addresses, |vm, metrics| report.read(vm, metrics));
     if report.is_empty() {
         return Err(miette!("no VM told of a team"));
     }
@@ -283,6 +287,30 @@
     Ok(())
 }
 
+fn rollout(command: &RolloutCommand) -> Result<(), Report> {
+    let mut report = VersionReport::default();
+    read_metrics(&command.addresses, |vm, metrics| report.read(vm, metrics));
+    if report.is_empty() {
+        return Err(miette!("no VM told of a roll-out"));
+    }
+    print!("{report}");
+    Ok(())
+}
+
+/// Reads the metrics of each VM; one that does not tell them is named.
+fn read_metrics(addresses: &[SocketAddr], mut read: impl FnMut(&str, &str)) {
+    let config = ureq::Agent::config_builder().timeout_global(Some(METRICS_LIMIT));
+    let agent: ureq::Agent = config.build().into();
+    for address in addresses {
+        let reply = agent.get(format!("http://{address}/metrics")).call();
+        let text = reply.and_then(|mut reply| reply.body_mut().read_to_string());
+        match text {
+            Ok(metrics) => read(&address.to_string(), &metrics),
+            Err(e) => eprintln!("{address}: {e}; its part is missing below"),
+        }
+    }
+}
+
 /// Reads each log, or standard input (named `-`) if there is none.
 fn read_logs(
     logs: &[PathBuf],
--- /dev/null
+++ b/crates/operator/src/versions.rs
@@ -0,0 +1,128 @@
+//! How far the roll-outs of services are, told from the metrics of gateways.
+//!
+//! Each gateway tells where it sends requests, what speaks against the new version, and
+//! the counts of both versions as it knows them, those of the other VMs included. So the
+//! figures of the VM that knows of most answers are shown, and every VM's step.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+/// Labels of a metric by name.
+type MetricLabels<'a> = BTreeMap<&'a str, &'a str>;
+
+/// Counts of one version on one route.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct VersionCounts {
+    answers: f64,
+    failures: f64,
+    /// Slow answers by how many times slower than usual they were at least.
+    slow: BTreeMap<String, f64>,
+}
+
+/// One service's roll-out.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct VersionProgress {
+    /// VMs by step and by the reason that they give for it.
+    steps: BTreeMap<(String, String), BTreeSet<String>>,
+    /// Largest weight of what speaks against the version.
+    weight: f64,
+    /// Counts by route and version, old or new.
+    counts: BTreeMap<(String, String), VersionCounts>,
+}
+
+/// Roll-outs, over some VMs.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct VersionReport {
+    /// By service and ordered version.
+    services: BTreeMap<(String, String), VersionProgress>,
+}
+
+impl VersionReport {
+    /// Takes the metrics of a VM.
+    ///
+    /// ```
+    /// use onyxfall_operator::VersionReport;
+    /// let mut report = VersionReport::default();
+    /// let metrics = "onyxfall_rollout{service=\"s\",version=\"v2\",phase=\"sampling\"} 1\n";
+    /// report.read("vm1", metrics);
+    /// assert!(report.to_string().contains("sampling"));
+    /// ```
+    pub fn read(&mut self, vm: &str, metrics: &str) {
+        for line in metrics.lines() {
+            self.take(vm, line);
+        }
+    }
+
+    fn take(&mut self, vm: &str, line: &str) -> Option<()> {
+        let (name, rest) = line.strip_prefix("onyxfall_rollout")?.split_once('{')?;
+        let (labels, value) = rest.split_once("} ")?;
+        let labels = parse_labels(labels);
+        let value: f64 = value.parse().ok()?;
+        let label = |name: &str| labels.get(name).copied().map(str::to_owned);
+        let key = (label("service")?, label("version")?);
+        let progress = self.services.entry(key).or_default();
+        if name.is_empty() {
+            let reason = label("reason").unwrap_or_default();
+            let vms = progress.steps.entry((label("phase")?, reason)).or_default();
+            vms.insert(vm.to_owned());
+            return Some(());
+        }
+        if name == "_weight" {
+            progress.weight = progress.weight.max(value);
+            return Some(());
+        }
+        let counts = progress.counts.entry((label("route")?, label("side")?));
+        let counts = counts.or_default();
+        match name {
+            "_answers" => counts.answers = counts.answers.max(value),
+            "_failures" => counts.failures = counts.failures.max(value),
+            "_slow" => {
+                let slow = counts.slow.entry(label("ratio")?).or_default();
+                *slow = slow.max(value);
+            }
+            _ => {}
+        }
+        Some(())
+    }
+
+    /// Whether no VM told of a roll-out.
+    pub fn is_empty(&self) -> bool {
+        self.services.is_empty()
+    }
+}
+
+/// Labels as `name="value"`, joined by commas.
+fn parse_labels(labels: &str) -> MetricLabels<'_> {
+    let pairs = labels.split(',').filter_map(|pair| pair.split_once('='));
+    let pairs = pairs.map(|(name, value)| (name, value.trim_matches('"')));
+    pairs.collect()
+}
+
+impl fmt::Display for VersionReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for ((service, version), progress) in &self.services {
+            writeln!(f, "{service} to {version}, weight {:.1}", progress.weight)?;
+            for ((step, reason), vms) in &progress.steps {
+                let vms: Vec<&str> = vms.iter().map(String::as_str).collect();
+                let because = if reason.is_empty() || reason == "none" {
+                    String::new()
+                } else {
+                    format!(" ({reason})")
+                };
+                writeln!(f, "  {step}{because}: {}", vms.join(" "))?;
+            }
+            for ((route, side), counts) in &progress.counts {
+                write!(
+                    f,
+                    "  {route:<24} {side:<4} {:>8} answers {:>8} failures",
+                    counts.answers, counts.failures
+                )?;
+                for (ratio, slow) in &counts.slow {
+                    write!(f, " {slow:>6} slow x{ratio}")?;
+                }
+                writeln!(f)?;
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/rollout/src/service.rs
+++ b/crates/rollout/src/service.rs
@@ -283,6 +283,15 @@
         }
     }
 
+    /// Why it has ended, or this VM has given it up.
+    pub(crate) fn reason(&self) -> RolloutReason {
+        let told = self.current().map(|held| held.record.reason);
+        match (told, self.verdict) {
+            (Some(RolloutReason::None) | None, Some(metric)) => metric.reason(),
+            (told, _) => told.unwrap_or_default(),
+        }
+    }
+
     /// Which servers may have requests, in a phase.
     pub(crate) fn rule(&self, phase: RolloutPhase) -> Option<VersionRule> {
         let target = match (&self.order, &self.held) {
--- a/crates/rollout/src/table.rs
+++ b/crates/rollout/src/table.rs
@@ -10,7 +10,7 @@
 use crate::evidence::{AnswerOutcome, EvidenceCounts, EvidenceTag, VersionSide};
 use crate::judge::{BadMetric, RolloutJudgement};
 use crate::order::RolloutOrder;
-use crate::record::RolloutRecord;
+use crate::record::{RolloutReason, RolloutRecord};
 use crate::service::{DueWrite, RolloutPhase, ServerCounts, ServiceRollout, VersionRule};
 
 /// How much longer each further VM waits with a change that is due: the first one's is
@@ -71,6 +71,8 @@
     pub target: SoftwareVersion,
     /// Where requests go.
     pub phase: RolloutPhase,
+    /// Why requests go there, if the roll-out has ended or this VM has given it up.
+    pub reason: RolloutReason,
     /// What speaks against the version.
     pub judgement: RolloutJudgement,
     /// Counts of the old and of the new version by route.
@@ -308,6 +310,7 @@
                 service: service.clone(),
                 target: rollout.rule(phase)?.target,
                 phase,
+                reason: rollout.reason(),
                 judgement: rollout.judgement,
                 routes: routes.map(|(r, old, new)| (r.clone(), old, new)).collect(),
             })
