--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -72,6 +72,8 @@
     pub(crate) quotas: RefCell<QuotaTable>,
     /// Versions that the operator moves services to.
     pub(crate) rollouts: RefCell<RolloutTable>,
+    /// Notified when the first roll-out is heard of.
+    pub(crate) rollout_known: Notify,
     /// Steps of roll-outs as they were last logged.
     pub(crate) told_phases: RefCell<BTreeMap<ServiceName, &'static str>>,
     /// Requests that crash servers.
@@ -159,6 +161,7 @@
             retries: RefCell::default(),
             quotas: RefCell::new(quotas),
             rollouts: RefCell::new(RolloutTable::new(place.region, unix_start)),
+            rollout_known: Notify::new(),
             told_phases: RefCell::default(),
             suspects: SharedBoard::default(),
             pool: ConnectionPool::default(),
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -72,6 +72,7 @@
         let mut rollouts = self.rollouts.borrow_mut();
         rollouts.take_order(self.now(), revision, order);
         drop(rollouts);
+        self.rollout_known.notify_one();
         self.refresh_rollout_routes();
         self.refresh_rollouts(self.now());
     }
@@ -111,6 +112,7 @@
                 let revision = self.item_revision(key);
                 let mut rollouts = self.rollouts.borrow_mut();
                 rollouts.take_record(now, &service, revision, record);
+                self.rollout_known.notify_one();
             }
             StoreNews::Shift(service, region, order) => {
                 let revision = self.item_revision(key);
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -319,6 +319,10 @@
     tokio::task::spawn_local(async move {
         let mut client = StoreClient::new(&gateway);
         loop {
+            // Without any roll-out, as nearly always, nothing wakes this VM.
+            if gateway.rollouts.borrow().is_empty() {
+                gateway.rollout_known.notified().await;
+            }
             tokio::time::sleep(WRITE_LOOK).await;
             for write in gateway.due_rollout_writes() {
                 match send_write(&mut client, &write).await {
