--- a/crates/gateway/tests/large_copy.rs
+++ b/crates/gateway/tests/large_copy.rs
@@ -5,29 +5,31 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use http::StatusCode;
+use onyxfall_adapter::standin::{long_server_body, server_key};
 use onyxfall_fakes::ServerStandIn;
+use onyxfall_fleet::ServerRecord;
 use support::{Site, call, record, wait_for};
 
 /// Entries whose copy is larger than any one message may be.
 const ENTRIES: usize = 15_000;
 /// Name of a server after all of these.
 const LAST_SERVER: &str = "zz-served";
-/// Text that makes entries as long as those of servers with models.
-const PADDING: &str = "a-model-with-a-long-name-and-adapters-of-its-own";
+/// Bytes by which their entries are longer: those of servers with models are.
+const ENTRY_BYTES: usize = 450;
 
 #[test]
 fn a_copy_that_is_larger_than_a_message_reaches_a_vm_without_the_store() {
     let site = Site::start_in(2, 1);
     let server = ServerStandIn::start(site.ip(0)).unwrap();
     site.put(&record(LAST_SERVER, &server, 5));
-    let models = PADDING.repeat(9);
+    let other = ServerRecord {
+        service: "other".parse().unwrap(),
+        ..record("unused", &server, 5)
+    };
+    let body = long_server_body(&other, ENTRY_BYTES);
     for number in 0..ENTRIES {
-        let body = format!(
-            "{{\"Service\":\"other\",\"Address\":\"127.0.0.1:9\",\"Zone\":\"c0\",\
-             \"Version\":\"v1\",\"Slots\":4,\"State\":\"ready\",\"ColdLeftMs\":0,\
-             \"Models\":[\"{models}\"],\"Seq\":1,\"born\":1}}"
-        );
-        site.store.put(&format!("servers/i-{number:08x}"), body);
+        site.store
+            .put(&server_key(&format!("i-{number:08x}")), body.clone());
     }
     site.configure(1);
     let first = site.gateway(0);
