--- a/crates/fleet/src/mirror.rs
+++ b/crates/fleet/src/mirror.rs
@@ -112,7 +112,8 @@
     deletions: RecentDeletions,
 }
 
-/// The keys that were deleted last, with the revision of it.
+/// The keys that were deleted last, with the revision of it. What a copy merely did not
+/// name is not among them: the copy may have lacked it, and the item still be there.
 #[derive(Clone, Debug, Default)]
 struct RecentDeletions {
     revisions: HashMap<String, u64>,
@@ -121,8 +122,12 @@
 
 impl RecentDeletions {
     fn note(&mut self, key: &str, revision: u64) {
-        if self.revisions.insert(key.to_owned(), revision).is_none() {
-            self.order.push_back(key.to_owned());
+        match self.revisions.get_mut(key) {
+            Some(held) => *held = revision.max(*held),
+            None => {
+                self.revisions.insert(key.to_owned(), revision);
+                self.order.push_back(key.to_owned());
+            }
         }
         if self.order.len() > MOST_DELETIONS
             && let Some(oldest) = self.order.pop_front()
@@ -239,6 +244,7 @@
                 StoreEvent::Put(item) => changes.extend(self.put(item)),
                 StoreEvent::Delete { key, revision } => {
                     self.revision = self.revision.max(revision);
+                    self.deletions.note(&key, revision);
                     changes.extend(self.delete(now, &key, revision, health));
                 }
             }
@@ -302,8 +308,6 @@
         expired
             .into_iter()
             .map(|key| {
-                let held = self.items.get(&key).map(|item| item.revision);
-                self.deletions.note(&key, held.unwrap_or_default());
                 self.take_out(&key);
                 MirrorChange::Removed(key)
             })
@@ -379,7 +383,6 @@
                 None
             }
             StoreHealth::Steady => {
-                self.deletions.note(key, revision);
                 self.take_out(key);
                 Some(MirrorChange::Removed(key.to_owned()))
             }
