--- a/crates/fleet/src/mirror.rs
+++ b/crates/fleet/src/mirror.rs
@@ -122,13 +122,12 @@
 
 impl RecentDeletions {
     fn note(&mut self, key: &str, revision: u64) {
-        match self.revisions.get_mut(key) {
-            Some(held) => *held = revision.max(*held),
-            None => {
-                self.revisions.insert(key.to_owned(), revision);
-                self.order.push_back(key.to_owned());
-            }
+        if let Some(held) = self.revisions.get_mut(key) {
+            *held = revision.max(*held);
+            return;
         }
+        self.revisions.insert(key.to_owned(), revision);
+        self.order.push_back(key.to_owned());
         if self.order.len() > MOST_DELETIONS
             && let Some(oldest) = self.order.pop_front()
         {
