After reading the change: figures without a roll-out, the key of made copies, one way to close an order

- Each told figure that is no server's was decoded as counts of a roll-out, with an allocation, also where there is none; now only where one is known.
- The parts of a copy made last were known by the copy's hash alone, written beside the CopyState that holds revision and hash: a revision that rose without a change of items would have been told as the older one, and the copy asked for again.
- Closing an order's version stood in two places.

--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use onyxfall_adapter::WATCHED_PREFIX;
-use onyxfall_fleet::{StoreEvent, StoreHealth, StoreItem};
+use onyxfall_fleet::{CopyState, StoreEvent, StoreHealth, StoreItem};
 use onyxfall_policy::Moment;
 use onyxfall_types::VmName;
 use onyxfall_wire::{SnapshotItem, StoreSnapshot};
@@ -32,8 +32,8 @@
 /// The parts that were made last, for all links that ask.
 #[derive(Debug, Default)]
 pub(crate) struct MadeParts {
-    /// Hash of the copy that they are of, and whether it was steady.
-    of: Option<(u64, bool)>,
+    /// State of the copy that they are of, and whether it was steady.
+    of: Option<(CopyState, bool)>,
     parts: Option<CopyParts>,
 }
 
@@ -115,7 +115,7 @@
             self.copy_is_whole() && is_settled && !mirror.has_missing()
         };
         let made = &mut *self.made_parts.borrow_mut();
-        let of = Some((mirror.hash(), is_steady));
+        let of = Some((mirror.state(), is_steady));
         if let Some(parts) = made.parts.as_ref().filter(|_| made.of == of) {
             return CopyParts::clone(parts);
         }
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -6,6 +6,7 @@
 use onyxfall_fleet::{MirrorChange, RouteTable, ServerRecord, TeamTable};
 use onyxfall_policy::Moment;
 use onyxfall_rollout::RolloutOrder;
+use onyxfall_types::ServiceName;
 
 use crate::gateway::Gateway;
 use crate::report::millis;
@@ -41,10 +42,7 @@
                 fleet.remove_server(self.now(), name.as_str());
             }
             // What stood there before is no longer asked for.
-            StoreKey::Order(service) => {
-                self.rollouts.borrow_mut().withdraw(&service);
-                self.refresh_rollouts(self.now());
-            }
+            StoreKey::Order(service) => self.withdraw_order(&service),
             _ => {}
         }
     }
@@ -77,6 +75,12 @@
         self.refresh_rollouts(self.now());
     }
 
+    /// An order is no longer asked for: its version is closed at once.
+    fn withdraw_order(&self, service: &ServiceName) {
+        self.rollouts.borrow_mut().withdraw(service);
+        self.refresh_rollouts(self.now());
+    }
+
     /// Takes a server's entry. Those of servers that this VM does not work with are only
     /// counted: thousands of lines at once would push others out of the log.
     fn take_server(&self, now: Moment, record: ServerRecord, table: Option<&RouteTable>) {
@@ -169,8 +173,7 @@
             StoreKey::Config | StoreKey::Rollout(_) | StoreKey::Shift(..) | StoreKey::Other => {}
             StoreKey::Order(service) => {
                 log::info!(service = service.as_str(); "order of another version is taken back");
-                self.rollouts.borrow_mut().withdraw(&service);
-                self.refresh_rollouts(self.now());
+                self.withdraw_order(&service);
             }
         }
     }
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -144,7 +144,8 @@
     /// Takes other VMs' counts; whether the tag is one of counts.
     pub(crate) fn take_evidence(&self, tag: ServerTag, share: &WorkShare) -> bool {
         let mut rollouts = self.rollouts.borrow_mut();
-        rollouts.set_told(EvidenceTag(tag.0), evidence_counts(share))
+        // Asked for each figure that is no server's, with or without a roll-out.
+        !rollouts.is_empty() && rollouts.set_told(EvidenceTag(tag.0), evidence_counts(share))
     }
 
     /// Counts of this region, for other regions.
