Roll-outs: the new version is compared with the old one in the same slice of time

Cause: counts of the old version were those of all time, mostly of before the traffic moved, while the new one's were of the time since. A rush, or a busy machine, while most requests were at the new one spoke against it. Now: slices of 0.2 to 1 s, in each the new answers against the old ones of that slice; neighbours of like shares are joined, so that the slices of the shift stay apart. Slowness counts only for as many new answers as the old ones say something of; failures as before unless the old version's own rise in that slice. The larger sample is given where the usual one would bring too few answers before the shift, not below a fixed rate: a good version at 60 requests a second was not proved under spells of slowness.

--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -14,6 +14,7 @@
 //! running to one of its ends, under the condition that it is the one that was read.
 
 mod evidence;
+mod history;
 mod judge;
 mod order;
 mod record;
--- a/crates/rollout/src/sample.rs
+++ b/crates/rollout/src/sample.rs
@@ -4,7 +4,7 @@
 
 /// Part of a VM's requests that goes to the new version: half of the tenth that users
 /// allow, so that requests that are sent again or lost do not go beyond it.
-const SAMPLE_PART: f64 = 0.05;
+pub(crate) const SAMPLE_PART: f64 = 0.05;
 /// The same where few requests come: beside the tenth, fifty requests are allowed.
 const SCARCE_PART: f64 = 0.2;
 
--- a/crates/rollout/src/service.rs
+++ b/crates/rollout/src/service.rs
@@ -8,19 +8,19 @@
 use rand::Rng;
 
 use crate::evidence::{RolloutEvidence, VersionSide};
-use crate::judge::{BadMetric, EvidenceWindows, RolloutJudgement};
+use crate::history::EvidenceHistory;
+use crate::judge::{BadMetric, RolloutJudgement};
 use crate::order::RolloutOrder;
 use crate::record::{RolloutReason, RolloutRecord, RolloutState};
-use crate::sample::SampleShare;
+use crate::sample::{SAMPLE_PART, SampleShare};
 use crate::timeline::RolloutTimeline;
 
 /// Time between two looks at the evidence.
 const JUDGE_INTERVAL: Duration = Duration::from_millis(200);
 /// Answers of the new version in a region without which it is not proved there.
 const LEAST_ANSWERS: u64 = 10;
-/// Requests a second of a region below which the sample is larger until there are so many
-/// answers, and the age from which that is known.
-const FEW_REQUESTS: f64 = 50.0;
+/// Answers until which the sample is larger where the usual one would not bring so many
+/// before the traffic moves, and the age from which that is known.
 const SCARCE_ANSWERS: u64 = 40;
 const RATE_AFTER: Duration = Duration::from_secs(2);
 /// How long nothing is sent to the old servers after the record has said that they stop.
@@ -123,7 +123,7 @@
     marks: BTreeMap<RegionName, ShiftMark>,
     longest_answer: Duration,
     pub(crate) evidence: RolloutEvidence,
-    windows: EvidenceWindows,
+    history: EvidenceHistory,
     judged: Option<Moment>,
     pub(crate) judgement: RolloutJudgement,
     /// In which way this VM has found the version bad.
@@ -140,7 +140,7 @@
             marks: BTreeMap::new(),
             longest_answer: Duration::ZERO,
             evidence: RolloutEvidence::new(""),
-            windows: EvidenceWindows::default(),
+            history: EvidenceHistory::default(),
             judged: None,
             judgement: RolloutJudgement::default(),
             verdict: None,
@@ -157,7 +157,7 @@
         let ordered = &order.order;
         let scope = format!("{}/{}/{revision}", ordered.service, ordered.target);
         self.evidence = RolloutEvidence::new(&scope);
-        self.windows = EvidenceWindows::default();
+        self.history = EvidenceHistory::default();
         self.judgement = RolloutJudgement::default();
         self.verdict = None;
         self.seen = now;
@@ -337,7 +337,9 @@
     fn is_scarce(&self, now: Moment) -> bool {
         let age = now - self.seen;
         let rate = self.judgement.old_answers as f64 / age.as_secs_f64().max(1.0);
-        age >= RATE_AFTER && rate < FEW_REQUESTS && self.judgement.answers < SCARCE_ANSWERS
+        let usual = rate * SAMPLE_PART * self.timeline().shift_at.as_secs_f64();
+        let is_enough = self.judgement.answers >= SCARCE_ANSWERS || usual >= SCARCE_ANSWERS as f64;
+        age >= RATE_AFTER && !is_enough
     }
 
     /// Counts a request that is sent to the new version as one of the sample.
@@ -355,7 +357,7 @@
             return None;
         }
         self.judged = Some(now);
-        self.judgement = self.windows.judge(now, &self.evidence);
+        self.judgement = self.history.judge(now, &self.evidence);
         self.verdict = self.judgement.bad();
         self.verdict
     }
