--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -322,7 +322,12 @@
     /// Sends the next part of the copy that the other end has asked for.
     async fn send_part(&mut self) -> Result<(), FrameError> {
         match self.outgoing.take_next() {
-            Some(part) => self.send(PeerPayload::Snapshot(part)).await,
+            Some(part) => {
+                let bytes = part.bytes() as u64;
+                let metrics = &self.gateway.metrics;
+                metrics.count_more("onyxfall_copy_bytes_sent_total", bytes);
+                self.send(PeerPayload::Snapshot(part)).await
+            }
             None => Ok(()),
         }
     }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -709,6 +709,18 @@
     pub has_more: bool,
 }
 
+impl StoreSnapshot {
+    /// Its bytes in a frame.
+    ///
+    /// ```
+    /// use onyxfall_wire::StoreSnapshot;
+    /// assert_eq!(StoreSnapshot::default().bytes(), 0);
+    /// ```
+    pub fn bytes(&self) -> usize {
+        self.encoded_len()
+    }
+}
+
 /// Changes of a copy of the store.
 #[derive(Clone, PartialEq, Message)]
 pub struct StoreDelta {
