--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -2,7 +2,8 @@
 //!
 //! A copy may be megabytes, and an aggregator gives it to dozens of VMs at once over narrow
 //! links. So it goes in parts: what a link holds is bounded, updates go between two parts,
-//! and the receiver serves with what it has. The parts are made once for all who ask.
+//! and the receiver serves with what it has. The parts are made and packed once for all who
+//! ask; one of an earlier build gets them unpacked.
 //!
 //! Invariant: what a receiver held before and the copy does not name is removed only when
 //! all parts of one copy have come, in order.
@@ -11,17 +12,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use onyxfall_adapter::WATCHED_PREFIX;
 use onyxfall_fleet::{CopyState, StoreEvent, StoreHealth, StoreItem};
 use onyxfall_policy::Moment;
 use onyxfall_types::VmName;
-use onyxfall_wire::{SnapshotItem, StoreSnapshot};
+use onyxfall_wire::{PackError, SnapshotItem, StoreSnapshot, pack_items, unpack_items};
 
 use crate::gateway::Gateway;
 use crate::share::{store_item, wire_item};
 
-/// Bytes of items in a part; a single larger item makes a part of its own. A small VM's
-/// link carries one in some tens of milliseconds.
+/// Bytes of items in a part before it is packed; a single larger item makes a part of its
+/// own. A small VM's link carries one in some milliseconds.
 const PART_BYTES: usize = 48 * 1024;
 /// How long a copy that is coming in is waited for after its last part.
 const PART_WAIT: Duration = Duration::from_secs(2);
@@ -51,13 +53,15 @@
 pub(crate) struct OutgoingCopy {
     parts: Option<CopyParts>,
     next: usize,
+    takes_packed: bool,
 }
 
 impl OutgoingCopy {
-    /// Begins with a copy.
-    pub(crate) fn begin(&mut self, parts: CopyParts) {
+    /// Begins with a copy, for a VM that understands packed items or does not.
+    pub(crate) fn begin(&mut self, parts: CopyParts, takes_packed: bool) {
         self.parts = Some(parts);
         self.next = 0;
+        self.takes_packed = takes_packed;
     }
 
     /// Whether a part is left.
@@ -66,15 +70,41 @@
     }
 
     /// The next part.
-    pub(crate) fn take_next(&mut self) -> Option<StoreSnapshot> {
-        let parts = self.parts.as_ref()?;
+    pub(crate) fn take_next(&mut self) -> Result<Option<StoreSnapshot>, PackError> {
+        let Some(parts) = &self.parts else {
+            return Ok(None);
+        };
         let part = parts.get(self.next).cloned();
         self.next += 1;
         if self.next >= parts.len() {
             self.parts = None;
         }
-        part
+        if self.takes_packed {
+            return Ok(part);
+        }
+        part.map(unpacked).transpose()
+    }
+}
+
+/// A part whose items are not packed.
+fn unpacked(mut part: StoreSnapshot) -> Result<StoreSnapshot, PackError> {
+    if !part.packed.is_empty() {
+        let packed = std::mem::take(&mut part.packed);
+        part.items.extend(unpack_items(&packed)?);
+    }
+    Ok(part)
+}
+
+/// A part with packed items, where they can be packed.
+fn packed(mut part: StoreSnapshot) -> StoreSnapshot {
+    match pack_items(part.items.clone()) {
+        Ok(packed) => {
+            part.packed = packed;
+            part.items = Vec::new();
+        }
+        Err(e) => log::warn!(error:% = e; "part of a copy not packed"),
     }
+    part
 }
 
 /// Cuts items into parts.
@@ -85,6 +115,7 @@
         is_steady,
         part: u32::try_from(number).unwrap_or(u32::MAX),
         has_more: true,
+        packed: Bytes::new(),
     };
     let mut parts = vec![part(0)];
     let mut bytes = 0;
@@ -102,7 +133,7 @@
     if let Some(last) = parts.last_mut() {
         last.has_more = false;
     }
-    parts.into()
+    parts.into_iter().map(packed).collect()
 }
 
 impl Gateway {
@@ -138,7 +169,19 @@
     /// Takes a part of another VM's copy of the store, unless this VM watches the store
     /// itself.
     pub(crate) fn take_copy_part(&self, from: &VmName, part: StoreSnapshot) {
-        if self.store.borrow().is_watched() || !self.note_part(from, &part) {
+        if self.store.borrow().is_watched() {
+            return;
+        }
+        let part = match unpacked(part) {
+            Ok(part) => part,
+            Err(e) => {
+                // The parts after it do not follow, so that the copy is asked for again.
+                log::warn!(from = from.as_str(), error:% = e; "part of a copy not understood");
+                self.metrics.count("onyxfall_items_not_understood_total");
+                return;
+            }
+        };
+        if !self.note_part(from, &part) {
             return;
         }
         let health = if part.is_steady {
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -288,8 +288,9 @@
             Some(PeerPayload::Update(update)) => {
                 return self.take_update(&peer, &update).await.map(Some);
             }
-            Some(PeerPayload::SnapshotRequest(_)) => {
-                self.outgoing.begin(self.gateway.own_copy());
+            Some(PeerPayload::SnapshotRequest(request)) => {
+                let copy = self.gateway.own_copy();
+                self.outgoing.begin(copy, request.takes_packed);
             }
             Some(PeerPayload::Snapshot(part)) => self.gateway.take_copy_part(&peer, part),
             Some(PeerPayload::Delta(delta)) => self.gateway.take_delta(&peer, delta),
@@ -307,7 +308,7 @@
         let taken = taken.ok_or(FrameError::Closed)?;
         self.heard = taken.relation.or(self.heard);
         if self.gateway.asks_copy_of(peer) {
-            let request = PeerPayload::SnapshotRequest(SnapshotRequest {});
+            let request = PeerPayload::SnapshotRequest(SnapshotRequest { takes_packed: true });
             self.send(request).await?;
         }
         Ok(taken)
@@ -321,15 +322,13 @@
 
     /// Sends the next part of the copy that the other end has asked for.
     async fn send_part(&mut self) -> Result<(), FrameError> {
-        match self.outgoing.take_next() {
-            Some(part) => {
-                let bytes = part.bytes() as u64;
-                let metrics = &self.gateway.metrics;
-                metrics.count_more("onyxfall_copy_bytes_sent_total", bytes);
-                self.send(PeerPayload::Snapshot(part)).await
-            }
-            None => Ok(()),
+        let part = self.outgoing.take_next();
+        if let Some(part) = part.map_err(FrameError::Packed)? {
+            let metrics = &self.gateway.metrics;
+            metrics.count_more("onyxfall_copy_bytes_sent_total", part.bytes() as u64);
+            self.send(PeerPayload::Snapshot(part)).await?;
         }
+        Ok(())
     }
 
     async fn send_deltas(&mut self, audience: DeltaAudience) -> Result<(), FrameError> {
--- a/crates/gateway/tests/links.rs
+++ b/crates/gateway/tests/links.rs
@@ -118,7 +118,7 @@
     let word = answer.word.unwrap();
     let named = word.vms.iter().find(|vm| vm.name == "vm0").unwrap();
     assert!(named.ready && named.watches_store);
-    link.send(PeerPayload::SnapshotRequest(SnapshotRequest {}));
+    link.send(PeerPayload::SnapshotRequest(SnapshotRequest::default()));
     let Some(PeerPayload::Snapshot(snapshot)) = link.next() else {
         panic!("no copy of the store is given");
     };
--- a/crates/rollout/src/history.rs
+++ b/crates/rollout/src/history.rs
@@ -76,10 +76,10 @@
 
 impl RouteHistory {
     /// Counts of which nothing is known but their sum.
-    pub(crate) fn undivided(total: RouteCounts) -> Self {
+    pub(crate) fn undivided(total: &RouteCounts) -> Self {
         Self {
-            total,
-            slices: vec![SideCounts::of(&total)],
+            total: *total,
+            slices: vec![SideCounts::of(total)],
             begun: Vec::new(),
         }
     }
--- a/crates/rollout/src/judge.rs
+++ b/crates/rollout/src/judge.rs
@@ -121,14 +121,14 @@
 /// ```
 pub fn judge(evidence: &RolloutEvidence) -> RolloutJudgement {
     let counts = evidence.counts(EvidenceScope::Fleet);
-    let histories = counts.into_values().map(RouteHistory::undivided);
+    let histories = counts.values().map(RouteHistory::undivided);
     judge_histories(&histories.collect::<Vec<_>>())
 }
 
 /// Judges the histories of all routes.
 pub(crate) fn judge_histories(routes: &[RouteHistory]) -> RolloutJudgement {
     let none = RouteHistory::default();
-    let all = routes.iter().fold(none, |sum, route| sum.plus(route));
+    let all = routes.iter().fold(none, RouteHistory::plus);
     let mut judgement = RolloutJudgement {
         answers: all.total.all_new().answers,
         old_answers: all.total.old.answers,
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -7,6 +7,8 @@
 use thiserror::Error;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
+use crate::packed::PackError;
+
 use crate::message::PeerFrame;
 
 /// Largest frame in bytes.
@@ -28,6 +30,9 @@
     /// A frame is not a message.
     #[error("malformed frame: {0}")]
     Malformed(prost::DecodeError),
+    /// Items that were packed here cannot be unpacked.
+    #[error(transparent)]
+    Packed(PackError),
     /// The stream failed.
     #[error("stream failed: {0}")]
     Io(#[from] io::Error),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -15,6 +15,7 @@
 mod frame;
 mod member;
 mod message;
+mod packed;
 mod window;
 
 pub use class::FrameClass;
@@ -28,6 +29,7 @@
     ServiceCostEntry, ServiceLoadEntry, SnapshotItem, SnapshotRequest, StoreDelta, StoreSnapshot,
     SuspectEntry, TeamDemandEntry, VmEntry, VmUpdate, VmWord, WorkSet,
 };
+pub use packed::{PackError, pack_items, unpack_items};
 pub use window::{CreditWindow, INITIAL_CREDIT, frame_cost};
 
 /// Version of this protocol; a peer of another major version is refused.
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -686,7 +686,11 @@
 
 /// Asks for the peer's copy of the store.
 #[derive(Clone, PartialEq, Message)]
-pub struct SnapshotRequest {}
+pub struct SnapshotRequest {
+    /// Whether the one who asks understands packed items.
+    #[prost(bool, tag = "1")]
+    pub takes_packed: bool,
+}
 
 /// A copy of the store.
 #[derive(Clone, PartialEq, Message)]
@@ -707,6 +711,9 @@
     /// Whether further parts follow.
     #[prost(bool, tag = "5")]
     pub has_more: bool,
+    /// Items that are packed, beside those that are not.
+    #[prost(bytes = "bytes", tag = "6")]
+    pub packed: bytes::Bytes,
 }
 
 impl StoreSnapshot {
