Tests: why every VM of a large fleet reads the whole store (known red)

Two causes, each with a test: a copy is 'older' as long as any later revision was heard of, so that where changes never end each VM reads everything once a second; and a value over 32 KB is passed on by nobody, so that each VM reads all pages for it.

--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -49,6 +49,7 @@
     deaf_watches: usize,
     /// Watches that were answered.
     answered_watches: usize,
+    answered_ranges: usize,
     /// Changes under a condition that were made.
     writes: usize,
     /// Such changes to come whose answer is lost.
@@ -177,6 +178,11 @@
         self.shared.state.lock().answered_watches
     }
 
+    /// Reads of a page that were answered so far.
+    pub fn answered_ranges(&self) -> usize {
+        self.shared.state.lock().answered_ranges
+    }
+
     /// Sets how it behaves.
     pub fn set_mode(&self, mode: StoreMode) {
         self.shared.state.lock().mode = mode;
@@ -198,8 +204,9 @@
     }
     Ok(match read_store_call(request.uri()) {
         Some(StoreCall::Range { prefix, after }) => {
-            let state = shared.state.lock();
+            let mut state = shared.state.lock();
             let begin = after.map_or(Bound::Included(prefix.clone()), Bound::Excluded);
+            state.answered_ranges += 1;
             let items = state.items.range((begin, Bound::Unbounded));
             let items = items.map(|(_, item)| item);
             let items = items.take_while(|item| item.key.starts_with(&prefix));
--- a/crates/fleet/tests/follow.rs
+++ b/crates/fleet/tests/follow.rs
@@ -125,3 +125,23 @@
         assert_eq!(check.is_due(now), case.is_due, "{}", case.name);
     }
 }
+
+/// Where changes never end, a copy is always a moment behind what others have told.
+#[test]
+fn a_copy_that_follows_every_change_a_moment_later_is_not_read_anew() {
+    let change = Duration::from_millis(50);
+    let mut check = CopyCheck::default();
+    let mut now = Moment::ZERO;
+    for told in 4..400 {
+        let own = state(told - 4, 0);
+        check.note_other(now, own, state(told, 0));
+        assert!(!check.is_due(now), "after {told} changes");
+        assert!(!check.asks(now, Some(own), state(told, 0)), "{told}");
+        now = now + change;
+    }
+    let own = state(400, 0);
+    check.note_other(now, own, state(404, 0));
+    now = now + BEHIND_LIMIT;
+    check.note_other(now, own, state(420, 0));
+    assert!(check.is_due(now), "it stands still");
+}
--- a/crates/gateway/tests/watchers.rs
+++ b/crates/gateway/tests/watchers.rs
@@ -2,6 +2,9 @@
 
 mod support;
 
+use std::time::Duration;
+
+use onyxfall_adapter::standin::{RouteShape, RouteText, ServiceText, config_key, document_body};
 use onyxfall_fakes::ServerStandIn;
 use support::{Gateway, Site, call, wait_for};
 
@@ -97,3 +100,41 @@
     let ended = site.store.answered_watches() - before;
     assert!(ended < MOST_WATCHES, "{ended} watches ended until then");
 }
+
+/// Routes that nobody uses, as large deployments have them: their configuration is larger
+/// than what a small VM's link should carry at once.
+const IDLE_ROUTES: usize = 600;
+
+#[test]
+fn a_large_configuration_reaches_all_without_further_reads() {
+    let (gateways, _server, site) = start();
+    wait_watched(&site);
+    let hosts: Vec<String> = (0..IDLE_ROUTES)
+        .map(|number| format!("idle{number}.example"))
+        .collect();
+    let routes: Vec<RouteText<'_>> = hosts
+        .iter()
+        .map(|host| RouteText {
+            host,
+            path_prefix: "/idle/",
+            shape: RouteShape::Once,
+            service: support::SERVICE,
+            timeout: Duration::from_secs(3),
+            home_regions: &[],
+            is_public: false,
+        })
+        .collect();
+    let services = [ServiceText {
+        name: support::SERVICE,
+        engine: None,
+    }];
+    let body = document_body(2, &routes, &services);
+    let bytes = body.len();
+    let before = site.store.answered_ranges();
+    site.store.put(config_key(), body);
+    for gateway in &gateways {
+        wait_in_force(gateway);
+    }
+    let reads = site.store.answered_ranges() - before;
+    assert_eq!(reads, 0, "pages read for a configuration of {bytes} bytes");
+}
