Copies of the store: behind is who stands still, and large values are passed on packed

A copy awaits one revision of which it has heard; only when that one does not come for 0.7 s is it read anew (0.25 s: asked of another VM), whatever has been heard since. A value above 32 KB is packed and passed on with the other changes if that makes it at most 128 KB; a VM of an earlier build sees that an item was left out, and reads the store as before. Ruled out: a longer limit (where changes never end, any limit passes).

--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -37,7 +37,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct CopyCheck {
     newest_heard: u64,
-    older_since: Option<Moment>,
+    /// A later revision than that of this copy, and since when it is known. Where changes
+    /// never end there is always one; it must be reached before another one counts.
+    awaited: Option<(u64, Moment)>,
     differs_since: Option<Moment>,
     has_gap: bool,
     read_at: Option<Moment>,
@@ -64,10 +66,14 @@
     /// Notes the state of another VM's copy.
     pub fn note_other(&mut self, now: Moment, own: CopyState, other: CopyState) {
         self.newest_heard = self.newest_heard.max(other.revision);
+        if self
+            .awaited
+            .is_some_and(|(revision, _)| own.revision >= revision)
+        {
+            self.awaited = None;
+        }
         if own.revision < self.newest_heard {
-            self.older_since.get_or_insert(now);
-        } else {
-            self.older_since = None;
+            self.awaited.get_or_insert((self.newest_heard, now));
         }
     }
 
@@ -114,7 +120,7 @@
         let wants = match own {
             None => true,
             Some(own) => {
-                let is_older = own.revision < other.revision && lasts(self.older_since);
+                let is_older = own.revision < other.revision && lasts(self.awaited_since());
                 let is_gapped = self.has_gap && own.revision <= other.revision;
                 is_older || is_gapped
             }
@@ -131,15 +137,19 @@
     pub fn note_read(&mut self, now: Moment) {
         self.read_at = Some(now);
         self.has_gap = false;
-        self.older_since = None;
+        self.awaited = None;
         self.differs_since = None;
     }
 
+    fn awaited_since(&self) -> Option<Moment> {
+        self.awaited.map(|(_, since)| since)
+    }
+
     /// Whether everything has to be read now.
     pub fn is_due(&self, now: Moment) -> bool {
         let lasts = |since: Option<Moment>| since.is_some_and(|since| now - since >= BEHIND_LIMIT);
         let is_rested = self.read_at.is_none_or(|at| now - at >= CATCH_UP_PAUSE);
-        let misses = self.has_gap || lasts(self.older_since) || lasts(self.differs_since);
+        let misses = self.has_gap || lasts(self.awaited_since()) || lasts(self.differs_since);
         misses && is_rested
     }
 }
--- a/crates/fleet/src/mirror.rs
+++ b/crates/fleet/src/mirror.rs
@@ -206,6 +206,22 @@
         delta
     }
 
+    /// Items with values above `largest` bytes among `changes`.
+    pub fn large_items(&self, changes: &[MirrorChange], largest: usize) -> Vec<StoreItem> {
+        let keys: BTreeSet<&String> = changes.iter().map(MirrorChange::key).collect();
+        let held = keys
+            .into_iter()
+            .filter_map(|key| self.items.get_key_value(key));
+        let large = held.filter(|(_, item)| item.value.len() > largest);
+        large
+            .map(|(key, item)| StoreItem {
+                key: key.clone(),
+                value: item.value.clone(),
+                revision: item.revision,
+            })
+            .collect()
+    }
+
     /// Takes what a copy that watches the store has passed on. It has waited for
     /// items that may come back, so that what it removed is gone.
     pub fn merge(&mut self, now: Moment, delta: MirrorDelta) -> Vec<MirrorChange> {
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -18,7 +18,7 @@
 use onyxfall_overlay::{Roster, VmRecord};
 use onyxfall_policy::Moment;
 use onyxfall_types::VmName;
-use onyxfall_wire::{SnapshotItem, StoreDelta};
+use onyxfall_wire::{PackError, SnapshotItem, StoreDelta, pack_items, unpack_items};
 
 use crate::gateway::Gateway;
 
@@ -30,9 +30,10 @@
 /// tries, and again until the one after it does: the store may turn some VMs away. An
 /// outage of nine seconds is met by 24 VMs of a region instead of all.
 const NEXT_WATCHER_AFTER: Duration = Duration::from_millis(400);
-/// Largest value that is passed on, in bytes. The links of small VMs are narrow,
-/// and a large configuration goes to all VMs sooner through the store's own link.
+/// Largest value that is passed on as it is, and most bytes of larger ones when they are
+/// packed. Where hundreds of VMs read the store instead, its link is taken for seconds.
 const PASSED_VALUE: usize = 32 * 1024;
+const PASSED_PACKED: usize = 128 * 1024;
 /// Changes kept for links that have not sent them yet; what a link misses shows
 /// at the other end as a gap, and is then asked for.
 const KEPT_DELTAS: usize = 64;
@@ -180,7 +181,9 @@
         let mirror = self.mirror.borrow();
         let is_news = !changes.is_empty() || mirror.revision() != base;
         if is_news && self.store.borrow().is_watched() {
-            let delta = to_wire(mirror.delta(base, changes, PASSED_VALUE));
+            let delta = mirror.delta(base, changes, PASSED_VALUE);
+            let large = mirror.large_items(changes, PASSED_VALUE);
+            let delta = to_wire(delta, large);
             self.push_delta(DeltaAudience::Everyone, delta);
         }
     }
@@ -199,11 +202,20 @@
             return;
         }
         let (revision, base) = (delta.revision, delta.base);
-        let is_whole = !delta.is_partial;
+        let large = match unpack_large(&delta) {
+            Ok(large) => large,
+            Err(e) => {
+                // As if they had been left out: they are read.
+                log::warn!(from = from.as_str(), error:% = e; "packed change not understood");
+                self.metrics.count("onyxfall_items_not_understood_total");
+                Vec::new()
+            }
+        };
+        let is_whole = !delta.is_partial || !large.is_empty();
         let before = self.mirror.borrow().revision();
         let changes = {
             let mut mirror = self.mirror.borrow_mut();
-            mirror.merge(self.now(), from_wire(delta.clone()))
+            mirror.merge(self.now(), from_wire(delta.clone(), large))
         };
         self.share
             .borrow_mut()
@@ -315,22 +327,53 @@
     }
 }
 
-fn to_wire(delta: MirrorDelta) -> StoreDelta {
+/// Changes as other VMs get them: large items packed, or left out if they are larger still.
+fn to_wire(delta: MirrorDelta, large: Vec<StoreItem>) -> StoreDelta {
+    let packed = if large.is_empty() {
+        Bytes::new()
+    } else {
+        pack_large(large.into_iter().map(wire_item).collect())
+    };
     StoreDelta {
         revision: delta.revision,
         items: delta.items.into_iter().map(wire_item).collect(),
         removed: delta.removed,
         base: delta.base,
         is_partial: delta.is_partial,
+        packed,
+    }
+}
+
+fn pack_large(items: Vec<SnapshotItem>) -> Bytes {
+    match pack_items(items) {
+        Ok(packed) if packed.len() <= PASSED_PACKED => packed,
+        Ok(packed) => {
+            log::info!(bytes = packed.len(); "changed items are too large to be passed on");
+            Bytes::new()
+        }
+        Err(e) => {
+            log::warn!(error:% = e; "changed items not packed");
+            Bytes::new()
+        }
+    }
+}
+
+/// The items of a change that were packed.
+fn unpack_large(delta: &StoreDelta) -> Result<Vec<SnapshotItem>, PackError> {
+    if delta.packed.is_empty() {
+        return Ok(Vec::new());
     }
+    unpack_items(&delta.packed)
 }
 
-fn from_wire(delta: StoreDelta) -> MirrorDelta {
+fn from_wire(delta: StoreDelta, large: Vec<SnapshotItem>) -> MirrorDelta {
+    let is_partial = delta.is_partial && large.is_empty();
+    let items = delta.items.into_iter().chain(large);
     MirrorDelta {
         base: delta.base,
         revision: delta.revision,
-        items: delta.items.into_iter().map(store_item).collect(),
+        items: items.map(store_item).collect(),
         removed: delta.removed,
-        is_partial: delta.is_partial,
+        is_partial,
     }
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -749,6 +749,9 @@
     /// Whether items were left out for their size.
     #[prost(bool, tag = "5")]
     pub is_partial: bool,
+    /// The items that were left out, packed; empty if they are too large for that.
+    #[prost(bytes = "bytes", tag = "6")]
+    pub packed: bytes::Bytes,
 }
 
 /// One item of a copy of the store.
