Test: a VM of a large region draws another server each time (known red)

Each of 328 VMs of a region draws its server among all, so that it finds a connection that is up one time in eight.

--- /dev/null
+++ b/crates/fleet/tests/draws.rs
@@ -0,0 +1,105 @@
+//! Where the VMs of a large region draw their servers: each keeps to few, whose connections
+//! it can use again, and all together fill all evenly.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use onyxfall_fleet::{CallNeeds, FleetView, HomeRegions, LocalOption, PromptSize};
+use onyxfall_types::ServerId;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use support::{at, place, ready_server};
+
+const SERVERS: usize = 96;
+/// Time between two requests of a VM.
+const PAUSE_MS: u64 = 600;
+const REQUESTS: u64 = 40;
+/// Draws of a server in the mean from which evenness is looked at.
+const LEAST_DRAWS: f64 = 10.0;
+
+fn view(vm: usize, vms: usize) -> FleetView {
+    let name = |vm: usize| format!("vm{vm:03}");
+    let mut view = FleetView::new(place(&name(vm), &[("c0", "r0")]));
+    for server in 0..SERVERS {
+        view.put_server(at(0), ready_server(&format!("s{server:03}")), None);
+    }
+    let others = (0..vms).filter(|other| *other != vm);
+    view.set_region_vms(others.map(|vm| name(vm).parse().unwrap()).collect());
+    view.set_knowledge_age(Duration::from_millis(130));
+    view
+}
+
+fn needs() -> CallNeeds {
+    CallNeeds {
+        service: "svc".parse().unwrap(),
+        engine: None,
+        prompt: PromptSize::default(),
+        goal: Duration::from_millis(400),
+        urgency: 9,
+        deadline: at(3_600_000),
+        events: None,
+        homes: HomeRegions::Any,
+    }
+}
+
+struct DrawCase {
+    name: &'static str,
+    vms: usize,
+    /// Servers that a VM draws, at most.
+    used: usize,
+}
+
+#[test]
+fn a_vm_of_a_large_region_draws_few_servers_and_all_together_all_of_them() {
+    let cases = [
+        DrawCase {
+            name: "8 VMs",
+            vms: 8,
+            used: SERVERS,
+        },
+        DrawCase {
+            name: "100 VMs",
+            vms: 100,
+            used: 24,
+        },
+        DrawCase {
+            name: "320 VMs",
+            vms: 320,
+            used: 12,
+        },
+    ];
+    for case in &cases {
+        let mut drawn: BTreeMap<ServerId, usize> = BTreeMap::new();
+        for vm in 0..case.vms {
+            let rng = &mut StdRng::seed_from_u64(vm as u64);
+            let mut view = view(vm, case.vms);
+            let mut used = BTreeSet::new();
+            for request in 1..=REQUESTS {
+                let now = at(request * PAUSE_MS);
+                let LocalOption::Free(choice) = view.choose(now, &needs(), &[], rng) else {
+                    panic!("{}: nothing is free", case.name);
+                };
+                used.insert(choice.server);
+                // The rate of the first requests is not known yet.
+                if request > REQUESTS / 2 {
+                    *drawn.entry(choice.server).or_default() += 1;
+                }
+            }
+            assert!(
+                used.len() <= case.used,
+                "{}: {} drawn",
+                case.name,
+                used.len()
+            );
+        }
+        let all: usize = drawn.values().sum();
+        let mean = all as f64 / SERVERS as f64;
+        let most = drawn.values().copied().max().unwrap_or(0) as f64;
+        // Fewer draws say little.
+        if mean >= LEAST_DRAWS {
+            assert!(most <= 2.5 * mean, "{}: {most} of {mean}", case.name);
+        }
+    }
+}
