Choice: VMs of a large region draw in stretches side by side

The level up to which all VMs together fill the servers covers nearly all of them in a large idle region, and each VM drew anywhere in it. Now each draws in a stretch of its own, by its rank, as wide as 16 VMs; up to 16 VMs nothing changes. Test, 100 VMs and 96 servers: 35 servers drawn by a VM with 40 requests before, at most 24 after; 320 VMs at most 12; no server gets more than 2.5 times the mean. Ruled out: a stable random part of the costs (2 ms; the level stands 10 ms above idle servers), the longest idle time (40 s, far above the pauses).

--- a/crates/fleet/src/choose.rs
+++ b/crates/fleet/src/choose.rs
@@ -44,6 +44,9 @@
 const WHOLE_PART: f64 = 0.25;
 /// Cost of a cold server, so that it gets work only when others are busy.
 const COLD_COST: Duration = Duration::from_millis(150);
+/// VMs that draw in the same stretch: if some of them have more to send than others, or
+/// go, the rest still fills their servers.
+const STRETCH_VMS: f64 = 16.0;
 /// Spread of the random part that keeps VMs with the same view apart.
 const JITTER: Duration = Duration::from_millis(2);
 
@@ -353,11 +356,24 @@
         if let Some(offer) = of_owner.filter(|offer| offer.cost <= kept_up_to) {
             return Some(offer.choice(ChoiceReason::Owner));
         }
-        let index = draw_by_level(&costs, work * unknown, rng.random())?;
+        let point = self.draw_point(rng);
+        let index = draw_by_level(&costs, work * unknown, point)?;
         let drawn = offers.get(index)?;
         Some(drawn.choice(ChoiceReason::Earliest))
     }
 
+    /// Where this VM draws among servers that are filled up evenly. VMs of a region draw
+    /// in stretches side by side, so that each finds its connections again and all of
+    /// them together fill the servers as chance would.
+    fn draw_point(&self, rng: &mut impl Rng) -> f64 {
+        let others = self.region_vms();
+        let own = &self.place().vm;
+        let rank = others.iter().filter(|vm| *vm < own).count();
+        let vms = others.len() as f64 + 1.0;
+        let stretch = (STRETCH_VMS / vms).min(1.0);
+        (rank as f64 / vms + stretch * rng.random::<f64>()).fract()
+    }
+
     /// What choosing another server than the prefix's own costs: it reads the prefix
     /// anew, and pushes others' prefixes out.
     fn reread_cost(&self, needs: &CallNeeds) -> Duration {
