--- a/crates/rollout/src/judge.rs
+++ b/crates/rollout/src/judge.rs
@@ -246,8 +246,8 @@
     }
 }
 
-/// Sums over slices of time from which the logarithm of a likelihood ratio follows, whatever part
-/// of the bad answers counts.
+/// Sums over slices of time from which the logarithm of a likelihood ratio follows,
+/// whatever part of the bad answers counts.
 #[derive(Clone, Copy, Debug, Default)]
 struct RatioSums {
     /// What the bad answers add.
