After reading the change: one way to make an item of the mirror, held requests wake nobody

An item was made from a held one in three places of the mirror; a plain request of tests stood in three of the fleet's; LinkPlan::count had one caller left. A request that is held and looks again every few milliseconds no longer wakes the link on which this VM reports: it has changed nothing, and each time all live servers were looked at.

--- a/crates/fleet/src/mirror.rs
+++ b/crates/fleet/src/mirror.rs
@@ -99,6 +99,17 @@
     missing_since: Option<Moment>,
 }
 
+impl HeldItem {
+    /// The item, whose key is not kept with it.
+    fn under(&self, key: &str) -> StoreItem {
+        StoreItem {
+            key: key.to_owned(),
+            value: self.value.clone(),
+            revision: self.revision,
+        }
+    }
+}
+
 /// The copy.
 #[derive(Clone, Debug, Default)]
 pub struct StoreMirror {
@@ -196,11 +207,7 @@
             match self.items.get(key) {
                 None => delta.removed.push(key.clone()),
                 Some(item) if item.value.len() > largest => delta.is_partial = true,
-                Some(item) => delta.items.push(StoreItem {
-                    key: key.clone(),
-                    value: item.value.clone(),
-                    revision: item.revision,
-                }),
+                Some(item) => delta.items.push(item.under(key)),
             }
         }
         delta
@@ -213,13 +220,7 @@
             .into_iter()
             .filter_map(|key| self.items.get_key_value(key));
         let large = held.filter(|(_, item)| item.value.len() > largest);
-        large
-            .map(|(key, item)| StoreItem {
-                key: key.clone(),
-                value: item.value.clone(),
-                revision: item.revision,
-            })
-            .collect()
+        large.map(|(key, item)| item.under(key)).collect()
     }
 
     /// Takes what a copy that watches the store has passed on. It has waited for
@@ -237,13 +238,7 @@
 
     /// Every item that is not missing.
     pub fn snapshot(&self) -> Vec<StoreItem> {
-        self.present()
-            .map(|(key, item)| StoreItem {
-                key: key.clone(),
-                value: item.value.clone(),
-                revision: item.revision,
-            })
-            .collect()
+        self.present().map(|(key, item)| item.under(key)).collect()
     }
 
     /// Takes news of a watch.
--- a/crates/fleet/tests/balance.rs
+++ b/crates/fleet/tests/balance.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use onyxfall_fleet::{
-    AwaySearch, AwayTable, CallNeeds, DecisionSwitch, DecisionSwitches, FleetView, HomeRegions,
-    PromptSize, RateKind, RoundTrips, ServerRecord, ServiceLoad,
+    AwaySearch, AwayTable, DecisionSwitch, DecisionSwitches, FleetView, RateKind, RoundTrips,
+    ServerRecord, ServiceLoad,
 };
 use onyxfall_types::{ServiceName, name_tag};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use support::{at, place, ready_server};
+use support::{at, needs, place, ready_server};
 
 fn service() -> ServiceName {
     "svc".parse().unwrap()
@@ -40,19 +40,6 @@
     view
 }
 
-fn needs() -> CallNeeds {
-    CallNeeds {
-        service: service(),
-        engine: None,
-        prompt: PromptSize::default(),
-        goal: Duration::from_millis(400),
-        urgency: 9,
-        deadline: at(3_600_000),
-        events: None,
-        homes: HomeRegions::Any,
-    }
-}
-
 struct RateCase {
     name: &'static str,
     offered: f64,
--- a/crates/fleet/tests/draws.rs
+++ b/crates/fleet/tests/draws.rs
@@ -6,11 +6,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use onyxfall_fleet::{CallNeeds, FleetView, HomeRegions, LocalOption, PromptSize};
+use onyxfall_fleet::{FleetView, LocalOption};
 use onyxfall_types::ServerId;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use support::{at, place, ready_server};
+use support::{at, needs, place, ready_server};
 
 const SERVERS: usize = 96;
 /// Time between two requests of a VM.
@@ -31,19 +31,6 @@
     view
 }
 
-fn needs() -> CallNeeds {
-    CallNeeds {
-        service: "svc".parse().unwrap(),
-        engine: None,
-        prompt: PromptSize::default(),
-        goal: Duration::from_millis(400),
-        urgency: 9,
-        deadline: at(3_600_000),
-        events: None,
-        homes: HomeRegions::Any,
-    }
-}
-
 struct DrawCase {
     name: &'static str,
     vms: usize,
--- a/crates/fleet/tests/herd.rs
+++ b/crates/fleet/tests/herd.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use onyxfall_fleet::{
-    AttemptResult, CallNeeds, DecisionSwitch, DecisionSwitches, FleetView, HomeRegions,
-    LocalOption, PromptSize, ServerRecord, WorkShare,
+    AttemptResult, DecisionSwitch, DecisionSwitches, FleetView, LocalOption, ServerRecord,
+    WorkShare,
 };
 use onyxfall_types::ServerId;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use support::{at, place, ready_server};
+use support::{at, needs, place, ready_server};
 
 const SERVERS: usize = 2;
 const SLOTS: u32 = 6;
@@ -44,19 +44,6 @@
     view
 }
 
-fn needs() -> CallNeeds {
-    CallNeeds {
-        service: "svc".parse().unwrap(),
-        engine: None,
-        prompt: PromptSize::default(),
-        goal: Duration::from_millis(400),
-        urgency: 9,
-        deadline: at(3_600_000),
-        events: None,
-        homes: HomeRegions::Any,
-    }
-}
-
 /// A request at a server.
 #[derive(Clone, Copy)]
 struct Request {
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -3,7 +3,9 @@
 
 use std::time::Duration;
 
-use onyxfall_fleet::{FleetView, ServerBirth, ServerPhase, ServerRecord, VmPlace};
+use onyxfall_fleet::{
+    CallNeeds, FleetView, HomeRegions, PromptSize, ServerBirth, ServerPhase, ServerRecord, VmPlace,
+};
 use onyxfall_policy::Moment;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -73,3 +75,17 @@
     }
     view
 }
+
+/// What a plain request needs whose caller waits for long.
+pub fn needs() -> CallNeeds {
+    CallNeeds {
+        service: "svc".parse().unwrap(),
+        engine: None,
+        prompt: PromptSize::default(),
+        goal: Duration::from_millis(400),
+        urgency: 9,
+        deadline: at(3_600_000),
+        events: None,
+        homes: HomeRegions::Any,
+    }
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -189,7 +189,10 @@
     loop {
         gateway.hear_before_choice().await;
         let step = gateway.decide(call, progress);
-        gateway.note_own_change();
+        // A request that is held looks again every few milliseconds, and has changed nothing.
+        if !matches!(step, RouteStep::Later(_)) {
+            gateway.note_own_change();
+        }
         match step {
             RouteStep::Later(pause) => tokio::time::sleep(pause).await,
             RouteStep::Refuse(error) => return Err(error),
--- a/crates/overlay/src/plan.rs
+++ b/crates/overlay/src/plan.rs
@@ -158,12 +158,6 @@
         shared.clamp(REPORT_INTERVAL, LONGEST_REPORT_INTERVAL)
     }
 
-    /// Links of a relation.
-    pub(crate) fn count(&self, relation: LinkRelation) -> usize {
-        let links = self.links.iter();
-        links.filter(|link| link.relation == relation).count()
-    }
-
     /// VMs of the region to one of its aggregators.
     fn group_vms(&self) -> f64 {
         self.region_vms as f64 / self.near_aggregators.len().max(1) as f64
@@ -176,8 +170,11 @@
     }
 
     fn partial_interval(&self) -> Duration {
-        let partials = self.count(LinkRelation::Partial) as f64;
-        let shared = Duration::from_secs_f64(partials / PARTIALS_PER_SECOND);
+        let partials = self
+            .links
+            .iter()
+            .filter(|link| link.relation == LinkRelation::Partial);
+        let shared = Duration::from_secs_f64(partials.count() as f64 / PARTIALS_PER_SECOND);
         shared.clamp(PARTIAL_INTERVAL, LIFE_INTERVAL)
     }
 
