Servers' limits and unknown words show in logs and metrics

What could not be seen: whether a VM has read that a server names a limit.

Now: limit of a server changed (log), onyxfall_limit_changes_total, onyxfall_malformed_limits_total, onyxfall_unknown_words_total and one log line for each unknown name. Nothing is decided by the limit yet. Test: decoding limits_of_servers_are_decimal_rates.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 mod learn;
 mod level;
 mod life;
+mod limit;
 mod mirror;
 mod pools;
 mod predict;
@@ -49,6 +50,7 @@
 };
 pub use level::draw_by_level;
 pub use life::{BirthError, ServerBirth, ServerLife};
+pub use limit::LimitWord;
 pub use mirror::{
     MirrorChange, MirrorDelta, RETURN_WINDOW, StoreEvent, StoreHealth, StoreItem, StoreMirror,
 };
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use onyxfall_policy::{CircuitBreaker, Moment, ServerRest};
-use onyxfall_types::RegionName;
+use onyxfall_types::{RegionName, RequestRate};
 
 use crate::call::{CallNeeds, PromptSize};
 use crate::cold::ColdShare;
 use crate::flow::FlowMeter;
 use crate::kept::KeptPrefixes;
 use crate::learn::EngineLoad;
+use crate::limit::{LimitWord, ServerLimit};
 use crate::record::{ServerPhase, ServerRecord};
 use crate::signs::{ServerVotes, SignRecord};
 use crate::word::{DOUBTFUL_LEAVING, DoubtfulWords};
@@ -101,6 +102,7 @@
     rest: ServerRest,
     /// When it last asked for rest.
     rest_asked: Option<Moment>,
+    limit: ServerLimit,
     full_until: Moment,
     circuit: CircuitBreaker,
     slowness: f64,
@@ -129,6 +131,7 @@
             leaving_since: None,
             rest: ServerRest::default(),
             rest_asked: None,
+            limit: ServerLimit::default(),
             full_until: Moment::ZERO,
             circuit: CircuitBreaker::new(),
             slowness: 1.0,
@@ -229,6 +232,17 @@
         self.rest.end(now) > before
     }
 
+    /// Takes what an answer says of the rate that it takes; whether it begins or ceases to
+    /// name one.
+    pub(crate) fn note_limit(&mut self, word: LimitWord) -> bool {
+        self.limit.take(word)
+    }
+
+    /// The rate that it has named last, if its last answer named one.
+    pub fn named_limit(&self) -> Option<RequestRate> {
+        self.limit.named()
+    }
+
     /// The rest that it wants, if the moment of the asking passes.
     pub(crate) fn asked_rest(&self, passes: impl Fn(Option<Moment>) -> bool) -> Option<ServerRest> {
         passes(self.rest_asked).then_some(self.rest)
@@ -259,6 +273,7 @@
         self.leaving_since = before.leaving_since;
         self.rest = before.rest;
         self.rest_asked = before.rest_asked;
+        self.limit = before.limit;
     }
 
     /// The share of its rate while it is cold.
--- a/crates/fleet/src/word.rs
+++ b/crates/fleet/src/word.rs
@@ -18,6 +18,7 @@
 use onyxfall_types::ServerId;
 
 use crate::life::ServerBirth;
+use crate::limit::LimitWord;
 use crate::view::FleetView;
 
 /// How much later than a word a birth must be for the word to be the former life's: clocks
@@ -50,12 +51,14 @@
 }
 
 /// What the head of an answer says of the server that gave it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ServerWord {
     /// It leaves.
     pub is_leaving: bool,
     /// The rest that it wants.
     pub rest: RestWord,
+    /// The rate that it takes.
+    pub limit: LimitWord,
 }
 
 /// What a word has changed of what this VM believes.
@@ -65,6 +68,8 @@
     pub leaves: bool,
     /// It now rests, or for longer than before.
     pub rests: bool,
+    /// It now names a limit and did not before, or the other way round.
+    pub limit_changes: bool,
 }
 
 impl FleetView {
@@ -108,8 +113,13 @@
             RestWord::For(time) => server.note_rest(now, time),
             RestWord::None | RestWord::Malformed => false,
         };
+        let limit_changes = server.note_limit(word.limit);
         self.doubt_later_life(now, id);
-        WordNews { leaves, rests }
+        WordNews {
+            leaves,
+            rests,
+            limit_changes,
+        }
     }
 
     /// Lets the later life of a server that has started again count a word that was noted
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -160,6 +160,7 @@
     if kind != AnswerKind::WrongServer {
         let word = read_word(response.status(), response.headers());
         gateway.note_word(call, target.id, word);
+        gateway.note_unknown_words(response.headers());
     }
     match kind {
         AnswerKind::Signed => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,7 +4,7 @@
 //! never across an await.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -62,6 +62,8 @@
     pub(crate) overlay: RefCell<OverlayNode>,
     /// When this VM last looked at its own work to tell it.
     pub(crate) own_work_at: Cell<Option<Moment>>,
+    /// Unknown headers by which servers describe themselves, as far as they were logged.
+    pub(crate) unknown_words: RefCell<BTreeSet<String>>,
     pub(crate) relays: RefCell<RelayTable>,
     pub(crate) away: RefCell<AwayTable>,
     /// Round trips to other regions.
@@ -156,6 +158,7 @@
             mirror: RefCell::default(),
             overlay: RefCell::new(overlay),
             own_work_at: Cell::new(None),
+            unknown_words: RefCell::default(),
             relays: RefCell::default(),
             away: RefCell::default(),
             trips: RefCell::default(),
