--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -13,7 +13,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
 use onyxfall_adapter::standin::{
-    ReceivedCall, ask_rest, mark_not_run, received_call, say_leaving, sign_answer,
+    ReceivedCall, ask_rest, mark_not_run, received_call, say_leaving, say_limit, sign_answer,
 };
 use parking_lot::Mutex;
 use tokio::time::{Instant as TimerInstant, Sleep};
@@ -55,6 +55,8 @@
     pub is_leaving: bool,
     /// It turns requests away and asks for a rest of so many seconds.
     pub rest: Option<AskedRest>,
+    /// Every answer names the requests a second that it takes, as the header has them.
+    pub limit: Option<&'static str>,
 }
 
 /// The rest that a server asks for.
@@ -288,6 +290,9 @@
     if said.is_leaving {
         say_leaving(response.headers_mut());
     }
+    if let Some(limit) = said.limit {
+        say_limit(response.headers_mut(), limit);
+    }
     // A request that gets no answer is told nothing.
     state.lock().arrivals[number - 1].said = said;
     Ok(response)
--- a/crates/gateway/tests/leaving.rs
+++ b/crates/gateway/tests/leaving.rs
@@ -30,6 +30,7 @@
 const LEAVING: SaidWord = SaidWord {
     is_leaving: true,
     rest: None,
+    limit: None,
 };
 /// Requests after which a server that could get one would have got one, of two servers.
 const REQUESTS: usize = 30;
--- a/crates/gateway/tests/resting.rs
+++ b/crates/gateway/tests/resting.rs
@@ -39,6 +39,7 @@
     SaidWord {
         is_leaving: false,
         rest: Some(AskedRest { seconds, every: 1 }),
+        ..SaidWord::default()
     }
 }
 
