Keep the limit that a server names over all VMs of the region

Servers in need got 64 requests in 4 s where 15 were allowed (users' record, LIMIT).

Cause: nobody read Server-Limit. Ruled out: shares that add up to more than the limit (two VMs with the whole limit each would have sent 28) and ways that pass over it (81 of 99 requests came by the usual choice).

Now a VM believes its own last answer, else the mean of what other VMs have read, which travels with their work. The VMs that rank first by rendezvous hashing send, each an equal part of the rate and never two at once. Choice, suspects, free servers, copies of runs and the capacity of plain services look at it; where every server is held back, callers are told the next turn.

--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -152,11 +152,16 @@
     /// Requests a second that a plain service's servers of this region can do.
     fn plain_capacity(&self, now: Moment, service: &ServiceName) -> f64 {
         let one = self.costs(service).plain_ms() / 1e3;
-        let slots: f64 = self
-            .near_servers(service)
+        let capacity = |id| {
+            let server = self.server(id);
+            let able = f64::from(server.record.slots) / one.max(f64::MIN_POSITIVE);
+            server
+                .limit(now)
+                .map_or(able, |limit| able.min(limit.per_second()))
+        };
+        self.near_servers(service)
             .filter(|id| self.is_trusted(now, *id) && !self.server(*id).is_cold(now))
-            .map(|id| f64::from(self.server(id).record.slots))
-            .sum();
-        slots / one.max(f64::MIN_POSITIVE)
+            .map(capacity)
+            .sum()
     }
 }
--- a/crates/fleet/src/choose.rs
+++ b/crates/fleet/src/choose.rs
@@ -102,7 +102,7 @@
     Full,
     /// Servers are cold or failing; one may be usable after a moment.
     Resting,
-    /// Every server that could run it wants nothing from this VM before the moment.
+    /// No server that could run it takes anything from this VM before the moment.
     Held(Moment),
     /// There is no server here that may run it.
     None,
@@ -132,12 +132,12 @@
         if candidates.is_empty() {
             return LocalOption::None;
         }
-        if let Some(end) = self.earliest_rest_end(now, &candidates) {
+        if let Some(end) = self.earliest_hold_end(now, &candidates) {
             return LocalOption::Held(end);
         }
         let roomy: Vec<ServerId> = candidates
             .into_iter()
-            .filter(|id| self.server(*id).is_rested(now) && self.has_room(*id, needs))
+            .filter(|id| self.takes_now(now, *id) && self.has_room(*id, needs))
             .collect();
         if roomy.is_empty() {
             return LocalOption::Full;
@@ -182,7 +182,7 @@
             return LocalOption::None;
         }
         let candidates = self.candidates(needs, excluded);
-        if let Some(end) = self.earliest_rest_end(now, &candidates) {
+        if let Some(end) = self.earliest_hold_end(now, &candidates) {
             return LocalOption::Held(end);
         }
         let free = self.free_servers(now, needs);
--- a/crates/fleet/src/cold.rs
+++ b/crates/fleet/src/cold.rs
@@ -42,11 +42,19 @@
 /// Whether `own` is among the VMs that may send to a cold server. One that knows no other
 /// is not: VMs that start together would all take themselves for the first.
 pub fn is_cold_sender(server: &ServerName, own: &VmName, others: &[VmName]) -> bool {
-    let rank = |vm: &VmName| stable_hash(&["cold", server.as_str(), vm.as_str()]);
-    let mine = rank(own);
-    let before = others
-        .iter()
-        .filter(|vm| *vm != own && rank(vm) > mine)
-        .count();
-    !others.is_empty() && before < SENDERS
+    !others.is_empty() && sender_rank("cold", server, own, others) < SENDERS
+}
+
+/// Number of other VMs that come before `own` in the order in which VMs send to a server
+/// that bears little, by rendezvous hashing; each `purpose` has an order of its own.
+pub(crate) fn sender_rank(
+    purpose: &str,
+    server: &ServerName,
+    own: &VmName,
+    others: &[VmName],
+) -> usize {
+    let score = |vm: &VmName| stable_hash(&[purpose, server.as_str(), vm.as_str()]);
+    let mine = score(own);
+    let before = others.iter().filter(|vm| *vm != own && score(vm) > mine);
+    before.count()
 }
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -11,7 +11,7 @@
 use crate::flow::FlowMeter;
 use crate::kept::KeptPrefixes;
 use crate::learn::EngineLoad;
-use crate::limit::{LimitWord, ServerLimit};
+use crate::limit::ServerLimit;
 use crate::record::{ServerPhase, ServerRecord};
 use crate::signs::{ServerVotes, SignRecord};
 use crate::word::{DOUBTFUL_LEAVING, DoubtfulWords};
@@ -232,15 +232,17 @@
         self.rest.end(now) > before
     }
 
-    /// Takes what an answer says of the rate that it takes; whether it begins or ceases to
-    /// name one.
-    pub(crate) fn note_limit(&mut self, word: LimitWord) -> bool {
-        self.limit.take(word)
+    /// The rate that it takes from all VMs together, if it is in need.
+    pub fn limit(&self, now: Moment) -> Option<RequestRate> {
+        self.limit.rate(now, self.others.limits)
     }
 
-    /// The rate that it has named last, if its last answer named one.
-    pub fn named_limit(&self) -> Option<RequestRate> {
-        self.limit.named()
+    pub(crate) fn limit_state(&self) -> &ServerLimit {
+        &self.limit
+    }
+
+    pub(crate) fn limit_mut(&mut self) -> &mut ServerLimit {
+        &mut self.limit
     }
 
     /// The rest that it wants, if the moment of the asking passes.
@@ -288,6 +290,7 @@
         WorkShare {
             flow,
             votes: self.own_vote(now),
+            limits: self.limit.own(now),
             ..self.own
         }
     }
@@ -429,6 +432,7 @@
             self.circuit.start(now);
         }
         self.rest.note_sent(id);
+        self.limit.note_sent(now);
         self.own = self.own.plus(work);
         let brought = unread + needs.prompt.likely_output();
         self.flow.note(now, brought);
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -334,7 +334,10 @@
     pub fn free_servers(&self, now: Moment, needs: &CallNeeds) -> impl Iterator<Item = ServerId> {
         self.near_servers(&needs.service).filter(move |id| {
             let server = self.server(*id);
-            self.is_trusted(now, *id) && !server.is_cold(now) && self.has_room(*id, needs)
+            self.is_trusted(now, *id)
+                && !server.is_cold(now)
+                && self.has_room(*id, needs)
+                && self.is_within_limit(now, *id)
         })
     }
 
--- a/crates/fleet/src/word.rs
+++ b/crates/fleet/src/word.rs
@@ -68,8 +68,6 @@
     pub leaves: bool,
     /// It now rests, or for longer than before.
     pub rests: bool,
-    /// It now names a limit and did not before, or the other way round.
-    pub limit_changes: bool,
 }
 
 impl FleetView {
@@ -113,13 +111,8 @@
             RestWord::For(time) => server.note_rest(now, time),
             RestWord::None | RestWord::Malformed => false,
         };
-        let limit_changes = server.note_limit(word.limit);
         self.doubt_later_life(now, id);
-        WordNews {
-            leaves,
-            rests,
-            limit_changes,
-        }
+        WordNews { leaves, rests }
     }
 
     /// Lets the later life of a server that has started again count a word that was noted
@@ -151,13 +144,20 @@
         self.may_work(id) && !self.is_closed_version(id) && self.server(id).rest_end(now).is_none()
     }
 
+    /// Whether what a server says of itself lets this VM send to it now.
+    pub(crate) fn takes_now(&self, now: Moment, id: ServerId) -> bool {
+        self.server(id).is_rested(now) && self.is_within_limit(now, id)
+    }
+
     /// When the first of these servers may have work again; none if one may have it now.
-    pub(crate) fn earliest_rest_end(&self, now: Moment, servers: &[ServerId]) -> Option<Moment> {
-        let is_held = |id: &ServerId| !self.server(*id).is_rested(now);
-        if !servers.iter().all(is_held) {
+    pub(crate) fn earliest_hold_end(&self, now: Moment, servers: &[ServerId]) -> Option<Moment> {
+        if servers.iter().any(|id| self.takes_now(now, *id)) {
             return None;
         }
-        let ends = servers.iter().map(|id| self.server(*id).rest_end(now));
-        ends.map(|end| end.unwrap_or(now)).min()
+        let end = |id: &ServerId| {
+            let rested = self.server(*id).rest_end(now).unwrap_or(now);
+            rested.max(now + self.limit_wait(now, *id))
+        };
+        servers.iter().map(end).min()
     }
 }
--- a/crates/fleet/src/work.rs
+++ b/crates/fleet/src/work.rs
@@ -1,5 +1,6 @@
 //! What VMs have under way at a server, as they tell each other.
 
+use crate::limit::ToldLimits;
 use crate::signs::ServerVotes;
 
 /// Urgencies that a request can have; 0 goes first.
@@ -72,6 +73,8 @@
     pub flow: u64,
     /// Whether it lives, as those VMs see it.
     pub votes: ServerVotes,
+    /// Limits that those VMs have read in its answers.
+    pub limits: ToldLimits,
 }
 
 impl WorkShare {
@@ -85,6 +88,7 @@
             memory: self.memory.saturating_add(other.memory),
             flow: self.flow.saturating_add(other.flow),
             votes: self.votes.plus(other.votes),
+            limits: self.limits.plus(other.limits),
         }
     }
 
@@ -97,6 +101,7 @@
             memory: self.memory.saturating_sub(other.memory),
             flow: self.flow.saturating_sub(other.flow),
             votes: self.votes.without(other.votes),
+            limits: self.limits.without(other.limits),
         }
     }
 }
--- a/crates/fleet/tests/words.rs
+++ b/crates/fleet/tests/words.rs
@@ -243,11 +243,7 @@
     let mut fleet = view();
     fleet.put_server(at(0), record("s", 5), None);
     let id = fleet.find("s").unwrap();
-    let news = |leaves, rests| WordNews {
-        leaves,
-        rests,
-        ..WordNews::default()
-    };
+    let news = |leaves, rests| WordNews { leaves, rests };
     assert_eq!(fleet.take_word(at(0), id, &leaving()), news(true, false));
     assert_eq!(fleet.take_word(at(0), id, &leaving()), news(false, false));
     assert_eq!(fleet.take_word(at(0), id, &rest(500)), news(false, true));
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -160,6 +160,9 @@
     if kind != AnswerKind::WrongServer {
         let word = read_word(response.status(), response.headers());
         gateway.note_word(call, target.id, word);
+        let is_own = matches!(kind, AnswerKind::Signed | AnswerKind::NotRun);
+        let sent = is_own.then(|| booking.started());
+        gateway.note_limit(target.id, word.limit, sent);
         gateway.note_unknown_words(response.headers());
     }
     match kind {
--- a/crates/gateway/src/backup.rs
+++ b/crates/gateway/src/backup.rs
@@ -128,7 +128,9 @@
     let fleet = gateway.fleet.borrow();
     let now = gateway.now();
     let server = fleet.server(copy.server);
-    let is_usable = fleet.may_send(now, copy.server) && !server.is_cold(now);
+    let is_usable = fleet.may_send(now, copy.server)
+        && fleet.is_within_limit(now, copy.server)
+        && !server.is_cold(now);
     is_usable.then(|| ServerTarget {
         id: copy.server,
         name: server.record.name.to_string(),
--- a/crates/gateway/src/frames.rs
+++ b/crates/gateway/src/frames.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use onyxfall_fleet::{ServerVotes, UnreadTokens, WorkShare};
+use onyxfall_fleet::{ServerVotes, ToldLimits, UnreadTokens, WorkShare};
 use onyxfall_overlay::{
     LinkRelation, OverlayUpdate, RecordVersion, RosterWord, ServerTag, VmCapacity, VmRecord,
     VmStatus, WordScope, WorkEntry, WorkWord,
@@ -144,6 +144,8 @@
                 flow: entry.share.flow,
                 good: entry.share.votes.good,
                 bad: entry.share.votes.bad,
+                limit_vms: entry.share.limits.vms,
+                limit_thousandths: entry.share.limits.thousandths,
             })
             .collect(),
     }
@@ -166,6 +168,10 @@
                         good: entry.good,
                         bad: entry.bad,
                     },
+                    limits: ToldLimits {
+                        vms: entry.limit_vms,
+                        thousandths: entry.limit_thousandths,
+                    },
                 },
             })
             .collect(),
--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -64,6 +64,11 @@
         self.server
     }
 
+    /// When it was booked, which is before anything was sent.
+    pub(crate) fn started(&self) -> Moment {
+        self.started
+    }
+
     /// Notes that more of the answer has come.
     pub(crate) fn note_sign(&self) {
         let now = self.gateway.now();
--- a/crates/gateway/src/words.rs
+++ b/crates/gateway/src/words.rs
@@ -3,6 +3,7 @@
 use http::HeaderMap;
 use onyxfall_adapter::unknown_words;
 use onyxfall_fleet::{LimitWord, RestWord, ServerWord, WordNews};
+use onyxfall_policy::Moment;
 use onyxfall_types::{RequestRate, ServerId};
 
 use crate::call::CallContext;
@@ -16,20 +17,17 @@
     /// Takes what the head of an answer says of the server that gave it. It holds for all
     /// further requests before any of the answer is passed on.
     pub(crate) fn note_word(&self, call: &CallContext, server: ServerId, word: ServerWord) {
+        if word.rest == RestWord::None && !word.is_leaving {
+            return;
+        }
         let now = self.now();
         let news = self.fleet.borrow_mut().take_word(now, server, &word);
         if word.rest == RestWord::Malformed {
             self.metrics.count("onyxfall_malformed_rests_total");
         }
-        if word.limit == LimitWord::Malformed {
-            self.metrics.count("onyxfall_malformed_limits_total");
-        }
-        if news.leaves || news.rests {
+        if news != WordNews::default() {
             self.tell_word(call, server, news);
         }
-        if news.limit_changes {
-            self.tell_limit(call, server);
-        }
     }
 
     /// Logs what this VM believes from now on; one line for each change.
@@ -56,14 +54,35 @@
         );
     }
 
-    /// Logs that a server has begun, or has ceased, to name a limit.
-    fn tell_limit(&self, call: &CallContext, server: ServerId) {
-        self.metrics.count("onyxfall_limit_changes_total");
+    /// Takes what the head of an answer says of its server's limit; `sent` is when its
+    /// request was sent, where the answer is that request's own.
+    pub(crate) fn note_limit(&self, server: ServerId, word: LimitWord, sent: Option<Moment>) {
+        let now = self.now();
+        if word == LimitWord::Malformed {
+            self.metrics.count("onyxfall_malformed_limits_total");
+        }
+        let was_limited = self.is_limited(now, server);
+        let mut fleet = self.fleet.borrow_mut();
+        fleet.take_limit(now, server, word, sent);
+        drop(fleet);
+        self.tell_limit(now, server, was_limited);
+    }
+
+    /// Whether a server is in need, as far as this VM knows.
+    pub(crate) fn is_limited(&self, now: Moment, server: ServerId) -> bool {
+        self.fleet.borrow().server(server).limit(now).is_some()
+    }
+
+    /// Logs that a limit of a server has come into force, or has ended.
+    pub(crate) fn tell_limit(&self, now: Moment, server: ServerId, was_limited: bool) {
         let fleet = self.fleet.borrow();
         let state = fleet.server(server);
-        let limit = state.named_limit();
+        let limit = state.limit(now);
+        if limit.is_some() == was_limited {
+            return;
+        }
+        self.metrics.count("onyxfall_limit_changes_total");
         log::info!(
-            request = call.request_id.as_str(),
             server = state.record.name.as_str(),
             born:% = state.record.born,
             limit_per_s = limit.map_or(-1.0, RequestRate::per_second);
--- a/crates/gateway/tests/frames.rs
+++ b/crates/gateway/tests/frames.rs
@@ -67,6 +67,8 @@
                 flow: 8,
                 good: 1,
                 bad: 1,
+                limit_vms: 2,
+                limit_thousandths: 4500,
             }],
         }),
         copy_hash: 1,
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -17,6 +17,8 @@
 const TOLD: Duration = Duration::from_millis(500);
 /// Time for which callers go on after that.
 const ASKED_FOR: Duration = Duration::from_millis(5500);
+/// Age from which a VM that hears no other one knows that it is alone.
+const KNOWN_ALONE: Duration = Duration::from_millis(1600);
 const CALLERS: usize = 6;
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -149,6 +151,7 @@
 #[test]
 fn requests_beyond_the_limits_of_all_servers_are_refused_with_a_time() {
     let site = LimitedSite::start(1, 1);
+    thread::sleep(KNOWN_ALONE);
     site.let_limit(&site.servers[0], "0.5");
     let address = site.gateways[0].callers();
     let mut served = 0;
--- a/crates/overlay/src/totals.rs
+++ b/crates/overlay/src/totals.rs
@@ -447,6 +447,8 @@
         && share.unread.total() <= MOST_TOKENS
         && share.memory <= MOST_TOKENS
         && share.flow <= MOST_TOKENS
+        && share.limits.vms <= MOST_REQUESTS
+        && share.limits.thousandths <= MOST_TOKENS
 }
 
 /// Whether a change of a VM's own work is worth telling: flow changes all the time.
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -656,6 +656,12 @@
     /// VMs that miss one.
     #[prost(uint32, tag = "8")]
     pub bad: u32,
+    /// VMs that have read in its answers how many requests a second it takes.
+    #[prost(uint32, tag = "9")]
+    pub limit_vms: u32,
+    /// Sum of what they read, in thousandths of a request a second.
+    #[prost(uint64, tag = "10")]
+    pub limit_thousandths: u64,
 }
 
 /// What a VM has learned of the costs of a service.
