Soak: servers name limits, and what reaches them is counted

A series of its own, so that the other faults of a seed stay as they were. The check counts requests that were sent after their VM had read the limit, in windows of 1, 2 and 4 s.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -37,6 +37,8 @@
     SentWhileLeaving(String),
     /// A server that had asked for rest got work before its end.
     SentInRest(String),
+    /// A server got more than the rate that it had named.
+    SentBeyondLimit(String),
     /// A server was told another team than the one that holds the caller's key.
     WrongTeam(String, Option<String>),
     /// A server got a caller's key.
--- /dev/null
+++ b/crates/soak/src/limits.rs
@@ -0,0 +1,115 @@
+//! The rates that servers named against what reached them meanwhile.
+//!
+//! A request counts if its caller sent it after any caller of the same VM had an answer
+//! that named the limit. A freeze or restart of the VM excuses it, and a harmed link to the
+//! server.
+
+use std::net::IpAddr;
+use std::time::{Duration, Instant};
+
+use onyxfall_fakes::ArrivedRequest;
+
+use crate::checks::BrokenPromise;
+use crate::words::{DisturbedPart, LifeArrivals, WordChecks};
+
+/// Windows in which requests are counted.
+const WINDOWS: [Duration; 3] = [
+    Duration::from_secs(1),
+    Duration::from_secs(2),
+    Duration::from_secs(4),
+];
+/// Requests in a window that are allowed beside one and a half times the limit.
+const SLACK: f64 = 5.0;
+/// Time from the first answer that names a limit in which VMs hear of each other's word.
+const HEARD_AFTER: Duration = Duration::from_secs(1);
+
+/// A time in which every answer of a server named a limit.
+struct LimitedTime<'a> {
+    /// The largest that it named.
+    rate: f64,
+    arrivals: Vec<&'a ArrivedRequest>,
+}
+
+impl WordChecks {
+    /// The promises that were broken at one life of a server; `vms` are the VMs' addresses.
+    pub(crate) fn check_limits(
+        &mut self,
+        life: &LifeArrivals,
+        vms: &[IpAddr],
+    ) -> Vec<BrokenPromise> {
+        let mut broken = Vec::new();
+        for limited in limited_times(&life.arrivals) {
+            let counted = self.counted(&limited, life.server, vms);
+            self.limited += usize::from(!counted.is_empty());
+            broken.extend(WINDOWS.into_iter().filter_map(|window| {
+                let most = busiest(&counted, window);
+                let allowed = 1.5 * limited.rate * window.as_secs_f64() + SLACK;
+                (most as f64 > allowed).then(|| {
+                    let LifeArrivals { server, life, .. } = life;
+                    BrokenPromise::SentBeyondLimit(format!(
+                        "server {server}, life {life}: {most} requests in {window:?}, allowed {allowed}"
+                    ))
+                })
+            }));
+        }
+        broken
+    }
+
+    /// When the requests arrived that count against the limit.
+    fn counted(&self, limited: &LimitedTime<'_>, server: usize, vms: &[IpAddr]) -> Vec<Instant> {
+        let Some(first) = limited.arrivals.first() else {
+            return Vec::new();
+        };
+        let mut counted = Vec::new();
+        for (vm, address) in vms.iter().enumerate() {
+            let own = || limited.arrivals.iter().filter(|a| a.from == *address);
+            let read = own()
+                .filter_map(|a| self.calls.get(&a.request_id)?.read)
+                .min();
+            let Some(read) = read else { continue };
+            let parts = [
+                DisturbedPart::Vm(vm),
+                DisturbedPart::Process(vm),
+                DisturbedPart::Link(server),
+            ];
+            let is_sent_later = |id| self.calls.get(id).is_some_and(|call| call.sent > read);
+            let is_disturbed = |until| {
+                let mut parts = parts.iter();
+                parts.any(|part| self.disturbances.is_disturbed(*part, first.at, until))
+            };
+            let later = own().filter(|a| a.at >= first.at + HEARD_AFTER);
+            let later = later.filter(|a| is_sent_later(&a.request_id) && !is_disturbed(a.at));
+            counted.extend(later.map(|a| a.at));
+        }
+        counted.sort_unstable();
+        counted
+    }
+}
+
+/// Arrivals in a row whose answers named a limit.
+fn limited_times(arrivals: &[ArrivedRequest]) -> Vec<LimitedTime<'_>> {
+    let rate_of = |arrived: &ArrivedRequest| arrived.said.limit?.parse::<f64>().ok();
+    let chunks = arrivals.chunk_by(|a, b| rate_of(a).is_some() == rate_of(b).is_some());
+    let times = chunks.filter_map(|chunk| {
+        let rate = chunk.iter().filter_map(rate_of).reduce(f64::max)?;
+        Some(LimitedTime {
+            rate,
+            arrivals: chunk.iter().collect(),
+        })
+    });
+    times.collect()
+}
+
+/// The most moments within a window.
+fn busiest(moments: &[Instant], window: Duration) -> usize {
+    let within = |(index, first): (usize, &Instant)| {
+        let later = &moments[index..];
+        later.iter().take_while(|at| **at < *first + window).count()
+    };
+    moments
+        .iter()
+        .enumerate()
+        .map(within)
+        .max()
+        .unwrap_or_default()
+}
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,6 +7,7 @@
 
 mod callers;
 mod checks;
+mod limits;
 mod link;
 mod plan;
 mod run;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -36,6 +36,15 @@
 /// Servers turn away every so-many-th request.
 const RESTS_EVERY: std::ops::Range<usize> = 1..4;
 
+/// Limits of servers come in a series of their own, for the same reason.
+const LIMIT_SERIES: u64 = 0x6c69_6d69_7473_5f31;
+/// Mean time between the beginnings of two of these, in milliseconds, and how long one
+/// lasts: time must be left after every VM has read it.
+const LIMIT_PAUSE_MS: u64 = 1800;
+const LIMIT_MS: std::ops::Range<u64> = 1500..5000;
+/// Requests a second that servers take: few, none, absurd.
+const LIMITS: [&str; 6] = ["1", "2.5", "0.4", "4", "0", "soon"];
+
 /// Suspensions come in a series of their own, for the same reason.
 const AWAY_SERIES: u64 = 0x6177_6179_5f73_6572;
 /// Mean time between the beginnings of two of these, in milliseconds.
@@ -89,6 +98,8 @@
     Leave(usize, NextLife),
     /// A server turns requests away and asks for rest.
     Rest(usize, AskedRest),
+    /// A server names the requests a second that it takes.
+    Limit(usize, &'static str),
     /// Another writer leaves something in a server's entry that is none.
     /// The second number says what it is.
     Foreign(usize, usize),
@@ -141,34 +152,56 @@
 /// Draws one fault.
 type DrawFault = fn(&mut StdRng, &RunSize) -> Fault;
 
-/// Faults drawn from a seed of their own, one each `pause_ms` in the mean.
-fn draw_series(seed: u64, pause_ms: u64, size: &RunSize, draw: DrawFault) -> Vec<PlannedFault> {
-    let mut rng = StdRng::seed_from_u64(seed);
-    let millis = u64::try_from(size.time.as_millis()).unwrap_or(u64::MAX);
-    let count = (millis / pause_ms).max(1);
-    let planned = (0..count).map(|_| {
-        let at = LEAD + Duration::from_millis(rng.random_range(0..millis.max(1)));
-        let lasts = Duration::from_millis(rng.random_range(FAULT_MS));
-        PlannedFault {
-            at,
-            until: at + lasts,
-            fault: draw(&mut rng, size),
-        }
-    });
-    planned.collect()
+/// Faults that come in a series of their own.
+struct FaultSeries {
+    /// Keeps its draws apart from those of other series.
+    name: u64,
+    /// Mean time between the beginnings of two, in milliseconds.
+    pause_ms: u64,
+    /// How long one lasts, in milliseconds.
+    lasts_ms: std::ops::Range<u64>,
+    draw: DrawFault,
+}
+
+impl FaultSeries {
+    /// The faults of a seed.
+    fn draw(&self, seed: u64, size: &RunSize) -> Vec<PlannedFault> {
+        let mut rng = StdRng::seed_from_u64(seed ^ self.name);
+        let millis = u64::try_from(size.time.as_millis()).unwrap_or(u64::MAX);
+        let count = (millis / self.pause_ms).max(1);
+        let planned = (0..count).map(|_| {
+            let at = LEAD + Duration::from_millis(rng.random_range(0..millis.max(1)));
+            let lasts = Duration::from_millis(rng.random_range(self.lasts_ms.clone()));
+            PlannedFault {
+                at,
+                until: at + lasts,
+                fault: (self.draw)(&mut rng, size),
+            }
+        });
+        planned.collect()
+    }
 }
 
 /// The faults of a seed, in the order of their beginning.
 pub(crate) fn draw_plan(seed: u64, size: &RunSize) -> Vec<PlannedFault> {
-    let mut faults = draw_series(seed, FAULT_PAUSE_MS, size, draw_fault);
-    let series: [(u64, u64, DrawFault); 3] = [
-        (ENTRY_SERIES, ENTRY_PAUSE_MS, draw_entry_fault),
-        (WORD_SERIES, WORD_PAUSE_MS, draw_word),
-        (AWAY_SERIES, AWAY_PAUSE_MS, draw_suspension),
+    let usual = |name, pause_ms, draw: DrawFault| FaultSeries {
+        name,
+        pause_ms,
+        lasts_ms: FAULT_MS,
+        draw,
+    };
+    let series = [
+        usual(0, FAULT_PAUSE_MS, draw_fault),
+        usual(ENTRY_SERIES, ENTRY_PAUSE_MS, draw_entry_fault),
+        usual(WORD_SERIES, WORD_PAUSE_MS, draw_word),
+        usual(AWAY_SERIES, AWAY_PAUSE_MS, draw_suspension),
+        FaultSeries {
+            lasts_ms: LIMIT_MS,
+            ..usual(LIMIT_SERIES, LIMIT_PAUSE_MS, draw_limit)
+        },
     ];
-    for (name, pause_ms, draw) in series {
-        faults.extend(draw_series(seed ^ name, pause_ms, size, draw));
-    }
+    let drawn = series.iter().flat_map(|series| series.draw(seed, size));
+    let mut faults: Vec<PlannedFault> = drawn.collect();
     faults.sort_by_key(|fault| fault.at);
     faults
 }
@@ -199,6 +232,11 @@
     Fault::Rest(server, rest)
 }
 
+fn draw_limit(rng: &mut StdRng, size: &RunSize) -> Fault {
+    let server = rng.random_range(0..size.servers);
+    Fault::Limit(server, LIMITS[rng.random_range(0..LIMITS.len())])
+}
+
 fn draw_suspension(rng: &mut StdRng, size: &RunSize) -> Fault {
     let vm = rng.random_range(0..size.vms);
     Fault::Suspend(vm, rng.random_range(AWAY_S))
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -74,7 +74,11 @@
     run.check_words();
     let broken = run.checks.broken();
     let told = run.words.told;
-    let summary = format!("{:?}, {told} words of servers checked", run.checks.statuses);
+    let limited = run.words.limited;
+    let summary = format!(
+        "{:?}, {told} words and {limited} limits of servers checked",
+        run.checks.statuses
+    );
     if !broken.is_empty() {
         eprintln!("logs of the gateways: {}", world.dir().display());
     }
@@ -166,6 +170,10 @@
                 self.world.rest(server, Some(rest));
                 Ok(())
             }
+            Fault::Limit(server, limit) => {
+                self.world.limit(server, Some(limit));
+                Ok(())
+            }
             Fault::Foreign(server, kind) => {
                 self.world.spoil(server, kind);
                 Ok(())
@@ -233,6 +241,10 @@
                 self.world.rest(server, None);
                 Ok(())
             }
+            Fault::Limit(server, _) => {
+                self.world.limit(server, None);
+                Ok(())
+            }
             Fault::Kill(_)
             | Fault::Stop(_)
             | Fault::Reload(_)
@@ -291,7 +303,9 @@
                     life,
                     arrivals,
                 };
-                for broken in self.words.check(&arrivals, &vms) {
+                let broken = self.words.check(&arrivals, &vms);
+                let beyond = self.words.check_limits(&arrivals, &vms);
+                for broken in broken.into_iter().chain(beyond) {
                     self.checks.note(broken);
                 }
             }
@@ -457,6 +471,7 @@
         | (Fault::ServerLink(a, _), Fault::ServerLink(b, _))
         | (Fault::Leave(a, _), Fault::Leave(b, _))
         | (Fault::Rest(a, _), Fault::Rest(b, _))
+        | (Fault::Limit(a, _), Fault::Limit(b, _))
         | (Fault::Foreign(a, _), Fault::Foreign(b, _))
         | (Fault::Server(a, _), Fault::Server(b, _)) => a == b,
         (Fault::Store(_), Fault::Store(_)) => true,
--- a/crates/soak/src/words.rs
+++ b/crates/soak/src/words.rs
@@ -50,7 +50,7 @@
         }
     }
 
-    fn is_disturbed(&self, part: DisturbedPart, from: Instant, to: Instant) -> bool {
+    pub(crate) fn is_disturbed(&self, part: DisturbedPart, from: Instant, to: Instant) -> bool {
         let is_open = self.open.get(&part).is_some_and(|begun| *begun <= to);
         let mut ended = self.ended.iter();
         is_open || ended.any(|(other, begun, end)| *other == part && *begun <= to && *end >= from)
@@ -59,10 +59,10 @@
 
 /// What callers saw of a request, as far as the order of events goes.
 #[derive(Clone, Copy, Debug)]
-struct CallTimes {
-    sent: Instant,
+pub(crate) struct CallTimes {
+    pub(crate) sent: Instant,
     /// When the answer had come, if it shows that the VM had read what servers said.
-    read: Option<Instant>,
+    pub(crate) read: Option<Instant>,
 }
 
 /// One life of a server, and what reached it.
@@ -78,10 +78,12 @@
 /// The checks, fed while a run goes on.
 #[derive(Default)]
 pub(crate) struct WordChecks {
-    calls: BTreeMap<String, CallTimes>,
+    pub(crate) calls: BTreeMap<String, CallTimes>,
     pub(crate) disturbances: DisturbanceLog,
     /// Words that were told and could be checked, for the report.
     pub(crate) told: usize,
+    /// Times of limits that could be checked, for the report.
+    pub(crate) limited: usize,
 }
 
 /// A word that a VM is known to have read.
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -319,6 +319,11 @@
         self.set_word(server, |word| word.rest = rest);
     }
 
+    /// Lets the present life of a server name the requests a second that it takes, or none.
+    pub(crate) fn limit(&self, server: usize, limit: Option<&'static str>) {
+        self.set_word(server, |word| word.limit = limit);
+    }
+
     fn set_word(&self, server: usize, change: impl FnOnce(&mut SaidWord)) {
         let mut state = self.servers[server].lock();
         change(&mut state.word);
