The store's era shows in logs and metrics

What could not be told apart: a store that was restored from an older copy, a watch that waits at a revision that the store does not have, a configuration that is refused. No line named the era or the revision that the store answers with.

Now: store was restored (log: era before and now, revision of the answer and of this VM's copy), onyxfall_store_restores_total. Nothing is decided by the era yet.

--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -343,8 +343,8 @@
 
 async fn send_write(client: &mut StoreClient, write: &RolloutWrite) -> Result<WriteEnd, CallError> {
     let request = rollout_request(&client.host(), write)?;
-    let (status, _) = client.call(request, Duration::ZERO, "rollout").await?;
-    Ok(read_write(status)?)
+    let reply = client.call(request, Duration::ZERO, "rollout").await?;
+    Ok(read_write(reply.status)?)
 }
 
 fn tell_write(write: &RolloutWrite, end: WriteEnd) {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -18,6 +18,7 @@
     BEHIND_LIMIT, MirrorChange, RETURN_WINDOW, StoreEvent, StoreHealth, StoreMirror,
 };
 use onyxfall_policy::Moment;
+use onyxfall_types::StoreEra;
 use rand::Rng;
 use thiserror::Error;
 
@@ -59,6 +60,8 @@
     /// When changes may have been missed, until everything is read.
     missed_at: Option<Moment>,
     returned_at: Option<Moment>,
+    /// Era of its last answer.
+    era: Option<StoreEra>,
 }
 
 impl StoreLink {
@@ -329,8 +332,10 @@
         cause: &'static str,
     ) -> Result<ItemPage, CallError> {
         let request = range_request(&self.client.host(), WATCHED_PREFIX, after);
-        let (status, body) = self.client.call(request, Duration::ZERO, cause).await?;
-        Ok(read_page(status, &body)?)
+        let reply = self.client.call(request, Duration::ZERO, cause).await?;
+        let page = read_page(reply.status, &reply.headers, &reply.body)?;
+        self.note_era(page.era, page.revision);
+        Ok(page)
     }
 
     async fn watch(&mut self, revision: u64) -> Result<EventBatch, CallError> {
@@ -339,12 +344,24 @@
         // A watch may have gone silent, alone or with its connection. Until its own end it
         // would leave this VM, and those that it watches for, behind for eight seconds.
         let gateway = Rc::clone(&self.gateway);
-        let (status, body) = tokio::select! {
+        let reply = tokio::select! {
             answer = self.client.call(request, WATCH_WAIT, "watch") => answer?,
             () = wait_until_deaf(&gateway) => return Err(CallError::Deaf),
             () = gateway.woken.notified() => return Err(CallError::Suspended),
         };
-        Ok(read_batch(status, &body)?)
+        let batch = read_batch(reply.status, &reply.headers, &reply.body)?;
+        self.note_era(batch.era, batch.revision);
+        Ok(batch)
+    }
+
+    /// Logs that the store answers in another era than before.
+    fn note_era(&self, era: StoreEra, revision: u64) {
+        let before = self.gateway.store.borrow_mut().era.replace(era);
+        if let Some(before) = before.filter(|before| *before != era) {
+            self.gateway.metrics.count("onyxfall_store_restores_total");
+            let held = self.gateway.mirror.borrow().revision();
+            log::warn!(before:% = before, era:% = era, revision, held; "store was restored");
+        }
     }
 
     fn note_success(&mut self) {
--- a/crates/gateway/src/store_client.rs
+++ b/crates/gateway/src/store_client.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use onyxfall_adapter::{DecodeError, StoreError};
 use thiserror::Error;
@@ -39,6 +39,13 @@
     Deaf,
 }
 
+/// An answer of the store.
+pub(crate) struct StoreReply {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
 /// A connection to the store, opened when it is needed.
 pub(crate) struct StoreClient {
     gateway: Rc<Gateway>,
@@ -65,7 +72,7 @@
         request: Request<Bytes>,
         wait: Duration,
         cause: &'static str,
-    ) -> Result<(StatusCode, Bytes), CallError> {
+    ) -> Result<StoreReply, CallError> {
         let address = self.gateway.settings().store;
         self.gateway.metrics.count_store_call(cause);
         // A connection that has lost an answer brings no other one.
@@ -85,10 +92,15 @@
             let (head, body) = response.into_parts();
             let body = Limited::new(body, ANSWER_BYTES).collect().await;
             let body = body.map_err(|_| CallError::Broken)?.to_bytes();
-            Ok((connection, head.status, body))
+            let reply = StoreReply {
+                status: head.status,
+                headers: head.headers,
+                body,
+            };
+            Ok((connection, reply))
         });
-        let (connection, status, body) = called.await.unwrap_or(Err(CallError::TimedOut))?;
+        let (connection, reply) = called.await.unwrap_or(Err(CallError::TimedOut))?;
         self.connection = Some(connection);
-        Ok((status, body))
+        Ok(reply)
     }
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -8,6 +8,7 @@
 mod entity;
 mod error;
 mod name;
+mod position;
 mod quantity;
 mod retry;
 mod verdict;
@@ -23,6 +24,7 @@
     AdapterName, CenterName, KindName, ModelName, NameError, OperatorName, RegionName, RouteName,
     ServerName, ServiceName, TeamName, VmName,
 };
+pub use position::{StoreEra, StorePosition};
 pub use quantity::{ByteSize, Incarnation, QuantityError, RequestRate};
 pub use retry::RetryDelay;
 pub use verdict::{RunVerdict, VerdictCell, VerdictError};
