--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -14,9 +14,10 @@
 use hyper::body::Incoming;
 use onyxfall_adapter::standin::{
     PAGE_ITEMS, StoreCall, StoreWrite, batch_body, is_store_write, page_body, read_store_call,
-    read_store_write, written_body,
+    read_store_write, say_era, written_body,
 };
 use onyxfall_fleet::{StoreEvent, StoreItem};
+use onyxfall_types::StoreEra;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
@@ -37,12 +38,21 @@
     Silent,
 }
 
-#[derive(Default)]
-struct StoreState {
+/// What a copy of the store holds.
+#[derive(Clone, Default)]
+struct StoreData {
     items: BTreeMap<String, StoreItem>,
     history: Vec<StoreEvent>,
     forgotten: u64,
     revision: u64,
+}
+
+#[derive(Default)]
+struct StoreState {
+    data: StoreData,
+    /// A copy to come back from.
+    kept: StoreData,
+    era: u16,
     mode: StoreMode,
     open_watches: usize,
     /// Watches to come that are never answered.
@@ -56,7 +66,7 @@
     lost_answers: usize,
 }
 
-impl StoreState {
+impl StoreData {
     /// Sets a key at the present revision.
     fn set(&mut self, key: &str, value: Bytes) {
         let item = StoreItem {
@@ -68,18 +78,31 @@
         self.items.insert(key.to_owned(), item);
     }
 
+    /// Deletes a key.
+    fn remove(&mut self, key: &str) {
+        self.revision += 1;
+        self.items.remove(key);
+        self.history.push(StoreEvent::Delete {
+            key: key.to_owned(),
+            revision: self.revision,
+        });
+    }
+}
+
+impl StoreState {
     /// Makes a change if its condition holds; whether it was made.
     fn write(&mut self, write: &StoreWrite) -> bool {
-        let revision = |key: &String| self.items.get(key).map_or(0, |item| item.revision);
+        let data = &mut self.data;
+        let revision = |key: &String| data.items.get(key).map_or(0, |item| item.revision);
         let mut expected = write.expected.iter();
         if !expected.all(|(key, expected)| revision(key) == *expected) {
             return false;
         }
-        self.revision += 1;
-        self.writes += 1;
+        data.revision += 1;
         for (key, value) in &write.set {
-            self.set(key, Bytes::from(value.clone()));
+            data.set(key, Bytes::from(value.clone()));
         }
+        self.writes += 1;
         true
     }
 }
@@ -119,16 +142,16 @@
 
     /// Writes an item.
     pub fn put(&self, key: &str, value: String) {
-        let mut state = self.shared.state.lock();
-        state.revision += 1;
-        state.set(key, Bytes::from(value));
+        let data = &mut self.shared.state.lock().data;
+        data.revision += 1;
+        data.set(key, Bytes::from(value));
         self.shared.changed.notify_waiters();
     }
 
     /// The value of an item.
     pub fn get(&self, key: &str) -> Option<Bytes> {
         let state = self.shared.state.lock();
-        state.items.get(key).map(|item| item.value.clone())
+        state.data.items.get(key).map(|item| item.value.clone())
     }
 
     /// Loses the answers of so many changes to come, which are made.
@@ -143,19 +166,30 @@
 
     /// Deletes an item.
     pub fn delete(&self, key: &str) {
-        let mut state = self.shared.state.lock();
-        state.revision += 1;
-        let (key, revision) = (key.to_owned(), state.revision);
-        state.items.remove(&key);
-        state.history.push(StoreEvent::Delete { key, revision });
+        self.shared.state.lock().data.remove(key);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Keeps a copy of everything, in place of the one before.
+    pub fn keep_copy(&self) {
+        let state = &mut *self.shared.state.lock();
+        state.kept = state.data.clone();
+    }
+
+    /// Comes back from the copy: what was written since is gone, and its revisions are
+    /// given out again.
+    pub fn restore_copy(&self) {
+        let state = &mut *self.shared.state.lock();
+        state.data = state.kept.clone();
+        state.era += 1;
         self.shared.changed.notify_waiters();
     }
 
     /// Drops the history, so that watches from before are refused.
     pub fn forget_history(&self) {
-        let mut state = self.shared.state.lock();
-        state.history.clear();
-        state.forgotten = state.revision;
+        let data = &mut self.shared.state.lock().data;
+        data.history.clear();
+        data.forgotten = data.revision;
     }
 
     /// Watches that wait for a change now.
@@ -192,6 +226,16 @@
 async fn answer(
     shared: Arc<StoreShared>,
     request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let mut response = answer_call(&shared, request).await?;
+    let era = StoreEra::new(shared.state.lock().era);
+    say_era(response.headers_mut(), era);
+    Ok(response)
+}
+
+async fn answer_call(
+    shared: &StoreShared,
+    request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let mode = shared.state.lock().mode;
     match mode {
@@ -200,24 +244,24 @@
         StoreMode::Silent => std::future::pending().await,
     }
     if is_store_write(request.uri()) {
-        return write(&shared, request).await;
+        return write(shared, request).await;
     }
     Ok(match read_store_call(request.uri()) {
         Some(StoreCall::Range { prefix, after }) => {
             let mut state = shared.state.lock();
             let begin = after.map_or(Bound::Included(prefix.clone()), Bound::Excluded);
             state.answered_ranges += 1;
-            let items = state.items.range((begin, Bound::Unbounded));
+            let items = state.data.items.range((begin, Bound::Unbounded));
             let items = items.map(|(_, item)| item);
             let items = items.take_while(|item| item.key.starts_with(&prefix));
             let items: Vec<StoreItem> = items.take(PAGE_ITEMS + 1).cloned().collect();
-            reply(StatusCode::OK, page_body(&items, state.revision))
+            reply(StatusCode::OK, page_body(&items, state.data.revision))
         }
         Some(StoreCall::Watch { after, wait, .. }) => {
-            if take_deaf(&shared) {
+            if take_deaf(shared) {
                 std::future::pending::<()>().await;
             }
-            let answer = watch(&shared, after, wait).await;
+            let answer = watch(shared, after, wait).await;
             shared.state.lock().answered_watches += 1;
             answer
         }
@@ -240,7 +284,7 @@
         let is_made = state.write(&write);
         let is_lost = is_made && state.lost_answers > 0;
         state.lost_answers -= usize::from(is_lost);
-        (is_made, state.revision, is_lost)
+        (is_made, state.data.revision, is_lost)
     };
     if is_made {
         shared.changed.notify_waiters();
@@ -291,17 +335,17 @@
 }
 
 fn news(shared: &StoreShared, after: u64) -> Option<Response<Full<Bytes>>> {
-    let state = shared.state.lock();
-    if after < state.forgotten {
+    let data = &shared.state.lock().data;
+    if after < data.forgotten || after > data.revision {
         return Some(reply(StatusCode::GONE, String::new()));
     }
-    let events: Vec<StoreEvent> = state
+    let events: Vec<StoreEvent> = data
         .history
         .iter()
         .filter(|event| revision_of(event) > after)
         .cloned()
         .collect();
-    let body = || batch_body(&events, state.revision);
+    let body = || batch_body(&events, data.revision);
     (!events.is_empty()).then(|| reply(StatusCode::OK, body()))
 }
 
