A restored store's changes come after everything it said before

Configurations that were acknowledged after the platform's store had come back from an older copy were in force nowhere for seconds (users' records, CONFIG and HOME: versions 76, 78 and 82, and the homes of a route that 82 named).

Cause: the copy on each VM keeps the item of the greatest revision; a restored store gives revisions out again, so that newer values under smaller revisions were dropped until the numbers had caught up. Ruled out: a watch that waits at a revision that the store lacks (it is refused, and everything is read: the stand-in does that, and the items read were dropped), a configuration that is refused (no such line).

Now a revision is kept with its era and orders all changes. What a restored store lacks may return for 2.5 s, as after an outage; what it names again though it was known to be deleted counts once it is written anew, or has stayed for 5 s; a server that was leaving stays so. A watch does not go on across eras.

Fleet test mirror: nine histories of one key.

--- a/crates/fleet/src/mirror.rs
+++ b/crates/fleet/src/mirror.rs
@@ -5,6 +5,12 @@
 //! outage is kept for a while: its owner writes it again if it lives. An item
 //! that vanishes while the store is well is gone at once.
 //!
+//! Revisions are the order of a [`StorePosition`], so that everything which a restored
+//! store says is later than what it said before. It lacks what was written after its copy
+//! was made, and names again what was deleted since: what is missing may return, as after
+//! an outage, and what was known to be deleted counts only once it stays or is written
+//! anew.
+//!
 //! Invariant: an item is never replaced by one of a smaller revision, and one that was
 //! deleted lately does not come back by news from before that.
 
@@ -13,6 +19,7 @@
 
 use bytes::Bytes;
 use onyxfall_policy::Moment;
+use onyxfall_types::StorePosition;
 
 use crate::follow::CopyState;
 use xxhash_rust::xxh3::xxh3_64;
@@ -21,6 +28,10 @@
 /// seconds for a live owner to be back; the rest is the way of the news.
 pub const RETURN_WINDOW: Duration = Duration::from_millis(2500);
 
+/// How long an item must stand in a restored store that was known to be deleted: the
+/// entry of a server that is gone lapses in less.
+const DOUBT_WINDOW: Duration = Duration::from_secs(5);
+
 /// Deletions that are remembered, some 60 bytes each. Other VMs' news are seconds old at
 /// most, and a large fleet replaces ninety servers a second.
 const MOST_DELETIONS: usize = 2048;
@@ -50,6 +61,16 @@
     },
 }
 
+impl StoreEvent {
+    /// Revision of the change.
+    fn revision(&self) -> u64 {
+        match self {
+            Self::Put(item) => item.revision,
+            Self::Delete { revision, .. } => *revision,
+        }
+    }
+}
+
 /// What a change of the copy means for its readers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum MirrorChange {
@@ -121,6 +142,10 @@
     /// Keys of the items that are missing.
     missing: BTreeSet<String>,
     deletions: RecentDeletions,
+    /// Items that a restored store names and that were known to be deleted, and since when.
+    doubtful: BTreeMap<String, (StoreItem, Moment)>,
+    /// When the store was seen to be restored from an older copy.
+    restored_at: Option<Moment>,
 }
 
 /// The keys that were deleted last, with the revision of it. What a copy merely did not
@@ -151,6 +176,24 @@
         let deleted = self.revisions.get(&item.key);
         deleted.is_some_and(|deleted| item.revision <= *deleted)
     }
+
+    /// Whether an item may be an older copy of one that was deleted in an earlier era.
+    fn may_cover(&self, item: &StoreItem) -> bool {
+        let position = StorePosition::from_order;
+        let item_at = position(item.revision);
+        let deleted = self.revisions.get(&item.key).map(|order| position(*order));
+        deleted.is_some_and(|deleted| {
+            deleted.era() < item_at.era() && item_at.revision() <= deleted.revision()
+        })
+    }
+
+    /// Forgets the deletions before an era.
+    fn forget_before(&mut self, position: StorePosition) {
+        let is_kept = |order: &u64| StorePosition::from_order(*order).era() >= position.era();
+        self.revisions.retain(|_, order| is_kept(order));
+        let revisions = &self.revisions;
+        self.order.retain(|key| revisions.contains_key(key));
+    }
 }
 
 /// What an item adds to the hash of a copy.
@@ -174,9 +217,27 @@
         self.items.is_empty()
     }
 
-    /// Whether an item is missing that may come back.
+    /// Whether an item is missing that may come back, or may not stay.
     pub fn has_missing(&self) -> bool {
-        !self.missing.is_empty()
+        !self.missing.is_empty() || !self.doubtful.is_empty()
+    }
+
+    /// Moves on to a revision. The first one of a later era shows that the store was
+    /// restored.
+    fn advance(&mut self, now: Moment, revision: u64) {
+        let era = |order| StorePosition::from_order(order).era();
+        if self.revision > 0 && era(revision) > era(self.revision) {
+            self.restored_at = Some(now);
+        }
+        self.revision = self.revision.max(revision);
+    }
+
+    /// How what is missing is to be taken, where the store's link is in a state.
+    fn health(&self, now: Moment, link: StoreHealth) -> StoreHealth {
+        match self.restored_at {
+            Some(at) if now - at < RETURN_WINDOW => StoreHealth::Returned,
+            _ => link,
+        }
     }
 
     /// Hash over keys and revisions; equal copies have equal hashes.
@@ -231,8 +292,8 @@
         let deletions = delta.removed.into_iter();
         let deletions = deletions.map(|key| StoreEvent::Delete { key, revision });
         let events = puts.chain(deletions).collect();
-        let changes = self.apply(now, events, StoreHealth::Steady);
-        self.revision = self.revision.max(revision);
+        let changes = self.apply_as(now, events, StoreHealth::Steady);
+        self.advance(now, revision);
         changes
     }
 
@@ -247,13 +308,27 @@
         now: Moment,
         events: Vec<StoreEvent>,
         health: StoreHealth,
+    ) -> Vec<MirrorChange> {
+        for event in &events {
+            self.advance(now, event.revision());
+        }
+        let health = self.health(now, health);
+        self.apply_as(now, events, health)
+    }
+
+    fn apply_as(
+        &mut self,
+        now: Moment,
+        events: Vec<StoreEvent>,
+        health: StoreHealth,
     ) -> Vec<MirrorChange> {
         let mut changes = Vec::new();
         for event in events {
+            self.advance(now, event.revision());
             match event {
-                StoreEvent::Put(item) => changes.extend(self.put(item)),
+                StoreEvent::Put(item) => changes.extend(self.put(now, item)),
                 StoreEvent::Delete { key, revision } => {
-                    self.revision = self.revision.max(revision);
+                    self.doubtful.remove(&key);
                     self.deletions.note(&key, revision);
                     changes.extend(self.delete(now, &key, revision, health));
                 }
@@ -288,6 +363,13 @@
         revision: u64,
         health: StoreHealth,
     ) -> Vec<MirrorChange> {
+        self.advance(now, revision);
+        let health = self.health(now, health);
+        self.doubtful
+            .retain(|key, _| !key.starts_with(prefix) || listed.contains(key));
+        // What is written from here on is no older copy.
+        self.deletions
+            .forget_before(StorePosition::from_order(revision));
         let absent: Vec<String> = self
             .items
             .iter()
@@ -296,15 +378,24 @@
             })
             .map(|(key, _)| key.clone())
             .collect();
-        self.revision = self.revision.max(revision);
         absent
             .into_iter()
             .filter_map(|key| self.delete(now, &key, revision, health))
             .collect()
     }
 
-    /// Removes what has been missing for longer than [`RETURN_WINDOW`].
+    /// Removes what has been missing for longer than [`RETURN_WINDOW`], and takes what has
+    /// stayed in a restored store though it was known to be deleted.
     pub fn expire(&mut self, now: Moment) -> Vec<MirrorChange> {
+        let is_settled = |since: &Moment| now - *since >= DOUBT_WINDOW;
+        let settled = self
+            .doubtful
+            .extract_if(.., |_, (_, since)| is_settled(since));
+        let settled: Vec<StoreItem> = settled.map(|(_, (item, _))| item).collect();
+        let mut changes: Vec<MirrorChange> = settled
+            .into_iter()
+            .filter_map(|item| self.set(item))
+            .collect();
         let is_over = |key: &String| {
             let since = self.items.get(key).and_then(|item| item.missing_since);
             since.is_none_or(|since| now - since >= RETURN_WINDOW)
@@ -315,13 +406,11 @@
             .filter(|k| is_over(k))
             .cloned()
             .collect();
-        expired
-            .into_iter()
-            .map(|key| {
-                self.take_out(&key);
-                MirrorChange::Removed(key)
-            })
-            .collect()
+        changes.extend(expired.into_iter().map(|key| {
+            self.take_out(&key);
+            MirrorChange::Removed(key)
+        }));
+        changes
     }
 
     /// Removes an item.
@@ -340,15 +429,29 @@
             .filter(|(_, item)| item.missing_since.is_none())
     }
 
-    fn put(&mut self, item: StoreItem) -> Option<MirrorChange> {
-        self.revision = self.revision.max(item.revision);
+    fn put(&mut self, now: Moment, item: StoreItem) -> Option<MirrorChange> {
+        if !self.items.contains_key(&item.key) {
+            if self.deletions.covers(&item) {
+                return None;
+            }
+            let doubted = self.doubtful.get(&item.key).map(|(held, _)| held.revision);
+            let is_known = doubted.is_some_and(|revision| revision >= item.revision);
+            if is_known || (doubted.is_none() && self.deletions.may_cover(&item)) {
+                let doubt = self.doubtful.entry(item.key.clone());
+                doubt.or_insert((item, now));
+                return None;
+            }
+        }
+        self.doubtful.remove(&item.key);
+        self.set(item)
+    }
+
+    /// Sets an item unless it is held at this revision or a later one.
+    fn set(&mut self, item: StoreItem) -> Option<MirrorChange> {
         let held = self.items.get_mut(&item.key);
         if held.as_ref().is_some_and(|h| h.revision > item.revision) {
             return None;
         }
-        if held.is_none() && self.deletions.covers(&item) {
-            return None;
-        }
         if let Some(held) = held
             && held.revision == item.revision
         {
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -50,4 +50,16 @@
             born: self.born,
         }
     }
+
+    /// This entry after one of the same life that had the phase `before`: a life that
+    /// leaves does not become ready again, so that an entry which says so is an older copy.
+    pub(crate) fn leaving_as(self, before: ServerPhase) -> Self {
+        match (before, self.phase) {
+            (ServerPhase::Draining { .. }, ServerPhase::Ready) => Self {
+                phase: before,
+                ..self
+            },
+            _ => self,
+        }
+    }
 }
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -272,6 +272,7 @@
 
     /// Takes over what the same life said of itself before its entry had lapsed.
     pub(crate) fn inherit_word(&mut self, before: &Self) {
+        self.record = self.record.clone().leaving_as(before.record.phase);
         self.leaving_since = before.leaving_since;
         self.rest = before.rest;
         self.rest_asked = before.rest_asked;
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -418,6 +418,7 @@
             }
             return false;
         }
+        let record = record.leaving_as(held.phase);
         let is_other_phase = held.phase != record.phase;
         if let Some(id) = worked {
             self.servers[id].update(now, record);
--- a/crates/fleet/tests/mirror.rs
+++ b/crates/fleet/tests/mirror.rs
@@ -7,6 +7,7 @@
     MirrorChange, MirrorDelta, RETURN_WINDOW, StoreEvent, StoreHealth, StoreItem, StoreMirror,
 };
 use onyxfall_policy::Moment;
+use onyxfall_types::{StoreEra, StorePosition};
 use support::at;
 
 fn item(key: &str, revision: u64) -> StoreItem {
@@ -248,3 +249,110 @@
         }
     }
 }
+
+/// A position as the copy has it.
+fn order(era: u16, revision: u64) -> u64 {
+    let position = StorePosition::new(StoreEra::new(era), revision);
+    position.unwrap().order()
+}
+
+/// What a copy knows, what a restored store names, and what comes of it. Values are the
+/// order of their revision.
+struct RestoredCase {
+    name: &'static str,
+    /// Revisions at which `a` was written and deleted in the first era; 0 for never.
+    written: u64,
+    deleted: u64,
+    /// Revision at which the restored store names it; 0 if it does not.
+    named: u64,
+    /// Revision at which it is written again, a second later; 0 if it is not.
+    again: u64,
+    /// Whether it is held at once, after a second and after ten.
+    held: [bool; 3],
+}
+
+#[test]
+fn a_restored_store_brings_nothing_back_and_takes_nothing_away_at_once() {
+    let case = |name, [written, deleted, named, again]: [u64; 4], held| RestoredCase {
+        name,
+        written,
+        deleted,
+        named,
+        again,
+        held,
+    };
+    let cases = [
+        case("older than the copy", [5, 0, 5, 0], [true, true, true]),
+        case("an older value", [50, 0, 5, 0], [true, true, true]),
+        case(
+            "written since, and lost",
+            [50, 0, 0, 0],
+            [true, true, false],
+        ),
+        case(
+            "written since, and again",
+            [50, 0, 0, 12],
+            [true, true, true],
+        ),
+        case(
+            "deleted since, and it stays",
+            [5, 50, 5, 0],
+            [false, false, true],
+        ),
+        case(
+            "deleted since, and written again",
+            [5, 50, 5, 12],
+            [false, true, true],
+        ),
+        case(
+            "deleted since, and again before it was read",
+            [5, 50, 60, 0],
+            [true, true, true],
+        ),
+        case("new in the second era", [0, 0, 11, 0], [true, true, true]),
+        case(
+            "deleted before the copy, new since",
+            [5, 6, 0, 12],
+            [false, true, true],
+        ),
+    ];
+    for case in &cases {
+        let mut mirror = StoreMirror::default();
+        let steady = StoreHealth::Steady;
+        let put = |revision| vec![StoreEvent::Put(item("a", revision))];
+        mirror.apply(at(0), vec![StoreEvent::Put(item("z", order(1, 1)))], steady);
+        if case.written > 0 {
+            mirror.apply(at(0), put(order(1, case.written)), steady);
+        }
+        if case.deleted > 0 {
+            let key = "a".to_owned();
+            let revision = order(1, case.deleted);
+            mirror.apply(at(0), vec![StoreEvent::Delete { key, revision }], steady);
+        }
+        let mut items = vec![item("z", order(2, 1))];
+        if case.named > 0 {
+            items.push(item("a", order(2, case.named)));
+        }
+        mirror.replace(at(1000), "", items, order(2, 10), steady);
+        let held = |mirror: &StoreMirror| mirror.item_revision("a").is_some();
+        let mut seen = [held(&mirror), false, false];
+        if case.again > 0 {
+            mirror.apply(at(2000), put(order(2, case.again)), steady);
+        }
+        mirror.expire(at(2000));
+        seen[1] = held(&mirror);
+        mirror.expire(at(11_000));
+        seen[2] = held(&mirror);
+        assert_eq!(seen, case.held, "{}", case.name);
+    }
+}
+
+#[test]
+fn an_answer_from_before_a_restore_changes_nothing() {
+    let mut mirror = StoreMirror::default();
+    let steady = StoreHealth::Steady;
+    mirror.apply(at(0), vec![StoreEvent::Put(item("a", order(2, 4)))], steady);
+    let old = vec![StoreEvent::Put(item("a", order(1, 900)))];
+    assert_eq!(mirror.apply(at(1), old, steady), vec![]);
+    assert_eq!(mirror.revision(), order(2, 4));
+}
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -12,13 +12,14 @@
 use std::time::Duration;
 
 use onyxfall_adapter::{
-    EventBatch, ItemPage, WATCHED_PREFIX, range_request, read_batch, read_page, watch_request,
+    EventBatch, ItemPage, StoreError, WATCHED_PREFIX, range_request, read_batch, read_page,
+    watch_request,
 };
 use onyxfall_fleet::{
     BEHIND_LIMIT, MirrorChange, RETURN_WINDOW, StoreEvent, StoreHealth, StoreMirror,
 };
 use onyxfall_policy::Moment;
-use onyxfall_types::StoreEra;
+use onyxfall_types::StorePosition;
 use rand::Rng;
 use thiserror::Error;
 
@@ -60,8 +61,6 @@
     /// When changes may have been missed, until everything is read.
     missed_at: Option<Moment>,
     returned_at: Option<Moment>,
-    /// Era of its last answer.
-    era: Option<StoreEra>,
 }
 
 impl StoreLink {
@@ -167,7 +166,7 @@
         let read = if is_seed {
             self.read_all("start").await.map(|_| ())
         } else {
-            self.read_start().await
+            self.read_start().await.map(|_| ())
         };
         match read {
             Ok(()) => self.note_success(),
@@ -175,42 +174,46 @@
         }
     }
 
-    async fn read_start(&mut self) -> Result<(), CallError> {
+    async fn read_start(&mut self) -> Result<StorePosition, CallError> {
         let page = self.read_page(None, "start").await?;
-        let (revision, is_all) = (page.revision, !page.has_more);
+        let (position, is_all) = (page.position, !page.has_more);
         let listed = page.items.iter().map(|item| item.key.clone()).collect();
         self.take_events(page.items.into_iter().map(StoreEvent::Put).collect());
         if is_all {
-            self.note_listed(revision, &listed);
+            self.note_listed(position, &listed);
         }
-        Ok(())
+        Ok(position)
     }
 
     /// Watches the store for the region until that fails or another VM does. A VM
     /// whose copy is whole goes on from it once a page has shown that the store
-    /// answers; after a failed watch everything is read.
+    /// answers in the same era; after a failed watch everything is read.
     async fn hold_duty(&mut self) {
         let has_missed = self.gateway.store.borrow().missed_at.is_some();
         let is_current =
             self.gateway.copy_is_whole() && !self.gateway.must_catch_up() && !has_missed;
-        let held = self.gateway.mirror.borrow().revision();
+        let held = StorePosition::from_order(self.gateway.mirror.borrow().revision());
         let read = if is_current {
-            self.read_start().await.map(|()| held)
+            match self.read_start().await {
+                Ok(position) if position.era() == held.era() => Ok(held),
+                Ok(_) => self.read_all("restored").await,
+                Err(e) => Err(e),
+            }
         } else {
             self.read_all("duty").await
         };
-        let revision = match read {
-            Ok(revision) => revision,
+        let position = match read {
+            Ok(position) => position,
             Err(e) => return self.note_failure(&e).await,
         };
         self.note_success();
-        let mut end = self.watch_from(revision).await;
+        let mut end = self.watch_from(position).await;
         while let WatchEnd::Failed(_) = end {
             log::info!(cause:% = end; "reading everything");
             match self.read_all("cut").await {
-                Ok(revision) => {
+                Ok(position) => {
                     self.note_success();
-                    end = self.watch_from(revision).await;
+                    end = self.watch_from(position).await;
                 }
                 Err(e) => return self.note_failure(&e).await,
             }
@@ -220,12 +223,12 @@
 
     /// Watches until an answer fails, or another VM watches for this one; a cut
     /// is not yet a failure of the store.
-    async fn watch_from(&mut self, mut revision: u64) -> WatchEnd {
+    async fn watch_from(&mut self, mut position: StorePosition) -> WatchEnd {
         self.set_watched(true);
         let end = loop {
-            match self.watch(revision).await {
+            match self.watch(position).await {
                 Ok(batch) => {
-                    revision = batch.revision.max(revision);
+                    position = batch.position.max(position);
                     if !batch.events.is_empty() {
                         self.take_events(batch.events);
                         tokio::time::sleep(BATCH_PAUSE).await;
@@ -295,15 +298,18 @@
         self.gateway.apply_changes(changes);
     }
 
-    /// Reads every page; the revision from which a watch goes on.
-    async fn read_all(&mut self, cause: &'static str) -> Result<u64, CallError> {
+    /// Reads every page; the position from which a watch goes on.
+    async fn read_all(&mut self, cause: &'static str) -> Result<StorePosition, CallError> {
         let mut listed = BTreeSet::new();
-        let mut revision = None;
+        let mut position = None;
         let mut after: Option<String> = None;
         loop {
             let page = self.read_page(after.as_deref(), cause).await?;
             // The pages are no snapshot: watching goes on from the first one.
-            let first = *revision.get_or_insert(page.revision);
+            let first = *position.get_or_insert(page.position);
+            if page.position.era() != first.era() {
+                return Err(CallError::Store(StoreError::Restored));
+            }
             after = page.items.last().map(|item| item.key.clone());
             let is_last = !page.has_more || after.is_none();
             // The store may be a region away, and there may be many pages: what is
@@ -318,9 +324,9 @@
     }
 
     /// Takes note that the store holds nothing but the items listed.
-    fn note_listed(&self, revision: u64, listed: &BTreeSet<String>) {
+    fn note_listed(&self, position: StorePosition, listed: &BTreeSet<String>) {
         self.take(|mirror, now, health| {
-            mirror.remove_unlisted(now, WATCHED_PREFIX, listed, revision, health)
+            mirror.remove_unlisted(now, WATCHED_PREFIX, listed, position.order(), health)
         });
         self.gateway.store.borrow_mut().missed_at = None;
         self.gateway.note_caught_up();
@@ -334,13 +340,13 @@
         let request = range_request(&self.client.host(), WATCHED_PREFIX, after);
         let reply = self.client.call(request, Duration::ZERO, cause).await?;
         let page = read_page(reply.status, &reply.headers, &reply.body)?;
-        self.note_era(page.era, page.revision);
+        self.note_position(page.position);
         Ok(page)
     }
 
-    async fn watch(&mut self, revision: u64) -> Result<EventBatch, CallError> {
+    async fn watch(&mut self, after: StorePosition) -> Result<EventBatch, CallError> {
         let host = self.client.host();
-        let request = watch_request(&host, WATCHED_PREFIX, revision, WATCH_WAIT);
+        let request = watch_request(&host, WATCHED_PREFIX, after, WATCH_WAIT);
         // A watch may have gone silent, alone or with its connection. Until its own end it
         // would leave this VM, and those that it watches for, behind for eight seconds.
         let gateway = Rc::clone(&self.gateway);
@@ -349,18 +355,17 @@
             () = wait_until_deaf(&gateway) => return Err(CallError::Deaf),
             () = gateway.woken.notified() => return Err(CallError::Suspended),
         };
-        let batch = read_batch(reply.status, &reply.headers, &reply.body)?;
-        self.note_era(batch.era, batch.revision);
+        let batch = read_batch(after, reply.status, &reply.headers, &reply.body)?;
+        self.note_position(batch.position);
         Ok(batch)
     }
 
-    /// Logs that the store answers in another era than before.
-    fn note_era(&self, era: StoreEra, revision: u64) {
-        let before = self.gateway.store.borrow_mut().era.replace(era);
-        if let Some(before) = before.filter(|before| *before != era) {
+    /// Logs that the store was restored since this VM's copy was made.
+    fn note_position(&self, position: StorePosition) {
+        let held = StorePosition::from_order(self.gateway.mirror.borrow().revision());
+        if held != StorePosition::default() && position.era() > held.era() {
             self.gateway.metrics.count("onyxfall_store_restores_total");
-            let held = self.gateway.mirror.borrow().revision();
-            log::warn!(before:% = before, era:% = era, revision, held; "store was restored");
+            log::warn!(position:% = position, held:% = held; "store was restored");
         }
     }
 
