Roll-outs go on where they were after the store was restored

Since a restored store's changes come after everything before, an order that it still had looked new, and a version that had been given up got requests again; where the store had lost the order, the record that was to be written expected a revision that the store did not have, and never came.

Now an order is known by its revision alone, whatever the era, and one that is written again after a restore is gone on with under its new number. An end is final. Records and regions' words that the store has lost are written again. Items that a restored store still has are no news.

--- a/crates/fleet/src/mirror.rs
+++ b/crates/fleet/src/mirror.rs
@@ -121,6 +121,14 @@
 }
 
 impl HeldItem {
+    /// Whether an item is this one, in the same era or in a later one of a store that was
+    /// restored.
+    fn is_same(&self, item: &StoreItem) -> bool {
+        let revision = |order| StorePosition::from_order(order).revision();
+        self.revision == item.revision
+            || (revision(self.revision) == revision(item.revision) && self.value == item.value)
+    }
+
     /// The item, whose key is not kept with it.
     fn under(&self, key: &str) -> StoreItem {
         StoreItem {
@@ -196,8 +204,10 @@
     }
 }
 
-/// What an item adds to the hash of a copy.
+/// What an item adds to the hash of a copy. Items that a restored store still has are the
+/// same in both eras.
 fn item_hash(key: &str, revision: u64) -> u64 {
+    let revision = StorePosition::from_order(revision).revision();
     xxh3_64(key.as_bytes()) ^ revision.wrapping_mul(0x9e37_79b9)
 }
 
@@ -453,8 +463,9 @@
             return None;
         }
         if let Some(held) = held
-            && held.revision == item.revision
+            && held.is_same(&item)
         {
+            held.revision = item.revision;
             if held.missing_since.take().is_some() {
                 self.missing.remove(&item.key);
                 let hash = item_hash(&item.key, item.revision);
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -168,9 +168,13 @@
                 let mut fleet = self.fleet.borrow_mut();
                 fleet.take_back(now, &center, table.as_deref());
             }
-            // A configuration is never withdrawn; the last one stays in force. So do records
-            // of roll-outs, which nobody deletes.
-            StoreKey::Config | StoreKey::Rollout(_) | StoreKey::Shift(..) | StoreKey::Other => {}
+            // A configuration is never withdrawn; the last one stays in force.
+            StoreKey::Config | StoreKey::Other => {}
+            // Nobody deletes these: the store was restored from an older copy.
+            StoreKey::Rollout(service) => self.rollouts.borrow_mut().lose_record(&service),
+            StoreKey::Shift(service, region) => {
+                self.rollouts.borrow_mut().lose_shift(&service, &region);
+            }
             StoreKey::Order(service) => {
                 log::info!(service = service.as_str(); "order of another version is taken back");
                 self.withdraw_order(&service);
--- a/crates/gateway/tests/rollouts.rs
+++ b/crates/gateway/tests/rollouts.rs
@@ -49,14 +49,25 @@
     fn add_servers(&self, version: &str) -> Vec<ServerStandIn> {
         let add = |number| {
             let server = ServerStandIn::start(self.site.ip(0)).unwrap();
-            let mut entry = record(&format!("{version}-{number}"), &server, 5);
-            entry.version = Some(version.parse().unwrap());
-            self.site.put(&entry);
+            self.announce(version, number, &server);
             server
         };
         (0..3).map(add).collect()
     }
 
+    fn announce(&self, version: &str, number: usize, server: &ServerStandIn) {
+        let mut entry = record(&format!("{version}-{number}"), server, 5);
+        entry.version = Some(version.parse().unwrap());
+        self.site.put(&entry);
+    }
+
+    /// Lets the servers of the new version write their entries again.
+    fn announce_new(&self) {
+        for (number, server) in self.new.iter().enumerate() {
+            self.announce(NEW, number, server);
+        }
+    }
+
     /// Orders the new version and starts its servers.
     fn order(&mut self, failing: ServerFailing) {
         let body = order_body(SERVICE, NEW, SECONDS);
@@ -303,3 +314,55 @@
     site.ask(100);
     assert_eq!(RolloutSite::arrived(&site.new), 0);
 }
+
+/// When the copy was made that the store comes back from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CopyMoment {
+    BeforeOrder,
+    WhileRunning,
+    AfterEnd,
+}
+
+/// What the store has lost is written again: the order by the operator, entries by the
+/// servers, the record by the VMs.
+#[test]
+fn a_version_that_was_given_up_stays_so_after_a_restore() {
+    let moments = [
+        CopyMoment::BeforeOrder,
+        CopyMoment::WhileRunning,
+        CopyMoment::AfterEnd,
+    ];
+    std::thread::scope(|scope| {
+        for moment in moments {
+            scope.spawn(move || {
+                let mut site = RolloutSite::start(2);
+                let keep = |site: &RolloutSite, now: CopyMoment| {
+                    if now == moment {
+                        site.site.store.keep_copy();
+                    }
+                };
+                keep(&site, CopyMoment::BeforeOrder);
+                site.order(ServerFailing::None);
+                site.wait_state("running");
+                keep(&site, CopyMoment::WhileRunning);
+                for server in &site.new {
+                    server.set_failing(ServerFailing::Fails);
+                }
+                site.wait_state("rolled_back");
+                site.ask(20);
+                keep(&site, CopyMoment::AfterEnd);
+                let before = RolloutSite::arrived(&site.new);
+                site.site.store.restore_copy();
+                if moment == CopyMoment::BeforeOrder {
+                    site.announce_new();
+                    let body = order_body(SERVICE, NEW, SECONDS);
+                    site.site.store.put(&order_key(SERVICE), body);
+                }
+                site.wait_state("rolled_back");
+                site.ask(60);
+                let after = RolloutSite::arrived(&site.new);
+                assert_eq!(after, before, "{moment:?}: it got requests again");
+            });
+        }
+    });
+}
--- a/crates/rollout/src/service.rs
+++ b/crates/rollout/src/service.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use onyxfall_policy::Moment;
-use onyxfall_types::{RegionName, RouteName, SoftwareVersion};
+use onyxfall_types::{RegionName, RouteName, SoftwareVersion, StorePosition};
 use rand::Rng;
 
 use crate::evidence::{RolloutEvidence, VersionSide};
@@ -82,19 +82,29 @@
     pub other_is_closed: bool,
 }
 
-/// An order with the revision at which it stands in the store, which tells orders apart.
+/// An order with the position at which it was written. Its revision tells orders apart,
+/// and is the same in the eras of a store that was restored.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct HeldOrder {
     pub(crate) order: RolloutOrder,
-    pub(crate) revision: u64,
+    position: StorePosition,
 }
 
-/// A record with the revision at which it stands in the store.
+impl HeldOrder {
+    /// Number by which records name it.
+    pub(crate) fn number(&self) -> u64 {
+        self.position.revision()
+    }
+}
+
+/// A record with the revision at which it stands in the store; 0 if it does not.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct HeldRecord {
     record: RolloutRecord,
     revision: u64,
     seen: Moment,
+    /// The store has lost it, and has it to be written again.
+    is_lost: bool,
 }
 
 /// A region's word that it moves its traffic.
@@ -103,6 +113,8 @@
     order: u64,
     revision: u64,
     seen: Moment,
+    /// The store has lost it, and has it to be written again.
+    is_lost: bool,
 }
 
 /// A change of the store that is due.
@@ -150,12 +162,14 @@
 
     /// Takes the operator's order. Another one than before begins with no evidence.
     pub(crate) fn take_order(&mut self, now: Moment, revision: u64, order: RolloutOrder) {
-        let order = HeldOrder { order, revision };
-        if self.order.as_ref() == Some(&order) {
+        let position = StorePosition::from_order(revision);
+        let order = HeldOrder { order, position };
+        if self.is_written_again(&order) {
+            self.renumber(order);
             return;
         }
-        let ordered = &order.order;
-        let scope = format!("{}/{}/{revision}", ordered.service, ordered.target);
+        let (ordered, number) = (&order.order, order.number());
+        let scope = format!("{}/{}/{number}", ordered.service, ordered.target);
         self.evidence = RolloutEvidence::new(&scope);
         self.history = EvidenceHistory::default();
         self.judgement = RolloutJudgement::default();
@@ -164,6 +178,37 @@
         self.order = Some(order);
     }
 
+    /// Whether an order is the one that is held: at the same revision, or written again
+    /// after the store was restored from a copy that lacked it.
+    fn is_written_again(&self, order: &HeldOrder) -> bool {
+        self.order.as_ref().is_some_and(|held| {
+            let is_later_era = order.position.era() > held.position.era();
+            held.order == order.order && (is_later_era || held.number() == order.number())
+        })
+    }
+
+    /// Goes on with the order that is held under the number that it has now. What stands
+    /// under another number in the store has to be written again.
+    fn renumber(&mut self, order: HeldOrder) {
+        let number = order.number();
+        let before = self.order.replace(order).map(|held| held.number());
+        if before == Some(number) {
+            return;
+        }
+        if let Some(held) = &mut self.held
+            && Some(held.record.order) == before
+        {
+            held.record.order = number;
+            held.is_lost = true;
+        }
+        for mark in self.marks.values_mut() {
+            if Some(mark.order) == before {
+                mark.order = number;
+                mark.is_lost = true;
+            }
+        }
+    }
+
     /// The operator has taken the order back.
     pub(crate) fn withdraw(&mut self) {
         self.order = None;
@@ -175,17 +220,44 @@
 
     /// Takes the store's record.
     pub(crate) fn take_record(&mut self, now: Moment, revision: u64, record: RolloutRecord) {
-        if self.held.as_ref().is_some_and(|h| h.revision >= revision) {
-            return;
+        if let Some(held) = &mut self.held {
+            if held.revision >= revision {
+                return;
+            }
+            let is_ended = held.record.state != RolloutState::Running;
+            let is_same = held.record.order == record.order;
+            if is_same && is_ended && record.state == RolloutState::Running {
+                // An end is final: this is an older copy of the record.
+                held.revision = revision;
+                held.is_lost = true;
+                return;
+            }
         }
         let seen = now;
         self.held = Some(HeldRecord {
             record,
             revision,
             seen,
+            is_lost: false,
         });
     }
 
+    /// Notes that the record no longer stands in the store.
+    pub(crate) fn lose_record(&mut self) {
+        if let Some(held) = &mut self.held {
+            held.revision = 0;
+            held.is_lost = true;
+        }
+    }
+
+    /// Notes that a region's word no longer stands in the store.
+    pub(crate) fn lose_mark(&mut self, region: &RegionName) {
+        if let Some(mark) = self.marks.get_mut(region) {
+            mark.revision = 0;
+            mark.is_lost = true;
+        }
+    }
+
     /// Takes a region's word that it moves its traffic.
     pub(crate) fn take_mark(&mut self, now: Moment, region: RegionName, order: u64, revision: u64) {
         let before = self.marks.get(&region);
@@ -198,6 +270,7 @@
             order,
             revision,
             seen,
+            is_lost: false,
         };
         self.marks.insert(region, mark);
     }
@@ -223,7 +296,7 @@
     /// The record that answers the order in force; of a withdrawn order the last one.
     fn current(&self) -> Option<&HeldRecord> {
         let held = self.held.as_ref()?;
-        let order = self.order.as_ref().map(|order| order.revision);
+        let order = self.order.as_ref().map(HeldOrder::number);
         order
             .is_none_or(|order| order == held.record.order)
             .then_some(held)
@@ -269,7 +342,7 @@
             }
             (Some(RolloutState::Running), Some(order)) => {
                 let mark = self.marks.get(region);
-                let mark = mark.filter(|mark| mark.order == order.revision);
+                let mark = mark.filter(|mark| mark.order == order.number());
                 let Some(mark) = mark else {
                     return Some(RolloutPhase::Sampling);
                 };
@@ -383,16 +456,23 @@
         let Some(held) = self.current() else {
             return self.beginning(now, unix_start, order, servers);
         };
+        if held.is_lost {
+            return Some(DueWrite::Record(held.record.clone()));
+        }
         if held.record.state != RolloutState::Running {
             return None;
         }
+        let own_mark = self.marks.get(region);
+        if own_mark.is_some_and(|mark| mark.is_lost && mark.order == order.number()) {
+            return Some(DueWrite::Shift);
+        }
         if let Some(metric) = self.verdict {
             return Some(end(&held.record, metric.reason()));
         }
         let (steps, age) = (self.timeline(), self.age(now, unix_start));
         let has_shifted = |region: &RegionName| {
             let mark = self.marks.get(region);
-            mark.is_some_and(|mark| mark.order == order.revision)
+            mark.is_some_and(|mark| mark.order == order.number())
         };
         let own = servers.get(region).copied().unwrap_or_default();
         let is_turn = (steps.shift_at..steps.shift_until).contains(&age);
@@ -430,7 +510,7 @@
             (RolloutState::Running, RolloutReason::None)
         };
         Some(DueWrite::Record(RolloutRecord {
-            order: order.revision,
+            order: order.number(),
             target: order.order.target.clone(),
             began_ms: u64::try_from(began.as_millis()).unwrap_or(u64::MAX),
             state,
--- a/crates/rollout/src/table.rs
+++ b/crates/rollout/src/table.rs
@@ -11,7 +11,9 @@
 use crate::judge::{BadMetric, RolloutJudgement};
 use crate::order::RolloutOrder;
 use crate::record::{RolloutReason, RolloutRecord};
-use crate::service::{DueWrite, RolloutPhase, ServerCounts, ServiceRollout, VersionRule};
+use crate::service::{
+    DueWrite, HeldOrder, RolloutPhase, ServerCounts, ServiceRollout, VersionRule,
+};
 
 /// How much longer each further VM waits with a change that is due: the first one's is
 /// known to it by then.
@@ -161,6 +163,20 @@
         rollout.take_mark(now, region, order, revision);
     }
 
+    /// Notes that the store has lost the record of a service.
+    pub fn lose_record(&mut self, service: &ServiceName) {
+        if let Some(rollout) = self.services.get_mut(service) {
+            rollout.lose_record();
+        }
+    }
+
+    /// Notes that the store has lost a region's word that it moves its traffic.
+    pub fn lose_shift(&mut self, service: &ServiceName, region: &RegionName) {
+        if let Some(rollout) = self.services.get_mut(service) {
+            rollout.lose_mark(region);
+        }
+    }
+
     fn rollout(&mut self, service: &ServiceName) -> &mut ServiceRollout {
         self.services
             .entry(service.clone())
@@ -362,7 +378,7 @@
             service,
             region: region.clone(),
             expected: rollout.mark_revision(region),
-            order: rollout.order().map_or(0, |order| order.revision),
+            order: rollout.order().map_or(0, HeldOrder::number),
         },
     }
 }
