What the operator wrote is kept for ten seconds where a restored store lacks it

A key of the operator has no lease: one that a restored store lacks was not taken away but lost, and is written again by hand. After 2.5 s, as for leased entries, a data centre that is being evacuated would have got requests again. Deletions that the store tells, and outages without a restore, are taken as before.

Fleet test what_the_operator_wrote_outlasts_a_restore (fails on the commit before: the first case is gone after 2.5 s).

--- a/crates/fleet/src/mirror.rs
+++ b/crates/fleet/src/mirror.rs
@@ -28,6 +28,9 @@
 /// seconds for a live owner to be back; the rest is the way of the news.
 pub const RETURN_WINDOW: Duration = Duration::from_millis(2500);
 
+/// The same for what the operator wrote, where a restored store lacks it.
+const REWRITE_WINDOW: Duration = Duration::from_secs(10);
+
 /// How long an item must stand in a restored store that was known to be deleted: the
 /// entry of a server that is gone lapses in less.
 const DOUBT_WINDOW: Duration = Duration::from_secs(5);
@@ -117,7 +120,8 @@
 struct HeldItem {
     value: Bytes,
     revision: u64,
-    missing_since: Option<Moment>,
+    /// Until when it may come back, if it is missing.
+    missing_until: Option<Moment>,
 }
 
 impl HeldItem {
@@ -154,6 +158,8 @@
     doubtful: BTreeMap<String, (StoreItem, Moment)>,
     /// When the store was seen to be restored from an older copy.
     restored_at: Option<Moment>,
+    /// Start of the operator's keys.
+    operator_prefix: Option<&'static str>,
 }
 
 /// The keys that were deleted last, with the revision of it. What a copy merely did not
@@ -212,6 +218,15 @@
 }
 
 impl StoreMirror {
+    /// An empty copy of a store in which the operator's keys start with a prefix: they have
+    /// no lease, so that one which a restored store lacks was lost by it.
+    pub fn with_operator(prefix: &'static str) -> Self {
+        Self {
+            operator_prefix: Some(prefix),
+            ..Self::default()
+        }
+    }
+
     /// Latest revision of the store that the copy reflects.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -244,9 +259,10 @@
 
     /// How what is missing is to be taken, where the store's link is in a state.
     fn health(&self, now: Moment, link: StoreHealth) -> StoreHealth {
-        match self.restored_at {
-            Some(at) if now - at < RETURN_WINDOW => StoreHealth::Returned,
-            _ => link,
+        if self.is_restored_lately(now) {
+            StoreHealth::Returned
+        } else {
+            link
         }
     }
 
@@ -340,7 +356,8 @@
                 StoreEvent::Delete { key, revision } => {
                     self.doubtful.remove(&key);
                     self.deletions.note(&key, revision);
-                    changes.extend(self.delete(now, &key, revision, health));
+                    let until = now + RETURN_WINDOW;
+                    changes.extend(self.delete(until, &key, revision, health));
                 }
             }
         }
@@ -390,7 +407,10 @@
             .collect();
         absent
             .into_iter()
-            .filter_map(|key| self.delete(now, &key, revision, health))
+            .filter_map(|key| {
+                let until = now + self.return_window(now, &key);
+                self.delete(until, &key, revision, health)
+            })
             .collect()
     }
 
@@ -407,8 +427,8 @@
             .filter_map(|item| self.set(item))
             .collect();
         let is_over = |key: &String| {
-            let since = self.items.get(key).and_then(|item| item.missing_since);
-            since.is_none_or(|since| now - since >= RETURN_WINDOW)
+            let until = self.items.get(key).and_then(|item| item.missing_until);
+            until.is_none_or(|until| now >= until)
         };
         let expired: Vec<String> = self
             .missing
@@ -423,10 +443,26 @@
         changes
     }
 
+    /// How long an item that the store does not list may be missing.
+    fn return_window(&self, now: Moment, key: &str) -> Duration {
+        let is_operators = self
+            .operator_prefix
+            .is_some_and(|prefix| key.starts_with(prefix));
+        if is_operators && self.is_restored_lately(now) {
+            REWRITE_WINDOW
+        } else {
+            RETURN_WINDOW
+        }
+    }
+
+    fn is_restored_lately(&self, now: Moment) -> bool {
+        self.restored_at.is_some_and(|at| now - at < RETURN_WINDOW)
+    }
+
     /// Removes an item.
     fn take_out(&mut self, key: &str) {
         if let Some(held) = self.items.remove(key)
-            && held.missing_since.is_none()
+            && held.missing_until.is_none()
         {
             self.hash = self.hash.wrapping_sub(item_hash(key, held.revision));
         }
@@ -436,7 +472,7 @@
     fn present(&self) -> impl Iterator<Item = (&String, &HeldItem)> {
         self.items
             .iter()
-            .filter(|(_, item)| item.missing_since.is_none())
+            .filter(|(_, item)| item.missing_until.is_none())
     }
 
     fn put(&mut self, now: Moment, item: StoreItem) -> Option<MirrorChange> {
@@ -466,7 +502,7 @@
             && held.is_same(&item)
         {
             held.revision = item.revision;
-            if held.missing_since.take().is_some() {
+            if held.missing_until.take().is_some() {
                 self.missing.remove(&item.key);
                 let hash = item_hash(&item.key, item.revision);
                 self.hash = self.hash.wrapping_add(hash);
@@ -477,7 +513,7 @@
         let held = HeldItem {
             value: item.value.clone(),
             revision: item.revision,
-            missing_since: None,
+            missing_until: None,
         };
         let hash = item_hash(&item.key, item.revision);
         self.hash = self.hash.wrapping_add(hash);
@@ -485,9 +521,10 @@
         Some(MirrorChange::Set(item.key, item.value))
     }
 
+    /// Removes an item that was deleted at a revision, or lets it be missing until a moment.
     fn delete(
         &mut self,
-        now: Moment,
+        until: Moment,
         key: &str,
         revision: u64,
         health: StoreHealth,
@@ -498,8 +535,8 @@
         }
         match health {
             StoreHealth::Returned => {
-                if held.missing_since.is_none() {
-                    held.missing_since = Some(now);
+                if held.missing_until.is_none() {
+                    held.missing_until = Some(until);
                     let hash = item_hash(key, held.revision);
                     self.hash = self.hash.wrapping_sub(hash);
                     self.missing.insert(key.to_owned());
--- a/crates/fleet/tests/mirror.rs
+++ b/crates/fleet/tests/mirror.rs
@@ -356,3 +356,53 @@
     assert_eq!(mirror.apply(at(1), old, steady), vec![]);
     assert_eq!(mirror.revision(), order(2, 4));
 }
+
+struct LackedCase {
+    name: &'static str,
+    key: &'static str,
+    /// Era in which the store answers without the key, after an outage.
+    era: u16,
+    /// Times after which the key is still held.
+    held_ms: u64,
+    gone_ms: u64,
+}
+
+#[test]
+fn what_the_operator_wrote_outlasts_a_restore() {
+    let cases = [
+        LackedCase {
+            name: "the operator's, restored",
+            key: "op/a",
+            era: 2,
+            held_ms: 9900,
+            gone_ms: 10_000,
+        },
+        LackedCase {
+            name: "the operator's, lapsed or deleted in an outage",
+            key: "op/a",
+            era: 1,
+            held_ms: 2400,
+            gone_ms: 2500,
+        },
+        LackedCase {
+            name: "a server's, restored",
+            key: "s/a",
+            era: 2,
+            held_ms: 2400,
+            gone_ms: 2500,
+        },
+    ];
+    for case in &cases {
+        let mut mirror = StoreMirror::with_operator("op/");
+        let written = vec![StoreEvent::Put(item(case.key, order(1, 4)))];
+        mirror.apply(at(0), written, StoreHealth::Steady);
+        let position = order(case.era, 9);
+        mirror.replace(at(1000), "", Vec::new(), position, StoreHealth::Returned);
+        let is_held = |mirror: &mut StoreMirror, ms| {
+            mirror.expire(at(1000 + ms));
+            mirror.item_revision(case.key).is_some()
+        };
+        assert!(is_held(&mut mirror, case.held_ms), "{}", case.name);
+        assert!(!is_held(&mut mirror, case.gone_ms), "{}", case.name);
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use onyxfall_adapter::OPERATOR_PREFIX;
 use onyxfall_clock::{BootInstant, SuspensionWatch};
 use onyxfall_fleet::{
     AnswerLengths, AwayTable, DecisionSwitch, FleetView, QuotaTable, RetryShare, RoundTrips,
@@ -155,7 +156,7 @@
             started: BootInstant::now(),
             table: RefCell::default(),
             fleet: RefCell::new(fleet),
-            mirror: RefCell::default(),
+            mirror: RefCell::new(StoreMirror::with_operator(OPERATOR_PREFIX)),
             overlay: RefCell::new(overlay),
             own_work_at: Cell::new(None),
             unknown_words: RefCell::default(),
