--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -45,6 +45,11 @@
 /// Requests a second that servers take: few, none, absurd.
 const LIMITS: [&str; 6] = ["1", "2.5", "0.4", "4", "0", "soon"];
 
+/// Restores of the store come in a series of their own, for the same reason.
+const RESTORE_SERIES: u64 = 0x7265_7374_6f72_6531;
+/// Mean time between the beginnings of two of these, in milliseconds.
+const RESTORE_PAUSE_MS: u64 = 3000;
+
 /// Suspensions come in a series of their own, for the same reason.
 const AWAY_SERIES: u64 = 0x6177_6179_5f73_6572;
 /// Mean time between the beginnings of two of these, in milliseconds.
@@ -85,6 +90,8 @@
     Store(StoreMode),
     /// The store drops its history.
     ForgetHistory,
+    /// The store comes back from a copy that was made at the beginning.
+    Restore,
     /// What a server does with requests.
     Server(usize, ServerFailing),
     /// A server leaves and a new life takes its place.
@@ -195,6 +202,7 @@
         usual(ENTRY_SERIES, ENTRY_PAUSE_MS, draw_entry_fault),
         usual(WORD_SERIES, WORD_PAUSE_MS, draw_word),
         usual(AWAY_SERIES, AWAY_PAUSE_MS, draw_suspension),
+        usual(RESTORE_SERIES, RESTORE_PAUSE_MS, |_, _| Fault::Restore),
         FaultSeries {
             lasts_ms: LIMIT_MS,
             ..usual(LIMIT_SERIES, LIMIT_PAUSE_MS, draw_limit)
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -21,6 +21,8 @@
 const STEP: Duration = Duration::from_millis(20);
 /// Steps between two rounds of probes of the configuration in force.
 const PROBE_STEPS: u64 = 10;
+/// Time after which operator and servers write again what a restored store has lost.
+const WRITTEN_AGAIN: Duration = Duration::from_millis(300);
 /// Callers.
 const CALLERS: usize = 6;
 /// Time in which everything must be back after the faults. Bounds of the users'
@@ -198,6 +200,10 @@
                 self.world.store.forget_history();
                 Ok(())
             }
+            Fault::Restore => {
+                self.world.keep_copy();
+                Ok(())
+            }
             Fault::Server(server, failing) => {
                 self.set_failing(server, failing);
                 Ok(())
@@ -245,6 +251,12 @@
                 self.world.limit(server, None);
                 Ok(())
             }
+            Fault::Restore => {
+                self.world.store.restore_copy();
+                thread::sleep(WRITTEN_AGAIN);
+                self.world.write_again();
+                Ok(())
+            }
             Fault::Kill(_)
             | Fault::Stop(_)
             | Fault::Reload(_)
@@ -474,7 +486,7 @@
         | (Fault::Limit(a, _), Fault::Limit(b, _))
         | (Fault::Foreign(a, _), Fault::Foreign(b, _))
         | (Fault::Server(a, _), Fault::Server(b, _)) => a == b,
-        (Fault::Store(_), Fault::Store(_)) => true,
+        (Fault::Store(_), Fault::Store(_)) | (Fault::Restore, Fault::Restore) => true,
         _ => false,
     }
 }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -84,6 +84,12 @@
     }
 }
 
+/// Changes that a restored store has lost at least, so that later ones have revisions that
+/// were given out before.
+const CHANGES_LOST: usize = 64;
+/// A key that means nothing to anybody.
+const UNUSED_KEY: &str = "soak/unused";
+
 /// Path that only version `version` of the configuration has a route for.
 pub(crate) fn version_path(version: u64) -> String {
     format!("/at/{version}/")
@@ -208,7 +214,33 @@
     pub(crate) fn configure(&self) {
         let mut version = self.version.lock();
         *version += 1;
-        let own_path = version_path(*version);
+        self.write_configuration(*version);
+    }
+
+    /// Makes a copy of the store that will lack many changes.
+    pub(crate) fn keep_copy(&self) {
+        self.store.keep_copy();
+        for _ in 0..CHANGES_LOST {
+            self.store.put(UNUSED_KEY, String::new());
+        }
+    }
+
+    /// Lets the operator and the servers write again what a restored store may have lost,
+    /// and the entries of servers that have ended lapse.
+    pub(crate) fn write_again(&self) {
+        let version = *self.version.lock();
+        self.write_configuration(version);
+        for server in 0..self.servers.len() {
+            let life = self.servers[server].lock().life;
+            for ended in 1..life {
+                self.store.delete(&server_key(&server_name(server, ended)));
+            }
+            self.announce(server, ServerPhase::Ready);
+        }
+    }
+
+    fn write_configuration(&self, version: u64) {
+        let own_path = version_path(version);
         let route = |path_prefix, shape| RouteText {
             host: HOST,
             path_prefix,
@@ -233,7 +265,7 @@
             rate: 0.0,
             home_regions: &[],
         };
-        let body = document_with_teams(*version, &routes, &[service], &[team]);
+        let body = document_with_teams(version, &routes, &[service], &[team]);
         self.store.put(config_key(), body);
     }
 
