--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -4,15 +4,13 @@
 
 use std::time::Duration;
 
-use onyxfall_fleet::{
-    CallNeeds, FleetView, HomeRegions, LimitWord, LocalOption, PromptSize, ToldLimits, WorkShare,
-};
+use onyxfall_fleet::{AttemptResult, FleetView, LimitWord, LocalOption, ToldLimits, WorkShare};
 use onyxfall_policy::Moment;
 use onyxfall_types::{RequestRate, ServerId, VmName};
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use support::{at, place, ready_server};
+use support::{at, needs, place, ready_server};
 
 const WINDOW_MS: u64 = 4000;
 /// Requests in a window that are allowed beside one and a half times the limit.
@@ -26,19 +24,6 @@
     format!("vm{number}").parse().unwrap()
 }
 
-fn needs() -> CallNeeds {
-    CallNeeds {
-        service: "svc".parse().unwrap(),
-        engine: None,
-        prompt: PromptSize::default(),
-        goal: Duration::from_secs(1),
-        urgency: 5,
-        deadline: at(2 * HOUR_MS),
-        events: None,
-        homes: HomeRegions::Any,
-    }
-}
-
 fn rate(per_second: f64) -> LimitWord {
     LimitWord::Rate(RequestRate::new(per_second).unwrap())
 }
@@ -74,8 +59,7 @@
     };
     view.start_attempt(now, choice.server, attempt, &needs());
     view.take_limit(now, choice.server, word, Some(now));
-    let result = onyxfall_fleet::AttemptResult::Succeeded;
-    view.end_attempt(now, choice.server, attempt, result, None);
+    view.end_attempt(now, choice.server, attempt, AttemptResult::Succeeded, None);
     true
 }
 
