--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -50,7 +50,7 @@
 };
 pub use level::draw_by_level;
 pub use life::{BirthError, ServerBirth, ServerLife};
-pub use limit::{LimitWord, ToldLimits};
+pub use limit::{LimitReports, LimitWord};
 pub use mirror::{
     MirrorChange, MirrorDelta, RETURN_WINDOW, StoreEvent, StoreHealth, StoreItem, StoreMirror,
 };
--- a/crates/fleet/src/limit.rs
+++ b/crates/fleet/src/limit.rs
@@ -1,14 +1,13 @@
-//! The rate that a server in need takes from all VMs together.
+//! Rate limits that servers in need name for all VMs together.
 //!
-//! A server names its limit in its answers for as long as it needs one. A VM believes its
-//! own last answer; where it has none, the mean of what the other VMs of the region have
-//! read. Only the VMs that rank first for the server by rendezvous hashing send to it,
-//! each with an equal part of the rate and never two requests at once, so that a large
-//! region cannot exceed a small limit by one request of each VM.
+//! A server names its limit in each answer for as long as it has one. A VM goes by its own
+//! last answer; without one, by the mean of what the other VMs of the region report. Only
+//! the VMs that rank first for the server by rendezvous hashing send to it, each at an equal
+//! share of the rate and without bursts: the total stays below the limit however many VMs
+//! the region has.
 //!
-//! Invariants: a belief ends with an answer to a request that was sent after the last one
-//! that named a limit, or when no VM has read it for [`NAMED_LIFE`]; what other VMs told
-//! is never told on.
+//! Invariants: a limit ends with an answer to a request that was sent after the last one
+//! that named it, or [`NAMED_LIFE`] after that; reports of other VMs are never forwarded.
 
 use std::time::Duration;
 
@@ -18,16 +17,16 @@
 use crate::cold::sender_rank;
 use crate::view::FleetView;
 
-/// Time for which a limit holds that no later answer has named or ended. It is longer than
-/// the longest pause between two requests of one sender.
+/// Lifetime of a limit that no later answer has confirmed or ended; longer than the longest
+/// pause between two requests of one sender.
 const NAMED_LIFE: Duration = Duration::from_secs(12);
-/// Time after an answer without a limit for which it counts more than what others told.
+/// Time for which an own answer without a limit overrides reports of other VMs.
 const LIFTED_LIFE: Duration = Duration::from_secs(2);
 /// Requests a second that a sender makes at least: only an answer tells that a limit has
 /// ended.
 const LEAST_SHARE: f64 = 0.1;
-/// Requests a second that other VMs are told at most; a larger limit binds nobody.
-const MOST_TOLD: f64 = 1e6;
+/// Largest limit that is reported, in requests a second.
+const MOST_REPORTED: f64 = 1e6;
 /// VMs that may send to a server that takes less than one request a second.
 const LEAST_SENDERS: usize = 2;
 
@@ -43,32 +42,32 @@
     Malformed,
 }
 
-/// Limits of one server that several VMs have read, summed up.
+/// Limits of one server as several VMs have read them, summed up.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ToldLimits {
-    /// VMs that have read one.
+pub struct LimitReports {
+    /// VMs that report one.
     pub vms: u32,
-    /// Sum of what they read, in thousandths of a request a second.
+    /// Sum of the limits, in thousandths of a request a second.
     pub thousandths: u64,
 }
 
-impl ToldLimits {
-    /// What one VM has read.
+impl LimitReports {
+    /// The report of one VM.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     fn of(rate: RequestRate) -> Self {
         Self {
             vms: 1,
-            thousandths: (rate.per_second().min(MOST_TOLD) * 1e3).round() as u64,
+            thousandths: (rate.per_second().min(MOST_REPORTED) * 1e3).round() as u64,
         }
     }
 
-    /// The mean of what was read; none if nobody has read a limit.
+    /// Mean of the limits; none without a report.
     ///
     /// ```
-    /// use onyxfall_fleet::ToldLimits;
-    /// let told = ToldLimits { vms: 2, thousandths: 5000 };
-    /// assert_eq!(told.mean().unwrap().per_second(), 2.5);
-    /// assert!(ToldLimits::default().mean().is_none());
+    /// use onyxfall_fleet::LimitReports;
+    /// let reports = LimitReports { vms: 2, thousandths: 5000 };
+    /// assert_eq!(reports.mean().unwrap().per_second(), 2.5);
+    /// assert!(LimitReports::default().mean().is_none());
     /// ```
     pub fn mean(self) -> Option<RequestRate> {
         let vms = (self.vms > 0).then_some(f64::from(self.vms))?;
@@ -105,8 +104,8 @@
 }
 
 impl ServerLimit {
-    /// Takes the word of an answer to a request that was sent at `sent`; without that
-    /// moment the answer is another request's, and its silence shows nothing.
+    /// Takes the limit of an answer to a request that was sent at `sent`. Without that
+    /// moment the answer belongs to another request and does not end a limit.
     pub(crate) fn take(&mut self, now: Moment, word: LimitWord, sent: Option<Moment>) {
         match word {
             LimitWord::Rate(rate) => {
@@ -129,10 +128,10 @@
         self.sent = Some(now);
     }
 
-    /// The limit that this VM has read itself, for other VMs.
-    pub(crate) fn own(&self, now: Moment) -> ToldLimits {
+    /// What this VM reports to others.
+    pub(crate) fn report(&self, now: Moment) -> LimitReports {
         self.own_rate(now)
-            .map_or(ToldLimits::default(), ToldLimits::of)
+            .map_or(LimitReports::default(), LimitReports::of)
     }
 
     fn own_rate(&self, now: Moment) -> Option<RequestRate> {
@@ -140,13 +139,13 @@
         (now - named < NAMED_LIFE).then_some(rate)
     }
 
-    /// The limit in force, where other VMs have `told` theirs.
-    pub(crate) fn rate(&self, now: Moment, told: ToldLimits) -> Option<RequestRate> {
+    /// The limit in force, given the reports of other VMs.
+    pub(crate) fn rate(&self, now: Moment, reports: LimitReports) -> Option<RequestRate> {
         let is_lifted = self.lifted.is_some_and(|at| now - at < LIFTED_LIFE);
         match self.own_rate(now) {
             Some(rate) => Some(rate),
             None if is_lifted => None,
-            None => told.mean(),
+            None => reports.mean(),
         }
     }
 
@@ -159,8 +158,8 @@
 }
 
 impl FleetView {
-    /// Takes what the answer to a request that was sent at `sent` says of its server's
-    /// limit; without that moment the answer is not that request's own.
+    /// Takes the limit of an answer to a request that was sent at `sent`; without that
+    /// moment the answer belongs to another request.
     ///
     /// ```
     /// use onyxfall_fleet::{FleetView, LimitWord, VmPlace};
@@ -197,24 +196,24 @@
         self.server_mut(id).limit_mut().take(now, word, sent);
     }
 
-    /// Whether the limit that a server names lets this VM send to it now.
+    /// Whether the limit of a server lets this VM send to it now.
     pub fn is_within_limit(&self, now: Moment, id: ServerId) -> bool {
         self.limit_wait(now, id).is_zero()
     }
 
-    /// Time until the limit that a server names lets this VM send to it. A VM that is no
-    /// sender is told when the server takes the next request of anybody.
+    /// Time until the limit of a server lets this VM send to it; for a VM that is no sender,
+    /// the interval at which the server accepts requests.
     pub(crate) fn limit_wait(&self, now: Moment, id: ServerId) -> Duration {
         let server = self.server(id);
         let Some(rate) = server.limit(now) else {
             return Duration::ZERO;
         };
         let (own, others) = (&self.place().vm, self.region_vms());
-        let senders = senders_of(rate);
+        let senders = sender_count(rate);
         if sender_rank("limit", &server.record.name, own, others) >= senders {
             return Duration::from_secs_f64(1.0 / rate.per_second().max(LEAST_SHARE));
         }
-        // A VM that has heard of no other one yet cannot tell how many send.
+        // Without knowledge of the region's VMs, all senders may be there.
         let is_counted = self.is_alone() || !others.is_empty();
         let sending = if is_counted {
             senders.min(others.len() + 1)
@@ -226,9 +225,9 @@
     }
 }
 
-/// VMs that may send to a server with a limit: few enough that one request of each at once
-/// stays far below what the limit lets through in some seconds.
+/// VMs that may send to a server with a limit: few, since each may send one request at the
+/// same moment.
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-fn senders_of(rate: RequestRate) -> usize {
+fn sender_count(rate: RequestRate) -> usize {
     LEAST_SENDERS.saturating_add(rate.per_second() as usize)
 }
--- a/crates/fleet/src/mirror.rs
+++ b/crates/fleet/src/mirror.rs
@@ -5,11 +5,10 @@
 //! outage is kept for a while: its owner writes it again if it lives. An item
 //! that vanishes while the store is well is gone at once.
 //!
-//! Revisions are the order of a [`StorePosition`], so that everything which a restored
-//! store says is later than what it said before. It lacks what was written after its copy
-//! was made, and names again what was deleted since: what is missing may return, as after
-//! an outage, and what was known to be deleted counts only once it stays or is written
-//! anew.
+//! Revisions are the order of a [`StorePosition`], so that changes of a restored store are
+//! later than all changes before. Such a store lacks what was written after its backup and
+//! brings back what was deleted since: missing items may return, as after an outage, and
+//! deleted ones are held back until they are written again or stay.
 //!
 //! Invariant: an item is never replaced by one of a smaller revision, and one that was
 //! deleted lately does not come back by news from before that.
@@ -28,12 +27,12 @@
 /// seconds for a live owner to be back; the rest is the way of the news.
 pub const RETURN_WINDOW: Duration = Duration::from_millis(2500);
 
-/// The same for what the operator wrote, where a restored store lacks it.
+/// The same for the operator's items that a restored store lacks.
 const REWRITE_WINDOW: Duration = Duration::from_secs(10);
 
-/// How long an item must stand in a restored store that was known to be deleted: the
-/// entry of a server that is gone lapses in less.
-const DOUBT_WINDOW: Duration = Duration::from_secs(5);
+/// How long a deleted item that a restored store brings back is held back: longer than the
+/// lease of a server that is gone.
+const RESURRECTION_WINDOW: Duration = Duration::from_secs(5);
 
 /// Deletions that are remembered, some 60 bytes each. Other VMs' news are seconds old at
 /// most, and a large fleet replaces ninety servers a second.
@@ -154,8 +153,8 @@
     /// Keys of the items that are missing.
     missing: BTreeSet<String>,
     deletions: RecentDeletions,
-    /// Items that a restored store names and that were known to be deleted, and since when.
-    doubtful: BTreeMap<String, (StoreItem, Moment)>,
+    /// Deleted items that a restored store has brought back, and when they were first seen.
+    resurrected: BTreeMap<String, (StoreItem, Moment)>,
     /// When the store was seen to be restored from an older copy.
     restored_at: Option<Moment>,
     /// Start of the operator's keys.
@@ -191,8 +190,9 @@
         deleted.is_some_and(|deleted| item.revision <= *deleted)
     }
 
-    /// Whether an item may be an older copy of one that was deleted in an earlier era.
-    fn may_cover(&self, item: &StoreItem) -> bool {
+    /// Whether a restored store may have brought back a deleted item: it was deleted in an
+    /// earlier era, at no smaller revision.
+    fn may_resurrect(&self, item: &StoreItem) -> bool {
         let position = StorePosition::from_order;
         let item_at = position(item.revision);
         let deleted = self.revisions.get(&item.key).map(|order| position(*order));
@@ -218,8 +218,8 @@
 }
 
 impl StoreMirror {
-    /// An empty copy of a store in which the operator's keys start with a prefix: they have
-    /// no lease, so that one which a restored store lacks was lost by it.
+    /// An empty copy of a store in which the operator's keys start with a prefix. They have
+    /// no lease: one that a restored store lacks was lost with the backup.
     pub fn with_operator(prefix: &'static str) -> Self {
         Self {
             operator_prefix: Some(prefix),
@@ -242,13 +242,12 @@
         self.items.is_empty()
     }
 
-    /// Whether an item is missing that may come back, or may not stay.
+    /// Whether an item is missing that may come back, or is held back.
     pub fn has_missing(&self) -> bool {
-        !self.missing.is_empty() || !self.doubtful.is_empty()
+        !self.missing.is_empty() || !self.resurrected.is_empty()
     }
 
-    /// Moves on to a revision. The first one of a later era shows that the store was
-    /// restored.
+    /// Advances to a revision; the first one of a later era shows that the store was restored.
     fn advance(&mut self, now: Moment, revision: u64) {
         let era = |order| StorePosition::from_order(order).era();
         if self.revision > 0 && era(revision) > era(self.revision) {
@@ -257,7 +256,7 @@
         self.revision = self.revision.max(revision);
     }
 
-    /// How what is missing is to be taken, where the store's link is in a state.
+    /// How a missing item is treated, given the state of the link to the store.
     fn health(&self, now: Moment, link: StoreHealth) -> StoreHealth {
         if self.is_restored_lately(now) {
             StoreHealth::Returned
@@ -354,7 +353,7 @@
             match event {
                 StoreEvent::Put(item) => changes.extend(self.put(now, item)),
                 StoreEvent::Delete { key, revision } => {
-                    self.doubtful.remove(&key);
+                    self.resurrected.remove(&key);
                     self.deletions.note(&key, revision);
                     let until = now + RETURN_WINDOW;
                     changes.extend(self.delete(until, &key, revision, health));
@@ -392,9 +391,9 @@
     ) -> Vec<MirrorChange> {
         self.advance(now, revision);
         let health = self.health(now, health);
-        self.doubtful
+        self.resurrected
             .retain(|key, _| !key.starts_with(prefix) || listed.contains(key));
-        // What is written from here on is no older copy.
+        // The listing holds all that the backup brought back.
         self.deletions
             .forget_before(StorePosition::from_order(revision));
         let absent: Vec<String> = self
@@ -414,12 +413,12 @@
             .collect()
     }
 
-    /// Removes what has been missing for longer than [`RETURN_WINDOW`], and takes what has
-    /// stayed in a restored store though it was known to be deleted.
+    /// Removes what has been missing for too long, and takes what has stayed in a restored
+    /// store for [`RESURRECTION_WINDOW`].
     pub fn expire(&mut self, now: Moment) -> Vec<MirrorChange> {
-        let is_settled = |since: &Moment| now - *since >= DOUBT_WINDOW;
+        let is_settled = |since: &Moment| now - *since >= RESURRECTION_WINDOW;
         let settled = self
-            .doubtful
+            .resurrected
             .extract_if(.., |_, (_, since)| is_settled(since));
         let settled: Vec<StoreItem> = settled.map(|(_, (item, _))| item).collect();
         let mut changes: Vec<MirrorChange> = settled
@@ -480,15 +479,18 @@
             if self.deletions.covers(&item) {
                 return None;
             }
-            let doubted = self.doubtful.get(&item.key).map(|(held, _)| held.revision);
-            let is_known = doubted.is_some_and(|revision| revision >= item.revision);
-            if is_known || (doubted.is_none() && self.deletions.may_cover(&item)) {
-                let doubt = self.doubtful.entry(item.key.clone());
-                doubt.or_insert((item, now));
+            let held_back = self
+                .resurrected
+                .get(&item.key)
+                .map(|(held, _)| held.revision);
+            let is_known = held_back.is_some_and(|revision| revision >= item.revision);
+            if is_known || (held_back.is_none() && self.deletions.may_resurrect(&item)) {
+                let entry = self.resurrected.entry(item.key.clone());
+                entry.or_insert((item, now));
                 return None;
             }
         }
-        self.doubtful.remove(&item.key);
+        self.resurrected.remove(&item.key);
         self.set(item)
     }
 
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -291,7 +291,7 @@
         WorkShare {
             flow,
             votes: self.own_vote(now),
-            limits: self.limit.own(now),
+            limits: self.limit.report(now),
             ..self.own
         }
     }
--- a/crates/fleet/src/work.rs
+++ b/crates/fleet/src/work.rs
@@ -1,6 +1,6 @@
 //! What VMs have under way at a server, as they tell each other.
 
-use crate::limit::ToldLimits;
+use crate::limit::LimitReports;
 use crate::signs::ServerVotes;
 
 /// Urgencies that a request can have; 0 goes first.
@@ -74,7 +74,7 @@
     /// Whether it lives, as those VMs see it.
     pub votes: ServerVotes,
     /// Limits that those VMs have read in its answers.
-    pub limits: ToldLimits,
+    pub limits: LimitReports,
 }
 
 impl WorkShare {
--- a/crates/fleet/tests/limits.rs
+++ b/crates/fleet/tests/limits.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use onyxfall_fleet::{AttemptResult, FleetView, LimitWord, LocalOption, ToldLimits, WorkShare};
+use onyxfall_fleet::{AttemptResult, FleetView, LimitReports, LimitWord, LocalOption, WorkShare};
 use onyxfall_policy::Moment;
 use onyxfall_types::{RequestRate, ServerId, VmName};
 use proptest::prelude::*;
@@ -30,7 +30,7 @@
 
 fn told(vms: u32, thousandths: u64) -> WorkShare {
     WorkShare {
-        limits: ToldLimits { vms, thousandths },
+        limits: LimitReports { vms, thousandths },
         ..WorkShare::default()
     }
 }
@@ -215,7 +215,7 @@
     let server = server_of(&view);
     view.server_mut(server).set_others(at(0), told(3, 6000));
     let own = view.server(server).own_work(at(0)).limits;
-    assert_eq!(own, ToldLimits::default());
+    assert_eq!(own, LimitReports::default());
     view.take_limit(at(0), server, rate(1.5), Some(at(0)));
     let own = view.server(server).own_work(at(0)).limits;
     assert_eq!(own, told(1, 1500).limits);
--- a/crates/gateway/src/frames.rs
+++ b/crates/gateway/src/frames.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use onyxfall_fleet::{ServerVotes, ToldLimits, UnreadTokens, WorkShare};
+use onyxfall_fleet::{LimitReports, ServerVotes, UnreadTokens, WorkShare};
 use onyxfall_overlay::{
     LinkRelation, OverlayUpdate, RecordVersion, RosterWord, ServerTag, VmCapacity, VmRecord,
     VmStatus, WordScope, WorkEntry, WorkWord,
@@ -168,7 +168,7 @@
                         good: entry.good,
                         bad: entry.bad,
                     },
-                    limits: ToldLimits {
+                    limits: LimitReports {
                         vms: entry.limit_vms,
                         thousandths: entry.limit_thousandths,
                     },
