Copies and changes of VMs in an earlier era are ignored; faults of the soak that end together

A VM without a whole copy could take one from a VM that had not heard of a restore yet, and keep what the store had lost until the next whole read. Read, not seen; test a_copy_from_before_a_restore_is_past.

Traced by the VM's log: its clock was moved on by 37 s 0.3 s after the suspension counted as over, since three faults of the VM ended in one step, each was lifted, and a restore in between slept. Now the last of them is lifted alone, and what a restore lost is written again without holding up the run.

--- a/crates/fleet/src/mirror.rs
+++ b/crates/fleet/src/mirror.rs
@@ -247,10 +247,18 @@
         !self.missing.is_empty() || !self.resurrected.is_empty()
     }
 
+    /// Whether another copy at `revision` reflects an era before this one's. It may hold
+    /// items that the restored store has lost.
+    pub fn is_past_era(&self, revision: u64) -> bool {
+        let era = |order| StorePosition::from_order(order).era();
+        era(revision) < era(self.revision)
+    }
+
     /// Advances to a revision; the first one of a later era shows that the store was restored.
     fn advance(&mut self, now: Moment, revision: u64) {
-        let era = |order| StorePosition::from_order(order).era();
-        if self.revision > 0 && era(revision) > era(self.revision) {
+        let is_later_era = StorePosition::from_order(revision).era()
+            > StorePosition::from_order(self.revision).era();
+        if self.revision > 0 && is_later_era {
             self.restored_at = Some(now);
         }
         self.revision = self.revision.max(revision);
--- a/crates/fleet/tests/mirror.rs
+++ b/crates/fleet/tests/mirror.rs
@@ -406,3 +406,17 @@
         assert!(!is_held(&mut mirror, case.gone_ms), "{}", case.name);
     }
 }
+
+#[test]
+fn a_copy_from_before_a_restore_is_past() {
+    let mut mirror = StoreMirror::default();
+    let held = vec![StoreEvent::Put(item("a", order(2, 4)))];
+    mirror.apply(at(0), held, StoreHealth::Steady);
+    for (other, is_past) in [
+        (order(1, 900), true),
+        (order(2, 1), false),
+        (order(3, 1), false),
+    ] {
+        assert_eq!(mirror.is_past_era(other), is_past, "{other}");
+    }
+}
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -167,9 +167,9 @@
     }
 
     /// Takes a part of another VM's copy of the store, unless this VM watches the store
-    /// itself.
+    /// itself or knows of a later era.
     pub(crate) fn take_copy_part(&self, from: &VmName, part: StoreSnapshot) {
-        if self.store.borrow().is_watched() {
+        if self.store.borrow().is_watched() || self.mirror.borrow().is_past_era(part.revision) {
             return;
         }
         let part = match unpacked(part) {
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -196,9 +196,10 @@
         }
     }
 
-    /// Takes changes that another VM passes on; a VM that watches itself knows.
+    /// Takes changes that another VM passes on, unless this VM watches the store itself or
+    /// knows of a later era.
     pub(crate) fn take_delta(&self, from: &VmName, delta: StoreDelta) {
-        if self.store.borrow().is_watched() {
+        if self.store.borrow().is_watched() || self.mirror.borrow().is_past_era(delta.revision) {
             return;
         }
         let (revision, base) = (delta.revision, delta.base);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -59,6 +59,7 @@
         checks: PromiseChecks::default(),
         words: WordChecks::default(),
         probes: 0,
+        write_again_at: None,
         targets: targets.clone(),
         world: &world,
     };
@@ -102,6 +103,8 @@
     checks: PromiseChecks,
     words: WordChecks,
     probes: u64,
+    /// When operator and servers write again what a restored store has lost.
+    write_again_at: Option<Duration>,
 }
 
 impl SoakRun<'_> {
@@ -115,7 +118,11 @@
         let mut next = 0;
         let mut open: Vec<PlannedFault> = Vec::new();
         let mut steps = 0_u64;
-        while next < plan.len() || !open.is_empty() || begun.elapsed() < size.time {
+        while next < plan.len()
+            || !open.is_empty()
+            || self.write_again_at.is_some()
+            || begun.elapsed() < size.time
+        {
             let now = begun.elapsed();
             while let Some(fault) = plan.get(next).filter(|fault| fault.at <= now) {
                 self.begin(fault.fault)?;
@@ -126,15 +133,20 @@
             }
             let (over, still): (Vec<_>, Vec<_>) = open.iter().partition(|fault| fault.until <= now);
             open = still;
-            for fault in over {
-                // Another fault of the same kind may still hold it.
-                if !open
-                    .iter()
-                    .any(|other| is_same_target(other.fault, fault.fault))
-                {
+            for (index, fault) in over.iter().enumerate() {
+                // Another fault of the same kind may still hold it, or end at the same time.
+                let mut others = open.iter().chain(&over[index + 1..]);
+                if !others.any(|other| is_same_target(other.fault, fault.fault)) {
                     self.end(fault.fault)?;
+                    if fault.fault == Fault::Restore {
+                        self.write_again_at = Some(now + WRITTEN_AGAIN);
+                    }
                 }
             }
+            if self.write_again_at.is_some_and(|at| now >= at) {
+                self.write_again_at = None;
+                self.world.write_again();
+            }
             self.look_after_vms(&open)?;
             self.take_what_was_seen(crowd);
             steps += 1;
@@ -253,8 +265,6 @@
             }
             Fault::Restore => {
                 self.world.store.restore_copy();
-                thread::sleep(WRITTEN_AGAIN);
-                self.world.write_again();
                 Ok(())
             }
             Fault::Kill(_)
