Soak: a request that went on to another server does not show that its VM read the word

Traced by the VMs' logs: the first request that was told had been given up by its VM before the answer came (after 3 ms, when the server's new birth came; at its deadline, after a suspension of 51 s), went to another server and was answered there; that answer counted as the proof that the VM had read the word. Such requests show nothing now. Refusals that ask for rest still do: going on to another server follows from reading them.

--- a/crates/soak/src/limits.rs
+++ b/crates/soak/src/limits.rs
@@ -63,7 +63,8 @@
         let mut counted = Vec::new();
         for (vm, address) in vms.iter().enumerate() {
             let own = || limited.arrivals.iter().filter(|a| a.from == *address);
-            let read = own()
+            let answered = own().filter(|a| !self.is_abandoned(a));
+            let read = answered
                 .filter_map(|a| self.calls.get(&a.request_id)?.read)
                 .min();
             let Some(read) = read else { continue };
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -317,19 +317,25 @@
         let vms: Vec<IpAddr> = (0..self.targets.len())
             .map(SoakWorld::source_address)
             .collect();
+        let mut lives = Vec::new();
         for (server, state) in self.world.servers.iter().enumerate() {
             for (life, standin) in state.lock().lives.iter().enumerate() {
                 let arrivals = standin.arrivals_from(0);
-                let arrivals = LifeArrivals {
+                lives.push(LifeArrivals {
                     server,
                     life,
                     arrivals,
-                };
-                let broken = self.words.check(&arrivals, &vms);
-                let beyond = self.words.check_limits(&arrivals, &vms);
-                for broken in broken.into_iter().chain(beyond) {
-                    self.checks.note(broken);
-                }
+                });
+            }
+        }
+        for life in &lives {
+            self.words.note_arrivals(life);
+        }
+        for life in &lives {
+            let broken = self.words.check(life, &vms);
+            let beyond = self.words.check_limits(life, &vms);
+            for broken in broken.into_iter().chain(beyond) {
+                self.checks.note(broken);
             }
         }
     }
--- a/crates/soak/src/words.rs
+++ b/crates/soak/src/words.rs
@@ -80,6 +80,8 @@
 pub(crate) struct WordChecks {
     pub(crate) calls: BTreeMap<String, CallTimes>,
     pub(crate) disturbances: DisturbanceLog,
+    /// When requests reached the last of their servers.
+    last_arrivals: BTreeMap<String, Instant>,
     /// Words that were told and could be checked, for the report.
     pub(crate) told: usize,
     /// Times of limits that could be checked, for the report.
@@ -107,6 +109,22 @@
         self.calls.insert(report.id.clone(), times);
     }
 
+    /// Notes what reached a life of a server; all of them before the first check.
+    pub(crate) fn note_arrivals(&mut self, life: &LifeArrivals) {
+        for arrived in &life.arrivals {
+            let last = self.last_arrivals.entry(arrived.request_id.clone());
+            let last = last.or_insert(arrived.at);
+            *last = arrived.at.max(*last);
+        }
+    }
+
+    /// Whether a request went on to another server although this one ran it: its VM had
+    /// given the attempt up, and may not have read the answer.
+    pub(crate) fn is_abandoned(&self, arrived: &ArrivedRequest) -> bool {
+        let last = self.last_arrivals.get(&arrived.request_id);
+        arrived.said.rest.is_none() && last.is_some_and(|last| *last > arrived.at)
+    }
+
     /// The promises that were broken at one life of a server; `vms` are the VMs' addresses.
     pub(crate) fn check(&mut self, life: &LifeArrivals, vms: &[IpAddr]) -> Vec<BrokenPromise> {
         let told = self.told_words(life, vms);
@@ -124,7 +142,7 @@
     /// Words whose answer a caller has had.
     fn told_words(&self, life: &LifeArrivals, vms: &[IpAddr]) -> Vec<ToldWord> {
         let mut told = Vec::new();
-        for arrived in &life.arrivals {
+        for arrived in life.arrivals.iter().filter(|a| !self.is_abandoned(a)) {
             let call = self.calls.get(&arrived.request_id);
             let read = call.and_then(|times| times.read);
             let vm = vms.iter().position(|ip| *ip == arrived.from);
