Soak: a request that reaches a server after its caller was answered shows nothing

Traced: a harmed link held the request for some time, its VM gave the attempt up for a silent server, another server answered, and the request reached the leaving server only then; that answer counted as read.

--- a/crates/soak/src/limits.rs
+++ b/crates/soak/src/limits.rs
@@ -63,10 +63,7 @@
         let mut counted = Vec::new();
         for (vm, address) in vms.iter().enumerate() {
             let own = || limited.arrivals.iter().filter(|a| a.from == *address);
-            let answered = own().filter(|a| !self.is_abandoned(a));
-            let read = answered
-                .filter_map(|a| self.calls.get(&a.request_id)?.read)
-                .min();
+            let read = own().filter_map(|a| self.read_at(a)).min();
             let Some(read) = read else { continue };
             let parts = [
                 DisturbedPart::Vm(vm),
--- a/crates/soak/src/words.rs
+++ b/crates/soak/src/words.rs
@@ -118,11 +118,15 @@
         }
     }
 
-    /// Whether a request went on to another server although this one ran it: its VM had
-    /// given the attempt up, and may not have read the answer.
-    pub(crate) fn is_abandoned(&self, arrived: &ArrivedRequest) -> bool {
+    /// When a caller had the answer to a request, if that shows that the VM had read what
+    /// the server said in its answer. It does not where the request reached the server only
+    /// after that, or went on to another server although this one ran it: its VM had given
+    /// the attempt up.
+    pub(crate) fn read_at(&self, arrived: &ArrivedRequest) -> Option<Instant> {
+        let read = self.calls.get(&arrived.request_id)?.read?;
         let last = self.last_arrivals.get(&arrived.request_id);
-        arrived.said.rest.is_none() && last.is_some_and(|last| *last > arrived.at)
+        let went_on = arrived.said.rest.is_none() && last.is_some_and(|last| *last > arrived.at);
+        (arrived.at < read && !went_on).then_some(read)
     }
 
     /// The promises that were broken at one life of a server; `vms` are the VMs' addresses.
@@ -142,9 +146,8 @@
     /// Words whose answer a caller has had.
     fn told_words(&self, life: &LifeArrivals, vms: &[IpAddr]) -> Vec<ToldWord> {
         let mut told = Vec::new();
-        for arrived in life.arrivals.iter().filter(|a| !self.is_abandoned(a)) {
-            let call = self.calls.get(&arrived.request_id);
-            let read = call.and_then(|times| times.read);
+        for arrived in &life.arrivals {
+            let read = self.read_at(arrived);
             let vm = vms.iter().position(|ip| *ip == arrived.from);
             let (Some(read), Some(vm)) = (read, vm) else {
                 continue;
