A server that is silent by time alone is left as well

Where this VM's answer became overdue after the other votes had come, time alone made it silent, and nobody was woken. Traced by the logs: the first VM never says that the server was judged, though the other one's vote stood for 2.5 s.

Test a_vm_whose_answer_is_overdue_last_leaves_the_server_too: four of four runs failed before (one or two requests lost), none of four after.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,7 +17,7 @@
 use onyxfall_overlay::{KnownVm, OverlayNode, RecordVersion, RosterTiming, VmRecord, VmStatus};
 use onyxfall_policy::Moment;
 use onyxfall_rollout::RolloutTable;
-use onyxfall_types::{Incarnation, ServiceName, VmName};
+use onyxfall_types::{Incarnation, ServerId, ServiceName, VmName};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use tokio::sync::Notify;
@@ -103,6 +103,8 @@
     pub(crate) asks: WorkAsks,
     /// Wakes what waits for a server that is taken for silent.
     pub(crate) silence: Notify,
+    /// Servers that were taken for silent when they were last looked at.
+    pub(crate) silent_servers: RefCell<BTreeSet<ServerId>>,
     /// Sends changes of the store to the VMs that report to this one.
     pub(crate) deltas_now: Notify,
     pub(crate) rng: RefCell<StdRng>,
@@ -185,6 +187,7 @@
             tell_now: Notify::new(),
             asks: WorkAsks::default(),
             silence: Notify::new(),
+            silent_servers: RefCell::default(),
             deltas_now: Notify::new(),
             rng: RefCell::new(StdRng::from_os_rng()),
             next_attempt: Cell::new(1),
@@ -291,6 +294,7 @@
         let now = self.now();
         self.overlay.borrow_mut().tick(now);
         self.apply_work(now);
+        self.refresh_silence(now);
         self.tell_changes();
         self.refresh_status();
         self.refresh_quota_peers(now);
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -40,12 +40,30 @@
         self.fleet.borrow().is_silent(now, server)
     }
 
-    /// Logs that a server is now taken for silent, or no longer, and tells those that
-    /// wait for it.
-    pub(crate) fn note_silence(&self, now: Moment, server: ServerId, was_silent: bool) {
+    /// Looks for servers that are silent by time alone: an answer of this VM has become
+    /// overdue after the other votes had come.
+    pub(crate) fn refresh_silence(&self, now: Moment) {
+        let live: Vec<ServerId> = self.fleet.borrow().live().map(|(id, _)| id).collect();
+        self.silent_servers
+            .borrow_mut()
+            .retain(|id| live.contains(id));
+        for server in live {
+            self.note_silence(now, server);
+        }
+    }
+
+    /// Logs that a server is now taken for silent, or no longer, and wakes those that wait
+    /// for it.
+    pub(crate) fn note_silence(&self, now: Moment, server: ServerId) {
         let fleet = self.fleet.borrow();
         let is_silent = fleet.is_silent(now, server);
-        if is_silent == was_silent {
+        let mut noted = self.silent_servers.borrow_mut();
+        let is_news = if is_silent {
+            noted.insert(server)
+        } else {
+            noted.remove(&server)
+        };
+        if !is_news {
             return;
         }
         let votes = fleet.server(server).votes(now);
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -138,12 +138,11 @@
             let server = self.fleet.borrow().find_tag(tag.0);
             match server {
                 Some(server) => {
-                    let was_silent = self.is_silent(server);
                     let was_limited = self.is_limited(now, server);
                     let mut fleet = self.fleet.borrow_mut();
                     fleet.server_mut(server).set_others(now, work);
                     drop(fleet);
-                    self.note_silence(now, server, was_silent);
+                    self.note_silence(now, server);
                     self.tell_limit(now, server, was_limited);
                 }
                 None if self.take_evidence(tag, &work) => {}
--- a/crates/gateway/tests/silence.rs
+++ b/crates/gateway/tests/silence.rs
@@ -3,12 +3,15 @@
 mod support;
 
 use std::thread;
+use std::time::Duration;
 
 use onyxfall_fakes::{ServerFailing, ServerStandIn};
-use support::{Gateway, Site, call, wait_for};
+use support::{Gateway, Site, call, wait_for, wait_used};
 
 /// Requests that each VM has under way at once.
 const CALLERS: usize = 6;
+/// How much later the second VM is asked; an answer is overdue after 0.4 s.
+const LATER: Duration = Duration::from_millis(200);
 
 /// Calls a VM from several callers at once; the ids of requests that got no success.
 fn call_all(gateway: &Gateway, path: &'static str, round: usize) -> Vec<String> {
@@ -69,3 +72,27 @@
         false
     });
 }
+
+/// The second VM's answer becomes overdue after it has heard the first one's vote, so that
+/// time alone makes the server silent.
+#[test]
+fn a_vm_whose_answer_is_overdue_last_leaves_the_server_too() {
+    let site = Site::start_in(2, 1);
+    let servers = site.start_servers(2);
+    site.configure(1);
+    let gateways = [site.gateway(0), site.gateway(1)];
+    for gateway in &gateways {
+        gateway.wait_served();
+        for server in &servers {
+            wait_used("every server to be used", gateway, server);
+        }
+    }
+    servers[0].set_failing(ServerFailing::Mute);
+    let lost = thread::scope(|scope| {
+        let first = scope.spawn(|| call_all(&gateways[0], "/repeat/x", 0));
+        thread::sleep(LATER);
+        let second = call_all(&gateways[1], "/repeat/x", 0);
+        [first.join().unwrap(), second]
+    });
+    assert_eq!(lost, [Vec::<String>::new(), Vec::new()]);
+}
