After reading the change: one look-up of live servers, one way to wait for a shared server

The set of silent servers was filtered by a scan of all live servers for each of them, ten times a second: now by a look-up. The tests of limits waited for a server's share of the requests by two copies of a loop. A field of the soak that nothing outside reads is private; a comment says when, not how it was seen. Behaviour and assertions are as they were.

--- a/crates/fleet/src/mirror.rs
+++ b/crates/fleet/src/mirror.rs
@@ -155,7 +155,7 @@
     deletions: RecentDeletions,
     /// Deleted items that a restored store has brought back, and when they were first seen.
     resurrected: BTreeMap<String, (StoreItem, Moment)>,
-    /// When the store was seen to be restored from an older copy.
+    /// When the first revision of a later era came.
     restored_at: Option<Moment>,
     /// Start of the operator's keys.
     operator_prefix: Option<&'static str>,
--- a/crates/gateway/src/silence.rs
+++ b/crates/gateway/src/silence.rs
@@ -4,6 +4,7 @@
 //! connection, which is closed with that, would break only after 1.5 s, and one that is
 //! merely idle after three.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use onyxfall_policy::Moment;
@@ -43,7 +44,7 @@
     /// Looks for servers that are silent by time alone: an answer of this VM has become
     /// overdue after the other votes had come.
     pub(crate) fn refresh_silence(&self, now: Moment) {
-        let live: Vec<ServerId> = self.fleet.borrow().live().map(|(id, _)| id).collect();
+        let live: BTreeSet<ServerId> = self.fleet.borrow().live().map(|(id, _)| id).collect();
         self.silent_servers
             .borrow_mut()
             .retain(|id| live.contains(id));
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -175,6 +175,17 @@
     assert!(refused > 0, "nothing was refused");
 }
 
+/// Waits until a VM sends a server a good part of its requests, of two servers.
+fn wait_shared(what: &str, gateway: &Gateway, server: &ServerStandIn) {
+    wait_for(what, || {
+        let before = server.arrived();
+        for number in 0..20 {
+            call(gateway.callers(), "/repeat/x", &format!("shared{number}"));
+        }
+        server.arrived() - before >= 5
+    });
+}
+
 #[test]
 fn a_limit_ends_with_the_first_answer_that_names_none() {
     let site = LimitedSite::start(3, 2);
@@ -182,13 +193,7 @@
     site.let_limit(server, "1");
     server.set_word(SaidWord::default());
     for gateway in &site.gateways {
-        wait_for("a VM to use the server again", || {
-            let before = server.arrived();
-            for number in 0..20 {
-                call(gateway.callers(), "/repeat/x", &format!("after{number}"));
-            }
-            server.arrived() - before >= 5
-        });
+        wait_shared("a VM to use the server again", gateway, server);
     }
 }
 
@@ -200,15 +205,5 @@
     server.set_word(SaidWord::default());
     site.site.retire("s0");
     site.site.announce("s9", server, 0);
-    wait_for("the new life to be used", || {
-        let before = server.arrived();
-        for number in 0..20 {
-            call(
-                site.gateways[0].callers(),
-                "/repeat/x",
-                &format!("new{number}"),
-            );
-        }
-        server.arrived() - before >= 5
-    });
+    wait_shared("the new life to be used", &site.gateways[0], server);
 }
--- a/crates/soak/src/words.rs
+++ b/crates/soak/src/words.rs
@@ -62,7 +62,7 @@
 pub(crate) struct CallTimes {
     pub(crate) sent: Instant,
     /// When the answer had come, if it shows that the VM had read what servers said.
-    pub(crate) read: Option<Instant>,
+    read: Option<Instant>,
 }
 
 /// One life of a server, and what reached it.
