Backlog limits that reserve room for more important kinds

Cause: a kind with a long goal was admitted at a backlog at which an urgent kind of the same service is late.

--- a/crates/fleet/benches/choice.rs
+++ b/crates/fleet/benches/choice.rs
@@ -81,6 +81,7 @@
         },
         goal: Duration::from_secs(1),
         urgency: 5,
+        backlog_limit: None,
         deadline: at(1_000_000_000),
         events: Some(55.0),
         homes: HomeRegions::Any,
--- a/crates/fleet/src/call.rs
+++ b/crates/fleet/src/call.rs
@@ -87,6 +87,9 @@
     pub goal: Duration,
     /// Order of admission in a model server; 0 is admitted first.
     pub urgency: u8,
+    /// Time that the prompts of others at a server may take before the request is rejected
+    /// there; none if only its goal limits that.
+    pub backlog_limit: Option<Duration>,
     /// Deadline of the caller.
     pub deadline: Moment,
     /// Expected number of events of the response; none if it is not a stream, or
@@ -97,6 +100,11 @@
 }
 
 impl CallRequirements {
+    /// Whether a backlog of others' prompts is within the limit of the request.
+    pub fn allows_backlog(&self, backlog: Duration) -> bool {
+        self.backlog_limit.is_none_or(|limit| backlog <= limit)
+    }
+
     /// Whether servers of `region` may run the request.
     pub fn allows_region(&self, region: &RegionName) -> bool {
         self.homes.allows(region)
--- a/crates/fleet/src/choose.rs
+++ b/crates/fleet/src/choose.rs
@@ -334,7 +334,13 @@
         let server = self.server(id);
         let predicted = self.predict(now, id, needs);
         let is_idle = predicted.backlog <= needs.goal.mul_f64(IDLE_GOAL_FRACTION);
-        let is_preferred = (is_idle || predicted.loaded <= needs.goal.mul_f64(OWNER_GOAL_FRACTION))
+        let limit = if needs.backlog_limit.is_some() {
+            needs.goal
+        } else {
+            needs.goal.mul_f64(OWNER_GOAL_FRACTION)
+        };
+        let is_preferred = (is_idle || predicted.loaded <= limit)
+            && needs.allows_backlog(predicted.backlog)
             && !server.is_cold(now)
             && self.is_in_time(now, &predicted, needs);
         is_preferred.then_some(ServerChoice {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,6 +26,7 @@
 mod quota;
 mod record;
 mod remote;
+mod reservation;
 mod route;
 mod server;
 mod signals;
@@ -59,6 +60,7 @@
 pub use quota::{QuotaDecision, QuotaPeers, QuotaSettings, QuotaTable};
 pub use record::{ServerPhase, ServerRecord};
 pub use remote::{RemoteOption, RemoteSearch, RemoteTable, ServiceLoad, goes_remote};
+pub use reservation::BacklogLimits;
 pub use route::{
     BackendService, CallerLimits, ConfigVersion, EngineLimits, RepeatRule, ResponseShape,
     RouteRule, RouteTable, RouteTarget,
--- a/crates/fleet/tests/affinity.rs
+++ b/crates/fleet/tests/affinity.rs
@@ -61,6 +61,7 @@
         },
         goal: Duration::from_millis(600),
         urgency: 3,
+        backlog_limit: None,
         deadline: at(3_600_000),
         events: Some(2.0),
         homes: HomeRegions::Any,
--- a/crates/fleet/tests/backup.rs
+++ b/crates/fleet/tests/backup.rs
@@ -52,6 +52,7 @@
         },
         goal: Duration::from_secs(1),
         urgency: 5,
+        backlog_limit: None,
         deadline: at(60_000),
         events: Some(50.0),
         homes: HomeRegions::Any,
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -48,6 +48,7 @@
         },
         goal: Duration::from_secs(1),
         urgency: 5,
+        backlog_limit: None,
         deadline: at(60_000),
         events: None,
         homes: HomeRegions::Any,
--- a/crates/fleet/tests/learn.rs
+++ b/crates/fleet/tests/learn.rs
@@ -180,6 +180,7 @@
         },
         goal: Duration::from_secs(1),
         urgency: 5,
+        backlog_limit: None,
         deadline: at(u64::MAX / 2000),
         events: None,
         homes: HomeRegions::Any,
--- a/crates/fleet/tests/liveness.rs
+++ b/crates/fleet/tests/liveness.rs
@@ -44,6 +44,7 @@
         },
         goal: Duration::from_millis(600),
         urgency: 3,
+        backlog_limit: None,
         deadline: at(3_600_000),
         events: None,
         homes: HomeRegions::Any,
--- a/crates/fleet/tests/shares.rs
+++ b/crates/fleet/tests/shares.rs
@@ -174,6 +174,7 @@
         prompt: PromptSize::default(),
         goal: Duration::from_millis(400),
         urgency: 0,
+        backlog_limit: None,
         deadline: at(10_000),
         events: None,
         homes: HomeRegions::Any,
--- a/crates/fleet/tests/signals.rs
+++ b/crates/fleet/tests/signals.rs
@@ -37,6 +37,7 @@
         prompt: PromptSize::default(),
         goal: Duration::from_secs(1),
         urgency: 5,
+        backlog_limit: None,
         deadline: at(2 * HOUR_MS),
         events: None,
         homes: HomeRegions::Any,
--- a/crates/fleet/tests/size.rs
+++ b/crates/fleet/tests/size.rs
@@ -31,6 +31,7 @@
         },
         goal: std::time::Duration::from_millis(800),
         urgency: 0,
+        backlog_limit: None,
         deadline: at(20_000),
         events: None,
         homes: HomeRegions::Any,
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -85,6 +85,7 @@
         prompt: PromptSize::default(),
         goal: Duration::from_millis(400),
         urgency: 9,
+        backlog_limit: None,
         deadline: at(3_600_000),
         events: None,
         homes: HomeRegions::Any,
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -294,6 +294,7 @@
                 prompt: PromptSize::default(),
                 goal: Duration::from_secs(1),
                 urgency: 0,
+                backlog_limit: None,
                 deadline: now,
                 events: None,
                 homes: HomeRegions::Any,
