--- a/crates/capacity/src/ledger.rs
+++ b/crates/capacity/src/ledger.rs
@@ -207,6 +207,16 @@
         received
     }
 
+    /// Work that callers of another region ask for, as its last report has it: tag and
+    /// microseconds per second.
+    pub fn reported_flows(&self, region: usize) -> impl Iterator<Item = (u32, u64)> {
+        let flows = self.reports.get(&region).map(|report| report.flows.iter());
+        flows
+            .into_iter()
+            .flatten()
+            .map(|(tag, rate)| (*tag, rate.micros()))
+    }
+
     /// Age of the last report of a region; zero for this VM's own, `None` if there is none.
     pub fn report_age(&self, now: Moment, region: usize) -> Option<Duration> {
         if region == self.own_region {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 mod budget;
 mod cached_prefixes;
 mod call;
+mod capacity;
 mod choose;
 mod cold;
 mod flow;
--- a/crates/fleet/src/remote.rs
+++ b/crates/fleet/src/remote.rs
@@ -66,6 +66,8 @@
     pub event_interval: Duration,
     /// Spare capacity of a plain service, in thousandths of a request per second.
     pub spare: u32,
+    /// Capacity of a model service, in thousandths of a second of work per second.
+    pub capacity: u32,
 }
 
 /// Work that was forwarded to a region.
@@ -311,7 +313,7 @@
     }
 
     /// Options of all other regions that may run the request.
-    fn options<'a>(
+    pub fn options<'a>(
         &'a self,
         now: Moment,
         search: &'a RemoteSearch<'_>,
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -288,6 +288,7 @@
             event_interval: Duration::ZERO,
             backlog: Duration::ZERO,
             spare: 0,
+            capacity: 0,
         };
         let loads = BTreeMap::from([(name_tag("svc"), load)]);
         table.apply(at(0), &"r1".parse().unwrap(), Duration::ZERO, loads);
@@ -323,6 +324,7 @@
         event_interval: Duration::ZERO,
         backlog: Duration::ZERO,
         spare: 0,
+        capacity: 0,
     };
     let tags = [name_tag("svc"), name_tag("other")];
     table.apply(
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -205,7 +205,8 @@
     let build = || {
         let mut headers = call.headers.clone();
         headers.extend(extra.clone());
-        set_relay_headers(&mut headers, gateway.vm(), call);
+        let trip = gateway.trips.borrow().to(&target.region);
+        set_relay_headers(&mut headers, gateway.vm(), call, trip);
         set_time_left(&mut headers, call.time_left());
         build_request(call, headers)
     };
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http::header::HOST;
 use http::{HeaderMap, Method, Uri};
+use onyxfall_capacity::ClassTag;
 use onyxfall_clock::BootInstant;
 use onyxfall_fleet::{CallRequirements, ConfigVersion};
 use onyxfall_suspects::{FingerprintParts, RequestFingerprint};
@@ -67,6 +68,8 @@
     pub(crate) version: ConfigVersion,
     /// Requirements on a server.
     pub(crate) needs: CallRequirements,
+    /// Class of the request, if capacity is planned for its service.
+    pub(crate) class: Option<ClassTag>,
     /// How the request may be served.
     pub(crate) rules: CallRules,
     /// Method as sent by the caller.
--- a/crates/gateway/src/decide.rs
+++ b/crates/gateway/src/decide.rs
@@ -85,6 +85,15 @@
         if let Some(step) = (!is_free).then(|| self.decide_spare(call)).flatten() {
             return step;
         }
+        if let Some(remote) = self.planned_remote(now, call, progress) {
+            log::info!(
+                request = call.request_id.as_str(),
+                region = remote.region.as_str(),
+                away_ms = millis(remote.predicted.first);
+                "sent away by the capacity plan"
+            );
+            return self.forward(call, remote, progress);
+        }
         let remote = self
             .best_remote(now, call, progress)
             .filter(|remote| !self.is_too_late(call, &remote.predicted));
@@ -123,7 +132,13 @@
             let saved = fleet.prefill_time(&call.needs.service, pending_prefill);
             let (goal, local) = (call.needs.goal, choice.predicted.loaded);
             let remote_time = remote.predicted.loaded;
-            if goes_remote(goal, local, saved, remote_time, remote.holds_prefix) {
+            // With limits by importance, a request is only refused if no region is under its
+            // limit.
+            let is_refused_here =
+                call.needs.backlog_limit.is_some() && self.is_too_late(call, &choice.predicted);
+            if is_refused_here
+                || goes_remote(goal, local, saved, remote_time, remote.holds_prefix)
+            {
                 log::info!(
                     request = call.request_id.as_str(),
                     region = remote.region.as_str(),
@@ -138,7 +153,12 @@
             }
         }
         if self.is_too_late(call, &choice.predicted) {
-            return RouteStep::Refuse(too_late(call, &choice.predicted));
+            let error = too_late(call, &choice.predicted);
+            let after = self.planned_retry(call, choice.predicted.backlog);
+            return RouteStep::Refuse(match after {
+                Some(after) => error.with_retry_after(after),
+                None => error,
+            });
         }
         RouteStep::Server(server_target(&fleet, &choice))
     }
@@ -305,11 +325,35 @@
             && predicted.backlog > call.needs.goal.mul_f64(IDLE_SHARE)
             && predicted.loaded > call.needs.goal.mul_f64(OVERLOAD_SHARE);
         let time_left = call.time_left();
+        let is_full = is_full || !call.needs.allows_backlog(predicted.backlog);
         let is_disconnected = predicted.whole.mul_f64(LIKELY_SHARE) > time_left
             && self.is_on(DecisionSwitch::WholeAnswers);
         is_full || is_disconnected || predicted.first > time_left
     }
 
+    /// The region in which the capacity plan serves a request, if it is another one that can
+    /// respond in time.
+    fn planned_remote(
+        &self,
+        now: Moment,
+        call: &CallContext,
+        progress: &CallProgress,
+    ) -> Option<RemoteOption> {
+        if call.class.is_none() || progress.arrivals > 0 || !self.may_forward(call) {
+            return None;
+        }
+        let excluded = self.unreachable_regions(&progress.vms);
+        let fleet = self.fleet.borrow();
+        let trips = self.trips.borrow();
+        let search = RemoteSearch {
+            excluded: &excluded,
+            ..plain_search(&fleet, &trips, &call.needs)
+        };
+        let table = self.remote_table.borrow();
+        let planned = self.planned_option(call, table.options(now, &search));
+        planned.filter(|remote| !self.is_too_late(call, &remote.predicted))
+    }
+
     fn best_remote(
         &self,
         now: Moment,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,6 +22,7 @@
 use rand::rngs::StdRng;
 use tokio::sync::Notify;
 
+use crate::capacity::CapacityState;
 use crate::connection::DialPlan;
 use crate::copies::{CachedParts, IncomingCopy};
 use crate::metrics::GatewayMetrics;
@@ -76,6 +77,8 @@
     retries: RefCell<BTreeMap<ServiceName, RetryShare>>,
     /// Usage of the team quotas.
     pub(crate) quotas: RefCell<QuotaTable>,
+    /// Classes, load and plans of model services.
+    pub(crate) capacity: RefCell<CapacityState>,
     /// Rollouts in progress.
     pub(crate) rollouts: RefCell<RolloutTable>,
     /// Notified when the first rollout becomes known.
@@ -156,6 +159,8 @@
         fleet.set_reprefill_penalty(settings.costs.reprefill_penalty);
         let mut quotas = QuotaTable::default();
         quotas.set_settings(settings.quotas);
+        let regions = place.centers.values().cloned();
+        let capacity = CapacityState::new(regions, &place.region);
         Self {
             vm: place.vm,
             started: BootInstant::now(),
@@ -171,6 +176,7 @@
             lengths: RefCell::default(),
             retries: RefCell::default(),
             quotas: RefCell::new(quotas),
+            capacity: RefCell::new(capacity),
             rollouts: RefCell::new(RolloutTable::new(place.region, unix_start)),
             rollout_known: Notify::new(),
             logged_phases: RefCell::default(),
@@ -304,6 +310,7 @@
         self.log_member_changes();
         self.refresh_status();
         self.refresh_quota_peers(now);
+        self.refresh_plans(now);
         self.refresh_suspects(now);
         self.refresh_rollouts(now);
         let (base, expired) = {
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -17,12 +17,14 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use onyxfall_adapter::{CallHead, forward_headers, hide_credential, read_call};
+use onyxfall_capacity::ClassTag;
 use onyxfall_clock::BootInstant;
 use onyxfall_fleet::{CallRequirements, ResponseShape, RouteRule, RouteTable, TeamRule};
 use onyxfall_types::{RefusalReason, RequestError, RunVerdict};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::body::ReplyBody;
+use crate::capacity::{importance, urgency};
 use crate::call::{CallContext, CallOrigin, CallRules, ResponseRule};
 use crate::connection::set_socket_options;
 use crate::directory::handle_directory;
@@ -266,6 +268,7 @@
             return Err(error);
         }
     };
+    let class = class_of(gateway, rule, team_rule, &needs);
     let mut headers = forward_headers(&head.headers);
     if table.teams().is_some() {
         hide_credential(&mut headers);
@@ -282,6 +285,7 @@
             max_attempts: rule.max_attempts,
         },
         needs,
+        class,
         method: head.method,
         target: head.uri,
         headers,
@@ -293,6 +297,19 @@
     Ok((call, charge))
 }
 
+/// The class of a request if capacity is planned for its service.
+fn class_of(
+    gateway: &Gateway,
+    rule: &RouteRule,
+    team: Option<&TeamRule>,
+    needs: &CallRequirements,
+) -> Option<ClassTag> {
+    needs.backlog_limit?;
+    let importance = importance(rule.priority, team.and_then(|team| team.priority));
+    let capacity = gateway.capacity.borrow();
+    capacity.class(&needs.service, importance, &needs.homes)
+}
+
 fn response_rule(rule: &RouteRule) -> ResponseRule {
     match rule.shape {
         ResponseShape::Whole => ResponseRule::Whole,
@@ -314,15 +331,25 @@
     let service = rule.service_for(&call.request_id).clone();
     let engine = table.service(&service).and_then(|service| service.engine);
     let priority = team.and_then(|team| team.priority);
-    let urgency = priority.unwrap_or(rule.priority);
-    let urgency = urgency.saturating_mul(URGENCY_STEP);
+    let plans_capacity = engine.is_some() && gateway.plans_capacity();
+    let urgency = if plans_capacity {
+        urgency(importance(rule.priority, priority))
+    } else {
+        let urgency = priority.unwrap_or(rule.priority);
+        let urgency = urgency.saturating_mul(URGENCY_STEP);
+        urgency.saturating_add(FIRST_URGENCY).min(LAST_URGENCY)
+    };
+    let backlog_limit = plans_capacity
+        .then(|| gateway.capacity.borrow().backlog_limit(&service, rule.priority))
+        .flatten();
     let homes = team.map_or_else(|| rule.homes.clone(), |team| rule.homes.and(&team.homes));
     CallRequirements {
         service,
         engine,
         prompt: call.prompt.clone(),
         goal: rule.goal,
-        urgency: urgency.saturating_add(FIRST_URGENCY).min(LAST_URGENCY),
+        urgency,
+        backlog_limit,
         deadline: gateway.now() + time_left,
         events: gateway.expected_events(rule.name.as_str(), &call.prompt),
         homes,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -40,6 +40,9 @@
 /// Urgency of a request whose sender sets none: the middle of 0 to 9.
 const DEFAULT_URGENCY: u8 = 5;
 
+/// Least share of its goal that a forwarded request keeps. With less, its own prompt alone
+/// exceeds the goal, and it is refused whatever room there is.
+const MIN_RELAYED_SHARE: f64 = 0.25;
 /// Largest body accepted from another VM, which has already checked the size of its
 /// caller's body.
 const MAX_RELAYED_BODY: usize = 8 * 1024 * 1024;
@@ -88,10 +91,16 @@
 }
 
 /// Adds the headers for a forwarded request.
-pub(crate) fn set_relay_headers(headers: &mut HeaderMap, vm: &VmName, call: &CallContext) {
+pub(crate) fn set_relay_headers(
+    headers: &mut HeaderMap,
+    vm: &VmName,
+    call: &CallContext,
+    trip: Duration,
+) {
     set(headers, VM, vm.as_str());
     set(headers, SERVICE, call.needs.service.as_str());
-    set(headers, GOAL, &call.needs.goal.as_millis().to_string());
+    let goal = relayed_goal(call, trip);
+    set(headers, GOAL, &goal.as_millis().to_string());
     set(headers, URGENCY, &call.needs.urgency.to_string());
     set(headers, ROUTE, &call.route);
     set(headers, HOMES, &call.needs.homes.to_string());
@@ -105,6 +114,18 @@
     }
 }
 
+/// Goal of a forwarded request at its receiver. With limits by importance, it is what the age
+/// of the request and the round trip leave of the goal: a request that is admitted there up to
+/// the whole goal is late.
+fn relayed_goal(call: &CallContext, trip: Duration) -> Duration {
+    let goal = call.needs.goal;
+    if call.needs.backlog_limit.is_none() {
+        return goal;
+    }
+    goal.saturating_sub(call.age() + trip)
+        .max(goal.mul_f64(MIN_RELAYED_SHARE))
+}
+
 /// Parses the verdict of another VM. `None` if the response comes from a server.
 pub(crate) fn parse_verdict(headers: &HeaderMap) -> Option<PeerVerdict> {
     let verdict = headers.get(VERDICT)?.to_str().ok()?.parse().ok()?;
@@ -157,7 +178,16 @@
         None => homes,
     };
     let urgency = integer(URGENCY).and_then(|urgency| u8::try_from(urgency).ok());
+    let backlog_limit = table
+        .as_ref()
+        .and_then(|table| table.route(&route))
+        .filter(|_| engine.is_some() && gateway.plans_capacity())
+        .and_then(|rule| {
+            let capacity = gateway.capacity.borrow();
+            capacity.backlog_limit(&service, rule.priority)
+        });
     let needs = CallRequirements {
+        backlog_limit,
         service,
         engine,
         goal: Duration::from_millis(integer(GOAL).ok_or_else(invalid)?),
@@ -179,6 +209,7 @@
         fingerprint: OnceCell::new(),
         version: table.map(|table| table.version()).unwrap_or_default(),
         needs,
+        class: None,
         rules: CallRules {
             // Only the forwarding VM retries.
             repeatable: false,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -50,6 +50,8 @@
     pub(crate) resumes: u32,
     /// Number of events forwarded to the caller.
     pub(crate) events: u32,
+    /// Whether the work of the request was recorded for the capacity plan.
+    pub(crate) is_work_recorded: bool,
     /// Whether the end of the request was logged.
     pub(crate) is_end_logged: bool,
     /// Predicted times of the last attempt.
@@ -188,6 +190,8 @@
 ) -> Result<AttemptEnd, RequestError> {
     loop {
         gateway.query_before_choice().await;
+        gateway.record_class_work(call, progress);
+        progress.is_work_recorded = true;
         let step = gateway.decide(call, progress);
         // A waiting request decides again every few milliseconds without any change of its own.
         if !matches!(step, RouteStep::Later(_)) {
--- a/crates/gateway/src/store_changes.rs
+++ b/crates/gateway/src/store_changes.rs
@@ -149,6 +149,7 @@
             "configuration in force"
         );
         self.set_teams(&next);
+        self.capacity.borrow_mut().set_table(&next);
         *self.table.borrow_mut() = Some(Rc::new(next));
         self.refresh_rollout_routes();
     }
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -165,6 +165,13 @@
         {
             return;
         }
+        let is_class = {
+            let mut capacity = self.capacity.borrow_mut();
+            capacity.ledger_mut().set_peer_flow(tag.0, flow)
+        };
+        if is_class {
+            return;
+        }
         let rate = flow as f64 / 1e3;
         let is_service = self.fleet.borrow_mut().set_peer_rate(tag.0, rate);
         if !is_service
@@ -206,6 +213,7 @@
             },
         });
         let work = work.chain(flows).chain(self.own_evidence());
+        let work = work.chain(self.own_class_work(now));
         self.overlay.borrow_mut().totals_mut().set_own(work);
     }
 
@@ -223,6 +231,7 @@
                 services: self.own_loads(now),
                 teams: demand_entries(self.quotas.borrow().region_demand(now)),
                 evidence: self.region_evidence(),
+                classes: self.class_flows(now),
             }],
             LinkRelation::Digest | LinkRelation::StandbyDigest => self
                 .remote_table
@@ -238,6 +247,7 @@
                         .collect(),
                     teams: demand_entries(self.quotas.borrow().demand_of(region)),
                     evidence: self.remote_evidence(region),
+                    classes: self.reported_class_flows(region),
                 })
                 .collect(),
             _ => Vec::new(),
@@ -260,10 +270,10 @@
             if relation == LinkRelation::Region {
                 age += trip / 2;
             }
-            let loads = update
-                .services
-                .iter()
-                .map(|entry| (entry.service, load_from_entry(entry)));
+            let loads = update.services.iter();
+            let loads: Vec<(u32, ServiceLoad)> = loads
+                .map(|entry| (entry.service, load_from_entry(entry)))
+                .collect();
             let reported_at = now.before(age);
             let demands: Vec<(u32, f64)> = update
                 .teams
@@ -271,12 +281,13 @@
                 .map(|entry| (entry.team, entry.demand as f64))
                 .collect();
             self.apply_remote_evidence(&region, &update.evidence);
+            self.apply_class_flows(reported_at, &region, &update.classes, &loads);
             self.quotas
                 .borrow_mut()
                 .receive(reported_at, &region, &demands);
             self.remote_table
                 .borrow_mut()
-                .apply(reported_at, &region, trip, loads.collect());
+                .apply(reported_at, &region, trip, loads.into_iter().collect());
         }
     }
 
@@ -317,6 +328,11 @@
                 usable: u32::try_from(offers.len()).unwrap_or(u32::MAX),
                 event_interval: *event_interval,
                 backlog: least.backlog,
+                capacity: if service.engine.is_some() {
+                    self.reported_capacity(now, &service.name)
+                } else {
+                    0
+                },
                 spare: if service.engine.is_none() {
                     thousandths(fleet.spare(now, &service.name))
                 } else {
@@ -354,6 +370,7 @@
         pace_ms: wire_millis(load.event_interval),
         usable: load.usable,
         spare: load.spare,
+        capacity: load.capacity,
     }
 }
 
@@ -364,6 +381,7 @@
         event_interval: Duration::from_millis(entry.pace_ms.into()),
         backlog: Duration::from_millis(entry.backlog_ms.into()),
         spare: entry.spare,
+        capacity: entry.capacity,
     }
 }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -594,6 +594,20 @@
     /// Outcomes of requests during rollouts.
     #[prost(message, repeated, tag = "5")]
     pub evidence: Vec<EvidenceEntry>,
+    /// Work that the region's callers ask for, by class of requests.
+    #[prost(message, repeated, tag = "6")]
+    pub classes: Vec<ClassFlowEntry>,
+}
+
+/// Work that callers of a region ask for in one class of requests.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct ClassFlowEntry {
+    /// Tag of the class.
+    #[prost(fixed32, tag = "1")]
+    pub class: u32,
+    /// Microseconds of server time per second.
+    #[prost(uint64, tag = "2")]
+    pub micros: u64,
 }
 
 /// Response counts of one version on one route.
@@ -640,6 +654,9 @@
     /// Spare capacity of a plain service, in thousandths of a request per second.
     #[prost(uint32, tag = "6")]
     pub spare: u32,
+    /// Capacity of a model service, in thousandths of a second of server time per second.
+    #[prost(uint32, tag = "7")]
+    pub capacity: u32,
 }
 
 /// Work of one or several VMs at one server.
