--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -205,8 +205,7 @@
     let build = || {
         let mut headers = call.headers.clone();
         headers.extend(extra.clone());
-        let trip = gateway.trips.borrow().to(&target.region);
-        set_relay_headers(&mut headers, gateway.vm(), call, trip);
+        set_relay_headers(&mut headers, gateway.vm(), call);
         set_time_left(&mut headers, call.time_left());
         build_request(call, headers)
     };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -40,9 +40,6 @@
 /// Urgency of a request whose sender sets none: the middle of 0 to 9.
 const DEFAULT_URGENCY: u8 = 5;
 
-/// Least share of its goal that a forwarded request keeps. With less, its own prompt alone
-/// exceeds the goal, and it is refused whatever room there is.
-const MIN_RELAYED_SHARE: f64 = 0.25;
 /// Largest body accepted from another VM, which has already checked the size of its
 /// caller's body.
 const MAX_RELAYED_BODY: usize = 8 * 1024 * 1024;
@@ -91,16 +88,10 @@
 }
 
 /// Adds the headers for a forwarded request.
-pub(crate) fn set_relay_headers(
-    headers: &mut HeaderMap,
-    vm: &VmName,
-    call: &CallContext,
-    trip: Duration,
-) {
+pub(crate) fn set_relay_headers(headers: &mut HeaderMap, vm: &VmName, call: &CallContext) {
     set(headers, VM, vm.as_str());
     set(headers, SERVICE, call.needs.service.as_str());
-    let goal = relayed_goal(call, trip);
-    set(headers, GOAL, &goal.as_millis().to_string());
+    set(headers, GOAL, &call.needs.goal.as_millis().to_string());
     set(headers, URGENCY, &call.needs.urgency.to_string());
     set(headers, ROUTE, &call.route);
     set(headers, HOMES, &call.needs.homes.to_string());
@@ -114,18 +105,6 @@
     }
 }
 
-/// Goal of a forwarded request at its receiver. With limits by importance, it is what the age
-/// of the request and the round trip leave of the goal: a request that is admitted there up to
-/// the whole goal is late.
-fn relayed_goal(call: &CallContext, trip: Duration) -> Duration {
-    let goal = call.needs.goal;
-    if call.needs.backlog_limit.is_none() {
-        return goal;
-    }
-    goal.saturating_sub(call.age() + trip)
-        .max(goal.mul_f64(MIN_RELAYED_SHARE))
-}
-
 /// Parses the verdict of another VM. `None` if the response comes from a server.
 pub(crate) fn parse_verdict(headers: &HeaderMap) -> Option<PeerVerdict> {
     let verdict = headers.get(VERDICT)?.to_str().ok()?.parse().ok()?;
