Settings of the capacity plan: section [capacity]

Cause: the plan of contended capacity must be enabled by configuration and off everywhere else.

Change: the section [capacity] has the keys features, plan, floor and reserve. The adapter knows the word by which a deployment asks for the plan; the key plan takes precedence. The field of GatewaySettings is capacity_plan, since capacity is the VM's CPU capacity.

--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -9,6 +9,7 @@
 mod backup;
 mod body;
 mod call;
+mod capacity_settings;
 mod connection;
 mod copies;
 mod costs;
@@ -84,6 +85,7 @@
     let settings = load_settings(&path)?;
     if arguments.check_settings {
         println!("{}: no fault; {}", path.display(), settings.switches);
+        println!("{}", settings.capacity_plan);
         return Ok(());
     }
     start_logging("onyxfall-gateway", log::LevelFilter::Info, LogSink::Stdout);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -15,6 +15,8 @@
 use onyxfall_settings::{FaultList, IniDocument, SettingsError};
 use onyxfall_types::{CenterName, RegionName, VmName};
 
+use crate::capacity_settings::{CapacitySettings, read_capacity};
+
 const SECTION_KINDS: &[&str] = &[
     "vm",
     "listen",
@@ -26,6 +28,7 @@
     "decisions",
     "costs",
     "clock",
+    "capacity",
 ];
 /// Default time between the stop signal and the kill, as the known platforms give it.
 const DEFAULT_STOP_GRACE_S: u64 = 8;
@@ -90,6 +93,8 @@
     pub(crate) costs: CostSettings,
     /// How strictly the limits of teams are enforced.
     pub(crate) quotas: QuotaSettings,
+    /// Whether and by which rules service capacity is planned.
+    pub(crate) capacity_plan: CapacitySettings,
     /// Offset added to the clock, for tests.
     pub(crate) clock_offset: Duration,
     /// Which mechanisms of routing decisions are enabled.
@@ -141,6 +146,7 @@
     let switches = read_switches(document, faults);
     let costs = read_costs(document, faults);
     let quotas = read_quotas(document, faults);
+    let capacity_plan = read_capacity(document, faults);
     let (vm, peers) = (vm?, peers?);
     Some(GatewaySettings {
         place: vm.place,
@@ -158,6 +164,7 @@
         directory_ttl,
         costs,
         quotas,
+        capacity_plan,
         clock_offset,
         switches,
     })
--- a/crates/gateway/tests/settings.rs
+++ b/crates/gateway/tests/settings.rs
@@ -3,6 +3,8 @@
 use std::fs;
 use std::process::Command;
 
+use onyxfall_adapter::CAPACITY_PLAN_FEATURE;
+
 const BASE_SETTINGS: &str = "\
 [vm]
 name = vm1
@@ -23,36 +25,37 @@
 
 struct SettingsCase {
     name: &'static str,
-    decisions: &'static str,
+    /// Optional sections; `{feature}` stands for the word that asks for the capacity plan.
+    sections: &'static str,
     passes: bool,
     /// Parts that the output must contain.
     output: &'static [&'static str],
 }
 
 #[test]
-fn decision_settings_are_validated() {
+fn optional_sections_are_validated() {
     let cases = [
         SettingsCase {
             name: "no section",
-            decisions: "",
+            sections: "",
             passes: true,
             output: &["no fault; policy expected\n"],
         },
         SettingsCase {
             name: "two mechanisms off",
-            decisions: "[decisions]\noff = send-away, prefix-spill\n",
+            sections: "[decisions]\noff = send-away, prefix-spill\n",
             passes: true,
             output: &["policy expected, off: prefix-spill, send-away\n"],
         },
         SettingsCase {
             name: "a baseline",
-            decisions: "[decisions]\npolicy = round-robin\n",
+            sections: "[decisions]\npolicy = round-robin\n",
             passes: true,
             output: &["policy round-robin\n"],
         },
         SettingsCase {
             name: "an unknown mechanism",
-            decisions: "[decisions]\noff = prefix-spil\n",
+            sections: "[decisions]\noff = prefix-spil\n",
             passes: false,
             output: &[
                 "gateway.ini:17",
@@ -62,7 +65,7 @@
         },
         SettingsCase {
             name: "an unknown policy",
-            decisions: "[decisions]\npolicy = best\n",
+            sections: "[decisions]\npolicy = best\n",
             passes: false,
             output: &[
                 "gateway.ini:17",
@@ -72,17 +75,40 @@
         },
         SettingsCase {
             name: "an unknown key",
-            decisions: "[decisions]\non = send-away\n",
+            sections: "[decisions]\non = send-away\n",
             passes: false,
             output: &["unknown key `on`"],
         },
+        SettingsCase {
+            name: "no capacity plan is asked for",
+            sections: "",
+            passes: true,
+            output: &["capacity plan off, floor 0.2\n"],
+        },
+        SettingsCase {
+            name: "the deployment asks for the capacity plan",
+            sections: "[capacity]\nfeatures = {feature}\n",
+            passes: true,
+            output: &["capacity plan on, floor 0.2\n"],
+        },
+        SettingsCase {
+            name: "an unknown mode of the capacity plan",
+            sections: "[capacity]\nplan = later\n",
+            passes: false,
+            output: &[
+                "gateway.ini:17",
+                "unknown mode `later`",
+                "off, on or frozen",
+            ],
+        },
     ];
     for (number, case) in cases.iter().enumerate() {
         let dir = std::env::temp_dir();
         let dir = dir.join(format!("onyxfall-settings-{}-{number}", std::process::id()));
         fs::create_dir_all(&dir).unwrap();
         let path = dir.join("gateway.ini");
-        fs::write(&path, format!("{BASE_SETTINGS}{}", case.decisions)).unwrap();
+        let sections = case.sections.replace("{feature}", CAPACITY_PLAN_FEATURE);
+        fs::write(&path, format!("{BASE_SETTINGS}{sections}")).unwrap();
         let checked = Command::new(env!("CARGO_BIN_EXE_onyxfall-gateway"))
             .arg("--settings")
             .arg(&path)
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -8,6 +8,7 @@
 mod entity;
 mod error;
 mod name;
+mod plan_mode;
 mod position;
 mod quantity;
 mod retry;
@@ -24,6 +25,7 @@
     AdapterName, CenterName, KindName, ModelName, NameError, OperatorName, RegionName, RouteName,
     ServerName, ServiceName, TeamName, VmName,
 };
+pub use plan_mode::{PlanMode, PlanModeError};
 pub use position::{StoreEra, StorePosition};
 pub use quantity::{ByteSize, Incarnation, QuantityError, RequestRate};
 pub use retry::RetryDelay;
