--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -10,6 +10,7 @@
 mod body;
 mod call;
 mod capacity;
+mod capacity_settings;
 mod connection;
 mod copies;
 mod costs;
@@ -86,6 +87,7 @@
     let settings = load_settings(&path)?;
     if arguments.check_settings {
         println!("{}: no fault; {}", path.display(), settings.switches);
+        println!("{}", settings.capacity_plan);
         return Ok(());
     }
     start_logging("onyxfall-gateway", log::LevelFilter::Info, LogSink::Stdout);
