--- a/crates/gateway/src/capacity.rs
+++ b/crates/gateway/src/capacity.rs
@@ -10,8 +10,8 @@
 use std::time::Duration;
 
 use onyxfall_capacity::{
-    ClassDemand, ClassStanding, ClassTag, Importance, LoadLedger, PlanRules, PlanShare,
-    RegionMask, ServiceDemand, ServicePlan, WorkRate,
+    ClassDemand, ClassStanding, ClassTag, Importance, LoadLedger, PlanRules, PlanShare, RegionMask,
+    ServiceDemand, ServicePlan, WorkRate,
 };
 use onyxfall_fleet::{BacklogLimits, HomeRegions, RouteTable};
 use onyxfall_policy::Moment;
@@ -109,14 +109,20 @@
         let mut classes: BTreeMap<ClassTag, RequestClass> = BTreeMap::new();
         for route in table.routes() {
             let planned = route.targets.iter().map(|target| &target.service);
-            let planned = planned.filter(|service| self.limits.of(service, route.priority).is_some());
+            let planned =
+                planned.filter(|service| self.limits.of(service, route.priority).is_some());
             for service in planned {
                 for (priority, homes) in &teams {
                     let importance = importance(route.priority, *priority);
                     let homes = self.mask(&route.homes.and(homes));
                     let tag = ClassTag::of(service, importance, homes);
                     let service = service.clone();
-                    let class = RequestClass { service, importance, homes, tag };
+                    let class = RequestClass {
+                        service,
+                        importance,
+                        homes,
+                        tag,
+                    };
                     classes.insert(tag, class);
                 }
             }
@@ -180,7 +186,10 @@
         rate: WorkRate,
     ) {
         let reported = ReportedCapacity { sent, rate };
-        let last = self.reported.entry((region, service_tag)).or_insert(reported);
+        let last = self
+            .reported
+            .entry((region, service_tag))
+            .or_insert(reported);
         if last.sent <= sent {
             *last = reported;
         }
@@ -194,7 +203,10 @@
 
     /// The services that are planned.
     pub(crate) fn services(&self) -> BTreeSet<ServiceName> {
-        self.classes.iter().map(|class| class.service.clone()).collect()
+        self.classes
+            .iter()
+            .map(|class| class.service.clone())
+            .collect()
     }
 
     /// Computes the plan of a service whose capacity in this region is `own_capacity`. There is
@@ -223,7 +235,10 @@
             }
         };
         let regions = 0..self.regions.len();
-        let classes = self.classes.iter().filter(|class| class.service == *service);
+        let classes = self
+            .classes
+            .iter()
+            .filter(|class| class.service == *service);
         let classes: Vec<RequestClass> = classes.cloned().collect();
         let demand = ServiceDemand {
             capacity: regions.clone().map(capacity).collect(),
--- a/crates/gateway/src/decide.rs
+++ b/crates/gateway/src/decide.rs
@@ -136,8 +136,7 @@
             // limit.
             let is_refused_here =
                 call.needs.backlog_limit.is_some() && self.is_too_late(call, &choice.predicted);
-            if is_refused_here
-                || goes_remote(goal, local, saved, remote_time, remote.holds_prefix)
+            if is_refused_here || goes_remote(goal, local, saved, remote_time, remote.holds_prefix)
             {
                 log::info!(
                     request = call.request_id.as_str(),
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -24,8 +24,8 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::body::ReplyBody;
-use crate::capacity::{importance, urgency};
 use crate::call::{CallContext, CallOrigin, CallRules, ResponseRule};
+use crate::capacity::{importance, urgency};
 use crate::connection::set_socket_options;
 use crate::directory::handle_directory;
 use crate::gateway::Gateway;
@@ -340,7 +340,12 @@
         urgency.saturating_add(FIRST_URGENCY).min(LAST_URGENCY)
     };
     let backlog_limit = plans_capacity
-        .then(|| gateway.capacity.borrow().backlog_limit(&service, rule.priority))
+        .then(|| {
+            gateway
+                .capacity
+                .borrow()
+                .backlog_limit(&service, rule.priority)
+        })
         .flatten();
     let homes = team.map_or_else(|| rule.homes.clone(), |team| rule.homes.and(&team.homes));
     CallRequirements {
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -23,7 +23,7 @@
 impl Gateway {
     /// Whether capacity is shared by importance here.
     pub(crate) fn plans_capacity(&self) -> bool {
-        self.settings().capacity.mode != PlanMode::Off
+        self.settings().capacity_plan.mode != PlanMode::Off
     }
 
     /// Records the work of a caller's request at its first attempt.
@@ -37,7 +37,10 @@
         let cached = needs.prompt.shared_tokens() as f64 * CACHED_SHARE;
         let unread = (needs.prompt.input as f64 - cached).max(0.0);
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let work = self.fleet.borrow().prefill_time(&needs.service, unread as u64);
+        let work = self
+            .fleet
+            .borrow()
+            .prefill_time(&needs.service, unread as u64);
         let mut capacity = self.capacity.borrow_mut();
         capacity.ledger_mut().record(self.now(), class, work);
     }
@@ -45,11 +48,11 @@
     /// Recomputes the plans of all services.
     pub(crate) fn refresh_plans(&self, now: Moment) {
         let settings = self.settings();
-        if settings.capacity.mode != PlanMode::On {
+        if settings.capacity_plan.mode != PlanMode::On {
             return;
         }
         let rules = PlanRules {
-            floor: settings.capacity.floor,
+            floor: settings.capacity_plan.floor,
             utilisation: PLANNED_UTILISATION,
             ..PlanRules::default()
         };
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -285,9 +285,12 @@
             self.quotas
                 .borrow_mut()
                 .receive(reported_at, &region, &demands);
-            self.remote_table
-                .borrow_mut()
-                .apply(reported_at, &region, trip, loads.into_iter().collect());
+            self.remote_table.borrow_mut().apply(
+                reported_at,
+                &region,
+                trip,
+                loads.into_iter().collect(),
+            );
         }
     }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -22,12 +22,13 @@
 pub use codec::PeerCodec;
 pub use frame::{FrameError, FrameReader, FrameWriter, MAX_FRAME};
 pub use message::{
-    AttemptCancel, CenterLoad, ContentRequest, ContentText, CreditGrant, DrainEntry,
-    EntryHeartbeat, EvidenceEntry, LostInstanceEntry, MemberEntry, MemberSet, MembersRequest,
-    ModelLoad, OpenMode, OpenRequest, PeerFrame, PeerHello, PeerPayload, PingRequest, PongReply,
-    RecordSet, RecordsRequest, RegionLoadEntry, ReplyData, ReplyEnd, ReplyHead, ServerLoad,
-    ServerWorkEntry, ServiceCostEntry, ServiceLoadEntry, SnapshotItem, SnapshotRequest, StoreDelta,
-    StoreSnapshot, SuspectEntry, TeamDemandEntry, VmEntry, VmRosterUpdate, VmUpdate, WorkSet,
+    AttemptCancel, CenterLoad, ClassFlowEntry, ContentRequest, ContentText, CreditGrant,
+    DrainEntry, EntryHeartbeat, EvidenceEntry, LostInstanceEntry, MemberEntry, MemberSet,
+    MembersRequest, ModelLoad, OpenMode, OpenRequest, PeerFrame, PeerHello, PeerPayload,
+    PingRequest, PongReply, RecordSet, RecordsRequest, RegionLoadEntry, ReplyData, ReplyEnd,
+    ReplyHead, ServerLoad, ServerWorkEntry, ServiceCostEntry, ServiceLoadEntry, SnapshotItem,
+    SnapshotRequest, StoreDelta, StoreSnapshot, SuspectEntry, TeamDemandEntry, VmEntry,
+    VmRosterUpdate, VmUpdate, WorkSet,
 };
 pub use packed::{PackError, pack_items, unpack_items};
 pub use window::{CreditWindow, INITIAL_CREDIT, frame_cost};
