Report of the capacity plan: /plan, onyxfall plan, counters of refusals

Cause: an operator must be able to tell from a refused request to the class, the plan, its age and what constrained it.

Change: onyxfall-types has PlanReport with its JSON, its table and the constraint of each flow; gateways and the command both depend on that crate already. The status port serves it at /plan with the mode and, until admission follows the plan, no figures. The command plan prints it and tells apart an unreachable address, a build without the path and a response that is no plan. GatewayMetrics counts refusals by class and reason, 500 classes at most; it is not called yet.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -1,4 +1,4 @@
-//! Readiness checks, the directory of entry VMs, and the metrics endpoint.
+//! Readiness checks, the directory of entry VMs, the metrics and the capacity plan.
 
 use std::net::SocketAddr;
 
@@ -8,10 +8,11 @@
     DirectoryQuery, READY_PATH, RESOLVE_PATH, directory_body, read_directory_query,
 };
 use onyxfall_overlay::VmRecord;
-use onyxfall_types::RegionName;
+use onyxfall_types::{PlanReport, RegionName};
 
 use crate::body::ReplyBody;
 use crate::gateway::Gateway;
+use crate::plan_report::plan_report;
 
 const METRICS_PATH: &str = "/metrics";
 /// Most addresses in one response; callers use no more.
@@ -29,6 +30,7 @@
             StatusCode::OK,
             gateway.metrics.render() + &gateway.team_gauges() + &gateway.rollout_gauges(),
         ),
+        PlanReport::PATH => plan(gateway),
         RESOLVE_PATH => resolve(gateway, target.query().unwrap_or("")),
         _ => plain(StatusCode::NOT_FOUND, "no such path\n".to_owned()),
     }
@@ -44,7 +46,19 @@
         );
     }
     let ttl = DIRECTORY_TTL.min(gateway.settings().directory_ttl);
-    let mut response = plain(StatusCode::OK, directory_body(&addresses, ttl));
+    json(directory_body(&addresses, ttl))
+}
+
+fn plan(gateway: &Gateway) -> Response<ReplyBody> {
+    let report = plan_report(gateway.settings().capacity_plan.mode);
+    match serde_json::to_string(&report) {
+        Ok(body) => json(body),
+        Err(e) => plain(StatusCode::INTERNAL_SERVER_ERROR, format!("{e}\n")),
+    }
+}
+
+fn json(body: String) -> Response<ReplyBody> {
+    let mut response = plain(StatusCode::OK, body);
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(CONTENT_TYPE, json);
     response
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -21,6 +21,7 @@
 mod listen;
 mod metrics;
 mod open;
+mod plan_report;
 mod pool;
 mod relay;
 mod relays;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
+use onyxfall_types::RefusalReason;
 
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.95, 0.99];
 /// Largest recorded time in microseconds: two minutes.
@@ -15,6 +16,12 @@
 /// some 70 bytes, so that a thousand teams add 150 KB to a scrape.
 pub(crate) const MAX_TEAMS: usize = 1000;
 
+/// Most classes of requests with refusal counters of their own; refusals of later classes are
+/// counted as `other`. Plans are sized for 40 classes in 12 regions.
+pub(crate) const MAX_CLASSES: usize = 500;
+/// Label of the classes beyond the limit.
+const OTHER_CLASSES: &str = "other";
+
 /// Quota outcome of requested units.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum QuotaOutcome {
@@ -46,6 +53,8 @@
     store_calls: RefCell<BTreeMap<&'static str, u64>>,
     /// Quota units by team and outcome.
     team_units: RefCell<BTreeMap<String, BTreeMap<QuotaOutcome, u64>>>,
+    /// Refused requests by class and reason.
+    refusals: RefCell<BTreeMap<String, BTreeMap<&'static str, u64>>>,
 }
 
 impl GatewayMetrics {
@@ -92,6 +101,29 @@
         *count = count.saturating_add(units);
     }
 
+    /// Counts a refused request. Only the first refusal of a class allocates.
+    ///
+    /// `class_label` consists of names and digits and needs no escaping.
+    #[cfg_attr(
+        not(test),
+        expect(dead_code, reason = "called once admission follows the capacity plan")
+    )]
+    pub(crate) fn count_refusal(&self, class_label: &str, reason: RefusalReason) {
+        let mut classes = self.refusals.borrow_mut();
+        let is_known = classes.contains_key(class_label);
+        let label = if is_known || classes.len() < MAX_CLASSES {
+            class_label
+        } else {
+            OTHER_CLASSES
+        };
+        if !classes.contains_key(label) {
+            classes.insert(label.to_owned(), BTreeMap::new());
+        }
+        if let Some(reasons) = classes.get_mut(label) {
+            *reasons.entry(reason.as_str()).or_default() += 1;
+        }
+    }
+
     /// Renders all metrics.
     pub(crate) fn render(&self) -> String {
         let mut out = String::new();
@@ -118,9 +150,62 @@
                 let _ = writeln!(out, "onyxfall_team_units_total{{{labels}}} {units}");
             }
         }
+        for (class, reasons) in self.refusals.borrow().iter() {
+            for (reason, count) in reasons {
+                let labels = format!("class=\"{class}\",reason=\"{reason}\"");
+                let _ = writeln!(out, "onyxfall_class_refusals_total{{{labels}}} {count}");
+            }
+        }
         for (name, count) in self.counters.borrow().iter() {
             let _ = writeln!(out, "{name} {count}");
         }
         out
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn refusal_lines(metrics: &GatewayMetrics) -> Vec<String> {
+        let rendered = metrics.render();
+        let is_refusal = |line: &&str| line.starts_with("onyxfall_class_refusals_total");
+        let lines = rendered.lines().filter(is_refusal);
+        lines.map(ToOwned::to_owned).collect()
+    }
+
+    /// Guards against refusals that are counted under another class or reason.
+    #[test]
+    fn refusals_are_counted_by_class_and_reason() {
+        let metrics = GatewayMetrics::default();
+        metrics.count_refusal("search/0.1", RefusalReason::Overloaded);
+        metrics.count_refusal("search/0.1", RefusalReason::Overloaded);
+        metrics.count_refusal("search/0.1", RefusalReason::RateLimited);
+        metrics.count_refusal("search/2.0", RefusalReason::Overloaded);
+        assert_eq!(
+            refusal_lines(&metrics),
+            [
+                "onyxfall_class_refusals_total{class=\"search/0.1\",reason=\"overloaded\"} 2",
+                "onyxfall_class_refusals_total{class=\"search/0.1\",reason=\"rate-limited\"} 1",
+                "onyxfall_class_refusals_total{class=\"search/2.0\",reason=\"overloaded\"} 1",
+            ]
+        );
+    }
+
+    /// Guards against a scrape that grows with the number of classes ever seen, and against
+    /// lost counts beyond the limit.
+    #[test]
+    fn classes_beyond_the_limit_share_a_counter() {
+        let metrics = GatewayMetrics::default();
+        for class in 0..MAX_CLASSES + 30 {
+            metrics.count_refusal(&format!("s/{class}"), RefusalReason::Overloaded);
+        }
+        metrics.count_refusal("s/0", RefusalReason::Overloaded);
+        let lines = refusal_lines(&metrics);
+        assert_eq!(lines.len(), MAX_CLASSES + 1);
+        let other = "onyxfall_class_refusals_total{class=\"other\",reason=\"overloaded\"} 30";
+        let first = "onyxfall_class_refusals_total{class=\"s/0\",reason=\"overloaded\"} 2";
+        assert!(lines.iter().any(|line| line == other), "{lines:?}");
+        assert!(lines.iter().any(|line| line == first), "{lines:?}");
+    }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -241,10 +241,14 @@
 
     /// Sets the clock of a VM ahead through its settings; applied at the next reload.
     pub fn move_clock(&self, vm: usize, ahead: Duration) {
+        self.add_settings(vm, &format!("[clock]\nahead-ms = {}\n", ahead.as_millis()));
+    }
+
+    /// Replaces the sections that were added to a VM's settings; applied at the next reload.
+    pub fn add_settings(&self, vm: usize, sections: &str) {
         let file = self.dir.join(format!("vm{vm}.ini"));
-        let mut text = self.settings(vm, self.store.address());
-        let _ = write!(text, "[clock]\nahead-ms = {}\n", ahead.as_millis());
-        fs::write(file, text).unwrap();
+        let text = self.settings(vm, self.store.address());
+        fs::write(file, text + sections).unwrap();
     }
 
     fn settings(&self, vm: usize, store: SocketAddr) -> String {
--- a/crates/operator/src/main.rs
+++ b/crates/operator/src/main.rs
@@ -13,12 +13,12 @@
 use onyxfall_logging::{LogSink, start_logging};
 use onyxfall_operator::{
     OperatorContext, PredictionReport, RequestTimeline, RollPlan, TeamReport, VersionReport,
-    load_operator_settings,
+    load_operator_settings, read_plan,
 };
 use onyxfall_platform::PlatformClient;
 use onyxfall_types::RegionName;
 
-/// Timeout for reading the metrics of one VM.
+/// Timeout for reading the metrics or the plan of one VM.
 const METRICS_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Propose, sign off, roll out and withdraw bundles; drain VMs and servers.
@@ -48,6 +48,7 @@
     Predictions(PredictionsCommand),
     Teams(TeamsCommand),
     Rollout(RolloutCommand),
+    Plan(PlanCommand),
 }
 
 /// generate an operator's key pair
@@ -179,6 +180,15 @@
     addresses: Vec<SocketAddr>,
 }
 
+/// show the capacity plan of a gateway
+#[derive(FromArgs)]
+#[argh(subcommand, name = "plan")]
+struct PlanCommand {
+    /// address at which the gateway serves readiness and metrics, IP:PORT
+    #[argh(positional)]
+    address: SocketAddr,
+}
+
 fn main() -> ExitCode {
     let arguments: OperatorArguments = argh::from_env();
     start_logging("onyxfall", log::LevelFilter::Warn, LogSink::Stderr);
@@ -204,6 +214,7 @@
         OperatorCommand::Predictions(command) => predictions(command),
         OperatorCommand::Teams(command) => teams(command),
         OperatorCommand::Rollout(command) => rollout(command),
+        OperatorCommand::Plan(command) => plan(command),
         command => run_with_platform(command, &open_context(&arguments.settings)?),
     }
 }
@@ -244,7 +255,8 @@
         | OperatorCommand::Explain(_)
         | OperatorCommand::Predictions(_)
         | OperatorCommand::Teams(_)
-        | OperatorCommand::Rollout(_) => {
+        | OperatorCommand::Rollout(_)
+        | OperatorCommand::Plan(_) => {
             unreachable!("commands without platform access are handled by `run`")
         }
     }
@@ -297,6 +309,12 @@
     Ok(())
 }
 
+fn plan(command: &PlanCommand) -> Result<(), Report> {
+    let report = read_plan(command.address, METRICS_TIMEOUT).into_diagnostic()?;
+    print!("{report}");
+    Ok(())
+}
+
 /// Reads the metrics of each VM; prints an error for each VM that cannot be read.
 fn read_metrics(addresses: &[SocketAddr], mut read: impl FnMut(&str, &str)) {
     let config = ureq::Agent::config_builder().timeout_global(Some(METRICS_TIMEOUT));
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -9,6 +9,7 @@
 mod error;
 mod name;
 mod plan_mode;
+mod plan_report;
 mod position;
 mod quantity;
 mod retry;
@@ -26,6 +27,7 @@
     ServerName, ServiceName, TeamName, VmName,
 };
 pub use plan_mode::{PlanMode, PlanModeError};
+pub use plan_report::{PlanClass, PlanConstraint, PlanFlow, PlanRegion, PlanReport, PlanStanding};
 pub use position::{StoreEra, StorePosition};
 pub use quantity::{ByteSize, Incarnation, QuantityError, RequestRate};
 pub use retry::RetryDelay;
