Gateway: classes, load ledger and capacity plan

Cause: regions decide each request by itself; nothing knows what callers of a class ask for in all regions.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -165,6 +165,7 @@
     match kind {
         ResponseKind::Signed => {
             attempt.record_first_byte();
+            gateway.record_done_work(call);
             let mut upstream =
                 upstream_response(connection, response, target.address, Some(attempt));
             upstream.backup = backup;
--- a/crates/gateway/src/capacity.rs
+++ b/crates/gateway/src/capacity.rs
@@ -13,7 +13,7 @@
     ClassDemand, ClassStanding, ClassTag, Importance, LoadLedger, PlanRules, PlanShare, RegionMask,
     ServiceDemand, ServicePlan, WorkRate,
 };
-use onyxfall_fleet::{BacklogLimits, HomeRegions, RouteTable};
+use onyxfall_fleet::{BacklogLimits, HomeRegions, RouteTable, TeamTable};
 use onyxfall_policy::Moment;
 use onyxfall_types::{RegionName, ServiceName, name_tag};
 
@@ -46,6 +46,42 @@
     importance.kind * (MAX_TEAM_RANK + 1) + importance.team
 }
 
+/// Share of the longest time that callers of a class allow, below which a request counts as a
+/// retry: its caller has already waited. Retries are no new demand.
+const NEW_REQUEST_SHARE: f64 = 0.95;
+/// Time in which the highest throughput of a server that was seen decays to 1/e: long enough to
+/// keep it through a quiet time between two bursts.
+const THROUGHPUT_DECAY: Duration = Duration::from_secs(30);
+
+/// Highest throughput of a service's servers, in seconds of estimated work per second and
+/// server. Estimates of work ignore which prefixes are cached, so a busy server does more than
+/// a second of estimated work in a second; without this measure a plan refuses what servers
+/// could do.
+#[derive(Clone, Copy, Debug)]
+struct ServerThroughput {
+    highest: f64,
+    at: Moment,
+}
+
+impl ServerThroughput {
+    fn record(&mut self, now: Moment, done: WorkRate, servers: usize) {
+        let age = (now - self.at).as_secs_f64() / THROUGHPUT_DECAY.as_secs_f64();
+        let decayed = 1.0 + (self.highest - 1.0) * (-age).exp();
+        let seen = done.per_second() / servers.max(1) as f64;
+        self.highest = decayed.max(seen);
+        self.at = now;
+    }
+}
+
+/// Tag of the work that servers of a service in a region have done.
+fn done_tag(service: &ServiceName) -> ClassTag {
+    let none = Importance {
+        kind: u8::MAX,
+        team: u8::MAX,
+    };
+    ClassTag::of(service, none, RegionMask::EMPTY)
+}
+
 /// Capacity of a service in another region, as that region has reported it.
 #[derive(Clone, Copy, Debug)]
 struct ReportedCapacity {
@@ -74,6 +110,11 @@
     /// Reported capacity by region and service tag.
     reported: BTreeMap<(usize, u32), ReportedCapacity>,
     plans: BTreeMap<ServiceName, PlannedService>,
+    /// Longest time that callers of a class have allowed for a request.
+    longest: BTreeMap<ClassTag, Duration>,
+    throughput: BTreeMap<ServiceName, ServerThroughput>,
+    /// Capacity of this region as of the last plan.
+    own_capacity: BTreeMap<ServiceName, WorkRate>,
 }
 
 impl CapacityState {
@@ -90,6 +131,9 @@
             classes: Vec::new(),
             reported: BTreeMap::new(),
             plans: BTreeMap::new(),
+            longest: BTreeMap::new(),
+            throughput: BTreeMap::new(),
+            own_capacity: BTreeMap::new(),
         }
     }
 
@@ -97,7 +141,7 @@
     pub(crate) fn set_table(&mut self, table: &RouteTable) {
         self.limits = BacklogLimits::new(table);
         let mut teams: Vec<(Option<u8>, HomeRegions)> = Vec::new();
-        for (_, rule) in table.teams().into_iter().flat_map(|teams| teams.iter()) {
+        for (_, rule) in table.teams().into_iter().flat_map(TeamTable::iter) {
             let team = (rule.priority, rule.homes.clone());
             if !teams.contains(&team) {
                 teams.push(team);
@@ -127,7 +171,10 @@
                 }
             }
         }
-        self.ledger.set_classes(classes.keys().copied());
+        let services: BTreeSet<&ServiceName> = classes.values().map(|it| &it.service).collect();
+        let done = services.into_iter().map(done_tag);
+        self.ledger.set_classes(classes.keys().copied().chain(done));
+        self.longest.retain(|class, _| classes.contains_key(class));
         self.classes = classes.into_values().collect();
         self.classes.sort_by(|a, b| {
             let key = |class: &RequestClass| (class.importance, class.tag);
@@ -141,6 +188,21 @@
         self.limits.of(service, route)
     }
 
+    /// Backlog limit of a class.
+    pub(crate) fn class_limit(&self, class: &RequestClass) -> Option<Duration> {
+        self.limits.of(&class.service, class.importance.kind)
+    }
+
+    /// Names of the regions in a set; empty if every region is.
+    pub(crate) fn names_of(&self, mask: RegionMask) -> Vec<RegionName> {
+        if mask == RegionMask::ALL {
+            return Vec::new();
+        }
+        let named = self.regions.iter().enumerate();
+        let named = named.filter(|(index, _)| mask.contains(*index));
+        named.map(|(_, name)| name.clone()).collect()
+    }
+
     /// The class of a request; `None` if its service is not planned.
     pub(crate) fn class(
         &self,
@@ -177,6 +239,33 @@
         self.regions.iter().position(|name| name == region)
     }
 
+    /// Records the work of a caller's request, unless the request is a retry.
+    pub(crate) fn record_offered(
+        &mut self,
+        now: Moment,
+        class: ClassTag,
+        time_left: Duration,
+        work: Duration,
+    ) {
+        let longest = self.longest.entry(class).or_default();
+        *longest = time_left.max(*longest);
+        if time_left >= longest.mul_f64(NEW_REQUEST_SHARE) {
+            self.ledger.record(now, class, work);
+        }
+    }
+
+    /// Records work that a server of this region has done.
+    pub(crate) fn record_done(&mut self, now: Moment, service: &ServiceName, work: Duration) {
+        if self.classes.iter().any(|class| class.service == *service) {
+            self.ledger.record(now, done_tag(service), work);
+        }
+    }
+
+    /// Capacity of a service in this region.
+    pub(crate) fn own_capacity(&self, service: &ServiceName) -> WorkRate {
+        self.own_capacity.get(service).copied().unwrap_or_default()
+    }
+
     /// Records the capacity of a service that another region has reported.
     pub(crate) fn receive_capacity(
         &mut self,
@@ -209,15 +298,24 @@
             .collect()
     }
 
-    /// Computes the plan of a service whose capacity in this region is `own_capacity`. There is
-    /// none if no other region has reported recently.
+    /// Computes the plan of a service that has `servers` usable servers in this region. There
+    /// is none if no other region has reported recently.
     pub(crate) fn refresh(
         &mut self,
         now: Moment,
         service: &ServiceName,
-        own_capacity: WorkRate,
+        servers: usize,
         rules: &PlanRules,
     ) {
+        let done = self.ledger.offered(now, done_tag(service), self.own_region);
+        let throughput = self.throughput.entry(service.clone());
+        let throughput = throughput.or_insert(ServerThroughput {
+            highest: 1.0,
+            at: now,
+        });
+        throughput.record(now, done, servers);
+        let own_capacity = WorkRate::clamped(throughput.highest * servers as f64);
+        self.own_capacity.insert(service.clone(), own_capacity);
         let is_current = |region: usize| self.ledger.is_current(now, region);
         let others = (0..self.regions.len()).filter(|region| *region != self.own_region);
         if !others.clone().any(is_current) && others.count() > 0 {
@@ -285,6 +383,11 @@
         Some(planned.plan.share(index, self.own_region))
     }
 
+    /// A class by its tag.
+    pub(crate) fn class_of(&self, tag: ClassTag) -> Option<&RequestClass> {
+        self.classes.iter().find(|class| class.tag == tag)
+    }
+
     /// Standing of a class from callers of this region.
     pub(crate) fn standing(&self, service: &ServiceName, class: ClassTag) -> Option<ClassStanding> {
         let (planned, index) = self.planned(service, class)?;
--- a/crates/gateway/src/decide.rs
+++ b/crates/gateway/src/decide.rs
@@ -153,6 +153,7 @@
         }
         if self.is_too_late(call, &choice.predicted) {
             let error = too_late(call, &choice.predicted);
+            self.record_class_refusal(call, &choice.predicted, error.reason);
             let after = self.planned_retry(call, choice.predicted.backlog);
             return RouteStep::Refuse(match after {
                 Some(after) => error.with_retry_after(after),
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -22,6 +22,7 @@
 mod listen;
 mod metrics;
 mod open;
+mod plan_report;
 mod planning;
 mod pool;
 mod relay;
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -1,24 +1,29 @@
 //! Connects the capacity plan with the gateway: what is recorded, exchanged and applied.
 
-use onyxfall_capacity::{PlanRules, ReturnAdvice, WorkRate, return_delay};
-use onyxfall_fleet::{RemoteOption, ServiceLoad, WorkShare};
+use onyxfall_capacity::{
+    ClassReserve, ClassStanding, PlanRules, ReturnAdvice, WorkRate, return_delay,
+};
+use onyxfall_fleet::{RemoteOption, ServiceLoad, TimePrediction, WorkShare};
 use onyxfall_overlay::{ServerTag, WorkEntry};
 use onyxfall_policy::Moment;
-use onyxfall_types::{PlanMode, RegionName, ServiceName};
+use onyxfall_types::{PlanMode, PlanReport, RefusalReason, RegionName, ServiceName};
 use onyxfall_wire::ClassFlowEntry;
 use rand::Rng;
 use std::time::Duration;
 
-use crate::call::{CallContext, CallOrigin};
+use crate::call::CallContext;
+use crate::capacity_settings::CapacitySettings;
 use crate::gateway::Gateway;
+use crate::plan_report::plan_report;
+use crate::report::millis;
 use crate::serve::CallProgress;
 
-/// Share of a region's capacity that the plan gives out. The rest covers what servers lose to
-/// the decoding of responses and to uneven load among them.
-const PLANNED_UTILISATION: f64 = 0.85;
-/// Share of the shared prefix that counts as cached when the work of a request is estimated:
+/// Share of a region's capacity that the plan gives out. Capacity is the highest throughput that
+/// was seen; the rest covers uneven load among servers.
+const PLANNED_UTILISATION: f64 = 0.95;
+/// Part of the shared prefix that counts as cached when the work of a request is estimated:
 /// under heavy load, about half of the shared tokens were found in the KV cache.
-const CACHED_SHARE: f64 = 0.5;
+const CACHED_DIVISOR: u64 = 2;
 
 impl Gateway {
     /// Whether capacity is shared by importance here.
@@ -26,23 +31,33 @@
         self.settings().capacity_plan.mode != PlanMode::Off
     }
 
-    /// Records the work of a caller's request at its first attempt.
+    /// Records the work of a caller's request when its first step is decided.
     pub(crate) fn record_class_work(&self, call: &CallContext, progress: &CallProgress) {
-        let is_first = progress.arrivals + progress.unreached == 0 && progress.vms.is_empty();
-        let Some(class) = call.class else { return };
-        if call.origin != CallOrigin::Caller || !is_first || progress.is_work_recorded {
+        let Some(class) = call.class.filter(|_| !progress.is_work_recorded) else {
+            return;
+        };
+        let work = self.estimated_work(call);
+        let mut capacity = self.capacity.borrow_mut();
+        capacity.record_offered(self.now(), class, call.time_left(), work);
+    }
+
+    /// Records the work of a request whose response has begun at a server of this region.
+    pub(crate) fn record_done_work(&self, call: &CallContext) {
+        if call.needs.backlog_limit.is_none() {
             return;
         }
-        let needs = &call.needs;
-        let cached = needs.prompt.shared_tokens() as f64 * CACHED_SHARE;
-        let unread = (needs.prompt.input as f64 - cached).max(0.0);
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let work = self
-            .fleet
-            .borrow()
-            .prefill_time(&needs.service, unread as u64);
+        let work = self.estimated_work(call);
         let mut capacity = self.capacity.borrow_mut();
-        capacity.ledger_mut().record(self.now(), class, work);
+        capacity.record_done(self.now(), &call.needs.service, work);
+    }
+
+    /// Server time that a request is expected to take.
+    fn estimated_work(&self, call: &CallContext) -> Duration {
+        let prompt = &call.needs.prompt;
+        let cached = prompt.shared_tokens() / CACHED_DIVISOR;
+        let unread = prompt.input.saturating_sub(cached);
+        let fleet = self.fleet.borrow();
+        fleet.prefill_time(&call.needs.service, unread)
     }
 
     /// Recomputes the plans of all services.
@@ -58,8 +73,12 @@
         };
         let mut capacity = self.capacity.borrow_mut();
         for service in capacity.services() {
-            let own = self.fleet.borrow().model_capacity(now, &service);
-            capacity.refresh(now, &service, WorkRate::clamped(own), &rules);
+            let servers = self.fleet.borrow().usable_servers(now, &service);
+            let rules = PlanRules {
+                reserved: reserved(&settings.capacity_plan, &service),
+                ..rules.clone()
+            };
+            capacity.refresh(now, &service, servers, &rules);
         }
     }
 
@@ -156,15 +175,70 @@
     }
 
     /// Capacity of a model service in this region, in thousandths.
-    pub(crate) fn reported_capacity(&self, now: Moment, service: &ServiceName) -> u32 {
-        if !self.plans_capacity() {
-            return 0;
-        }
-        let seconds = self.fleet.borrow().model_capacity(now, service);
+    pub(crate) fn reported_capacity(&self, service: &ServiceName) -> u32 {
+        let capacity = self.capacity.borrow();
+        let seconds = capacity.own_capacity(service).per_second();
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let thousandths = (seconds * 1e3).round() as u32;
         thousandths
     }
+
+    /// Counts and logs what decided the refusal of a request whose capacity is planned.
+    pub(crate) fn record_class_refusal(
+        &self,
+        call: &CallContext,
+        predicted: &TimePrediction,
+        reason: RefusalReason,
+    ) {
+        let Some(class) = call.class else { return };
+        let capacity = self.capacity.borrow();
+        let service = &call.needs.service;
+        let Some(known) = capacity.class_of(class) else {
+            return;
+        };
+        let label = format!("{service}/{}", known.importance);
+        self.metrics.count_refusal(&label, reason);
+        let standing = capacity.standing(service, class);
+        let plan = capacity.plans().get(service);
+        log::info!(
+            request = call.request_id.as_str(),
+            class = label.as_str(),
+            standing = standing.map_or("no plan", standing_name),
+            backlog_ms = millis(predicted.backlog),
+            limit_ms = millis(call.needs.backlog_limit.unwrap_or(call.needs.goal)),
+            plan_age_ms = plan.map_or(0, |plan| millis(self.now() - plan.computed_at));
+            "request is over the limit of its class"
+        );
+    }
+
+    /// The report of this VM's plans for operators.
+    pub(crate) fn plan_report(&self) -> PlanReport {
+        plan_report(
+            self.now(),
+            self.settings().capacity_plan.mode,
+            &self.capacity.borrow(),
+        )
+    }
+}
+
+fn standing_name(standing: ClassStanding) -> &'static str {
+    match standing {
+        ClassStanding::Served => "served",
+        ClassStanding::Partial => "partial",
+        ClassStanding::Refused => "refused",
+    }
+}
+
+/// Capacity of a service that the settings keep for kinds of requests.
+fn reserved(settings: &CapacitySettings, service: &ServiceName) -> Vec<ClassReserve> {
+    let reserves = settings.reserves.iter();
+    let reserves = reserves.filter(|reserve| reserve.service == *service);
+    reserves
+        .map(|reserve| ClassReserve {
+            kind: reserve.kind,
+            share: reserve.share,
+        })
+        .collect()
 }
 
 fn flow_entries(flows: impl Iterator<Item = (u32, u64)>) -> Vec<ClassFlowEntry> {
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -332,7 +332,7 @@
                 event_interval: *event_interval,
                 backlog: least.backlog,
                 capacity: if service.engine.is_some() {
-                    self.reported_capacity(now, &service.name)
+                    self.reported_capacity(&service.name)
                 } else {
                     0
                 },
