Capacity plan: cheaper search for room; tests of who makes room

Change: moves are found with sets of regions instead of pairs, and a search continues only from regions that improved. New tests: the least important class makes room; equal classes are refused alike where homes are too many to list their unions in advance.

--- a/crates/capacity/src/class.rs
+++ b/crates/capacity/src/class.rs
@@ -122,6 +122,16 @@
         Self(self.0 | other.0)
     }
 
+    /// The regions of this set that are not in `other`.
+    pub(crate) const fn without(self, other: Self) -> Self {
+        Self(self.0 & !other.0)
+    }
+
+    /// The set of one region.
+    pub(crate) const fn only(region: usize) -> Self {
+        Self(1 << region)
+    }
+
     /// The regions of the set, in order.
     ///
     /// ```
@@ -129,7 +139,12 @@
     /// assert!(RegionMask::first(3).regions().eq(0..3));
     /// ```
     pub fn regions(self) -> impl Iterator<Item = usize> {
-        (0..MAX_REGIONS).filter(move |region| self.contains(*region))
+        let mut left = self.0;
+        std::iter::from_fn(move || {
+            let region = left.trailing_zeros() as usize;
+            left &= left.wrapping_sub(1);
+            (region < MAX_REGIONS).then_some(region)
+        })
     }
 }
 
--- a/crates/capacity/src/place.rs
+++ b/crates/capacity/src/place.rs
@@ -101,7 +101,7 @@
         let was_placed = *placed > ROUNDING;
         *placed += amount;
         if (*placed > ROUNDING) != was_placed {
-            self.changed = self.changed.or([region].into_iter().collect());
+            self.changed = self.changed.or(RegionMask::only(region));
         }
         self.free[region] = (self.free[region] - amount).max(0.0);
         amount
@@ -171,26 +171,26 @@
             (item.homes.contains(region)).then_some(PathStep { cost, hops, from })
         };
         let mut steps: Vec<Option<PathStep>> = (0..self.regions).map(start).collect();
+        let mut improved = item.homes;
         for _ in 0..self.regions {
-            let mut is_changed = false;
-            for from in 0..self.regions {
-                for to in 0..self.regions {
-                    let Some((step, (cost, moved))) =
-                        steps[from].zip(self.moves[from * self.regions + to])
-                    else {
-                        continue;
-                    };
+            let mut next = RegionMask::EMPTY;
+            for from in improved.regions().take_while(|from| *from < self.regions) {
+                let Some(step) = steps[from] else { continue };
+                let edges = &self.moves[from * self.regions..][..self.regions];
+                for (to, (known, edge)) in steps.iter_mut().zip(edges).enumerate() {
+                    let Some((cost, moved)) = *edge else { continue };
                     let (cost, hops) = (step.cost + cost, step.hops + 1);
-                    if steps[to].is_none_or(|known| (cost, hops) < (known.cost, known.hops)) {
+                    if known.is_none_or(|known| (cost, hops) < (known.cost, known.hops)) {
                         let from = Some((from, moved));
-                        steps[to] = Some(PathStep { cost, hops, from });
-                        is_changed = true;
+                        *known = Some(PathStep { cost, hops, from });
+                        next = next.or(RegionMask::only(to));
                     }
                 }
             }
-            if !is_changed {
+            if next.is_empty() {
                 break;
             }
+            improved = next;
         }
         steps
     }
@@ -203,15 +203,26 @@
             let moves = &mut self.moves[from * self.regions..][..self.regions];
             moves.fill(None);
             let placed = &self.placed[from * count..][..count];
+            // Regions to which a move is known, by its cost: -1, at most 0, at most 1.
+            let mut known = [RegionMask::EMPTY; 3];
             for (index, item) in self.items.iter().enumerate().rev() {
                 if placed[index] <= ROUNDING {
                     continue;
                 }
-                for (to, best) in moves.iter_mut().enumerate() {
-                    let cost = item.cost(to) - item.cost(from);
-                    let is_allowed = to != from && item.homes.contains(to);
-                    if is_allowed && best.is_none_or(|(known, _)| cost < known) {
-                        *best = Some((cost, index));
+                let home = RegionMask::only(item.origin);
+                let others = item.homes.without(RegionMask::only(from));
+                let by_cost = if item.origin == from {
+                    [RegionMask::EMPTY, RegionMask::EMPTY, others]
+                } else {
+                    [others.and(home), others.without(home), RegionMask::EMPTY]
+                };
+                for (level, cost) in (-1..=1).enumerate() {
+                    let found = by_cost[level].without(known[level]);
+                    for to in found.regions() {
+                        moves[to] = Some((cost, index));
+                    }
+                    for known in &mut known[level..] {
+                        *known = known.or(found);
                     }
                 }
             }
--- a/crates/capacity/tests/plan.rs
+++ b/crates/capacity/tests/plan.rs
@@ -494,6 +494,40 @@
     );
 }
 
+/// Guards against refusals that fall on the last of equal classes where a set of regions is
+/// exhausted that is not listed in advance.
+#[test]
+fn many_homes_are_shared_fairly() {
+    let idle = ["0", "1", "2", "3", "4", "5", "6", "7", "8"];
+    let mut classes: Vec<ClassRow> = idle.map(|homes| ("0.0", homes, &[][..])).to_vec();
+    classes.extend([("1.0", "9,10", &[1.8][..]), ("1.0", "10,11", &[1.8][..])]);
+    let demand = demand(&[1.0; 12], &classes);
+    let rules = floor(0.2);
+    let outcome = Outcome::of(&demand, &rules);
+    let fractions = [9, 10].map(|class| outcome.fraction(class));
+    assert!(
+        fractions
+            .iter()
+            .all(|part| (part - 5.0 / 6.0).abs() < EXACT),
+        "{fractions:?}"
+    );
+}
+
+/// Guards against an important class that leaves its region so that a cheap one can stay.
+#[test]
+fn the_least_important_makes_room() {
+    let classes: &[ClassRow] = &[
+        ("1.0", "*", &[0.5]),
+        ("0.0", "*", &[0.5]),
+        ("2.0", "0", &[0.0, 0.5]),
+    ];
+    let demand = demand(&[1.0, 1.0], classes);
+    let rules = floor(0.0);
+    let outcome = Outcome::of(&demand, &rules);
+    let left = [0, 1].map(|class| outcome.plan.share(class, 0).served[1]);
+    assert!((left[0] - 1.0).abs() < EXACT && left[1] < EXACT, "{left:?}");
+}
+
 /// Random demand of classes whose importances differ.
 fn demands(classes: usize, regions: usize) -> impl Strategy<Value = ServiceDemand> {
     let rate = || prop_oneof![Just(0.0), 0.1..4.0].prop_map(WorkRate::clamped);
@@ -532,7 +566,7 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 24, failure_persistence: None, ..ProptestConfig::default() })]
 
-    /// The same where homes are too many for a list of all unions.
+    /// The same with more homes and regions.
     #[test]
     fn no_plan_could_serve_more_with_many_homes(demand in demands(14, 10)) {
         assert_optimal(&demand, &floor(0.2));
