Read the pace that servers state, and predict and learn by it

Cause: servers that share their machines with others state in the fourth field of their load header how long work takes at this moment (60 to 400, in periods of 0.2 to 1 s). Nothing read it.

Change: VMs read the figure from responses to their own requests, report it with their work for 0.4 s and use their own figure for 0.1 s, then the mean of all fresh reports. All predicted times are multiplied by the pace. Observed times are divided by it before slowness and costs are learned; where the pace changed meanwhile and the change explains the time, nothing is learned. A header with a malformed figure is counted and makes the pace unknown.

--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -13,8 +13,8 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
 use onyxfall_adapter::stub::{
-    ReceivedCall, mark_draining, mark_not_run, received_call, set_retry_after, set_server_limit,
-    sign_response,
+    ReceivedCall, add_server_load, mark_draining, mark_not_run, received_call, set_retry_after,
+    set_server_limit, sign_response,
 };
 use parking_lot::Mutex;
 use tokio::time::{Instant as TimerInstant, Sleep};
@@ -121,6 +121,8 @@
     name: Option<String>,
     address: Option<SocketAddr>,
     signals: StubSignals,
+    /// Load in every response, as in the header.
+    load: Option<String>,
     arrivals: Vec<ArrivedRequest>,
     runs: Vec<ReceivedRequest>,
     /// Number of responses that were in progress when their connection closed.
@@ -190,6 +192,12 @@
         self.state.lock().signals = signals;
     }
 
+    /// Sets the load in its responses, as in the header: `"1, 0, 4, 160"` for one running
+    /// request, none waiting, four slots and a pace of 160. It may be malformed.
+    pub fn set_load(&self, load: Option<&str>) {
+        self.state.lock().load = load.map(str::to_owned);
+    }
+
     /// The requests that reached it, without the first `from`.
     pub fn arrivals_from(&self, from: usize) -> Vec<ArrivedRequest> {
         let state = self.state.lock();
@@ -296,6 +304,9 @@
     if let Some(limit) = signals.limit {
         set_server_limit(response.headers_mut(), limit);
     }
+    if let Some(load) = &state.lock().load {
+        add_server_load(response.headers_mut(), load);
+    }
     // A request without a response has received no signals.
     state.lock().arrivals[number - 1].signals = signals;
     Ok(response)
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,6 +21,7 @@
 mod limit;
 mod liveness;
 mod mirror;
+mod pace;
 mod pools;
 mod predict;
 mod quota;
@@ -54,6 +55,7 @@
 pub use mirror::{
     MirrorChange, MirrorDelta, RETURN_WINDOW, StoreEvent, StoreHealth, StoreItem, StoreMirror,
 };
+pub use pace::{PaceReports, PaceSignal, ServerPace, ServerPaceError};
 pub use pools::MIN_WORKING;
 pub use predict::TimePrediction;
 pub use quota::{QuotaDecision, QuotaPeers, QuotaSettings, QuotaTable};
--- a/crates/fleet/src/predict.rs
+++ b/crates/fleet/src/predict.rs
@@ -1,8 +1,10 @@
 //! Expected times of a request at a server, and learning from responses.
 //!
-//! A prediction is the learned cost of the service times the slowness of the server.
-//! Samples of slow servers are divided by their slowness, so that a few of them do not
-//! raise the learned cost of the whole service.
+//! A prediction is the learned cost of the service times the slowness and the pace of the
+//! server. Samples of slow servers are divided by their slowness, so that a few of them do
+//! not raise the learned cost of the whole service. All samples are divided by the pace, so
+//! that a spell of slow work is not learned as slowness of the server; a sample is not used
+//! if the pace changed meanwhile and the change explains it.
 
 use std::time::Duration;
 
@@ -11,7 +13,7 @@
 
 use crate::call::CallRequirements;
 use crate::learn::{CostReport, CostSource, CostView, EngineLoad, ServiceCosts};
-use crate::server::{AttemptResult, ServerLoad, ServerState};
+use crate::server::{AttemptResult, ServerLoad, ServerState, SinceFirstByte};
 use crate::switches::DecisionSwitch;
 use crate::view::FleetView;
 
@@ -41,19 +43,20 @@
     pub fn predict(&self, now: Moment, id: ServerId, needs: &CallRequirements) -> TimePrediction {
         let server = self.server(id);
         let slowness = server.slowness(now);
+        let pace = server.pace(now).factor();
         let costs = self.costs(&needs.service);
-        let scaled = |ms: f64| millis(ms * slowness);
+        let scaled = |ms: f64| millis(ms * slowness * pace);
         match server.load(now, needs) {
             ServerLoad::Engine(load) => {
                 let first = costs.first_ms(&load);
                 let alone = costs.first_ms(&load.alone());
                 let backlog = costs.read_ms(load.others());
+                let events = events_ms(costs, &load, needs) * server.interval_slowness();
                 TimePrediction {
                     first: scaled(first),
                     loaded: scaled(alone + backlog),
                     backlog: scaled(backlog),
-                    whole: scaled(first)
-                        + millis(events_ms(costs, &load, needs) * server.interval_slowness()),
+                    whole: scaled(first) + millis(events * pace),
                 }
             }
             ServerLoad::Plain(turns) => {
@@ -97,7 +100,8 @@
             ServerLoad::Engine(load) => self.costs(&needs.service).pace_ms(&load, DEFAULT_GAPS),
             ServerLoad::Plain(_) => None,
         };
-        millis(interval.unwrap_or(0.0) * server.interval_slowness())
+        let interval = interval.unwrap_or(0.0) * server.interval_slowness();
+        millis(interval * server.pace(now).factor())
     }
 
     /// Work that a request adds to the servers of its service if `cached` tokens of its
@@ -137,8 +141,11 @@
         if !self.learns_costs() || self.server(id).is_cold(now) {
             return Some(first_byte.ratio);
         }
+        let Some(took) = first_byte.took else {
+            return Some(first_byte.ratio);
+        };
         let factor = self.relative_slowness(id, first_byte.slowness);
-        let took = first_byte.took.div_f64(factor);
+        let took = took.div_f64(factor);
         let uncertainty = factor.max(1.0 / factor);
         let service = self.server(id).record.service.clone();
         let costs = self.costs_mut(&service);
@@ -165,9 +172,7 @@
         let gaps = f64::from(events.unwrap_or(0).saturating_sub(1));
         let has_interval = result == AttemptResult::Succeeded && gaps >= MIN_GAPS;
         match (since, has_interval) {
-            (Some((ServerLoad::Engine(load), took)), true) => {
-                self.learn_events(now, id, &load, took, gaps)
-            }
+            (Some(since), true) => self.learn_events(now, id, &since, gaps),
             _ => None,
         }
     }
@@ -176,22 +181,31 @@
         &mut self,
         now: Moment,
         id: ServerId,
-        load: &EngineLoad,
-        took: Duration,
+        since: &SinceFirstByte,
         gaps: f64,
     ) -> Option<f64> {
+        let ServerLoad::Engine(load) = &since.load else {
+            return None;
+        };
         if !self.learns_costs() || self.server(id).is_cold(now) {
             return None;
         }
         let service = self.server(id).record.service.clone();
         let predicted = self.costs(&service).pace_ms(load, gaps);
-        let interval = took.div_f64(gaps);
+        let interval = since.took.div_f64(gaps);
         let ratio = predicted.map(|ms| interval.as_secs_f64() * 1e3 / ms.max(f64::MIN_POSITIVE));
+        // Without a prediction the larger pace applies, so that no slow spell is learned as
+        // the usual interval.
+        let observed = ratio.map_or(f64::INFINITY, |ratio| {
+            ratio / self.server(id).interval_slowness()
+        });
+        let pace = since.first_pace.factor_until(since.last_pace, observed)?;
+        let ratio = ratio.map(|ratio| ratio / pace);
         if let Some(ratio) = ratio {
             self.server_mut(id).record_event_interval(ratio);
         }
         let factor = self.server(id).interval_slowness();
-        let took = took.div_f64(factor);
+        let took = since.took.div_f64(pace).div_f64(factor);
         let costs = self.costs_mut(&service);
         costs
             .engine_mut()
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -13,6 +13,7 @@
 use crate::learn::EngineLoad;
 use crate::limit::ServerLimit;
 use crate::liveness::{LivenessRecord, ServerVotes};
+use crate::pace::{PaceRecord, ServerPace};
 use crate::record::{ServerPhase, ServerRecord};
 use crate::signals::{AMBIGUOUS_DRAINING, AmbiguousSignals};
 use crate::work::{PrefillTokens, WorkShare};
@@ -66,7 +67,22 @@
     predicted: Duration,
     work: WorkShare,
     load: ServerLoad,
-    first_byte_at: Option<Moment>,
+    /// Pace of the server that `predicted` assumes.
+    pace: ServerPace,
+    /// Time of the first byte, and the pace of the server then.
+    first_byte: Option<(Moment, ServerPace)>,
+}
+
+impl OpenAttempt {
+    /// Expected time to the first byte, given the pace of the server `now`. A server that has
+    /// slowed down since the attempt was sent is not overdue for that reason; one that has
+    /// become faster may have done most of the work at its former pace.
+    fn expected(&self, now: ServerPace) -> Duration {
+        if now <= self.pace {
+            return self.predicted;
+        }
+        self.predicted.mul_f64(now.factor() / self.pace.factor())
+    }
 }
 
 /// Measurements at the first byte of a response.
@@ -74,14 +90,28 @@
 pub(crate) struct FirstByte {
     /// Load of the server when the attempt was sent.
     pub(crate) load: ServerLoad,
-    /// Time since sending.
-    pub(crate) took: Duration,
+    /// Time since sending, divided by the server's pace; `None` if a change of the pace
+    /// explains it.
+    pub(crate) took: Option<Duration>,
     /// Slowness of the server relative to the prediction, this response included.
     pub(crate) slowness: f64,
     /// Ratio of this response's time to the usual one.
     pub(crate) ratio: f64,
 }
 
+/// Measurements from the first byte of a response to now.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SinceFirstByte {
+    /// Load of the server when the attempt was sent.
+    pub(crate) load: ServerLoad,
+    /// Time since the first byte.
+    pub(crate) took: Duration,
+    /// Pace of the server at the first byte.
+    pub(crate) first_pace: ServerPace,
+    /// Pace of the server now.
+    pub(crate) last_pace: ServerPace,
+}
+
 /// State of one server instance.
 #[derive(Clone, Debug)]
 pub struct ServerState {
@@ -104,6 +134,7 @@
     /// When a backoff was last requested.
     backoff_requested_at: Option<Moment>,
     limit: ServerLimit,
+    pace: PaceRecord,
     full_until: Moment,
     circuit: CircuitBreaker,
     slowness: f64,
@@ -133,6 +164,7 @@
             backoff: ServerBackoff::default(),
             backoff_requested_at: None,
             limit: ServerLimit::default(),
+            pace: PaceRecord::default(),
             full_until: Moment::ZERO,
             circuit: CircuitBreaker::new(),
             slowness: 1.0,
@@ -248,6 +280,15 @@
         &mut self.limit
     }
 
+    /// How long work takes at the server now, by what this VM and the others have read.
+    pub fn pace(&self, now: Moment) -> ServerPace {
+        self.pace.pace(now, self.others.paces)
+    }
+
+    pub(crate) fn pace_mut(&mut self) -> &mut PaceRecord {
+        &mut self.pace
+    }
+
     /// Current backoff, if `passes` accepts the time of its request.
     pub(crate) fn requested_backoff(
         &self,
@@ -283,6 +324,7 @@
         self.backoff = before.backoff;
         self.backoff_requested_at = before.backoff_requested_at;
         self.limit = before.limit;
+        self.pace = before.pace;
     }
 
     /// This VM's share of the server's rate while it is cold.
@@ -298,14 +340,15 @@
             flow,
             votes: self.own_vote(now),
             limits: self.limit.report(now),
+            paces: self.pace.report(now),
             ..self.own
         }
     }
 
     /// This VM's vote on whether the server is responsive.
     fn own_vote(&self, now: Moment) -> ServerVotes {
-        let waiting = self.open.values().find(|open| open.first_byte_at.is_none());
-        let waiting = waiting.map(|open| (open.started, open.predicted));
+        let waiting = self.open.values().find(|open| open.first_byte.is_none());
+        let waiting = waiting.map(|open| (open.started, open.expected(self.pace(now))));
         self.liveness.vote(now, waiting)
     }
 
@@ -388,9 +431,10 @@
             .open
             .values()
             .next()
-            .filter(|open| open.first_byte_at.is_none())
+            .filter(|open| open.first_byte.is_none())
             .map_or(0.0, |open| {
-                (now - open.started).as_secs_f64() / open.predicted.as_secs_f64().max(1e-3)
+                let expected = open.expected(self.pace(now));
+                (now - open.started).as_secs_f64() / expected.as_secs_f64().max(1e-3)
             });
         // Up to three times the prediction is within the normal variance of a busy
         // batch.
@@ -427,7 +471,7 @@
     }
 
     /// Records that attempt `id` is sent, with its first byte expected after
-    /// `predicted`.
+    /// `predicted` at the current pace.
     pub(crate) fn start(
         &mut self,
         now: Moment,
@@ -460,7 +504,8 @@
             predicted,
             work,
             load,
-            first_byte_at: None,
+            pace: self.pace(now),
+            first_byte: None,
         };
         self.open.insert(id, attempt);
         self.cached_prefixes
@@ -469,11 +514,12 @@
 
     /// Records the first byte of attempt `id`.
     pub(crate) fn record_first_byte(&mut self, now: Moment, id: u64) -> Option<FirstByte> {
+        let pace = self.pace(now);
         let open = self.open.get_mut(&id)?;
-        if open.first_byte_at.is_some() {
+        if open.first_byte.is_some() {
             return None;
         }
-        open.first_byte_at = Some(now);
+        open.first_byte = Some((now, pace));
         self.backoff.record_taken(id);
         self.liveness.record_liveness(now);
         let prefilled = WorkShare {
@@ -483,11 +529,16 @@
         self.own = self.own.without(prefilled);
         open.work = open.work.without(prefilled);
         let (took, predicted, load) = (now - open.started, open.predicted, open.load);
-        let ratio = took.as_secs_f64() / predicted.as_secs_f64().max(1e-3);
+        let ratio = took.as_secs_f64() / predicted.as_secs_f64().max(1e-3) * open.pace.factor();
+        let factor = open.pace.factor_until(pace, ratio);
+        let took = factor.map(|factor| took.div_f64(factor));
+        let ratio = factor.map_or(1.0, |factor| ratio / factor);
         let ratio = (ratio * self.slowness).clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
         // The mean of the logarithms is close to the median, with half of all responses
         // below it.
-        self.slowness *= (ratio / self.slowness).powf(SAMPLE_GAIN);
+        if took.is_some() {
+            self.slowness *= (ratio / self.slowness).powf(SAMPLE_GAIN);
+        }
         self.circuit.succeed();
         let slowness = self.slowness;
         Some(FirstByte {
@@ -498,11 +549,16 @@
         })
     }
 
-    /// Load of the server when attempt `id` was sent, and the time since its first
-    /// byte.
-    pub(crate) fn since_first_byte(&self, now: Moment, id: u64) -> Option<(ServerLoad, Duration)> {
+    /// Measurements since the first byte of attempt `id`.
+    pub(crate) fn since_first_byte(&self, now: Moment, id: u64) -> Option<SinceFirstByte> {
         let open = self.open.get(&id)?;
-        Some((open.load, now - open.first_byte_at?))
+        let (first_byte_at, first_pace) = open.first_byte?;
+        Some(SinceFirstByte {
+            load: open.load,
+            took: now - first_byte_at,
+            first_pace,
+            last_pace: self.pace(now),
+        })
     }
 
     /// Records the end of attempt `id`.
--- a/crates/fleet/src/signals.rs
+++ b/crates/fleet/src/signals.rs
@@ -21,6 +21,7 @@
 
 use crate::instance::StartTime;
 use crate::limit::LimitSignal;
+use crate::pace::PaceSignal;
 use crate::view::FleetView;
 
 /// Least time by which a start time must be later than a signal for the signal to be
@@ -61,6 +62,8 @@
     pub backoff: BackoffSignal,
     /// The request rate that the server accepts.
     pub limit: LimitSignal,
+    /// How long work takes at the server at this moment.
+    pub pace: PaceSignal,
 }
 
 /// Changes of this VM's state of a server that signals have caused.
--- a/crates/fleet/src/work.rs
+++ b/crates/fleet/src/work.rs
@@ -2,6 +2,7 @@
 
 use crate::limit::LimitReports;
 use crate::liveness::ServerVotes;
+use crate::pace::PaceReports;
 
 /// Number of urgency levels of requests; level 0 goes first.
 pub const URGENCIES: usize = 10;
@@ -76,6 +77,8 @@
     pub votes: ServerVotes,
     /// Rate limits that the VMs have read from responses of the server.
     pub limits: LimitReports,
+    /// Paces that the VMs have lately read from responses of the server.
+    pub paces: PaceReports,
 }
 
 impl WorkShare {
@@ -90,6 +93,7 @@
             flow: self.flow.saturating_add(other.flow),
             votes: self.votes.plus(other.votes),
             limits: self.limits.plus(other.limits),
+            paces: self.paces.plus(other.paces),
         }
     }
 
@@ -103,6 +107,7 @@
             flow: self.flow.saturating_sub(other.flow),
             votes: self.votes.without(other.votes),
             limits: self.limits.without(other.limits),
+            paces: self.paces.without(other.paces),
         }
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -160,6 +160,9 @@
         let is_own = matches!(kind, ResponseKind::Signed | ResponseKind::NotRun);
         let sent_at = is_own.then(|| attempt.started());
         gateway.record_limit(target.id, signals.limit, sent_at);
+        if is_own {
+            gateway.record_pace(target.id, signals.pace);
+        }
         gateway.record_unknown_signal_headers(response.headers());
     }
     match kind {
--- a/crates/gateway/src/frames.rs
+++ b/crates/gateway/src/frames.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use onyxfall_fleet::{LimitReports, PrefillTokens, ServerVotes, WorkShare};
+use onyxfall_fleet::{LimitReports, PaceReports, PrefillTokens, ServerVotes, WorkShare};
 use onyxfall_overlay::{
     LinkRelation, OverlayUpdate, RecordVersion, RosterUpdate, ServerTag, UpdateScope, VmCapacity,
     VmRecord, VmStatus, WorkEntry, WorkUpdate,
@@ -147,11 +147,18 @@
                 bad: entry.share.votes.bad,
                 limit_vms: entry.share.limits.vms,
                 limit_thousandths: entry.share.limits.thousandths,
+                pace_vms: some_count(entry.share.paces.vms),
+                pace_percent: some_count(entry.share.paces.percent),
             })
             .collect(),
     }
 }
 
+/// A count in an optional field, which is absent for 0.
+fn some_count<N: Default + PartialEq>(count: N) -> Option<N> {
+    (count != N::default()).then_some(count)
+}
+
 fn read_work(work: &WorkSet) -> WorkUpdate {
     WorkUpdate {
         is_whole: work.is_whole,
@@ -173,6 +180,10 @@
                         vms: entry.limit_vms,
                         thousandths: entry.limit_thousandths,
                     },
+                    paces: PaceReports {
+                        vms: entry.pace_vms.unwrap_or_default(),
+                        percent: entry.pace_percent.unwrap_or_default(),
+                    },
                 },
             })
             .collect(),
@@ -248,3 +259,52 @@
 fn read_millis(millis: u32) -> Duration {
     Duration::from_millis(millis.into())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against figures that are lost between VMs, and against larger messages where
+    /// servers state no pace.
+    #[test]
+    fn paces_are_sent_where_there_are_any() {
+        let cases = [
+            ("without reports", PaceReports::default(), false),
+            (
+                "one VM",
+                PaceReports {
+                    vms: 1,
+                    percent: 100,
+                },
+                true,
+            ),
+            (
+                "many VMs",
+                PaceReports {
+                    vms: 36,
+                    percent: 14_400,
+                },
+                true,
+            ),
+        ];
+        for (name, paces, is_sent) in cases {
+            let share = WorkShare {
+                requests: 3,
+                paces,
+                ..WorkShare::default()
+            };
+            let entry = WorkEntry {
+                server: ServerTag(9),
+                share,
+            };
+            let update = WorkUpdate {
+                is_whole: true,
+                entries: vec![entry],
+            };
+            let sent = wire_work(&update);
+            assert_eq!(sent.servers[0].pace_vms.is_some(), is_sent, "{name}");
+            assert_eq!(sent.servers[0].pace_percent.is_some(), is_sent, "{name}");
+            assert_eq!(read_work(&sent), update, "{name}");
+        }
+    }
+}
--- a/crates/gateway/src/signals.rs
+++ b/crates/gateway/src/signals.rs
@@ -2,7 +2,7 @@
 
 use http::HeaderMap;
 use onyxfall_adapter::unknown_signal_headers;
-use onyxfall_fleet::{BackoffSignal, LimitSignal, ServerSignals, SignalChanges};
+use onyxfall_fleet::{BackoffSignal, LimitSignal, PaceSignal, ServerSignals, SignalChanges};
 use onyxfall_policy::Moment;
 use onyxfall_types::{RequestRate, ServerId};
 
@@ -78,6 +78,21 @@
         self.log_limit_change(now, server, was_limited);
     }
 
+    /// Applies the pace in the head of a response to an own request. A response to another
+    /// request may be older than the lifetime of a pace.
+    pub(crate) fn record_pace(&self, server: ServerId, pace: PaceSignal) {
+        if pace == PaceSignal::None {
+            return;
+        }
+        if pace == PaceSignal::Malformed {
+            self.metrics.count("onyxfall_malformed_paces_total");
+        }
+        let is_changed = self.fleet.borrow_mut().apply_pace(self.now(), server, pace);
+        if is_changed {
+            self.metrics.count("onyxfall_pace_changes_total");
+        }
+    }
+
     /// Whether a limit for the server is in force on this VM.
     pub(crate) fn is_limited(&self, now: Moment, server: ServerId) -> bool {
         self.fleet.borrow().server(server).limit(now).is_some()
--- a/crates/gateway/tests/frames.rs
+++ b/crates/gateway/tests/frames.rs
@@ -69,6 +69,8 @@
                 bad: 1,
                 limit_vms: 2,
                 limit_thousandths: 4500,
+                pace_vms: Some(2),
+                pace_percent: Some(500),
             }],
         }),
         copy_hash: 1,
--- a/crates/overlay/src/totals.rs
+++ b/crates/overlay/src/totals.rs
@@ -450,6 +450,8 @@
         && share.flow <= MAX_TOKENS
         && share.limits.vms <= MAX_REQUESTS
         && share.limits.thousandths <= MAX_TOKENS
+        && share.paces.vms <= MAX_REQUESTS
+        && share.paces.percent <= MAX_TOKENS
 }
 
 /// Whether a change of a VM's own work should be sent. Flow changes constantly, so a change of
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -673,6 +673,13 @@
     /// Sum of the limits that these VMs received, in thousandths of a request per second.
     #[prost(uint64, tag = "10")]
     pub limit_thousandths: u64,
+    /// Number of VMs that have lately received the server's pace in its responses; absent
+    /// without any.
+    #[prost(uint32, optional, tag = "11")]
+    pub pace_vms: Option<u32>,
+    /// Sum of the paces that these VMs received, in percent of the usual time.
+    #[prost(uint64, optional, tag = "12")]
+    pub pace_percent: Option<u64>,
 }
 
 /// Learned costs of a service.
