Team quotas: reported usage fills the bucket, credit is spent by importance

Cause: a team beyond its limit was refused at random, requests of 200 units as often as those of 12,000, and the bucket was filled with an estimate (demand times probability) that counts what servers refuse later.

Change, behind [quotas] spend = even | by-importance (default even, as before): VMs and regions report what they admitted without refunds, and the bucket fills with it; reports without this figure fall back to the estimate. Each VM spends a credit by rank and cost. In an excess, retry times are spread up to a third of the time that the caller has left.

QuotaTable::admit takes a QuotaRequest and Admitted carries a receipt, so the calls in tests/quota.rs and benches/admission.rs are adapted.

--- a/crates/fleet/benches/admission.rs
+++ b/crates/fleet/benches/admission.rs
@@ -9,7 +9,8 @@
 
 use criterion::{Criterion, criterion_group, criterion_main};
 use onyxfall_fleet::{
-    HomeRegions, KeyDigest, QuotaLimit, QuotaTable, QuotaUnit, TeamRule, TeamTable,
+    HomeRegions, KeyDigest, QuotaLimit, QuotaRequest, QuotaTable, QuotaUnit, TeamFlow, TeamRule,
+    TeamTable,
 };
 use onyxfall_policy::Moment;
 use rand::SeedableRng;
@@ -52,18 +53,30 @@
         quotas.set_teams(at(0), limits);
         for region in 0..REGIONS {
             let region = format!("r{region}").parse().unwrap();
-            let demands: Vec<(u32, f64)> = rules.iter().map(|rule| (rule.tag(), 1e3)).collect();
-            quotas.receive(at(0), &region, &demands);
+            let flows: Vec<TeamFlow> = rules
+                .iter()
+                .map(|rule| TeamFlow {
+                    team: rule.tag(),
+                    demand: 1e3,
+                    used: None,
+                })
+                .collect();
+            quotas.receive(at(0), &region, &flows);
         }
         let table = TeamTable::new(rules);
         let mut rng = StdRng::seed_from_u64(1);
         let mut number = 0;
+        let request = QuotaRequest {
+            cost: 2400,
+            rank: 0,
+            time_left: std::time::Duration::from_secs(2),
+        };
         c.bench_function(&format!("admission, {teams} keys"), |b| {
             b.iter(|| {
                 number += 1;
                 let team = table.holder(&digest(number % teams)).unwrap();
                 let tag = table.tag(team);
-                black_box(quotas.admit(at(number * 10), tag, 2400, &mut rng))
+                black_box(quotas.admit(at(number * 10), tag, &request, &mut rng))
             });
         });
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -56,7 +56,9 @@
 };
 pub use pools::MIN_WORKING;
 pub use predict::TimePrediction;
-pub use quota::{QuotaDecision, QuotaPeers, QuotaSettings, QuotaTable};
+pub use quota::{
+    QuotaDecision, QuotaPeers, QuotaReceipt, QuotaRequest, QuotaSettings, QuotaTable, TeamFlow,
+};
 pub use record::{ServerPhase, ServerRecord};
 pub use remote::{RemoteOption, RemoteSearch, RemoteTable, ServiceLoad, goes_remote};
 pub use route::{
@@ -65,7 +67,9 @@
 };
 pub use server::{AttemptResult, ServerState};
 pub use signals::{BackoffSignal, ServerSignals, SignalChanges};
-pub use switches::{ChoicePolicy, DecisionSwitch, DecisionSwitches, QuotaMode, UnknownName};
+pub use switches::{
+    ChoicePolicy, DecisionSwitch, DecisionSwitches, QuotaMode, QuotaSpend, UnknownName,
+};
 pub use team::{KeyDigest, QuotaLimit, QuotaUnit, TeamRule, TeamTable};
 pub use view::{FleetView, REPREFILL_PENALTY, VmLocation};
 pub use work::{PrefillTokens, URGENCIES, WorkShare};
--- a/crates/fleet/src/quota/mod.rs
+++ b/crates/fleet/src/quota/mod.rs
@@ -13,18 +13,22 @@
 //! up to at most the whole, and so do VMs that are connected to less than half of their
 //! region.
 
+mod credit;
+mod own;
 mod partition;
+mod spent;
 mod usage;
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use onyxfall_policy::Moment;
-use onyxfall_types::RegionName;
+use onyxfall_types::{RegionName, name_tag};
 use rand::Rng;
 
-use crate::switches::QuotaMode;
+use crate::switches::{QuotaMode, QuotaSpend};
 use crate::team::QuotaLimit;
+pub use own::QuotaReceipt;
 use partition::{PartitionBucket, PartitionState, QuotaPartition};
 use usage::{RemoteDemand, TeamUsage};
 
@@ -36,6 +40,8 @@
 /// Bounds in seconds of the retry time that a refused caller gets, and its random spread.
 const RETRY_AFTER_RANGE: (f64, f64) = (0.2, 5.0);
 const RETRY_AFTER_SPREAD: (f64, f64) = (0.75, 1.25);
+/// Fraction of the time that a caller has left up to which it honours a retry time.
+const RETRY_FRACTION: f64 = 1.0 / 3.0;
 /// Largest demand that is accepted from other VMs, in units a second.
 const MAX_DEMAND: f64 = 1e12;
 
@@ -45,6 +51,8 @@
 pub struct QuotaSettings {
     /// How quotas are divided among VMs.
     pub way: QuotaMode,
+    /// How a team that exceeds its quota spends it.
+    pub spend: QuotaSpend,
     /// Length of the window.
     pub window: Duration,
     /// Fraction of the quota that may be used in addition.
@@ -58,6 +66,7 @@
     fn default() -> Self {
         Self {
             way: QuotaMode::Pooled,
+            spend: QuotaSpend::Even,
             window: Duration::from_secs(8),
             over: 0.0,
             slack: 0.0,
@@ -107,11 +116,55 @@
     }
 }
 
+/// A request that is to be admitted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaRequest {
+    /// Units that it counts against the quota.
+    pub cost: u64,
+    /// Importance of its kind; 0 is the highest.
+    pub rank: u8,
+    /// Time that the caller has left.
+    pub time_left: Duration,
+}
+
+/// Demand and usage of a team, in units a second.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TeamFlow {
+    /// Tag of the team.
+    pub team: u32,
+    /// Units a second that were asked for.
+    pub demand: f64,
+    /// Units a second that were admitted and not refunded; `None` if they are not metered.
+    pub used: Option<f64>,
+}
+
+/// What a flow under a tag of its own says of a team.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FlowKind {
+    /// Usage of the VMs that meter it.
+    Used,
+    /// Demand on the VMs that meter their usage. It tells the demand whose usage is unknown.
+    Metered,
+}
+
+impl FlowKind {
+    const ALL: [Self; 2] = [Self::Used, Self::Metered];
+
+    /// Tag of a team's flow in messages between VMs.
+    fn tag(self, team: u32) -> u32 {
+        let word = match self {
+            Self::Used => "used",
+            Self::Metered => "metered",
+        };
+        name_tag(&format!("{word} team {team:08x}"))
+    }
+}
+
 /// Decision whether a request is within its team's quota.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum QuotaDecision {
     /// The request is admitted and counted.
-    Admitted,
+    Admitted(QuotaReceipt),
     /// The request is refused.
     Refused {
         /// Time after which a similar request is expected to be admitted.
@@ -130,6 +183,8 @@
     peers: QuotaPeers,
     /// Usage by team tag.
     teams: HashMap<u32, TeamUsage>,
+    /// Team and kind of the flows with tags of their own.
+    flows: HashMap<u32, (u32, FlowKind)>,
 }
 
 impl QuotaTable {
@@ -143,11 +198,10 @@
         self.peers = peers;
     }
 
-    /// Decides whether a request of `cost` units is within its team's quota, and counts it if
-    /// it is. An unknown team has no quota.
+    /// Decides whether a request is within its team's quota, and counts it if it is. An unknown team has no quota.
     ///
     /// ```
-    /// use onyxfall_fleet::{QuotaDecision, QuotaLimit, QuotaTable, QuotaUnit};
+    /// use onyxfall_fleet::{QuotaDecision, QuotaLimit, QuotaRequest, QuotaTable, QuotaUnit};
     /// use onyxfall_policy::Moment;
     /// use rand::SeedableRng;
     /// let mut rng = rand::rngs::StdRng::seed_from_u64(1);
@@ -155,33 +209,54 @@
     /// let mut table = QuotaTable::default();
     /// table.set_teams(Moment::ZERO, [(7, limit)]);
     /// let now = Moment::from_duration(std::time::Duration::from_secs(60));
-    /// assert_eq!(table.admit(now, 7, 1, &mut rng), QuotaDecision::Admitted);
+    /// let time_left = std::time::Duration::from_secs(2);
+    /// let request = QuotaRequest { cost: 1, rank: 0, time_left };
+    /// let decision = table.admit(now, 7, &request, &mut rng);
+    /// assert!(matches!(decision, QuotaDecision::Admitted(_)));
     /// ```
     pub fn admit(
         &mut self,
         now: Moment,
         team: u32,
-        cost: u64,
+        request: &QuotaRequest,
         rng: &mut impl Rng,
     ) -> QuotaDecision {
         let Some(usage) = self.teams.get_mut(&team) else {
-            return QuotaDecision::Admitted;
+            return QuotaDecision::Admitted(QuotaReceipt::default());
         };
-        usage.own.note(now, cost);
+        usage.own.note(now, request.cost);
         usage.settle(now, &self.settings, &self.peers);
         let PartitionState {
             partition,
             bucket,
             chance,
         } = usage.state;
-        let cost = cost as f64;
-        if rng.random::<f64>() < chance {
+        let cost = request.cost as f64;
+        let point = rng.random::<f64>();
+        let is_admitted = match self.settings.spend {
+            QuotaSpend::Even => point < chance,
+            QuotaSpend::ByImportance => {
+                let terms = usage.state.terms(self.peers.vms);
+                let credit = &mut usage.credit;
+                credit.admits(now, &terms, request.rank, cost, point)
+            }
+        };
+        if is_admitted {
             usage.level += cost;
-            return QuotaDecision::Admitted;
+            usage.own_used.admit(now, cost);
+            return QuotaDecision::Admitted(usage.own_part.admit(cost));
         }
-        let spread = rng.random_range(RETRY_AFTER_SPREAD.0..RETRY_AFTER_SPREAD.1);
         let wait = bucket.wait(usage.level, cost);
-        let wait = wait.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1) * spread;
+        let wait = wait.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1);
+        let is_excess = partition.demand > partition.rate;
+        let wait = if self.settings.spend == QuotaSpend::ByImportance && is_excess {
+            // The more is refused, the longer the span over which retries are spread.
+            let latest = request.time_left.as_secs_f64() * RETRY_FRACTION;
+            let first = wait.min(latest);
+            first + (latest - first) * (1.0 - chance) * rng.random::<f64>()
+        } else {
+            wait * rng.random_range(RETRY_AFTER_SPREAD.0..RETRY_AFTER_SPREAD.1)
+        };
         QuotaDecision::Refused {
             retry_after: Duration::from_secs_f64(wait),
             demand: partition.demand,
@@ -189,11 +264,22 @@
         }
     }
 
-    /// Refunds the cost of a request that was admitted but never ran.
-    pub fn give_back(&mut self, team: u32, cost: u64) {
-        if let Some(usage) = self.teams.get_mut(&team) {
-            usage.level = (usage.level - cost as f64).max(0.0);
+    /// Refunds the cost of a request that was admitted with `receipt` but never ran. By
+    /// importance, what has drained already is refunded only up to an allowance: subtracted from
+    /// later usage, it admits more than the quota.
+    pub fn give_back(&mut self, now: Moment, team: u32, cost: u64, receipt: QuotaReceipt) {
+        let Some(usage) = self.teams.get_mut(&team) else {
+            return;
+        };
+        let mut cost = cost as f64;
+        if self.settings.spend == QuotaSpend::ByImportance {
+            usage.settle(now, &self.settings, &self.peers);
+            let allowance = usage.state.terms(self.peers.vms).step();
+            cost = usage.own_part.refund(now, cost, receipt, allowance);
+            usage.own_used.refund(now, cost);
+            usage.credit.give_back(cost);
         }
+        usage.level = (usage.level - cost).max(0.0);
     }
 
     /// Demand of each team at this VM, as its tag and units a second.
@@ -202,16 +288,63 @@
         teams.map(move |(tag, usage)| (*tag, usage.own.per_second(now)))
     }
 
-    /// Demand of each team in this region, as its tag and units a second.
-    pub fn region_demand(&self, now: Moment) -> impl Iterator<Item = (u32, f64)> {
-        let teams = self.teams.iter();
-        teams.map(move |(tag, usage)| (*tag, usage.region_demand(now)))
+    /// Flows of this VM for the sums of its region, as tags and units a second: the demand of
+    /// each team and, where quotas are spent by importance, its usage.
+    pub fn own_flows(&self, now: Moment) -> impl Iterator<Item = (u32, f64)> {
+        let metered = self.flows.iter().filter(|_| self.meters_usage());
+        let metered = metered.filter_map(move |(tag, (team, kind))| {
+            let usage = self.teams.get(team)?;
+            let flow = match kind {
+                FlowKind::Used => usage.own_used.per_second(now),
+                FlowKind::Metered => usage.own.per_second(now),
+            };
+            Some((*tag, flow))
+        });
+        self.own_demand(now).chain(metered)
     }
 
-    /// Last reported demand of each team in another region, as its tag and units a second.
-    pub fn demand_of(&self, region: &RegionName) -> impl Iterator<Item = (u32, f64)> {
-        let teams = self.teams.iter();
-        teams.filter_map(|(tag, usage)| Some((*tag, usage.remote.get(region)?.rate)))
+    /// Demand and usage of each team in this region.
+    pub fn region_flows(&self, now: Moment) -> impl Iterator<Item = TeamFlow> {
+        let meters_usage = self.meters_usage();
+        self.teams.iter().map(move |(tag, usage)| TeamFlow {
+            team: *tag,
+            demand: usage.region_demand(now),
+            used: meters_usage.then(|| usage.region_used(now)),
+        })
+    }
+
+    /// Last reported demand and usage of each team in another region.
+    pub fn flows_of(&self, region: &RegionName) -> impl Iterator<Item = TeamFlow> {
+        self.teams.iter().filter_map(|(tag, usage)| {
+            let report = usage.remote.get(region)?;
+            Some(TeamFlow {
+                team: *tag,
+                demand: report.rate,
+                used: report.used,
+            })
+        })
+    }
+
+    fn meters_usage(&self) -> bool {
+        self.settings.spend == QuotaSpend::ByImportance
+    }
+
+    /// Sets the sum of a flow of [`Self::own_flows`] at the other VMs of this region. Returns
+    /// whether the tag is known.
+    pub fn set_peer_flow(&mut self, now: Moment, tag: u32, flow: f64) -> bool {
+        let Some((team, kind)) = self.flows.get(&tag) else {
+            return self.set_peer_demand(now, tag, flow);
+        };
+        let Some(usage) = self.teams.get_mut(team) else {
+            return false;
+        };
+        let flow = flow.clamp(0.0, MAX_DEMAND);
+        match kind {
+            FlowKind::Used => usage.peers_used = flow,
+            FlowKind::Metered => usage.peers_metered = flow,
+        }
+        usage.settle(now, &self.settings, &self.peers);
+        true
     }
 
     /// Sets a team's demand at the other VMs of this region. Returns whether the team is known.
@@ -224,27 +357,32 @@
         true
     }
 
-    /// Records the demands of another region, which were sent at `sent`. Teams that are not
+    /// Records the demand and usage of teams in another region, which were sent at `sent`. Teams that are not
     /// listed have no demand there.
-    pub fn receive(&mut self, sent: Moment, region: &RegionName, demands: &[(u32, f64)]) {
+    pub fn receive(&mut self, sent: Moment, region: &RegionName, flows: &[TeamFlow]) {
         for usage in self.teams.values_mut() {
             if let Some(latest) = usage.remote.get_mut(region)
                 && latest.sent < sent
             {
-                *latest = RemoteDemand { rate: 0.0, sent };
+                *latest = RemoteDemand {
+                    rate: 0.0,
+                    used: None,
+                    sent,
+                };
             }
         }
-        for (team, rate) in demands {
-            let Some(usage) = self.teams.get_mut(team) else {
+        for flow in flows {
+            let Some(usage) = self.teams.get_mut(&flow.team) else {
                 continue;
             };
-            let rate = rate.clamp(0.0, MAX_DEMAND);
-            let latest = usage
-                .remote
-                .entry(region.clone())
-                .or_insert(RemoteDemand { rate, sent });
+            let report = RemoteDemand {
+                rate: flow.demand.clamp(0.0, MAX_DEMAND),
+                used: flow.used.map(|used| used.clamp(0.0, MAX_DEMAND)),
+                sent,
+            };
+            let latest = usage.remote.entry(region.clone()).or_insert(report);
             if latest.sent <= sent {
-                *latest = RemoteDemand { rate, sent };
+                *latest = report;
             }
         }
     }
@@ -252,6 +390,7 @@
     /// Sets the teams of a configuration with their quotas, and drops all other teams.
     pub fn set_teams(&mut self, now: Moment, teams: impl IntoIterator<Item = (u32, QuotaLimit)>) {
         let mut previous = std::mem::take(&mut self.teams);
+        self.flows.clear();
         for (team, limit) in teams {
             let known = previous.remove(&team);
             let mut usage =
@@ -259,6 +398,8 @@
             usage.limit = limit;
             usage.settle(now, &self.settings, &self.peers);
             self.teams.insert(team, usage);
+            let flows = FlowKind::ALL.map(|kind| (kind.tag(team), (team, kind)));
+            self.flows.extend(flows);
         }
     }
 
--- a/crates/fleet/src/quota/partition.rs
+++ b/crates/fleet/src/quota/partition.rs
@@ -4,6 +4,7 @@
 //! a region or fewer.
 
 use super::QuotaSettings;
+use super::credit::CreditTerms;
 use crate::team::QuotaLimit;
 
 /// Least fraction of a bucket in which nothing is refused.
@@ -25,8 +26,10 @@
     pub(super) share: f64,
     /// Demand on the partition in units a second.
     pub(super) demand: f64,
-    /// `demand` without that on this VM.
+    /// `demand` without that on this VM and on VMs whose usage is reported.
     pub(super) others: f64,
+    /// Reported usage of other VMs, in units a second.
+    pub(super) others_used: f64,
 }
 
 impl QuotaPartition {
@@ -38,6 +41,7 @@
             share,
             demand,
             others: 0.0,
+            others_used: 0.0,
         }
     }
 }
@@ -111,4 +115,13 @@
             chance: bucket.chance(level, partition.demand),
         }
     }
+
+    /// Bounds of the credit of one of `vms` VMs.
+    pub(super) fn terms(&self, vms: usize) -> CreditTerms {
+        CreditTerms {
+            chance: self.chance,
+            reserve: self.bucket.capacity - self.bucket.free,
+            vms,
+        }
+    }
 }
--- a/crates/fleet/src/switches.rs
+++ b/crates/fleet/src/switches.rs
@@ -86,6 +86,16 @@
     }
 }
 
+named_values! {
+    /// How a team that exceeds its quota spends it.
+    QuotaSpend, "quota spending", {
+        /// All requests are refused with the same probability.
+        Even = "even",
+        /// Important and small requests are admitted first.
+        ByImportance = "by-importance",
+    }
+}
+
 named_values! {
     /// Mechanism that can be turned off.
     DecisionSwitch, "mechanism", {
--- a/crates/fleet/tests/quota.rs
+++ b/crates/fleet/tests/quota.rs
@@ -10,7 +10,8 @@
 
 use expect_test::expect;
 use onyxfall_fleet::{
-    QuotaDecision, QuotaLimit, QuotaMode, QuotaPeers, QuotaSettings, QuotaTable, QuotaUnit,
+    QuotaDecision, QuotaLimit, QuotaMode, QuotaPeers, QuotaRequest, QuotaSettings, QuotaSpend,
+    QuotaTable, QuotaUnit, TeamFlow,
 };
 use onyxfall_policy::Moment;
 use onyxfall_types::RegionName;
@@ -82,6 +83,7 @@
 
 const SETTINGS: QuotaSettings = QuotaSettings {
     way: QuotaMode::Pooled,
+    spend: QuotaSpend::Even,
     window: Duration::from_secs(8),
     over: 0.1,
     slack: 140_000.0,
@@ -91,8 +93,19 @@
     tables: Vec<QuotaTable>,
     regions: Vec<RegionName>,
     rng: StdRng,
-    /// Past demand of each VM, newest last.
-    history: VecDeque<Vec<f64>>,
+    /// What the VMs have measured, newest last.
+    history: VecDeque<FleetFlows>,
+}
+
+/// What the VMs measured at one time.
+struct FleetFlows {
+    /// Demand of each VM.
+    demands: Vec<f64>,
+    /// Flows of each VM under tags of their own, by tag.
+    flows: Vec<Vec<(u32, f64)>>,
+    /// Usage of each region as its first VM knows it. With the age of its sums it reaches other
+    /// regions 0.15 s later than the demand.
+    used: Vec<Option<f64>>,
 }
 
 /// Results of one run.
@@ -107,7 +120,7 @@
 }
 
 impl Fleet {
-    fn new(case: &QuotaCase, way: QuotaMode, seed: u64) -> Self {
+    fn new(case: &QuotaCase, mode: QuotaSettings, seed: u64) -> Self {
         let names = ["ra", "rb", "rc"];
         let mut fleet = Self {
             tables: Vec::new(),
@@ -117,14 +130,14 @@
         };
         let start = Moment::ZERO;
         fleet.tables = (0..case.vms)
-            .map(|_| fleet.table(case, way, start))
+            .map(|_| fleet.table(case, mode, start))
             .collect();
         fleet
     }
 
-    fn table(&self, case: &QuotaCase, way: QuotaMode, now: Moment) -> QuotaTable {
+    fn table(&self, case: &QuotaCase, mode: QuotaSettings, now: Moment) -> QuotaTable {
         let mut table = QuotaTable::default();
-        table.set_settings(QuotaSettings { way, ..SETTINGS });
+        table.set_settings(mode);
         table.set_peers(self.peers(case, 1.0));
         table.set_teams(now, [(TEAM, limit(case))]);
         table
@@ -149,7 +162,22 @@
             let mut own = table.own_demand(now);
             own.next().map_or(0.0, |(_, demand)| demand)
         });
-        self.history.push_back(demands.collect());
+        let regions = 0..self.regions.len();
+        let used = regions.map(|vm| {
+            let mut flows = self.tables[vm].region_flows(now);
+            flows.next().and_then(|flow| flow.used)
+        });
+        let flows = self.tables.iter().map(|table| {
+            let flows = table.own_flows(now);
+            let mut flows: Vec<_> = flows.filter(|(tag, _)| *tag != TEAM).collect();
+            flows.sort_unstable_by_key(|(tag, _)| *tag);
+            flows
+        });
+        self.history.push_back(FleetFlows {
+            demands: demands.collect(),
+            flows: flows.collect(),
+            used: used.collect(),
+        });
         if self.history.len() > REMOTE_LAG + 1 {
             self.history.pop_front();
         }
@@ -168,12 +196,26 @@
             },
         );
         if let Some(peers_at) = self.history.len().checked_sub(PEER_LAG + 1) {
-            let demands = self.history[peers_at].clone();
-            let sums = self.region_sums(&demands);
+            let FleetFlows { demands, flows, .. } = &self.history[peers_at];
+            let sums = self.region_sums(demands);
+            let mut flow_sums = vec![Vec::new(); self.regions.len()];
+            for (vm, flows) in flows.iter().enumerate() {
+                let sums = &mut flow_sums[self.region_of(vm)];
+                sums.resize(flows.len(), 0.0);
+                for (sum, (_, flow)) in sums.iter_mut().zip(flows) {
+                    *sum += flow;
+                }
+            }
             for vm in 0..case.vms {
                 let others = sums[self.region_of(vm)] - demands[vm];
                 self.tables[vm].set_peers(peers);
                 self.tables[vm].set_peer_demand(now, TEAM, if is_isolated { 0.0 } else { others });
+                let flows = self.history[peers_at].flows[vm].iter();
+                for ((tag, own), sum) in flows.zip(&flow_sums[vm % self.regions.len()]) {
+                    let others = sum - own;
+                    let others = if is_isolated { 0.0 } else { others };
+                    self.tables[vm].set_peer_flow(now, *tag, others);
+                }
             }
         }
         if !step.is_multiple_of(REMOTE_INTERVAL)
@@ -183,13 +225,20 @@
         {
             return;
         }
-        for (region, sum) in self.region_sums(&self.history[0]).into_iter().enumerate() {
+        let oldest = &self.history[0];
+        let sums = self.region_sums(&oldest.demands).into_iter().enumerate();
+        for (region, demand) in sums {
+            let flow = TeamFlow {
+                team: TEAM,
+                demand,
+                used: oldest.used[region],
+            };
             let sent = at(step - REMOTE_LAG);
             for vm in 0..case.vms {
-                if self.region_of(vm) == region {
+                if vm % self.regions.len() == region {
                     continue;
                 }
-                self.tables[vm].receive(sent, &self.regions[region], &[(TEAM, sum)]);
+                self.tables[vm].receive(sent, &self.regions[region], &[flow]);
             }
         }
     }
@@ -202,14 +251,14 @@
         sums
     }
 
-    fn run(&mut self, case: &QuotaCase, way: QuotaMode) -> RunResults {
+    fn run(&mut self, case: &QuotaCase, mode: QuotaSettings) -> RunResults {
         let mean = LONG_FRACTION * LONG + (1.0 - LONG_FRACTION) * SHORT;
         let mut admitted: Vec<f64> = Vec::new();
         let (mut calm, mut refused) = (0.0, 0.0);
         for step in 0..RUN_STEPS {
             if case.fault == Fault::PowerLoss && step == 800 {
                 self.tables = (0..case.vms)
-                    .map(|_| self.table(case, way, at(step)))
+                    .map(|_| self.table(case, mode, at(step)))
                     .collect();
                 self.history.clear();
             }
@@ -225,11 +274,16 @@
                 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
                 let cost = size as u64;
                 let table = &mut self.tables[vm];
-                let decision = table.admit(at(step), TEAM, cost, &mut self.rng);
+                let request = QuotaRequest {
+                    cost,
+                    rank: if is_long { 0 } else { 2 },
+                    time_left: Duration::from_secs(2),
+                };
+                let decision = table.admit(at(step), TEAM, &request, &mut self.rng);
                 let is_calm = case.surge <= 1.0 || !(600..=1700).contains(&step);
                 calm += f64::from(u8::from(is_calm));
                 match decision {
-                    QuotaDecision::Admitted => admitted_now += size,
+                    QuotaDecision::Admitted(_) => admitted_now += size,
                     QuotaDecision::Refused { .. } => refused += f64::from(u8::from(is_calm)),
                 }
             }
@@ -338,12 +392,26 @@
 #[test]
 fn a_surge_is_limited_to_the_quota_and_requests_within_it_are_admitted() {
     let mut table = String::new();
-    for way in [QuotaMode::EqualParts, QuotaMode::Pooled] {
-        let _ = writeln!(table, "{way:<31} window refused surge");
+    let modes = [
+        (QuotaMode::EqualParts, QuotaSpend::Even),
+        (QuotaMode::Pooled, QuotaSpend::Even),
+        (QuotaMode::Pooled, QuotaSpend::ByImportance),
+    ];
+    for (way, spend) in modes {
+        let mode = QuotaSettings {
+            way,
+            spend,
+            ..SETTINGS
+        };
+        let title = match spend {
+            QuotaSpend::Even => way.to_string(),
+            QuotaSpend::ByImportance => format!("{way}, {spend}"),
+        };
+        let _ = writeln!(table, "{title:<31} window refused surge");
         for case in cases() {
             let mut worst = RunResults::default();
             for seed in [1, 2, 3] {
-                let run = Fleet::new(&case, way, seed).run(&case, way);
+                let run = Fleet::new(&case, mode, seed).run(&case, mode);
                 worst.worst_window = worst.worst_window.max(run.worst_window);
                 worst.refused_calm += run.refused_calm / 3.0;
                 worst.used_in_surge += run.used_in_surge / 3.0;
@@ -364,7 +432,7 @@
         }
     }
     expect![[r"
-        equal-parts window refused surge
+        equal-parts                     window refused surge
         small, normal                      42   17.99     42
         large, normal                      42    8.70     49
         small, x 7.5                       96   26.96    184
@@ -383,7 +451,7 @@
         large, power loss                  42    8.58     49
         small, power loss                  43   13.88     45
         large, x 7.5, power loss           82    8.71    114
-        pooled window refused surge
+        pooled                          window refused surge
         small, normal                      47    0.00     49
         large, normal                      48    0.00     56
         small, x 7.5                       93    0.00    177
@@ -402,6 +470,25 @@
         large, power loss                  48    0.12     56
         small, power loss                  47    3.56     36
         large, x 7.5, power loss           98    0.00    135
+        pooled, by-importance           window refused surge
+        small, normal                      47    0.00     49
+        large, normal                      48    0.00     56
+        small, x 7.5                       96    0.00    179
+        middle, x 7.5                      89    0.00    123
+        large, x 7.5                       86    0.00    118
+        large, x 9                         87    0.00    119
+        large, x 12                        88    0.00    119
+        large, x 7.5, 6 VMs                85    0.00    115
+        large, x 7.5, 294 VMs              91    0.00    122
+        large, traffic shift               48    0.00     56
+        small, traffic shift               47    0.00     49
+        large, partition                   48    0.00     56
+        large, x 7.5, partition            91    0.00    121
+        small, x 7.5, partition           138    0.00    206
+        large, x 7.5, VMs isolated         68    2.02     93
+        large, power loss                  48    0.41     55
+        small, power loss                  47    3.10     39
+        large, x 7.5, power loss           91    0.00    124
     "]]
     .assert_eq(&table);
 }
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -31,7 +31,7 @@
 use crate::relay::handle_relayed;
 use crate::serve::{CallFailure, serve};
 use crate::shutdown::{accepts, closes_connections, wait_for_close};
-use crate::teams::{QuotaCharge, admit, identify};
+use crate::teams::{CallerStanding, QuotaCharge, admit, identify};
 
 /// Most connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
@@ -256,7 +256,13 @@
         return Err(error.with_retry_after(Duration::from_millis(50)));
     }
     let charge = match team {
-        Some((teams, id)) => admit(gateway, teams, id, &call.request_id, &call.prompt)?,
+        Some((teams, id)) => {
+            let standing = CallerStanding {
+                rank: rule.priority,
+                time_left,
+            };
+            admit(gateway, teams, id, &call.request_id, &call.prompt, standing)?
+        }
         None => None,
     };
     let body = match read_body(body, table.limits().max_body, time_left).await {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -181,6 +181,7 @@
         return defaults;
     };
     let way = section.or_default("way", defaults.way, faults);
+    let spend = section.or_default("spend", defaults.spend, faults);
     let window = defaults.window.as_secs_f64();
     let window = section.ranged("window-s", window, QUOTA_WINDOW_S, faults);
     let over = section.ranged("over", defaults.over, 0.0..=1.0, faults);
@@ -188,6 +189,7 @@
     section.finish(faults);
     QuotaSettings {
         way,
+        spend,
         window: Duration::from_secs_f64(window),
         over,
         slack,
--- a/crates/gateway/src/teams.rs
+++ b/crates/gateway/src/teams.rs
@@ -3,10 +3,12 @@
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::rc::Rc;
+use std::time::Duration;
 
 use onyxfall_adapter::CallerCredential;
 use onyxfall_fleet::{
-    PromptSize, QuotaDecision, QuotaLimit, QuotaPeers, RouteRule, RouteTable, TeamRule, TeamTable,
+    PromptSize, QuotaDecision, QuotaLimit, QuotaPeers, QuotaReceipt, QuotaRequest, RouteRule,
+    RouteTable, TeamRule, TeamTable,
 };
 use onyxfall_overlay::KnownVm;
 use onyxfall_policy::Moment;
@@ -22,13 +24,23 @@
     team: TeamName,
     tag: u32,
     cost: u64,
+    receipt: QuotaReceipt,
+}
+
+/// Importance of a request, and the time that its caller has left.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct CallerStanding {
+    /// Rank of the route; 0 is the highest. The rank of the team is the same for all requests
+    /// of a quota.
+    pub(crate) rank: u8,
+    pub(crate) time_left: Duration,
 }
 
 impl QuotaCharge {
     /// Refunds the charge of a request that did not run.
     pub(crate) fn refund(self) {
         let mut quotas = self.gateway.quotas.borrow_mut();
-        quotas.give_back(self.tag, self.cost);
+        quotas.give_back(self.gateway.now(), self.tag, self.cost, self.receipt);
         let metrics = &self.gateway.metrics;
         metrics.count_team(self.team.as_str(), QuotaOutcome::Refunded, self.cost);
     }
@@ -61,30 +73,38 @@
     team: TeamId,
     request_id: &str,
     prompt: &PromptSize,
+    standing: CallerStanding,
 ) -> Result<Option<QuotaCharge>, RequestError> {
     let rule = teams.rule(team);
     let Some(limit) = &rule.quota else {
         return Ok(None);
     };
     let (tag, cost) = (teams.tag(team), limit.unit.cost(prompt));
+    let now = gateway.now();
+    let request = QuotaRequest {
+        cost,
+        rank: standing.rank,
+        time_left: standing.time_left,
+    };
     let decision = {
         let mut quotas = gateway.quotas.borrow_mut();
         let rng = &mut *gateway.rng.borrow_mut();
-        quotas.admit(gateway.now(), tag, cost, rng)
+        quotas.admit(now, tag, &request, rng)
     };
     let outcome = match decision {
-        QuotaDecision::Admitted => QuotaOutcome::Admitted,
+        QuotaDecision::Admitted(_) => QuotaOutcome::Admitted,
         QuotaDecision::Refused { .. } => QuotaOutcome::Refused,
     };
     gateway
         .metrics
         .count_team(rule.name.as_str(), outcome, cost);
     match decision {
-        QuotaDecision::Admitted => Ok(Some(QuotaCharge {
+        QuotaDecision::Admitted(receipt) => Ok(Some(QuotaCharge {
             gateway: Rc::clone(gateway),
             team: rule.name.clone(),
             tag,
             cost,
+            receipt,
         })),
         QuotaDecision::Refused {
             retry_after,
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -6,7 +6,7 @@
 
 use onyxfall_fleet::{
     CallRequirements, CopyState, CostSource, CostView, HomeRegions, PromptSize, ServiceLoad,
-    TimePrediction, WorkShare,
+    TeamFlow, TimePrediction, WorkShare,
 };
 use onyxfall_overlay::{LinkRelation, LinkState, ServerTag, VmStatus, WorkEntry};
 use onyxfall_policy::Moment;
@@ -155,13 +155,13 @@
         }
     }
 
-    /// Sets the rate that other VMs report under a tag that is not a server's: a team's demand,
-    /// or a request rate in thousandths.
+    /// Sets the rate that other VMs report under a tag that is not a server's: a team's demand
+    /// or usage, or a request rate in thousandths.
     fn apply_rate(&self, now: Moment, tag: ServerTag, flow: u64) {
         if self
             .quotas
             .borrow_mut()
-            .set_peer_demand(now, tag.0, flow as f64)
+            .set_peer_flow(now, tag.0, flow as f64)
         {
             return;
         }
@@ -196,9 +196,9 @@
         let rates = fleet.own_rates(now).chain(away.own_rates(now));
         let rates = rates.map(|(tag, rate)| (tag, thousandths(rate).into()));
         let quotas = self.quotas.borrow();
-        let demands = quotas.own_demand(now);
-        let demands = demands.map(|(tag, demand)| (tag, whole(demand)));
-        let flows = rates.chain(demands).map(|(tag, flow)| WorkEntry {
+        let team_flows = quotas.own_flows(now);
+        let team_flows = team_flows.map(|(tag, flow)| (tag, whole(flow)));
+        let flows = rates.chain(team_flows).map(|(tag, flow)| WorkEntry {
             server: ServerTag(tag),
             share: WorkShare {
                 flow,
@@ -221,7 +221,7 @@
                 region: self.settings().place.region.to_string(),
                 age_ms: 0,
                 services: self.own_loads(now),
-                teams: demand_entries(self.quotas.borrow().region_demand(now)),
+                teams: demand_entries(self.quotas.borrow().region_flows(now)),
                 evidence: self.region_evidence(),
             }],
             LinkRelation::Digest | LinkRelation::StandbyDigest => self
@@ -236,7 +236,7 @@
                         .iter()
                         .map(|(tag, load)| load_entry(*tag, load))
                         .collect(),
-                    teams: demand_entries(self.quotas.borrow().demand_of(region)),
+                    teams: demand_entries(self.quotas.borrow().flows_of(region)),
                     evidence: self.remote_evidence(region),
                 })
                 .collect(),
@@ -265,15 +265,19 @@
                 .iter()
                 .map(|entry| (entry.service, load_from_entry(entry)));
             let reported_at = now.before(age);
-            let demands: Vec<(u32, f64)> = update
+            let flows: Vec<TeamFlow> = update
                 .teams
                 .iter()
-                .map(|entry| (entry.team, entry.demand as f64))
+                .map(|entry| TeamFlow {
+                    team: entry.team,
+                    demand: entry.demand as f64,
+                    used: entry.used.map(|used| used as f64),
+                })
                 .collect();
             self.apply_remote_evidence(&region, &update.evidence);
             self.quotas
                 .borrow_mut()
-                .receive(reported_at, &region, &demands);
+                .receive(reported_at, &region, &flows);
             self.remote_table
                 .borrow_mut()
                 .apply(reported_at, &region, trip, loads.collect());
@@ -366,11 +370,12 @@
     }
 }
 
-fn demand_entries(demands: impl Iterator<Item = (u32, f64)>) -> Vec<TeamDemandEntry> {
-    demands
-        .map(|(team, demand)| TeamDemandEntry {
-            team,
-            demand: whole(demand),
+fn demand_entries(flows: impl Iterator<Item = TeamFlow>) -> Vec<TeamDemandEntry> {
+    flows
+        .map(|flow| TeamDemandEntry {
+            team: flow.team,
+            demand: whole(flow.demand),
+            used: flow.used.map(whole),
         })
         .filter(|entry| entry.demand > 0)
         .collect()
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -617,6 +617,9 @@
     /// Demand in units of the team's limit per second.
     #[prost(uint64, tag = "2")]
     pub demand: u64,
+    /// Units a second that were admitted and not refunded; missing if they are not metered.
+    #[prost(uint64, optional, tag = "3")]
+    pub used: Option<u64>,
 }
 
 /// Free capacity of a region for one service.
