Gateway: account of held bytes with a bound for new requests

Cause: a VM over its memory is killed, and nothing bounded what it held for slow callers: bodies of slow uploads, buffered responses, unread streams.

Change: HeldAccount counts request bodies, whole responses while they are buffered and sent, chunks of streams until the caller's connection has taken them, and incomplete events. With `[vm] memory-mb`, a request whose body would take the account past a quarter of the memory is refused with 503, not run, with a retry delay; requests being served continue. A caller that takes nothing for 10 s while bytes wait is disconnected with one log line. The kernel's user timeout (1.5 s) already ends most of them; that end now has the same line. Unsent bytes in the kernel are limited to 64 KiB for each caller's connection, so that a slow reader shows progress.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 
 use crate::connection::DialPlan;
 use crate::copies::{CachedParts, IncomingCopy};
+use crate::held::HeldAccount;
 use crate::metrics::GatewayMetrics;
 use crate::pool::ConnectionPool;
 use crate::relays::RelayTable;
@@ -94,6 +95,8 @@
     pub(crate) cached_parts: RefCell<CachedParts>,
     /// Copy of the store that is being received from another VM.
     pub(crate) incoming_copy: RefCell<Option<IncomingCopy>>,
+    /// Bytes held for callers.
+    pub(crate) held: HeldAccount,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) shutdown_requested: Cell<Option<BootInstant>>,
     pub(crate) open_requests: Cell<usize>,
@@ -154,6 +157,7 @@
         fleet.set_unix_start(unix_start);
         fleet.set_switches(settings.switches.clone());
         fleet.set_reprefill_penalty(settings.costs.reprefill_penalty);
+        let held = HeldAccount::new(HeldAccount::bound_for(settings.memory));
         let mut quotas = QuotaTable::default();
         quotas.set_settings(settings.quotas);
         Self {
@@ -181,7 +185,8 @@
             watch_order: RefCell::default(),
             cached_parts: RefCell::default(),
             incoming_copy: RefCell::default(),
-            metrics: GatewayMetrics::default(),
+            metrics: GatewayMetrics::new(held.clone()),
+            held,
             shutdown_requested: Cell::new(None),
             open_requests: Cell::new(0),
             open_streams: Cell::new(0),
@@ -213,6 +218,7 @@
         fleet.set_switches(settings.switches.clone());
         fleet.set_reprefill_penalty(settings.costs.reprefill_penalty);
         self.quotas.borrow_mut().set_settings(settings.quotas);
+        self.held.set_bound(HeldAccount::bound_for(settings.memory));
         self.overlay.borrow_mut().set_seeds(settings.seeds.clone());
         *self.settings.borrow_mut() = Rc::new(settings);
     }
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -11,8 +11,7 @@
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER, WWW_AUTHENTICATE};
 use http::{HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -20,15 +19,19 @@
 use onyxfall_clock::BootInstant;
 use onyxfall_fleet::{CallRequirements, ResponseShape, RouteRule, RouteTable, TeamRule};
 use onyxfall_types::{RefusalReason, RequestError, RunVerdict};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
-use crate::body::ReplyBody;
+use crate::body::{BodyError, HoldRule, ReplyBody, collect_body};
 use crate::call::{CallContext, CallOrigin, CallRules, ResponseRule};
+use crate::caller_stream::{CallerStream, StalledWrite};
 use crate::connection::set_socket_options;
 use crate::directory::handle_directory;
 use crate::gateway::Gateway;
+use crate::held::HeldFull;
 use crate::links::serve_links;
 use crate::relay::handle_relayed;
+use crate::report::millis;
 use crate::serve::{CallFailure, serve};
 use crate::shutdown::{accepts, closes_connections, wait_for_close};
 use crate::teams::{QuotaCharge, admit, identify};
@@ -44,6 +47,13 @@
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Retry delay sent to a caller before the first configuration is loaded.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+/// Retry delay sent to a caller whose request found the account of held bytes full: bytes are
+/// released as other requests end, most of them within a goal of some hundred milliseconds.
+const HELD_FULL_RETRY: Duration = Duration::from_millis(500);
+/// Most bytes that the kernel takes for a caller without sending them; it takes more when half
+/// of them are sent. Without this limit, its buffer grows to megabytes and takes more only when a
+/// third of it is free, so that a slow caller looks like one that reads nothing.
+const MAX_UNSENT: u32 = 64 * 1024;
 /// Step between the urgencies of two priorities, so that the admission order of a model
 /// server follows the route's rank. 5 stands for none.
 const URGENCY_STEP: u8 = 2;
@@ -136,12 +146,13 @@
             Ok::<_, Infallible>(response)
         }
     });
+    let stream = watch_stalls(Rc::clone(&gateway), stream);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .auto_date_header(false)
         .max_buf_size(head.max(MIN_BUFFER))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(stream, service);
     tokio::task::spawn_local(async move {
         let mut connection = std::pin::pin!(connection);
         let ended = tokio::select! {
@@ -157,6 +168,26 @@
     });
 }
 
+/// Wraps a connection so that it ends when its caller reads nothing while bytes wait.
+fn watch_stalls(
+    gateway: Rc<Gateway>,
+    stream: TcpStream,
+) -> CallerStream<TokioIo<TcpStream>, impl Fn(StalledWrite)> {
+    if let Err(e) = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT) {
+        log::warn!(error:% = e; "cannot limit the unsent bytes of a connection");
+    }
+    let address = stream.peer_addr().ok().map(|address| address.to_string());
+    CallerStream::new(TokioIo::new(stream), move |stalled| {
+        gateway.metrics.count("onyxfall_stalled_callers_total");
+        log::info!(
+            caller = address.as_deref().unwrap_or("unknown"),
+            waited_ms = millis(stalled.waited),
+            ended_by = stalled.end.as_str();
+            "caller disconnected: it read nothing while bytes waited for it"
+        );
+    })
+}
+
 /// Counts a request as open until dropped.
 pub(crate) struct OpenRequest(Rc<Gateway>);
 
@@ -259,7 +290,7 @@
         Some((teams, id)) => admit(gateway, teams, id, &call.request_id, &call.prompt)?,
         None => None,
     };
-    let body = match read_body(body, table.limits().max_body, time_left).await {
+    let body = match read_body(gateway, body, table.limits().max_body, time_left).await {
         Ok(body) => body,
         Err(error) => {
             charge.into_iter().for_each(QuotaCharge::refund);
@@ -329,20 +360,29 @@
     }
 }
 
-/// Receives a body of at most `limit` bytes.
+/// Receives a body of at most `limit` bytes. Fails at once if the account of held bytes has no
+/// room for its declared length, and later as soon as it has none for the next chunk.
 pub(crate) async fn read_body(
+    gateway: &Gateway,
     body: Incoming,
     limit: usize,
     time_left: Duration,
 ) -> Result<Bytes, RequestError> {
-    let reading = Limited::new(body, limit).collect();
+    let refuse = |full| held_full(gateway, full, time_left);
+    let declared = body.size_hint().lower();
+    if usize::try_from(declared).is_ok_and(|declared| declared <= limit) {
+        gateway.held.check(declared).map_err(refuse)?;
+    }
+    let held = gateway.held.try_hold(0).map_err(refuse)?;
+    let reading = collect_body(body, limit, held, HoldRule::WithinBound);
     match tokio::time::timeout(time_left, reading).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => Err(RequestError::not_run(
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(BodyError::TooLarge)) => Err(RequestError::not_run(
             RefusalReason::TooLarge,
             "the body is too large",
         )),
-        Ok(Err(e)) => {
+        Ok(Err(BodyError::Held(full))) => Err(refuse(full)),
+        Ok(Err(BodyError::Broken(e))) => {
             let detail = format!("cannot receive the body: {e}");
             Err(RequestError::not_run(RefusalReason::BadRequest, detail))
         }
@@ -353,6 +393,13 @@
     }
 }
 
+/// Counts and describes the refusal of a request whose body cannot be held.
+fn held_full(gateway: &Gateway, full: HeldFull, time_left: Duration) -> RequestError {
+    gateway.metrics.count("onyxfall_held_refusals_total");
+    RequestError::not_run(RefusalReason::Overloaded, full.to_string())
+        .with_retry_after(HELD_FULL_RETRY.min(time_left / 3))
+}
+
 /// Status code of a rejection. 503 promises that the request did not run; 502 and 504
 /// promise nothing.
 fn rejection_status(error: &RequestError) -> StatusCode {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -7,6 +7,8 @@
 
 use hdrhistogram::Histogram;
 
+use crate::held::HeldAccount;
+
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.95, 0.99];
 /// Largest recorded time in microseconds: two minutes.
 const MAX_MICROS: u64 = 120_000_000;
@@ -46,9 +48,19 @@
     store_calls: RefCell<BTreeMap<&'static str, u64>>,
     /// Quota units by team and outcome.
     team_units: RefCell<BTreeMap<String, BTreeMap<QuotaOutcome, u64>>>,
+    /// Bytes held for callers.
+    held: HeldAccount,
 }
 
 impl GatewayMetrics {
+    /// Creates metrics that include the bytes in `held`.
+    pub(crate) fn new(held: HeldAccount) -> Self {
+        Self {
+            held,
+            ..Self::default()
+        }
+    }
+
     /// Records the end of a request of `route`.
     pub(crate) fn record_end(&self, route: &str, outcome: &str, age: Duration) {
         let key = (route.to_owned(), outcome.to_owned());
@@ -118,6 +130,7 @@
                 let _ = writeln!(out, "onyxfall_team_units_total{{{labels}}} {units}");
             }
         }
+        let _ = writeln!(out, "onyxfall_held_bytes {}", self.held.held().bytes());
         for (name, count) in self.counters.borrow().iter() {
             let _ = writeln!(out, "{name} {count}");
         }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -9,13 +9,12 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
 use onyxfall_adapter::{response_headers, set_last_event};
 use onyxfall_fleet::{AttemptResult, TimePrediction};
 use onyxfall_types::{RefusalReason, RequestError, RunVerdict, ServerId, VmName};
 
 use crate::attempt::{AttemptEnd, UpstreamResponse, try_peer, try_server};
-use crate::body::ReplyBody;
+use crate::body::{HoldRule, ReplyBody, collect_body};
 use crate::call::SharedCall;
 use crate::decide::RouteStep;
 use crate::gateway::Gateway;
@@ -330,9 +329,15 @@
     call: &SharedCall,
     mut response: UpstreamResponse,
 ) -> Option<WholeResponse> {
-    let collecting = Limited::new(&mut response.body, MAX_BUFFERED_BODY).collect();
+    let held = gateway.held.hold(0);
+    let collecting = collect_body(
+        &mut response.body,
+        MAX_BUFFERED_BODY,
+        held,
+        HoldRule::BeyondBound,
+    );
     let read = within_deadline(gateway, call, collecting).await;
-    let Some(Ok(collected)) = read else {
+    let Some(Ok(body)) = read else {
         let result = if read.is_none() {
             AttemptResult::Unknown
         } else {
@@ -344,7 +349,7 @@
     let whole = WholeResponse {
         status: response.status,
         headers: response_headers(&response.headers),
-        body: collected.to_bytes(),
+        body,
     };
     let result = if whole.status.is_server_error() {
         AttemptResult::Failed
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,6 +5,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::ops::RangeInclusive;
 use std::path::Path;
+use std::str::FromStr;
 use std::time::Duration;
 
 use onyxfall_fleet::{
@@ -13,7 +14,7 @@
 };
 use onyxfall_overlay::VmCapacity;
 use onyxfall_settings::{FaultList, IniDocument, SettingsError};
-use onyxfall_types::{CenterName, RegionName, VmName};
+use onyxfall_types::{ByteSize, CenterName, RegionName, VmName};
 
 const SECTION_KINDS: &[&str] = &[
     "vm",
@@ -35,6 +36,10 @@
 
 /// Allowed window, in seconds, over which limits of teams are enforced.
 const QUOTA_WINDOW_S: RangeInclusive<f64> = 0.1..=3600.0;
+/// The smaller reading of a megabyte, so that the bound on held bytes is not above the one meant.
+const BYTES_PER_MB: f64 = 1e6;
+/// Sizes from here on are mistakes: an exabyte.
+const MAX_MEMORY_BYTES: f64 = 1e18;
 /// Longest delay that can be accepted for 1,000 tokens: an hour.
 const MAX_REPREFILL_MS: f64 = 3_600_000.0;
 
@@ -64,6 +69,8 @@
     pub(crate) place: VmLocation,
     /// CPU capacity of this VM; larger VMs are given duties first.
     pub(crate) capacity: VmCapacity,
+    /// Memory of this VM; `None` if it is not known.
+    pub(crate) memory: Option<ByteSize>,
     /// Source address of this VM's outgoing connections; `None` if the system picks one.
     pub(crate) source: Option<IpAddr>,
     /// Address that serves callers.
@@ -145,6 +152,7 @@
     Some(GatewaySettings {
         place: vm.place,
         capacity: vm.capacity,
+        memory: vm.memory,
         source: vm.source,
         callers: callers?,
         ready: ready?,
@@ -222,10 +230,35 @@
     DecisionSwitches::new(policy, off)
 }
 
+/// Memory of a VM, in megabytes. An empty value stands for a size that is not known: the
+/// settings template yields it on platforms that state none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct VmMemory(Option<ByteSize>);
+
+impl FromStr for VmMemory {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        const EXPECTED: &str = "expected megabytes above 0, such as 128 or 0.5, or nothing";
+        if text.is_empty() {
+            return Ok(Self(None));
+        }
+        let megabytes: f64 = text.parse().map_err(|_| EXPECTED)?;
+        let bytes = megabytes * BYTES_PER_MB;
+        if !(1.0..MAX_MEMORY_BYTES).contains(&bytes) {
+            return Err(EXPECTED);
+        }
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let bytes = bytes as u64;
+        Ok(Self(Some(ByteSize::new(bytes))))
+    }
+}
+
 /// The settings that describe this VM.
 struct VmSettings {
     place: VmLocation,
     capacity: VmCapacity,
+    memory: Option<ByteSize>,
     source: Option<IpAddr>,
 }
 
@@ -247,6 +280,7 @@
         vm_section.fault("center", "expected the name of a [center] section", faults);
     }
     let capacity = vm_section.or_default("cores", VmCapacity::default(), faults);
+    let memory = vm_section.or_default("memory-mb", VmMemory(None), faults);
     let source = vm_section.optional("source-address", faults);
     vm_section.finish(faults);
     Some(VmSettings {
@@ -257,6 +291,7 @@
             centers,
         },
         capacity,
+        memory: memory.0,
         source,
     })
 }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -20,6 +20,7 @@
 use crate::body::RelayError;
 use crate::call::{ResponseRule, SharedCall};
 use crate::gateway::Gateway;
+use crate::held::HeldBytes;
 use crate::serve::{CallProgress, ResumedStream, resume};
 use crate::suspension::wait_for_deadline;
 use crate::unresponsive::wait_until_unresponsive;
@@ -102,6 +103,8 @@
     progress: CallProgress,
     state: RelayState,
     buffer: Option<EventSplitter>,
+    /// Counts the incomplete event in `buffer`.
+    held: HeldBytes,
     counter: EventCounter,
     /// Number of events forwarded, over all servers.
     events: u32,
@@ -133,6 +136,7 @@
             progress,
             state: RelayState::Open(response),
             buffer: can_resume.then(EventSplitter::default),
+            held: gateway.held.hold(0),
             counter: EventCounter::default(),
             events: 0,
             deadline: Box::pin(wait_for_deadline(Rc::clone(gateway), Rc::clone(call))),
@@ -220,10 +224,21 @@
                 attempt.record_liveness();
             }
         }
-        match &mut self.buffer {
-            None => Some(Frame::data(data)),
-            Some(buffer) => buffer.push(&data).map(Frame::data),
-        }
+        let forwarded = match &mut self.buffer {
+            None => data,
+            Some(buffer) => {
+                let whole = buffer.push(&data);
+                self.held.resize(buffer.incomplete.len());
+                whole?
+            }
+        };
+        Some(self.held_frame(forwarded))
+    }
+
+    /// A frame that counts as held until the caller's connection has taken it.
+    fn held_frame(&self, data: Bytes) -> Frame<Bytes> {
+        let held = self.gateway.held.hold(data.len());
+        Frame::data(held.attach(data))
     }
 
     /// Ends the stream after its last byte and forwards the rest of an incomplete event.
@@ -236,7 +251,8 @@
             .buffer
             .take()
             .map(|buffer| buffer.incomplete.freeze())?;
-        (!remainder.is_empty()).then(|| Ok(Frame::data(remainder)))
+        self.held.resize(0);
+        (!remainder.is_empty()).then(|| Ok(self.held_frame(remainder)))
     }
 
     fn try_resume(&mut self) -> bool {
@@ -244,6 +260,7 @@
             return false;
         };
         buffer.incomplete.clear();
+        self.held.resize(0);
         self.counter = EventCounter::default();
         let last = buffer.last_id.clone();
         let RelayState::Open(response) = std::mem::replace(&mut self.state, RelayState::Ended)
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -247,6 +247,16 @@
         fs::write(file, text).unwrap();
     }
 
+    /// Sets the memory of a VM through its settings; applied at the next reload. Returns the
+    /// settings file.
+    pub fn set_memory(&self, vm: usize, megabytes: &str) -> PathBuf {
+        let file = self.dir.join(format!("vm{vm}.ini"));
+        let text = self.settings(vm, self.store.address());
+        let section = format!("[vm]\nmemory-mb = {megabytes}\n");
+        fs::write(&file, text.replacen("[vm]\n", &section, 1)).unwrap();
+        file
+    }
+
     fn settings(&self, vm: usize, store: SocketAddr) -> String {
         let (ip, ports) = (self.ips[vm], self.ports);
         let seeds: Vec<String> = self
