--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -251,6 +251,18 @@
         fs::write(file, text + sections).unwrap();
     }
 
+    /// Sets the memory of a VM through its settings; applied at the next reload. Returns the
+    /// settings file.
+    pub fn set_memory(&self, vm: usize, megabytes: &str) -> PathBuf {
+        let file = self.dir.join(format!("vm{vm}.ini"));
+        let text = self.settings(vm, self.store.address());
+        let section = format!("[vm]\nmemory-mb = {megabytes}\n");
+        // The bound applies where capacity is planned.
+        let text = text.replacen("[vm]\n", &section, 1) + "[capacity]\nplan = on\n";
+        fs::write(&file, text).unwrap();
+        file
+    }
+
     fn settings(&self, vm: usize, store: SocketAddr) -> String {
         let (ip, ports) = (self.ips[vm], self.ports);
         let seeds: Vec<String> = self
