--- a/crates/gateway/src/capacity.rs
+++ b/crates/gateway/src/capacity.rs
@@ -17,11 +17,17 @@
 use onyxfall_policy::Moment;
 use onyxfall_types::{RegionName, ServiceName, name_tag};
 
-/// Highest team rank that is told apart, so that a service has few classes.
+/// Highest team rank that is distinguished, so that a service has few classes.
 const MAX_TEAM_RANK: u8 = 2;
-/// Highest kind rank that is told apart, so that ranks of kinds and teams fit the urgency
+/// Highest kind rank that is distinguished, so that ranks of kinds and teams fit the urgency
 /// levels of servers.
 const MAX_KIND_RANK: u8 = 2;
+/// Share of the longest time that callers of a class allow, below which a request counts as a
+/// retry: its caller has already waited. Retries are no new demand.
+const NEW_REQUEST_SHARE: f64 = 0.95;
+/// Time in which the highest throughput of a server that was seen decays to 1/e: long enough to
+/// keep it through a quiet time between two bursts.
+const THROUGHPUT_DECAY: Duration = Duration::from_secs(30);
 
 /// A class of requests to one service.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -30,6 +36,7 @@
     pub(crate) importance: Importance,
     /// Regions that may serve the class.
     pub(crate) homes: RegionMask,
+    /// Name of the class in messages between VMs.
     pub(crate) tag: ClassTag,
 }
 
@@ -46,13 +53,6 @@
     importance.kind * (MAX_TEAM_RANK + 1) + importance.team
 }
 
-/// Share of the longest time that callers of a class allow, below which a request counts as a
-/// retry: its caller has already waited. Retries are no new demand.
-const NEW_REQUEST_SHARE: f64 = 0.95;
-/// Time in which the highest throughput of a server that was seen decays to 1/e: long enough to
-/// keep it through a quiet time between two bursts.
-const THROUGHPUT_DECAY: Duration = Duration::from_secs(30);
-
 /// Highest throughput of a service's servers, in seconds of estimated work per second and
 /// server. Estimates of work ignore which prefixes are cached, so a busy server does more than
 /// a second of estimated work in a second; without this measure a plan refuses what servers
@@ -73,7 +73,24 @@
     }
 }
 
-/// Tag of the work that servers of a service in a region have done.
+/// Rank and homes of the teams of a configuration, each combination once. Without teams, all
+/// requests count as those of one team without rank and bounds.
+fn team_kinds(table: &RouteTable) -> Vec<(Option<u8>, HomeRegions)> {
+    let mut kinds = Vec::new();
+    for (_, rule) in table.teams().into_iter().flat_map(TeamTable::iter) {
+        let kind = (rule.priority, rule.homes.clone());
+        if !kinds.contains(&kind) {
+            kinds.push(kind);
+        }
+    }
+    if kinds.is_empty() {
+        kinds.push((None, HomeRegions::Any));
+    }
+    kinds
+}
+
+/// Tag of the work that servers of a service in a region have done. It is exchanged like the
+/// demand of a class, under an importance that no class has.
 fn done_tag(service: &ServiceName) -> ClassTag {
     let none = Importance {
         kind: u8::MAX,
@@ -107,7 +124,7 @@
     limits: BacklogLimits,
     classes: Vec<RequestClass>,
     ledger: LoadLedger,
-    /// Reported capacity by region and service tag.
+    /// Capacity that other regions have reported, by region and service tag.
     reported: BTreeMap<(usize, u32), ReportedCapacity>,
     plans: BTreeMap<ServiceName, PlannedService>,
     /// Longest time that callers of a class have allowed for a request.
@@ -140,16 +157,7 @@
     /// Applies the routes and teams of a configuration.
     pub(crate) fn set_table(&mut self, table: &RouteTable) {
         self.limits = BacklogLimits::new(table);
-        let mut teams: Vec<(Option<u8>, HomeRegions)> = Vec::new();
-        for (_, rule) in table.teams().into_iter().flat_map(TeamTable::iter) {
-            let team = (rule.priority, rule.homes.clone());
-            if !teams.contains(&team) {
-                teams.push(team);
-            }
-        }
-        if teams.is_empty() {
-            teams.push((None, HomeRegions::Any));
-        }
+        let teams = team_kinds(table);
         let mut classes: BTreeMap<ClassTag, RequestClass> = BTreeMap::new();
         for route in table.routes() {
             let planned = route.targets.iter().map(|target| &target.service);
@@ -171,7 +179,8 @@
                 }
             }
         }
-        let services: BTreeSet<&ServiceName> = classes.values().map(|it| &it.service).collect();
+        let services: BTreeSet<&ServiceName> =
+            classes.values().map(|class| &class.service).collect();
         let done = services.into_iter().map(done_tag);
         self.ledger.set_classes(classes.keys().copied().chain(done));
         self.longest.retain(|class, _| classes.contains_key(class));
@@ -221,8 +230,8 @@
         match homes {
             HomeRegions::Any => RegionMask::ALL,
             HomeRegions::Only(names) => {
-                let index = |name| self.regions.iter().position(|region| region == name);
-                names.iter().filter_map(index).collect()
+                let known = names.iter().filter_map(|name| self.region_index(name));
+                known.collect()
             }
         }
     }
@@ -284,9 +293,15 @@
         }
     }
 
-    /// Capacity of a service that another region has reported, to forward it.
-    pub(crate) fn reported_capacity(&self, region: usize, service_tag: u32) -> WorkRate {
-        let reported = self.reported.get(&(region, service_tag));
+    /// Capacity of a service in a region; zero if the region's last report is out of date.
+    fn capacity_in(&self, now: Moment, region: usize, service: &ServiceName) -> WorkRate {
+        if region == self.own_region {
+            return self.own_capacity(service);
+        }
+        if !self.ledger.is_current(now, region) {
+            return WorkRate::ZERO;
+        }
+        let reported = self.reported.get(&(region, name_tag(service.as_str())));
         reported.map_or(WorkRate::ZERO, |reported| reported.rate)
     }
 
@@ -307,51 +322,15 @@
         servers: usize,
         rules: &PlanRules,
     ) {
-        let done = self.ledger.offered(now, done_tag(service), self.own_region);
-        let throughput = self.throughput.entry(service.clone());
-        let throughput = throughput.or_insert(ServerThroughput {
-            highest: 1.0,
-            at: now,
-        });
-        throughput.record(now, done, servers);
-        let own_capacity = WorkRate::clamped(throughput.highest * servers as f64);
-        self.own_capacity.insert(service.clone(), own_capacity);
-        let is_current = |region: usize| self.ledger.is_current(now, region);
-        let others = (0..self.regions.len()).filter(|region| *region != self.own_region);
-        if !others.clone().any(is_current) && others.count() > 0 {
+        self.measure_capacity(now, service, servers);
+        if !self.receives_reports(now) {
             self.plans.remove(service);
             return;
         }
-        let tag = name_tag(service.as_str());
-        let capacity = |region: usize| {
-            if region == self.own_region {
-                own_capacity
-            } else if is_current(region) {
-                self.reported_capacity(region, tag)
-            } else {
-                WorkRate::ZERO
-            }
-        };
-        let regions = 0..self.regions.len();
-        let classes = self
-            .classes
-            .iter()
-            .filter(|class| class.service == *service);
+        let classes = self.classes.iter();
+        let classes = classes.filter(|class| class.service == *service);
         let classes: Vec<RequestClass> = classes.cloned().collect();
-        let demand = ServiceDemand {
-            capacity: regions.clone().map(capacity).collect(),
-            classes: classes
-                .iter()
-                .map(|class| ClassDemand {
-                    importance: class.importance,
-                    homes: class.homes,
-                    offered: regions
-                        .clone()
-                        .map(|region| self.ledger.offered(now, class.tag, region))
-                        .collect(),
-                })
-                .collect(),
-        };
+        let demand = self.demand(now, service, &classes);
         let plan = ServicePlan::compute(&demand, rules);
         let planned = PlannedService {
             classes,
@@ -362,6 +341,50 @@
         self.plans.insert(service.clone(), planned);
     }
 
+    /// Updates the capacity of a service in this region from the work that its servers do.
+    fn measure_capacity(&mut self, now: Moment, service: &ServiceName, servers: usize) {
+        let done = self.ledger.offered(now, done_tag(service), self.own_region);
+        let throughput = self.throughput.entry(service.clone());
+        let throughput = throughput.or_insert(ServerThroughput {
+            highest: 1.0,
+            at: now,
+        });
+        throughput.record(now, done, servers);
+        let capacity = WorkRate::clamped(throughput.highest * servers as f64);
+        self.own_capacity.insert(service.clone(), capacity);
+    }
+
+    /// Whether another region has reported recently, or there is no other region.
+    fn receives_reports(&self, now: Moment) -> bool {
+        let mut others = (0..self.regions.len()).filter(|region| *region != self.own_region);
+        self.regions.len() <= 1 || others.any(|region| self.ledger.is_current(now, region))
+    }
+
+    /// Capacity of a service and demand of its classes, by region.
+    fn demand(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+        classes: &[RequestClass],
+    ) -> ServiceDemand {
+        let regions = 0..self.regions.len();
+        let class_demand = |class: &RequestClass| ClassDemand {
+            importance: class.importance,
+            homes: class.homes,
+            offered: regions
+                .clone()
+                .map(|region| self.ledger.offered(now, class.tag, region))
+                .collect(),
+        };
+        ServiceDemand {
+            capacity: regions
+                .clone()
+                .map(|region| self.capacity_in(now, region, service))
+                .collect(),
+            classes: classes.iter().map(class_demand).collect(),
+        }
+    }
+
     /// All plans, for operators.
     pub(crate) fn plans(&self) -> &BTreeMap<ServiceName, PlannedService> {
         &self.plans
@@ -383,8 +406,8 @@
         Some(planned.plan.share(index, self.own_region))
     }
 
-    /// A class by its tag.
-    pub(crate) fn class_of(&self, tag: ClassTag) -> Option<&RequestClass> {
+    /// The class that has a tag.
+    pub(crate) fn class_with_tag(&self, tag: ClassTag) -> Option<&RequestClass> {
         self.classes.iter().find(|class| class.tag == tag)
     }
 
--- a/crates/gateway/src/plan_report.rs
+++ b/crates/gateway/src/plan_report.rs
@@ -69,14 +69,20 @@
             offered: planned.demand.classes[class].offered[caller].per_second(),
             served,
             refused: share.refused,
-            standing: match planned.plan.standing(class, caller) {
-                ClassStanding::Served => PlanStanding::Served,
-                ClassStanding::Partial => PlanStanding::Partial,
-                ClassStanding::Refused => PlanStanding::Refused,
-            },
+            standing: plan_standing(planned.plan.standing(class, caller)),
             backlog_limit_ms: limit.map(millis),
+            // Set by `PlanReport::new`.
             constraint: PlanConstraint::None,
         }
     });
     flows.collect()
 }
+
+/// A standing as reports and log lines name it.
+pub(crate) fn plan_standing(standing: ClassStanding) -> PlanStanding {
+    match standing {
+        ClassStanding::Served => PlanStanding::Served,
+        ClassStanding::Partial => PlanStanding::Partial,
+        ClassStanding::Refused => PlanStanding::Refused,
+    }
+}
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -1,20 +1,19 @@
 //! Connects the capacity plan with the gateway: what is recorded, exchanged and applied.
 
-use onyxfall_capacity::{
-    ClassReserve, ClassStanding, PlanRules, ReturnAdvice, WorkRate, return_delay,
-};
+use std::time::Duration;
+
+use onyxfall_capacity::{ClassReserve, PlanRules, ReturnAdvice, WorkRate, return_delay};
 use onyxfall_fleet::{RemoteOption, ServiceLoad, TimePrediction, WorkShare};
 use onyxfall_overlay::{ServerTag, WorkEntry};
 use onyxfall_policy::Moment;
 use onyxfall_types::{PlanMode, PlanReport, RefusalReason, RegionName, ServiceName};
 use onyxfall_wire::ClassFlowEntry;
 use rand::Rng;
-use std::time::Duration;
 
 use crate::call::CallContext;
 use crate::capacity_settings::CapacitySettings;
 use crate::gateway::Gateway;
-use crate::plan_report::plan_report;
+use crate::plan_report::{plan_report, plan_standing};
 use crate::report::millis;
 use crate::serve::CallProgress;
 
@@ -26,7 +25,7 @@
 const CACHED_DIVISOR: u64 = 2;
 
 impl Gateway {
-    /// Whether capacity is shared by importance here.
+    /// Whether the settings enable the capacity plan, be it recomputed or frozen.
     pub(crate) fn plans_capacity(&self) -> bool {
         self.settings().capacity_plan.mode != PlanMode::Off
     }
@@ -51,16 +50,16 @@
         capacity.record_done(self.now(), &call.needs.service, work);
     }
 
-    /// Server time that a request is expected to take.
+    /// Server time that the prefill of a request is expected to take.
     fn estimated_work(&self, call: &CallContext) -> Duration {
         let prompt = &call.needs.prompt;
         let cached = prompt.shared_tokens() / CACHED_DIVISOR;
-        let unread = prompt.input.saturating_sub(cached);
+        let pending = prompt.input.saturating_sub(cached);
         let fleet = self.fleet.borrow();
-        fleet.prefill_time(&call.needs.service, unread)
+        fleet.prefill_time(&call.needs.service, pending)
     }
 
-    /// Recomputes the plans of all services.
+    /// Recomputes the plans of all services, unless the plan is off or frozen.
     pub(crate) fn refresh_plans(&self, now: Moment) {
         let settings = self.settings();
         if settings.capacity_plan.mode != PlanMode::On {
@@ -147,7 +146,7 @@
     pub(crate) fn planned_option(
         &self,
         call: &CallContext,
-        options: impl Iterator<Item = RemoteOption>,
+        mut options: impl Iterator<Item = RemoteOption>,
     ) -> Option<RemoteOption> {
         let class = call.class?;
         let point = match call.needs.prompt.affinity() {
@@ -157,7 +156,6 @@
         };
         let capacity = self.capacity.borrow();
         let region = capacity.planned_region(&call.needs.service, class, point)?;
-        let mut options = options;
         options.find(|option| option.region == *region)
     }
 
@@ -183,27 +181,30 @@
         thousandths
     }
 
-    /// Counts and logs what decided the refusal of a request whose capacity is planned.
+    /// Counts and logs the refusal of a request of a class, with the figures that decide about
+    /// the class. Other bounds in `Gateway::is_too_late` can be the cause too: `backlog_ms`
+    /// above `limit_ms` tells that the limit was.
     pub(crate) fn record_class_refusal(
         &self,
         call: &CallContext,
         predicted: &TimePrediction,
         reason: RefusalReason,
     ) {
-        let Some(class) = call.class else { return };
+        let Some(tag) = call.class else { return };
         let capacity = self.capacity.borrow();
         let service = &call.needs.service;
-        let Some(known) = capacity.class_of(class) else {
+        let Some(class) = capacity.class_with_tag(tag) else {
             return;
         };
-        let label = format!("{service}/{}", known.importance);
+        let label = format!("{service}/{}", class.importance);
         self.metrics.count_refusal(&label, reason);
-        let standing = capacity.standing(service, class);
+        let standing = capacity.standing(service, tag);
+        let standing = standing.map(|standing| plan_standing(standing).to_string());
         let plan = capacity.plans().get(service);
         log::info!(
             request = call.request_id.as_str(),
             class = label.as_str(),
-            standing = standing.map_or("no plan", standing_name),
+            standing = standing.as_deref().unwrap_or("no plan"),
             backlog_ms = millis(predicted.backlog),
             limit_ms = millis(call.needs.backlog_limit.unwrap_or(call.needs.goal)),
             plan_age_ms = plan.map_or(0, |plan| millis(self.now() - plan.computed_at));
@@ -221,15 +222,7 @@
     }
 }
 
-fn standing_name(standing: ClassStanding) -> &'static str {
-    match standing {
-        ClassStanding::Served => "served",
-        ClassStanding::Partial => "partial",
-        ClassStanding::Refused => "refused",
-    }
-}
-
-/// Capacity of a service that the settings keep for kinds of requests.
+/// Shares of the capacity of a service that the settings guarantee to kinds of requests.
 fn reserved(settings: &CapacitySettings, service: &ServiceName) -> Vec<ClassReserve> {
     let reserves = settings.reserves.iter();
     let reserves = reserves.filter(|reserve| reserve.service == *service);
