Gateway: tests of the capacity state

capacity.rs had no tests of its own. Three tables now guard against classes where there is one kind, plans without a recent report of another region, capacity from outdated reports, and prefixes sent where the plan serves nothing.

--- a/crates/gateway/src/capacity.rs
+++ b/crates/gateway/src/capacity.rs
@@ -448,3 +448,187 @@
         None
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use onyxfall_fleet::{
+        BackendService, CallerLimits, ConfigVersion, EngineLimits, RepeatRule, ResponseShape,
+        RouteRule, RouteTarget,
+    };
+
+    use super::*;
+
+    const SERVICE: &str = "chat";
+
+    fn at_ms(ms: u64) -> Moment {
+        Moment::from_duration(Duration::from_millis(ms))
+    }
+
+    fn route(priority: u8) -> RouteRule {
+        RouteRule {
+            name: format!("route-{priority}").parse().unwrap(),
+            host: "host".to_owned(),
+            path_prefix: format!("/{priority}"),
+            repeat: RepeatRule::Repeatable,
+            shape: ResponseShape::Whole,
+            timeout: Duration::from_secs(10),
+            goal: Duration::from_secs(1),
+            priority,
+            targets: vec![RouteTarget {
+                service: SERVICE.parse().unwrap(),
+                weight: 1,
+            }],
+            max_attempts: 1,
+            homes: HomeRegions::Any,
+            is_public: true,
+        }
+    }
+
+    /// State of a VM in the first of `regions`, with one service and a route for each priority.
+    fn state(regions: &[&str], priorities: &[u8]) -> CapacityState {
+        let service = BackendService {
+            name: SERVICE.parse().unwrap(),
+            max_connections: 10,
+            cold_for: Duration::ZERO,
+            cold_rate: 1.0,
+            engine: Some(EngineLimits {
+                slots: 1,
+                memory_tokens: 1,
+                token_bytes: 1,
+                keeps_backups: false,
+            }),
+        };
+        let limits = CallerLimits {
+            max_head: 1,
+            max_body: 1,
+            idle: Duration::ZERO,
+        };
+        let routes = priorities.iter().copied().map(route).collect();
+        let table = RouteTable::new(ConfigVersion(1), routes, vec![service], limits);
+        let names: Vec<RegionName> = regions.iter().map(|name| name.parse().unwrap()).collect();
+        let mut state = CapacityState::new(names.clone(), &names[0]);
+        state.set_table(&table);
+        state
+    }
+
+    struct ClassCase {
+        name: &'static str,
+        priorities: &'static [u8],
+        /// Importance of the classes, in order.
+        classes: &'static [&'static str],
+    }
+
+    /// Guards against plans for services whose requests are all of one kind, and against ranks
+    /// that leave the urgency levels of servers.
+    #[test]
+    fn services_with_several_kinds_have_classes() {
+        let cases = [
+            ClassCase {
+                name: "one kind",
+                priorities: &[1],
+                classes: &[],
+            },
+            ClassCase {
+                name: "two kinds",
+                priorities: &[2, 0],
+                classes: &["0.0", "2.0"],
+            },
+            ClassCase {
+                name: "ranks beyond the last that is distinguished",
+                priorities: &[0, 3, 9],
+                classes: &["0.0", "2.0"],
+            },
+        ];
+        for case in cases {
+            let state = state(&["r0", "r1"], case.priorities);
+            let found = state.classes.iter().map(|class| class.importance);
+            let found: Vec<String> = found.map(|importance| importance.to_string()).collect();
+            assert_eq!(found, case.classes, "{}", case.name);
+        }
+    }
+
+    struct PlanCase {
+        name: &'static str,
+        regions: &'static [&'static str],
+        /// When the second region last reported a capacity of 4 s/s; planned at 2 s.
+        reported_ms: Option<u64>,
+        /// Capacity by region in the plan, if there is one.
+        capacity: Option<&'static [f64]>,
+    }
+
+    /// Guards against a plan that a region cut off from all others makes by itself, and against
+    /// capacity from reports that are out of date.
+    #[test]
+    fn plans_use_recent_reports_only() {
+        let cases = [
+            PlanCase {
+                name: "one region",
+                regions: &["r0"],
+                reported_ms: None,
+                capacity: Some(&[3.0]),
+            },
+            PlanCase {
+                name: "no report",
+                regions: &["r0", "r1"],
+                reported_ms: None,
+                capacity: None,
+            },
+            PlanCase {
+                name: "an outdated report",
+                regions: &["r0", "r1"],
+                reported_ms: Some(499),
+                capacity: None,
+            },
+            PlanCase {
+                name: "a recent report",
+                regions: &["r0", "r1"],
+                reported_ms: Some(500),
+                capacity: Some(&[3.0, 4.0]),
+            },
+            PlanCase {
+                name: "a recent report of one of two other regions",
+                regions: &["r0", "r1", "r2"],
+                reported_ms: Some(1900),
+                capacity: Some(&[3.0, 4.0, 0.0]),
+            },
+        ];
+        for case in cases {
+            let service: ServiceName = SERVICE.parse().unwrap();
+            let mut state = state(case.regions, &[0, 1]);
+            if let Some(ms) = case.reported_ms {
+                state.ledger_mut().receive(at_ms(ms), 1, &[]);
+                let tag = name_tag(SERVICE);
+                state.receive_capacity(at_ms(ms), 1, tag, WorkRate::clamped(4.0));
+            }
+            state.refresh(at_ms(2000), &service, 3, &PlanRules::default());
+            let planned = state.plans().get(&service);
+            let capacity = planned.map(|planned| {
+                let rates = planned.demand.capacity.iter();
+                rates.map(|rate| rate.per_second()).collect::<Vec<f64>>()
+            });
+            assert_eq!(capacity.as_deref(), case.capacity, "{}", case.name);
+        }
+    }
+
+    /// Guards against work that stays in a full region, and against a prefix that is sent to
+    /// regions where the plan serves nothing of its class.
+    #[test]
+    fn points_beyond_the_own_share_leave_the_region() {
+        let service: ServiceName = SERVICE.parse().unwrap();
+        let mut state = state(&["r0", "r1", "r2"], &[0, 1]);
+        let class = state.classes[0].tag;
+        let now = at_ms(2000);
+        for (region, capacity) in [(1, 0.0), (2, 8.0)] {
+            state.ledger_mut().receive(now, region, &[]);
+            state.receive_capacity(now, region, name_tag(SERVICE), WorkRate::clamped(capacity));
+        }
+        // 4 s/s are asked for, of which one server here can do 1 s/s.
+        state.record_offered(now, class, Duration::from_secs(1), Duration::from_secs(4));
+        state.refresh(now, &service, 1, &PlanRules::default());
+        let region = |point| state.planned_region(&service, class, point);
+        assert_eq!(region(0.2), None);
+        for point in [0.3, 0.6, 0.99] {
+            assert_eq!(region(point).map(RegionName::as_str), Some("r2"), "{point}");
+        }
+    }
+}
