--- a/crates/gateway/src/capacity.rs
+++ b/crates/gateway/src/capacity.rs
@@ -17,11 +17,17 @@
 use onyxfall_policy::Moment;
 use onyxfall_types::{RegionName, ServiceName, name_tag};
 
-/// Highest team rank that is told apart, so that a service has few classes.
+/// Highest team rank that is distinguished, so that a service has few classes.
 const MAX_TEAM_RANK: u8 = 2;
-/// Highest kind rank that is told apart, so that ranks of kinds and teams fit the urgency
+/// Highest kind rank that is distinguished, so that ranks of kinds and teams fit the urgency
 /// levels of servers.
 const MAX_KIND_RANK: u8 = 2;
+/// Share of the longest time that callers of a class allow, below which a request counts as a
+/// retry: its caller has already waited. Retries are no new demand.
+const NEW_REQUEST_SHARE: f64 = 0.95;
+/// Time in which the highest throughput of a server that was seen decays to 1/e: long enough to
+/// keep it through a quiet time between two bursts.
+const THROUGHPUT_DECAY: Duration = Duration::from_secs(30);
 
 /// A class of requests to one service.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -30,6 +36,7 @@
     pub(crate) importance: Importance,
     /// Regions that may serve the class.
     pub(crate) homes: RegionMask,
+    /// Name of the class in messages between VMs.
     pub(crate) tag: ClassTag,
 }
 
@@ -46,13 +53,6 @@
     importance.kind * (MAX_TEAM_RANK + 1) + importance.team
 }
 
-/// Share of the longest time that callers of a class allow, below which a request counts as a
-/// retry: its caller has already waited. Retries are no new demand.
-const NEW_REQUEST_SHARE: f64 = 0.95;
-/// Time in which the highest throughput of a server that was seen decays to 1/e: long enough to
-/// keep it through a quiet time between two bursts.
-const THROUGHPUT_DECAY: Duration = Duration::from_secs(30);
-
 /// Highest throughput of a service's servers, in seconds of estimated work per second and
 /// server. Estimates of work ignore which prefixes are cached, so a busy server does more than
 /// a second of estimated work in a second; without this measure a plan refuses what servers
@@ -73,7 +73,24 @@
     }
 }
 
-/// Tag of the work that servers of a service in a region have done.
+/// Rank and homes of the teams of a configuration, each combination once. Without teams, all
+/// requests count as those of one team without rank and bounds.
+fn team_kinds(table: &RouteTable) -> Vec<(Option<u8>, HomeRegions)> {
+    let mut kinds = Vec::new();
+    for (_, rule) in table.teams().into_iter().flat_map(TeamTable::iter) {
+        let kind = (rule.priority, rule.homes.clone());
+        if !kinds.contains(&kind) {
+            kinds.push(kind);
+        }
+    }
+    if kinds.is_empty() {
+        kinds.push((None, HomeRegions::Any));
+    }
+    kinds
+}
+
+/// Tag of the work that servers of a service in a region have done. It is exchanged like the
+/// demand of a class, under an importance that no class has.
 fn done_tag(service: &ServiceName) -> ClassTag {
     let none = Importance {
         kind: u8::MAX,
@@ -107,7 +124,7 @@
     limits: BacklogLimits,
     classes: Vec<RequestClass>,
     ledger: LoadLedger,
-    /// Reported capacity by region and service tag.
+    /// Capacity that other regions have reported, by region and service tag.
     reported: BTreeMap<(usize, u32), ReportedCapacity>,
     plans: BTreeMap<ServiceName, PlannedService>,
     /// Longest time that callers of a class have allowed for a request.
@@ -140,16 +157,7 @@
     /// Applies the routes and teams of a configuration.
     pub(crate) fn set_table(&mut self, table: &RouteTable) {
         self.limits = BacklogLimits::new(table);
-        let mut teams: Vec<(Option<u8>, HomeRegions)> = Vec::new();
-        for (_, rule) in table.teams().into_iter().flat_map(TeamTable::iter) {
-            let team = (rule.priority, rule.homes.clone());
-            if !teams.contains(&team) {
-                teams.push(team);
-            }
-        }
-        if teams.is_empty() {
-            teams.push((None, HomeRegions::Any));
-        }
+        let teams = team_kinds(table);
         let mut classes: BTreeMap<ClassTag, RequestClass> = BTreeMap::new();
         for route in table.routes() {
             let planned = route.targets.iter().map(|target| &target.service);
@@ -171,7 +179,8 @@
                 }
             }
         }
-        let services: BTreeSet<&ServiceName> = classes.values().map(|it| &it.service).collect();
+        let services: BTreeSet<&ServiceName> =
+            classes.values().map(|class| &class.service).collect();
         let done = services.into_iter().map(done_tag);
         self.ledger.set_classes(classes.keys().copied().chain(done));
         self.longest.retain(|class, _| classes.contains_key(class));
@@ -221,8 +230,8 @@
         match homes {
             HomeRegions::Any => RegionMask::ALL,
             HomeRegions::Only(names) => {
-                let index = |name| self.regions.iter().position(|region| region == name);
-                names.iter().filter_map(index).collect()
+                let known = names.iter().filter_map(|name| self.region_index(name));
+                known.collect()
             }
         }
     }
@@ -284,9 +293,15 @@
         }
     }
 
-    /// Capacity of a service that another region has reported, to forward it.
-    pub(crate) fn reported_capacity(&self, region: usize, service_tag: u32) -> WorkRate {
-        let reported = self.reported.get(&(region, service_tag));
+    /// Capacity of a service in a region; zero if the region's last report is out of date.
+    fn capacity_in(&self, now: Moment, region: usize, service: &ServiceName) -> WorkRate {
+        if region == self.own_region {
+            return self.own_capacity(service);
+        }
+        if !self.ledger.is_current(now, region) {
+            return WorkRate::ZERO;
+        }
+        let reported = self.reported.get(&(region, name_tag(service.as_str())));
         reported.map_or(WorkRate::ZERO, |reported| reported.rate)
     }
 
@@ -307,51 +322,15 @@
         servers: usize,
         rules: &PlanRules,
     ) {
-        let done = self.ledger.offered(now, done_tag(service), self.own_region);
-        let throughput = self.throughput.entry(service.clone());
-        let throughput = throughput.or_insert(ServerThroughput {
-            highest: 1.0,
-            at: now,
-        });
-        throughput.record(now, done, servers);
-        let own_capacity = WorkRate::clamped(throughput.highest * servers as f64);
-        self.own_capacity.insert(service.clone(), own_capacity);
-        let is_current = |region: usize| self.ledger.is_current(now, region);
-        let others = (0..self.regions.len()).filter(|region| *region != self.own_region);
-        if !others.clone().any(is_current) && others.count() > 0 {
+        self.measure_capacity(now, service, servers);
+        if !self.receives_reports(now) {
             self.plans.remove(service);
             return;
         }
-        let tag = name_tag(service.as_str());
-        let capacity = |region: usize| {
-            if region == self.own_region {
-                own_capacity
-            } else if is_current(region) {
-                self.reported_capacity(region, tag)
-            } else {
-                WorkRate::ZERO
-            }
-        };
-        let regions = 0..self.regions.len();
-        let classes = self
-            .classes
-            .iter()
-            .filter(|class| class.service == *service);
+        let classes = self.classes.iter();
+        let classes = classes.filter(|class| class.service == *service);
         let classes: Vec<RequestClass> = classes.cloned().collect();
-        let demand = ServiceDemand {
-            capacity: regions.clone().map(capacity).collect(),
-            classes: classes
-                .iter()
-                .map(|class| ClassDemand {
-                    importance: class.importance,
-                    homes: class.homes,
-                    offered: regions
-                        .clone()
-                        .map(|region| self.ledger.offered(now, class.tag, region))
-                        .collect(),
-                })
-                .collect(),
-        };
+        let demand = self.demand(now, service, &classes);
         let plan = ServicePlan::compute(&demand, rules);
         let planned = PlannedService {
             classes,
@@ -362,6 +341,50 @@
         self.plans.insert(service.clone(), planned);
     }
 
+    /// Updates the capacity of a service in this region from the work that its servers do.
+    fn measure_capacity(&mut self, now: Moment, service: &ServiceName, servers: usize) {
+        let done = self.ledger.offered(now, done_tag(service), self.own_region);
+        let throughput = self.throughput.entry(service.clone());
+        let throughput = throughput.or_insert(ServerThroughput {
+            highest: 1.0,
+            at: now,
+        });
+        throughput.record(now, done, servers);
+        let capacity = WorkRate::clamped(throughput.highest * servers as f64);
+        self.own_capacity.insert(service.clone(), capacity);
+    }
+
+    /// Whether another region has reported recently, or there is no other region.
+    fn receives_reports(&self, now: Moment) -> bool {
+        let mut others = (0..self.regions.len()).filter(|region| *region != self.own_region);
+        self.regions.len() <= 1 || others.any(|region| self.ledger.is_current(now, region))
+    }
+
+    /// Capacity of a service and demand of its classes, by region.
+    fn demand(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+        classes: &[RequestClass],
+    ) -> ServiceDemand {
+        let regions = 0..self.regions.len();
+        let class_demand = |class: &RequestClass| ClassDemand {
+            importance: class.importance,
+            homes: class.homes,
+            offered: regions
+                .clone()
+                .map(|region| self.ledger.offered(now, class.tag, region))
+                .collect(),
+        };
+        ServiceDemand {
+            capacity: regions
+                .clone()
+                .map(|region| self.capacity_in(now, region, service))
+                .collect(),
+            classes: classes.iter().map(class_demand).collect(),
+        }
+    }
+
     /// All plans, for operators.
     pub(crate) fn plans(&self) -> &BTreeMap<ServiceName, PlannedService> {
         &self.plans
@@ -383,8 +406,8 @@
         Some(planned.plan.share(index, self.own_region))
     }
 
-    /// A class by its tag.
-    pub(crate) fn class_of(&self, tag: ClassTag) -> Option<&RequestClass> {
+    /// The class that has a tag.
+    pub(crate) fn class_with_tag(&self, tag: ClassTag) -> Option<&RequestClass> {
         self.classes.iter().find(|class| class.tag == tag)
     }
 
@@ -425,3 +448,187 @@
         None
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use onyxfall_fleet::{
+        BackendService, CallerLimits, ConfigVersion, EngineLimits, RepeatRule, ResponseShape,
+        RouteRule, RouteTarget,
+    };
+
+    use super::*;
+
+    const SERVICE: &str = "chat";
+
+    fn at_ms(ms: u64) -> Moment {
+        Moment::from_duration(Duration::from_millis(ms))
+    }
+
+    fn route(priority: u8) -> RouteRule {
+        RouteRule {
+            name: format!("route-{priority}").parse().unwrap(),
+            host: "host".to_owned(),
+            path_prefix: format!("/{priority}"),
+            repeat: RepeatRule::Repeatable,
+            shape: ResponseShape::Whole,
+            timeout: Duration::from_secs(10),
+            goal: Duration::from_secs(1),
+            priority,
+            targets: vec![RouteTarget {
+                service: SERVICE.parse().unwrap(),
+                weight: 1,
+            }],
+            max_attempts: 1,
+            homes: HomeRegions::Any,
+            is_public: true,
+        }
+    }
+
+    /// State of a VM in the first of `regions`, with one service and a route for each priority.
+    fn state(regions: &[&str], priorities: &[u8]) -> CapacityState {
+        let service = BackendService {
+            name: SERVICE.parse().unwrap(),
+            max_connections: 10,
+            cold_for: Duration::ZERO,
+            cold_rate: 1.0,
+            engine: Some(EngineLimits {
+                slots: 1,
+                memory_tokens: 1,
+                token_bytes: 1,
+                keeps_backups: false,
+            }),
+        };
+        let limits = CallerLimits {
+            max_head: 1,
+            max_body: 1,
+            idle: Duration::ZERO,
+        };
+        let routes = priorities.iter().copied().map(route).collect();
+        let table = RouteTable::new(ConfigVersion(1), routes, vec![service], limits);
+        let names: Vec<RegionName> = regions.iter().map(|name| name.parse().unwrap()).collect();
+        let mut state = CapacityState::new(names.clone(), &names[0]);
+        state.set_table(&table);
+        state
+    }
+
+    struct ClassCase {
+        name: &'static str,
+        priorities: &'static [u8],
+        /// Importance of the classes, in order.
+        classes: &'static [&'static str],
+    }
+
+    /// Guards against plans for services whose requests are all of one kind, and against ranks
+    /// that leave the urgency levels of servers.
+    #[test]
+    fn services_with_several_kinds_have_classes() {
+        let cases = [
+            ClassCase {
+                name: "one kind",
+                priorities: &[1],
+                classes: &[],
+            },
+            ClassCase {
+                name: "two kinds",
+                priorities: &[2, 0],
+                classes: &["0.0", "2.0"],
+            },
+            ClassCase {
+                name: "ranks beyond the last that is distinguished",
+                priorities: &[0, 3, 9],
+                classes: &["0.0", "2.0"],
+            },
+        ];
+        for case in cases {
+            let state = state(&["r0", "r1"], case.priorities);
+            let found = state.classes.iter().map(|class| class.importance);
+            let found: Vec<String> = found.map(|importance| importance.to_string()).collect();
+            assert_eq!(found, case.classes, "{}", case.name);
+        }
+    }
+
+    struct PlanCase {
+        name: &'static str,
+        regions: &'static [&'static str],
+        /// When the second region last reported a capacity of 4 s/s; planned at 2 s.
+        reported_ms: Option<u64>,
+        /// Capacity by region in the plan, if there is one.
+        capacity: Option<&'static [f64]>,
+    }
+
+    /// Guards against a plan that a region cut off from all others makes by itself, and against
+    /// capacity from reports that are out of date.
+    #[test]
+    fn plans_use_recent_reports_only() {
+        let cases = [
+            PlanCase {
+                name: "one region",
+                regions: &["r0"],
+                reported_ms: None,
+                capacity: Some(&[3.0]),
+            },
+            PlanCase {
+                name: "no report",
+                regions: &["r0", "r1"],
+                reported_ms: None,
+                capacity: None,
+            },
+            PlanCase {
+                name: "an outdated report",
+                regions: &["r0", "r1"],
+                reported_ms: Some(499),
+                capacity: None,
+            },
+            PlanCase {
+                name: "a recent report",
+                regions: &["r0", "r1"],
+                reported_ms: Some(500),
+                capacity: Some(&[3.0, 4.0]),
+            },
+            PlanCase {
+                name: "a recent report of one of two other regions",
+                regions: &["r0", "r1", "r2"],
+                reported_ms: Some(1900),
+                capacity: Some(&[3.0, 4.0, 0.0]),
+            },
+        ];
+        for case in cases {
+            let service: ServiceName = SERVICE.parse().unwrap();
+            let mut state = state(case.regions, &[0, 1]);
+            if let Some(ms) = case.reported_ms {
+                state.ledger_mut().receive(at_ms(ms), 1, &[]);
+                let tag = name_tag(SERVICE);
+                state.receive_capacity(at_ms(ms), 1, tag, WorkRate::clamped(4.0));
+            }
+            state.refresh(at_ms(2000), &service, 3, &PlanRules::default());
+            let planned = state.plans().get(&service);
+            let capacity = planned.map(|planned| {
+                let rates = planned.demand.capacity.iter();
+                rates.map(|rate| rate.per_second()).collect::<Vec<f64>>()
+            });
+            assert_eq!(capacity.as_deref(), case.capacity, "{}", case.name);
+        }
+    }
+
+    /// Guards against work that stays in a full region, and against a prefix that is sent to
+    /// regions where the plan serves nothing of its class.
+    #[test]
+    fn points_beyond_the_own_share_leave_the_region() {
+        let service: ServiceName = SERVICE.parse().unwrap();
+        let mut state = state(&["r0", "r1", "r2"], &[0, 1]);
+        let class = state.classes[0].tag;
+        let now = at_ms(2000);
+        for (region, capacity) in [(1, 0.0), (2, 8.0)] {
+            state.ledger_mut().receive(now, region, &[]);
+            state.receive_capacity(now, region, name_tag(SERVICE), WorkRate::clamped(capacity));
+        }
+        // 4 s/s are asked for, of which one server here can do 1 s/s.
+        state.record_offered(now, class, Duration::from_secs(1), Duration::from_secs(4));
+        state.refresh(now, &service, 1, &PlanRules::default());
+        let region = |point| state.planned_region(&service, class, point);
+        assert_eq!(region(0.2), None);
+        for point in [0.3, 0.6, 0.99] {
+            assert_eq!(region(point).map(RegionName::as_str), Some("r2"), "{point}");
+        }
+    }
+}
