Cold servers: a VM that still discovers its region sends them nothing

Cause: each of the two VMs that rank first for a cold server sends to it, and a VM ranks itself among the VMs that it knows. A VM that knows one other always is a sender, so the VMs of a region that start together all send until they know enough of each other. Only a VM that knew no other was held back.

Change: a VM sends nothing to cold servers before its discovery time (1.5 s) and, up to twice that time, while its list of the region's VMs has grown within the last second. Discovery begins again if more than half of the list is dropped at once, as after a suspension that is longer than the roster's memory. Warm servers and established VMs are not affected.

--- a/crates/fleet/src/choose.rs
+++ b/crates/fleet/src/choose.rs
@@ -294,7 +294,7 @@
         let name = &self.server(id).record.name;
         let is_sender =
             self.is_alone() || is_cold_sender(name, &self.place().vm, self.region_vms());
-        is_sender && self.server_mut(id).cold_share().is_available(now)
+        is_sender && !self.is_discovering() && self.server_mut(id).cold_share().is_available(now)
     }
 
     /// The first `count` servers in rendezvous order for the request's shared prefix.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -18,6 +18,7 @@
 use crate::backup::CrashTable;
 use crate::balance::RateTable;
 use crate::call::CallRequirements;
+use crate::cold::RegionDiscovery;
 use crate::flow::FlowMeter;
 use crate::instance::StartTime;
 use crate::learn::ServiceCosts;
@@ -94,6 +95,9 @@
     evacuated: BTreeSet<CenterName>,
     region_vms: Vec<VmName>,
     is_alone: bool,
+    discovery: RegionDiscovery,
+    /// Whether `region_vms` may lack VMs of this region.
+    is_discovering: bool,
     switches: DecisionSwitches,
     costs: BTreeMap<ServiceName, ServiceCosts>,
     crashes: CrashTable,
@@ -132,6 +136,8 @@
             evacuated: BTreeSet::new(),
             region_vms: Vec::new(),
             is_alone: false,
+            discovery: RegionDiscovery::default(),
+            is_discovering: false,
             switches: DecisionSwitches::default(),
             costs: BTreeMap::new(),
             crashes: CrashTable::new(),
@@ -171,6 +177,19 @@
         self.region_vms = vms;
     }
 
+    /// Updates the VMs of this region with those discovered so far. A VM that has run for
+    /// `discovery_time` since [`Moment::ZERO`] usually knows all of them.
+    pub fn update_region_vms(&mut self, now: Moment, vms: Vec<VmName>, discovery_time: Duration) {
+        self.discovery.record(now, &self.region_vms, &vms);
+        self.is_discovering = self.discovery.is_running(now, discovery_time);
+        self.region_vms = vms;
+    }
+
+    /// Whether the list of this region's VMs is likely to lack some of them.
+    pub(crate) fn is_discovering(&self) -> bool {
+        self.is_discovering
+    }
+
     /// Sets whether this VM is known to be the only one of its region.
     pub fn set_alone(&mut self, is_alone: bool) {
         self.is_alone = is_alone;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -333,7 +333,7 @@
         let vms: Vec<VmName> = near.map(|vm| vm.record.name.clone()).collect();
         let mut fleet = self.fleet.borrow_mut();
         fleet.set_alone(vms.is_empty() && self.started.elapsed() >= DISCOVERY_TIME);
-        fleet.set_region_vms(vms);
+        fleet.update_region_vms(now, vms, DISCOVERY_TIME);
         fleet.resize_pools();
         fleet.set_knowledge_age(age);
     }
