--- a/crates/gateway/src/capacity.rs
+++ b/crates/gateway/src/capacity.rs
@@ -425,3 +425,6 @@
         None
     }
 }
+
+#[cfg(test)]
+mod tests;
