--- a/crates/capacity/src/ledger.rs
+++ b/crates/capacity/src/ledger.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use onyxfall_policy::Moment;
+use onyxfall_types::PLAN_REPORT_LIFETIME;
 
 use crate::class::{ClassTag, MAX_REGIONS};
 use crate::rate::WorkRate;
@@ -16,8 +17,6 @@
 /// Time in which recorded work decays to 1/e. A burst lasts for seconds, and a plan that
 /// follows single requests would change with each of them.
 const METER_DECAY: Duration = Duration::from_secs(1);
-/// Age from which the report of a region counts as nothing.
-const REPORT_LIFETIME: Duration = Duration::from_millis(1500);
 /// Largest work of one request that is recorded, so that one wrong estimate does not fill a
 /// plan.
 const MAX_WORK: Duration = Duration::from_mins(1);
@@ -229,7 +228,7 @@
     /// count must be taken as zero.
     pub fn is_current(&self, now: Moment, region: usize) -> bool {
         self.report_age(now, region)
-            .is_some_and(|age| age <= REPORT_LIFETIME)
+            .is_some_and(|age| age <= PLAN_REPORT_LIFETIME)
     }
 
     /// Work of a class that callers of a region ask for; zero if the region's report is out
--- a/crates/gateway/src/decide.rs
+++ b/crates/gateway/src/decide.rs
@@ -153,7 +153,7 @@
         }
         if self.is_too_late(call, &choice.predicted) {
             let error = too_late(call, &choice.predicted);
-            self.record_class_refusal(call, &choice.predicted, error.reason);
+            self.log_limit_refusal(call, &choice.predicted);
             let after = self.planned_retry(call, choice.predicted.backlog);
             return RouteStep::Refuse(match after {
                 Some(after) => error.with_retry_after(after),
@@ -339,7 +339,8 @@
         call: &CallContext,
         progress: &CallProgress,
     ) -> Option<RemoteOption> {
-        if call.class.is_none() || progress.arrivals > 0 || !self.may_forward(call) {
+        let is_first = progress.arrivals + progress.unreached == 0;
+        if call.class.is_none() || !is_first || !self.may_forward(call) {
             return None;
         }
         let excluded = self.unreachable_regions(&progress.vms);
--- a/crates/gateway/src/plan_report.rs
+++ b/crates/gateway/src/plan_report.rs
@@ -14,6 +14,9 @@
 
 /// Builds the report of a VM's plans; without a plan it has the mode only.
 pub(crate) fn plan_report(now: Moment, mode: PlanMode, capacity: &CapacityState) -> PlanReport {
+    if mode == PlanMode::Off {
+        return PlanReport::new(mode, None, Vec::new(), Vec::new());
+    }
     let plans = capacity.plans();
     let oldest = plans.values().map(|plan| now - plan.computed_at).max();
     let regions = plans.iter();
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -77,7 +77,12 @@
                 reserved: reserved(&settings.capacity_plan, &service),
                 ..rules.clone()
             };
+            let was_planned = capacity.plans().contains_key(&service);
             capacity.refresh(now, &service, servers, &rules);
+            let is_planned = capacity.plans().contains_key(&service);
+            if was_planned != is_planned {
+                log::info!(service = service.as_str(), is_planned; "capacity plan started or ended");
+            }
         }
     }
 
@@ -181,44 +186,44 @@
         thousandths
     }
 
-    /// Counts and logs the refusal of a request of a class, with the figures that decide about
-    /// the class. Other bounds in `Gateway::is_too_late` can be the cause too: `backlog_ms`
-    /// above `limit_ms` tells that the limit was.
-    pub(crate) fn record_class_refusal(
-        &self,
-        call: &CallContext,
-        predicted: &TimePrediction,
-        reason: RefusalReason,
-    ) {
+    /// Logs the refusal of a request that is over the backlog limit of its class.
+    pub(crate) fn log_limit_refusal(&self, call: &CallContext, predicted: &TimePrediction) {
         let Some(tag) = call.class else { return };
+        if call.needs.allows_backlog(predicted.backlog) {
+            return;
+        }
         let capacity = self.capacity.borrow();
         let service = &call.needs.service;
-        let Some(class) = capacity.class_with_tag(tag) else {
-            return;
-        };
-        let label = format!("{service}/{}", class.importance);
-        self.metrics.count_refusal(&label, reason);
+        let label = capacity.class_label(tag);
         let standing = capacity.standing(service, tag);
         let standing = standing.map(|standing| plan_standing(standing).to_string());
         let plan = capacity.plans().get(service);
+        let age = plan.map(|plan| millis(self.now() - plan.computed_at));
         log::info!(
             request = call.request_id.as_str(),
-            class = label.as_str(),
+            class = label.as_deref().unwrap_or("unknown"),
             standing = standing.as_deref().unwrap_or("no plan"),
             backlog_ms = millis(predicted.backlog),
-            limit_ms = millis(call.needs.backlog_limit.unwrap_or(call.needs.goal)),
-            plan_age_ms = plan.map_or(0, |plan| millis(self.now() - plan.computed_at));
+            limit_ms = call.needs.backlog_limit.map(millis),
+            plan_age_ms = age;
             "request is over the limit of its class"
         );
     }
 
+    /// Counts the refusal of a request by its class.
+    pub(crate) fn count_class_refusal(&self, call: &CallContext, reason: RefusalReason) {
+        let label = call
+            .class
+            .and_then(|tag| self.capacity.borrow().class_label(tag));
+        if let Some(label) = label {
+            self.metrics.count_refusal(&label, reason);
+        }
+    }
+
     /// The report of this VM's plans for operators.
     pub(crate) fn plan_report(&self) -> PlanReport {
-        plan_report(
-            self.now(),
-            self.settings().capacity_plan.mode,
-            &self.capacity.borrow(),
-        )
+        let mode = self.settings().capacity_plan.mode;
+        plan_report(self.now(), mode, &self.capacity.borrow())
     }
 }
 
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -51,6 +51,7 @@
         let age = call.age();
         self.metrics
             .record_end(&call.route, error.reason.as_str(), age);
+        self.count_class_refusal(call, error.reason);
         log::warn!(
             request = call.request_id.as_str(),
             route = call.route.as_str(),
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -27,7 +27,9 @@
     ServerName, ServiceName, TeamName, VmName,
 };
 pub use plan_mode::{PlanMode, PlanModeError};
-pub use plan_report::{PlanClass, PlanConstraint, PlanFlow, PlanRegion, PlanReport, PlanStanding};
+pub use plan_report::{
+    PLAN_REPORT_LIFETIME, PlanClass, PlanConstraint, PlanFlow, PlanRegion, PlanReport, PlanStanding,
+};
 pub use position::{StoreEra, StorePosition};
 pub use quantity::{ByteSize, Incarnation, QuantityError, RequestRate};
 pub use retry::RetryDelay;
--- a/crates/types/src/plan_report.rs
+++ b/crates/types/src/plan_report.rs
@@ -5,15 +5,16 @@
 
 use std::collections::BTreeMap;
 use std::fmt;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::name::{RegionName, ServiceName};
 use crate::plan_mode::PlanMode;
 
-/// Age in milliseconds from which a region's report is not used; the region is then planned
-/// without capacity.
-const MAX_REPORT_AGE_MS: u64 = 1500;
+/// Age from which a region's report is not used; the region is then planned without capacity.
+/// Reports are sent every 0.4 s, so that three in a row are lost.
+pub const PLAN_REPORT_LIFETIME: Duration = Duration::from_millis(1500);
 /// Refused share below which a flow counts as wholly served; the table prints three decimals.
 const MIN_REFUSED: f64 = 0.0005;
 
@@ -179,7 +180,7 @@
     let is_stale = |region: &&PlanRegion| {
         region
             .report_age_ms
-            .is_none_or(|age| age > MAX_REPORT_AGE_MS)
+            .is_none_or(|age| Duration::from_millis(age) > PLAN_REPORT_LIFETIME)
     };
     if allowed.iter().any(is_stale) {
         PlanConstraint::Report
