Switches for limits by importance, planned regions and the pace of servers

Cause: each part has to be measured alone. Change: three names for [decisions] off; one lookup of the backlog limit for callers and forwarded requests.

--- a/crates/fleet/src/switches.rs
+++ b/crates/fleet/src/switches.rs
@@ -138,6 +138,14 @@
         /// Heartbeats within a region are sent more often than liveness detection
         /// requires.
         NearHeartbeats = "near-heartbeats",
+        /// Where capacity is planned, requests are rejected at a backlog that would make
+        /// more important kinds late.
+        BacklogLimits = "backlog-limits",
+        /// Where capacity is planned, requests go to the region in which the plan serves
+        /// them.
+        PlannedRegions = "planned-regions",
+        /// The pace that servers state is used in predictions.
+        ServerPace = "server-pace",
     }
 }
 
--- a/crates/gateway/src/decide.rs
+++ b/crates/gateway/src/decide.rs
@@ -340,7 +340,8 @@
         progress: &CallProgress,
     ) -> Option<RemoteOption> {
         let is_first = progress.arrivals + progress.unreached == 0;
-        if call.class.is_none() || !is_first || !self.may_forward(call) {
+        let is_planned = call.class.is_some() && self.is_on(DecisionSwitch::PlannedRegions);
+        if !is_planned || !is_first || !self.may_forward(call) {
             return None;
         }
         let excluded = self.unreachable_regions(&progress.vms);
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -344,7 +344,7 @@
     team: Option<&TeamRule>,
     needs: &CallRequirements,
 ) -> Option<ClassTag> {
-    needs.backlog_limit?;
+    needs.engine.filter(|_| gateway.plans_capacity())?;
     let importance = importance(rule.priority, team.and_then(|team| team.priority));
     let capacity = gateway.capacity.borrow();
     capacity.class(&needs.service, importance, &needs.homes)
@@ -379,14 +379,7 @@
         let urgency = urgency.saturating_mul(URGENCY_STEP);
         urgency.saturating_add(FIRST_URGENCY).min(LAST_URGENCY)
     };
-    let backlog_limit = plans_capacity
-        .then(|| {
-            gateway
-                .capacity
-                .borrow()
-                .backlog_limit(&service, rule.priority)
-        })
-        .flatten();
+    let backlog_limit = gateway.backlog_limit(&service, rule.priority);
     let homes = team.map_or_else(|| rule.homes.clone(), |team| rule.homes.and(&team.homes));
     CallRequirements {
         service,
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use onyxfall_capacity::{ClassReserve, PlanRules, ReturnAdvice, WorkRate, return_delay};
-use onyxfall_fleet::{RemoteOption, ServiceLoad, TimePrediction, WorkShare};
+use onyxfall_fleet::{DecisionSwitch, RemoteOption, ServiceLoad, TimePrediction, WorkShare};
 use onyxfall_overlay::{ServerTag, WorkEntry};
 use onyxfall_policy::Moment;
 use onyxfall_types::{PlanMode, PlanReport, RefusalReason, RegionName, ServiceName};
@@ -30,6 +30,15 @@
         self.settings().capacity_plan.mode != PlanMode::Off
     }
 
+    /// Backlog limit of a kind of requests to a service, by the priority of its route.
+    pub(crate) fn backlog_limit(&self, service: &ServiceName, priority: u8) -> Option<Duration> {
+        let is_limited = self.plans_capacity() && self.is_on(DecisionSwitch::BacklogLimits);
+        let capacity = self.capacity.borrow();
+        capacity
+            .backlog_limit(service, priority)
+            .filter(|_| is_limited)
+    }
+
     /// Records the work of a caller's request when its first step is decided.
     pub(crate) fn record_class_work(&self, call: &CallContext, progress: &CallProgress) {
         let Some(class) = call.class.filter(|_| !progress.is_work_recorded) else {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -157,14 +157,8 @@
         None => homes,
     };
     let urgency = integer(URGENCY).and_then(|urgency| u8::try_from(urgency).ok());
-    let backlog_limit = table
-        .as_ref()
-        .and_then(|table| table.route(&route))
-        .filter(|_| engine.is_some() && gateway.plans_capacity())
-        .and_then(|rule| {
-            let capacity = gateway.capacity.borrow();
-            capacity.backlog_limit(&service, rule.priority)
-        });
+    let rule = table.as_ref().and_then(|table| table.route(&route));
+    let backlog_limit = rule.and_then(|rule| gateway.backlog_limit(&service, rule.priority));
     let needs = CallRequirements {
         backlog_limit,
         service,
--- a/crates/gateway/src/signals.rs
+++ b/crates/gateway/src/signals.rs
@@ -2,7 +2,9 @@
 
 use http::HeaderMap;
 use onyxfall_adapter::unknown_signal_headers;
-use onyxfall_fleet::{BackoffSignal, LimitSignal, PaceSignal, ServerSignals, SignalChanges};
+use onyxfall_fleet::{
+    BackoffSignal, DecisionSwitch, LimitSignal, PaceSignal, ServerSignals, SignalChanges,
+};
 use onyxfall_policy::Moment;
 use onyxfall_types::{RequestRate, ServerId};
 
@@ -81,7 +83,7 @@
     /// Applies the pace in the head of a response to an own request. A response to another
     /// request may be older than the lifetime of a pace.
     pub(crate) fn record_pace(&self, server: ServerId, pace: PaceSignal) {
-        if pace == PaceSignal::None {
+        if pace == PaceSignal::None || !self.is_on(DecisionSwitch::ServerPace) {
             return;
         }
         if pace == PaceSignal::Malformed {
