Quota: importance decides in every part of a quota

Cause: the bounds of a VM's credit were the reserve of its partition divided by the VMs of all regions. Where a VM or region has a part of the quota, the step fell below its least size and requests were admitted at random. Change: the reserve is divided by the VMs that share the bucket.

--- a/crates/fleet/src/quota/credit.rs
+++ b/crates/fleet/src/quota/credit.rs
@@ -46,14 +46,14 @@
     pub(super) chance: f64,
     /// Units between the levels at which refusals begin and at which everything is refused.
     pub(super) reserve: f64,
-    /// VMs that share the bucket.
-    pub(super) vms: usize,
+    /// VMs that share the bucket; a fraction where the share of a partition is an estimate.
+    pub(super) vms: f64,
 }
 
 impl CreditTerms {
     /// Step of the credit of one VM.
     pub(super) fn step(&self) -> f64 {
-        STEP_FRACTION * self.reserve / self.vms.max(1) as f64
+        STEP_FRACTION * self.reserve / self.vms.max(1.0)
     }
 }
 
--- a/crates/fleet/src/quota/mod.rs
+++ b/crates/fleet/src/quota/mod.rs
@@ -413,3 +413,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/fleet/src/quota/partition.rs
+++ b/crates/fleet/src/quota/partition.rs
@@ -116,12 +116,14 @@
         }
     }
 
-    /// Bounds of the credit of one of `vms` VMs.
+    /// Bounds of the credit of one VM, where `vms` VMs share the quota. As many of them share
+    /// this bucket as the partition has of the quota: divided by all of them, the reserve of a
+    /// small partition is too little for spending by importance.
     pub(super) fn terms(&self, vms: usize) -> CreditTerms {
         CreditTerms {
             chance: self.chance,
             reserve: self.bucket.capacity - self.bucket.free,
-            vms,
+            vms: (vms as f64 * self.partition.share).max(1.0),
         }
     }
 }
