Soak: servers with paces, VMs with the capacity plan, and checks of capacity

Change: servers state their load with a pace that changes every 250 ms and is sometimes malformed, and some read bodies slowly. VMs with odd numbers have the plan and a bound of held bytes; even seeds have model servers. A fifth kind of requests has a lower rank. New checks: no refusal for load while under half of the slots of undisturbed servers are taken; the less important kind is not served more often by over 5 in 100; held bytes keep to the bound, also during a burst of large bodies. Limits are drawn more often and higher; signals are drawn more often, since limited servers receive fewer requests.

--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -42,6 +42,8 @@
     Disconnects,
     /// Runs the request and never responds.
     Unresponsive,
+    /// Reads the body of the request slowly, then runs it.
+    ReadsSlowly,
     /// Breaks streams that start on this server, but continues runs of other servers of
     /// which it holds a backup.
     BreaksStreams(BreakPoint),
@@ -78,6 +80,8 @@
     pub from: IpAddr,
     /// Id of the caller's attempt.
     pub request_id: String,
+    /// When the request had ended: its response was sent, or its connection closed.
+    pub done: Option<Instant>,
     /// Signals in the response to the request.
     pub signals: StubSignals,
 }
@@ -123,6 +127,10 @@
     signals: StubSignals,
     /// Load in every response, as in the header.
     load: Option<String>,
+    /// Slots and pace; the load in every response is made from these and the requests running.
+    pace: Option<(u32, &'static str)>,
+    /// Number of requests that have arrived and not ended.
+    running: u32,
     arrivals: Vec<ArrivedRequest>,
     runs: Vec<ReceivedRequest>,
     /// Number of responses that were in progress when their connection closed.
@@ -145,6 +153,8 @@
 ];
 /// Delay before each event.
 const EVENT_PAUSE: Duration = Duration::from_millis(20);
+/// Delay before each part of a body that is read slowly.
+const READ_PAUSE: Duration = Duration::from_millis(60);
 /// Prefix of the paths whose responses are streams.
 const STREAM_PATH: &str = "/stream/";
 
@@ -198,6 +208,12 @@
         self.state.lock().load = load.map(str::to_owned);
     }
 
+    /// Makes it state its load in every response: the requests running, none waiting, `slots`
+    /// and `pace`, which may be malformed.
+    pub fn set_pace(&self, slots: u32, pace: &'static str) {
+        self.state.lock().pace = Some((slots, pace));
+    }
+
     /// The requests that reached it, without the first `from`.
     pub fn arrivals_from(&self, from: usize) -> Vec<ArrivedRequest> {
         let state = self.state.lock();
@@ -251,6 +267,43 @@
     }
 }
 
+/// Records the end of a request when dropped.
+struct RunningGuard {
+    state: Arc<Mutex<ServerState>>,
+    number: usize,
+}
+
+impl RunningGuard {
+    fn new(state: Arc<Mutex<ServerState>>, number: usize) -> Self {
+        state.lock().running += 1;
+        Self { state, number }
+    }
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        let mut state = self.state.lock();
+        state.running -= 1;
+        state.arrivals[self.number - 1].done = Some(Instant::now());
+    }
+}
+
+/// Reads a body, with a pause before each part if it `is_slow`.
+async fn read_body(mut body: Incoming, is_slow: bool) -> Result<Bytes, io::Error> {
+    let mut read = Vec::new();
+    loop {
+        if is_slow {
+            tokio::time::sleep(READ_PAUSE).await;
+        }
+        let Some(frame) = body.frame().await else {
+            return Ok(read.into());
+        };
+        if let Ok(part) = frame.map_err(io::Error::other)?.into_data() {
+            read.extend_from_slice(&part);
+        }
+    }
+}
+
 /// Whether a request is meant for another instance.
 fn is_for_other_instance(state: &Mutex<ServerState>, call: &ReceivedCall) -> bool {
     let state = state.lock();
@@ -269,6 +322,7 @@
         at: Instant::now(),
         from: from.map_or(Ipv4Addr::UNSPECIFIED.into(), |peer| peer.0.ip()),
         request_id: call.request_id.clone(),
+        done: None,
         signals: StubSignals::default(),
     });
     state.arrivals.len()
@@ -285,7 +339,9 @@
         return Ok(whole(StatusCode::MISDIRECTED_REQUEST, ""));
     }
     let number = record_arrival(&state, head.extensions.get(), &call);
-    let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    let running = RunningGuard::new(Arc::clone(&state), number);
+    let is_slow = state.lock().fault == ServerFault::ReadsSlowly;
+    let body = read_body(body, is_slow).await?;
     let mut signals = state.lock().signals;
     signals.backoff = signals
         .backoff
@@ -304,11 +360,19 @@
     if let Some(limit) = signals.limit {
         set_server_limit(response.headers_mut(), limit);
     }
-    if let Some(load) = &state.lock().load {
-        add_server_load(response.headers_mut(), load);
+    {
+        let mut state = state.lock();
+        if let Some(load) = &state.load {
+            add_server_load(response.headers_mut(), load);
+        }
+        if let Some((slots, pace)) = state.pace {
+            let load = format!("{}, 0, {slots}, {pace}", state.running);
+            add_server_load(response.headers_mut(), &load);
+        }
+        // A request without a response has received no signals.
+        state.arrivals[number - 1].signals = signals;
     }
-    // A request without a response has received no signals.
-    state.lock().arrivals[number - 1].signals = signals;
+    response.body_mut().running = Some(running);
     Ok(response)
 }
 
@@ -403,6 +467,7 @@
     is_endless: bool,
     pause: Option<Pin<Box<Sleep>>>,
     guard: Option<CutGuard>,
+    running: Option<RunningGuard>,
 }
 
 impl BreakPoint {
@@ -430,6 +495,7 @@
             is_endless: false,
             pause: None,
             guard: None,
+            running: None,
         }
     }
 
@@ -458,6 +524,7 @@
             is_endless: false,
             pause: Some(Box::pin(tokio::time::sleep(EVENT_PAUSE))),
             guard: Some(guard),
+            running: None,
         }
     }
 }
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -10,7 +10,9 @@
 
 use crossbeam::channel::{self, Receiver, Sender};
 use http::{Method, Request};
-use onyxfall_adapter::stub::{caller_headers, claim_team, is_signed, response_request_id};
+use onyxfall_adapter::stub::{
+    caller_headers, claim_team, is_signed, response_request_id, set_prompt_size,
+};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use ureq::Agent;
@@ -21,6 +23,8 @@
 const PATIENCE: Duration = Duration::from_secs(4);
 /// Interval between two requests of a caller.
 const PAUSE: Duration = Duration::from_millis(8);
+/// Size of the prompts, in tokens; servers of plain services ignore it.
+const PROMPT_TOKENS: (u32, u32) = (200, 20);
 /// Largest response body that is read, in bytes.
 const ANSWER_BYTES: u64 = 64 * 1024;
 
@@ -31,6 +35,8 @@
     pub(crate) id: String,
     /// Kind of the request.
     pub(crate) kind: RequestKind,
+    /// Address of the VM that it was sent to.
+    pub(crate) to: SocketAddr,
     /// When the request was sent.
     pub(crate) sent: Instant,
     /// When the head of the response had been received.
@@ -65,6 +71,7 @@
     let mut report = CallReport {
         id: id.to_owned(),
         kind,
+        to,
         sent: Instant::now(),
         answered: None,
         status: None,
@@ -72,7 +79,7 @@
         body: String::new(),
         is_whole: false,
     };
-    let mut request = Request::new("body");
+    let mut request = Request::new("b".repeat(kind.body_bytes()));
     *request.method_mut() = Method::POST;
     let Ok(target) = format!("http://{to}{path}").parse() else {
         return report;
@@ -80,6 +87,7 @@
     *request.uri_mut() = target;
     let mut headers = caller_headers(HOST, id, PATIENCE);
     claim_team(&mut headers, &format!("Bearer {KEY}"), "forged");
+    set_prompt_size(&mut headers, PROMPT_TOKENS.0, PROMPT_TOKENS.1);
     *request.headers_mut() = headers;
     let Ok(answer) = agent.run(request) else {
         return report;
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -39,6 +39,12 @@
     SentDuringBackoff(String),
     /// A server received more requests than the limit that it had signalled.
     SentBeyondLimit(String),
+    /// A VM refused a request for load while the service was idle.
+    RefusedWhileIdle(String),
+    /// A less important kind of requests was served more often than a more important one.
+    ServedOutOfOrder(String),
+    /// A VM held more bytes than its bound.
+    HeldBeyondBound(String),
     /// A server received the name of a team that does not own the caller's key.
     WrongTeam(String, Option<String>),
     /// A server received a caller's key.
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -11,10 +11,10 @@
 
 use onyxfall_adapter::stub::{
     RouteShape, RouteText, ServiceText, TeamText, config_key, document_with_teams,
-    malformed_entries, server_body, server_key,
+    malformed_entries, server_body, server_key, with_route_priority,
 };
 use onyxfall_fakes::{RequestedBackoff, ServerStub, StoreStub, StubSignals};
-use onyxfall_fleet::{ServerPhase, ServerRecord, StartTime};
+use onyxfall_fleet::{EngineLimits, ServerPhase, ServerRecord, StartTime};
 use parking_lot::Mutex;
 use rustix::process::{Pid, Signal, kill_process};
 
@@ -43,15 +43,18 @@
     Stream,
     /// A stream that may be resumed.
     ResumableStream,
+    /// May be repeated, and is less important than the other kinds.
+    LessImportant,
 }
 
 impl RequestKind {
     /// Every kind.
-    pub(crate) const ALL: [Self; 4] = [
+    pub(crate) const ALL: [Self; 5] = [
         Self::Once,
         Self::Repeatable,
         Self::Stream,
         Self::ResumableStream,
+        Self::LessImportant,
     ];
 
     /// Prefix of the paths of this kind.
@@ -61,6 +64,7 @@
             Self::Repeatable => "/repeat/",
             Self::Stream => "/stream/",
             Self::ResumableStream => "/stream/resume/",
+            Self::LessImportant => "/less/",
         }
     }
 
@@ -74,16 +78,50 @@
         matches!(self, Self::Stream | Self::ResumableStream)
     }
 
+    /// Size of a request's body. The kinds that are compared by importance have bodies of
+    /// the same size, of which three are more than a VM with the capacity plan may hold.
+    pub(crate) const fn body_bytes(self) -> usize {
+        match self {
+            Self::Repeatable | Self::LessImportant => 24 * 1024,
+            _ => 4,
+        }
+    }
+
     const fn shape(self) -> RouteShape {
         match self {
             Self::Once => RouteShape::Once,
-            Self::Repeatable => RouteShape::Repeatable,
+            Self::Repeatable | Self::LessImportant => RouteShape::Repeatable,
             Self::Stream => RouteShape::Stream,
             Self::ResumableStream => RouteShape::ResumableStream,
         }
     }
 }
 
+/// Slots of a server.
+pub(crate) const SLOTS: u32 = 8;
+/// Rank of the less important kind; the others have rank 0 or 1.
+const LESS_IMPORTANT_RANK: u8 = 3;
+/// Model servers of the seeds that have some; memory is no bottleneck.
+const ENGINE: EngineLimits = EngineLimits {
+    slots: SLOTS,
+    memory_tokens: 500_000,
+    token_bytes: 1000,
+    keeps_backups: false,
+};
+/// Memory of a VM with the capacity plan, in megabytes, and the bytes that it may hold.
+const MEMORY_MB: &str = "0.25";
+pub(crate) const HELD_BOUND: u64 = 62_500;
+
+/// Whether a VM has the capacity plan and a bound of held bytes.
+pub(crate) const fn has_plan(vm: usize) -> bool {
+    vm % 2 == 1
+}
+
+/// Whether the service of a seed consists of model servers, whose capacity is planned.
+pub(crate) const fn has_model_servers(seed: u64) -> bool {
+    seed.is_multiple_of(2)
+}
+
 /// Least number of changes that a restored store has lost, so that later changes reuse
 /// revisions.
 const CHANGES_LOST: usize = 64;
@@ -109,6 +147,8 @@
     pub(crate) incarnation: u64,
     /// Whether the process was sent a shutdown signal.
     is_ending: bool,
+    /// Address of its metrics.
+    pub(crate) status: SocketAddr,
     /// Link between callers and the gateway.
     pub(crate) caller_link: FaultyLink,
     /// Link between the gateway and the store.
@@ -137,6 +177,8 @@
     pub(crate) vms: Vec<Mutex<SoakVm>>,
     pub(crate) servers: Vec<Mutex<SoakServer>>,
     pub(crate) version: Mutex<u64>,
+    /// Limits of the model servers; `None` for a plain service.
+    engine: Option<EngineLimits>,
 }
 
 impl SoakDeployment {
@@ -162,6 +204,7 @@
                     child: None,
                     incarnation: 0,
                     is_ending: false,
+                    status: SocketAddr::from((ips[vm], ports[1])),
                     caller_link: FaultyLink::start(stub_ip(), callers)?,
                     store_link,
                 }))
@@ -189,6 +232,7 @@
             vms,
             servers,
             version: Mutex::new(0),
+            engine: has_model_servers(seed).then_some(ENGINE),
         };
         for server in 0..size.servers {
             deployment.put_entry(server, ServerPhase::Ready);
@@ -257,7 +301,7 @@
         routes.push(route(&own_path, RouteShape::Repeatable));
         let service = ServiceText {
             name: SERVICE,
-            engine: None,
+            engine: self.engine,
         };
         let team = TeamText {
             name: TEAM,
@@ -266,6 +310,8 @@
             home_regions: &[],
         };
         let body = document_with_teams(version, &routes, &[service], &[team]);
+        let less_important = RequestKind::LessImportant.prefix();
+        let body = with_route_priority(&body, less_important, LESS_IMPORTANT_RANK);
         self.store.put(config_key(), body);
     }
 
@@ -288,7 +334,7 @@
             center: format!("c{}", server % REGIONS)
                 .parse()
                 .expect("a name of letters and digits"),
-            slots: 8,
+            slots: SLOTS,
             phase,
             cold_left: Duration::ZERO,
         }
@@ -379,6 +425,13 @@
         self.put_entry(server, ServerPhase::Ready);
     }
 
+    /// Sets the pace that the present instance of a server states.
+    pub(crate) fn set_pace(&self, server: usize, pace: &'static str) {
+        if let Some(instance) = self.servers[server].lock().instances.last() {
+            instance.set_pace(SLOTS, pace);
+        }
+    }
+
     /// Marks a server as draining in its entry.
     pub(crate) fn drain(&self, server: usize) {
         self.put_entry(server, ServerPhase::Draining { left: None });
@@ -520,8 +573,14 @@
         .take(3)
         .map(|ip| format!("{ip}:{peers}"))
         .collect();
+    let (memory, plan) = if has_plan(vm) {
+        (MEMORY_MB, "on")
+    } else {
+        ("", "off")
+    };
     let mut text = format!(
-        "[vm]\nname = vm{vm}\ncenter = c{}\nsource-address = {}\n\
+        "[vm]\nname = vm{vm}\ncenter = c{}\nsource-address = {}\nmemory-mb = {memory}\n\
+         [capacity]\nplan = {plan}\n\
          [listen]\ncallers = {ip}:{callers}\nready = {ip}:{ready}\ndirectory = {ip}:{directory}\n\
          peers = {ip}:{peers}\npeer-ports = {relay},{relay}\n\
          [peers]\nseeds = {}\n[store]\naddress = {store}\n\
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -6,6 +6,7 @@
 //! scheduling, so it may take several runs of a seed to reproduce a failure.
 
 mod callers;
+mod capacity;
 mod checks;
 mod deployment;
 mod limits;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -29,8 +29,9 @@
 
 /// Signals of servers are drawn in a separate series, for the same reason.
 const SIGNAL_SERIES: u64 = 0x776f_7264_735f_7331;
-/// Mean time between the starts of two signal faults, in milliseconds.
-const SIGNAL_PAUSE_MS: u64 = 450;
+/// Mean time between the starts of two signal faults, in milliseconds: limits reduce the
+/// requests that receive signals.
+const SIGNAL_PAUSE_MS: u64 = 350;
 /// Backoffs that servers ask for, in seconds: whole, fractional and malformed.
 const BACKOFFS: [&str; 6] = ["1", "0.7", "2", "1.25", "-1", "soon"];
 /// A server with backoff rejects every n-th request; the range of n.
@@ -40,10 +41,25 @@
 const LIMIT_SERIES: u64 = 0x6c69_6d69_7473_5f31;
 /// Mean time between the starts of two limit faults, in milliseconds, and the range
 /// of their duration: it must continue after every VM has received the limit.
-const LIMIT_PAUSE_MS: u64 = 1800;
-const LIMIT_MS: std::ops::Range<u64> = 1500..5000;
-/// Limits that servers signal, in requests per second: low, zero and malformed.
-const LIMITS: [&str; 6] = ["1", "2.5", "0.4", "4", "0", "soon"];
+/// With a pause of 1800 ms, six runs of 5 s checked at most one limit in all.
+const LIMIT_PAUSE_MS: u64 = 700;
+const LIMIT_MS: std::ops::Range<u64> = 2500..6000;
+/// Limits that servers signal, in requests per second: low, zero and malformed. Low ones are
+/// rarely checked, since few requests carry them; the others leave enough requests.
+const LIMITS: [&str; 9] = ["1", "2.5", "0.4", "4", "8", "12", "20", "0", "soon"];
+
+/// Slow reading of servers is drawn in a separate series, for the same reason, with this mean
+/// time between the starts in milliseconds.
+const READING_SERIES: u64 = 0x7265_6164_696e_6721;
+const READING_PAUSE_MS: u64 = 2500;
+
+/// Paces that servers state, the last ones malformed: not a number, negative, zero, empty and
+/// one field too many.
+const PACES: [&str; 5] = ["60", "100", "160", "250", "400"];
+const MALFORMED_PACES: [&str; 5] = ["fast", "-5", "0", "", "160, 7"];
+/// Time for which a server states a pace, and one part in how many is malformed.
+const PACE_MS: u128 = 250;
+const MALFORMED_PARTS: u32 = 12;
 
 /// Restores of the store are drawn in a separate series, for the same reason.
 const RESTORE_SERIES: u64 = 0x7265_7374_6f72_6531;
@@ -189,6 +205,18 @@
     }
 }
 
+/// The pace that a server states at a time of the run of a seed.
+pub(crate) fn pace_at(seed: u64, server: usize, time: Duration) -> &'static str {
+    let period = u64::try_from(time.as_millis() / PACE_MS).unwrap_or(u64::MAX);
+    let mut rng = StdRng::seed_from_u64(seed ^ (period << 32) ^ ((server as u64) << 16));
+    let paces = if rng.random_range(0..MALFORMED_PARTS) == 0 {
+        MALFORMED_PACES
+    } else {
+        PACES
+    };
+    paces[rng.random_range(0..paces.len())]
+}
+
 /// Draws the faults of a seed, in the order of their start.
 pub(crate) fn draw_plan(seed: u64, size: &RunSize) -> Vec<PlannedFault> {
     let usual = |name, pause_ms, draw: DrawFault| FaultSeries {
@@ -202,6 +230,9 @@
         usual(ENTRY_SERIES, ENTRY_PAUSE_MS, draw_entry_fault),
         usual(SIGNAL_SERIES, SIGNAL_PAUSE_MS, draw_signal),
         usual(SUSPENSION_SERIES, SUSPENSION_PAUSE_MS, draw_suspension),
+        usual(READING_SERIES, READING_PAUSE_MS, |rng, size| {
+            Fault::Server(rng.random_range(0..size.servers), ServerFault::ReadsSlowly)
+        }),
         usual(RESTORE_SERIES, RESTORE_PAUSE_MS, |_, _| Fault::Restore),
         FaultSeries {
             lasts_ms: LIMIT_MS,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -12,10 +12,11 @@
 use ureq::Agent;
 
 use crate::callers::{CallReport, CallerGroup, call, new_agent};
+use crate::capacity::CapacityChecks;
 use crate::checks::{BrokenPromise, PromiseChecks};
-use crate::deployment::{RequestKind, SoakDeployment, version_path};
+use crate::deployment::{RequestKind, SoakDeployment, has_model_servers, has_plan, version_path};
 use crate::link::LinkMode;
-use crate::plan::{Fault, NextInstance, PlannedFault, RunSize, draw_plan};
+use crate::plan::{Fault, NextInstance, PlannedFault, RunSize, draw_plan, pace_at};
 use crate::signals::{DisturbedPart, InstanceArrivals, SignalChecks};
 
 /// Interval between two steps of the run.
@@ -35,6 +36,11 @@
 /// Time without a request that shows that a drained server receives nothing more.
 const DRAIN_WATCH: Duration = Duration::from_secs(1);
 
+/// Number of concurrent requests with large bodies that a VM receives, three times as many as
+/// it may hold, and the interval between reads of its held bytes meanwhile.
+const BURST_REQUESTS: usize = 8;
+const BURST_READ_PAUSE: Duration = Duration::from_millis(5);
+
 /// Result of a run.
 pub(crate) struct RunResult {
     /// Promises that were broken.
@@ -60,8 +66,10 @@
         runs_read: vec![Vec::new(); size.servers],
         checks: PromiseChecks::default(),
         signals: SignalChecks::default(),
+        capacity: CapacityChecks::new(),
         probes: 0,
         rewrite_at: None,
+        seed,
         targets: targets.clone(),
         deployment: &deployment,
     };
@@ -69,6 +77,7 @@
     let callers = CallerGroup::start(seed, CALLERS, &targets);
     run.apply_faults(&plan, &callers, size)?;
     run.wait_served("after the faults");
+    run.check_burst();
     run.wait_in_force();
     run.wait_used();
     run.check_drain();
@@ -77,12 +86,18 @@
     }
     run.record_runs();
     run.check_signals();
+    run.check_capacity();
     let broken = run.checks.broken();
     let checked = run.signals.checked;
     let limited = run.signals.limited;
     let summary = format!(
-        "{:?}, {checked} signals and {limited} limits of servers checked",
-        run.checks.statuses
+        "{:?}, {checked} signals and {limited} limits of servers checked, {} requests while idle, \
+         served {}, most of {} reads of held bytes {}",
+        run.checks.statuses,
+        run.capacity.idle,
+        run.capacity.order(),
+        run.capacity.held_reads,
+        run.capacity.most_held,
     );
     if !broken.is_empty() {
         eprintln!("logs of the gateways: {}", deployment.dir().display());
@@ -104,6 +119,8 @@
     runs_read: Vec<Vec<usize>>,
     checks: PromiseChecks,
     signals: SignalChecks,
+    capacity: CapacityChecks,
+    seed: u64,
     probes: u64,
     /// When the operator and the servers rewrite what a restored store has lost, from the
     /// start of the run.
@@ -153,6 +170,11 @@
             }
             self.reap_vms(&active)?;
             self.record_observations(callers);
+            for server in 0..size.servers {
+                let pace = pace_at(self.seed, server, now);
+                self.deployment.set_pace(server, pace);
+            }
+            self.read_held(usize::try_from(steps).unwrap_or(0) % size.vms);
             steps += 1;
             if steps.is_multiple_of(PROBE_STEPS) {
                 self.probe_versions();
@@ -169,6 +191,7 @@
         if let Some(part) = disturbed_part(fault) {
             self.signals.disturbances.begin(part);
         }
+        self.capacity.begin(fault);
         self.set(fault)
     }
 
@@ -233,6 +256,7 @@
 
     fn end(&mut self, fault: Fault) -> io::Result<()> {
         self.clear_fault(fault)?;
+        self.capacity.end(|other| is_same_target(other, fault));
         match disturbed_part(fault) {
             // A process stays disturbed until it is started again.
             None | Some(DisturbedPart::Process(_)) => {}
@@ -315,9 +339,47 @@
 
     fn record_report(&mut self, report: CallReport) {
         self.signals.record_report(&report);
+        if let Some(vm) = self.targets.iter().position(|to| *to == report.to) {
+            self.capacity.record_report(&report, vm);
+        }
         self.checks.record_report(report);
     }
 
+    fn read_held(&mut self, vm: usize) {
+        let state = self.deployment.vms[vm].lock();
+        if !has_plan(vm) {
+            return;
+        }
+        let status = state.status;
+        drop(state);
+        if let Some(broken) = self.capacity.read_held(vm, status) {
+            self.checks.record(broken);
+        }
+    }
+
+    /// Checks that an idle service refused nobody, and that the important requests were
+    /// served first.
+    fn check_capacity(&mut self) {
+        let mut arrivals = Vec::new();
+        for server in &self.deployment.servers {
+            let state = server.lock();
+            arrivals.extend(
+                state
+                    .instances
+                    .iter()
+                    .flat_map(|stub| stub.arrivals_from(0)),
+            );
+        }
+        let servers = self.deployment.servers.len();
+        let disturbances = &self.signals.disturbances;
+        let idle = self.capacity.check_idle(servers, &arrivals, disturbances);
+        let order = self.capacity.check_order();
+        let order = order.filter(|_| has_model_servers(self.seed));
+        for broken in idle.into_iter().chain(order) {
+            self.checks.record(broken);
+        }
+    }
+
     /// Checks that VMs obeyed the signals in the servers' responses.
     fn check_signals(&mut self) {
         let vms: Vec<IpAddr> = (0..self.targets.len())
@@ -450,8 +512,49 @@
         }
     }
 
+    /// Sends a VM with a bound of held bytes more large bodies at once than it may hold, while
+    /// servers read slowly. It may refuse some, but must not hold more than its bound.
+    fn check_burst(&mut self) {
+        let Some(vm) = (0..self.targets.len()).find(|vm| has_plan(*vm)) else {
+            return;
+        };
+        for server in 0..self.deployment.servers.len() {
+            self.capacity
+                .begin(Fault::Server(server, ServerFault::ReadsSlowly));
+            self.set_fault(server, ServerFault::ReadsSlowly);
+        }
+        let to = self.targets[vm];
+        let kind = RequestKind::Repeatable;
+        let path = format!("{}x", kind.prefix());
+        let reports: Vec<CallReport> = thread::scope(|scope| {
+            let senders: Vec<_> = (0..BURST_REQUESTS)
+                .map(|number| {
+                    let (id, path) = (format!("burst-{number}"), &path);
+                    scope.spawn(move || call(&new_agent(), to, path, &id, kind))
+                })
+                .collect();
+            while senders.iter().any(|sender| !sender.is_finished()) {
+                self.read_held(vm);
+                thread::sleep(BURST_READ_PAUSE);
+            }
+            let reports = senders.into_iter().filter_map(|sender| sender.join().ok());
+            reports.collect()
+        });
+        for report in reports {
+            self.signals.record_report(&report);
+            self.checks.record_report(report);
+        }
+        for server in 0..self.deployment.servers.len() {
+            self.set_fault(server, ServerFault::None);
+            self.capacity
+                .end(|fault| fault == Fault::Server(server, ServerFault::ReadsSlowly));
+        }
+    }
+
     /// Drains the first server; after `DRAIN_BOUND`, no request may reach it.
     fn check_drain(&mut self) {
+        self.capacity
+            .begin(Fault::SignalDrain(0, NextInstance::Renamed));
         self.deployment.drain(0);
         let until = Instant::now() + DRAIN_BOUND;
         let runs = |run: &Self| {
