Choice of server: a request goes to a server under its backlog limit if there is one

Change: the draw is among servers under the limit, if there are any. Requests without a limit are decided as before.

--- a/crates/fleet/src/choose.rs
+++ b/crates/fleet/src/choose.rs
@@ -351,8 +351,8 @@
     }
 
     /// Returns the prefix's owner if its extra load costs less than prefilling the
-    /// prefix again. Otherwise draws one of the servers that are not expected to miss
-    /// the deadline, if there are any. The owner is compared with the level to which
+    /// prefix again. Otherwise draws one of the servers under the backlog limit that are not
+    /// expected to miss the deadline, if there are any. The owner is compared with the level to which
     /// the requests of all VMs fill the servers, and not with the least loaded server,
     /// which would never be the owner: each prefix has another owner, so that requests
     /// to owners spread evenly.
@@ -364,16 +364,11 @@
         owner: Option<ServerId>,
         rng: &mut impl Rng,
     ) -> Option<ServerChoice> {
-        let on_time: Vec<CandidateCost> = candidates
-            .iter()
-            .copied()
-            .filter(|candidate| !candidate.is_late)
-            .collect();
-        let candidates = if on_time.is_empty() {
-            candidates
-        } else {
-            &on_time
-        };
+        // A request that is placed over its backlog limit is refused.
+        let allowed = filtered_or_all(candidates, |candidate| {
+            needs.allows_backlog(candidate.predicted.backlog)
+        });
+        let candidates = filtered_or_all(&allowed, |candidate| !candidate.is_late);
         let costs: Vec<f64> = candidates.iter().map(|candidate| candidate.cost).collect();
         let work = self.work_of(needs, 0).as_secs_f64();
         let unreported = if self.switches().is_on(DecisionSwitch::LevelDraw) {
@@ -446,6 +441,20 @@
     }
 }
 
+/// The candidates that meet a condition, or all of them if none does.
+fn filtered_or_all(
+    candidates: &[CandidateCost],
+    condition: impl Fn(&CandidateCost) -> bool,
+) -> Vec<CandidateCost> {
+    let matching = candidates.iter().copied().filter(|it| condition(it));
+    let matching: Vec<CandidateCost> = matching.collect();
+    if matching.is_empty() {
+        candidates.to_vec()
+    } else {
+        matching
+    }
+}
+
 /// Server with its cost, without regard to prefixes.
 #[derive(Clone, Copy, Debug)]
 struct CandidateCost {
--- a/crates/fleet/tests/reservation.rs
+++ b/crates/fleet/tests/reservation.rs
@@ -11,8 +11,9 @@
 
 use onyxfall_fleet::{
     AttemptResult, BackendService, BacklogLimits, CallRequirements, CallerLimits, ConfigVersion,
-    EngineLimits, FleetView, HomeRegions, LocalOption, PrefillTokens, PromptSize, RepeatRule,
-    ResponseShape, RouteRule, RouteTable, RouteTarget, ServerRecord, TimePrediction, WorkShare,
+    EngineLimits, FleetView, HomeRegions, LocalOption, PrefillTokens, PromptPart, PromptSize,
+    RepeatRule, ResponseShape, RouteRule, RouteTable, RouteTarget, ServerRecord, TimePrediction,
+    WorkShare,
 };
 use onyxfall_types::ServerId;
 use rand::rngs::StdRng;
@@ -451,3 +452,116 @@
         }
     }
 }
+
+struct PlaceCase {
+    name: &'static str,
+    /// Pending prompt tokens at the owner of the request's prefix and at each other server.
+    owner: u64,
+    others: u64,
+    /// Tokens at one server that is not the owner.
+    one: u64,
+    /// Whether the request is placed at a server under its limit.
+    is_placed: bool,
+}
+
+/// The prior cost of a thousand tokens is 20 ms, so a limit of 350 ms is 17,500 tokens.
+const PLACE_CASES: &[PlaceCase] = &[
+    PlaceCase {
+        name: "all are idle",
+        owner: 0,
+        others: 0,
+        one: 0,
+        is_placed: true,
+    },
+    PlaceCase {
+        name: "the owner is over the limit, and the others are not",
+        owner: 20_000,
+        others: 12_000,
+        one: 12_000,
+        is_placed: true,
+    },
+    PlaceCase {
+        name: "the owner alone is under the limit",
+        owner: 12_000,
+        others: 30_000,
+        one: 30_000,
+        is_placed: true,
+    },
+    PlaceCase {
+        name: "one server that does not have the prefix is under the limit",
+        owner: 18_000,
+        others: 20_000,
+        one: 16_000,
+        is_placed: true,
+    },
+    PlaceCase {
+        name: "all are over the limit",
+        owner: 20_000,
+        others: 20_000,
+        one: 20_000,
+        is_placed: false,
+    },
+];
+
+/// Guards against a request that is refused at the server that has its prefix although another
+/// one is under its limit.
+#[test]
+fn a_request_is_placed_at_a_server_under_its_limit_if_there_is_one() {
+    let limit = Duration::from_millis(350);
+    let parts = vec![
+        PromptPart {
+            id: 1,
+            tokens: 8000,
+        },
+        PromptPart { id: 2, tokens: 500 },
+    ];
+    let needs = CallRequirements {
+        engine: Some(ENGINE),
+        prompt: PromptSize {
+            parts,
+            input: 8500,
+            output: 20,
+            ..PromptSize::default()
+        },
+        goal: Duration::from_secs(2),
+        urgency: 6,
+        backlog_limit: Some(limit),
+        ..needs()
+    };
+    for case in PLACE_CASES {
+        for seed in 0..20 {
+            let (mut view, mut rng) = (view(0), StdRng::seed_from_u64(seed));
+            let LocalOption::Free(owner) = view.choose(at(0), &needs, &[], &mut rng) else {
+                panic!("{}: no owner", case.name);
+            };
+            let first_ids = ["s0", "s1"].map(|name| view.find(name).unwrap());
+            let one = first_ids.into_iter().find(|id| *id != owner.server);
+            let one = one.unwrap();
+            for server in 0..SERVERS {
+                let id = view.find(&format!("s{server}")).unwrap();
+                let tokens = match id {
+                    id if id == owner.server => case.owner,
+                    id if id == one => case.one,
+                    _ => case.others,
+                };
+                let work = WorkShare {
+                    requests: 3,
+                    prefill: PrefillTokens::of(0, tokens),
+                    memory: tokens,
+                    ..WorkShare::default()
+                };
+                view.server_mut(id).set_others(at(10), work);
+            }
+            let LocalOption::Free(choice) = view.choose(at(20), &needs, &[], &mut rng) else {
+                panic!("{}: no server", case.name);
+            };
+            let backlog = choice.predicted.backlog;
+            assert_eq!(
+                needs.allows_backlog(backlog),
+                case.is_placed,
+                "{}, seed {seed}: {backlog:?} with a limit of {limit:?}",
+                case.name
+            );
+        }
+    }
+}
