Stalled callers: the timer alone measures the wait

Cause: the check on clocks found a clock that the gateway reads by itself. Change: the start of the wait is the timer's deadline less its limit.

--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use hyper::rt::{Read, ReadBufCursor, Write};
-use tokio::time::{Instant, Sleep};
+use tokio::time::Sleep;
 
 /// How long a caller may take none of the bytes that wait for it.
 pub(crate) const STALL_LIMIT: Duration = Duration::from_secs(10);
@@ -50,9 +50,7 @@
 pub(crate) struct CallerStream<T, F> {
     inner: T,
     report: F,
-    /// When the current write was first blocked.
-    blocked_at: Option<Instant>,
-    /// Wakes the task of the connection at the limit; kept for the next blocked write.
+    /// Wakes the task of the connection at the limit, while a write is blocked.
     timer: Option<Pin<Box<Sleep>>>,
 }
 
@@ -61,7 +59,6 @@
         Self {
             inner,
             report,
-            blocked_at: None,
             timer: None,
         }
     }
@@ -81,7 +78,7 @@
                 Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
             }
             Poll::Ready(Ok(bytes)) => {
-                self.blocked_at = None;
+                self.timer = None;
                 Poll::Ready(Ok(bytes))
             }
             Poll::Ready(Err(e)) => Poll::Ready(Err(self.check_error(e))),
@@ -89,16 +86,9 @@
     }
 
     fn is_past_limit(&mut self, cx: &mut Context<'_>) -> bool {
-        if self.blocked_at.is_none() {
-            let now = Instant::now();
-            self.blocked_at = Some(now);
-            match &mut self.timer {
-                Some(timer) => timer.as_mut().reset(now + STALL_LIMIT),
-                None => self.timer = Some(Box::pin(tokio::time::sleep_until(now + STALL_LIMIT))),
-            }
-        }
-        let timer = self.timer.as_mut();
-        timer.is_some_and(|timer| timer.as_mut().poll(cx).is_ready())
+        let timer = &mut self.timer;
+        let timer = timer.get_or_insert_with(|| Box::pin(tokio::time::sleep(STALL_LIMIT)));
+        timer.as_mut().poll(cx).is_ready()
     }
 
     /// Reports a time-out of the kernel while a write is blocked.
@@ -110,7 +100,8 @@
     }
 
     fn report_stall(&mut self, end: StallEnd) {
-        if let Some(blocked_at) = self.blocked_at.take() {
+        if let Some(timer) = self.timer.take() {
+            let blocked_at = timer.deadline() - STALL_LIMIT;
             let waited = blocked_at.elapsed();
             (self.report)(StalledWrite { waited, end });
         }
