--- a/crates/soak/src/capacity.rs
+++ b/crates/soak/src/capacity.rs
@@ -19,7 +19,7 @@
 /// servers ask for, and servers that are unknown or silent, are other reasons.
 const LOAD_DETAILS: [&str; 2] = ["every server is full", "no server can respond in time"];
 /// Time after a fault in which VMs may still act on what they learned from it: backoffs of
-/// servers last up to 2 s, and a server is trusted again about a second after it failed.
+/// servers last up to 2 s. The rest is a margin, which was chosen, not measured.
 const SETTLING_TIME: Duration = Duration::from_secs(3);
 /// Share by which a less important kind may be served more often.
 const ORDER_TOLERANCE: f64 = 0.05;
