Soak: a rejection of a server that has just restarted may be unread

The trace: the VM gave the attempt up 2 ms after sending it, when the entry of the restarted server arrived, and never read the rejection; the request went on through another VM. Change: rejections in the first second of a restarted server whose request went on to another server count as unread, as other abandoned answers do.

--- a/crates/soak/src/signals.rs
+++ b/crates/soak/src/signals.rs
@@ -8,7 +8,7 @@
 //! before were also sent before. A suspension or restart of the VM excuses it, and so does
 //! a faulty link while the response is in flight.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
 
@@ -76,6 +76,10 @@
     pub(crate) arrivals: Vec<ArrivedRequest>,
 }
 
+/// Time in which the entry of a restarted server reaches all VMs, also if the store is restored
+/// meanwhile.
+const ENTRY_DELAY: Duration = Duration::from_secs(1);
+
 /// The checks of signals, updated during a run.
 #[derive(Default)]
 pub(crate) struct SignalChecks {
@@ -83,6 +87,8 @@
     pub(crate) disturbances: DisturbanceLog,
     /// When each request reached the last of its servers, by request id.
     last_arrivals: BTreeMap<String, Instant>,
+    /// Arrivals at a restarted server within [`ENTRY_DELAY`] of its first one.
+    early_arrivals: BTreeSet<(String, Instant)>,
     /// Number of signals that could be checked, for the report.
     pub(crate) checked: usize,
     /// Number of limited periods that could be checked, for the report.
@@ -113,7 +119,13 @@
     /// Records what reached an instance of a server. All instances must be recorded before
     /// the first check.
     pub(crate) fn record_arrivals(&mut self, instance: &InstanceArrivals) {
+        let first = instance.arrivals.first().map(|arrived| arrived.at);
         for arrived in &instance.arrivals {
+            let is_early = first.is_some_and(|first| arrived.at - first < ENTRY_DELAY);
+            if instance.instance > 0 && is_early {
+                let early = (arrived.request_id.clone(), arrived.at);
+                self.early_arrivals.insert(early);
+            }
             let last = self.last_arrivals.entry(arrived.request_id.clone());
             let last = last.or_insert(arrived.at);
             *last = arrived.at.max(*last);
@@ -123,12 +135,15 @@
     /// When a caller received the response to a request, if that shows that the VM had read
     /// the signals in the server's response. It does not if the request reached the server
     /// only after that, or went on to another server although this one ran it: then its VM
-    /// had abandoned the attempt.
+    /// had abandoned the attempt. A VM also abandons an attempt when it learns that the server
+    /// has restarted, and then a rejection by the new instance stays unread.
     pub(crate) fn read_at(&self, arrived: &ArrivedRequest) -> Option<Instant> {
         let read = self.calls.get(&arrived.request_id)?.read?;
         let last = self.last_arrivals.get(&arrived.request_id);
-        let was_abandoned =
-            arrived.signals.backoff.is_none() && last.is_some_and(|last| *last > arrived.at);
+        let early = (arrived.request_id.clone(), arrived.at);
+        let may_be_abandoned =
+            arrived.signals.backoff.is_none() || self.early_arrivals.contains(&early);
+        let was_abandoned = may_be_abandoned && last.is_some_and(|last| *last > arrived.at);
         (arrived.at < read && !was_abandoned).then_some(read)
     }
 
