Failing test: VMs that are partitioned from all servers

What callers saw: first tries at VMs without a path to any server were refused or lost, and those at a sound VM of the same region too.

The soak's faulty link moves to the stand-ins and can cut the path of one source address: packets are dropped by a packet filter, so that handshakes get no answer, data stays unacknowledged and keep-alive probes unanswered. Three ways: silent, reset, new connections only.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -7,6 +7,7 @@
 mod control;
 mod copies;
 mod engine;
+mod faulty_link;
 mod link;
 mod platform;
 mod server;
@@ -16,6 +17,7 @@
 mod store;
 
 pub use engine::{EngineFaults, EngineSettings, FakeEngine};
+pub use faulty_link::{FaultyLink, LinkMode, PathCut};
 pub use link::{FakeLink, LinkRules};
 pub use platform::{FakePlatform, PlatformFaults};
 pub use server::{
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -63,6 +63,8 @@
     pub ports: Ports,
     ips: Vec<Ipv4Addr>,
     regions: usize,
+    /// Whether each VM has a source address of its own, so that links can tell VMs apart.
+    has_sources: bool,
     dir: PathBuf,
 }
 
@@ -98,10 +100,23 @@
             ports,
             ips,
             regions,
+            has_sources: false,
             dir,
         }
     }
 
+    /// Gives each VM a source address of its own; before any gateway is started.
+    pub fn with_sources(mut self) -> Self {
+        self.has_sources = true;
+        self
+    }
+
+    /// Source address of a VM's connections.
+    pub fn source(&self, vm: usize) -> Ipv4Addr {
+        let [net, second, third, fourth] = self.ips[vm].octets();
+        Ipv4Addr::new(net, second - 64, third, fourth)
+    }
+
     /// Address on which the stubs of a VM's data centre listen. It differs from the VM's own
     /// address, so that the ports found free there stay free until the gateway starts.
     pub fn ip(&self, vm: usize) -> IpAddr {
@@ -274,8 +289,12 @@
         for n in 0..self.ips.len() {
             let _ = writeln!(centers, "[center c{n}]\nregion = r{}", n % self.regions);
         }
+        let mut source = String::new();
+        if self.has_sources {
+            source = format!("source-address = {}\n", self.source(vm));
+        }
         format!(
-            "[vm]\nname = vm{vm}\ncenter = c{vm}\n\
+            "[vm]\nname = vm{vm}\ncenter = c{vm}\n{source}\
              [listen]\ncallers = {ip}:{}\nready = {ip}:{}\ndirectory = {ip}:{}\n\
              peers = {ip}:{}\npeer-ports = {},{}\n\
              [peers]\nseeds = {}\n[store]\naddress = {store}\n\
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -13,12 +13,11 @@
     RouteShape, RouteText, ServiceText, TeamText, config_key, document_with_teams,
     malformed_entries, server_body, server_key, with_route_priority,
 };
-use onyxfall_fakes::{RequestedBackoff, ServerStub, StoreStub, StubSignals};
+use onyxfall_fakes::{FaultyLink, RequestedBackoff, ServerStub, StoreStub, StubSignals};
 use onyxfall_fleet::{EngineLimits, ServerPhase, ServerRecord, StartTime};
 use parking_lot::Mutex;
 use rustix::process::{Pid, Signal, kill_process};
 
-use crate::link::FaultyLink;
 use crate::plan::RunSize;
 
 /// Host header of the callers' requests.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -10,7 +10,6 @@
 mod checks;
 mod deployment;
 mod limits;
-mod link;
 mod plan;
 mod run;
 mod signals;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -7,12 +7,10 @@
 use std::fmt;
 use std::time::Duration;
 
-use onyxfall_fakes::{RequestedBackoff, ServerFault, StoreMode};
+use onyxfall_fakes::{LinkMode, RequestedBackoff, ServerFault, StoreMode};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use crate::link::LinkMode;
-
 /// Range of a fault's duration, in milliseconds.
 const FAULT_MS: std::ops::Range<u64> = 200..2500;
 /// Mean time between the starts of two faults, in milliseconds.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use onyxfall_fakes::{ServerFault, ServerStub, StoreMode};
+use onyxfall_fakes::{LinkMode, ServerFault, ServerStub, StoreMode};
 use rustix::process::Signal;
 use ureq::Agent;
 
@@ -15,7 +15,6 @@
 use crate::capacity::CapacityChecks;
 use crate::checks::{BrokenPromise, PromiseChecks};
 use crate::deployment::{RequestKind, SoakDeployment, has_model_servers, has_plan, version_path};
-use crate::link::LinkMode;
 use crate::plan::{Fault, NextInstance, PlannedFault, RunSize, draw_plan, pace_at};
 use crate::signals::{DisturbedPart, InstanceArrivals, SignalChecks};
 
