--- a/crates/fleet/src/choose.rs
+++ b/crates/fleet/src/choose.rs
@@ -104,6 +104,8 @@
     Full,
     /// Servers are cold or failing; one may be usable later.
     Unavailable,
+    /// This VM reaches no server that could run the request. Another VM may.
+    Unreachable,
     /// No server that could run the request accepts requests from this VM before the
     /// given moment.
     BackedOff(Moment),
@@ -135,6 +137,9 @@
         if candidates.is_empty() {
             return LocalOption::None;
         }
+        if !self.path_state(&needs.service).may_send() {
+            return LocalOption::Unreachable;
+        }
         if let Some(end) = self.earliest_hold_end(now, &candidates) {
             return LocalOption::BackedOff(end);
         }
@@ -145,7 +150,9 @@
         if with_capacity.is_empty() {
             return LocalOption::Full;
         }
-        let pool = self.usable(now, with_capacity);
+        let Some(pool) = self.usable(now, with_capacity) else {
+            return LocalOption::Unreachable;
+        };
         if let Some(choice) = self.baseline_choice(now, needs, &pool, rng) {
             return LocalOption::Free(choice);
         }
@@ -186,6 +193,9 @@
             return LocalOption::None;
         }
         let candidates = self.candidates(needs, excluded);
+        if !self.path_state(&needs.service).may_send() {
+            return LocalOption::Unreachable;
+        }
         if let Some(end) = self.earliest_hold_end(now, &candidates) {
             return LocalOption::BackedOff(end);
         }
@@ -201,25 +211,28 @@
         })
     }
 
-    /// Filters servers with capacity down to those that may be sent a request now.
-    fn usable(&mut self, now: Moment, with_capacity: Vec<ServerId>) -> Vec<ServerId> {
+    /// Filters servers with capacity down to those that may be sent a request now. `None` if
+    /// requests would be written to no other than unreachable servers.
+    fn usable(&mut self, now: Moment, with_capacity: Vec<ServerId>) -> Option<Vec<ServerId>> {
         let sendable: Vec<ServerId> = with_capacity
             .into_iter()
             .filter(|id| self.may_send_cold(now, *id))
             .collect();
-        if !self.switches().is_on(DecisionSwitch::CircuitBreaker) {
-            return sendable;
+        if sendable.is_empty() || !self.switches().is_on(DecisionSwitch::CircuitBreaker) {
+            return Some(sendable);
         }
-        let trusted: Vec<ServerId> = sendable
+        let is_reached =
+            |id: &ServerId| !self.server(*id).is_doubted(now) && !self.is_unresponsive(now, *id);
+        let reached: Vec<ServerId> = sendable.into_iter().filter(is_reached).collect();
+        let trusted: Vec<ServerId> = reached
             .iter()
             .copied()
             .filter(|id| self.is_trusted(now, *id))
             .collect();
-        if trusted.is_empty() {
-            sendable
-        } else {
-            trusted
+        if !trusted.is_empty() {
+            return Some(trusted);
         }
+        (!reached.is_empty()).then_some(reached)
     }
 
     /// Number of servers in rendezvous order that are tried for a prefix before any
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,6 +26,7 @@
 mod pools;
 mod predict;
 mod quota;
+mod reach;
 mod record;
 mod remote;
 mod reservation;
@@ -63,6 +64,7 @@
 pub use quota::{
     QuotaDecision, QuotaPeers, QuotaReceipt, QuotaRequest, QuotaSettings, QuotaTable, TeamFlow,
 };
+pub use reach::{PathState, RegionReach};
 pub use record::{ServerPhase, ServerRecord};
 pub use remote::{RemoteOption, RemoteSearch, RemoteTable, ServiceLoad, goes_remote};
 pub use reservation::BacklogLimits;
--- a/crates/fleet/src/liveness.rs
+++ b/crates/fleet/src/liveness.rs
@@ -7,8 +7,9 @@
 //! long overdue. Votes are summed like work, and all VMs treat a server with enough bad
 //! votes as unresponsive.
 //!
-//! Invariant: a VM has one vote, so that a VM whose own network is broken cannot make others
-//! treat a healthy server as unresponsive.
+//! Invariants: a VM has one vote, and a VM abstains while its path is not open
+//! ([`crate::PathState`]), so that VMs whose own network is broken cannot make others treat a
+//! healthy server as unresponsive.
 
 use std::time::Duration;
 
@@ -75,6 +76,10 @@
 pub(crate) struct LivenessRecord {
     last_signal: Option<Moment>,
     last_disconnect: Option<Moment>,
+    /// When an open connection was last lost.
+    broken_at: Option<Moment>,
+    /// When a connection could last not be established, unless there was a signal since.
+    failed_dial: Option<Moment>,
 }
 
 impl LivenessRecord {
@@ -86,10 +91,36 @@
     /// Records a liveness signal.
     pub(crate) fn record_liveness(&mut self, now: Moment) {
         self.last_signal = Some(now);
+        self.failed_dial = None;
     }
 
-    /// Records that a connection was lost or could not be established.
-    pub(crate) fn record_disconnect(&mut self, now: Moment) {
+    /// Records that no connection could be established.
+    pub(crate) fn record_failed_dial(&mut self, now: Moment) {
+        self.failed_dial = Some(now);
+        self.last_disconnect = Some(now);
+    }
+
+    /// Whether no connection could be established since the last liveness signal.
+    pub(crate) fn is_undialled(&self) -> bool {
+        self.failed_dial.is_some()
+    }
+
+    /// Whether an open connection was lost after `since` and no liveness signal came afterwards.
+    pub(crate) fn is_broken_since(&self, since: Moment) -> bool {
+        self.broken_at
+            .is_some_and(|at| at > since && self.last_signal.is_none_or(|sign| sign < at))
+    }
+
+    /// Whether the response to an attempt that was sent at `started` is long overdue and the
+    /// server has sent nothing else since.
+    pub(crate) fn is_overdue(&self, now: Moment, started: Moment, expected: Duration) -> bool {
+        let since = self.last_signal.map_or(started, |sign| sign.max(started));
+        now - since >= expected.mul_f64(OVERDUE_FACTOR).max(MIN_OVERDUE)
+    }
+
+    /// Records that an open connection was lost.
+    pub(crate) fn record_break(&mut self, now: Moment) {
+        self.broken_at = Some(now);
         self.last_disconnect = Some(now);
     }
 
@@ -99,10 +130,8 @@
         let is_disconnected = self
             .last_disconnect
             .is_some_and(|at| now - at < BAD_TTL && self.last_signal.is_none_or(|sign| sign < at));
-        let is_overdue = waiting.is_some_and(|(started, expected)| {
-            let since = self.last_signal.map_or(started, |sign| sign.max(started));
-            now - since >= expected.mul_f64(OVERDUE_FACTOR).max(MIN_OVERDUE)
-        });
+        let is_overdue =
+            waiting.is_some_and(|(started, expected)| self.is_overdue(now, started, expected));
         if is_disconnected || is_overdue {
             return ServerVotes { good: 0, bad: 1 };
         }
--- /dev/null
+++ b/crates/fleet/src/reach.rs
@@ -0,0 +1,308 @@
+//! Whether this VM reaches the backend servers of its region.
+//!
+//! A failed path and a failed server look the same to one request. They differ over the servers
+//! of a service: if several fail at the same time and none of the others sends a byte, the path
+//! of this VM has probably failed, and the servers may be well. The VM then abstains from the
+//! votes on them, and its requests go by way of another VM.
+//!
+//! Paths are tracked by service, since the servers of different services may be in different
+//! networks. Invariants: a byte from any server of the service ends the doubt; a lost path is
+//! never tried with a caller's request.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use onyxfall_policy::Moment;
+use onyxfall_types::{ServerId, ServiceName};
+
+use crate::view::FleetView;
+
+/// Servers that must fail at the same time before the path is doubted, if the region has that
+/// many.
+const MIN_FAILED: usize = 2;
+/// Time without a byte from any server after which the path may be doubted. Servers send
+/// something every few milliseconds to a VM with requests at several of them.
+const SILENCE: Duration = Duration::from_millis(250);
+/// Time for which a doubt that a check has refuted is not raised again.
+const REFUTED_FOR: Duration = Duration::from_secs(1);
+
+/// State of this VM's paths to the servers of a service in its region.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PathState {
+    /// Servers are reached.
+    #[default]
+    Open,
+    /// Open connections work, and new ones cannot be established.
+    OpenConnectionsOnly,
+    /// Several servers are silent, and no check has shown why yet.
+    Doubted,
+    /// No server is reached.
+    Lost,
+}
+
+impl PathState {
+    /// Whether requests may be sent to servers.
+    ///
+    /// ```
+    /// use onyxfall_fleet::PathState;
+    /// assert!(PathState::OpenConnectionsOnly.may_send());
+    /// assert!(!PathState::Doubted.may_send());
+    /// ```
+    pub const fn may_send(self) -> bool {
+        matches!(self, Self::Open | Self::OpenConnectionsOnly)
+    }
+
+    /// Name in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Open => "open",
+            Self::OpenConnectionsOnly => "open-connections-only",
+            Self::Doubted => "doubted",
+            Self::Lost => "lost",
+        }
+    }
+}
+
+/// How requests reach the servers of a service in this VM's region.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RegionReach {
+    /// This VM reaches them.
+    #[default]
+    Own,
+    /// Only other VMs of the region reach them.
+    Neighbours,
+    /// No VM of the region reaches them.
+    None,
+}
+
+/// What the servers of a service in the region show at one moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct PathEvidence {
+    /// Number of servers that may get work.
+    pub(crate) servers: usize,
+    /// Number of them that owe this VM a byte.
+    pub(crate) silent: usize,
+    /// Number of them with connections that were lost within [`SILENCE`].
+    pub(crate) broken: usize,
+    /// When a server last sent a byte.
+    pub(crate) last_sign: Option<Moment>,
+}
+
+/// Tracks the paths to the servers of one service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PathMonitor {
+    state: PathState,
+    /// When the state last changed.
+    since: Moment,
+    /// Servers to which no connection could be established since the last one that was; at
+    /// most [`MIN_FAILED`].
+    failed_dials: BTreeSet<ServerId>,
+    /// When a check last refuted a doubt.
+    refuted: Option<Moment>,
+}
+
+impl PathMonitor {
+    fn set(&mut self, now: Moment, state: PathState) {
+        if self.state != state {
+            self.state = state;
+            self.since = now;
+        }
+    }
+
+    /// Applies what the servers show.
+    fn update(&mut self, now: Moment, evidence: PathEvidence) {
+        if evidence.servers == 0 {
+            self.set(now, PathState::Open);
+            return;
+        }
+        let has_sign = |at: Moment| evidence.last_sign.is_some_and(|sign| sign > at);
+        if !self.state.may_send() {
+            if has_sign(self.since) {
+                self.set(now, self.state_of_dials(evidence.servers));
+            }
+            return;
+        }
+        let was_refuted = self.refuted.is_some_and(|at| now - at < REFUTED_FOR);
+        let required = required_failures(evidence.servers);
+        let is_silent = evidence.silent >= required && !has_sign(now.before(SILENCE));
+        let is_broken = evidence.broken >= required;
+        if (is_silent || is_broken) && !was_refuted {
+            self.set(now, PathState::Doubted);
+        } else {
+            self.set(now, self.state_of_dials(evidence.servers));
+        }
+    }
+
+    fn state_of_dials(&self, servers: usize) -> PathState {
+        if self.failed_dials.len() >= required_failures(servers) {
+            PathState::OpenConnectionsOnly
+        } else {
+            PathState::Open
+        }
+    }
+
+    fn record_dial(&mut self, server: ServerId, is_established: bool) {
+        if is_established {
+            self.failed_dials.clear();
+        } else if self.failed_dials.len() < MIN_FAILED {
+            self.failed_dials.insert(server);
+        }
+    }
+
+    /// Raises a doubt because another path was found lost.
+    fn doubt(&mut self, now: Moment) {
+        if self.state == PathState::Open {
+            self.set(now, PathState::Doubted);
+        }
+    }
+
+    fn record_check(&mut self, now: Moment, has_responded: bool) {
+        if has_responded {
+            self.failed_dials.clear();
+            self.refuted = Some(now);
+            self.set(now, PathState::Open);
+        } else if self.state == PathState::Doubted {
+            self.set(now, PathState::Lost);
+        }
+    }
+}
+
+fn required_failures(servers: usize) -> usize {
+    MIN_FAILED.min(servers)
+}
+
+/// Paths by service, and how requests reach the servers of the region.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PathTable {
+    monitors: BTreeMap<ServiceName, PathMonitor>,
+    reach: BTreeMap<ServiceName, RegionReach>,
+    /// Whether any path is not open. Paths are looked up for each candidate of each request.
+    has_closed: bool,
+}
+
+impl PathTable {
+    fn monitor_mut(&mut self, service: &ServiceName) -> &mut PathMonitor {
+        self.monitors.entry(service.clone()).or_default()
+    }
+
+    fn update_closed(&mut self) {
+        let mut states = self.monitors.values().map(|monitor| monitor.state);
+        self.has_closed = states.any(|state| state != PathState::Open);
+    }
+}
+
+impl FleetView {
+    /// State of this VM's paths to the servers of a service in its region.
+    pub fn path_state(&self, service: &ServiceName) -> PathState {
+        if !self.paths.has_closed {
+            return PathState::Open;
+        }
+        let monitor = self.paths.monitors.get(service);
+        monitor.map_or(PathState::Open, |monitor| monitor.state)
+    }
+
+    /// States of the paths to all services that were used so far.
+    pub fn path_states(&self) -> impl Iterator<Item = (&ServiceName, PathState)> {
+        let monitors = self.paths.monitors.iter();
+        monitors.map(|(service, monitor)| (service, monitor.state))
+    }
+
+    /// Applies what the servers of the region show now.
+    pub fn refresh_paths(&mut self, now: Moment) {
+        let mut shown: BTreeMap<ServiceName, PathEvidence> = BTreeMap::new();
+        for (id, server) in self.live() {
+            if server.region != self.place().region || !self.may_work(id) {
+                continue;
+            }
+            let service = &server.record.service;
+            if !shown.contains_key(service) {
+                shown.insert(service.clone(), PathEvidence::default());
+            }
+            if let Some(evidence) = shown.get_mut(service) {
+                evidence.servers += 1;
+                evidence.silent += usize::from(server.is_silent(now));
+                evidence.broken += usize::from(server.is_broken_since(now.before(SILENCE)));
+                evidence.last_sign = evidence.last_sign.max(server.last_liveness());
+            }
+        }
+        for (service, monitor) in &mut self.paths.monitors {
+            monitor.update(now, shown.remove(service).unwrap_or_default());
+        }
+        for (service, evidence) in shown {
+            self.paths.monitor_mut(&service).update(now, evidence);
+        }
+        self.paths.update_closed();
+    }
+
+    /// Records whether a new connection to a server could be established.
+    pub fn record_dial(&mut self, id: ServerId, is_established: bool) {
+        let service = self.server(id).record.service.clone();
+        let monitor = self.paths.monitor_mut(&service);
+        monitor.record_dial(id, is_established);
+    }
+
+    /// Records whether a server has responded to a check of the paths to its service. A path
+    /// that is found lost raises a doubt about those to other services.
+    ///
+    /// ```
+    /// use onyxfall_fleet::{FleetView, PathState, VmLocation};
+    /// # use onyxfall_policy::Moment;
+    /// # let (center, region): (onyxfall_types::CenterName, onyxfall_types::RegionName) =
+    /// #     ("c1".parse().unwrap(), "r1".parse().unwrap());
+    /// # let mut fleet = FleetView::new(VmLocation {
+    /// #     vm: "vm1".parse().unwrap(),
+    /// #     center: center.clone(),
+    /// #     region: region.clone(),
+    /// #     centers: [(center, region)].into(),
+    /// # });
+    /// let service = "svc".parse().unwrap();
+    /// // Without a doubt, a failed check shows nothing about the path.
+    /// fleet.record_check(Moment::ZERO, &service, None, false);
+    /// assert_eq!(fleet.path_state(&service), PathState::Open);
+    /// ```
+    pub fn record_check(
+        &mut self,
+        now: Moment,
+        service: &ServiceName,
+        id: Option<ServerId>,
+        has_responded: bool,
+    ) {
+        if let Some(id) = id.filter(|_| has_responded) {
+            self.server_mut(id).record_liveness(now);
+        }
+        let monitor = self.paths.monitor_mut(service);
+        let before = monitor.state;
+        monitor.record_check(now, has_responded);
+        if before != PathState::Lost && monitor.state == PathState::Lost {
+            for monitor in self.paths.monitors.values_mut() {
+                monitor.doubt(now);
+            }
+        }
+        self.paths.update_closed();
+    }
+
+    /// Servers by which the paths to a service can be checked, those first that have sent a
+    /// byte most recently.
+    pub fn servers_to_check(&self, service: &ServiceName) -> Vec<ServerId> {
+        let mut servers: Vec<(Option<Moment>, ServerId)> = self
+            .servers_of(service)
+            .iter()
+            .map(|id| (self.server(*id).last_liveness(), *id))
+            .filter(|(_, id)| self.server(*id).region == self.place().region && self.may_work(*id))
+            .collect();
+        servers.sort_unstable_by(|a, b| b.cmp(a));
+        servers.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Sets how requests reach the servers of a service in this region.
+    pub fn set_region_reach(&mut self, service: &ServiceName, reach: RegionReach) {
+        if self.region_reach(service) != reach {
+            self.paths.reach.insert(service.clone(), reach);
+        }
+    }
+
+    /// How requests reach the servers of a service in this region.
+    pub fn region_reach(&self, service: &ServiceName) -> RegionReach {
+        self.paths.reach.get(service).copied().unwrap_or_default()
+    }
+}
--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -143,6 +143,8 @@
     pub max_connections: u32,
     /// How long a server stays cold under traffic after its start.
     pub cold_for: Duration,
+    /// Path of the health check; empty if there is none.
+    pub health_path: String,
     /// Number of requests per second that a cold server can take.
     pub cold_rate: f64,
     /// Capacity of model servers; none for plain services.
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -32,6 +32,11 @@
 const SLOWNESS_RANGE: (f64, f64) = (0.8, 20.0);
 /// Pause after a server has reported that it is full.
 const FULL_PAUSE: Duration = Duration::from_millis(120);
+/// Time after the expected first byte, and between two events of a stream, after which a
+/// request counts as left without a byte. The sheets allow pauses of this length.
+const SILENCE: Duration = Duration::from_millis(400);
+/// Interval at which one request tries a server that this VM doubts.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(500);
 /// Fraction of a model server's memory that admitted requests may occupy.
 const MAX_MEMORY_FRACTION: f64 = 0.9;
 /// Outcome of an attempt at a server.
@@ -141,6 +146,8 @@
     interval_slowness: f64,
     flow: FlowMeter,
     open: BTreeMap<u64, OpenAttempt>,
+    /// When the last attempt was sent.
+    last_start: Option<Moment>,
     own: WorkShare,
     /// Work of the other VMs, as reported by them.
     others: WorkShare,
@@ -171,6 +178,7 @@
             interval_slowness: 1.0,
             flow: FlowMeter::new(FLOW_DECAY),
             open: BTreeMap::new(),
+            last_start: None,
             own: WorkShare::default(),
             others: WorkShare::default(),
             cached_prefixes: CachedPrefixes::new(now),
@@ -347,9 +355,52 @@
 
     /// This VM's vote on whether the server is responsive.
     fn own_vote(&self, now: Moment) -> ServerVotes {
-        let waiting = self.open.values().find(|open| open.first_byte.is_none());
-        let waiting = waiting.map(|open| (open.started, open.expected(self.pace(now))));
-        self.liveness.vote(now, waiting)
+        self.liveness.vote(now, self.longest_waiting(now))
+    }
+
+    /// Start and expected time of the attempt that has waited longest for its first byte.
+    fn longest_waiting(&self, now: Moment) -> Option<(Moment, Duration)> {
+        let waiting = self.open.values().find(|open| open.first_byte.is_none())?;
+        Some((waiting.started, waiting.expected(self.pace(now))))
+    }
+
+    /// Votes of the other VMs on whether the server is responsive.
+    pub(crate) fn others_votes(&self) -> ServerVotes {
+        self.others.votes
+    }
+
+    /// Whether a connection to the server was lost after `since`, and nothing was received from
+    /// it afterwards.
+    pub(crate) fn is_broken_since(&self, since: Moment) -> bool {
+        self.liveness.is_broken_since(since)
+    }
+
+    /// Whether the server owes this VM a byte: a first byte that is overdue, or the next event
+    /// of a stream.
+    pub(crate) fn is_silent(&self, now: Moment) -> bool {
+        let pace = self.pace(now);
+        self.open.values().any(|open| {
+            let since = self
+                .last_liveness()
+                .map_or(open.started, |at| at.max(open.started));
+            let expected = match open.first_byte {
+                None => open.expected(pace),
+                Some(_) => Duration::ZERO,
+            };
+            now - since >= expected + SILENCE
+        })
+    }
+
+    /// Whether this VM's own experience speaks against sending the server a request: it cannot
+    /// be connected to, or owes a response for long. One request at a time may try it.
+    pub(crate) fn is_doubted(&self, now: Moment) -> bool {
+        if self.liveness.is_undialled() && !self.circuit.allows(now) {
+            return true;
+        }
+        let is_overdue = self
+            .longest_waiting(now)
+            .is_some_and(|(started, expected)| self.liveness.is_overdue(now, started, expected));
+        is_overdue && self.last_start.is_some_and(|at| now - at < TRIAL_INTERVAL)
     }
 
     /// Votes of all VMs on whether the server is responsive.
@@ -508,6 +559,7 @@
             first_byte: None,
         };
         self.open.insert(id, attempt);
+        self.last_start = Some(now);
         self.cached_prefixes
             .touch(now, &needs.prompt, self.work().memory);
     }
@@ -575,8 +627,13 @@
             AttemptResult::Failed => {
                 self.circuit.fail(now);
             }
-            AttemptResult::Unreachable | AttemptResult::Broken => {
-                self.liveness.record_disconnect(now);
+            AttemptResult::Unreachable => {
+                self.liveness.record_failed_dial(now);
+                self.circuit.fail(now);
+                self.circuit.trip(now);
+            }
+            AttemptResult::Broken => {
+                self.liveness.record_break(now);
                 self.circuit.fail(now);
                 self.circuit.trip(now);
             }
--- a/crates/fleet/src/signals.rs
+++ b/crates/fleet/src/signals.rs
@@ -152,12 +152,14 @@
         }
     }
 
-    /// Whether an attempt at server `id` may be sent now. This is checked again just before
+    /// Whether an attempt at server `id` may be written to a connection now. This is checked again just before
     /// the send, since the request may have waited for a connection after the choice.
     pub fn may_send(&self, now: Moment, id: ServerId) -> bool {
         self.may_work(id)
             && !self.is_closed_version(id)
             && self.server(id).backoff_end(now).is_none()
+            && self.path_state(&self.server(id).record.service).may_send()
+            && !self.is_unresponsive(now, id)
     }
 
     /// Whether the backoff and the rate limit of server `id` let this VM send to it now.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -22,13 +22,16 @@
 use crate::flow::FlowMeter;
 use crate::instance::StartTime;
 use crate::learn::ServiceCosts;
+use crate::liveness::ServerVotes;
 use crate::pools::{
     DormantServer, MIN_WORKING, PoolId, PoolKey, PoolPosition, PoolServer, PoolTable,
 };
+use crate::reach::{PathState, PathTable, RegionReach};
 use crate::record::ServerRecord;
 use crate::route::RouteTable;
 use crate::server::ServerState;
 use crate::switches::{DecisionSwitch, DecisionSwitches};
+use crate::work::WorkShare;
 
 /// Delay per 1,000 tokens of a shared part that is accepted to avoid prefilling them
 /// again, if the settings give none. It also ties short shared parts to their server:
@@ -95,6 +98,8 @@
     evacuated: BTreeSet<CenterName>,
     region_vms: Vec<VmName>,
     is_alone: bool,
+    /// Paths to the servers of this region, by service.
+    pub(crate) paths: PathTable,
     discovery: RegionDiscovery,
     /// Whether `region_vms` may lack VMs of this region.
     is_discovering: bool,
@@ -136,6 +141,7 @@
             evacuated: BTreeSet::new(),
             region_vms: Vec::new(),
             is_alone: false,
+            paths: PathTable::default(),
             discovery: RegionDiscovery::default(),
             is_discovering: false,
             switches: DecisionSwitches::default(),
@@ -371,19 +377,68 @@
         })
     }
 
-    /// Whether a server may be sent an attempt, according to this VM's circuit breaker,
-    /// the server's requested backoff and the votes of all VMs.
+    /// Whether a server can be used by the VMs of the region that reach it: according to its
+    /// requested backoff, the votes of all VMs and, if this VM reaches servers, its circuit
+    /// breaker.
     pub(crate) fn is_trusted(&self, now: Moment, id: ServerId) -> bool {
         let server = self.server(id);
-        server.is_trusted(now) && !self.is_unresponsive(now, id)
+        let is_trusted_here = match self.region_reach(&server.record.service) {
+            RegionReach::Own => server.is_trusted(now),
+            // This VM's own failures show the state of its path only.
+            RegionReach::Neighbours => server.is_backoff_over(now),
+            RegionReach::None => false,
+        };
+        is_trusted_here && !self.is_voted_unresponsive(now, id)
     }
 
-    /// Whether a server is unresponsive by the votes of all VMs, or has restarted
-    /// since.
+    /// Whether requests at a server wait in vain: it is unresponsive by the votes of all VMs,
+    /// it has restarted since, or this VM does not reach it.
     pub fn is_unresponsive(&self, now: Moment, id: ServerId) -> bool {
         let server = self.server(id);
-        let votes = self.switches().is_on(DecisionSwitch::ServerVotes);
-        server.is_replaced() || (votes && server.votes(now).is_unresponsive())
+        let is_cut_off = server.region == self.place.region
+            && self.path_state(&server.record.service) == PathState::Lost;
+        is_cut_off || self.is_voted_unresponsive(now, id)
+    }
+
+    fn is_voted_unresponsive(&self, now: Moment, id: ServerId) -> bool {
+        let server = self.server(id);
+        let has_votes = self.switches().is_on(DecisionSwitch::ServerVotes);
+        server.is_replaced() || (has_votes && self.votes(now, id).is_unresponsive())
+    }
+
+    /// Whether it is known that this VM cannot connect to a server.
+    pub fn is_unreached(&self, id: ServerId) -> bool {
+        let state = self.path_state(&self.server(id).record.service);
+        matches!(state, PathState::Lost | PathState::OpenConnectionsOnly)
+    }
+
+    /// Whether nothing speaks against this VM's path to a server.
+    pub fn has_open_path(&self, id: ServerId) -> bool {
+        self.path_state(&self.server(id).record.service) == PathState::Open
+    }
+
+    /// Votes of all VMs on whether a server is responsive. A VM whose path is not open
+    /// abstains.
+    pub fn votes(&self, now: Moment, id: ServerId) -> ServerVotes {
+        let server = self.server(id);
+        if self.has_open_path(id) {
+            server.votes(now)
+        } else {
+            server.others_votes()
+        }
+    }
+
+    /// This VM's own work at a server, with its vote on it unless it abstains.
+    pub fn own_work(&self, now: Moment, id: ServerId) -> WorkShare {
+        let server = self.server(id);
+        let share = server.own_work(now);
+        if self.has_open_path(id) {
+            return share;
+        }
+        WorkShare {
+            votes: ServerVotes::default(),
+            ..share
+        }
     }
 
     /// Whether a server has capacity for another request. Some of the other VMs'
--- a/crates/fleet/tests/cold_restart.rs
+++ b/crates/fleet/tests/cold_restart.rs
@@ -143,6 +143,7 @@
         name: "svc".parse().unwrap(),
         max_connections: 10,
         cold_for: Duration::from_millis(COLD_MS),
+        health_path: String::new(),
         cold_rate: RATE,
         engine: None,
     };
--- /dev/null
+++ b/crates/fleet/tests/reach.rs
@@ -0,0 +1,301 @@
+//! State of the paths of a VM to the servers of its region.
+
+mod support;
+
+use onyxfall_fleet::{AttemptResult, FleetView, LocalOption, PathState, RegionReach, ServerVotes};
+use onyxfall_policy::Moment;
+use onyxfall_types::{ServerId, ServiceName};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use support::{at, needs, place, ready_server};
+
+/// Interval at which paths are evaluated.
+const TICK_MS: u64 = 100;
+
+fn service() -> ServiceName {
+    needs().service
+}
+
+/// View of a region with servers `s0`, `s1` and so on.
+fn view(servers: usize) -> (FleetView, Vec<ServerId>) {
+    let mut view = FleetView::new(place("vm0", &[("c0", "r0")]));
+    let names: Vec<String> = (0..servers).map(|number| format!("s{number}")).collect();
+    for name in &names {
+        view.put_server(at(0), ready_server(name), None);
+    }
+    let ids = names.iter().map(|name| view.find(name).unwrap()).collect();
+    (view, ids)
+}
+
+/// What happens at a server, by its number.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Send(usize),
+    Respond(usize),
+    Break(usize),
+    Dial(usize, bool),
+    /// A check of the path by this server is answered or not.
+    Check(usize, bool),
+}
+
+use Event::{Break, Check, Dial, Respond, Send};
+use PathState::{Doubted, Lost, Open, OpenConnectionsOnly};
+
+struct PathCase {
+    name: &'static str,
+    servers: usize,
+    /// Events with their time in milliseconds.
+    events: &'static [(u64, Event)],
+    /// State at a time in milliseconds.
+    state: (u64, PathState),
+}
+
+/// Plays the events up to the time of the expected state.
+fn play(case: &PathCase) -> (FleetView, Vec<ServerId>) {
+    let (mut view, ids) = view(case.servers);
+    let end = case.state.0;
+    let mut events = case.events.iter().peekable();
+    for now in 0..=end {
+        while let Some((_, event)) = events.next_if(|(at, _)| *at == now) {
+            apply(&mut view, &ids, at(now), *event);
+        }
+        if now.is_multiple_of(TICK_MS) || now == end {
+            view.refresh_paths(at(now));
+        }
+    }
+    (view, ids)
+}
+
+fn apply(view: &mut FleetView, ids: &[ServerId], now: Moment, event: Event) {
+    // One attempt at a time is under way at each server, with the server's number as its id.
+    match event {
+        Event::Send(server) => view.start_attempt(now, ids[server], server as u64, &needs()),
+        Event::Respond(server) => {
+            view.record_response(now, ids[server], server as u64);
+            view.end_attempt(
+                now,
+                ids[server],
+                server as u64,
+                AttemptResult::Succeeded,
+                None,
+            );
+        }
+        Event::Break(server) => {
+            view.end_attempt(now, ids[server], server as u64, AttemptResult::Broken, None);
+        }
+        Event::Dial(server, is_established) => view.record_dial(ids[server], is_established),
+        Event::Check(server, is_answered) => {
+            view.record_check(now, &service(), Some(ids[server]), is_answered);
+        }
+    }
+}
+
+#[test]
+fn paths_are_judged_by_several_servers_at_once() {
+    for case in SILENCES.iter().chain(&LOST_CONNECTIONS) {
+        let (view, _) = play(case);
+        assert_eq!(view.path_state(&service()), case.state.1, "{}", case.name);
+    }
+}
+
+const SILENCES: [PathCase; 10] = [
+    PathCase {
+        name: "no requests",
+        servers: 3,
+        events: &[],
+        state: (5000, Open),
+    },
+    PathCase {
+        name: "one of several servers is silent",
+        servers: 3,
+        events: &[(0, Send(0))],
+        state: (3000, Open),
+    },
+    PathCase {
+        name: "two servers are silent",
+        servers: 3,
+        events: &[(0, Send(0)), (0, Send(1))],
+        state: (900, Doubted),
+    },
+    PathCase {
+        name: "two servers are silent while a third responds",
+        servers: 3,
+        events: &[
+            (0, Send(0)),
+            (0, Send(1)),
+            (700, Send(2)),
+            (750, Respond(2)),
+        ],
+        state: (900, Open),
+    },
+    PathCase {
+        name: "the only server is silent",
+        servers: 1,
+        events: &[(0, Send(0))],
+        state: (900, Doubted),
+    },
+    PathCase {
+        name: "a check is not answered",
+        servers: 3,
+        events: &[(0, Send(0)), (0, Send(1)), (901, Check(2, false))],
+        state: (905, Lost),
+    },
+    PathCase {
+        name: "a check is answered",
+        servers: 3,
+        events: &[(0, Send(0)), (0, Send(1)), (901, Check(2, true))],
+        state: (1500, Open),
+    },
+    PathCase {
+        name: "still silent long after a check was answered",
+        servers: 3,
+        events: &[(0, Send(0)), (0, Send(1)), (901, Check(2, true))],
+        state: (2500, Doubted),
+    },
+    PathCase {
+        name: "a lost path gives a byte",
+        servers: 3,
+        events: &[
+            (0, Send(0)),
+            (0, Send(1)),
+            (901, Check(2, false)),
+            (1000, Respond(0)),
+        ],
+        state: (1100, Open),
+    },
+    PathCase {
+        name: "failed checks do not end by themselves",
+        servers: 3,
+        events: &[
+            (0, Send(0)),
+            (0, Send(1)),
+            (901, Check(2, false)),
+            (1200, Check(1, false)),
+        ],
+        state: (9000, Lost),
+    },
+];
+
+const LOST_CONNECTIONS: [PathCase; 5] = [
+    PathCase {
+        name: "connections to two servers are lost together",
+        servers: 3,
+        events: &[(0, Send(0)), (0, Send(1)), (10, Break(0)), (20, Break(1))],
+        state: (100, Doubted),
+    },
+    PathCase {
+        name: "connections to two servers are lost one after the other",
+        servers: 3,
+        events: &[(0, Send(0)), (0, Send(1)), (10, Break(0)), (290, Break(1))],
+        state: (300, Open),
+    },
+    PathCase {
+        name: "new connections fail at one server",
+        servers: 3,
+        events: &[(0, Dial(0, false)), (10, Dial(0, false))],
+        state: (100, Open),
+    },
+    PathCase {
+        name: "new connections fail at two servers",
+        servers: 3,
+        events: &[(0, Dial(0, false)), (10, Dial(1, false))],
+        state: (100, OpenConnectionsOnly),
+    },
+    PathCase {
+        name: "a new connection is established after others failed",
+        servers: 3,
+        events: &[
+            (0, Dial(0, false)),
+            (10, Dial(1, false)),
+            (20, Dial(2, true)),
+        ],
+        state: (100, Open),
+    },
+];
+
+const SILENT: PathCase = PathCase {
+    name: "two of three servers are silent, and a check is not answered",
+    servers: 3,
+    events: &[
+        (0, Event::Send(0)),
+        (0, Event::Send(1)),
+        (901, Event::Check(2, false)),
+    ],
+    state: (2000, PathState::Lost),
+};
+
+#[test]
+fn a_vm_that_reaches_no_server_does_not_vote_against_sound_ones() {
+    let (view, ids) = play(&SILENT);
+    for id in ids {
+        assert_eq!(view.own_work(at(2000), id).votes, ServerVotes::default());
+        assert_eq!(view.votes(at(2000), id), ServerVotes::default());
+    }
+}
+
+#[test]
+fn no_request_is_placed_on_a_path_that_is_not_open() {
+    for (state, end) in [(PathState::Doubted, 900), (PathState::Lost, 2000)] {
+        let case = PathCase {
+            state: (end, state),
+            ..SILENT
+        };
+        let (mut view, ids) = play(&case);
+        assert_eq!(view.path_state(&service()), state);
+        let mut rng = StdRng::seed_from_u64(1);
+        let option = view.choose(at(end), &needs(), &[], &mut rng);
+        assert_eq!(option, LocalOption::Unreachable, "{state:?}");
+        assert!(ids.iter().all(|id| !view.may_send(at(end), *id)));
+    }
+}
+
+#[test]
+fn servers_count_as_usable_while_other_vms_reach_them() {
+    let reaches = [
+        (RegionReach::Own, 1),
+        (RegionReach::Neighbours, 3),
+        (RegionReach::None, 0),
+    ];
+    for (reach, usable) in reaches {
+        let (mut view, ids) = play(&SILENT);
+        // What this VM sees of two servers would close its circuit breakers.
+        for id in &ids[..2] {
+            let result = AttemptResult::Unreachable;
+            view.end_attempt(at(2000), *id, 9, result, None);
+        }
+        view.set_region_reach(&service(), reach);
+        assert_eq!(
+            view.usable_servers(at(2000), &service()),
+            usable,
+            "{reach:?}"
+        );
+    }
+}
+
+#[test]
+fn a_doubted_server_gets_one_trial_at_a_time() {
+    let (mut view, ids) = view(2);
+    let mut rng = StdRng::seed_from_u64(1);
+    // The other server keeps the path open.
+    view.start_attempt(at(0), ids[0], 0, &needs());
+    let mut trials = 0;
+    let mut number = 10;
+    for now in (500..3500).step_by(50) {
+        view.start_attempt(at(now), ids[1], number, &needs());
+        view.record_response(at(now), ids[1], number);
+        view.end_attempt(at(now), ids[1], number, AttemptResult::Succeeded, None);
+        number += 1;
+        let excluded = [ids[1]];
+        if let LocalOption::Free(choice) = view.choose(at(now), &needs(), &excluded, &mut rng) {
+            assert_eq!(choice.server, ids[0]);
+            trials += 1;
+            view.start_attempt(at(now), ids[0], number, &needs());
+            number += 1;
+        }
+    }
+    let most = (3500 - 500) / 500 + 1;
+    assert!(
+        (1..=most).contains(&trials),
+        "{trials} trials, {most} allowed"
+    );
+}
--- a/crates/fleet/tests/reservation.rs
+++ b/crates/fleet/tests/reservation.rs
@@ -106,6 +106,7 @@
         name: "svc".parse().unwrap(),
         max_connections: 64,
         cold_for: Duration::ZERO,
+        health_path: String::new(),
         cold_rate: 0.0,
         engine: Some(ENGINE),
     };
--- a/crates/fleet/tests/shares.rs
+++ b/crates/fleet/tests/shares.rs
@@ -156,6 +156,7 @@
         name: "svc".parse().unwrap(),
         max_connections: 10,
         cold_for: Duration::from_secs(3),
+        health_path: String::new(),
         cold_rate: 3.0,
         engine: None,
     };
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,7 +16,7 @@
     ResponseKind, classify_response, keep_alive_timeout, parse_signals, set_copy_to,
     set_expected_server, set_team, set_time_left, set_urgency,
 };
-use onyxfall_fleet::{AttemptResult, ChoiceReason, DecisionSwitch, TimePrediction};
+use onyxfall_fleet::{AttemptResult, ChoiceReason, DecisionSwitch, PathState, TimePrediction};
 use onyxfall_types::{RunVerdict, ServerId};
 
 use crate::backup::RunBackup;
@@ -281,7 +281,7 @@
     TimedOut,
     /// All VMs treat the server as unresponsive, or it has restarted.
     Unresponsive,
-    /// The server has asked for no work since it was chosen.
+    /// The server has asked for no work since it was chosen, or is not reached any more.
     Declined,
     /// The wait for a connection was given up.
     Unwritten,
@@ -323,7 +323,7 @@
             },
             Self::Declined => AttemptEnd::NotRun {
                 arrived: false,
-                cause: "the server is draining or in backoff",
+                cause: "the server takes no requests any more",
             },
             Self::Unwritten => AttemptEnd::NotRun {
                 arrived: false,
@@ -343,8 +343,19 @@
 }
 
 impl ExchangeTarget {
-    /// Fails if the server has started draining or asked for backoff since it was chosen. A
-    /// new connection takes up to a quarter of a second, and no request may follow that signal.
+    /// Whether a new connection may be tried. While none can be established to the servers of its
+    /// service, only checks try.
+    fn may_dial(&self, gateway: &Gateway) -> bool {
+        let fleet = gateway.fleet.borrow();
+        self.server.is_none_or(|server| {
+            let service = &fleet.server(server).record.service;
+            fleet.path_state(service) == PathState::Open
+        })
+    }
+
+    /// Fails if the server has started draining, asked for backoff or become unresponsive since
+    /// it was chosen. A new connection takes up to a quarter of a second, and no request may
+    /// follow that signal.
     fn check_accepting(&self, gateway: &Gateway) -> Result<(), ExchangeFailure> {
         let now = gateway.now();
         let is_accepting = |server| gateway.fleet.borrow().may_send(now, server);
@@ -383,7 +394,13 @@
                 Err(SendError::Broken(e)) => return Err(connection_lost(address, &e)),
             }
         }
+        if !destination.may_dial(gateway) {
+            return Err(ExchangeFailure::Unwritten);
+        }
         let opened = HttpConnection::open(address, gateway.dial_plan(destination.dial_limit)).await;
+        if let Some(server) = destination.server {
+            gateway.record_dial(server, opened.is_ok());
+        }
         let mut connection = opened.map_err(|e| {
             log::info!(address:% = address, error:% = e; "no connection");
             ExchangeFailure::Unreachable
--- a/crates/gateway/src/capacity/tests.rs
+++ b/crates/gateway/src/capacity/tests.rs
@@ -26,6 +26,7 @@
         name: name.parse().unwrap(),
         max_connections: 8,
         cold_for: Duration::ZERO,
+        health_path: String::new(),
         cold_rate: 0.0,
         engine: is_model.then_some(EngineLimits {
             slots: 64,
--- a/crates/gateway/src/decide.rs
+++ b/crates/gateway/src/decide.rs
@@ -8,7 +8,7 @@
     RemoteSearch, RoundTrips, ServerChoice, TimePrediction, goes_remote,
 };
 use onyxfall_policy::Moment;
-use onyxfall_types::{RefusalReason, RequestError, name_tag};
+use onyxfall_types::{RefusalReason, RequestError, VmName, name_tag};
 use rand::Rng;
 
 use crate::attempt::ServerTarget;
@@ -75,12 +75,12 @@
         }
         let now = self.now();
         let needs = remaining_needs(call, progress);
-        let local = self.fleet.borrow_mut().choose(
-            now,
-            &needs,
-            &progress.servers,
-            &mut *self.rng.borrow_mut(),
-        );
+        let excluded = self.excluded_servers(call, progress);
+        let local =
+            self.fleet
+                .borrow_mut()
+                .choose(now, &needs, &excluded, &mut *self.rng.borrow_mut());
+        let is_unreached = self.is_unreached(call, local);
         let is_free = matches!(local, LocalOption::Free(_));
         if let Some(step) = (!is_free).then(|| self.decide_spare(call)).flatten() {
             return step;
@@ -94,17 +94,21 @@
             );
             return self.forward(call, remote, progress);
         }
+        if is_unreached && let Some(step) = self.decide_unreached(call, progress) {
+            return step;
+        }
         let remote = self
             .best_remote(now, call, progress)
             .filter(|remote| !self.is_too_late(call, &remote.predicted));
         match (local, remote) {
             (LocalOption::Free(choice), remote) => self.route(now, call, choice, remote, progress),
             (_, Some(remote)) => self.forward(call, remote, progress),
+            (_, None) if is_unreached => self.wait_for_path(call),
             (LocalOption::Full, None) => {
                 RouteStep::Refuse(overloaded("every server is full", call.needs.goal / 2))
             }
             (LocalOption::BackedOff(end), None) => self.wait_for_backoff(call, end - now),
-            (LocalOption::Unavailable | LocalOption::None, None) => {
+            (LocalOption::Unavailable | LocalOption::Unreachable | LocalOption::None, None) => {
                 self.wait_or_refuse(call, "no server is usable", call.needs.goal / 2)
             }
         }
@@ -187,7 +191,7 @@
         if overflow <= 0.0 || !rng.random_bool(overflow.min(1.0)) {
             return None;
         }
-        let excluded = self.unreachable_regions(&progress.vms);
+        let excluded = self.unreachable_regions(&call.needs.service, &progress.vms);
         let trips = self.trips.borrow();
         let search = RemoteSearch {
             excluded: &excluded,
@@ -216,8 +220,10 @@
         if progress.arrivals + progress.unreached > 0 {
             return;
         }
-        let kind = match call.origin {
+        let kind = match &call.origin {
             CallOrigin::Caller => RateKind::Offered,
+            // The VM that received it has counted it as offered to this region.
+            CallOrigin::Peer(vm) if self.is_near(vm) => return,
             CallOrigin::Peer(_) => RateKind::Relayed,
         };
         let now = self.now();
@@ -225,6 +231,12 @@
         fleet.record_request(now, &call.needs.service, kind);
     }
 
+    fn is_near(&self, vm: &VmName) -> bool {
+        let overlay = self.overlay.borrow();
+        let roster = overlay.roster();
+        roster.get(vm).is_some_and(|vm| roster.is_near(&vm.record))
+    }
+
     /// Whether a request may be forwarded to another region.
     fn may_forward(&self, call: &CallContext) -> bool {
         let policy = self.settings().switches.policy();
@@ -299,7 +311,8 @@
         remote: RemoteOption,
         progress: &CallProgress,
     ) -> RouteStep {
-        let Some(target) = self.relay_target(&remote.region, &progress.vms) else {
+        let Some(target) = self.relay_target(&remote.region, &call.needs.service, &progress.vms)
+        else {
             let detail = "no VM of the other region is reachable";
             return RouteStep::Refuse(overloaded(detail, Duration::ZERO));
         };
@@ -344,7 +357,7 @@
         if !is_planned || !is_first || !self.may_forward(call) {
             return None;
         }
-        let excluded = self.unreachable_regions(&progress.vms);
+        let excluded = self.unreachable_regions(&call.needs.service, &progress.vms);
         let fleet = self.fleet.borrow();
         let trips = self.trips.borrow();
         let search = RemoteSearch {
@@ -365,7 +378,7 @@
         if !self.may_forward(call) {
             return None;
         }
-        let excluded = self.unreachable_regions(&progress.vms);
+        let excluded = self.unreachable_regions(&call.needs.service, &progress.vms);
         let fleet = self.fleet.borrow();
         let trips = self.trips.borrow();
         let search = RemoteSearch {
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -27,7 +27,10 @@
         READY_PATH => plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
         METRICS_PATH => plain(
             StatusCode::OK,
-            gateway.metrics.render() + &gateway.team_gauges() + &gateway.rollout_gauges(),
+            gateway.metrics.render()
+                + &gateway.team_gauges()
+                + &gateway.rollout_gauges()
+                + &gateway.path_gauges(),
         ),
         PlanReport::PATH => plan(gateway),
         RESOLVE_PATH => resolve(gateway, target.query().unwrap_or("")),
@@ -63,7 +66,8 @@
     response
 }
 
-/// Returns the nearest VMs that serve. VMs that are shutting down are listed before those of
+/// Returns the nearest VMs that serve, in the caller's region those first that reach servers
+/// themselves. VMs that are shutting down are listed before those of
 /// a region that is neither the caller's own nor a home, because they still serve and data
 /// may not leave its home regions.
 fn entries_for(gateway: &Gateway, query: &DirectoryQuery) -> Vec<SocketAddr> {
@@ -83,17 +87,25 @@
         .filter(|vm| vm.status.is_leaving)
         .chain(gateway.is_shutting_down().then(|| roster.own()))
         .collect();
+    let reaching: Vec<&VmRecord> = serving
+        .iter()
+        .copied()
+        .filter(|vm| vm.status.unreached.is_empty())
+        .collect();
     let homes = homes_of(gateway, query);
     let center = |vm: &VmRecord| Some(vm.center.as_str()) == query.center.as_deref();
     let region = |vm: &VmRecord| Some(vm.region.as_str()) == query.region.as_deref();
     let home = |vm: &VmRecord| homes.contains(&vm.region);
     let choices = [
-        select(&serving, center),
+        select(&reaching, center),
+        select(&reaching, region),
         select(&serving, region),
+        select(&reaching, home),
         select(&serving, home),
         select(&stopping, |vm| {
             !homes.is_empty() && (region(vm) || home(vm))
         }),
+        select(&reaching, |_| true),
         select(&serving, |_| true),
     ];
     let chosen = choices.into_iter().find(|chosen| !chosen.is_empty());
--- a/crates/gateway/src/frames.rs
+++ b/crates/gateway/src/frames.rs
@@ -10,8 +10,8 @@
 use bytes::Bytes;
 use onyxfall_fleet::{LimitReports, PaceReports, PrefillTokens, ServerVotes, WorkShare};
 use onyxfall_overlay::{
-    LinkRelation, OverlayUpdate, RecordVersion, RosterUpdate, ServerTag, UpdateScope, VmCapacity,
-    VmRecord, VmStatus, WorkEntry, WorkUpdate,
+    LinkRelation, OverlayUpdate, RecordVersion, RosterUpdate, ServerTag, ServiceSet, UpdateScope,
+    VmCapacity, VmRecord, VmStatus, WorkEntry, WorkUpdate,
 };
 use onyxfall_suspects::{CrashUpdate, InstanceTag, InstanceUpdate, RequestUpdate, SuspectUpdate};
 use onyxfall_types::{CenterName, Incarnation, RegionName};
@@ -40,6 +40,7 @@
         ready: record.status.is_ready,
         leaving: record.status.is_leaving,
         watches_store: record.status.watches_store,
+        unreached: record.status.unreached.bits(),
     }
 }
 
@@ -64,6 +65,7 @@
             is_ready: entry.ready,
             is_leaving: entry.leaving,
             watches_store: entry.watches_store,
+            unreached: ServiceSet::from_bits(entry.unreached),
         },
     })
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -112,6 +112,8 @@
     pub(crate) queries: WorkQueries,
     /// Notified when a server becomes unresponsive.
     pub(crate) unresponsive: Notify,
+    /// Notified while a path to servers is not open.
+    pub(crate) path_closed: Notify,
     /// Servers that were unresponsive at the last check.
     pub(crate) unresponsive_servers: RefCell<BTreeSet<ServerId>>,
     /// Notified to send store changes to the VMs that report to this one.
@@ -201,6 +203,7 @@
             send_updates_now: Notify::new(),
             queries: WorkQueries::default(),
             unresponsive: Notify::new(),
+            path_closed: Notify::new(),
             unresponsive_servers: RefCell::default(),
             send_deltas_now: Notify::new(),
             rng: RefCell::new(StdRng::from_os_rng()),
@@ -312,6 +315,7 @@
         let now = self.now();
         self.overlay.borrow_mut().tick(now);
         self.apply_work(now);
+        self.refresh_reach(now);
         self.refresh_unresponsive(now);
         self.log_member_changes();
         self.refresh_status();
@@ -329,7 +333,10 @@
         let mut overlay = self.overlay.borrow_mut();
         let age = overlay.plan(now).knowledge_age();
         let roster = overlay.roster();
-        let near = roster.others().filter(|vm| roster.is_near(&vm.record));
+        // Those that reach no servers use no part of what VMs share by server.
+        let near = roster
+            .others()
+            .filter(|vm| roster.is_near(&vm.record) && vm.record.status.unreached.is_empty());
         let vms: Vec<VmName> = near.map(|vm| vm.record.name.clone()).collect();
         let mut fleet = self.fleet.borrow_mut();
         fleet.set_alone(vms.is_empty() && self.started.elapsed() >= DISCOVERY_TIME);
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -27,6 +27,7 @@
 mod plan_report;
 mod planning;
 mod pool;
+mod reach;
 mod relay;
 mod relays;
 mod reload;
@@ -105,6 +106,7 @@
         store::start(&gateway);
         rollouts::start(&gateway);
         links::start(&gateway);
+        reach::start(&gateway);
         gateway::start_ticker(&gateway);
         reload::start(&gateway, path);
         let switches = gateway.settings().switches.clone();
--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -99,10 +99,7 @@
         let now = self.gateway.now();
         self.suspect = None;
         match result {
-            AttemptResult::Broken => {
-                self.log_lost_run(now, events);
-                self.gateway.record_lost_run(now, &self.call, self.server);
-            }
+            AttemptResult::Broken => self.log_lost_run(now, events),
             AttemptResult::Succeeded if self.is_from_start => {
                 self.gateway.record_completed_run(&self.call);
             }
@@ -110,9 +107,6 @@
         }
         let mut fleet = self.gateway.fleet.borrow_mut();
         let was_trusted = fleet.server(self.server).is_trusted(now);
-        if result == AttemptResult::Broken && events.is_some() {
-            fleet.record_crash(now, self.server);
-        }
         let interval_ratio = fleet.end_attempt(now, self.server, self.id, result, events);
         let state = fleet.server(self.server);
         let is_trusted = state.is_trusted(now);
@@ -126,6 +120,9 @@
             );
         }
         drop(fleet);
+        if result == AttemptResult::Broken {
+            self.record_lost_run(now, events);
+        }
         let ratio = self.ratio.get();
         let ratio = ratio.map(|ratio| ratio.max(interval_ratio.unwrap_or_default()));
         self.gateway
@@ -134,6 +131,21 @@
 }
 
 impl OpenAttempt {
+    /// Counts a run whose connection was lost as evidence of a crash, unless it is known that
+    /// this VM does not reach the server. A mere doubt does not count: a request that crashes
+    /// its servers one after the other raises one, too.
+    fn record_lost_run(&self, now: Moment, events: Option<u32>) {
+        self.gateway.refresh_paths(now);
+        if self.gateway.fleet.borrow().is_unreached(self.server) {
+            return;
+        }
+        self.gateway.record_lost_run(now, &self.call, self.server);
+        if events.is_some() {
+            let mut fleet = self.gateway.fleet.borrow_mut();
+            fleet.record_crash(now, self.server);
+        }
+    }
+
     /// Logs a run whose connection was lost. The fingerprint shows whether the same request was
     /// lost with other servers, whatever ids its callers gave it.
     fn log_lost_run(&self, now: Moment, events: Option<u32>) {
--- /dev/null
+++ b/crates/gateway/src/reach.rs
@@ -0,0 +1,277 @@
+//! This VM's paths to the servers of its region: checks of paths that are doubted or lost, and
+//! forwarding of requests to another VM of the region that reaches the servers.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use http::header::HOST;
+use http::{HeaderValue, Method, Request, Uri};
+use http_body_util::Full;
+use onyxfall_fleet::{LocalOption, PathState, RegionReach, TimePrediction};
+use onyxfall_overlay::{KnownVm, Roster, ServiceSet};
+use onyxfall_policy::Moment;
+use onyxfall_types::{RefusalReason, RequestError, ServerId, ServiceName};
+
+use crate::call::{CallContext, CallOrigin};
+use crate::connection::{HttpConnection, LOCAL_DIAL_LIMIT};
+use crate::decide::RouteStep;
+use crate::gateway::Gateway;
+use crate::relay::{PeerReason, PeerTarget};
+use crate::serve::CallProgress;
+
+/// Time between two checks of a path that is not open.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest wait for the response to a check on a connection that was established. A server may
+/// answer health checks in turn with its requests.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Retry delay of callers whose requests reach no server by any way. They then try another VM.
+const UNREACHED_RETRY: Duration = Duration::from_millis(200);
+
+/// States of the paths by service.
+type PathStates = BTreeMap<ServiceName, PathState>;
+
+impl Gateway {
+    fn path_states(&self) -> PathStates {
+        let fleet = self.fleet.borrow();
+        let states = fleet.path_states();
+        states
+            .map(|(service, state)| (service.clone(), state))
+            .collect()
+    }
+
+    /// Applies what servers and other VMs show about the paths to the servers of the region.
+    pub(crate) fn refresh_reach(&self, now: Moment) {
+        self.refresh_paths(now);
+        let states = self.path_states();
+        let overlay = self.overlay.borrow();
+        let mut fleet = self.fleet.borrow_mut();
+        for (service, state) in states {
+            let reach = region_reach(&service, state, overlay.roster());
+            fleet.set_region_reach(&service, reach);
+        }
+    }
+
+    /// Applies what servers show about the paths to them.
+    pub(crate) fn refresh_paths(&self, now: Moment) {
+        let before = self.path_states();
+        self.fleet.borrow_mut().refresh_paths(now);
+        self.note_paths(&before);
+    }
+
+    /// Records whether a new connection to a server could be established.
+    pub(crate) fn record_dial(&self, server: ServerId, is_established: bool) {
+        self.fleet.borrow_mut().record_dial(server, is_established);
+        self.refresh_paths(self.now());
+    }
+
+    /// Logs changes of paths since `before`, tells other VMs and starts checks.
+    fn note_paths(&self, before: &PathStates) {
+        for (service, state) in self.path_states() {
+            if state != PathState::Open {
+                self.path_closed.notify_one();
+            }
+            let before = before.get(&service).copied().unwrap_or_default();
+            if state == before {
+                continue;
+            }
+            log::info!(
+                service = service.as_str(),
+                before = before.as_str(),
+                state = state.as_str();
+                "path to servers changed"
+            );
+            if state == PathState::Lost {
+                self.metrics.count("onyxfall_lost_paths_total");
+                // Requests that wait for servers which this VM does not reach are moved.
+                self.unresponsive.notify_waiters();
+            }
+        }
+        self.refresh_status();
+    }
+
+    /// Services for which other VMs should send this VM nothing.
+    pub(crate) fn unreached_services(&self) -> ServiceSet {
+        let mut unreached = ServiceSet::default();
+        for (service, state) in self.fleet.borrow().path_states() {
+            if matches!(state, PathState::Lost | PathState::OpenConnectionsOnly) {
+                unreached.insert(service);
+            }
+        }
+        unreached
+    }
+
+    /// The paths to servers as gauges: 1 for an open one.
+    pub(crate) fn path_gauges(&self) -> String {
+        let gauge = |(service, state): (ServiceName, PathState)| {
+            let is_open = u8::from(state == PathState::Open);
+            format!("onyxfall_path_open{{service=\"{service}\"}} {is_open}\n")
+        };
+        self.path_states().into_iter().map(gauge).collect()
+    }
+
+    /// Servers that a request is not sent to: those already tried and, while no connections can
+    /// be established, those without an open one.
+    pub(crate) fn excluded_servers(
+        &self,
+        call: &CallContext,
+        progress: &CallProgress,
+    ) -> Vec<ServerId> {
+        let mut excluded = progress.servers.clone();
+        let fleet = self.fleet.borrow();
+        if fleet.path_state(&call.needs.service) == PathState::OpenConnectionsOnly {
+            let servers = fleet.servers_of(&call.needs.service).iter().copied();
+            excluded.extend(servers.filter(|id| {
+                let address = fleet.server(*id).record.address;
+                !self.pool.has_idle(address)
+            }));
+        }
+        excluded
+    }
+
+    /// Whether no server of this region that may run the request is reached from here.
+    pub(crate) fn is_unreached(&self, call: &CallContext, local: LocalOption) -> bool {
+        let fleet = self.fleet.borrow();
+        let has_no_connection = local == LocalOption::None
+            && fleet.path_state(&call.needs.service) == PathState::OpenConnectionsOnly
+            && call.needs.allows_region(&fleet.place().region);
+        local == LocalOption::Unreachable || has_no_connection
+    }
+
+    /// Next step of a request that reaches no server from here: another VM of the region. A
+    /// request that a VM has forwarded goes back to it at once.
+    pub(crate) fn decide_unreached(
+        &self,
+        call: &CallContext,
+        progress: &CallProgress,
+    ) -> Option<RouteStep> {
+        if call.origin != CallOrigin::Caller {
+            return Some(refuse_unreached("this VM reaches no server"));
+        }
+        // Where the path is open, another VM has little reason to reach more.
+        let service = &call.needs.service;
+        let is_open = self.fleet.borrow().path_state(service) == PathState::Open;
+        if is_open && !progress.vms.is_empty() {
+            return None;
+        }
+        let region = self.settings().place.region.clone();
+        let target = self.relay_target(&region, service, &progress.vms)?;
+        self.metrics.count("onyxfall_neighbour_requests_total");
+        Some(RouteStep::Peer(PeerTarget {
+            vm: target.vm,
+            address: target.address,
+            region,
+            predicted: TimePrediction::default(),
+            reason: PeerReason::Neighbour,
+        }))
+    }
+
+    /// Next step of a request that neither this region nor another one can serve. While the
+    /// path is only doubted, a check is about to show whether servers are reached.
+    pub(crate) fn wait_for_path(&self, call: &CallContext) -> RouteStep {
+        if self.fleet.borrow().path_state(&call.needs.service) == PathState::Lost {
+            return refuse_unreached("no VM of the region reaches a server");
+        }
+        self.wait_or_refuse(call, "no server is reached", UNREACHED_RETRY)
+    }
+}
+
+fn refuse_unreached(detail: &str) -> RouteStep {
+    let error = RequestError::not_run(RefusalReason::Overloaded, detail);
+    RouteStep::Refuse(error.with_retry_after(UNREACHED_RETRY))
+}
+
+/// How requests reach the servers of a service in this region, given the state of this VM's own
+/// paths.
+fn region_reach(service: &ServiceName, state: PathState, roster: &Roster) -> RegionReach {
+    let reaches = |vm: &KnownVm| {
+        let is_reached = !vm.record.status.unreached.contains(service);
+        roster.is_near(&vm.record) && vm.is_staying() && is_reached
+    };
+    if state != PathState::Lost {
+        RegionReach::Own
+    } else if roster.others().any(reaches) {
+        RegionReach::Neighbours
+    } else {
+        RegionReach::None
+    }
+}
+
+/// Starts the task that checks the paths that are not open.
+pub(crate) fn start(gateway: &Rc<Gateway>) {
+    let gateway = Rc::clone(gateway);
+    tokio::task::spawn_local(async move {
+        let mut turn = 0;
+        loop {
+            gateway.path_closed.notified().await;
+            loop {
+                let closed = closed_paths(&gateway);
+                if closed.is_empty() {
+                    break;
+                }
+                join_all(
+                    closed
+                        .iter()
+                        .map(|service| check_path(&gateway, service, turn)),
+                )
+                .await;
+                turn += 1;
+                if !closed_paths(&gateway).is_empty() {
+                    tokio::time::sleep(CHECK_INTERVAL).await;
+                }
+            }
+        }
+    });
+}
+
+/// Services whose paths are not open.
+fn closed_paths(gateway: &Gateway) -> Vec<ServiceName> {
+    let states = gateway.path_states().into_iter();
+    let closed = states.filter(|(_, state)| *state != PathState::Open);
+    closed.map(|(service, _)| service).collect()
+}
+
+/// Asks one server for its health on a new connection. Any response shows that the path is
+/// open.
+async fn check_path(gateway: &Gateway, service: &ServiceName, turn: usize) {
+    let servers = gateway.fleet.borrow().servers_to_check(service);
+    let index = turn.checked_rem(servers.len());
+    let server = index.and_then(|index| servers.get(index).copied());
+    let has_responded = match server {
+        Some(server) => is_answered(gateway, service, server).await,
+        None => false,
+    };
+    gateway.metrics.count("onyxfall_path_checks_total");
+    let before = gateway.path_states();
+    let now = gateway.now();
+    gateway
+        .fleet
+        .borrow_mut()
+        .record_check(now, service, server, has_responded);
+    gateway.note_paths(&before);
+}
+
+async fn is_answered(gateway: &Gateway, service: &ServiceName, server: ServerId) -> bool {
+    let address = gateway.fleet.borrow().server(server).record.address;
+    let table = gateway.table();
+    let service = table.as_ref().and_then(|table| table.service(service));
+    let path = service.map_or("", |service| service.health_path.as_str());
+    let plan = gateway.dial_plan(LOCAL_DIAL_LIMIT);
+    let Ok(mut connection) = HttpConnection::open(address, plan).await else {
+        return false;
+    };
+    let Ok(target) = path.parse::<Uri>() else {
+        // Without a health check, the connection itself has to do.
+        return true;
+    };
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.method_mut() = Method::GET;
+    *request.uri_mut() = target;
+    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+        request.headers_mut().insert(HOST, host);
+    }
+    let sent = tokio::time::timeout(CHECK_TIMEOUT, connection.send(request)).await;
+    matches!(sent, Ok(Ok(_)))
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,4 +1,4 @@
-//! Forwarding of requests between VMs of different regions.
+//! Forwarding of requests between VMs, of different regions or of one.
 //!
 //! Requests travel as HTTP/1.1 over a port between VMs: a request is cancelled by closing
 //! its connection, and a slow caller blocks only its own stream. Internal headers carry what
@@ -49,6 +49,8 @@
 pub(crate) enum PeerReason {
     /// Its region responds earlier, or is the only one that may serve the request.
     Remote,
+    /// It is a VM of this region, whose servers this VM does not reach.
+    Neighbour,
     /// It is the only VM that may run the request, which is suspected of crashing servers.
     Holder,
 }
@@ -58,6 +60,7 @@
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
             Self::Remote => "away",
+            Self::Neighbour => "neighbour",
             Self::Holder => "holder",
         }
     }
@@ -72,7 +75,7 @@
     pub(crate) address: SocketAddr,
     /// Region of the VM.
     pub(crate) region: RegionName,
-    /// Predicted times including the round trip; all zero for a holder.
+    /// Predicted times including the round trip; all zero unless the reason is a region's.
     pub(crate) predicted: TimePrediction,
     /// Why the request is forwarded to this VM.
     pub(crate) reason: PeerReason,
--- a/crates/gateway/src/relays.rs
+++ b/crates/gateway/src/relays.rs
@@ -1,4 +1,5 @@
-//! Selection of the VMs of other regions that receive forwarded requests.
+//! Selection of the VMs that receive forwarded requests: those of other regions and, for a VM
+//! that does not reach servers, those of its own.
 //!
 //! A new connection to another region costs two round trips before its first response, so
 //! a VM uses only a few VMs of each region and prefers those with an open connection.
@@ -9,26 +10,28 @@
 use std::time::Duration;
 
 use onyxfall_clock::BootInstant;
-use onyxfall_overlay::Roster;
-use onyxfall_types::{RegionName, VmName};
+use onyxfall_overlay::{Roster, ServiceSet};
+use onyxfall_types::{RegionName, ServiceName, VmName};
 
 use crate::gateway::Gateway;
 
-/// Number of target VMs in each other region. If half of them fail at once, two are left.
+/// Number of target VMs in each region. If half of them fail at once, two are left.
 const TARGETS_PER_REGION: usize = 4;
 /// How long a VM that could not be reached is skipped.
 const FAILED_BACKOFF: Duration = Duration::from_secs(1);
 
-/// A VM of another region.
+/// A VM that receives forwarded requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct RelayTarget {
     /// Name of the VM.
     pub(crate) vm: VmName,
     /// Address for requests forwarded by other VMs.
     pub(crate) address: SocketAddr,
+    /// Services whose servers the VM does not reach.
+    unreached: ServiceSet,
 }
 
-/// The VMs of other regions that this VM forwards requests to.
+/// The VMs that this VM forwards requests to.
 #[derive(Debug, Default)]
 pub(crate) struct RelayTable {
     /// Change count of the roster that the targets were computed from.
@@ -45,22 +48,28 @@
         }
         self.roster_changes = roster.changes();
         self.targets.clear();
-        let own = &roster.own().region;
-        for vm in roster.others().filter(|vm| vm.record.region != *own) {
+        for vm in roster.others() {
             let region = &vm.record.region;
             if !self.targets.contains_key(region) {
                 let targets = roster.relay_targets(region, TARGETS_PER_REGION);
                 let targets = targets.into_iter().map(|record| RelayTarget {
                     vm: record.name.clone(),
                     address: SocketAddr::new(record.peer_address.ip(), port),
+                    unreached: record.status.unreached,
                 });
                 self.targets.insert(region.clone(), targets.collect());
             }
         }
     }
 
-    /// Targets of a region that have not failed recently and are not in `tried`.
-    fn usable(&self, region: &RegionName, tried: &[VmName]) -> Vec<&RelayTarget> {
+    /// Targets of a region that reach the servers of a service, have not failed recently and are
+    /// not in `tried`.
+    fn usable(
+        &self,
+        region: &RegionName,
+        service: &ServiceName,
+        tried: &[VmName],
+    ) -> Vec<&RelayTarget> {
         let has_failed = |vm: &VmName| {
             let at = self.failed.get(vm);
             at.is_some_and(|at| at.elapsed() < FAILED_BACKOFF)
@@ -68,17 +77,22 @@
         let targets = self.targets.get(region).into_iter().flatten();
         targets
             .filter(|target| !tried.contains(&target.vm) && !has_failed(&target.vm))
+            .filter(|target| !target.unreached.contains(service))
             .collect()
     }
 }
 
 impl Gateway {
-    /// Regions that have no usable target left besides `tried`.
-    pub(crate) fn unreachable_regions(&self, tried: &[VmName]) -> Vec<RegionName> {
+    /// Regions that have no usable target for a service left besides `tried`.
+    pub(crate) fn unreachable_regions(
+        &self,
+        service: &ServiceName,
+        tried: &[VmName],
+    ) -> Vec<RegionName> {
         let relays = self.relays();
         let regions = relays.targets.keys();
         regions
-            .filter(|region| relays.usable(region, tried).is_empty())
+            .filter(|region| relays.usable(region, service, tried).is_empty())
             .cloned()
             .collect()
     }
@@ -88,11 +102,12 @@
     pub(crate) fn relay_target(
         &self,
         region: &RegionName,
+        service: &ServiceName,
         tried: &[VmName],
     ) -> Option<RelayTarget> {
         let mut relays = self.relays();
         relays.next_index = relays.next_index.wrapping_add(1);
-        let usable = relays.usable(region, tried);
+        let usable = relays.usable(region, service, tried);
         let open: Vec<&RelayTarget> = usable
             .iter()
             .copied()
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -212,6 +212,7 @@
             .others()
             .filter(|vm| vm.is_alive() && is_accepting(vm));
         let vms = others.map(|vm| &vm.record).chain([roster.own()]);
+        let vms = vms.filter(|vm| !vm.status.unreached.contains(&call.needs.service));
         let serving: Vec<&VmRecord> = vms.filter(|vm| serves(&vm.region)).collect();
         let holder = holder_of(call.fingerprint(), serving.iter().map(|vm| &vm.name))?;
         let record = serving.iter().find(|vm| vm.name == *holder)?;
--- a/crates/gateway/src/unresponsive.rs
+++ b/crates/gateway/src/unresponsive.rs
@@ -67,7 +67,7 @@
         if !has_changed {
             return;
         }
-        let votes = fleet.server(server).votes(now);
+        let votes = fleet.votes(now, server);
         log::info!(
             server = fleet.server(server).record.name.as_str(),
             silent = is_unresponsive,
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -128,6 +128,7 @@
             is_ready: self.is_ready(),
             is_leaving: self.is_shutting_down(),
             watches_store: self.store.borrow().is_watched(),
+            unreached: self.unreached_services(),
         };
         if self.overlay.borrow_mut().roster_mut().set_status(status) {
             self.send_updates_now.notify_waiters();
@@ -193,7 +194,7 @@
         let fleet = self.fleet.borrow();
         let work = fleet
             .live()
-            .map(|(_, server)| (server, server.own_work(now)))
+            .map(|(id, server)| (server, fleet.own_work(now, id)))
             .filter(|(_, share)| *share != WorkShare::default())
             .map(|(server, share)| WorkEntry {
                 server: ServerTag(server.tag()),
--- a/crates/overlay/src/levels.rs
+++ b/crates/overlay/src/levels.rs
@@ -140,9 +140,10 @@
         first
     }
 
-    /// VMs of another region to which this VM forwards requests: the first `count` ready
-    /// ones by a hash that includes this VM's name. This spreads the senders over all
-    /// targets and lets each sender reuse its connections.
+    /// VMs of a region to which this VM forwards requests: the first `count` ready ones, those
+    /// that reach all servers and those of its own data centre first, by a hash that includes
+    /// this VM's name. This spreads the senders over all targets and lets each sender reuse its
+    /// connections.
     pub fn relay_targets(&self, region: &RegionName, count: usize) -> Vec<&VmRecord> {
         let own = self.own();
         let mut ranked: Vec<&VmRecord> = self
@@ -152,7 +153,10 @@
             .filter(|vm| vm.region == *region)
             .collect();
         let order = |vm: &VmRecord| stable_hash(&["relay", own.name.as_str(), vm.name.as_str()]);
-        ranked.sort_by_cached_key(|vm| Reverse(order(vm)));
+        ranked.sort_by_cached_key(|vm| {
+            let is_partitioned = !vm.status.unreached.is_empty();
+            (is_partitioned, vm.center != own.center, Reverse(order(vm)))
+        });
         ranked.truncate(count);
         ranked
     }
--- a/crates/overlay/src/lib.rs
+++ b/crates/overlay/src/lib.rs
@@ -28,7 +28,7 @@
 pub use levels::{FleetLevels, GROUP_VMS, MESH_VMS};
 pub use node::{LinkState, OverlayNode, OverlayUpdate};
 pub use plan::{LinkPlan, LinkRelation, PlannedLink};
-pub use record::{CapacityError, RecordVersion, VmCapacity, VmRecord, VmStatus};
+pub use record::{CapacityError, RecordVersion, ServiceSet, VmCapacity, VmRecord, VmStatus};
 pub use roster::{KnownVm, Roster, RosterTiming};
 pub use totals::{
     ReceivedWork, ServerTag, WorkCursor, WorkEntry, WorkOrigin, WorkTotals, WorkUpdate, WorkView,
--- a/crates/overlay/src/record.rs
+++ b/crates/overlay/src/record.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
-use onyxfall_types::{CenterName, Incarnation, RegionName, VmName};
+use onyxfall_types::{CenterName, Incarnation, RegionName, ServiceName, VmName, name_tag};
 use thiserror::Error;
 
 /// Processor capacity of a VM in thousandths of a core. Larger VMs become aggregators first.
@@ -59,6 +59,51 @@
     }
 }
 
+/// Set of services, by a hash of their names. Services with the same hash count as one, so a
+/// set may contain more than was inserted.
+///
+/// ```
+/// use onyxfall_overlay::ServiceSet;
+/// let service = "svc".parse().unwrap();
+/// let mut set = ServiceSet::default();
+/// assert!(!set.contains(&service));
+/// set.insert(&service);
+/// assert!(set.contains(&service));
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServiceSet(u64);
+
+impl ServiceSet {
+    /// Creates a set from its bits in messages.
+    pub const fn from_bits(bits: u64) -> Self {
+        Self(bits)
+    }
+
+    /// The set as bits for messages.
+    pub const fn bits(self) -> u64 {
+        self.0
+    }
+
+    /// Adds a service.
+    pub fn insert(&mut self, service: &ServiceName) {
+        self.0 |= Self::bit(service);
+    }
+
+    /// Whether the set contains a service.
+    pub fn contains(self, service: &ServiceName) -> bool {
+        self.0 & Self::bit(service) != 0
+    }
+
+    /// Whether the set contains no service.
+    pub const fn is_empty(self) -> bool {
+        self.0 == 0
+    }
+
+    fn bit(service: &ServiceName) -> u64 {
+        1 << (name_tag(service.as_str()) % u64::BITS)
+    }
+}
+
 /// Status of a VM that changes while its process runs.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct VmStatus {
@@ -68,6 +113,8 @@
     pub is_leaving: bool,
     /// Whether the VM watches the store and can reach it.
     pub watches_store: bool,
+    /// Services whose servers in its region the VM does not reach.
+    pub unreached: ServiceSet,
 }
 
 /// Version that orders the records of one VM.
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -463,6 +463,9 @@
     /// Whether the VM watches the store and can reach it.
     #[prost(bool, tag = "11")]
     pub watches_store: bool,
+    /// Services whose servers the VM does not reach, as a set of bits by hashed name.
+    #[prost(fixed64, tag = "12")]
+    pub unreached: u64,
 }
 
 /// Update from one VM of the overlay to another.
