Brittle servers: keep them below their slots, and pause after a rejection

What callers would see: servers of a service fall over together under a rush. Cause: the header by which a server says how many rejections a second it bears was read by nobody; a plain server got up to three requests for each slot. Change: adapter reads the header; fleet/brittle.rs holds what a server or any server of its service said last. While it holds, each VM of the region uses an equal part of three quarters of a server's slots and memory, so that the sum stays below the slots however old the others' figures are; with more VMs than slots, one request each while the known sum leaves room. A rejection pauses the VM for its part of the tolerated rate. Stand-in: room, rejections, falling over. Ruled out: senders by rendezvous hashing where VMs outnumber slots; VMs that rank last for every server could serve nothing.

Test brittle_servers_do_not_fall_over_by_rejections: with the word ignored 2 of 2 servers fall over (one VM, 12 callers, 8 slots); now none with 1, 3 and 9 VMs, three runs each.

--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -1,5 +1,6 @@
 //! Stub of a backend server, with the protocol that the adapter uses and with faults.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::pin::Pin;
@@ -14,7 +15,7 @@
 use hyper::body::{Body, Frame, Incoming};
 use onyxfall_adapter::stub::{
     ReceivedCall, add_server_load, mark_draining, mark_not_run, received_call, set_retry_after,
-    set_server_limit, sign_response,
+    set_server_brittle, set_server_limit, sign_response,
 };
 use parking_lot::Mutex;
 use tokio::time::{Instant as TimerInstant, Sleep};
@@ -60,6 +61,9 @@
     pub backoff: Option<RequestedBackoff>,
     /// Limit in every response, in requests per second, as in the header.
     pub limit: Option<&'static str>,
+    /// If set, the server crashes when it rejects more requests for want of room in a second,
+    /// and says so in every response, as in the header.
+    pub brittle: Option<&'static str>,
 }
 
 /// The backoff that a server asks for.
@@ -88,6 +92,8 @@
 
 /// Body of a request that crashes the server that runs it.
 pub const CRASHING_BODY: &[u8] = b"crash";
+/// Time in which rejections for want of room are counted.
+const REJECTION_WINDOW: Duration = Duration::from_secs(1);
 /// Time from the start of such a run to the crash: a model server crashed 40 to 180 ms
 /// after the start of a run.
 const CRASH_AFTER: Duration = Duration::from_millis(40);
@@ -129,6 +135,10 @@
     load: Option<String>,
     /// Slots and pace; the load in every response is made from these and the requests running.
     pace: Option<(u32, &'static str)>,
+    /// Most requests under way; others are rejected.
+    room: Option<u32>,
+    /// When requests were rejected for want of room within the last second.
+    rejected: VecDeque<Instant>,
     /// Number of requests that have arrived and not ended.
     running: u32,
     arrivals: Vec<ArrivedRequest>,
@@ -214,6 +224,11 @@
         self.state.lock().pace = Some((slots, pace));
     }
 
+    /// Sets how many requests may be under way; it rejects others. `None` sets no bound.
+    pub fn set_room(&self, room: Option<u32>) {
+        self.state.lock().room = room;
+    }
+
     /// The requests that reached it, without the first `from`.
     pub fn arrivals_from(&self, from: usize) -> Vec<ArrivedRequest> {
         let state = self.state.lock();
@@ -346,7 +361,11 @@
     signals.backoff = signals
         .backoff
         .filter(|backoff| number.is_multiple_of(backoff.every));
-    let mut response = if let Some(backoff) = signals.backoff {
+    let mut response = if has_no_room(&state, &crash) {
+        let mut rejection = whole(StatusCode::SERVICE_UNAVAILABLE, "");
+        mark_not_run(rejection.headers_mut());
+        rejection
+    } else if let Some(backoff) = signals.backoff {
         let mut rejection = whole(StatusCode::SERVICE_UNAVAILABLE, "");
         mark_not_run(rejection.headers_mut());
         set_retry_after(rejection.headers_mut(), backoff.seconds);
@@ -360,6 +379,9 @@
     if let Some(limit) = signals.limit {
         set_server_limit(response.headers_mut(), limit);
     }
+    if let Some(rejections) = signals.brittle {
+        set_server_brittle(response.headers_mut(), rejections);
+    }
     {
         let mut state = state.lock();
         if let Some(load) = &state.load {
@@ -376,6 +398,30 @@
     Ok(response)
 }
 
+/// Whether the stub has no room for the request that has just arrived. A brittle one crashes if
+/// it has rejected too many for that.
+fn has_no_room(state: &Mutex<ServerState>, crash: &StopSignal) -> bool {
+    let mut state = state.lock();
+    if state.room.is_none_or(|room| state.running <= room) {
+        return false;
+    }
+    let now = Instant::now();
+    state.rejected.push_back(now);
+    let is_old = |at: &Instant| now.duration_since(*at) > REJECTION_WINDOW;
+    while state.rejected.front().is_some_and(is_old) {
+        state.rejected.pop_front();
+    }
+    let tolerated = state
+        .signals
+        .brittle
+        .and_then(|text| text.parse::<f64>().ok());
+    if tolerated.is_some_and(|tolerated| state.rejected.len() as f64 > tolerated) {
+        state.is_crashed = true;
+        crash.notify_one();
+    }
+    true
+}
+
 /// Handles a request according to the fault of the stub.
 async fn run(
     state: Arc<Mutex<ServerState>>,
--- a/crates/fleet/src/choose.rs
+++ b/crates/fleet/src/choose.rs
@@ -145,7 +145,7 @@
         }
         let with_capacity: Vec<ServerId> = candidates
             .into_iter()
-            .filter(|id| self.takes_now(now, *id) && self.has_room(*id, needs))
+            .filter(|id| self.takes_now(now, *id) && self.has_room(now, *id, needs))
             .collect();
         if with_capacity.is_empty() {
             return LocalOption::Full;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod backup;
 mod balance;
+mod brittle;
 mod budget;
 mod cached_prefixes;
 mod call;
@@ -41,6 +42,7 @@
 
 pub use backup::BackupDecision;
 pub use balance::RateKind;
+pub use brittle::BrittleSignal;
 pub use budget::{BudgetLimits, RetryShare};
 pub use call::{CallRequirements, PromptPart, PromptSize};
 pub use choose::{ChoiceReason, LocalOption, ServerChoice};
--- a/crates/fleet/src/predict.rs
+++ b/crates/fleet/src/predict.rs
@@ -169,6 +169,9 @@
     ) -> Option<f64> {
         let since = self.server(id).since_first_byte(now, attempt);
         self.server_mut(id).end(now, attempt, result);
+        if result == AttemptResult::Shed {
+            self.record_brittle_rejection(now, id);
+        }
         let gaps = f64::from(events.unwrap_or(0).saturating_sub(1));
         let has_interval = result == AttemptResult::Succeeded && gaps >= MIN_GAPS;
         match (since, has_interval) {
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -6,6 +6,7 @@
 use onyxfall_policy::{CircuitBreaker, Moment, ServerBackoff};
 use onyxfall_types::{RegionName, RequestRate};
 
+use crate::brittle::BrittleRecord;
 use crate::cached_prefixes::CachedPrefixes;
 use crate::call::{CallRequirements, PromptSize};
 use crate::cold::ColdShare;
@@ -140,6 +141,7 @@
     backoff_requested_at: Option<Moment>,
     limit: ServerLimit,
     pace: PaceRecord,
+    pub(crate) brittle: BrittleRecord,
     full_until: Moment,
     circuit: CircuitBreaker,
     slowness: f64,
@@ -172,6 +174,7 @@
             backoff_requested_at: None,
             limit: ServerLimit::default(),
             pace: PaceRecord::default(),
+            brittle: BrittleRecord::default(),
             full_until: Moment::ZERO,
             circuit: CircuitBreaker::new(),
             slowness: 1.0,
@@ -333,6 +336,7 @@
         self.backoff_requested_at = before.backoff_requested_at;
         self.limit = before.limit;
         self.pace = before.pace;
+        self.brittle = before.brittle;
     }
 
     /// This VM's share of the server's rate while it is cold.
@@ -424,6 +428,11 @@
         self.cached_prefixes.set_remote_flow(now, work.flow);
     }
 
+    /// Requests and memory of this VM's own work at the server.
+    pub(crate) fn own_share(&self) -> WorkShare {
+        self.own
+    }
+
     /// Total known work at the server.
     pub fn work(&self) -> WorkShare {
         self.own.plus(self.others)
--- a/crates/fleet/src/signals.rs
+++ b/crates/fleet/src/signals.rs
@@ -19,6 +19,7 @@
 use onyxfall_policy::{Moment, ServerBackoff};
 use onyxfall_types::ServerId;
 
+use crate::brittle::BrittleSignal;
 use crate::instance::StartTime;
 use crate::limit::LimitSignal;
 use crate::pace::PaceSignal;
@@ -64,6 +65,8 @@
     pub limit: LimitSignal,
     /// How long work takes at the server at this moment.
     pub pace: PaceSignal,
+    /// The rejections that the server bears.
+    pub brittle: BrittleSignal,
 }
 
 /// Changes of this VM's state of a server that signals have caused.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -17,6 +17,7 @@
 
 use crate::backup::CrashTable;
 use crate::balance::RateTable;
+use crate::brittle::BrittleRecord;
 use crate::call::CallRequirements;
 use crate::cold::RegionDiscovery;
 use crate::flow::FlowMeter;
@@ -115,6 +116,8 @@
     /// Rate of the requests whose server was chosen by load, by service.
     drawn_rates: BTreeMap<ServiceName, FlowMeter>,
     rates: RateTable,
+    /// What servers last stated of the rejections that they bear, by service.
+    pub(crate) brittle_services: BTreeMap<ServiceName, BrittleRecord>,
     /// Delay per 1,000 tokens of a shared part that is accepted to avoid prefilling
     /// them again.
     reprefill_penalty: Duration,
@@ -152,6 +155,7 @@
             knowledge_age: Duration::ZERO,
             drawn_rates: BTreeMap::new(),
             rates: RateTable::new(),
+            brittle_services: BTreeMap::new(),
             reprefill_penalty: REPREFILL_PENALTY,
             version_rules: BTreeMap::new(),
         }
@@ -372,7 +376,7 @@
             let server = self.server(*id);
             self.is_trusted(now, *id)
                 && !server.is_cold(now)
-                && self.has_room(*id, needs)
+                && self.has_room(now, *id, needs)
                 && self.is_within_limit(now, *id)
         })
     }
@@ -443,11 +447,11 @@
 
     /// Whether a server has capacity for another request. Some of the other VMs'
     /// requests to a plain service have ended since they were reported.
-    pub(crate) fn has_room(&self, id: ServerId, needs: &CallRequirements) -> bool {
+    pub(crate) fn has_room(&self, now: Moment, id: ServerId, needs: &CallRequirements) -> bool {
         let request_time = self.costs(&needs.service).plain_ms() / 1e3;
         let ended_per_slot = self.knowledge_age.as_secs_f64() / request_time.max(f64::MIN_POSITIVE);
-        self.server(id)
-            .has_room(needs, MAX_REQUESTS_PER_SLOT + ended_per_slot)
+        let limit = MAX_REQUESTS_PER_SLOT + ended_per_slot;
+        self.server(id).has_room(needs, limit) && self.has_brittle_room(now, id, needs)
     }
 
     /// Applies a server's store entry. An entry of an earlier instance is ignored,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -163,8 +163,9 @@
         let is_own = matches!(kind, ResponseKind::Signed | ResponseKind::NotRun);
         let sent_at = is_own.then(|| attempt.started());
         gateway.record_limit(target.id, signals.limit, sent_at);
-        if is_own {
+        if let Some(sent_at) = sent_at {
             gateway.record_pace(target.id, signals.pace);
+            gateway.record_brittle(target.id, signals.brittle, sent_at);
         }
         gateway.record_unknown_signal_headers(response.headers());
     }
--- a/crates/gateway/src/signals.rs
+++ b/crates/gateway/src/signals.rs
@@ -3,7 +3,8 @@
 use http::HeaderMap;
 use onyxfall_adapter::unknown_signal_headers;
 use onyxfall_fleet::{
-    BackoffSignal, DecisionSwitch, LimitSignal, PaceSignal, ServerSignals, SignalChanges,
+    BackoffSignal, BrittleSignal, DecisionSwitch, LimitSignal, PaceSignal, ServerSignals,
+    SignalChanges,
 };
 use onyxfall_policy::Moment;
 use onyxfall_types::{RequestRate, ServerId};
@@ -95,6 +96,28 @@
         }
     }
 
+    /// Applies what the head of a response to an own request says of the rejections that the
+    /// server bears. `sent_at` is when the request was sent.
+    pub(crate) fn record_brittle(&self, server: ServerId, signal: BrittleSignal, sent_at: Moment) {
+        if signal == BrittleSignal::Malformed {
+            self.metrics.count("onyxfall_malformed_brittle_total");
+        }
+        let now = self.now();
+        let mut fleet = self.fleet.borrow_mut();
+        let before = fleet.tolerated_rejections(now, server);
+        fleet.apply_brittle(now, server, signal, sent_at);
+        let tolerated = fleet.tolerated_rejections(now, server);
+        if before.is_some() == tolerated.is_some() {
+            return;
+        }
+        self.metrics.count("onyxfall_brittle_changes_total");
+        log::info!(
+            server = fleet.server(server).record.name.as_str(),
+            rejections_per_s = tolerated.map_or(-1.0, RequestRate::per_second);
+            "tolerated rejections of a server changed"
+        );
+    }
+
     /// Whether a limit for the server is in force on this VM.
     pub(crate) fn is_limited(&self, now: Moment, server: ServerId) -> bool {
         self.fleet.borrow().server(server).limit(now).is_some()
