Soak: VMs cut from all servers, and brittle servers

Cuts of a VM's paths to all servers come in a series of their own, silent, reset or for new connections only, beside all other faults; so does the word of a brittle server.

--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -14,8 +14,8 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
 use onyxfall_adapter::stub::{
-    ReceivedCall, add_server_load, mark_draining, mark_not_run, received_call, set_retry_after,
-    set_server_brittle, set_server_limit, sign_response,
+    HEALTH_PATH, ReceivedCall, add_server_load, mark_draining, mark_not_run, received_call,
+    set_retry_after, set_server_brittle, set_server_limit, sign_response,
 };
 use parking_lot::Mutex;
 use tokio::time::{Instant as TimerInstant, Sleep};
@@ -349,6 +349,9 @@
     request: Request<Incoming>,
 ) -> Result<Response<EventBody>, io::Error> {
     let (head, body) = request.into_parts();
+    if head.uri.path() == HEALTH_PATH {
+        return check_health(&state, &crash).await;
+    }
     let call = received_call(&head.headers);
     if is_for_other_instance(&state, &call) {
         return Ok(whole(StatusCode::MISDIRECTED_REQUEST, ""));
@@ -398,6 +401,26 @@
     Ok(response)
 }
 
+/// Answers a health check, which is neither recorded nor run.
+async fn check_health(
+    state: &Mutex<ServerState>,
+    crash: &StopSignal,
+) -> Result<Response<EventBody>, io::Error> {
+    if has_no_room(state, crash) {
+        return Ok(whole(StatusCode::SERVICE_UNAVAILABLE, ""));
+    }
+    let (fault, is_draining) = {
+        let state = state.lock();
+        (state.fault, state.signals.is_draining)
+    };
+    match fault {
+        ServerFault::Unresponsive => std::future::pending().await,
+        ServerFault::Closes => Err(io::Error::other("closed by the stub")),
+        _ if is_draining => Ok(whole(StatusCode::SERVICE_UNAVAILABLE, "")),
+        _ => Ok(whole(StatusCode::OK, "")),
+    }
+}
+
 /// Whether the stub has no room for the request that has just arrived. A brittle one crashes if
 /// it has rejected too many for that.
 fn has_no_room(state: &Mutex<ServerState>, crash: &StopSignal) -> bool {
--- a/crates/gateway/tests/draining.rs
+++ b/crates/gateway/tests/draining.rs
@@ -21,6 +21,7 @@
     is_draining: true,
     backoff: None,
     limit: None,
+    brittle: None,
 };
 /// Number of requests of which some would reach each of two eligible servers.
 const REQUESTS: usize = 30;
--- a/crates/soak/src/capacity.rs
+++ b/crates/soak/src/capacity.rs
@@ -240,6 +240,7 @@
         | Fault::Pause(vm)
         | Fault::Suspend(vm, _)
         | Fault::StoreLink(vm, _)
+        | Fault::Paths(vm, _)
         | Fault::CallerLink(vm, _) => vm == own,
         Fault::Store(_) | Fault::Restore => true,
         _ => false,
@@ -256,6 +257,7 @@
         | Fault::SignalDrain(server, _)
         | Fault::Backoff(server, _)
         | Fault::Limit(server, _)
+        | Fault::Brittle(server)
         | Fault::MalformedEntry(server, _) => Some(server),
         _ => None,
     }
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -39,6 +39,10 @@
     SentDuringBackoff(String),
     /// A server received more requests than the limit that it had signalled.
     SentBeyondLimit(String),
+    /// Callers of VMs without a path to any server were not served, or those of others were not.
+    UnservedWithoutPath(String),
+    /// Too many servers fell over because they had to reject requests for want of room.
+    FellOver(String),
     /// A VM refused a request for load while the service was idle.
     RefusedWhileIdle(String),
     /// A less important kind of requests was served more often than a more important one.
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -13,7 +13,7 @@
     RouteShape, RouteText, ServiceText, TeamText, config_key, document_with_teams,
     malformed_entries, server_body, server_key, with_route_priority,
 };
-use onyxfall_fakes::{FaultyLink, RequestedBackoff, ServerStub, StoreStub, StubSignals};
+use onyxfall_fakes::{FaultyLink, PathCut, RequestedBackoff, ServerStub, StoreStub, StubSignals};
 use onyxfall_fleet::{EngineLimits, ServerPhase, ServerRecord, StartTime};
 use parking_lot::Mutex;
 use rustix::process::{Pid, Signal, kill_process};
@@ -403,6 +403,37 @@
         self.set_signals(server, |signals| signals.limit = limit);
     }
 
+    /// Makes the present instance of a server say which rejections a second it bears; `None` ends
+    /// that.
+    pub(crate) fn set_brittle(&self, server: usize, rejections: Option<&'static str>) {
+        self.set_signals(server, |signals| signals.brittle = rejections);
+    }
+
+    /// Sets how many requests may be under way at the present instance of a server.
+    pub(crate) fn set_room(&self, server: usize, room: Option<u32>) {
+        if let Some(instance) = self.servers[server].lock().instances.last() {
+            instance.set_room(room);
+        }
+    }
+
+    /// Whether the present instance of a server has crashed.
+    pub(crate) fn has_crashed(&self, server: usize) -> bool {
+        let state = self.servers[server].lock();
+        state.instances.last().is_some_and(ServerStub::is_crashed)
+    }
+
+    /// Cuts a VM's paths to all servers, or restores them.
+    ///
+    /// # Errors
+    ///
+    /// The kernel accepts no packet filter.
+    pub(crate) fn cut_paths(&self, vm: usize, cut: Option<PathCut>) -> io::Result<()> {
+        for server in &self.servers {
+            server.lock().link.set_cut(source_ip(vm), cut)?;
+        }
+        Ok(())
+    }
+
     fn set_signals(&self, server: usize, change: impl FnOnce(&mut StubSignals)) {
         let mut state = self.servers[server].lock();
         change(&mut state.signals);
--- a/crates/soak/src/limits.rs
+++ b/crates/soak/src/limits.rs
@@ -69,6 +69,8 @@
                 DisturbedPart::Vm(vm),
                 DisturbedPart::Process(vm),
                 DisturbedPart::Link(server),
+                // What was written before a cut may arrive after it.
+                DisturbedPart::Path(vm),
             ];
             let is_sent_later = |id| self.calls.get(id).is_some_and(|call| call.sent > read);
             let is_disturbed = |until| {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -5,11 +5,13 @@
 //! A seed always gives the same plan, but its effect on the processes depends on
 //! scheduling, so it may take several runs of a seed to reproduce a failure.
 
+mod brittle;
 mod callers;
 mod capacity;
 mod checks;
 mod deployment;
 mod limits;
+mod partition;
 mod plan;
 mod run;
 mod signals;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -7,7 +7,7 @@
 use std::fmt;
 use std::time::Duration;
 
-use onyxfall_fakes::{LinkMode, RequestedBackoff, ServerFault, StoreMode};
+use onyxfall_fakes::{LinkMode, PathCut, RequestedBackoff, ServerFault, StoreMode};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -64,6 +64,12 @@
 /// Mean time between the starts of two restores, in milliseconds.
 const RESTORE_PAUSE_MS: u64 = 3000;
 
+/// Cuts of the paths between a VM and all servers are drawn in a separate series, for the same
+/// reason.
+const PATH_SERIES: u64 = 0x7061_7468_735f_6375;
+/// Mean time between the starts of two cuts, in milliseconds.
+const PATH_PAUSE_MS: u64 = 1500;
+
 /// Suspensions are drawn in a separate series, for the same reason.
 const SUSPENSION_SERIES: u64 = 0x6177_6179_5f73_6572;
 /// Mean time between the starts of two suspensions, in milliseconds.
@@ -100,6 +106,8 @@
     CallerLink(usize, LinkMode),
     /// Sets the mode of the link between gateways and a server.
     ServerLink(usize, LinkMode),
+    /// Cuts the paths between a gateway and all servers.
+    Paths(usize, PathCut),
     /// Sets the mode of the store.
     Store(StoreMode),
     /// The store compacts its history.
@@ -121,6 +129,8 @@
     Backoff(usize, RequestedBackoff),
     /// A server signals a limit, in requests per second.
     Limit(usize, &'static str),
+    /// A server says that it falls over if it rejects too many requests for want of room.
+    Brittle(usize),
     /// Another writer overwrites a server's entry with a foreign value. The second number
     /// selects the kind of value.
     MalformedEntry(usize, usize),
@@ -232,6 +242,10 @@
             Fault::Server(rng.random_range(0..size.servers), ServerFault::ReadsSlowly)
         }),
         usual(RESTORE_SERIES, RESTORE_PAUSE_MS, |_, _| Fault::Restore),
+        usual(PATH_SERIES, PATH_PAUSE_MS, |rng, size| {
+            let vm = rng.random_range(0..size.vms);
+            Fault::Paths(vm, PathCut::ALL[rng.random_range(0..PathCut::ALL.len())])
+        }),
         FaultSeries {
             lasts_ms: LIMIT_MS,
             ..usual(LIMIT_SERIES, LIMIT_PAUSE_MS, draw_limit)
@@ -262,6 +276,9 @@
         };
         return Fault::SignalDrain(server, next);
     }
+    if rng.random_range(0..4) == 0 {
+        return Fault::Brittle(server);
+    }
     let backoff = RequestedBackoff {
         seconds: BACKOFFS[rng.random_range(0..BACKOFFS.len())],
         every: rng.random_range(REJECT_EVERY),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,14 +7,16 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use onyxfall_fakes::{LinkMode, ServerFault, ServerStub, StoreMode};
+use onyxfall_fakes::{LinkMode, PathCut, ServerFault, ServerStub, StoreMode};
 use rustix::process::Signal;
 use ureq::Agent;
 
+use crate::brittle;
 use crate::callers::{CallReport, CallerGroup, call, new_agent};
 use crate::capacity::CapacityChecks;
 use crate::checks::{BrokenPromise, PromiseChecks};
 use crate::deployment::{RequestKind, SoakDeployment, has_model_servers, has_plan, version_path};
+use crate::partition::{self, PartitionCheck};
 use crate::plan::{Fault, NextInstance, PlannedFault, RunSize, draw_plan, pace_at};
 use crate::signals::{DisturbedPart, InstanceArrivals, SignalChecks};
 
@@ -78,6 +80,12 @@
     run.apply_faults(&plan, &callers, size)?;
     run.wait_served("after the faults");
     run.check_burst();
+    // Each takes some seconds; one of them is enough for a seed.
+    if seed.is_multiple_of(2) {
+        run.check_partition(&callers, size)?;
+    } else {
+        run.check_brittle()?;
+    }
     run.wait_in_force();
     run.wait_used();
     run.check_drain();
@@ -215,6 +223,11 @@
                 self.deployment.set_limit(server, Some(limit));
                 Ok(())
             }
+            Fault::Brittle(server) => {
+                self.deployment
+                    .set_brittle(server, Some(brittle::REJECTIONS));
+                Ok(())
+            }
             Fault::MalformedEntry(server, kind) => {
                 self.deployment.put_foreign_entry(server, kind);
                 Ok(())
@@ -231,6 +244,7 @@
                 self.deployment.servers[server].lock().link.set_mode(mode);
                 Ok(())
             }
+            Fault::Paths(vm, cut) => self.deployment.cut_paths(vm, Some(cut)),
             Fault::Store(mode) => {
                 self.deployment.store.set_mode(mode);
                 Ok(())
@@ -275,6 +289,7 @@
             Fault::StoreLink(vm, _) => self.set(Fault::StoreLink(vm, LinkMode::Open)),
             Fault::CallerLink(vm, _) => self.set(Fault::CallerLink(vm, LinkMode::Open)),
             Fault::ServerLink(server, _) => self.set(Fault::ServerLink(server, LinkMode::Open)),
+            Fault::Paths(vm, _) => self.deployment.cut_paths(vm, None),
             Fault::Store(_) => self.set(Fault::Store(StoreMode::Normal)),
             Fault::MalformedEntry(server, _) => {
                 self.deployment.rewrite_entry(server);
@@ -293,6 +308,10 @@
                 self.deployment.set_limit(server, None);
                 Ok(())
             }
+            Fault::Brittle(server) => {
+                self.deployment.set_brittle(server, None);
+                Ok(())
+            }
             Fault::Restore => {
                 self.deployment.store.restore_snapshot();
                 Ok(())
@@ -550,6 +569,56 @@
         }
     }
 
+    /// Cuts some VMs from all servers and checks that their callers are served all the same.
+    fn check_partition(&mut self, callers: &CallerGroup, size: &RunSize) -> io::Result<()> {
+        self.record_observations(callers);
+        let cut = PathCut::Silent;
+        for vm in 0..size.vms {
+            self.capacity.begin(Fault::Paths(vm, cut));
+        }
+        let mut check = PartitionCheck::begin(self.deployment, self.seed, size.vms)?;
+        let end = Instant::now() + partition::CONTACT + partition::COUNTED;
+        while Instant::now() < end {
+            thread::sleep(STEP);
+            for report in callers.drain_reports() {
+                check.record(&report, &self.targets);
+                self.record_report(report);
+            }
+            self.record_runs();
+        }
+        if let Some(broken) = check.finish(self.deployment)? {
+            self.checks.record(broken);
+        }
+        self.capacity.end(|fault| matches!(fault, Fault::Paths(..)));
+        self.wait_served("after a partition");
+        Ok(())
+    }
+
+    /// Makes all servers brittle and checks that they do not fall over.
+    fn check_brittle(&mut self) -> io::Result<()> {
+        let servers = self.deployment.servers.len();
+        for server in 0..servers {
+            self.capacity.begin(Fault::Brittle(server));
+        }
+        let (reports, broken) = brittle::check_brittle(self.deployment, &self.targets);
+        for report in reports {
+            self.signals.record_report(&report);
+            self.checks.record_report(report);
+        }
+        if let Some(broken) = broken {
+            self.checks.record(broken);
+        }
+        for server in 0..servers {
+            if self.deployment.has_crashed(server) {
+                self.deployment.restart(server)?;
+            }
+        }
+        self.capacity
+            .end(|fault| matches!(fault, Fault::Brittle(_)));
+        self.wait_served("after servers were brittle");
+        Ok(())
+    }
+
     /// Drains the first server; after `DRAIN_BOUND`, no request may reach it.
     fn check_drain(&mut self) {
         self.capacity
@@ -595,6 +664,7 @@
 fn disturbed_part(fault: Fault) -> Option<DisturbedPart> {
     match fault {
         Fault::Pause(vm) | Fault::Suspend(vm, _) => Some(DisturbedPart::Vm(vm)),
+        Fault::Paths(vm, _) => Some(DisturbedPart::Path(vm)),
         Fault::Kill(vm) | Fault::Shutdown(vm) => Some(DisturbedPart::Process(vm)),
         Fault::ServerLink(server, _) => Some(DisturbedPart::Link(server)),
         _ => None,
@@ -608,9 +678,11 @@
         | (Fault::StoreLink(a, _), Fault::StoreLink(b, _))
         | (Fault::CallerLink(a, _), Fault::CallerLink(b, _))
         | (Fault::ServerLink(a, _), Fault::ServerLink(b, _))
+        | (Fault::Paths(a, _), Fault::Paths(b, _))
         | (Fault::SignalDrain(a, _), Fault::SignalDrain(b, _))
         | (Fault::Backoff(a, _), Fault::Backoff(b, _))
         | (Fault::Limit(a, _), Fault::Limit(b, _))
+        | (Fault::Brittle(a), Fault::Brittle(b))
         | (Fault::MalformedEntry(a, _), Fault::MalformedEntry(b, _))
         | (Fault::Server(a, _), Fault::Server(b, _)) => a == b,
         (Fault::Store(_), Fault::Store(_)) | (Fault::Restore, Fault::Restore) => true,
--- a/crates/soak/src/signals.rs
+++ b/crates/soak/src/signals.rs
@@ -29,6 +29,8 @@
     Process(usize),
     /// The link to a server, which is faulty.
     Link(usize),
+    /// The paths of a VM to all servers, which are cut.
+    Path(usize),
 }
 
 /// Times at which parts were disturbed.
