Soak: a partition covers a whole region, and links may be narrow

Change: all VMs of the first region are cut, drawn ones of the others but for the last region. A link to a store, a server or a VM may be narrow (0.1 MB/s).

--- a/crates/fakes/src/faulty_link.rs
+++ b/crates/fakes/src/faulty_link.rs
@@ -16,6 +16,8 @@
 
 /// Delay of a slow link in one direction.
 const SLOW_DELAY: Duration = Duration::from_millis(80);
+/// Bytes a second of a narrow link.
+const NARROW_RATE: f64 = 100e3;
 /// Interval at which a stalled direction is checked for its release.
 const STALL_POLL: Duration = Duration::from_millis(10);
 const CHUNK: usize = 16 * 1024;
@@ -28,6 +30,8 @@
     Open,
     /// Forwards them with a delay.
     Slow,
+    /// Forwards few bytes a second in each direction of a connection.
+    Narrow,
     /// Resets every connection, including new ones.
     Broken,
     /// Stalls the bytes to the target.
@@ -48,7 +52,7 @@
 impl LinkMode {
     fn stalls(self, direction: LinkDirection) -> bool {
         match self {
-            Self::Open | Self::Slow | Self::Broken => false,
+            Self::Open | Self::Slow | Self::Narrow | Self::Broken => false,
             Self::StalledToTarget => direction == LinkDirection::ToTarget,
             Self::StalledFromTarget => direction == LinkDirection::FromTarget,
             Self::Stalled => true,
@@ -290,8 +294,11 @@
         while state.lock().stalls(source, direction) {
             thread::sleep(STALL_POLL);
         }
-        if state.lock().mode == LinkMode::Slow {
-            thread::sleep(SLOW_DELAY);
+        let mode = state.lock().mode;
+        match mode {
+            LinkMode::Slow => thread::sleep(SLOW_DELAY),
+            LinkMode::Narrow => thread::sleep(Duration::from_secs_f64(len as f64 / NARROW_RATE)),
+            _ => {}
         }
         if len == 0 || to.write_all(&buffer[..len]).is_err() {
             break;
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -27,7 +27,7 @@
 pub(crate) const KEY: &str = "jbvk9m68k7b2ex5wa5xw";
 const SERVICE: &str = "svc";
 /// Number of regions; gateways and servers are assigned to them in turn.
-const REGIONS: usize = 3;
+pub(crate) const REGIONS: usize = 3;
 /// Time in which a gateway must exit after a shutdown signal, in seconds.
 const STOP_GRACE_S: u64 = 3;
 
--- a/crates/soak/src/partition.rs
+++ b/crates/soak/src/partition.rs
@@ -9,7 +9,7 @@
 
 use crate::callers::CallReport;
 use crate::checks::BrokenPromise;
-use crate::deployment::{RequestKind, SoakDeployment};
+use crate::deployment::{REGIONS, RequestKind, SoakDeployment};
 
 /// Time after the cut from which first tries count.
 pub(crate) const CONTACT: Duration = Duration::from_secs(5);
@@ -42,11 +42,16 @@
 }
 
 impl PartitionCheck {
-    /// Cuts some of `vms` VMs from all servers; one at least, and not all.
+    /// Cuts all VMs of the first region from all servers, and some of the others, but for those
+    /// of the last region.
     pub(crate) fn begin(deployment: &SoakDeployment, seed: u64, vms: usize) -> io::Result<Self> {
         let kinds = PathCut::ALL;
-        let cut = kinds[usize::try_from(seed).unwrap_or(0) % kinds.len()];
-        let is_cut = |vm: &usize| *vm == 0 || (*vm + 1 < vms && (seed >> (vm % 16)) & 1 == 1);
+        let cut = kinds[usize::try_from(seed / 2).unwrap_or(0) % kinds.len()];
+        let is_drawn = |vm: usize| (seed >> (vm % 16)) & 1 == 1;
+        let is_cut = |vm: &usize| match vm % REGIONS {
+            0 => true,
+            region => region + 1 < REGIONS && is_drawn(*vm),
+        };
         let cut_vms: BTreeSet<usize> = (0..vms).filter(is_cut).collect();
         for vm in &cut_vms {
             deployment.cut_paths(*vm, Some(cut))?;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -320,8 +320,9 @@
 }
 
 fn draw_mode(rng: &mut StdRng) -> LinkMode {
-    match rng.random_range(0..5) {
+    match rng.random_range(0..6) {
         0 => LinkMode::Slow,
+        5 => LinkMode::Narrow,
         1 => LinkMode::Broken,
         2 => LinkMode::StalledToTarget,
         3 => LinkMode::StalledFromTarget,
