--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -20,6 +20,9 @@
 const USER_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Idle time before the first keep-alive probe; the shortest that the kernel supports.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+/// Number of unacknowledged probes that breaks a connection where the kernel does not apply the
+/// user timeout to probes. Linux does, and ignores the number then.
+const KEEPALIVE_PROBES: u32 = 2;
 /// Longest time to establish a connection within the region, which takes one to three
 /// milliseconds. The kernel retransmits a lost SYN only after a second, which is too late
 /// for any goal, while another server can be tried. The margin covers a VM that is
@@ -63,11 +66,10 @@
 pub(crate) fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    // The kernel ignores a number of probes where a user timeout is set: the connection ends
-    // with the first probe that is due after [`USER_TIMEOUT`], which is the second one.
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
-        .with_interval(KEEPALIVE_IDLE);
+        .with_interval(KEEPALIVE_IDLE)
+        .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&probes)?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
