Runs that are lost with the path of a VM are no evidence against their requests

What callers would see: for two seconds, requests with the content of those that a partition had cut off were refused at every VM as suspects of crashing servers. Cause: connections to two servers that are reset by a partition looked like two crashes. Change: such evidence waits for the check of the doubted path. It is dropped if a server that had not failed does not answer either; it counts if the path is open, or if every server had failed. A request that has lost a run waits for the check, and so does the continuation of a run from its backup.

--- a/crates/fleet/src/reach.rs
+++ b/crates/fleet/src/reach.rs
@@ -9,6 +9,7 @@
 //! networks. Invariants: a byte from any server of the service ends the doubt; a lost path is
 //! never tried with a caller's request.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -79,6 +80,17 @@
     None,
 }
 
+/// Result of a check of the paths to a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PathCheck {
+    /// Server that was asked, if there is one.
+    pub server: Option<ServerId>,
+    /// Whether it had given no reason for a doubt when the check began.
+    pub was_sound: bool,
+    /// Whether it has responded.
+    pub has_responded: bool,
+}
+
 /// What the servers of a service in the region show at one moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct PathEvidence {
@@ -100,6 +112,8 @@
     since: Moment,
     /// Whether a check has failed in this state.
     is_checked: bool,
+    /// Whether a check has failed by a server that had given no reason for the doubt.
+    is_proved: bool,
     /// Servers to which no connection could be established since the last one that was; at
     /// most [`MIN_FAILED`].
     failed_dials: BTreeSet<ServerId>,
@@ -113,6 +127,7 @@
             self.state = state;
             self.since = now;
             self.is_checked = false;
+            self.is_proved &= !state.may_send();
         }
     }
 
@@ -163,8 +178,9 @@
         }
     }
 
-    fn record_check(&mut self, now: Moment, has_responded: bool) {
-        if has_responded {
+    fn record_check(&mut self, now: Moment, check: PathCheck) {
+        if check.has_responded {
+            self.is_proved = false;
             self.failed_dials.clear();
             self.refuted = Some(now);
             self.set(now, PathState::Open);
@@ -173,6 +189,7 @@
                 self.set(now, PathState::Lost);
             }
             self.is_checked = true;
+            self.is_proved |= check.was_sound;
         }
     }
 }
@@ -261,11 +278,12 @@
         monitor.record_dial(id, is_established);
     }
 
-    /// Records whether a server has responded to a check of the paths to its service. A path
-    /// that is found lost raises a doubt about those to other services.
+    /// Records whether a server has responded to a check of the paths to its service. The server
+    /// had not failed before if it `was_sound`. A path that is found lost raises a doubt about
+    /// those to other services.
     ///
     /// ```
-    /// use onyxfall_fleet::{FleetView, PathState, VmLocation};
+    /// use onyxfall_fleet::{FleetView, PathCheck, PathState, VmLocation};
     /// # use onyxfall_policy::Moment;
     /// # let (center, region): (onyxfall_types::CenterName, onyxfall_types::RegionName) =
     /// #     ("c1".parse().unwrap(), "r1".parse().unwrap());
@@ -277,22 +295,17 @@
     /// # });
     /// let service = "svc".parse().unwrap();
     /// // Without a doubt, a failed check shows nothing about the path.
-    /// fleet.record_check(Moment::ZERO, &service, None, false);
+    /// let check = PathCheck { server: None, was_sound: false, has_responded: false };
+    /// fleet.record_check(Moment::ZERO, &service, check);
     /// assert_eq!(fleet.path_state(&service), PathState::Open);
     /// ```
-    pub fn record_check(
-        &mut self,
-        now: Moment,
-        service: &ServiceName,
-        id: Option<ServerId>,
-        has_responded: bool,
-    ) {
-        if let Some(id) = id.filter(|_| has_responded) {
+    pub fn record_check(&mut self, now: Moment, service: &ServiceName, check: PathCheck) {
+        if let Some(id) = check.server.filter(|_| check.has_responded) {
             self.server_mut(id).record_liveness(now);
         }
         let monitor = self.paths.monitor_mut(service);
         let before = monitor.state;
-        monitor.record_check(now, has_responded);
+        monitor.record_check(now, check);
         if before != PathState::Lost && monitor.state == PathState::Lost {
             for monitor in self.paths.monitors.values_mut() {
                 monitor.doubt(now);
@@ -301,17 +314,30 @@
         self.paths.update_closed();
     }
 
-    /// Servers by which the paths to a service can be checked, those first that have sent a
-    /// byte most recently.
-    pub fn servers_to_check(&self, service: &ServiceName) -> Vec<ServerId> {
-        let mut servers: Vec<(Option<Moment>, ServerId)> = self
+    /// Whether the paths to a service are lost beyond doubt: a server that had not failed has not
+    /// responded to a check either. Otherwise all servers may have ended.
+    pub fn is_path_proved_lost(&self, service: &ServiceName) -> bool {
+        let monitor = self.paths.monitors.get(service);
+        monitor.is_some_and(|monitor| monitor.state != PathState::Open && monitor.is_proved)
+    }
+
+    /// Servers by which the paths to a service can be checked, and whether they are sound: those
+    /// first that have given no reason for a doubt, then those that have sent a byte most
+    /// recently.
+    pub fn servers_to_check(&self, now: Moment, service: &ServiceName) -> Vec<(ServerId, bool)> {
+        let rank = |id: &ServerId| {
+            let server = self.server(*id);
+            (server.is_failing(now), Reverse(server.last_liveness()), *id)
+        };
+        let mut servers: Vec<ServerId> = self
             .servers_of(service)
             .iter()
-            .map(|id| (self.server(*id).last_liveness(), *id))
-            .filter(|(_, id)| self.server(*id).region == self.place().region && self.may_work(*id))
+            .copied()
+            .filter(|id| self.server(*id).region == self.place().region && self.may_work(*id))
             .collect();
-        servers.sort_unstable_by(|a, b| b.cmp(a));
-        servers.into_iter().map(|(_, id)| id).collect()
+        servers.sort_by_cached_key(rank);
+        let is_sound = |id: &ServerId| !self.server(*id).is_failing(now);
+        servers.into_iter().map(|id| (id, is_sound(&id))).collect()
     }
 
     /// Sets how requests reach the servers of a service in this region.
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -373,6 +373,13 @@
         self.others.votes
     }
 
+    /// Whether the server may be the reason why requests fail: it is silent, cannot be connected
+    /// to, or has lost a connection and sent nothing since.
+    pub(crate) fn is_failing(&self, now: Moment) -> bool {
+        let is_broken = self.liveness.is_broken_since(Moment::ZERO);
+        self.liveness.is_undialled() || is_broken || self.is_silent(now)
+    }
+
     /// Whether a connection to the server was lost after `since`, and nothing was received from
     /// it afterwards.
     pub(crate) fn is_broken_since(&self, since: Moment) -> bool {
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -410,12 +410,6 @@
         server.is_replaced() || (has_votes && self.votes(now, id).is_unresponsive())
     }
 
-    /// Whether it is known that this VM cannot connect to a server.
-    pub fn is_unreached(&self, id: ServerId) -> bool {
-        let state = self.path_state(&self.server(id).record.service);
-        matches!(state, PathState::Lost | PathState::OpenConnectionsOnly)
-    }
-
     /// Whether nothing speaks against this VM's path to a server.
     pub fn has_open_path(&self, id: ServerId) -> bool {
         self.path_state(&self.server(id).record.service) == PathState::Open
--- a/crates/fleet/tests/reach.rs
+++ b/crates/fleet/tests/reach.rs
@@ -2,7 +2,9 @@
 
 mod support;
 
-use onyxfall_fleet::{AttemptResult, FleetView, LocalOption, PathState, RegionReach, ServerVotes};
+use onyxfall_fleet::{
+    AttemptResult, FleetView, LocalOption, PathCheck, PathState, RegionReach, ServerVotes,
+};
 use onyxfall_policy::Moment;
 use onyxfall_types::{ServerId, ServiceName};
 use rand::SeedableRng;
@@ -27,6 +29,15 @@
     (view, ids)
 }
 
+/// A check by a server that had not failed.
+fn check(server: ServerId, has_responded: bool) -> PathCheck {
+    PathCheck {
+        server: Some(server),
+        was_sound: true,
+        has_responded,
+    }
+}
+
 /// What happens at a server, by its number.
 #[derive(Clone, Copy, Debug)]
 enum Event {
@@ -85,7 +96,7 @@
         }
         Event::Dial(server, is_established) => view.record_dial(ids[server], is_established),
         Event::Check(server, is_answered) => {
-            view.record_check(now, &service(), Some(ids[server]), is_answered);
+            view.record_check(now, &service(), check(ids[server], is_answered));
         }
     }
 }
@@ -213,6 +224,22 @@
     },
 ];
 
+#[test]
+fn a_path_is_proved_lost_by_a_server_that_had_not_failed() {
+    for was_sound in [true, false] {
+        let (mut view, _) = play(&SILENCES[2]);
+        assert_eq!(view.path_state(&service()), Doubted);
+        let check = PathCheck {
+            server: None,
+            was_sound,
+            has_responded: false,
+        };
+        view.record_check(at(901), &service(), check);
+        assert_eq!(view.path_state(&service()), Lost);
+        assert_eq!(view.is_path_proved_lost(&service()), was_sound);
+    }
+}
+
 #[test]
 fn requests_wait_for_the_first_check_of_a_path_only() {
     let (mut view, ids) = view(3);
@@ -221,10 +248,10 @@
     view.refresh_paths(at(1000));
     assert!(view.is_path_settling(at(1000), &service()));
     assert!(!view.is_path_settling(at(1100), &service()));
-    view.record_check(at(1010), &service(), Some(ids[2]), false);
+    view.record_check(at(1010), &service(), check(ids[2], false));
     assert!(!view.is_path_settling(at(1011), &service()));
     assert_eq!(view.path_state(&service()), OpenConnectionsOnly);
-    view.record_check(at(1020), &service(), Some(ids[2]), true);
+    view.record_check(at(1020), &service(), check(ids[2], true));
     assert!(!view.is_path_settling(at(1021), &service()));
     assert_eq!(view.path_state(&service()), Open);
 }
--- a/crates/gateway/src/backup.rs
+++ b/crates/gateway/src/backup.rs
@@ -16,6 +16,7 @@
 use crate::attempt::{AttemptEnd, ServerTarget, UpstreamResponse, try_server};
 use crate::call::{ResponseRule, SharedCall};
 use crate::gateway::Gateway;
+use crate::reach::wait_while_doubted;
 
 /// A backup copy of a run. Its memory is accounted for until this value is dropped.
 pub(crate) struct RunBackup {
@@ -88,6 +89,7 @@
     backup: RunBackup,
     last_event: &str,
 ) -> Option<Box<UpstreamResponse>> {
+    wait_while_doubted(gateway, &call.needs.service).await;
     let target = backup_target(gateway, call, &backup)?;
     if matches!(gateway.judge(call), SuspectVerdict::Quarantined { .. }) {
         return None;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,6 +28,7 @@
 use crate::held::HeldAccount;
 use crate::metrics::GatewayMetrics;
 use crate::pool::ConnectionPool;
+use crate::reach::LostRun;
 use crate::relays::RelayTable;
 use crate::settings::GatewaySettings;
 use crate::share::StoreShare;
@@ -112,6 +113,8 @@
     pub(crate) queries: WorkQueries,
     /// Notified when a server becomes unresponsive.
     pub(crate) unresponsive: Notify,
+    /// Lost runs that may be those of a lost path, until a check of it has ended.
+    pub(crate) lost_runs: RefCell<Vec<LostRun>>,
     /// Notified while a path to servers is not open.
     pub(crate) path_closed: Notify,
     /// Servers that were unresponsive at the last check.
@@ -203,6 +206,7 @@
             send_updates_now: Notify::new(),
             queries: WorkQueries::default(),
             unresponsive: Notify::new(),
+            lost_runs: RefCell::default(),
             path_closed: Notify::new(),
             unresponsive_servers: RefCell::default(),
             send_deltas_now: Notify::new(),
--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -9,6 +9,7 @@
 
 use crate::call::SharedCall;
 use crate::gateway::Gateway;
+use crate::reach::LostRun;
 use crate::report::millis;
 use crate::suspects::SuspectRun;
 
@@ -131,19 +132,18 @@
 }
 
 impl OpenAttempt {
-    /// Counts a run whose connection was lost as evidence of a crash, unless it is known that
-    /// this VM does not reach the server. A mere doubt does not count: a request that crashes
-    /// its servers one after the other raises one, too.
+    /// Counts a run whose connection was lost as evidence of a crash, unless the path to its
+    /// server was lost.
     fn record_lost_run(&self, now: Moment, events: Option<u32>) {
         self.gateway.refresh_paths(now);
-        if self.gateway.fleet.borrow().is_unreached(self.server) {
-            return;
-        }
-        self.gateway.record_lost_run(now, &self.call, self.server);
-        if events.is_some() {
-            let mut fleet = self.gateway.fleet.borrow_mut();
-            fleet.record_crash(now, self.server);
-        }
+        let run = LostRun {
+            at: now,
+            call: Rc::clone(&self.call),
+            server: self.server,
+            had_begun: events.is_some(),
+        };
+        self.gateway.lost_runs.borrow_mut().push(run);
+        self.gateway.settle_lost_runs();
     }
 
     /// Logs a run whose connection was lost. The fingerprint shows whether the same request was
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -10,12 +10,12 @@
 use http::header::HOST;
 use http::{HeaderValue, Method, Request, Uri};
 use http_body_util::Full;
-use onyxfall_fleet::{LocalOption, PathState, RegionReach, TimePrediction};
+use onyxfall_fleet::{LocalOption, PathCheck, PathState, RegionReach, TimePrediction};
 use onyxfall_overlay::{KnownVm, Roster, ServiceSet};
 use onyxfall_policy::Moment;
 use onyxfall_types::{RefusalReason, RequestError, ServerId, ServiceName};
 
-use crate::call::{CallContext, CallOrigin};
+use crate::call::{CallContext, CallOrigin, SharedCall};
 use crate::connection::{HttpConnection, LOCAL_DIAL_LIMIT};
 use crate::decide::RouteStep;
 use crate::gateway::Gateway;
@@ -32,6 +32,16 @@
 /// Retry delay of callers whose requests reach no server by any way. They then try another VM.
 const UNREACHED_RETRY: Duration = Duration::from_millis(200);
 
+/// A run whose connection was lost.
+pub(crate) struct LostRun {
+    /// When it was lost.
+    pub(crate) at: Moment,
+    pub(crate) call: SharedCall,
+    pub(crate) server: ServerId,
+    /// Whether the response had begun.
+    pub(crate) had_begun: bool,
+}
+
 /// States of the paths by service.
 type PathStates = BTreeMap<ServiceName, PathState>;
 
@@ -91,9 +101,35 @@
                 self.unresponsive.notify_waiters();
             }
         }
+        self.settle_lost_runs();
         self.refresh_status();
     }
 
+    /// Counts lost runs as evidence of crashes, unless they were lost with their path. A request
+    /// that crashes its servers one after the other raises a doubt, too, so that the evidence
+    /// waits for the check.
+    pub(crate) fn settle_lost_runs(&self) {
+        let runs = self.lost_runs.take();
+        for run in runs {
+            let service = &run.call.needs.service;
+            let (state, is_proved) = {
+                let fleet = self.fleet.borrow();
+                (
+                    fleet.path_state(service),
+                    fleet.is_path_proved_lost(service),
+                )
+            };
+            if state == PathState::Doubted {
+                self.lost_runs.borrow_mut().push(run);
+            } else if !is_proved {
+                self.record_lost_run(run.at, &run.call, run.server);
+                if run.had_begun {
+                    self.fleet.borrow_mut().record_crash(run.at, run.server);
+                }
+            }
+        }
+    }
+
     /// Services for which other VMs should send this VM nothing.
     pub(crate) fn unreached_services(&self) -> ServiceSet {
         let mut unreached = ServiceSet::default();
@@ -151,7 +187,10 @@
     ) -> Option<RouteStep> {
         let is_settling = {
             let fleet = self.fleet.borrow();
-            fleet.is_path_settling(self.now(), &call.needs.service)
+            let service = &call.needs.service;
+            // The evidence against a request that has lost a run waits for the check.
+            let is_held = progress.runs > 0 && fleet.path_state(service) == PathState::Doubted;
+            is_held || fleet.is_path_settling(self.now(), service)
         };
         if is_settling {
             return Some(RouteStep::Later(SETTLING_PAUSE));
@@ -208,6 +247,13 @@
     }
 }
 
+/// Waits until a check has shown whether a doubted path is open.
+pub(crate) async fn wait_while_doubted(gateway: &Gateway, service: &ServiceName) {
+    while gateway.fleet.borrow().path_state(service) == PathState::Doubted {
+        tokio::time::sleep(SETTLING_PAUSE).await;
+    }
+}
+
 /// Starts the task that checks the paths that are not open.
 pub(crate) fn start(gateway: &Rc<Gateway>) {
     let gateway = Rc::clone(gateway);
@@ -245,20 +291,23 @@
 /// Asks one server for its health on a new connection. Any response shows that the path is
 /// open.
 async fn check_path(gateway: &Gateway, service: &ServiceName, turn: usize) {
-    let servers = gateway.fleet.borrow().servers_to_check(service);
+    let now = gateway.now();
+    let servers = gateway.fleet.borrow().servers_to_check(now, service);
     let index = turn.checked_rem(servers.len());
-    let server = index.and_then(|index| servers.get(index).copied());
-    let has_responded = match server {
-        Some(server) => is_answered(gateway, service, server).await,
+    let chosen = index.and_then(|index| servers.get(index).copied());
+    let has_responded = match chosen {
+        Some((server, _)) => is_answered(gateway, service, server).await,
         None => false,
     };
+    let check = PathCheck {
+        server: chosen.map(|(server, _)| server),
+        was_sound: chosen.is_some_and(|(_, is_sound)| is_sound),
+        has_responded,
+    };
     gateway.metrics.count("onyxfall_path_checks_total");
     let before = gateway.path_states();
     let now = gateway.now();
-    gateway
-        .fleet
-        .borrow_mut()
-        .record_check(now, service, server, has_responded);
+    gateway.fleet.borrow_mut().record_check(now, service, check);
     gateway.note_paths(&before);
 }
 
--- a/crates/gateway/tests/partition.rs
+++ b/crates/gateway/tests/partition.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use onyxfall_fakes::{FaultyLink, PathCut, ServerStub};
+use onyxfall_fakes::{FaultyLink, PathCut, ServerFault, ServerStub};
 use support::{Gateway, Site, call};
 
 /// Time after the cut from which callers have to be served.
@@ -303,3 +303,42 @@
         .filter(|((target, _), runs)| **runs > 1 && !may_repeat(target));
     assert_eq!(doubled.count(), 0, "requests that ran twice");
 }
+
+/// Connections that a partition resets look like servers that a request has crashed.
+#[test]
+fn requests_that_are_lost_with_the_path_of_a_vm_are_not_suspected_of_crashes() {
+    let mut site = LinkedSite::start(2, 1);
+    let path = "/repeat/same";
+    let idle = ServerStub::start(site.site.ip(0)).unwrap();
+    let link = FaultyLink::start(site.site.ip(0), idle.address()).unwrap();
+    site.links.push(link);
+    for server in &site.servers {
+        server.set_fault(ServerFault::Unresponsive);
+    }
+    let begun: Vec<usize> = site.servers.iter().map(|s| s.runs().len()).collect();
+    thread::scope(|scope| {
+        for caller in 0..8 {
+            let gateway = &site.gateways[0];
+            scope.spawn(move || call(gateway.callers(), path, &format!("lost-{caller}")));
+        }
+        support::wait_for("both servers to run the request", || {
+            let mut servers = site.servers.iter().zip(&begun);
+            servers.all(|(server, begun)| server.runs().len() > *begun)
+        });
+        // A server without requests proves by a check that the path is lost.
+        let address = site.links[2].address();
+        let phase = onyxfall_fleet::ServerPhase::Ready;
+        site.site.announce_as("idle", address, 0, phase);
+        support::wait_for("the VM to know the idle server", || {
+            site.gateways[0].log().contains("\"server\":\"idle\"")
+        });
+        site.set_cut(&[0], Some(PathCut::Reset));
+        for server in &site.servers {
+            server.set_fault(ServerFault::None);
+        }
+    });
+    for number in 0..10 {
+        let reply = call(site.gateways[1].callers(), path, &format!("sound-{number}")).unwrap();
+        assert_eq!(reply.status.as_u16(), 200, "{}", reply.text());
+    }
+}
