A VM names a service as unreached only after a check

Cause, from its log: two dials to servers that the request had crashed failed. For 6 ms, until a check succeeded, the VM's record named the service as unreached; the one VM that may run a suspected request was another one for that time, and then this one again, so that both ran it. Change: the record names a service once a check has failed.

--- a/crates/fleet/src/reach.rs
+++ b/crates/fleet/src/reach.rs
@@ -314,6 +314,17 @@
         self.paths.update_closed();
     }
 
+    /// Services that this VM does not reach, as a check has confirmed.
+    pub fn unreached_services(&self) -> impl Iterator<Item = &ServiceName> {
+        let monitors = self.paths.monitors.iter();
+        let unreached = monitors.filter(|(_, monitor)| match monitor.state {
+            PathState::Open | PathState::Doubted => false,
+            PathState::OpenConnectionsOnly => monitor.is_checked,
+            PathState::Lost => true,
+        });
+        unreached.map(|(service, _)| service)
+    }
+
     /// Whether the paths to a service are lost beyond doubt: a server that had not failed has not
     /// responded to a check either. Otherwise all servers may have ended.
     pub fn is_path_proved_lost(&self, service: &ServiceName) -> bool {
--- a/crates/fleet/tests/reach.rs
+++ b/crates/fleet/tests/reach.rs
@@ -247,10 +247,12 @@
     view.record_dial(ids[1], false);
     view.refresh_paths(at(1000));
     assert!(view.is_path_settling(at(1000), &service()));
+    assert_eq!(view.unreached_services().count(), 0, "before a check");
     assert!(!view.is_path_settling(at(1100), &service()));
     view.record_check(at(1010), &service(), check(ids[2], false));
     assert!(!view.is_path_settling(at(1011), &service()));
     assert_eq!(view.path_state(&service()), OpenConnectionsOnly);
+    assert_eq!(view.unreached_services().count(), 1, "after a check");
     view.record_check(at(1020), &service(), check(ids[2], true));
     assert!(!view.is_path_settling(at(1021), &service()));
     assert_eq!(view.path_state(&service()), Open);
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -133,10 +133,8 @@
     /// Services for which other VMs should send this VM nothing.
     pub(crate) fn unreached_services(&self) -> ServiceSet {
         let mut unreached = ServiceSet::default();
-        for (service, state) in self.fleet.borrow().path_states() {
-            if matches!(state, PathState::Lost | PathState::OpenConnectionsOnly) {
-                unreached.insert(service);
-            }
+        for service in self.fleet.borrow().unreached_services() {
+            unreached.insert(service);
         }
         unreached
     }
