Soak: the partition phase begins when all gateways run

Cause, from the logs: vm3 had been told to stop before and ended in the middle of the phase; nothing starts a gateway again there. The other cut VM forwarded all its requests. Change: the phase waits until every gateway runs and none was told to stop; the check is as it was.

--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -486,6 +486,14 @@
         Ok(())
     }
 
+    /// Whether all gateways run and none was told to stop.
+    pub(crate) fn is_running(&self) -> bool {
+        self.vms.iter().all(|vm| {
+            let state = vm.lock();
+            state.child.is_some() && !state.is_ending
+        })
+    }
+
     /// Advances a VM's clock; its gateway applies the change when it reloads its settings.
     pub(crate) fn move_clock(&self, vm: usize, seconds: u64) -> io::Result<()> {
         {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -571,6 +571,11 @@
 
     /// Cuts some VMs from all servers and checks that their callers are served all the same.
     fn check_partition(&mut self, callers: &CallerGroup, size: &RunSize) -> io::Result<()> {
+        // A gateway that was told to stop may serve open connections for seconds.
+        if !self.wait(|run| run.deployment.is_running()) {
+            let what = "a gateway is not running before a partition".to_owned();
+            self.checks.record(BrokenPromise::NotRecovered(what));
+        }
         self.record_observations(callers);
         let cut = PathCut::Silent;
         for vm in 0..size.vms {
