--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -34,7 +34,7 @@
 /// Pause after a server has reported that it is full.
 const FULL_PAUSE: Duration = Duration::from_millis(120);
 /// Time after the expected first byte, and between two events of a stream, after which a
-/// request counts as left without a byte. The sheets allow pauses of this length.
+/// request counts as left without a byte. Callers accept pauses of this length in a stream.
 const SILENCE: Duration = Duration::from_millis(400);
 /// Interval at which one request tries a server that this VM doubts.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(500);
