Failing tests: streams that end with their connection look complete

The stand-in server can delimit its responses by the end of the connection and end it with a close or a reset. On the code as found, streams that close inside an event or before the first one reach their callers as complete, here and from another region, and are neither resumed nor continued from a copy.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -21,8 +21,8 @@
 pub use link::{FakeLink, LinkRules};
 pub use platform::{FakePlatform, PlatformFaults};
 pub use server::{
-    ArrivedRequest, BreakPoint, CRASHING_BODY, ReceivedRequest, RequestedBackoff, ServerFault,
-    ServerStub, StubSignals,
+    ArrivedRequest, BreakEnd, BreakPoint, CRASHING_BODY, ReceivedRequest, RequestedBackoff,
+    ServerFault, ServerStub, StubFraming, StubSignals, StubTransfer,
 };
 pub use service::{FakeService, ServiceFaults, ServiceSettings};
 pub use store::{StoreMode, StoreStub};
--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use http::request::Parts;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, Version};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
 use onyxfall_adapter::stub::{
@@ -21,7 +21,7 @@
 use tokio::time::{Instant as TimerInstant, Sleep};
 
 use crate::copies::{put_copy, take_copy};
-use crate::serving::{PeerAddress, ServingThread, StopSignal};
+use crate::serving::{PeerAddress, ResetSwitch, ServingThread, StopSignal};
 
 /// How a server handles requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -111,6 +111,35 @@
     BeforeEnd,
 }
 
+/// How the body of a response is delimited.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StubFraming {
+    /// By chunks.
+    #[default]
+    Chunks,
+    /// By the end of the connection, without a length or chunks.
+    UntilClose,
+}
+
+/// How a connection ends whose response is broken off.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum BreakEnd {
+    /// With a regular close.
+    #[default]
+    Close,
+    /// With a reset.
+    Reset,
+}
+
+/// How a server transfers its responses, independent of its fault.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StubTransfer {
+    /// Framing of all responses to requests that it runs.
+    pub framing: StubFraming,
+    /// End of the connections of streams that it breaks off.
+    pub break_end: BreakEnd,
+}
+
 /// A request that the stub ran.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReceivedRequest {
@@ -131,6 +160,7 @@
     name: Option<String>,
     address: Option<SocketAddr>,
     signals: StubSignals,
+    transfer: StubTransfer,
     /// Load in every response, as in the header.
     load: Option<String>,
     /// Slots and pace; the load in every response is made from these and the requests running.
@@ -212,6 +242,11 @@
         self.state.lock().signals = signals;
     }
 
+    /// Sets how it transfers its responses.
+    pub fn set_transfer(&self, transfer: StubTransfer) {
+        self.state.lock().transfer = transfer;
+    }
+
     /// Sets the load in its responses, as in the header: `"1, 0, 4, 160"` for one running
     /// request, none waiting, four slots and a pace of 160. It may be malformed.
     pub fn set_load(&self, load: Option<&str>) {
@@ -453,7 +488,10 @@
     call: ReceivedCall,
     body: Bytes,
 ) -> Result<Response<EventBody>, io::Error> {
-    let fault = state.lock().fault;
+    let (fault, transfer) = {
+        let state = state.lock();
+        (state.fault, state.transfer)
+    };
     match fault {
         ServerFault::Rejects => {
             let mut rejection = whole(StatusCode::SERVICE_UNAVAILABLE, "");
@@ -511,6 +549,16 @@
         _ => &call.request_id,
     };
     sign_response(response.headers_mut(), id);
+    if transfer.framing == StubFraming::UntilClose {
+        // Hyper delimits the body of an HTTP/1.0 response by the end of the connection.
+        *response.version_mut() = Version::HTTP_10;
+    }
+    if response.body().breaks
+        && transfer.break_end == BreakEnd::Reset
+        && let Some(reset) = head.extensions.get::<ResetSwitch>()
+    {
+        reset.turn_on()?;
+    }
     Ok(response)
 }
 
--- a/crates/fakes/src/serving.rs
+++ b/crates/fakes/src/serving.rs
@@ -5,13 +5,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
+use std::time::Duration;
 
 use http::{Request, Response};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
+use socket2::{SockRef, Socket};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
 /// Stops a serving thread, which closes its port and every connection at once.
@@ -21,6 +23,26 @@
 #[derive(Clone, Copy, Debug)]
 pub struct PeerAddress(pub SocketAddr);
 
+/// Makes a request's connection end with a reset instead of a regular close; attached to each
+/// request as an extension.
+#[derive(Clone, Debug)]
+pub struct ResetSwitch(Arc<Socket>);
+
+impl ResetSwitch {
+    fn new(stream: &TcpStream) -> std::io::Result<Self> {
+        SockRef::from(stream).try_clone().map(Arc::new).map(Self)
+    }
+
+    /// Resets the connection when it is closed; its unsent data is lost.
+    ///
+    /// # Errors
+    ///
+    /// The kernel does not accept the option.
+    pub fn turn_on(&self) -> std::io::Result<()> {
+        self.0.set_linger(Some(Duration::ZERO))
+    }
+}
+
 /// A serving thread; dropping it closes the port and every connection.
 pub struct ServingThread {
     address: SocketAddr,
@@ -114,8 +136,13 @@
         let accepting = async {
             while let Ok((stream, peer)) = listener.accept().await {
                 let handler = handler.clone();
+                let Ok(reset) = ResetSwitch::new(&stream) else {
+                    log::error!("a stub cannot duplicate a socket");
+                    continue;
+                };
                 let service = service_fn(move |mut request| {
                     request.extensions_mut().insert(PeerAddress(peer));
+                    request.extensions_mut().insert(reset.clone());
                     handler(request)
                 });
                 tokio::task::spawn_local(async move {
--- a/crates/gateway/tests/copies.rs
+++ b/crates/gateway/tests/copies.rs
@@ -5,7 +5,7 @@
 
 use std::thread;
 
-use onyxfall_fakes::{BreakPoint, ServerFault, ServerStub};
+use onyxfall_fakes::{BreakEnd, BreakPoint, ServerFault, ServerStub, StubFraming, StubTransfer};
 use support::{Site, call, wait_for};
 
 const SERVERS: usize = 3;
@@ -14,6 +14,8 @@
     name: &'static str,
     /// Failure of every server for runs that start on it.
     failing: ServerFault,
+    /// How every server delimits its responses.
+    framing: StubFraming,
     /// Whether the caller must receive the complete stream.
     is_whole: bool,
     /// ID of the last event before another server must have resumed the run; `None` if none
@@ -27,30 +29,49 @@
         CopyCase {
             name: "after an event",
             failing: ServerFault::BreaksStreams(BreakPoint::AfterEvent),
+            framing: StubFraming::Chunks,
             is_whole: true,
             resumes_after: Some("1"),
         },
         CopyCase {
             name: "in the middle of an event",
             failing: ServerFault::BreaksStreams(BreakPoint::InEvent),
+            framing: StubFraming::Chunks,
             is_whole: true,
             resumes_after: Some("1"),
         },
         CopyCase {
             name: "after the last event, before the end",
             failing: ServerFault::BreaksStreams(BreakPoint::BeforeEnd),
+            framing: StubFraming::Chunks,
             is_whole: true,
             resumes_after: Some("3"),
         },
         CopyCase {
             name: "before the first event: nothing to resume from",
             failing: ServerFault::BreaksStreams(BreakPoint::BeforeEvents),
+            framing: StubFraming::Chunks,
             is_whole: false,
             resumes_after: None,
         },
         CopyCase {
             name: "the copy is lost",
             failing: ServerFault::BreaksAndLosesBackups,
+            framing: StubFraming::Chunks,
+            is_whole: false,
+            resumes_after: None,
+        },
+        CopyCase {
+            name: "in the middle of an event, without a length or chunks",
+            failing: ServerFault::BreaksStreams(BreakPoint::InEvent),
+            framing: StubFraming::UntilClose,
+            is_whole: true,
+            resumes_after: Some("1"),
+        },
+        CopyCase {
+            name: "before the first event, without a length or chunks",
+            failing: ServerFault::BreaksStreams(BreakPoint::BeforeEvents),
+            framing: StubFraming::UntilClose,
             is_whole: false,
             resumes_after: None,
         },
@@ -69,6 +90,10 @@
     let servers: Vec<ServerStub> = (0..SERVERS)
         .map(|number| {
             let server = ServerStub::start(site.ip(0)).unwrap();
+            server.set_transfer(StubTransfer {
+                framing: case.framing,
+                break_end: BreakEnd::Close,
+            });
             site.announce_model(&format!("m{number}"), &server, 0);
             server
         })
