Callers without chunks: an aborted response ends with a reset

An HTTP/1.0 caller takes the end of its connection for the end of the response, so an aborted stream looked complete. Its connection is now reset.

--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -63,6 +63,11 @@
         }
     }
 
+    /// Returns the connection without the limit.
+    pub(crate) fn into_inner(self) -> T {
+        self.inner
+    }
+
     /// Checks the result of a write, and turns a blocked write past the limit into an error.
     fn check_write(
         &mut self,
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -1,6 +1,6 @@
 //! The listening ports of a gateway and their HTTP handlers.
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER, WWW_AUTHENTICATE};
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode, Version};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -139,7 +139,10 @@
     let idle = limits.map_or(DEFAULT_IDLE, |limits| limits.idle);
     let head = limits.map_or(DEFAULT_HEAD, |limits| limits.max_head);
     let served = Rc::clone(&gateway);
-    let service = service_fn(move |request| {
+    let is_delimited = Rc::new(Cell::new(true));
+    let accepts_chunks = Rc::clone(&is_delimited);
+    let service = service_fn(move |request: Request<Incoming>| {
+        accepts_chunks.set(request.version() >= Version::HTTP_11);
         let handled = handle(Rc::clone(&served), request);
         let guard = OpenRequest::start(&served);
         async move {
@@ -156,20 +159,31 @@
         .max_buf_size(head.max(MIN_BUFFER))
         .serve_connection(stream, service);
     tokio::task::spawn_local(async move {
-        let mut connection = std::pin::pin!(connection);
+        let mut connection = connection;
         let ended = tokio::select! {
-            ended = connection.as_mut() => ended,
+            ended = &mut connection => ended,
             () = wait_for_close(&gateway) => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
+                Pin::new(&mut connection).graceful_shutdown();
+                (&mut connection).await
             }
         };
         if let Err(e) = ended {
             log::debug!("an incoming connection ended: {e}");
+            if !is_delimited.get() {
+                reset(&connection.into_parts().io.into_inner().into_inner());
+            }
         }
     });
 }
 
+/// Makes a connection end with a reset. Without chunks, a response is delimited by a regular end,
+/// and a caller would take the part of an aborted response for the whole.
+fn reset(stream: &TcpStream) {
+    if let Err(e) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::warn!(error:% = e; "cannot reset a connection");
+    }
+}
+
 /// Wraps a connection so that it ends when its caller reads nothing while bytes wait.
 fn watch_stalls(
     gateway: Rc<Gateway>,
