Soak: responses without a length or chunks, streams broken off visibly, real resets

A series of its own lets servers delimit responses by the end of the connection, ended by a close or a reset, and break streams inside an event or before the first. Links between gateways and servers turned resets into regular closes; they now reset the other end. A server that crashes resets the connections of such responses.

--- a/crates/fakes/src/faulty_link.rs
+++ b/crates/fakes/src/faulty_link.rs
@@ -222,11 +222,10 @@
     }
 }
 
-/// Closes a connection with a reset.
+/// Resets a connection, also while other handles keep its socket open.
 fn reset(stream: &TcpStream) {
     // A socket that has already failed needs no reset.
-    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
-    let _ = stream.shutdown(Shutdown::Both);
+    let _ = rustix::net::connect_unspec(stream);
 }
 
 /// Connects to the target from the source address of the incoming connection, so that the
@@ -290,7 +289,11 @@
     state: &Mutex<LinkState>,
 ) {
     let mut buffer = vec![0; CHUNK];
-    while let Ok(len) = from.read(&mut buffer) {
+    loop {
+        let Ok(len) = from.read(&mut buffer) else {
+            reset(&to);
+            return;
+        };
         while state.lock().stalls(source, direction) {
             thread::sleep(STALL_POLL);
         }
--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -52,6 +52,18 @@
     BreaksAndLosesBackups,
 }
 
+impl ServerFault {
+    /// Whether streams are broken off between two events.
+    const fn breaks_between_events(self) -> bool {
+        matches!(
+            self,
+            Self::Disconnects
+                | Self::BreaksStreams(BreakPoint::AfterEvent | BreakPoint::BeforeEnd)
+                | Self::BreaksAndLosesBackups
+        )
+    }
+}
+
 /// Signals in a server's responses, independent of its fault.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StubSignals {
@@ -121,7 +133,8 @@
     UntilClose,
 }
 
-/// How a connection ends whose response is broken off.
+/// How a connection ends whose response is broken off. Without a length or chunks, one that is
+/// broken off between two events is always reset: nothing else tells it from a complete one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum BreakEnd {
     /// With a regular close.
@@ -553,11 +566,15 @@
         // Hyper delimits the body of an HTTP/1.0 response by the end of the connection.
         *response.version_mut() = Version::HTTP_10;
     }
-    if response.body().breaks
-        && transfer.break_end == BreakEnd::Reset
+    let is_reset = transfer.break_end == BreakEnd::Reset
+        || (transfer.framing == StubFraming::UntilClose && fault.breaks_between_events());
+    if transfer != StubTransfer::default()
         && let Some(reset) = head.extensions.get::<ResetSwitch>()
     {
-        reset.turn_on()?;
+        // A server that crashes during the response resets the connection.
+        reset.set(true)?;
+        let body = response.body_mut();
+        body.reset = (!body.breaks || !is_reset).then(|| reset.clone());
     }
     Ok(response)
 }
@@ -585,6 +602,8 @@
     pause: Option<Pin<Box<Sleep>>>,
     guard: Option<CutGuard>,
     running: Option<RunningGuard>,
+    /// Turned off at the end of the body, so that the connection closes regularly.
+    reset: Option<ResetSwitch>,
 }
 
 impl BreakPoint {
@@ -613,6 +632,7 @@
             pause: None,
             guard: None,
             running: None,
+            reset: None,
         }
     }
 
@@ -642,6 +662,7 @@
             pause: Some(Box::pin(tokio::time::sleep(EVENT_PAUSE))),
             guard: Some(guard),
             running: None,
+            reset: None,
         }
     }
 }
@@ -678,6 +699,9 @@
         if let Some(guard) = &mut this.guard {
             guard.is_over = true;
         }
+        if let Some(reset) = this.reset.take() {
+            reset.set(false)?;
+        }
         if this.breaks {
             return Poll::Ready(Some(Err(io::Error::other("disconnected by the stub"))));
         }
--- a/crates/fakes/src/serving.rs
+++ b/crates/fakes/src/serving.rs
@@ -2,6 +2,7 @@
 
 use std::error::Error;
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
@@ -23,23 +24,23 @@
 #[derive(Clone, Copy, Debug)]
 pub struct PeerAddress(pub SocketAddr);
 
-/// Makes a request's connection end with a reset instead of a regular close; attached to each
-/// request as an extension.
+/// Sets whether a request's connection is reset when it is closed; attached to each request as
+/// an extension.
 #[derive(Clone, Debug)]
 pub struct ResetSwitch(Arc<Socket>);
 
 impl ResetSwitch {
-    fn new(stream: &TcpStream) -> std::io::Result<Self> {
+    fn new(stream: &TcpStream) -> io::Result<Self> {
         SockRef::from(stream).try_clone().map(Arc::new).map(Self)
     }
 
-    /// Resets the connection when it is closed; its unsent data is lost.
+    /// Sets whether the connection is reset when it is closed. A reset loses unsent data.
     ///
     /// # Errors
     ///
     /// The kernel does not accept the option.
-    pub fn turn_on(&self) -> std::io::Result<()> {
-        self.0.set_linger(Some(Duration::ZERO))
+    pub fn set(&self, is_on: bool) -> io::Result<()> {
+        self.0.set_linger(is_on.then_some(Duration::ZERO))
     }
 }
 
@@ -61,7 +62,7 @@
         address: SocketAddr,
         stop: StopSignal,
         handler: impl Fn(Request<Incoming>) -> F + Clone + Send + 'static,
-    ) -> std::io::Result<Self>
+    ) -> io::Result<Self>
     where
         F: Future<Output = Result<Response<B>, E>> + 'static,
         B: Body<Data = Bytes> + 'static,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -7,7 +7,10 @@
 use std::fmt;
 use std::time::Duration;
 
-use onyxfall_fakes::{LinkMode, PathCut, RequestedBackoff, ServerFault, StoreMode};
+use onyxfall_fakes::{
+    BreakEnd, BreakPoint, LinkMode, PathCut, RequestedBackoff, ServerFault, StoreMode, StubFraming,
+    StubTransfer,
+};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -70,6 +73,11 @@
 /// Mean time between the starts of two cuts, in milliseconds.
 const PATH_PAUSE_MS: u64 = 1500;
 
+/// Responses without a length or chunks, and streams that are broken off visibly, are drawn in a
+/// separate series, for the same reason, with this mean time between the starts in milliseconds.
+const TRANSFER_SERIES: u64 = 0x7472_616e_7366_6572;
+const TRANSFER_PAUSE_MS: u64 = 300;
+
 /// Suspensions are drawn in a separate series, for the same reason.
 const SUSPENSION_SERIES: u64 = 0x6177_6179_5f73_6572;
 /// Mean time between the starts of two suspensions, in milliseconds.
@@ -116,6 +124,8 @@
     Restore,
     /// Sets how a server fails requests.
     Server(usize, ServerFault),
+    /// Sets how a server transfers its responses.
+    Transfer(usize, StubTransfer),
     /// A server drains, and a new instance with a new name replaces it.
     Replace(usize),
     /// The operator writes a new configuration.
@@ -241,6 +251,7 @@
         usual(READING_SERIES, READING_PAUSE_MS, |rng, size| {
             Fault::Server(rng.random_range(0..size.servers), ServerFault::ReadsSlowly)
         }),
+        usual(TRANSFER_SERIES, TRANSFER_PAUSE_MS, draw_transfer),
         usual(RESTORE_SERIES, RESTORE_PAUSE_MS, |_, _| Fault::Restore),
         usual(PATH_SERIES, PATH_PAUSE_MS, |rng, size| {
             let vm = rng.random_range(0..size.vms);
@@ -286,6 +297,26 @@
     Fault::Backoff(server, backoff)
 }
 
+fn draw_transfer(rng: &mut StdRng, size: &RunSize) -> Fault {
+    let server = rng.random_range(0..size.servers);
+    let break_end = if rng.random() {
+        BreakEnd::Close
+    } else {
+        BreakEnd::Reset
+    };
+    match rng.random_range(0..4) {
+        0 => Fault::Server(server, ServerFault::BreaksStreams(BreakPoint::BeforeEvents)),
+        1 => Fault::Server(server, ServerFault::BreaksStreams(BreakPoint::InEvent)),
+        _ => Fault::Transfer(
+            server,
+            StubTransfer {
+                framing: StubFraming::UntilClose,
+                break_end,
+            },
+        ),
+    }
+}
+
 fn draw_limit(rng: &mut StdRng, size: &RunSize) -> Fault {
     let server = rng.random_range(0..size.servers);
     Fault::Limit(server, LIMITS[rng.random_range(0..LIMITS.len())])
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use onyxfall_fakes::{LinkMode, PathCut, ServerFault, ServerStub, StoreMode};
+use onyxfall_fakes::{LinkMode, PathCut, ServerFault, ServerStub, StoreMode, StubTransfer};
 use rustix::process::Signal;
 use ureq::Agent;
 
@@ -261,6 +261,12 @@
                 self.set_fault(server, fault);
                 Ok(())
             }
+            Fault::Transfer(server, transfer) => {
+                for instance in &self.deployment.servers[server].lock().instances {
+                    instance.set_transfer(transfer);
+                }
+                Ok(())
+            }
             Fault::Configure => {
                 self.deployment.configure();
                 Ok(())
@@ -296,6 +302,9 @@
                 Ok(())
             }
             Fault::Server(server, _) => self.set(Fault::Server(server, ServerFault::None)),
+            Fault::Transfer(server, _) => {
+                self.set(Fault::Transfer(server, StubTransfer::default()))
+            }
             Fault::SignalDrain(server, NextInstance::Renamed) => {
                 self.deployment.replace_instance(server)
             }
@@ -688,6 +697,7 @@
         | (Fault::Backoff(a, _), Fault::Backoff(b, _))
         | (Fault::Limit(a, _), Fault::Limit(b, _))
         | (Fault::Brittle(a), Fault::Brittle(b))
+        | (Fault::Transfer(a, _), Fault::Transfer(b, _))
         | (Fault::MalformedEntry(a, _), Fault::MalformedEntry(b, _))
         | (Fault::Server(a, _), Fault::Server(b, _)) => a == b,
         (Fault::Store(_), Fault::Store(_)) | (Fault::Restore, Fault::Restore) => true,
