--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -43,6 +43,8 @@
     Disconnects,
     /// Runs the request and never responds.
     Unresponsive,
+    /// Sends all events of a stream but the last, then nothing.
+    Stalls,
     /// Reads the body of the request slowly, then runs it.
     ReadsSlowly,
     /// Breaks streams that start on this server, but continues runs of other servers of
@@ -174,6 +176,8 @@
     address: Option<SocketAddr>,
     signals: StubSignals,
     transfer: StubTransfer,
+    /// Software version in its events.
+    version: Option<&'static str>,
     /// Load in every response, as in the header.
     load: Option<String>,
     /// Slots and pace; the load in every response is made from these and the requests running.
@@ -255,6 +259,11 @@
         self.state.lock().signals = signals;
     }
 
+    /// Makes it name its software version in every event.
+    pub fn set_version(&self, version: &'static str) {
+        self.state.lock().version = Some(version);
+    }
+
     /// Sets how it transfers its responses.
     pub fn set_transfer(&self, transfer: StubTransfer) {
         self.state.lock().transfer = transfer;
@@ -310,10 +319,25 @@
         self.state.lock().cut
     }
 
-    /// The complete stream that it sends.
+    /// The complete stream that it sends if it names no version.
     pub fn whole_stream() -> String {
         EVENTS.concat()
     }
+
+    /// The complete stream that it sends if it names `version`.
+    pub fn stream_of(version: &str) -> String {
+        EVENTS
+            .map(|event| with_version(event, Some(version)))
+            .concat()
+    }
+}
+
+/// An event that names the version of its server.
+fn with_version(event: &str, version: Option<&str>) -> String {
+    match version {
+        Some(version) => event.replace("\n\n", &format!(" of {version}\n\n")),
+        None => event.to_owned(),
+    }
 }
 
 /// Counts a response as cut if its connection closes before its end.
@@ -549,7 +573,8 @@
         }
         ServerFault::Unresponsive => std::future::pending().await,
         _ if is_stream => {
-            Response::new(EventBody::stream(&call, fault, guard).with_endless(is_crashing))
+            let is_endless = is_crashing || fault == ServerFault::Stalls;
+            Response::new(EventBody::stream(&call, fault, guard).with_endless(is_endless))
         }
         _ if is_crashing => std::future::pending().await,
         _ => {
@@ -595,7 +620,7 @@
 
 /// A complete body, or a stream of events.
 pub struct EventBody {
-    events: Vec<&'static str>,
+    events: Vec<Bytes>,
     breaks: bool,
     /// Whether the last event is never sent.
     is_endless: bool,
@@ -608,14 +633,14 @@
 
 impl BreakPoint {
     /// Truncates `events` to those sent before the break.
-    fn cut(self, events: &mut Vec<&'static str>) {
+    fn cut(self, events: &mut Vec<Bytes>) {
         match self {
             Self::BeforeEvents => events.clear(),
             Self::AfterEvent => events.truncate(1),
             Self::InEvent => {
                 events.truncate(2);
                 if let Some(second) = events.get_mut(1) {
-                    *second = &second[..second.len() / 2];
+                    second.truncate(second.len() / 2);
                 }
             }
             Self::BeforeEnd => {}
@@ -626,7 +651,7 @@
 impl EventBody {
     fn whole(body: &'static str) -> Self {
         Self {
-            events: vec![body],
+            events: vec![Bytes::from_static(body.as_bytes())],
             breaks: false,
             is_endless: false,
             pause: None,
@@ -638,7 +663,11 @@
 
     fn stream(call: &ReceivedCall, fault: ServerFault, guard: CutGuard) -> Self {
         let sent = call.last_event.as_deref().and_then(|id| id.parse().ok());
-        let mut events = EVENTS[sent.unwrap_or(0)..].to_vec();
+        let version = guard.state.lock().version;
+        let events = EVENTS[sent.unwrap_or(0)..].iter();
+        let mut events: Vec<Bytes> = events
+            .map(|event| with_version(event, version).into())
+            .collect();
         let starts_here = call.copy_from.is_none();
         let breaks = match fault {
             ServerFault::Disconnects => {
@@ -694,7 +723,7 @@
         }
         if !this.events.is_empty() {
             let event = this.events.remove(0);
-            return Poll::Ready(Some(Ok(Frame::data(Bytes::from_static(event.as_bytes())))));
+            return Poll::Ready(Some(Ok(Frame::data(event))));
         }
         if let Some(guard) = &mut this.guard {
             guard.is_over = true;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -209,6 +209,14 @@
         self.announce_of(MODELS, name, server.address(), vm, ServerPhase::Ready);
     }
 
+    /// Announces a server of the given software version in the data centre of a VM.
+    pub fn announce_version(&self, name: &str, server: &ServerStub, vm: usize, version: &str) {
+        let mut entry = record(name, server, 0);
+        entry.version = Some(version.parse().unwrap());
+        entry.center = format!("c{vm}").parse().unwrap();
+        self.put(&entry);
+    }
+
     fn announce_of(
         &self,
         service: &str,
