Crate onyxfall-streams: which version began a stream

Pure: history of the versions that a VM has seen, records of streams with a bound, owners by rendezvous hashing, the verdict on a resumption.

--- /dev/null
+++ b/crates/streams/src/judge.rs
@@ -0,0 +1,109 @@
+//! Decides at which version a caller's stream is resumed.
+
+use onyxfall_types::SoftwareVersion;
+
+use crate::history::VersionClaim;
+
+/// How the version of a stream was found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KnowledgeSource {
+    /// This VM had recorded it.
+    Own,
+    /// Another VM had recorded it.
+    Owner,
+    /// The service had no other version.
+    Single,
+}
+
+impl KnowledgeSource {
+    /// Name in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Own => "own",
+            Self::Owner => "owner",
+            Self::Single => "single",
+        }
+    }
+}
+
+/// What one VM knows of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OwnerAnswer {
+    /// The recorded version.
+    pub version: Option<SoftwareVersion>,
+    /// What the VM knows of the service's versions.
+    pub claim: VersionClaim,
+}
+
+/// At which version a stream is resumed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ResumptionVerdict {
+    /// The stream began at this version.
+    Known(SoftwareVersion, KnowledgeSource),
+    /// The version cannot be told: the stream is not resumed.
+    Unknown,
+}
+
+/// Judges a resumption by what this VM knows and by what the owners have answered. Owners that
+/// have not answered are left out. `has_peers` is whether any other VM is alive.
+///
+/// ```
+/// use onyxfall_streams::{
+///     KnowledgeSource, OwnerAnswer, ResumptionVerdict, VersionClaim, judge_resumption,
+/// };
+/// let own = OwnerAnswer {
+///     version: Some("v1".parse().unwrap()),
+///     claim: VersionClaim::Several,
+/// };
+/// let verdict = judge_resumption(&own, &[], true);
+/// assert_eq!(
+///     verdict,
+///     ResumptionVerdict::Known("v1".parse().unwrap(), KnowledgeSource::Own)
+/// );
+/// ```
+pub fn judge_resumption(
+    own: &OwnerAnswer,
+    answers: &[OwnerAnswer],
+    has_peers: bool,
+) -> ResumptionVerdict {
+    if let Some(version) = &own.version {
+        return ResumptionVerdict::Known(version.clone(), KnowledgeSource::Own);
+    }
+    let mut recorded = answers.iter().filter_map(|answer| answer.version.as_ref());
+    if let Some(version) = recorded.next() {
+        // Two records of one attempt differ only if its id was used twice.
+        if recorded.any(|other| other != version) {
+            return ResumptionVerdict::Unknown;
+        }
+        return ResumptionVerdict::Known(version.clone(), KnowledgeSource::Owner);
+    }
+    // The view of a VM that hears from no other VM may be old.
+    if has_peers && answers.is_empty() {
+        return ResumptionVerdict::Unknown;
+    }
+    let claims = answers.iter().map(|answer| &answer.claim);
+    match single_version(claims.chain([&own.claim])) {
+        Some(version) => ResumptionVerdict::Known(version, KnowledgeSource::Single),
+        None => ResumptionVerdict::Unknown,
+    }
+}
+
+/// The version that all claims agree on, if at least one covers the life of a stream.
+fn single_version<'a>(claims: impl Iterator<Item = &'a VersionClaim>) -> Option<SoftwareVersion> {
+    let (mut single, mut is_covered) = (None, false);
+    for claim in claims {
+        let version = match claim {
+            VersionClaim::Several => return None,
+            VersionClaim::Nothing => continue,
+            VersionClaim::Single(version) => {
+                is_covered = true;
+                version
+            }
+            VersionClaim::Young(version) => version,
+        };
+        if *single.get_or_insert(version) != version {
+            return None;
+        }
+    }
+    single.filter(|_| is_covered).cloned()
+}
--- /dev/null
+++ b/crates/streams/src/lib.rs
@@ -0,0 +1,25 @@
+//! Which software version began a stream, so that a caller can resume it at any VM.
+//!
+//! Servers of several versions may serve one service side by side, and what two versions write
+//! does not fit together. While a service has several versions, the VM that forwards the first
+//! event of a stream records the version at a few VMs, its *owners*, which every VM computes from
+//! the id of the attempt ([`stream_owners`]). A VM that receives a resumption asks the owners
+//! ([`judge_resumption`]). While a service has one version, nothing is recorded: what the VMs have
+//! seen of the service tells its version ([`VersionHistory`]).
+//!
+//! Pure code: no I/O, no clock. Invariants: a record is written once, by the VM that forwarded
+//! the first event, and never changed; without a record, a version is only assumed if no VM that
+//! was asked has seen another one within the life of a stream. State is bounded, and no VM
+//! records more than its share of the streams.
+
+mod history;
+mod judge;
+mod memory;
+mod owners;
+mod tag;
+
+pub use history::{HistoryEntry, VersionClaim, VersionHistory};
+pub use judge::{KnowledgeSource, OwnerAnswer, ResumptionVerdict, judge_resumption};
+pub use memory::{MAX_STREAMS, StreamMemory};
+pub use owners::stream_owners;
+pub use tag::{StreamTag, TagError};
