Streams go on only at the software version of their first event, within one answer

Callers saw: streams that held events of two versions. Cause: a stream that was broken off was resumed at whatever server was best. Change: the version of the server that sent the first event is a property of the stream from then on; the rest of the request goes only to that version (local choice, regions, backups of runs), and is refused at once where none is left. VMs name the version beside an answer and the one that they need; an answer of another version, or of a VM that names none, is dropped before its first byte. A resumption may go back to the VM that relayed the stream: it may be the only one beside the servers.

--- a/crates/fleet/benches/choice.rs
+++ b/crates/fleet/benches/choice.rs
@@ -85,6 +85,7 @@
         deadline: at(1_000_000_000),
         events: Some(55.0),
         homes: HomeRegions::Any,
+        version: None,
     }
 }
 
--- a/crates/fleet/src/backup.rs
+++ b/crates/fleet/src/backup.rs
@@ -110,8 +110,8 @@
         }
     }
 
-    /// The server of this region with the least work that could hold a copy, if
-    /// possible in another data centre than the source.
+    /// The server of this region, of the version of the source, with the least work that could
+    /// hold a copy, if possible in another data centre than the source.
     fn backup_server(
         &self,
         now: Moment,
@@ -119,8 +119,9 @@
         needs: &CallRequirements,
     ) -> Option<ServerId> {
         let source_center = &self.server(source).record.center;
+        let version = self.server(source).record.version.as_ref()?;
         self.free_servers(now, needs)
-            .filter(|id| *id != source)
+            .filter(|id| *id != source && self.server(*id).record.version.as_ref() == Some(version))
             .min_by_key(|id| {
                 let server = self.server(*id);
                 let work = server.work();
--- a/crates/fleet/src/call.rs
+++ b/crates/fleet/src/call.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use onyxfall_policy::Moment;
-use onyxfall_types::{RegionName, ServiceName};
+use onyxfall_types::{RegionName, ServiceName, SoftwareVersion};
 
 use crate::home::HomeRegions;
 use crate::route::EngineLimits;
@@ -97,6 +97,8 @@
     pub events: Option<f64>,
     /// Regions that may serve the request.
     pub homes: HomeRegions,
+    /// The only software version that may serve the request; none if any may.
+    pub version: Option<SoftwareVersion>,
 }
 
 impl CallRequirements {
@@ -105,6 +107,12 @@
         self.backlog_limit.is_none_or(|limit| backlog <= limit)
     }
 
+    /// Whether servers of a software version may run the request. A server without a valid version
+    /// runs only requests that any version may.
+    pub fn allows_version(&self, version: Option<&SoftwareVersion>) -> bool {
+        self.version.is_none() || self.version.as_ref() == version
+    }
+
     /// Whether servers of `region` may run the request.
     pub fn allows_region(&self, region: &RegionName) -> bool {
         self.homes.allows(region)
--- a/crates/fleet/src/choose.rs
+++ b/crates/fleet/src/choose.rs
@@ -275,7 +275,7 @@
         if !needs.allows_region(region) {
             return Vec::new();
         }
-        self.region_servers(&needs.service)
+        self.permitted_servers(needs)
             .filter(|id| !excluded.contains(id))
             .collect()
     }
--- a/crates/fleet/src/pools.rs
+++ b/crates/fleet/src/pools.rs
@@ -147,6 +147,11 @@
         (0..u32::try_from(self.pools.len()).unwrap_or(u32::MAX)).map(PoolId)
     }
 
+    /// All pools.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &ServerPool> {
+        self.pools.iter()
+    }
+
     /// Pools of a service.
     pub(crate) fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = &ServerPool> {
         let pools = self.pools.iter();
--- a/crates/fleet/src/version.rs
+++ b/crates/fleet/src/version.rs
@@ -14,6 +14,7 @@
 
 use crate::call::CallRequirements;
 use crate::choose::LocalOption;
+use crate::pools::{PoolServer, ServerPool};
 use crate::view::FleetView;
 
 /// One of this many servers of the new version gets canary requests, so that each has about
@@ -58,6 +59,58 @@
         rule.is_some_and(|rule| rule.other_is_closed && self.side_of(id) != Some(rule.usual))
     }
 
+    /// Servers of this region that may get a request because of their entry and their version. A
+    /// request that needs one version may go to each server of it that is not closed.
+    pub(crate) fn permitted_servers(
+        &self,
+        needs: &CallRequirements,
+    ) -> impl Iterator<Item = ServerId> {
+        let servers = self.servers_of(&needs.service).iter().copied();
+        servers.filter(move |id| {
+            let server = self.server(*id);
+            let is_permitted = if needs.version.is_none() {
+                self.takes_work(*id)
+            } else {
+                let version = server.record.version.as_ref();
+                needs.allows_version(version) && self.may_work(*id) && !self.is_closed_version(*id)
+            };
+            server.region == self.place().region && is_permitted
+        })
+    }
+
+    /// Regions with a server of a version that may get requests.
+    pub fn version_regions(
+        &self,
+        service: &ServiceName,
+        version: &SoftwareVersion,
+    ) -> Vec<RegionName> {
+        let rule = self.version_rules.get(service);
+        let is_closed = rule
+            .is_some_and(|rule| rule.other_is_closed && side(rule, Some(version)) != rule.usual);
+        if is_closed {
+            return Vec::new();
+        }
+        let pools = self.pools().of_service(service);
+        let pools = pools.filter(|pool| pool.key.version.as_ref() == Some(version));
+        let has_server = |pool: &&ServerPool| {
+            pool.servers.values().any(|server| match server {
+                PoolServer::Working(id) => self.may_work(*id),
+                PoolServer::Dormant(dormant) => {
+                    dormant.takes_work() && !self.is_evacuated(&dormant.record.center)
+                }
+            })
+        };
+        let regions = pools.filter(has_server).map(|pool| pool.key.region.clone());
+        regions.collect()
+    }
+
+    /// The version of each server's entry by service, each at least once; `None` for entries
+    /// without a valid one.
+    pub fn entry_versions(&self) -> impl Iterator<Item = (&ServiceName, Option<&SoftwareVersion>)> {
+        let pools = self.pools().iter().filter(|pool| !pool.servers.is_empty());
+        pools.map(|pool| (&pool.key.service, pool.key.version.as_ref()))
+    }
+
     /// Number of servers of a service by region, of version `target` and of other versions.
     pub fn version_counts(
         &self,
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -372,7 +372,7 @@
         now: Moment,
         needs: &CallRequirements,
     ) -> impl Iterator<Item = ServerId> {
-        self.region_servers(&needs.service).filter(move |id| {
+        self.permitted_servers(needs).filter(move |id| {
             let server = self.server(*id);
             self.is_trusted(now, *id)
                 && !server.is_cold(now)
--- a/crates/fleet/tests/affinity.rs
+++ b/crates/fleet/tests/affinity.rs
@@ -65,6 +65,7 @@
         deadline: at(3_600_000),
         events: Some(2.0),
         homes: HomeRegions::Any,
+        version: None,
     }
 }
 
--- a/crates/fleet/tests/backup.rs
+++ b/crates/fleet/tests/backup.rs
@@ -21,6 +21,7 @@
         let record = ServerRecord {
             center: center.parse().unwrap(),
             slots: 8,
+            version: Some("v1".parse().unwrap()),
             ..ready_server(&format!("s{number}"))
         };
         view.put_server(at(0), record, None);
@@ -56,6 +57,7 @@
         deadline: at(60_000),
         events: Some(50.0),
         homes: HomeRegions::Any,
+        version: None,
     }
 }
 
@@ -193,3 +195,53 @@
         "no capacity in the other data centre"
     );
 }
+
+struct VersionCase {
+    name: &'static str,
+    /// Version of the source, and of the two other servers; empty for an invalid one.
+    versions: [&'static str; 3],
+    copy: Option<&'static str>,
+}
+
+#[test]
+fn a_run_is_copied_only_to_a_server_of_its_version() {
+    let cases = [
+        VersionCase {
+            name: "one of the others",
+            versions: ["v1", "v2", "v1"],
+            copy: Some("s2"),
+        },
+        VersionCase {
+            name: "none",
+            versions: ["v1", "v2", "v2"],
+            copy: None,
+        },
+        VersionCase {
+            name: "invalid versions are not equal",
+            versions: ["", "", "v1"],
+            copy: None,
+        },
+    ];
+    for case in cases {
+        let mut view = FleetView::new(place("vm0", &[("c0", "r0")]));
+        for (number, version) in case.versions.iter().enumerate() {
+            let record = ServerRecord {
+                slots: 8,
+                version: version.parse().ok(),
+                ..ready_server(&format!("s{number}"))
+            };
+            view.put_server(at(0), record, None);
+        }
+        let crashed = server(&view, "s1");
+        view.record_crash(at(9_000), crashed);
+        let predicted = TimePrediction {
+            whole: Duration::from_secs(30),
+            ..TimePrediction::default()
+        };
+        let needs = needs(900, true);
+        let source = server(&view, "s0");
+        let decision = view.choose_backup(at(10_000), source, &needs, &predicted, 1.0);
+        let copy = case.copy.map(|name| server(&view, name));
+        assert_eq!(decision.server, copy, "{}", case.name);
+    }
+}
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -52,6 +52,7 @@
         deadline: at(60_000),
         events: None,
         homes: HomeRegions::Any,
+        version: None,
     }
 }
 
--- a/crates/fleet/tests/cold_restart.rs
+++ b/crates/fleet/tests/cold_restart.rs
@@ -166,6 +166,7 @@
         deadline: at(100_000),
         events: None,
         homes: HomeRegions::Any,
+        version: None,
     }
 }
 
--- a/crates/fleet/tests/learn.rs
+++ b/crates/fleet/tests/learn.rs
@@ -184,6 +184,7 @@
         deadline: at(u64::MAX / 2000),
         events: None,
         homes: HomeRegions::Any,
+        version: None,
     }
 }
 
--- a/crates/fleet/tests/liveness.rs
+++ b/crates/fleet/tests/liveness.rs
@@ -48,6 +48,7 @@
         deadline: at(3_600_000),
         events: None,
         homes: HomeRegions::Any,
+        version: None,
     }
 }
 
--- a/crates/fleet/tests/shares.rs
+++ b/crates/fleet/tests/shares.rs
@@ -179,5 +179,6 @@
         deadline: at(10_000),
         events: None,
         homes: HomeRegions::Any,
+        version: None,
     }
 }
--- a/crates/fleet/tests/signals.rs
+++ b/crates/fleet/tests/signals.rs
@@ -41,6 +41,7 @@
         deadline: at(2 * HOUR_MS),
         events: None,
         homes: HomeRegions::Any,
+        version: None,
     }
 }
 
--- a/crates/fleet/tests/size.rs
+++ b/crates/fleet/tests/size.rs
@@ -35,6 +35,7 @@
         deadline: at(20_000),
         events: None,
         homes: HomeRegions::Any,
+        version: None,
     }
 }
 
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -89,5 +89,6 @@
         deadline: at(3_600_000),
         events: None,
         homes: HomeRegions::Any,
+        version: None,
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,7 +18,7 @@
 };
 use onyxfall_events::BodyFraming;
 use onyxfall_fleet::{AttemptResult, ChoiceReason, DecisionSwitch, PathState, TimePrediction};
-use onyxfall_types::{RunVerdict, ServerId};
+use onyxfall_types::{RunVerdict, ServerId, SoftwareVersion};
 
 use crate::backup::RunBackup;
 use crate::body::body_framing;
@@ -27,7 +27,7 @@
 use crate::gateway::Gateway;
 use crate::open::OpenAttempt;
 use crate::pool::ConnectionChoice;
-use crate::relay::{PeerTarget, parse_verdict, set_relay_headers};
+use crate::relay::{PeerTarget, parse_verdict, set_relay_headers, take_version};
 use crate::suspension::within_deadline;
 use crate::unresponsive::{wait_for_replacement, wait_until_unresponsive};
 
@@ -68,6 +68,8 @@
     pub(crate) events: u32,
     /// Backup copy of the run, if there is one.
     pub(crate) backup: Option<RunBackup>,
+    /// Software version of the server; `None` if it is not known.
+    pub(crate) version: Option<SoftwareVersion>,
 }
 
 impl UpstreamResponse {
@@ -111,6 +113,13 @@
 ) -> AttemptEnd {
     let is_from_start = extra.is_empty();
     let mut attempt = OpenAttempt::start(gateway, target.id, call, is_from_start);
+    let version = gateway
+        .fleet
+        .borrow()
+        .server(target.id)
+        .record
+        .version
+        .clone();
     // A run that is resumed or continued from a backup is not backed up again.
     let backup = if is_from_start {
         gateway.reserve_backup(call, target)
@@ -180,6 +189,7 @@
             let mut upstream =
                 upstream_response(connection, response, target.address, Some(attempt));
             upstream.backup = backup;
+            upstream.version = version;
             AttemptEnd::Response(Box::new(upstream))
         }
         ResponseKind::NotRun => {
@@ -248,12 +258,11 @@
         };
     }
     match classify_response(response.status(), response.headers(), &call.request_id) {
-        ResponseKind::Signed => AttemptEnd::Response(Box::new(upstream_response(
-            connection,
-            response,
-            target.address,
-            None,
-        ))),
+        ResponseKind::Signed => {
+            let mut upstream = upstream_response(connection, response, target.address, None);
+            upstream.version = take_version(&mut upstream.headers);
+            AttemptEnd::Response(Box::new(upstream))
+        }
         _ => AttemptEnd::Lost {
             cause: "the response of the other region does not belong to this request",
         },
@@ -451,6 +460,7 @@
         attempt,
         events: 0,
         backup: None,
+        version: None,
     }
 }
 
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -9,9 +9,9 @@
 use http::{HeaderMap, Method, Uri};
 use onyxfall_capacity::ClassTag;
 use onyxfall_clock::BootInstant;
-use onyxfall_fleet::{CallRequirements, ConfigVersion};
+use onyxfall_fleet::{CallRequirements, ConfigVersion, FleetView, HomeRegions};
 use onyxfall_suspects::{FingerprintParts, RequestFingerprint};
-use onyxfall_types::{TeamName, VmName};
+use onyxfall_types::{SoftwareVersion, TeamName, VmName};
 
 /// Origin of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -54,7 +54,7 @@
 }
 
 /// A request that was received whole and matched to its route.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct CallContext {
     /// Id of the caller's attempt.
     pub(crate) request_id: String,
@@ -91,7 +91,29 @@
 /// A request shared by its attempts and responses.
 pub(crate) type SharedCall = Rc<CallContext>;
 
+/// Limits the requirements of a request to one software version and the regions that have it.
+pub(crate) fn need_version(
+    needs: &CallRequirements,
+    fleet: &FleetView,
+    version: &SoftwareVersion,
+) -> CallRequirements {
+    let regions = HomeRegions::Only(fleet.version_regions(&needs.service, version));
+    CallRequirements {
+        homes: needs.homes.and(&regions),
+        version: Some(version.clone()),
+        ..needs.clone()
+    }
+}
+
 impl CallContext {
+    /// The request limited to one software version, for the rest of its stream.
+    pub(crate) fn at_version(&self, fleet: &FleetView, version: &SoftwareVersion) -> Self {
+        Self {
+            needs: need_version(&self.needs, fleet, version),
+            ..self.clone()
+        }
+    }
+
     /// Digest of the request's content and team, computed on first use.
     pub(crate) fn fingerprint(&self) -> RequestFingerprint {
         *self.fingerprint.get_or_init(|| {
--- a/crates/gateway/src/decide.rs
+++ b/crates/gateway/src/decide.rs
@@ -67,6 +67,9 @@
 impl Gateway {
     /// Decides the next step of a request.
     pub(crate) fn decide(&self, call: &SharedCall, progress: &CallProgress) -> RouteStep {
+        if let Some(step) = self.refuse_versionless(call) {
+            return step;
+        }
         if let Some(step) = self.decide_suspect(call, progress) {
             return step;
         }
@@ -114,6 +117,26 @@
         }
     }
 
+    /// Refuses the rest of a stream if no server of the version that began it is left.
+    fn refuse_versionless(&self, call: &CallContext) -> Option<RouteStep> {
+        let version = call.needs.version.as_ref()?;
+        let fleet = self.fleet.borrow();
+        let regions = fleet.version_regions(&call.needs.service, version);
+        let may_forward = self.may_forward(call);
+        let own = &fleet.place().region;
+        let mut regions = regions
+            .iter()
+            .filter(|region| may_forward || *region == own);
+        if regions.any(|region| call.needs.allows_region(region)) {
+            return None;
+        }
+        let detail = "no server of the version that began the stream is left";
+        let error = RequestError::not_run(RefusalReason::Unresumable, detail);
+        Some(RouteStep::Refuse(
+            error.with_retry_after(RETRY_AFTER_RANGE.0),
+        ))
+    }
+
     /// Decides between a server of this region and another region.
     fn route(
         &self,
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -405,6 +405,7 @@
         deadline: gateway.now() + time_left,
         events: gateway.expected_events(rule.name.as_str(), &call.prompt),
         homes,
+        version: None,
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,7 +15,9 @@
 use onyxfall_adapter::{forward_headers, read_call};
 use onyxfall_clock::BootInstant;
 use onyxfall_fleet::{CallRequirements, HomeRegions, RouteTable, TimePrediction};
-use onyxfall_types::{RefusalReason, RegionName, RequestError, RunVerdict, TeamName, VmName};
+use onyxfall_types::{
+    RefusalReason, RegionName, RequestError, RunVerdict, SoftwareVersion, TeamName, VmName,
+};
 
 use crate::body::ReplyBody;
 use crate::call::{CallContext, CallOrigin, CallRules, ResponseRule};
@@ -34,9 +36,23 @@
 /// Kinds of streams: lost with their server, or resumed by the sender.
 const ONCE: &str = "once";
 const RESUMABLE: &str = "resumable";
+/// Software version that must serve the request.
+const NEEDED_VERSION: &str = "onyxfall-needed-version";
+/// Software version of the server that sends a response.
+const SERVED_VERSION: &str = "onyxfall-served-version";
 const VERDICT: &str = "onyxfall-verdict";
 const ARRIVED: &str = "onyxfall-arrived";
-const RELAY_HEADERS: [&str; 8] = [VM, SERVICE, GOAL, HOMES, TEAM, ROUTE, URGENCY, STREAM];
+const RELAY_HEADERS: [&str; 9] = [
+    VM,
+    SERVICE,
+    GOAL,
+    HOMES,
+    TEAM,
+    ROUTE,
+    URGENCY,
+    STREAM,
+    NEEDED_VERSION,
+];
 /// Urgency of a request whose sender sets none: the middle of 0 to 9.
 const DEFAULT_URGENCY: u8 = 5;
 
@@ -101,6 +117,10 @@
     if let Some(team) = &call.team {
         set(headers, TEAM, team.as_str());
     }
+    headers.remove(NEEDED_VERSION);
+    if let Some(version) = &call.needs.version {
+        set(headers, NEEDED_VERSION, version.as_str());
+    }
     match call.rules.response {
         ResponseRule::Whole => {}
         ResponseRule::LostWithServer => set(headers, STREAM, ONCE),
@@ -115,6 +135,20 @@
     Some(PeerVerdict { verdict, arrived })
 }
 
+/// Sets the version of the server that sends a response, for the VM that forwarded the request.
+pub(crate) fn set_version(headers: &mut HeaderMap, version: Option<&SoftwareVersion>) {
+    headers.remove(SERVED_VERSION);
+    if let Some(version) = version {
+        set(headers, SERVED_VERSION, version.as_str());
+    }
+}
+
+/// Removes the version of the server from the response of another VM and returns it. A VM of an
+/// older build names none.
+pub(crate) fn take_version(headers: &mut HeaderMap) -> Option<SoftwareVersion> {
+    headers.remove(SERVED_VERSION)?.to_str().ok()?.parse().ok()
+}
+
 /// Serves a request that another VM forwarded.
 pub(crate) async fn handle_relayed(
     gateway: Rc<Gateway>,
@@ -159,6 +193,10 @@
         Some(table) => homes.and(&local_homes(table, &route, team.as_ref())),
         None => homes,
     };
+    let version = text(NEEDED_VERSION)
+        .map(str::parse)
+        .transpose()
+        .map_err(|_| invalid())?;
     let urgency = integer(URGENCY).and_then(|urgency| u8::try_from(urgency).ok());
     let rule = table.as_ref().and_then(|table| table.route(&route));
     let backlog_limit = rule.and_then(|rule| gateway.backlog_limit(&service, rule.priority));
@@ -172,6 +210,7 @@
         events: gateway.expected_events(&route, &call.prompt),
         prompt: call.prompt,
         homes,
+        version,
     };
     let mut headers = forward_headers(&head.headers);
     for name in RELAY_HEADERS {
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -35,7 +35,7 @@
         call: &SharedCall,
         progress: &CallProgress,
     ) -> Option<RouteStep> {
-        if self.rollouts.borrow().is_empty() {
+        if self.rollouts.borrow().is_empty() || call.needs.version.is_some() {
             return None;
         }
         let is_first = progress.arrivals + progress.unreached == 0 && progress.events == 0;
@@ -67,6 +67,9 @@
     /// Where a request goes if the usual version has no server for it but the old version may
     /// still take it.
     pub(crate) fn decide_spare(&self, call: &SharedCall) -> Option<RouteStep> {
+        if call.needs.version.is_some() {
+            return None;
+        }
         let (now, service) = (self.now(), &call.needs.service);
         let phase = self.rollouts.borrow().phase(now, service)?;
         let RolloutPhase::Shifting {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -12,14 +12,14 @@
 use onyxfall_adapter::{response_headers, set_last_event};
 use onyxfall_events::StreamEnd;
 use onyxfall_fleet::{AttemptResult, TimePrediction};
-use onyxfall_types::{RefusalReason, RequestError, RunVerdict, ServerId, VmName};
+use onyxfall_types::{RefusalReason, RequestError, RunVerdict, ServerId, SoftwareVersion, VmName};
 
 use crate::attempt::{AttemptEnd, UpstreamResponse, try_peer, try_server};
 use crate::body::{HoldRule, ReplyBody, collect_body};
-use crate::call::SharedCall;
+use crate::call::{CallOrigin, SharedCall};
 use crate::decide::RouteStep;
 use crate::gateway::Gateway;
-use crate::relay::PeerReason;
+use crate::relay::{PeerReason, set_version};
 use crate::stream::StreamRelay;
 use crate::suspension::within_deadline;
 
@@ -162,10 +162,15 @@
             .await
             .ok()?;
         match end {
-            AttemptEnd::Response(response) if response.status.is_success() => {
+            AttemptEnd::Response(response)
+                if response.status.is_success()
+                    && call.needs.allows_version(response.version.as_ref()) =>
+            {
                 log::info!(
                     request = call.request_id.as_str(),
                     after = last_event.as_deref().unwrap_or("start"),
+                    needed_version = call.needs.version.as_ref().map_or("any", SoftwareVersion::as_str),
+                    version = response.version.as_ref().map_or("unknown", SoftwareVersion::as_str),
                     stream_end = progress.stream_end.map_or("none", StreamEnd::as_str),
                     target = progress.last_target.as_str();
                     "stream resumed"
@@ -177,7 +182,15 @@
             AttemptEnd::Response(response) => {
                 progress.arrivals += 1;
                 progress.runs += 1;
-                response.finish(gateway, AttemptResult::Failed);
+                let result = if response.status.is_success() {
+                    progress.last_cause = "the stream was resumed at another version";
+                    AttemptResult::Unknown
+                } else {
+                    progress.last_cause = "the server returned an error";
+                    AttemptResult::Failed
+                };
+                log_failed_attempt(call, &progress);
+                response.finish(gateway, result);
             }
             other => record_failure(gateway, call, &mut progress, &other).ok()?,
         }
@@ -381,7 +394,12 @@
     progress: CallProgress,
     response: Box<UpstreamResponse>,
 ) -> Response<ReplyBody> {
-    let (status, headers) = (response.status, response_headers(&response.headers));
+    let (status, mut headers) = (response.status, response_headers(&response.headers));
+    let version = response.version.as_ref();
+    set_version(
+        &mut headers,
+        version.filter(|_| call.origin != CallOrigin::Caller),
+    );
     let relay = StreamRelay::new(gateway, call, progress, response);
     let mut response = Response::new(ReplyBody::Stream(Box::new(relay)));
     *response.status_mut() = status;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -17,6 +17,7 @@
 use hyper::body::{Body, Frame};
 use onyxfall_events::{BodyFraming, EventFramer, ForwardUnit, StreamEnd};
 use onyxfall_fleet::AttemptResult;
+use onyxfall_types::SoftwareVersion;
 
 use crate::attempt::UpstreamResponse;
 use crate::backup::continue_run;
@@ -31,6 +32,18 @@
 /// Media type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
 
+/// Software version of the server that sent the first event of a stream. Another server may
+/// resume the stream only if it has the same one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum StreamVersion {
+    /// No event was forwarded yet.
+    Open,
+    /// The version is known.
+    Known(SoftwareVersion),
+    /// The server has no valid version, or its VM does not name it.
+    Unknown,
+}
+
 /// State of a relayed stream.
 enum RelayState {
     /// A server is sending the stream.
@@ -53,6 +66,7 @@
     held: HeldBytes,
     /// Whether another server may resume the stream.
     can_resume: bool,
+    version: StreamVersion,
     /// Number of events forwarded, over all servers.
     events: u32,
     deadline: LocalBoxFuture<'static, ()>,
@@ -91,6 +105,10 @@
             framer: is_event_stream.then(|| EventFramer::new(unit)),
             held: gateway.held.hold(0),
             can_resume,
+            version: match &call.needs.version {
+                Some(version) => StreamVersion::Known(version.clone()),
+                None => StreamVersion::Open,
+            },
             events: 0,
             deadline: Box::pin(wait_for_deadline(Rc::clone(gateway), Rc::clone(call))),
         }
@@ -215,6 +233,10 @@
         self.events += part.events;
         if let RelayState::Open(response) = &mut self.state {
             response.events += part.events;
+            if part.events > 0 && self.version == StreamVersion::Open {
+                let version = response.version.clone();
+                self.version = version.map_or(StreamVersion::Unknown, StreamVersion::Known);
+            }
         }
         Ok((!part.forwarded.is_empty()).then(|| self.held_frame(part.forwarded)))
     }
@@ -249,9 +271,21 @@
         };
         let mut response = response;
         let backup = response.backup.take();
+        let is_from_peer = response.attempt.is_none();
         response.finish(&self.gateway, AttemptResult::Broken);
         let gateway = Rc::clone(&self.gateway);
-        let call = Rc::clone(&self.call);
+        let call = match &self.version {
+            StreamVersion::Open => Rc::clone(&self.call),
+            StreamVersion::Known(version) => {
+                Rc::new(self.call.at_version(&gateway.fleet.borrow(), version))
+            }
+            StreamVersion::Unknown => return false,
+        };
+        if is_from_peer {
+            // The VM that relayed the stream is alive for all that is known, and may be the only
+            // one beside the servers.
+            self.progress.vms.pop();
+        }
         if self.call.rules.response == ResponseRule::LostWithServer {
             let (Some(backup), Some(last)) = (backup, last) else {
                 return false;
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -317,6 +317,7 @@
                 deadline: now,
                 events: None,
                 homes: HomeRegions::Any,
+                version: None,
             };
             let offers: Vec<(TimePrediction, Duration)> = fleet
                 .free_servers(now, &typical)
--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -273,12 +273,12 @@
     }
     let begin = |number| OpenStream::begin(&gateways[case.begins], format!("begun{number}"));
     let streams: Vec<OpenStream> = thread::scope(|scope| {
-        let begun: Vec<_> = (0..STREAMS)
+        let readers: Vec<_> = (0..STREAMS)
             .map(|number| scope.spawn(move || begin(number)))
             .collect();
-        begun
+        readers
             .into_iter()
-            .map(|begun| begun.join().unwrap())
+            .map(|reader| reader.join().unwrap())
             .collect()
     });
     gateways[case.begins].child.kill().unwrap();
--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -59,6 +59,8 @@
     Overloaded = "overloaded", 503;
     /// Servers crashed while running this request, so it is blocked for a limited time.
     Quarantined = "quarantined", 503;
+    /// The software version that began the stream is unknown, or has no server left.
+    Unresumable = "unresumable", 503;
     /// The deadline can no longer be met.
     Deadline = "deadline", 504;
     /// A backend server failed, or disconnected before the end of its response.
