Callers resume a stream only at the software version that began it, at any VM

Callers saw: streams that went on at another version after their VM had died, or whose first attempt nobody knew. Cause: a request with the last event's id went to any server. Change: the VM that forwards the first event of a resumable stream records the version at up to four owners by rendezvous hashing, two of its region; nothing is recorded while the service has had one version for the life of a stream. A VM that receives a resumption asks the owners, or relies on one version that another VM confirms; else it refuses at once as not run. A resumed request keeps the service of its first attempt where a route is split. A VM that starts takes over the history of another one.

--- a/crates/fleet/tests/pinned.rs
+++ b/crates/fleet/tests/pinned.rs
@@ -6,6 +6,7 @@
 
 use onyxfall_fleet::{CallRequirements, FleetView, LocalOption, ServerPhase, ServerRecord};
 use onyxfall_rollout::{VersionRule, VersionSide};
+use onyxfall_types::{RegionName, ServerName};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use support::{at, needs, place, ready_server};
@@ -109,12 +110,12 @@
                 LocalOption::Free(choice) => Some(view.server(choice.server).record.name.clone()),
                 _ => None,
             };
-            let chosen = chosen.as_ref().map(|name| name.as_str());
+            let chosen = chosen.as_ref().map(ServerName::as_str);
             assert_eq!(chosen, case.server, "{}", case.name);
         }
         let version = "v2".parse().unwrap();
         let regions = view.version_regions(&needs.service, &version);
-        let regions: Vec<&str> = regions.iter().map(|region| region.as_str()).collect();
+        let regions: Vec<&str> = regions.iter().map(RegionName::as_str).collect();
         assert_eq!(regions, case.regions, "{}: regions", case.name);
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -170,18 +170,7 @@
         }
     };
     let kind = classify_response(response.status(), response.headers(), &call.request_id);
-    if kind != ResponseKind::WrongServer {
-        let signals = parse_signals(response.status(), response.headers());
-        gateway.record_signals(call, target.id, signals);
-        let is_own = matches!(kind, ResponseKind::Signed | ResponseKind::NotRun);
-        let sent_at = is_own.then(|| attempt.started());
-        gateway.record_limit(target.id, signals.limit, sent_at);
-        if let Some(sent_at) = sent_at {
-            gateway.record_pace(target.id, signals.pace);
-            gateway.record_brittle(target.id, signals.brittle, sent_at);
-        }
-        gateway.record_unknown_signal_headers(response.headers());
-    }
+    record_response_signals(gateway, call, &attempt, kind, &response);
     match kind {
         ResponseKind::Signed => {
             attempt.record_first_byte();
@@ -217,6 +206,31 @@
     }
 }
 
+/// Records the signals in a response of the server of an attempt.
+fn record_response_signals(
+    gateway: &Gateway,
+    call: &CallContext,
+    attempt: &OpenAttempt,
+    kind: ResponseKind,
+    response: &Response<Incoming>,
+) {
+    // Another server that has the address speaks for itself.
+    if kind == ResponseKind::WrongServer {
+        return;
+    }
+    let server = attempt.server();
+    let signals = parse_signals(response.status(), response.headers());
+    gateway.record_signals(call, server, signals);
+    let is_own = matches!(kind, ResponseKind::Signed | ResponseKind::NotRun);
+    let sent_at = is_own.then(|| attempt.started());
+    gateway.record_limit(server, signals.limit, sent_at);
+    if let Some(sent_at) = sent_at {
+        gateway.record_pace(server, signals.pace);
+        gateway.record_brittle(server, signals.brittle, sent_at);
+    }
+    gateway.record_unknown_signal_headers(response.headers());
+}
+
 /// Forwards a request to a VM of another region.
 pub(crate) async fn try_peer(
     gateway: &Rc<Gateway>,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,6 +27,7 @@
 use crate::copies::{CachedParts, IncomingCopy};
 use crate::held::HeldAccount;
 use crate::metrics::GatewayMetrics;
+use crate::origins::StreamOrigins;
 use crate::pool::ConnectionPool;
 use crate::reach::LostRun;
 use crate::relays::RelayTable;
@@ -111,6 +112,8 @@
     /// Notified to send an update on every link that this VM has dialled.
     pub(crate) send_updates_now: Notify,
     pub(crate) queries: WorkQueries,
+    /// Versions that began streams.
+    pub(crate) origins: StreamOrigins,
     /// Notified when a server becomes unresponsive.
     pub(crate) unresponsive: Notify,
     /// Lost runs that may be those of a lost path, until a check of it has ended.
@@ -205,6 +208,7 @@
             suspension: Cell::new(SuspensionWatch::start()),
             send_updates_now: Notify::new(),
             queries: WorkQueries::default(),
+            origins: StreamOrigins::default(),
             unresponsive: Notify::new(),
             lost_runs: RefCell::default(),
             path_closed: Notify::new(),
@@ -327,6 +331,7 @@
         self.refresh_plans(now);
         self.refresh_suspects(now);
         self.refresh_rollouts(now);
+        self.observe_versions(now);
         let (base, expired) = {
             let mut mirror = self.mirror.borrow_mut();
             (mirror.revision(), mirror.expire(now))
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -24,7 +24,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::body::{BodyError, HoldRule, ReplyBody, collect_body};
-use crate::call::{CallContext, CallOrigin, CallRules, ResponseRule};
+use crate::call::{CallContext, CallOrigin, CallRules, ResponseRule, need_version};
 use crate::caller_stream::{CallerStream, StalledWrite};
 use crate::capacity::{importance, urgency};
 use crate::connection::set_socket_options;
@@ -322,6 +322,13 @@
             return Err(error);
         }
     };
+    let needs = match resumed_needs(gateway, rule, needs, &call).await {
+        Ok(needs) => needs,
+        Err(error) => {
+            charge.into_iter().for_each(QuotaCharge::refund);
+            return Err(error);
+        }
+    };
     let class = class_of(gateway, rule, team_rule, &needs);
     let mut headers = forward_headers(&head.headers);
     if table.teams().is_some() {
@@ -351,6 +358,24 @@
     Ok((call, charge))
 }
 
+/// The requirements of a request that may resume a stream, limited to the version that began it.
+async fn resumed_needs(
+    gateway: &Rc<Gateway>,
+    rule: &RouteRule,
+    needs: CallRequirements,
+    call: &CallHead,
+) -> Result<CallRequirements, RequestError> {
+    let resumption = call.resumption.as_ref();
+    let resumption = resumption.filter(|_| response_rule(rule) == ResponseRule::Resumable);
+    let Some(resumption) = resumption else {
+        return Ok(needs);
+    };
+    let version = gateway
+        .find_origin(&needs.service, call, resumption)
+        .await?;
+    Ok(need_version(&needs, &gateway.fleet.borrow(), &version))
+}
+
 /// The class of a request if capacity is planned for its service.
 fn class_of(
     gateway: &Gateway,
@@ -382,7 +407,13 @@
     call: &CallHead,
     time_left: Duration,
 ) -> CallRequirements {
-    let service = rule.service_for(&call.request_id).clone();
+    // A resumed stream stays at the service of its first attempt.
+    let first_attempt = call
+        .resumption
+        .as_ref()
+        .and_then(|r| r.first_attempt.as_ref());
+    let service = rule.service_for(first_attempt.unwrap_or(&call.request_id));
+    let service = service.clone();
     let engine = table.service(&service).and_then(|service| service.engine);
     let priority = team.and_then(|team| team.priority);
     let plans_capacity = engine.is_some() && gateway.plans_capacity();
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -24,6 +24,8 @@
 mod listen;
 mod metrics;
 mod open;
+mod origin_messages;
+mod origins;
 mod plan_report;
 mod planning;
 mod pool;
@@ -107,6 +109,7 @@
         rollouts::start(&gateway);
         links::start(&gateway);
         reach::start(&gateway);
+        origins::start(&gateway);
         gateway::start_ticker(&gateway);
         reload::start(&gateway, path);
         let switches = gateway.settings().switches.clone();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -23,6 +23,7 @@
 use crate::call::{CallContext, CallOrigin, CallRules, ResponseRule};
 use crate::gateway::Gateway;
 use crate::listen::read_body;
+use crate::origin_messages::{answer_origin_message, is_origin_message};
 use crate::serve::{CallFailure, serve};
 
 const VM: &str = "onyxfall-vm";
@@ -155,6 +156,9 @@
     request: Request<Incoming>,
 ) -> Response<ReplyBody> {
     let arrived = BootInstant::now();
+    if !request.headers().contains_key(SERVICE) && is_origin_message(request.uri()) {
+        return answer_origin_message(&gateway, request).await;
+    }
     let result = match read_relayed(&gateway, request, arrived).await {
         Ok(call) => serve(&gateway, &Rc::new(call)).await,
         Err(error) => Err(error.into()),
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -235,6 +235,7 @@
             response.events += part.events;
             if part.events > 0 && self.version == StreamVersion::Open {
                 let version = response.version.clone();
+                self.gateway.record_origin(&self.call, version.as_ref());
                 self.version = version.map_or(StreamVersion::Unknown, StreamVersion::Known);
             }
         }
--- a/crates/gateway/src/suspension.rs
+++ b/crates/gateway/src/suspension.rs
@@ -29,6 +29,7 @@
         // The other sides have closed these connections, some without this VM noticing.
         self.pool.clear();
         self.store.borrow_mut().record_missed_changes(self.now());
+        self.origins.restart_history(self.now());
         self.woken.notify_waiters();
     }
 }
--- a/crates/streams/src/history.rs
+++ b/crates/streams/src/history.rs
@@ -8,7 +8,7 @@
 
 /// Time for which a version is remembered after it was last seen; the longest life of a stream
 /// that can be asked for.
-const MEMORY: Duration = Duration::from_mins(2);
+pub const HISTORY: Duration = Duration::from_mins(1);
 /// Most versions of a service that are remembered; of more, those seen longest ago are dropped.
 const MAX_VERSIONS: usize = 16;
 
@@ -56,6 +56,12 @@
         }
     }
 
+    /// Records that changes may have been missed until now.
+    pub fn restart(&mut self, now: Moment) {
+        self.since = now;
+        self.inherited = Duration::ZERO;
+    }
+
     /// Records that a service has a server of a version.
     pub fn record(
         &mut self,
@@ -82,7 +88,7 @@
     /// Drops versions that were last seen long ago.
     pub fn expire(&mut self, now: Moment) {
         for versions in self.services.values_mut() {
-            versions.retain(|_, seen| now - *seen < MEMORY);
+            versions.retain(|_, seen| now - *seen < HISTORY);
         }
         self.services.retain(|_, versions| !versions.is_empty());
     }
@@ -103,12 +109,12 @@
 
     /// How long every version has been known.
     pub fn age(&self, now: Moment) -> Duration {
-        (now - self.since + self.inherited).min(MEMORY)
+        (now - self.since + self.inherited).min(HISTORY)
     }
 
     /// Whether the history covers the longest life of a stream.
     pub fn is_complete(&self, now: Moment) -> bool {
-        self.age(now) >= MEMORY
+        self.age(now) >= HISTORY
     }
 
     /// Everything known, for a VM that has just started.
@@ -129,7 +135,7 @@
     /// use onyxfall_streams::VersionHistory;
     /// use std::time::Duration;
     /// let mut history = VersionHistory::new(Moment::ZERO);
-    /// history.inherit(Moment::ZERO, Duration::from_mins(2), []);
+    /// history.inherit(Moment::ZERO, Duration::from_mins(1), []);
     /// assert!(history.is_complete(Moment::ZERO));
     /// ```
     pub fn inherit(
--- a/crates/streams/src/judge.rs
+++ b/crates/streams/src/judge.rs
@@ -3,6 +3,7 @@
 use onyxfall_types::SoftwareVersion;
 
 use crate::history::VersionClaim;
+use crate::memory::StreamOrigin;
 
 /// How the version of a stream was found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,8 +30,8 @@
 /// What one VM knows of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OwnerAnswer {
-    /// The recorded version.
-    pub version: Option<SoftwareVersion>,
+    /// The recorded origin of the stream.
+    pub origin: Option<StreamOrigin>,
     /// What the VM knows of the service's versions.
     pub claim: VersionClaim,
 }
@@ -44,38 +45,44 @@
     Unknown,
 }
 
-/// Judges a resumption by what this VM knows and by what the owners have answered. Owners that
-/// have not answered are left out. `has_peers` is whether any other VM is alive.
+/// Judges a resumption at a service by what this VM knows and by what the owners have answered.
+/// Owners that have not answered are left out. `has_peers` is whether any other VM is alive.
 ///
 /// ```
 /// use onyxfall_streams::{
-///     KnowledgeSource, OwnerAnswer, ResumptionVerdict, VersionClaim, judge_resumption,
+///     KnowledgeSource, OwnerAnswer, ResumptionVerdict, StreamOrigin, VersionClaim,
+///     judge_resumption,
 /// };
 /// let own = OwnerAnswer {
-///     version: Some("v1".parse().unwrap()),
+///     origin: Some(StreamOrigin {
+///         service_tag: 7,
+///         version: "v1".parse().unwrap(),
+///     }),
 ///     claim: VersionClaim::Several,
 /// };
-/// let verdict = judge_resumption(&own, &[], true);
-/// assert_eq!(
-///     verdict,
-///     ResumptionVerdict::Known("v1".parse().unwrap(), KnowledgeSource::Own)
-/// );
+/// let known = ResumptionVerdict::Known("v1".parse().unwrap(), KnowledgeSource::Own);
+/// assert_eq!(judge_resumption(7, &own, &[], true), known);
+/// assert_eq!(judge_resumption(8, &own, &[], true), ResumptionVerdict::Unknown);
 /// ```
 pub fn judge_resumption(
+    service_tag: u32,
     own: &OwnerAnswer,
     answers: &[OwnerAnswer],
     has_peers: bool,
 ) -> ResumptionVerdict {
-    if let Some(version) = &own.version {
-        return ResumptionVerdict::Known(version.clone(), KnowledgeSource::Own);
-    }
-    let mut recorded = answers.iter().filter_map(|answer| answer.version.as_ref());
-    if let Some(version) = recorded.next() {
-        // Two records of one attempt differ only if its id was used twice.
-        if recorded.any(|other| other != version) {
+    let recorded = answers.iter().filter_map(|answer| answer.origin.as_ref());
+    let mut recorded = own.origin.iter().chain(recorded);
+    if let Some(origin) = recorded.next() {
+        // The route may lead to another service by now, and an id may have been used twice.
+        if origin.service_tag != service_tag || recorded.any(|other| other != origin) {
             return ResumptionVerdict::Unknown;
         }
-        return ResumptionVerdict::Known(version.clone(), KnowledgeSource::Owner);
+        let source = if own.origin.is_some() {
+            KnowledgeSource::Own
+        } else {
+            KnowledgeSource::Owner
+        };
+        return ResumptionVerdict::Known(origin.version.clone(), source);
     }
     // The view of a VM that hears from no other VM may be old.
     if has_peers && answers.is_empty() {
--- a/crates/streams/src/lib.rs
+++ b/crates/streams/src/lib.rs
@@ -18,8 +18,8 @@
 mod owners;
 mod tag;
 
-pub use history::{HistoryEntry, VersionClaim, VersionHistory};
+pub use history::{HISTORY, HistoryEntry, VersionClaim, VersionHistory};
 pub use judge::{KnowledgeSource, OwnerAnswer, ResumptionVerdict, judge_resumption};
-pub use memory::{MAX_STREAMS, StreamMemory};
+pub use memory::{MAX_STREAMS, StreamMemory, StreamOrigin};
 pub use owners::stream_owners;
 pub use tag::{StreamTag, TagError};
--- a/crates/streams/src/memory.rs
+++ b/crates/streams/src/memory.rs
@@ -1,4 +1,4 @@
-//! Versions of the streams that a VM has begun, or owns.
+//! Where the streams began that a VM has forwarded, or owns.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -8,63 +8,69 @@
 
 use crate::tag::StreamTag;
 
-/// Most streams whose version is recorded; of more, those that expire first are dropped.
+/// Most streams whose origin is recorded; of more, those that expire first are dropped.
 pub const MAX_STREAMS: usize = 65_536;
 
-/// Recorded versions by stream.
+/// Where a stream began.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamOrigin {
+    /// [`onyxfall_types::name_tag`] of the service.
+    pub service_tag: u32,
+    /// Version of the server that sent the first event.
+    pub version: SoftwareVersion,
+}
+
+/// Recorded origins by stream.
 #[derive(Clone, Debug, Default)]
 pub struct StreamMemory {
-    versions: HashMap<StreamTag, (SoftwareVersion, Moment)>,
+    origins: HashMap<StreamTag, (StreamOrigin, Moment)>,
     by_expiry: BTreeSet<(Moment, StreamTag)>,
 }
 
 impl StreamMemory {
-    /// Records the version that began a stream, for the time `lasts`. The first record of a stream
-    /// stays.
-    pub fn record(
-        &mut self,
-        now: Moment,
-        tag: StreamTag,
-        version: &SoftwareVersion,
-        lasts: Duration,
-    ) {
+    /// Records where a stream began, for the time `lasts`. The first record of a stream stays.
+    pub fn record(&mut self, now: Moment, tag: StreamTag, origin: StreamOrigin, lasts: Duration) {
         self.expire(now);
         let expires = now + lasts;
-        if self.versions.contains_key(&tag) {
+        if self.origins.contains_key(&tag) {
             return;
         }
-        self.versions.insert(tag, (version.clone(), expires));
+        self.origins.insert(tag, (origin, expires));
         self.by_expiry.insert((expires, tag));
-        while self.versions.len() > MAX_STREAMS {
+        while self.origins.len() > MAX_STREAMS {
             self.drop_first();
         }
     }
 
-    /// The recorded version of a stream.
+    /// The recorded origin of a stream.
     ///
     /// ```
     /// use onyxfall_policy::Moment;
-    /// use onyxfall_streams::{StreamMemory, StreamTag};
+    /// use onyxfall_streams::{StreamMemory, StreamOrigin, StreamTag};
     /// use std::time::Duration;
     /// let (mut memory, tag) = (StreamMemory::default(), StreamTag::of("r1"));
+    /// let origin = StreamOrigin {
+    ///     service_tag: 7,
+    ///     version: "v1".parse().unwrap(),
+    /// };
     /// let second = Duration::from_secs(1);
-    /// memory.record(Moment::ZERO, tag, &"v1".parse().unwrap(), second);
-    /// assert!(memory.version(Moment::ZERO, tag).is_some());
-    /// assert!(memory.version(Moment::ZERO + second, tag).is_none());
+    /// memory.record(Moment::ZERO, tag, origin.clone(), second);
+    /// assert_eq!(memory.origin(Moment::ZERO, tag), Some(&origin));
+    /// assert_eq!(memory.origin(Moment::ZERO + second, tag), None);
     /// ```
-    pub fn version(&self, now: Moment, tag: StreamTag) -> Option<&SoftwareVersion> {
-        let (version, expires) = self.versions.get(&tag)?;
-        (now < *expires).then_some(version)
+    pub fn origin(&self, now: Moment, tag: StreamTag) -> Option<&StreamOrigin> {
+        let (origin, expires) = self.origins.get(&tag)?;
+        (now < *expires).then_some(origin)
     }
 
     /// Number of recorded streams.
     pub fn len(&self) -> usize {
-        self.versions.len()
+        self.origins.len()
     }
 
     /// Whether no stream is recorded.
     pub fn is_empty(&self) -> bool {
-        self.versions.is_empty()
+        self.origins.is_empty()
     }
 
     /// Drops expired records.
@@ -76,7 +82,7 @@
 
     fn drop_first(&mut self) {
         if let Some((_, tag)) = self.by_expiry.pop_first() {
-            self.versions.remove(&tag);
+            self.origins.remove(&tag);
         }
     }
 }
--- a/crates/streams/tests/schedules.rs
+++ b/crates/streams/tests/schedules.rs
@@ -5,13 +5,14 @@
 
 use onyxfall_policy::Moment;
 use onyxfall_streams::{
-    OwnerAnswer, ResumptionVerdict, StreamMemory, StreamTag, VersionClaim, VersionHistory,
-    judge_resumption, stream_owners,
+    OwnerAnswer, ResumptionVerdict, StreamMemory, StreamOrigin, StreamTag, VersionClaim,
+    VersionHistory, judge_resumption, stream_owners,
 };
 use onyxfall_types::{ServiceName, SoftwareVersion, VmName};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+const SERVICE_TAG: u32 = 7;
 const VMS: usize = 6;
 const REGIONS: usize = 2;
 const STEP: Duration = Duration::from_millis(100);
@@ -180,7 +181,11 @@
             let mut owners = self.owners(vm, tag);
             owners.retain(|owner| !self.is_cut(vm, *owner));
             for owner in owners.into_iter().chain([vm]) {
-                self.vms[owner].memory.record(now, tag, version, LIFE);
+                let origin = StreamOrigin {
+                    service_tag: SERVICE_TAG,
+                    version: version.clone(),
+                };
+                self.vms[owner].memory.record(now, tag, origin, LIFE);
             }
         }
         self.streams.push(Begun {
@@ -193,7 +198,7 @@
     fn answer(&self, vm: usize, now: Moment, tag: StreamTag) -> OwnerAnswer {
         let state = &self.vms[vm];
         OwnerAnswer {
-            version: state.memory.version(now, tag).cloned(),
+            origin: state.memory.origin(now, tag).cloned(),
             claim: state.history.claim(now, &self.service, LIFE),
         }
     }
@@ -213,7 +218,7 @@
             .map(|owner| self.answer(*owner, now, stream.tag))
             .collect();
         let own = self.answer(vm, now, stream.tag);
-        match judge_resumption(&own, &answers, true) {
+        match judge_resumption(SERVICE_TAG, &own, &answers, true) {
             ResumptionVerdict::Known(version, source) => {
                 assert_eq!(
                     Some(&version),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,6 +16,7 @@
 mod member;
 mod message;
 mod packed;
+mod stream_message;
 mod window;
 
 pub use class::FrameClass;
@@ -31,6 +32,10 @@
     VmRosterUpdate, VmUpdate, WorkSet,
 };
 pub use packed::{PackError, pack_items, unpack_items};
+pub use stream_message::{
+    ClaimKind, StreamAnswer, StreamQuestion, StreamRecord, StreamRecords, VersionHistoryEntry,
+    VersionHistorySet,
+};
 pub use window::{CreditWindow, INITIAL_CREDIT, frame_cost};
 
 /// Version of the protocol. A peer of another version is rejected.
