Soak: servers of two versions side by side, callers that resume, a VM killed while it streams

Callers resume broken streams up to three times at other VMs with both headers; what they hold over all tries must be of one version. In each run a VM is killed while it sends 24 streams: resumed ones must go on at least half as often as new ones begin.

--- a/crates/soak/src/brittle.rs
+++ b/crates/soak/src/brittle.rs
@@ -64,7 +64,7 @@
     while Instant::now() < end {
         let id = format!("brittle-{caller}-{}-{}", to, reports.len());
         let path = format!("{}{caller}-{}", kind.prefix(), reports.len());
-        reports.push(call(&agent, to, &path, &id, kind));
+        reports.push(call(&agent, to, &path, &id, kind, None));
     }
     reports
 }
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -11,7 +11,7 @@
 use crossbeam::channel::{self, Receiver, Sender};
 use http::{Method, Request};
 use onyxfall_adapter::stub::{
-    caller_headers, claim_team, is_signed, response_request_id, set_prompt_size,
+    caller_headers, claim_team, is_signed, response_request_id, resume_stream, set_prompt_size,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -23,6 +23,8 @@
 const PATIENCE: Duration = Duration::from_secs(4);
 /// Interval between two requests of a caller.
 const PAUSE: Duration = Duration::from_millis(8);
+/// Times that a caller resumes a stream that was broken off.
+const MAX_RESUMPTIONS: usize = 3;
 /// Size of the prompts, in tokens; servers of plain services ignore it.
 const PROMPT_TOKENS: (u32, u32) = (200, 20);
 /// Largest response body that is read, in bytes.
@@ -49,6 +51,52 @@
     pub(crate) body: String,
     /// Whether the body was received to its regular end.
     pub(crate) is_whole: bool,
+    /// The part of the stream that the request resumes; `None` for a new request.
+    pub(crate) resumes: Option<StreamPart>,
+}
+
+/// The part of a stream that a caller has received, in whole events.
+#[derive(Clone, Debug)]
+pub(crate) struct StreamPart {
+    /// Id of the request that received the first event.
+    pub(crate) first_attempt: String,
+    pub(crate) events: String,
+}
+
+impl CallReport {
+    /// The whole stream as far as it was received, over all tries.
+    pub(crate) fn stream(&self) -> String {
+        let before = self
+            .resumes
+            .as_ref()
+            .map_or("", |part| part.events.as_str());
+        format!("{before}{}", self.body)
+    }
+
+    /// The part to resume from if the stream was broken off after an event.
+    pub(crate) fn part(&self) -> Option<StreamPart> {
+        let was_begun = self.kind == RequestKind::ResumableStream
+            && (self.resumes.is_some() || self.status == Some(200));
+        if self.is_whole || !was_begun {
+            return None;
+        }
+        let mut events = self.stream();
+        events.truncate(events.rfind("\n\n")? + 2);
+        let first = self.resumes.as_ref().map(|part| &part.first_attempt);
+        Some(StreamPart {
+            first_attempt: first.unwrap_or(&self.id).clone(),
+            events,
+        })
+    }
+}
+
+impl StreamPart {
+    fn last_id(&self) -> &str {
+        let mut lines = self.events.lines().rev();
+        lines
+            .find_map(|line| line.strip_prefix("id: "))
+            .unwrap_or("0")
+    }
 }
 
 /// A client that keeps its connections alive.
@@ -67,6 +115,7 @@
     path: &str,
     id: &str,
     kind: RequestKind,
+    resumes: Option<StreamPart>,
 ) -> CallReport {
     let mut report = CallReport {
         id: id.to_owned(),
@@ -78,6 +127,7 @@
         is_own: false,
         body: String::new(),
         is_whole: false,
+        resumes,
     };
     let mut request = Request::new("b".repeat(kind.body_bytes()));
     *request.method_mut() = Method::POST;
@@ -88,6 +138,9 @@
     let mut headers = caller_headers(HOST, id, PATIENCE);
     claim_team(&mut headers, &format!("Bearer {KEY}"), "forged");
     set_prompt_size(&mut headers, PROMPT_TOKENS.0, PROMPT_TOKENS.1);
+    if let Some(part) = &report.resumes {
+        resume_stream(&mut headers, &part.first_attempt, part.last_id());
+    }
     *request.headers_mut() = headers;
     let Ok(answer) = agent.run(request) else {
         return report;
@@ -165,7 +218,19 @@
         let kind = RequestKind::ALL[rng.random_range(0..RequestKind::ALL.len())];
         let path = format!("{}x", kind.prefix());
         let id = format!("c{caller}-{number}");
-        if reports.send(call(&agent, to, &path, &id, kind)).is_err() {
+        let mut report = call(&agent, to, &path, &id, kind, None);
+        for retry in 1..=MAX_RESUMPTIONS {
+            let Some(part) = report.part() else {
+                break;
+            };
+            if reports.send(report).is_err() {
+                return;
+            }
+            let to = targets[rng.random_range(0..targets.len())];
+            let id = format!("{id}-{retry}");
+            report = call(&agent, to, &path, &id, kind, Some(part));
+        }
+        if reports.send(report).is_err() {
             return;
         }
         thread::sleep(PAUSE);
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -7,7 +7,7 @@
 use onyxfall_fakes::ServerStub;
 
 use crate::callers::CallReport;
-use crate::deployment::{RequestKind, TEAM};
+use crate::deployment::{RequestKind, TEAM, VERSIONS};
 
 /// Statuses that guarantee that a request has not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
@@ -23,7 +23,7 @@
     FalseNotRun(String, u16),
     /// A caller received the response to another request, or one that no server sent.
     WrongResponse(String, String),
-    /// A stream has a gap, or ended regularly before its last event.
+    /// A stream has a gap or events of two versions, or ended regularly before its last event.
     BrokenStream(String, String),
     /// A VM reverted to an older configuration.
     Reverted(String),
@@ -41,6 +41,9 @@
     SentBeyondLimit(String),
     /// Callers of VMs without a path to any server were not served, or those of others were not.
     UnservedWithoutPath(String),
+    /// Streams whose VM was killed were resumed by less than half of the share of new streams that
+    /// began.
+    NotResumed(String),
     /// Too many servers fell over because they had to reject requests for want of room.
     FellOver(String),
     /// A VM refused a request for load while the service was idle.
@@ -110,19 +113,25 @@
             self.record(broken);
             return;
         }
-        let whole = if report.kind.is_stream() {
-            ServerStub::whole_stream()
-        } else {
-            PLAIN_RESPONSE.to_owned()
+        let received = report.stream();
+        let is_part_of = |whole: String| {
+            if report.is_whole {
+                received == whole
+            } else {
+                whole.starts_with(&received)
+            }
         };
-        let is_right = if report.is_whole {
-            report.body == whole
+        // All events are of servers of one version.
+        let is_right = if report.kind.is_stream() {
+            VERSIONS
+                .map(ServerStub::stream_of)
+                .into_iter()
+                .any(is_part_of)
         } else {
-            whole.starts_with(&report.body)
+            is_part_of(PLAIN_RESPONSE.to_owned())
         };
         if !is_right {
-            let broken = BrokenPromise::BrokenStream(id, report.body.clone());
-            self.record(broken);
+            self.record(BrokenPromise::BrokenStream(id, received));
         }
     }
 
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -96,6 +96,14 @@
     }
 }
 
+/// Software versions of the servers.
+pub(crate) const VERSIONS: [&str; 2] = ["v1", "v2"];
+
+/// Whether servers of both versions serve side by side.
+const fn has_two_versions(seed: u64) -> bool {
+    !seed.is_multiple_of(3)
+}
+
 /// Slots of a server.
 pub(crate) const SLOTS: u32 = 8;
 /// Rank of the less important kind; the others have rank 0 or 1.
@@ -178,6 +186,7 @@
     pub(crate) version: Mutex<u64>,
     /// Limits of the model servers; `None` for a plain service.
     engine: Option<EngineLimits>,
+    has_two_versions: bool,
 }
 
 impl SoakDeployment {
@@ -209,10 +218,12 @@
                 }))
             })
             .collect::<io::Result<_>>()?;
+        let has_two_versions = has_two_versions(seed);
         let servers = (0..size.servers)
             .map(|server| {
                 let stub = ServerStub::start(stub_ip())?;
                 stub.set_name(&server_name(server, 1));
+                stub.set_version(version_of(server, 1, has_two_versions));
                 let link = FaultyLink::start(stub_ip(), stub.address())?;
                 let instances = vec![stub];
                 Ok(Mutex::new(SoakServer {
@@ -232,6 +243,7 @@
             servers,
             version: Mutex::new(0),
             engine: has_model_servers(seed).then_some(ENGINE),
+            has_two_versions,
         };
         for server in 0..size.servers {
             deployment.put_entry(server, ServerPhase::Ready);
@@ -324,11 +336,12 @@
     fn record(&self, server: usize, phase: ServerPhase) -> ServerRecord {
         let state = self.servers[server].lock();
         let name = server_name(server, state.generation);
+        let version = version_of(server, state.generation, self.has_two_versions);
         ServerRecord {
             name: name.parse().expect("a name of letters and digits"),
             started_at: StartTime::from_millis(state.started_ms),
             service: SERVICE.parse().expect("a name of letters"),
-            version: None,
+            version: Some(version.parse().expect("a word of letters and digits")),
             address: state.link.address(),
             center: format!("c{}", server % REGIONS)
                 .parse()
@@ -339,6 +352,16 @@
         }
     }
 
+    /// Number of servers whose present instance is of a version.
+    pub(crate) fn servers_of(&self, version: &str) -> usize {
+        let servers = self.servers.iter().enumerate();
+        let of_version = servers.filter(|(server, state)| {
+            let generation = state.lock().generation;
+            version_of(*server, generation, self.has_two_versions) == version
+        });
+        of_version.count()
+    }
+
     /// Drains a server and replaces it by a new instance at its address.
     pub(crate) fn replace(&self, server: usize) -> io::Result<()> {
         self.drain(server);
@@ -355,6 +378,11 @@
         {
             let mut state = self.servers[server].lock();
             stub.set_name(&server_name(server, state.generation + 1));
+            stub.set_version(version_of(
+                server,
+                state.generation + 1,
+                self.has_two_versions,
+            ));
             if let Some(before) = state.instances.last() {
                 before.crash();
             }
@@ -374,6 +402,7 @@
         {
             let mut state = self.servers[server].lock();
             stub.set_name(&server_name(server, state.generation));
+            stub.set_version(version_of(server, state.generation, self.has_two_versions));
             if let Some(before) = state.instances.last() {
                 before.crash();
             }
@@ -566,6 +595,17 @@
     format!("s{server}-{generation}")
 }
 
+/// Software version of a server under its name of a generation. A replacement has the other one.
+fn version_of(server: usize, generation: u64, has_two_versions: bool) -> &'static str {
+    let number = usize::try_from(generation).unwrap_or(0) + server + 1;
+    let index = if has_two_versions {
+        number % VERSIONS.len()
+    } else {
+        0
+    };
+    VERSIONS[index]
+}
+
 fn own_bytes() -> (u8, u8) {
     let [.., high, low] = std::process::id().to_be_bytes();
     (high % 32, low)
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -15,6 +15,7 @@
 mod plan;
 mod run;
 mod signals;
+mod take_up;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -19,6 +19,7 @@
 use crate::partition::{self, PartitionCheck};
 use crate::plan::{Fault, NextInstance, PlannedFault, RunSize, draw_plan, pace_at};
 use crate::signals::{DisturbedPart, InstanceArrivals, SignalChecks};
+use crate::take_up;
 
 /// Interval between two steps of the run.
 const STEP: Duration = Duration::from_millis(20);
@@ -86,6 +87,7 @@
     } else {
         run.check_brittle()?;
     }
+    run.check_take_up(size)?;
     run.wait_in_force();
     run.wait_used();
     run.check_drain();
@@ -459,7 +461,7 @@
         self.probes += 1;
         let id = format!("probe-{}", self.probes);
         let to = self.targets[vm];
-        let report = call(&self.probe, to, path, &id, RequestKind::Repeatable);
+        let report = call(&self.probe, to, path, &id, RequestKind::Repeatable, None);
         self.signals.record_report(&report);
         report
     }
@@ -557,7 +559,7 @@
             let senders: Vec<_> = (0..BURST_REQUESTS)
                 .map(|number| {
                     let (id, path) = (format!("burst-{number}"), &path);
-                    scope.spawn(move || call(&new_agent(), to, path, &id, kind))
+                    scope.spawn(move || call(&new_agent(), to, path, &id, kind, None))
                 })
                 .collect();
             while senders.iter().any(|sender| !sender.is_finished()) {
@@ -608,6 +610,36 @@
         Ok(())
     }
 
+    /// Kills a VM that sends streams, and checks that callers resume them at other VMs.
+    fn check_take_up(&mut self, size: &RunSize) -> io::Result<()> {
+        if size.vms == 1 {
+            return Ok(());
+        }
+        self.wait(|run| run.deployment.is_running());
+        let vm = usize::try_from(self.seed).unwrap_or(0) % size.vms;
+        let servers = self.deployment.servers.len();
+        for server in 0..servers {
+            self.capacity
+                .begin(Fault::Server(server, ServerFault::Stalls));
+        }
+        self.capacity.begin(Fault::Kill(vm));
+        self.signals.disturbances.begin(DisturbedPart::Process(vm));
+        let (reports, broken) = take_up::check_take_up(self.deployment, vm, &self.targets)?;
+        for report in reports {
+            self.record_report(report);
+        }
+        if let Some(broken) = broken {
+            self.checks.record(broken);
+        }
+        for server in 0..servers {
+            self.capacity
+                .end(|fault| fault == Fault::Server(server, ServerFault::Stalls));
+        }
+        self.capacity.end(|fault| fault == Fault::Kill(vm));
+        self.wait_served("after a VM was killed");
+        Ok(())
+    }
+
     /// Makes all servers brittle and checks that they do not fall over.
     fn check_brittle(&mut self) -> io::Result<()> {
         let servers = self.deployment.servers.len();
--- /dev/null
+++ b/crates/soak/src/take_up.rs
@@ -0,0 +1,106 @@
+//! Checks that callers whose VM is killed resume their streams at other VMs.
+
+use std::io;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use onyxfall_fakes::ServerFault;
+use rustix::process::Signal;
+
+use crate::callers::{CallReport, StreamPart, call, new_agent};
+use crate::checks::BrokenPromise;
+use crate::deployment::{RequestKind, SoakDeployment, VERSIONS};
+
+/// Streams that are sent when the VM is killed.
+const STREAMS: usize = 24;
+/// Least number of resumed streams that are compared with new ones.
+const MIN_TAKEN_UP: usize = 12;
+/// Servers of a version that must serve for its streams to count.
+const MIN_SERVERS: usize = 2;
+/// Time from the start of the streams to the kill; each has sent its first event by then, and no
+/// server that stalls counts as unresponsive yet.
+const LEAD: Duration = Duration::from_millis(250);
+
+/// Kills `vm` while it sends streams, resumes them elsewhere and sends as many new ones. All
+/// servers are free of faults before and after.
+///
+/// # Errors
+///
+/// The process cannot be killed.
+pub(crate) fn check_take_up(
+    deployment: &SoakDeployment,
+    vm: usize,
+    targets: &[SocketAddr],
+) -> io::Result<(Vec<CallReport>, Option<BrokenPromise>)> {
+    set_fault(deployment, ServerFault::Stalls);
+    let begun = thread::scope(|scope| {
+        let callers: Vec<_> = (0..STREAMS)
+            .map(|number| {
+                let id = format!("take-up-{number}");
+                scope.spawn(move || send(targets[vm], &id, None))
+            })
+            .collect();
+        thread::sleep(LEAD);
+        let killed = deployment.signal(vm, Signal::KILL);
+        set_fault(deployment, ServerFault::None);
+        let reports = callers.into_iter().filter_map(|caller| caller.join().ok());
+        killed.map(|()| reports.collect::<Vec<CallReport>>())
+    })?;
+    let others: Vec<SocketAddr> = targets
+        .iter()
+        .copied()
+        .filter(|to| *to != targets[vm])
+        .collect();
+    let parts = begun.iter().filter_map(CallReport::part);
+    let parts = parts.filter(|part| is_compared(deployment, part));
+    let resumed: Vec<CallReport> = parts
+        .enumerate()
+        .map(|(number, part)| {
+            let id = format!("taken-up-{number}");
+            send(others[number % others.len()], &id, Some(part))
+        })
+        .collect();
+    let fresh: Vec<CallReport> = (0..resumed.len())
+        .map(|number| {
+            send(
+                others[number % others.len()],
+                &format!("new-{number}"),
+                None,
+            )
+        })
+        .collect();
+    let is_served = |report: &&CallReport| report.status == Some(200);
+    let (went_on, began) = (
+        resumed.iter().filter(is_served).count(),
+        fresh.iter().filter(is_served).count(),
+    );
+    let is_broken = resumed.len() >= MIN_TAKEN_UP && went_on * 2 < began;
+    let broken = is_broken.then(|| {
+        let text = format!("{went_on} of {} streams, {began} new ones", resumed.len());
+        BrokenPromise::NotResumed(text)
+    });
+    let reports = begun.into_iter().chain(resumed).chain(fresh);
+    Ok((reports.collect(), broken))
+}
+
+fn is_compared(deployment: &SoakDeployment, part: &StreamPart) -> bool {
+    let is_named = |version: &&&str| part.events.contains(&format!(" of {version}\n"));
+    let version = VERSIONS.iter().find(is_named);
+    version.is_some_and(|version| deployment.servers_of(version) >= MIN_SERVERS)
+}
+
+fn send(to: SocketAddr, id: &str, resumes: Option<StreamPart>) -> CallReport {
+    let kind = RequestKind::ResumableStream;
+    // Requests with the same content could be suspected of crashing their servers.
+    let path = format!("{}{id}", kind.prefix());
+    call(&new_agent(), to, &path, id, kind, resumes)
+}
+
+fn set_fault(deployment: &SoakDeployment, fault: ServerFault) {
+    for server in &deployment.servers {
+        for instance in &server.lock().instances {
+            instance.set_fault(fault);
+        }
+    }
+}
