Resumptions: the class of a request is that of its first try; the life of a stream is cached

The class was computed from the regions of one version, which would add a class for each set of regions. The soak tells how many streams of a killed VM went on.

--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -322,6 +322,7 @@
             return Err(error);
         }
     };
+    let class = class_of(gateway, rule, team_rule, &needs);
     let needs = match resumed_needs(gateway, rule, needs, &call).await {
         Ok(needs) => needs,
         Err(error) => {
@@ -329,7 +330,6 @@
             return Err(error);
         }
     };
-    let class = class_of(gateway, rule, team_rule, &needs);
     let mut headers = forward_headers(&head.headers);
     if table.teams().is_some() {
         hide_credential(&mut headers);
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -1,7 +1,7 @@
 //! Versions that began streams: records them at their owners, and finds them for callers that
 //! resume a stream.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,7 +9,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use onyxfall_adapter::{CallHead, StreamResumption};
-use onyxfall_fleet::ResponseShape;
+use onyxfall_fleet::{ConfigVersion, ResponseShape};
 use onyxfall_policy::Moment;
 use onyxfall_streams::{
     HISTORY, OwnerAnswer, ResumptionVerdict, StreamMemory, StreamOrigin, StreamTag, VersionClaim,
@@ -47,6 +47,8 @@
     pending: RefCell<BTreeMap<VmName, Vec<StreamRecord>>>,
     /// Notified when the first record is pending.
     is_pending: Notify,
+    /// Assumed life of a stream, with the configuration that it was computed from.
+    life: Cell<Option<(ConfigVersion, Duration)>>,
 }
 
 impl Default for StreamOrigins {
@@ -56,6 +58,7 @@
             memory: RefCell::default(),
             pending: RefCell::default(),
             is_pending: Notify::new(),
+            life: Cell::default(),
         }
     }
 }
@@ -125,11 +128,20 @@
 
     /// Longest time that callers may take to resume a stream.
     fn stream_life(&self) -> Duration {
-        let table = self.table();
-        let routes = table.iter().flat_map(|table| table.routes());
+        let Some(table) = self.table() else {
+            return HISTORY;
+        };
+        if let Some((version, life)) = self.origins.life.get()
+            && version == table.version()
+        {
+            return life;
+        }
+        let routes = table.routes();
         let streams = routes.filter(|rule| matches!(rule.shape, ResponseShape::Stream { .. }));
         let longest = streams.map(|rule| rule.timeout * TIMEOUTS).max();
-        longest.unwrap_or_default().clamp(MIN_LIFE, HISTORY)
+        let life = longest.unwrap_or_default().clamp(MIN_LIFE, HISTORY);
+        self.origins.life.set(Some((table.version(), life)));
+        life
     }
 
     /// Records which version sent the first event of a caller's stream: at its owners, unless the
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -70,6 +70,7 @@
         checks: PromiseChecks::default(),
         signals: SignalChecks::default(),
         capacity: CapacityChecks::new(has_model_servers(seed)),
+        resumed: String::new(),
         probes: 0,
         rewrite_at: None,
         seed,
@@ -102,12 +103,13 @@
     let limited = run.signals.limited;
     let summary = format!(
         "{:?}, {checked} signals and {limited} limits of servers checked, {} requests while idle, \
-         served {}, most of {} reads of held bytes {}",
+         served {}, most of {} reads of held bytes {}, resumed {}",
         run.checks.statuses,
         run.capacity.idle,
         run.capacity.order(),
         run.capacity.held_reads,
         run.capacity.most_held,
+        run.resumed,
     );
     if !broken.is_empty() {
         eprintln!("logs of the gateways: {}", deployment.dir().display());
@@ -130,6 +132,8 @@
     checks: PromiseChecks,
     signals: SignalChecks,
     capacity: CapacityChecks,
+    /// How many streams of a killed VM were resumed, for the report.
+    resumed: String,
     seed: u64,
     probes: u64,
     /// When the operator and the servers rewrite what a restored store has lost, from the
@@ -624,13 +628,14 @@
         }
         self.capacity.begin(Fault::Kill(vm));
         self.signals.disturbances.begin(DisturbedPart::Process(vm));
-        let (reports, broken) = take_up::check_take_up(self.deployment, vm, &self.targets)?;
-        for report in reports {
-            self.record_report(report);
-        }
-        if let Some(broken) = broken {
+        let result = take_up::check_take_up(self.deployment, vm, &self.targets)?;
+        if let Some(broken) = result.broken() {
             self.checks.record(broken);
         }
+        self.resumed = result.to_string();
+        for report in result.reports {
+            self.record_report(report);
+        }
         for server in 0..servers {
             self.capacity
                 .end(|fault| fault == Fault::Server(server, ServerFault::Stalls));
--- a/crates/soak/src/take_up.rs
+++ b/crates/soak/src/take_up.rs
@@ -1,9 +1,9 @@
 //! Checks that callers whose VM is killed resume their streams at other VMs.
 
-use std::io;
 use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
+use std::{fmt, io};
 
 use onyxfall_fakes::ServerFault;
 use rustix::process::Signal;
@@ -22,6 +22,35 @@
 /// server that stalls counts as unresponsive yet.
 const LEAD: Duration = Duration::from_millis(250);
 
+/// Streams of a killed VM, and new ones for comparison.
+pub(crate) struct TakeUpResult {
+    pub(crate) reports: Vec<CallReport>,
+    /// Streams that callers resumed.
+    taken_up: usize,
+    went_on: usize,
+    /// New streams that began, of as many.
+    began: usize,
+}
+
+impl TakeUpResult {
+    pub(crate) fn broken(&self) -> Option<BrokenPromise> {
+        let is_broken = self.taken_up >= MIN_TAKEN_UP && self.went_on * 2 < self.began;
+        is_broken.then(|| BrokenPromise::NotResumed(self.to_string()))
+    }
+}
+
+impl fmt::Display for TakeUpResult {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            taken_up,
+            went_on,
+            began,
+            ..
+        } = self;
+        write!(f, "{went_on} of {taken_up} streams, {began} new ones began")
+    }
+}
+
 /// Kills `vm` while it sends streams, resumes them elsewhere and sends as many new ones. All
 /// servers are free of faults before and after.
 ///
@@ -32,9 +61,9 @@
     deployment: &SoakDeployment,
     vm: usize,
     targets: &[SocketAddr],
-) -> io::Result<(Vec<CallReport>, Option<BrokenPromise>)> {
+) -> io::Result<TakeUpResult> {
     set_fault(deployment, ServerFault::Stalls);
-    let begun = thread::scope(|scope| {
+    let interrupted = thread::scope(|scope| {
         let callers: Vec<_> = (0..STREAMS)
             .map(|number| {
                 let id = format!("take-up-{number}");
@@ -52,7 +81,7 @@
         .copied()
         .filter(|to| *to != targets[vm])
         .collect();
-    let parts = begun.iter().filter_map(CallReport::part);
+    let parts = interrupted.iter().filter_map(CallReport::part);
     let parts = parts.filter(|part| is_compared(deployment, part));
     let resumed: Vec<CallReport> = parts
         .enumerate()
@@ -75,13 +104,14 @@
         resumed.iter().filter(is_served).count(),
         fresh.iter().filter(is_served).count(),
     );
-    let is_broken = resumed.len() >= MIN_TAKEN_UP && went_on * 2 < began;
-    let broken = is_broken.then(|| {
-        let text = format!("{went_on} of {} streams, {began} new ones", resumed.len());
-        BrokenPromise::NotResumed(text)
-    });
-    let reports = begun.into_iter().chain(resumed).chain(fresh);
-    Ok((reports.collect(), broken))
+    let taken_up = resumed.len();
+    let reports = interrupted.into_iter().chain(resumed).chain(fresh);
+    Ok(TakeUpResult {
+        reports: reports.collect(),
+        taken_up,
+        went_on,
+        began,
+    })
 }
 
 fn is_compared(deployment: &SoakDeployment, part: &StreamPart) -> bool {
