Forwarded resumptions: an answer without the needed version is dropped on first tries too

A caller's own resumption that is forwarded to a VM of an older build was not checked, only one within an answer. The check is now where the answer of another VM is received.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -113,13 +113,10 @@
 ) -> AttemptEnd {
     let is_from_start = extra.is_empty();
     let mut attempt = OpenAttempt::start(gateway, target.id, call, is_from_start);
-    let version = gateway
-        .fleet
-        .borrow()
-        .server(target.id)
-        .record
-        .version
-        .clone();
+    let version = {
+        let fleet = gateway.fleet.borrow();
+        fleet.server(target.id).record.version.clone()
+    };
     // A run that is resumed or continued from a backup is not backed up again.
     let backup = if is_from_start {
         gateway.reserve_backup(call, target)
@@ -275,6 +272,14 @@
         ResponseKind::Signed => {
             let mut upstream = upstream_response(connection, response, target.address, None);
             upstream.version = take_version(&mut upstream.headers);
+            let version = upstream.version.as_ref();
+            if upstream.status.is_success() && !call.needs.allows_version(version) {
+                // A VM of an older build does not know that the request needs a version.
+                upstream.finish(gateway, AttemptResult::Unknown);
+                return AttemptEnd::Lost {
+                    cause: "the other VM does not name the version that the stream needs",
+                };
+            }
             AttemptEnd::Response(Box::new(upstream))
         }
         _ => AttemptEnd::Lost {
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -152,14 +152,13 @@
         }
     });
     let stream = watch_stalls(Rc::clone(&gateway), stream);
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .auto_date_header(false)
         .max_buf_size(head.max(MIN_BUFFER))
         .serve_connection(stream, service);
     tokio::task::spawn_local(async move {
-        let mut connection = connection;
         let ended = tokio::select! {
             ended = &mut connection => ended,
             () = wait_for_close(&gateway) => {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -162,15 +162,13 @@
             .await
             .ok()?;
         match end {
-            AttemptEnd::Response(response)
-                if response.status.is_success()
-                    && call.needs.allows_version(response.version.as_ref()) =>
-            {
+            AttemptEnd::Response(response) if response.status.is_success() => {
+                let (needed, version) = (&call.needs.version, &response.version);
                 log::info!(
                     request = call.request_id.as_str(),
                     after = last_event.as_deref().unwrap_or("start"),
-                    needed_version = call.needs.version.as_ref().map_or("any", SoftwareVersion::as_str),
-                    version = response.version.as_ref().map_or("unknown", SoftwareVersion::as_str),
+                    needed_version = needed.as_ref().map_or("any", SoftwareVersion::as_str),
+                    version = version.as_ref().map_or("unknown", SoftwareVersion::as_str),
                     stream_end = progress.stream_end.map_or("none", StreamEnd::as_str),
                     target = progress.last_target.as_str();
                     "stream resumed"
@@ -182,15 +180,7 @@
             AttemptEnd::Response(response) => {
                 progress.arrivals += 1;
                 progress.runs += 1;
-                let result = if response.status.is_success() {
-                    progress.last_cause = "the stream was resumed at another version";
-                    AttemptResult::Unknown
-                } else {
-                    progress.last_cause = "the server returned an error";
-                    AttemptResult::Failed
-                };
-                log_failed_attempt(call, &progress);
-                response.finish(gateway, result);
+                response.finish(gateway, AttemptResult::Failed);
             }
             other => record_failure(gateway, call, &mut progress, &other).ok()?,
         }
