--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -92,7 +92,7 @@
 pub(crate) type SharedCall = Rc<CallContext>;
 
 /// Limits the requirements of a request to one software version and the regions that have it.
-pub(crate) fn need_version(
+pub(crate) fn limit_to_version(
     needs: &CallRequirements,
     fleet: &FleetView,
     version: &SoftwareVersion,
@@ -109,7 +109,7 @@
     /// The request limited to one software version, for the rest of its stream.
     pub(crate) fn at_version(&self, fleet: &FleetView, version: &SoftwareVersion) -> Self {
         Self {
-            needs: need_version(&self.needs, fleet, version),
+            needs: limit_to_version(&self.needs, fleet, version),
             ..self.clone()
         }
     }
--- a/crates/gateway/src/decide.rs
+++ b/crates/gateway/src/decide.rs
@@ -67,7 +67,7 @@
 impl Gateway {
     /// Decides the next step of a request.
     pub(crate) fn decide(&self, call: &SharedCall, progress: &CallProgress) -> RouteStep {
-        if let Some(step) = self.refuse_versionless(call) {
+        if let Some(step) = self.refuse_without_version(call) {
             return step;
         }
         if let Some(step) = self.decide_suspect(call, progress) {
@@ -118,7 +118,7 @@
     }
 
     /// Refuses the rest of a stream if no server of the version that began it is left.
-    fn refuse_versionless(&self, call: &CallContext) -> Option<RouteStep> {
+    fn refuse_without_version(&self, call: &CallContext) -> Option<RouteStep> {
         let version = call.needs.version.as_ref()?;
         let fleet = self.fleet.borrow();
         let regions = fleet.version_regions(&call.needs.service, version);
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -24,7 +24,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::body::{BodyError, HoldRule, ReplyBody, collect_body};
-use crate::call::{CallContext, CallOrigin, CallRules, ResponseRule, need_version};
+use crate::call::{CallContext, CallOrigin, CallRules, ResponseRule, limit_to_version};
 use crate::caller_stream::{CallerStream, StalledWrite};
 use crate::capacity::{importance, urgency};
 use crate::connection::set_socket_options;
@@ -372,7 +372,7 @@
     let version = gateway
         .find_origin(&needs.service, call, resumption)
         .await?;
-    Ok(need_version(&needs, &gateway.fleet.borrow(), &version))
+    Ok(limit_to_version(&needs, &gateway.fleet.borrow(), &version))
 }
 
 /// The class of a request if capacity is planned for its service.
--- a/crates/gateway/src/origin_messages.rs
+++ b/crates/gateway/src/origin_messages.rs
@@ -9,6 +9,7 @@
 use http::{Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use onyxfall_policy::Moment;
 use onyxfall_streams::{
     HistoryEntry, OwnerAnswer, StreamOrigin, StreamTag, VersionClaim, VersionHistory,
 };
@@ -82,14 +83,10 @@
 }
 
 /// Sends records to an owner. What is lost on the way is not sent again.
-pub(crate) async fn send_records(
-    gateway: &Gateway,
-    vm: &VmName,
-    records: Vec<StreamRecord>,
-) -> Option<()> {
+pub(crate) async fn send_records(gateway: &Gateway, vm: &VmName, records: Vec<StreamRecord>) {
     let message = StreamRecords { records }.encode_to_vec();
-    send_message(gateway, vm, RECORD_PATH, message).await?;
-    Some(())
+    // A lost message is counted where it was sent.
+    let _ = send_message(gateway, vm, RECORD_PATH, message).await;
 }
 
 /// Asks an owner what it knows of a stream.
@@ -128,10 +125,7 @@
 }
 
 /// The history of this VM as a message.
-pub(crate) fn encode_history(
-    history: &VersionHistory,
-    now: onyxfall_policy::Moment,
-) -> VersionHistorySet {
+pub(crate) fn encode_history(history: &VersionHistory, now: Moment) -> VersionHistorySet {
     let entries = history.entries(now).map(|entry| VersionHistoryEntry {
         service: entry.service.to_string(),
         version: entry.version.map_or_else(String::new, |v| v.to_string()),
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -33,8 +33,9 @@
 const TIMEOUTS: u32 = 2;
 /// Shortest assumed life of a stream.
 const MIN_LIFE: Duration = Duration::from_secs(10);
-/// Pauses between two questions for the history of another VM.
-const HISTORY_PAUSES: (Duration, Duration) = (Duration::from_millis(250), Duration::from_secs(8));
+/// Pause before the first question for the history of another VM, and longest pause between two.
+const FIRST_HISTORY_PAUSE: Duration = Duration::from_millis(250);
+const LONGEST_HISTORY_PAUSE: Duration = Duration::from_secs(8);
 /// Retry delay of a resumption whose version is not known: time for a VM that does not answer to
 /// be treated as unresponsive.
 const UNKNOWN_RETRY: Duration = Duration::from_millis(200);
@@ -46,7 +47,7 @@
     /// Records to send, by owner.
     pending: RefCell<BTreeMap<VmName, Vec<StreamRecord>>>,
     /// Notified when the first record is pending.
-    is_pending: Notify,
+    records_pending: Notify,
     /// Assumed life of a stream, with the configuration that it was computed from.
     life: Cell<Option<(ConfigVersion, Duration)>>,
 }
@@ -57,7 +58,7 @@
             history: RefCell::new(VersionHistory::new(Moment::ZERO)),
             memory: RefCell::default(),
             pending: RefCell::default(),
-            is_pending: Notify::new(),
+            records_pending: Notify::new(),
             life: Cell::default(),
         }
     }
@@ -78,7 +79,7 @@
 
 async fn send_pending(gateway: Rc<Gateway>) {
     loop {
-        gateway.origins.is_pending.notified().await;
+        gateway.origins.records_pending.notified().await;
         tokio::time::sleep(GATHER_TIME).await;
         for (vm, records) in gateway.origins.pending.take() {
             let gateway = Rc::clone(&gateway);
@@ -89,29 +90,28 @@
 
 /// Asks other VMs for their history while this VM's own does not cover the life of a stream.
 async fn inherit_history(gateway: Rc<Gateway>) {
-    let (shortest, longest) = HISTORY_PAUSES;
-    let mut pause = shortest;
+    let mut pause = FIRST_HISTORY_PAUSE;
     loop {
         tokio::time::sleep(pause).await;
         if gateway.origins.history.borrow().is_complete(gateway.now()) {
-            pause = longest;
+            pause = LONGEST_HISTORY_PAUSE;
             continue;
         }
-        let teacher = {
+        let peer = {
             let overlay = gateway.overlay.borrow();
             let staying = overlay.roster().others().filter(|vm| vm.is_staying());
             let names = staying.map(|vm| vm.record.name.clone());
             names.choose(&mut *gateway.rng.borrow_mut())
         };
-        let Some(teacher) = teacher else {
-            pause = shortest;
+        let Some(peer) = peer else {
+            pause = FIRST_HISTORY_PAUSE;
             continue;
         };
-        if let Some((age, entries)) = ask_history(&gateway, &teacher).await {
+        if let Some((age, entries)) = ask_history(&gateway, &peer).await {
             let mut history = gateway.origins.history.borrow_mut();
             history.inherit(gateway.now(), age, entries);
         }
-        pause = (pause * 2).min(longest);
+        pause = (pause * 2).min(LONGEST_HISTORY_PAUSE);
     }
 }
 
@@ -178,7 +178,7 @@
             pending.entry(owner).or_default().push(record.clone());
         }
         if was_empty && !pending.is_empty() {
-            self.origins.is_pending.notify_one();
+            self.origins.records_pending.notify_one();
         }
     }
 
--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -17,7 +17,7 @@
 const VERSIONS: [&str; 2] = ["v1", "v2"];
 const RESUMABLE: &str = "/stream/resume/";
 const PATIENCE: Duration = Duration::from_secs(3);
-/// Streams that are taken up again after the death of their VM.
+/// Streams that are resumed after the death of their VM.
 const STREAMS: usize = 8;
 
 /// Starts a server of a version, announced in the first VM's data centre.
@@ -210,7 +210,7 @@
     .unwrap()
 }
 
-struct TakeUpCase {
+struct FailoverCase {
     name: &'static str,
     /// Versions of the servers, two of each.
     versions: &'static [&'static str],
@@ -223,25 +223,25 @@
 #[test]
 fn callers_whose_vm_has_died_resume_at_the_version_that_began_the_stream() {
     let cases = [
-        TakeUpCase {
+        FailoverCase {
             name: "at a VM of the region",
             versions: &VERSIONS,
             begins: 0,
             resumes: 2,
         },
-        TakeUpCase {
+        FailoverCase {
             name: "at a VM of another region",
             versions: &VERSIONS,
             begins: 0,
             resumes: 1,
         },
-        TakeUpCase {
+        FailoverCase {
             name: "streams that another region served",
             versions: &VERSIONS,
             begins: 1,
             resumes: 2,
         },
-        TakeUpCase {
+        FailoverCase {
             name: "with a single version",
             versions: &["v1"],
             begins: 0,
@@ -250,12 +250,12 @@
     ];
     thread::scope(|scope| {
         for case in &cases {
-            scope.spawn(move || check_take_up(case));
+            scope.spawn(move || check_failover(case));
         }
     });
 }
 
-fn check_take_up(case: &TakeUpCase) {
+fn check_failover(case: &FailoverCase) {
     let site = Site::start_in(3, 2);
     let servers: Vec<ServerStub> = case
         .versions
--- a/crates/soak/src/take_up.rs
+++ b/crates/soak/src/failover.rs
@@ -15,7 +15,7 @@
 /// Streams that are sent when the VM is killed.
 const STREAMS: usize = 24;
 /// Least number of resumed streams that are compared with new ones.
-const MIN_TAKEN_UP: usize = 12;
+const MIN_RESUMABLE: usize = 12;
 /// Servers of a version that must serve for its streams to count.
 const MIN_SERVERS: usize = 2;
 /// Time from the start of the streams to the kill; each has sent its first event by then, and no
@@ -23,31 +23,34 @@
 const LEAD: Duration = Duration::from_millis(250);
 
 /// Streams of a killed VM, and new ones for comparison.
-pub(crate) struct TakeUpResult {
+pub(crate) struct FailoverResult {
     pub(crate) reports: Vec<CallReport>,
-    /// Streams that callers resumed.
-    taken_up: usize,
+    /// Streams that callers tried to resume.
+    resumable: usize,
     went_on: usize,
     /// New streams that began, of as many.
     began: usize,
 }
 
-impl TakeUpResult {
+impl FailoverResult {
     pub(crate) fn broken(&self) -> Option<BrokenPromise> {
-        let is_broken = self.taken_up >= MIN_TAKEN_UP && self.went_on * 2 < self.began;
+        let is_broken = self.resumable >= MIN_RESUMABLE && self.went_on * 2 < self.began;
         is_broken.then(|| BrokenPromise::NotResumed(self.to_string()))
     }
 }
 
-impl fmt::Display for TakeUpResult {
+impl fmt::Display for FailoverResult {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
-            taken_up,
+            resumable,
             went_on,
             began,
             ..
         } = self;
-        write!(f, "{went_on} of {taken_up} streams, {began} new ones began")
+        write!(
+            f,
+            "{went_on} of {resumable} streams, {began} new ones began"
+        )
     }
 }
 
@@ -57,16 +60,16 @@
 /// # Errors
 ///
 /// The process cannot be killed.
-pub(crate) fn check_take_up(
+pub(crate) fn check_failover(
     deployment: &SoakDeployment,
     vm: usize,
     targets: &[SocketAddr],
-) -> io::Result<TakeUpResult> {
+) -> io::Result<FailoverResult> {
     set_fault(deployment, ServerFault::Stalls);
     let interrupted = thread::scope(|scope| {
         let callers: Vec<_> = (0..STREAMS)
             .map(|number| {
-                let id = format!("take-up-{number}");
+                let id = format!("failover-{number}");
                 scope.spawn(move || send(targets[vm], &id, None))
             })
             .collect();
@@ -86,7 +89,7 @@
     let resumed: Vec<CallReport> = parts
         .enumerate()
         .map(|(number, part)| {
-            let id = format!("taken-up-{number}");
+            let id = format!("resumed-{number}");
             send(others[number % others.len()], &id, Some(part))
         })
         .collect();
@@ -104,11 +107,11 @@
         resumed.iter().filter(is_served).count(),
         fresh.iter().filter(is_served).count(),
     );
-    let taken_up = resumed.len();
+    let resumable = resumed.len();
     let reports = interrupted.into_iter().chain(resumed).chain(fresh);
-    Ok(TakeUpResult {
+    Ok(FailoverResult {
         reports: reports.collect(),
-        taken_up,
+        resumable,
         went_on,
         began,
     })
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -10,12 +10,12 @@
 mod capacity;
 mod checks;
 mod deployment;
+mod failover;
 mod limits;
 mod partition;
 mod plan;
 mod run;
 mod signals;
-mod take_up;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -16,10 +16,10 @@
 use crate::capacity::CapacityChecks;
 use crate::checks::{BrokenPromise, PromiseChecks};
 use crate::deployment::{RequestKind, SoakDeployment, has_model_servers, has_plan, version_path};
+use crate::failover;
 use crate::partition::{self, PartitionCheck};
 use crate::plan::{Fault, NextInstance, PlannedFault, RunSize, draw_plan, pace_at};
 use crate::signals::{DisturbedPart, InstanceArrivals, SignalChecks};
-use crate::take_up;
 
 /// Interval between two steps of the run.
 const STEP: Duration = Duration::from_millis(20);
@@ -88,7 +88,7 @@
     } else {
         run.check_brittle()?;
     }
-    run.check_take_up(size)?;
+    run.check_failover(size)?;
     run.wait_in_force();
     run.wait_used();
     run.check_drain();
@@ -615,7 +615,7 @@
     }
 
     /// Kills a VM that sends streams, and checks that callers resume them at other VMs.
-    fn check_take_up(&mut self, size: &RunSize) -> io::Result<()> {
+    fn check_failover(&mut self, size: &RunSize) -> io::Result<()> {
         if size.vms == 1 {
             return Ok(());
         }
@@ -628,7 +628,7 @@
         }
         self.capacity.begin(Fault::Kill(vm));
         self.signals.disturbances.begin(DisturbedPart::Process(vm));
-        let result = take_up::check_take_up(self.deployment, vm, &self.targets)?;
+        let result = failover::check_failover(self.deployment, vm, &self.targets)?;
         if let Some(broken) = result.broken() {
             self.checks.record(broken);
         }
--- a/crates/streams/tests/schedules.rs
+++ b/crates/streams/tests/schedules.rs
@@ -111,9 +111,9 @@
                 let state = &mut self.vms[vm];
                 state.history = VersionHistory::new(at(step));
                 state.memory = StreamMemory::default();
-                let teacher = self.rng.random_range(0..VMS);
-                if teacher != vm && !self.is_cut(vm, teacher) {
-                    let history = &self.vms[teacher].history;
+                let peer = self.rng.random_range(0..VMS);
+                if peer != vm && !self.is_cut(vm, peer) {
+                    let history = &self.vms[peer].history;
                     let (age, entries) = (history.age(at(step)), history.entries(at(step)));
                     let entries: Vec<_> = entries.collect();
                     self.vms[vm].history.inherit(at(step), age, entries);
