Test of lost paths: cut the link of the proving server first

Trace: the test cuts three links one after the other; a retry or a check reached the idle server after the others were reset and before its own link was cut. The gateway then rightly took two servers for crashed (the check was answered), or found the proving server unsound. What is asserted is unchanged.

--- a/crates/gateway/tests/partition.rs
+++ b/crates/gateway/tests/partition.rs
@@ -96,8 +96,10 @@
         }
     }
 
+    /// The last link is cut first: a server that proves a lost path must not be reached after the
+    /// connections to the others were reset.
     fn set_cut(&self, vms: &[usize], cut: Option<PathCut>) {
-        for link in &self.links {
+        for link in self.links.iter().rev() {
             for vm in vms {
                 link.set_cut(self.site.source(*vm), cut).unwrap();
             }
