A copy of the store that lacks a change is not passed on

Cause, from the logs: a VM lost the delta with the drain, noticed the gap, and still reported its copy as whole. Five VMs that had lost the same delta asked that VM for its copy, took it for whole and forgot their own gaps; the VM mended its own copy 0.2 s later and passed on nothing. The entry reached them with the server's next write, seven seconds later. Change: a copy with a gap is neither reported as whole nor sent. Evidence: gateway links a_copy_that_lacks_a_change_is_not_passed_on failed before.

--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -68,6 +68,22 @@
         self.has_gap |= own < base || !is_whole;
     }
 
+    /// Whether a change is missing in the copy. Such a copy must not be passed on: its receiver
+    /// would take it for whole.
+    ///
+    /// ```
+    /// use onyxfall_fleet::CopyCheck;
+    /// use onyxfall_policy::Moment;
+    /// let mut check = CopyCheck::default();
+    /// check.record_change(94, 95, true);
+    /// assert!(check.has_gap());
+    /// check.record_full_read(Moment::ZERO);
+    /// assert!(!check.has_gap());
+    /// ```
+    pub const fn has_gap(&self) -> bool {
+        self.has_gap
+    }
+
     /// Records the state `other` of another VM's copy; `own` is the state of this VM's copy.
     pub fn record_peer_state(&mut self, now: Moment, own: CopyState, other: CopyState) {
         self.newest_reported = self.newest_reported.max(other.revision);
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -145,7 +145,7 @@
         let is_steady = {
             let store = self.store.borrow();
             let is_settled = !store.is_watched() || store.health(self.now()) == StoreHealth::Steady;
-            self.copy_is_whole() && is_settled && !mirror.has_missing()
+            self.shares_copy() && is_settled && !mirror.has_missing()
         };
         let cached = &mut *self.cached_parts.borrow_mut();
         let source = Some((mirror.state(), is_steady));
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -332,8 +332,11 @@
                 return self.receive_update(&peer, &update).await.map(Some);
             }
             Some(PeerPayload::SnapshotRequest(request)) => {
-                let copy = self.gateway.own_copy();
-                self.outgoing.begin(copy, request.takes_packed);
+                // A change may have been lost after this VM reported that its copy is whole.
+                if self.gateway.shares_copy() {
+                    let copy = self.gateway.own_copy();
+                    self.outgoing.begin(copy, request.takes_packed);
+                }
             }
             Some(PeerPayload::Snapshot(part)) => self.gateway.apply_copy_part(&peer, part),
             Some(PeerPayload::Delta(delta)) => self.gateway.apply_delta(&peer, delta),
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -159,6 +159,12 @@
         self.share.borrow().is_whole
     }
 
+    /// Whether other VMs may take over this VM's copy of the store.
+    pub(crate) fn shares_copy(&self) -> bool {
+        let share = self.share.borrow();
+        share.is_whole && !share.check.has_gap()
+    }
+
     /// Whether this VM's copy lacks changes and has to be read from the store.
     pub(crate) fn must_catch_up(&self) -> bool {
         self.share.borrow().check.is_due(self.now())
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -70,7 +70,7 @@
         let copy = self.mirror.borrow().state();
         update.copy_hash = copy.hash;
         update.copy_revision = copy.revision;
-        update.copy_is_whole = self.copy_is_whole();
+        update.copy_is_whole = self.shares_copy();
         update.costs = cost_view(relation).map_or_else(Vec::new, |view| sent.costs.due(self, view));
         update.regions = self.region_updates(now, relation, &mut sent.regions);
         self.collect_suspects(&mut sent.suspects, &mut update);
--- a/crates/gateway/tests/links.rs
+++ b/crates/gateway/tests/links.rs
@@ -8,10 +8,10 @@
 use bytes::Bytes;
 use onyxfall_fakes::ServerStub;
 use onyxfall_wire::{
-    FrameReader, FrameWriter, PROTOCOL_VERSION, PeerHello, PeerPayload, SnapshotRequest, VmEntry,
-    VmUpdate,
+    FrameReader, FrameWriter, PROTOCOL_VERSION, PeerHello, PeerPayload, SnapshotItem,
+    SnapshotRequest, StoreDelta, StoreSnapshot, VmEntry, VmUpdate,
 };
-use support::{Gateway, Site};
+use support::{Gateway, Site, wait_for};
 
 /// Timeout for one read, so that a failing test ends.
 const READ_TIMEOUT: Duration = Duration::from_secs(20);
@@ -151,3 +151,68 @@
     let mut link = Link::open(peers(&site, &gateway), hello(PROTOCOL_VERSION + 1, 1));
     assert!(link.next().is_none(), "the link is closed without a reply");
 }
+
+/// The gateway's reply to a message that seeks peers.
+fn seek(link: &mut Link) -> Box<VmUpdate> {
+    let seek = VmUpdate {
+        relation: SEEK,
+        record: Some(peer_entry(1)),
+        ..VmUpdate::default()
+    };
+    link.send(PeerPayload::Update(Box::new(seek)));
+    link.update(REFERRAL)
+}
+
+/// A whole copy of the store with one entry.
+fn snapshot(revision: u64) -> PeerPayload {
+    PeerPayload::Snapshot(StoreSnapshot {
+        revision,
+        items: vec![SnapshotItem {
+            key: "servers/s0".to_owned(),
+            value: Bytes::from_static(b"{}"),
+            revision: 1,
+        }],
+        is_steady: true,
+        ..StoreSnapshot::default()
+    })
+}
+
+#[test]
+fn a_copy_that_lacks_a_change_is_not_passed_on() {
+    let site = Site::start(2);
+    let unreachable = SocketAddr::from((Ipv4Addr::LOCALHOST, 9));
+    let gateway = site.gateway_with_store(0, unreachable);
+    wait_for("the gateway to listen", || {
+        TcpStream::connect(peers(&site, &gateway)).is_ok()
+    });
+    let mut link = Link::open(peers(&site, &gateway), hello(PROTOCOL_VERSION, 1));
+    link.send(snapshot(94));
+    let reply = seek(&mut link);
+    assert!(reply.copy_is_whole && reply.copy_revision == 94);
+    // The change at revision 95 was lost.
+    link.send(PeerPayload::Delta(StoreDelta {
+        base: 95,
+        revision: 96,
+        ..StoreDelta::default()
+    }));
+    let reply = seek(&mut link);
+    assert_eq!(reply.copy_revision, 96);
+    assert!(!reply.copy_is_whole, "a copy with a gap is reported whole");
+    link.send(PeerPayload::SnapshotRequest(SnapshotRequest::default()));
+    link.send(snapshot(96));
+    let mut is_passed_on = false;
+    let seeks = PeerPayload::Update(Box::new(VmUpdate {
+        relation: SEEK,
+        ..VmUpdate::default()
+    }));
+    link.send(seeks);
+    let reply = loop {
+        match link.next().expect("the link ended") {
+            PeerPayload::Snapshot(_) => is_passed_on = true,
+            PeerPayload::Update(update) if update.relation == REFERRAL => break update,
+            _ => {}
+        }
+    };
+    assert!(!is_passed_on, "a copy with a gap is passed on");
+    assert!(reply.copy_is_whole, "whole again after a copy");
+}
