--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -4,12 +4,12 @@
 
 use std::fmt::Write as _;
 use std::io::{Read, Write as _};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::thread;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, StatusCode};
+use http::{HeaderMap, Method, StatusCode};
 use onyxfall_adapter::stub::{caller_headers, resume_stream};
 use onyxfall_fakes::{BreakPoint, ServerFault, ServerStub};
 use support::{Gateway, Reply, Site, call, send, wait_for};
@@ -392,3 +392,64 @@
         true
     });
 }
+
+struct MessageCase {
+    name: &'static str,
+    path: &'static str,
+    body: &'static [u8],
+    status: StatusCode,
+}
+
+#[test]
+fn malformed_messages_of_other_vms_are_rejected() {
+    let cases = [
+        MessageCase {
+            name: "records that are not a message",
+            path: "/onyxfall/origins/record",
+            body: b"\xff\xff",
+            status: StatusCode::BAD_REQUEST,
+        },
+        MessageCase {
+            name: "a record whose version has a blank is skipped",
+            path: "/onyxfall/origins/record",
+            body: b"\x0a\x10\x09\x01\0\0\0\0\0\0\0\x1a\x03v 1\x20\x05",
+            status: StatusCode::OK,
+        },
+        MessageCase {
+            name: "a question without a service",
+            path: "/onyxfall/origins/question",
+            body: b"",
+            status: StatusCode::BAD_REQUEST,
+        },
+        MessageCase {
+            name: "a question that is cut off",
+            path: "/onyxfall/origins/question",
+            body: b"\x12\x09svc",
+            status: StatusCode::BAD_REQUEST,
+        },
+        MessageCase {
+            name: "a question for an unknown stream",
+            path: "/onyxfall/origins/question",
+            body: b"\x12\x03svc",
+            status: StatusCode::OK,
+        },
+        MessageCase {
+            name: "a request for the history",
+            path: "/onyxfall/origins/history",
+            body: b"",
+            status: StatusCode::OK,
+        },
+    ];
+    let site = Site::start(1);
+    let _server = start_server(&site, "s0", "v1");
+    site.configure(1);
+    let gateway = site.gateway(0);
+    gateway.wait_served();
+    let relay = SocketAddr::new(gateway.ip.into(), gateway.ports.relay);
+    for case in cases {
+        let body = Bytes::from_static(case.body);
+        let reply = send(relay, Method::POST, case.path, HeaderMap::new(), body).unwrap();
+        assert_eq!(reply.status, case.status, "{}", case.name);
+    }
+    gateway.wait_served();
+}
