--- a/crates/fakes/src/faulty_link.rs
+++ b/crates/fakes/src/faulty_link.rs
@@ -78,6 +78,7 @@
 
 /// Both ends of a forwarded connection.
 struct OpenConnection {
+    number: u64,
     source: IpAddr,
     near: TcpStream,
     far: TcpStream,
@@ -88,6 +89,8 @@
     target: SocketAddr,
     cuts: BTreeMap<IpAddr, PathCut>,
     open: Vec<OpenConnection>,
+    /// Number of connections so far.
+    connections: u64,
 }
 
 impl LinkState {
@@ -118,6 +121,7 @@
             target,
             cuts: BTreeMap::new(),
             open: Vec::new(),
+            connections: 0,
         }));
         let served = Arc::clone(&state);
         let accepting = listener.try_clone()?;
@@ -262,13 +266,20 @@
     for stream in [&near, &far] {
         let _ = stream.set_nodelay(true);
     }
-    state.lock().open.push(OpenConnection {
-        source,
-        near: kept_near,
-        far: kept_far,
-    });
+    let number = {
+        let mut state = state.lock();
+        state.connections += 1;
+        let number = state.connections;
+        state.open.push(OpenConnection {
+            number,
+            source,
+            near: kept_near,
+            far: kept_far,
+        });
+        number
+    };
     let to_target = Arc::clone(state);
-    thread::spawn(move || {
+    let other = thread::spawn(move || {
         pipe(
             near_copy,
             far_copy,
@@ -278,6 +289,9 @@
         );
     });
     pipe(far, near, source, LinkDirection::FromTarget, state);
+    // A pipe that panicked has ended as well.
+    let _ = other.join();
+    state.lock().open.retain(|open| open.number != number);
 }
 
 /// Forwards the bytes of one direction of a connection from `source`.
--- a/crates/fakes/src/serving.rs
+++ b/crates/fakes/src/serving.rs
@@ -17,6 +17,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
+/// Pause after the system ran out of descriptors for a new connection.
+const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
+
 /// Stops a serving thread, which closes its port and every connection at once.
 pub type StopSignal = Arc<Notify>;
 
@@ -135,7 +138,15 @@
             }
         };
         let accepting = async {
-            while let Ok((stream, peer)) = listener.accept().await {
+            loop {
+                let (stream, peer) = match listener.accept().await {
+                    Ok(accepted) => accepted,
+                    Err(e) => {
+                        log::warn!("a stub cannot accept a connection: {e}");
+                        tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
+                        continue;
+                    }
+                };
                 let handler = handler.clone();
                 let Ok(reset) = ResetSwitch::new(&stream) else {
                     log::error!("a stub cannot duplicate a socket");
