--- a/crates/gateway/tests/partition.rs
+++ b/crates/gateway/tests/partition.rs
@@ -344,3 +344,33 @@
         assert_eq!(reply.status.as_u16(), 200, "{}", reply.text());
     }
 }
+
+/// Connections on a path that is already lost time out whatever their servers do.
+#[test]
+fn runs_whose_connections_time_out_on_a_lost_path_are_not_suspected_of_crashes() {
+    let site = LinkedSite::start(4, 2);
+    let path = "/once/same";
+    let near = [0, 2];
+    let begun = near.map(|server| site.servers[server].runs().len());
+    for server in near {
+        site.servers[server].set_fault(ServerFault::Unresponsive);
+    }
+    thread::scope(|scope| {
+        for caller in 0..8 {
+            let gateway = &site.gateways[0];
+            scope.spawn(move || call(gateway.callers(), path, &format!("lost-{caller}")));
+        }
+        support::wait_for("both servers to run the request", || {
+            let mut servers = near.into_iter().zip(begun);
+            servers.all(|(server, begun)| site.servers[server].runs().len() > begun)
+        });
+        site.set_cut(&near, Some(PathCut::Silent));
+    });
+    support::wait_for("the VM to find its path lost", || {
+        site.gateways[0].log().contains("\"state\":\"lost\"")
+    });
+    for number in 0..10 {
+        let reply = call(site.gateways[1].callers(), path, &format!("sound-{number}")).unwrap();
+        assert_eq!(reply.status.as_u16(), 200, "{}", reply.text());
+    }
+}
