Gateway: connections that time out on a lost path are no evidence of crashes

Cause: a region of two servers leaves none to prove a lost path by, and without proof each run that ended with its connection counted as a crash. The connections of a silent path time out 2 s after its loss, when the checks have failed for long; three of them quarantine their content. Now a run that ends while its path is already lost counts for nothing. What ends before or while the path is doubted still waits for the check and counts unless the path is proved lost. Ruled out: dropping unproved evidence altogether, since a request that crashes both servers of a region leaves the same picture.

--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use onyxfall_fleet::AttemptResult;
+use onyxfall_fleet::{AttemptResult, PathState};
 use onyxfall_policy::Moment;
 use onyxfall_types::ServerId;
 
@@ -133,9 +133,14 @@
 
 impl OpenAttempt {
     /// Counts a run whose connection was lost as evidence of a crash, unless the path to its
-    /// server was lost.
+    /// server was lost. Connections on a path that is already lost time out whatever their
+    /// servers do.
     fn record_lost_run(&self, now: Moment, events: Option<u32>) {
         self.gateway.refresh_paths(now);
+        let service = &self.call.needs.service;
+        if self.gateway.fleet.borrow().path_state(service) == PathState::Lost {
+            return;
+        }
         let run = LostRun {
             at: now,
             call: Rc::clone(&self.call),
