--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,6 +24,7 @@
 mod liveness;
 mod mirror;
 mod pace;
+mod peers;
 mod pools;
 mod predict;
 mod quota;
@@ -61,6 +62,7 @@
     MirrorChange, MirrorDelta, RETURN_WINDOW, StoreEvent, StoreHealth, StoreItem, StoreMirror,
 };
 pub use pace::{PaceReports, PaceSignal, ServerPace, ServerPaceError};
+pub use peers::RegionPeer;
 pub use pools::MIN_WORKING;
 pub use predict::TimePrediction;
 pub use quota::{
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -29,7 +29,7 @@
 use crate::metrics::GatewayMetrics;
 use crate::origins::StreamOrigins;
 use crate::pool::ConnectionPool;
-use crate::reach::LostRun;
+use crate::reach::{LostRun, region_peers};
 use crate::relays::RelayTable;
 use crate::settings::GatewaySettings;
 use crate::share::StoreShare;
@@ -342,14 +342,9 @@
         let mut overlay = self.overlay.borrow_mut();
         let age = overlay.plan(now).knowledge_age();
         let roster = overlay.roster();
-        // Those that reach no servers use no part of what VMs share by server.
-        let near = roster
-            .others()
-            .filter(|vm| roster.is_near(&vm.record) && vm.record.status.unreached.is_empty());
-        let vms: Vec<VmName> = near.map(|vm| vm.record.name.clone()).collect();
         let mut fleet = self.fleet.borrow_mut();
-        fleet.set_alone(vms.is_empty() && self.started.elapsed() >= DISCOVERY_TIME);
-        fleet.update_region_vms(now, vms, DISCOVERY_TIME);
+        let peers = region_peers(roster, self.table.borrow().as_deref());
+        fleet.update_region_peers(now, peers, DISCOVERY_TIME);
         fleet.resize_pools();
         fleet.set_knowledge_age(age);
     }
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -10,7 +10,9 @@
 use http::header::HOST;
 use http::{HeaderValue, Method, Request, Uri};
 use http_body_util::Full;
-use onyxfall_fleet::{LocalOption, PathCheck, PathState, RegionReach, TimePrediction};
+use onyxfall_fleet::{
+    LocalOption, PathCheck, PathState, RegionPeer, RegionReach, RouteTable, TimePrediction,
+};
 use onyxfall_overlay::{KnownVm, Roster, ServiceSet};
 use onyxfall_policy::Moment;
 use onyxfall_types::{RefusalReason, RequestError, ServerId, ServiceName};
@@ -245,6 +247,21 @@
     }
 }
 
+/// The other VMs of this VM's region, with the services of `table` that each does not reach.
+pub(crate) fn region_peers(roster: &Roster, table: Option<&RouteTable>) -> Vec<RegionPeer> {
+    let near = roster.others().filter(|vm| roster.is_near(&vm.record));
+    let peers = near.map(|vm| {
+        let lost = vm.record.status.unreached;
+        let services = table.into_iter().flat_map(RouteTable::services);
+        let unreached = services.filter(|service| lost.contains(&service.name));
+        RegionPeer {
+            vm: vm.record.name.clone(),
+            unreached: unreached.map(|service| service.name.clone()).collect(),
+        }
+    });
+    peers.collect()
+}
+
 /// Waits until a check has shown whether a doubted path is open.
 pub(crate) async fn wait_while_doubted(gateway: &Gateway, service: &ServiceName) {
     while gateway.fleet.borrow().path_state(service) == PathState::Doubted {
