Fleet: VMs that lose their paths together do not leave each other out

Cause: a VM that marked any service as unreached was left out of the list by which the others share cold servers, limits and brittle servers. When both servers of a small service crash, all VMs of a region mark it, each one's list is empty, and each takes itself for the only VM of its region. The same follows for the service itself when all VMs have their paths back and still know old reports. Change: who is left out depends on the service, and a VM leaves nobody out until its own paths to that service have been open for the discovery time. Whether a VM is alone in its region, and whether it still discovers others, no longer depend on paths.

--- a/crates/fleet/src/brittle.rs
+++ b/crates/fleet/src/brittle.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 
 use onyxfall_policy::Moment;
-use onyxfall_types::{RequestRate, ServerId};
+use onyxfall_types::{RequestRate, ServerId, ServiceName};
 
 use crate::call::CallRequirements;
 use crate::view::FleetView;
@@ -149,9 +149,13 @@
         let slots = needs
             .engine
             .map_or(server.record.slots, |engine| engine.slots);
-        let (used, vms) = (f64::from(slots) * USED_PART, self.region_vm_count());
+        let (used, vms) = (
+            f64::from(slots) * USED_PART,
+            self.sender_count(&needs.service),
+        );
         let own = server.own_share();
-        let knows_others = self.is_alone() || !self.region_vms().is_empty();
+        let others = self.sharing_vms(&needs.service);
+        let knows_others = self.is_only_sender(&needs.service) || !others.is_empty();
         if self.is_discovering() || !knows_others {
             // The slots are shared with VMs that this one does not know yet.
             return own.requests == 0;
@@ -175,13 +179,14 @@
         let Some(rate) = self.tolerated_rejections(now, id) else {
             return;
         };
-        let pause = self.region_vm_count() / rate.per_second().max(f64::MIN_POSITIVE);
+        let vms = self.sender_count(&self.server(id).record.service);
+        let pause = vms / rate.per_second().max(f64::MIN_POSITIVE);
         let pause = Duration::from_secs_f64(pause.min(MAX_PAUSE.as_secs_f64()));
         self.server_mut(id).record_backoff(now, pause);
     }
 
-    /// Number of VMs of this region, this one included.
-    fn region_vm_count(&self) -> f64 {
-        (self.region_vms().len() + 1) as f64
+    /// Number of VMs of this region that send to a service, this one included.
+    fn sender_count(&self, service: &ServiceName) -> f64 {
+        (self.sharing_vms(service).len() + 1) as f64
     }
 }
--- a/crates/fleet/src/choose.rs
+++ b/crates/fleet/src/choose.rs
@@ -304,9 +304,10 @@
         if !is_shared || !self.server(id).is_cold(now) {
             return true;
         }
-        let name = &self.server(id).record.name;
-        let is_sender =
-            self.is_alone() || is_cold_sender(name, &self.place().vm, self.region_vms());
+        let record = &self.server(id).record;
+        let others = self.sharing_vms(&record.service);
+        let is_sender = self.is_only_sender(&record.service)
+            || is_cold_sender(&record.name, &self.place().vm, others);
         is_sender && !self.is_discovering() && self.server_mut(id).cold_share().is_available(now)
     }
 
--- a/crates/fleet/src/limit.rs
+++ b/crates/fleet/src/limit.rs
@@ -217,13 +217,14 @@
         let Some(rate) = server.limit(now) else {
             return Duration::ZERO;
         };
-        let (own, others) = (&self.place().vm, self.region_vms());
+        let service = &server.record.service;
+        let (own, others) = (&self.place().vm, self.sharing_vms(service));
         let senders = sender_count(rate);
         if sender_rank("limit", &server.record.name, own, others) >= senders {
             return Duration::from_secs_f64(1.0 / rate.per_second().max(MIN_SENDER_RATE));
         }
         // Without a list of the region's VMs, all senders are assumed to exist.
-        let is_counted = self.is_alone() || !others.is_empty();
+        let is_counted = self.is_only_sender(service) || !others.is_empty();
         let active_senders = if is_counted {
             senders.min(others.len() + 1)
         } else {
--- a/crates/fleet/src/reach.rs
+++ b/crates/fleet/src/reach.rs
@@ -238,6 +238,20 @@
         })
     }
 
+    /// Whether the paths to a service are open, and have been for `time`.
+    pub(crate) fn is_path_open_for(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+        time: Duration,
+    ) -> bool {
+        let monitor = self.paths.monitors.get(service);
+        monitor.is_none_or(|monitor| {
+            let has_changed = monitor.since > Moment::ZERO && now - monitor.since < time;
+            monitor.state == PathState::Open && !has_changed
+        })
+    }
+
     /// States of the paths to all services that were used so far.
     pub fn path_states(&self) -> impl Iterator<Item = (&ServiceName, PathState)> {
         let monitors = self.paths.monitors.iter();
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -24,6 +24,7 @@
 use crate::instance::StartTime;
 use crate::learn::ServiceCosts;
 use crate::liveness::ServerVotes;
+use crate::peers::PeerTable;
 use crate::pools::{
     DormantServer, MIN_WORKING, PoolId, PoolKey, PoolPosition, PoolServer, PoolTable,
 };
@@ -97,12 +98,12 @@
     /// Length of `latest` at which the entries of removed servers are dropped.
     prune_len: usize,
     evacuated: BTreeSet<CenterName>,
-    region_vms: Vec<VmName>,
-    is_alone: bool,
+    /// The other VMs of the region.
+    pub(crate) peers: PeerTable,
     /// Paths to the servers of this region, by service.
     pub(crate) paths: PathTable,
     discovery: RegionDiscovery,
-    /// Whether `region_vms` may lack VMs of this region.
+    /// Whether `peers` may lack VMs of this region.
     is_discovering: bool,
     switches: DecisionSwitches,
     costs: BTreeMap<ServiceName, ServiceCosts>,
@@ -142,8 +143,7 @@
             latest: HashMap::new(),
             prune_len: START_TIMES_PRUNE_LEN,
             evacuated: BTreeSet::new(),
-            region_vms: Vec::new(),
-            is_alone: false,
+            peers: PeerTable::default(),
             paths: PathTable::default(),
             discovery: RegionDiscovery::default(),
             is_discovering: false,
@@ -179,20 +179,20 @@
 
     /// VMs of this region; may include this one.
     pub fn region_vms(&self) -> &[VmName] {
-        &self.region_vms
+        &self.peers.vms
     }
 
     /// Sets the VMs of this region.
     pub fn set_region_vms(&mut self, vms: Vec<VmName>) {
-        self.region_vms = vms;
+        self.peers.vms = vms;
     }
 
     /// Updates the VMs of this region with those discovered so far. A VM that has run for
     /// `discovery_time` since [`Moment::ZERO`] usually knows all of them.
     pub fn update_region_vms(&mut self, now: Moment, vms: Vec<VmName>, discovery_time: Duration) {
-        self.discovery.record(now, &self.region_vms, &vms);
+        self.discovery.record(now, &self.peers.vms, &vms);
         self.is_discovering = self.discovery.is_running(now, discovery_time);
-        self.region_vms = vms;
+        self.peers.vms = vms;
     }
 
     /// Whether the list of this region's VMs is likely to lack some of them.
@@ -202,12 +202,7 @@
 
     /// Sets whether this VM is known to be the only one of its region.
     pub fn set_alone(&mut self, is_alone: bool) {
-        self.is_alone = is_alone;
-    }
-
-    /// Whether this VM is known to be the only one of its region.
-    pub(crate) fn is_alone(&self) -> bool {
-        self.is_alone
+        self.peers.is_alone = is_alone;
     }
 
     /// Sets the age of other VMs' work when it is received.
@@ -229,7 +224,7 @@
             .drawn_rates
             .get(service)
             .map_or(0.0, |m| m.per_second(now));
-        rate * self.region_vms.len() as f64 * self.knowledge_age.as_secs_f64()
+        rate * self.sharing_vms(service).len() as f64 * self.knowledge_age.as_secs_f64()
     }
 
     /// Sets the delay per 1,000 tokens of a shared part that is accepted to avoid
