--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -73,6 +73,8 @@
     broken: BTreeSet<BrokenPromise>,
     /// Requests by status; 0 stands for no response.
     pub(crate) statuses: BTreeMap<u16, usize>,
+    /// Requests that were not run, by kind and reason, for the report of a broken promise.
+    refusals: BTreeMap<String, usize>,
 }
 
 impl PromiseChecks {
@@ -99,6 +101,9 @@
         *self.statuses.entry(status).or_default() += 1;
         if NOT_RUN_STATUSES.contains(&status) {
             self.reported_not_run.insert(report.id.clone(), status);
+            let reason: String = report.body.trim().replace(|c: char| c.is_ascii_digit(), "");
+            let refusal = format!("{:?}: {status} {reason}", report.kind);
+            *self.refusals.entry(refusal).or_default() += 1;
         }
         if (200..300).contains(&status) {
             self.check_response(&report);
@@ -135,6 +140,14 @@
         }
     }
 
+    /// Requests that were not run, by kind and reason, the most frequent first.
+    pub(crate) fn refusals(&self) -> Vec<(usize, &str)> {
+        let refusals = self.refusals.iter();
+        let mut refusals: Vec<_> = refusals.map(|(text, n)| (*n, text.as_str())).collect();
+        refusals.sort_unstable_by(|a, b| b.cmp(a));
+        refusals
+    }
+
     /// The promises broken so far.
     pub(crate) fn broken(&self) -> Vec<BrokenPromise> {
         let mut broken = self.broken.clone();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -113,6 +113,9 @@
     );
     if !broken.is_empty() {
         eprintln!("logs of the gateways: {}", deployment.dir().display());
+        for (count, refusal) in run.checks.refusals() {
+            eprintln!("  {count} of {refusal}");
+        }
     }
     Ok(RunResult {
         broken,
