Soak: requests compared by importance have contents of their own

Both kinds have the same size, VMs and servers, so load cannot have told them apart in that direction; what is refused by content can: all requests of a kind were identical, and identical requests are held back or quarantined together once some were lost with several servers.

The two kinds now carry the id of the request in their bodies, as prompts differ; size, share, tolerance and number of compared requests are unchanged. The other kinds keep one content each, so popular requests stay covered.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -129,7 +129,7 @@
         is_whole: false,
         resumes,
     };
-    let mut request = Request::new("b".repeat(kind.body_bytes()));
+    let mut request = Request::new(kind.body(id));
     *request.method_mut() = Method::POST;
     let Ok(target) = format!("http://{to}{path}").parse() else {
         return report;
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -86,6 +86,17 @@
         }
     }
 
+    /// Body of the request `id`. The kinds that are compared by importance have a content of
+    /// their own for each request: all requests with the content of one that was lost with several
+    /// servers are held back, whatever their importance.
+    pub(crate) fn body(self, id: &str) -> String {
+        let filler = "b".repeat(self.body_bytes());
+        match self {
+            Self::Repeatable | Self::LessImportant => format!("{id}{}", &filler[id.len()..]),
+            _ => filler,
+        }
+    }
+
     const fn shape(self) -> RouteShape {
         match self {
             Self::Once => RouteShape::Once,
