Tests: what the two tests of cold servers share

The configuration, the bound and the count of arrivals; assertions and figures are unchanged. The count of shared_paths includes the end of its second now, as that of cold_restart did.

--- a/crates/fleet/tests/cold_restart.rs
+++ b/crates/fleet/tests/cold_restart.rs
@@ -6,19 +6,15 @@
 use std::time::Duration;
 
 use onyxfall_fleet::{
-    BackendService, CallRequirements, CallerLimits, ConfigVersion, FleetView, HomeRegions,
-    LocalOption, PromptSize, RouteTable, ServerRecord, is_cold_sender,
+    CallRequirements, FleetView, HomeRegions, LocalOption, PromptSize, RouteTable, ServerRecord,
+    is_cold_sender,
 };
 use onyxfall_types::VmName;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
-use support::{at, place, ready_server};
+use support::{COLD_ALLOWED, COLD_RATE, at, cold_table, most_in_a_second, place, ready_server};
 
-/// Requests per second that a cold server of the deployments can take.
-const RATE: f64 = 3.6;
-/// Requests that a cold server may get in one second: 1.5 times its rate, and three.
-const ALLOWED: f64 = RATE * 1.5 + 3.0;
 /// Time for which the servers stay cold, longer than in the deployments, so that the time after
 /// the discovery is covered too.
 const COLD_MS: u64 = 6000;
@@ -139,20 +135,7 @@
 }
 
 fn table() -> RouteTable {
-    let service = BackendService {
-        name: "svc".parse().unwrap(),
-        max_connections: 10,
-        cold_for: Duration::from_millis(COLD_MS),
-        health_path: String::new(),
-        cold_rate: RATE,
-        engine: None,
-    };
-    let limits = CallerLimits {
-        max_head: 1,
-        max_body: 1,
-        idle: Duration::ZERO,
-    };
-    RouteTable::new(ConfigVersion(1), Vec::new(), vec![service], limits)
+    cold_table(&["svc"], Duration::from_millis(COLD_MS))
 }
 
 fn needs() -> CallRequirements {
@@ -222,16 +205,6 @@
     arrivals
 }
 
-/// Most arrivals in any second.
-fn most_in_a_second(arrivals: &[u64]) -> usize {
-    let ends = arrivals.iter().enumerate();
-    let counts = ends.map(|(index, end)| {
-        let earlier = &arrivals[..=index];
-        earlier.iter().filter(|time| **time + 1000 >= *end).count()
-    });
-    counts.max().unwrap_or(0)
-}
-
 /// Guards against overloading a cold server after a region has started again: a VM that knows
 /// one other VM would always rank among the two senders, so each VM of the region could send
 /// until it knows enough of the others. 9 requests arrived in one second where 8.4 are allowed.
@@ -242,7 +215,11 @@
         let most = runs.map(|arrivals| most_in_a_second(&arrivals)).max();
         let most = most.unwrap_or(0);
         println!("{}: at most {most} in a second", case.name);
-        assert!(most as f64 <= ALLOWED, "{}: {most} in a second", case.name);
+        assert!(
+            most as f64 <= COLD_ALLOWED,
+            "{}: {most} in a second",
+            case.name
+        );
     }
 }
 
@@ -257,7 +234,7 @@
         for seed in 0..SEEDS {
             for arrivals in play(case, seed) {
                 let count = arrivals.iter().filter(|time| **time >= from).count();
-                let least = RATE / 2.0 * seconds - 1.0;
+                let least = COLD_RATE / 2.0 * seconds - 1.0;
                 assert!(count as f64 >= least, "{}: {count} of {least}", case.name);
             }
         }
--- a/crates/fleet/tests/shared_paths.rs
+++ b/crates/fleet/tests/shared_paths.rs
@@ -7,18 +7,15 @@
 use std::time::Duration;
 
 use onyxfall_fleet::{
-    AttemptResult, BackendService, CallerLimits, ConfigVersion, FleetView, LocalOption, PathCheck,
-    PathState, RegionPeer, RouteTable, ServerRecord,
+    AttemptResult, FleetView, LocalOption, PathCheck, PathState, RegionPeer, ServerRecord,
 };
 use onyxfall_types::{ServerId, ServiceName, VmName};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use support::{at, needs, place, ready_server};
+use support::{
+    COLD_ALLOWED, COLD_RATE, at, cold_table, most_in_a_second, needs, place, ready_server,
+};
 
-/// Requests per second that a cold server can take.
-const RATE: f64 = 3.6;
-/// Requests that a cold server may get in one second: 1.5 times its rate, and three.
-const ALLOWED: f64 = RATE * 1.5 + 3.0;
 const VMS: usize = 12;
 const END_MS: u64 = 10_000;
 const TICK_MS: u64 = 100;
@@ -96,38 +93,22 @@
     name.parse().unwrap()
 }
 
-fn table() -> RouteTable {
-    let services = [OWN, OTHER].map(|name| BackendService {
-        name: service(name),
-        max_connections: 10,
-        cold_for: Duration::from_millis(END_MS),
-        health_path: String::new(),
-        cold_rate: RATE,
-        engine: None,
-    });
-    let limits = CallerLimits {
-        max_head: 1,
-        max_body: 1,
-        idle: Duration::ZERO,
-    };
-    RouteTable::new(ConfigVersion(1), Vec::new(), services.into(), limits)
-}
-
 impl Vm {
     fn start(number: usize) -> Self {
         let mut view = FleetView::new(place(vm_name(number).as_str(), &[("c0", "r0")]));
+        let table = cold_table(&[OWN, OTHER], Duration::from_millis(END_MS));
         let cold = ServerRecord {
             slots: 10_000,
             cold_left: Duration::from_millis(END_MS),
             ..ready_server("cold")
         };
-        view.put_server(at(0), cold, Some(&table()));
+        view.put_server(at(0), cold, Some(&table));
         for name in ["o0", "o1"] {
             let other = ServerRecord {
                 service: service(OTHER),
                 ..ready_server(name)
             };
-            view.put_server(at(0), other, Some(&table()));
+            view.put_server(at(0), other, Some(&table));
         }
         Self {
             number,
@@ -220,22 +201,17 @@
     arrivals
 }
 
-/// Most arrivals in any second.
-fn most_in_a_second(arrivals: &[u64]) -> usize {
-    let count = |from: &u64| {
-        let second = *from..*from + 1000;
-        arrivals.iter().filter(|time| second.contains(time)).count()
-    };
-    arrivals.iter().map(count).max().unwrap_or(0)
-}
-
 /// VMs that excluded each other from the list by which they share cold servers each sent what all
 /// of them together may send.
 #[test]
 fn vms_without_paths_do_not_overload_a_cold_server() {
     for case in &CASES {
         let most = most_in_a_second(&play(case));
-        assert!(most as f64 <= ALLOWED, "{}: {most} in a second", case.name);
+        assert!(
+            most as f64 <= COLD_ALLOWED,
+            "{}: {most} in a second",
+            case.name
+        );
     }
 }
 
@@ -250,7 +226,7 @@
             let second = from..from + 1000;
             if second.clone().all(|now_ms| case.is_reached(now_ms)) {
                 let count = arrivals.iter().filter(|time| second.contains(time)).count();
-                let least = RATE / 2.0 - 1.0;
+                let least = COLD_RATE / 2.0 - 1.0;
                 assert!(
                     count as f64 >= least,
                     "{}: {count} from {from} ms on",
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use onyxfall_fleet::{
-    CallRequirements, FleetView, HomeRegions, PromptSize, ServerPhase, ServerRecord, StartTime,
-    VmLocation,
+    BackendService, CallRequirements, CallerLimits, ConfigVersion, FleetView, HomeRegions,
+    PromptSize, RouteTable, ServerPhase, ServerRecord, StartTime, VmLocation,
 };
 use onyxfall_policy::Moment;
 use rand::SeedableRng;
@@ -47,6 +47,39 @@
     }
 }
 
+/// Requests per second that a cold server of [`cold_table`] can take.
+pub const COLD_RATE: f64 = 3.6;
+/// Requests that a cold server may get in one second: 1.5 times its rate, and three.
+pub const COLD_ALLOWED: f64 = COLD_RATE * 1.5 + 3.0;
+
+/// Configuration with plain services whose servers are cold for `cold_for`.
+pub fn cold_table(services: &[&str], cold_for: Duration) -> RouteTable {
+    let services = services.iter().map(|name| BackendService {
+        name: name.parse().unwrap(),
+        max_connections: 10,
+        cold_for,
+        health_path: String::new(),
+        cold_rate: COLD_RATE,
+        engine: None,
+    });
+    let limits = CallerLimits {
+        max_head: 1,
+        max_body: 1,
+        idle: Duration::ZERO,
+    };
+    RouteTable::new(ConfigVersion(1), Vec::new(), services.collect(), limits)
+}
+
+/// Most arrivals in any second, by ascending times in milliseconds.
+pub fn most_in_a_second(arrivals: &[u64]) -> usize {
+    let ends = arrivals.iter().enumerate();
+    let counts = ends.map(|(index, end)| {
+        let earlier = &arrivals[..=index];
+        earlier.iter().filter(|time| **time + 1000 >= *end).count()
+    });
+    counts.max().unwrap_or(0)
+}
+
 pub const CENTERS: [(&str, &str); 3] = [("c0", "r0"), ("c1", "r1"), ("c2", "r2")];
 
 /// Number of servers of the largest region, and the ratio of all servers to these.
