Lost runs are logged with the prompt parts that others may share

Fingerprints alone cannot tell a part that crashes servers from servers that crash by themselves: no two of the lost captions have the same content. The line of a lost run now names its shared parts and whether the answer had begun.

--- a/crates/fleet/src/call.rs
+++ b/crates/fleet/src/call.rs
@@ -53,10 +53,35 @@
         Some(parts.iter().fold(0, |key, part| chain(key, part.id)))
     }
 
+    /// The parts that other requests may share: all but the last one.
+    ///
+    /// ```
+    /// use onyxfall_fleet::{PromptPart, PromptSize};
+    /// let parts = [0x5c, 0xe4].map(|id| PromptPart { id, tokens: 100 });
+    /// let prompt = PromptSize { parts: parts.to_vec(), ..PromptSize::default() };
+    /// assert_eq!(prompt.shared_parts(), &parts[..1]);
+    /// ```
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+
+    /// The hashes of the parts that other requests may share, as callers send them.
+    ///
+    /// ```
+    /// use onyxfall_fleet::{PromptPart, PromptSize};
+    /// let parts = [0x5c, 0x91, 0xe4].map(|id| PromptPart { id, tokens: 100 });
+    /// let prompt = PromptSize { parts: parts.to_vec(), ..PromptSize::default() };
+    /// assert_eq!(prompt.shared_parts_text(), "5c,91");
+    /// ```
+    pub fn shared_parts_text(&self) -> String {
+        let ids = self.shared_parts().iter();
+        let ids: Vec<String> = ids.map(|part| format!("{:x}", part.id)).collect();
+        ids.join(",")
+    }
+
     /// Tokens of the parts that other requests may share.
     pub fn shared_tokens(&self) -> u64 {
-        let shared = self.parts.len().saturating_sub(1);
-        self.parts[..shared].iter().map(|part| part.tokens).sum()
+        self.shared_parts().iter().map(|part| part.tokens).sum()
     }
 
     /// Key and tokens of every prefix, shortest first.
--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -152,7 +152,8 @@
     }
 
     /// Logs a run whose connection was lost. The fingerprint shows whether the same request was
-    /// lost with other servers, whatever ids its callers gave it.
+    /// lost with other servers, whatever ids its callers gave it, and the parts what different
+    /// requests had in common.
     fn log_lost_run(&self, now: Moment, events: Option<u32>) {
         let fleet = self.gateway.fleet.borrow();
         let server = fleet.server(self.server);
@@ -162,6 +163,8 @@
             route = self.call.route.as_str(),
             server = server.record.name.as_str(),
             others = server.work().requests.saturating_sub(1),
+            parts:% = self.call.needs.prompt.shared_parts_text(),
+            had_begun = events.is_some(),
             events = events.unwrap_or(0),
             ran_ms = millis(now - self.started);
             "run lost with its server"
