Failing test: a prompt part that crashes its servers is not stopped

Stand-in servers crash under parts of a range of hashes, before the head of the response or after its first event.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -21,8 +21,9 @@
 pub use link::{FakeLink, LinkRules};
 pub use platform::{FakePlatform, PlatformFaults};
 pub use server::{
-    ArrivedRequest, BreakEnd, BreakPoint, CRASHING_BODY, ReceivedRequest, RequestedBackoff,
-    ServerFault, ServerStub, StubFraming, StubSignals, StubTransfer,
+    ArrivedRequest, BreakEnd, BreakPoint, CRASHING_BODY, CRASHING_PARTS, ReceivedRequest,
+    RequestedBackoff, ServerFault, ServerStub, StubFraming, StubSignals, StubTransfer,
+    is_crashing_part,
 };
 pub use service::{FakeService, ServiceFaults, ServiceSettings};
 pub use store::{StoreMode, StoreStub};
--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::ops::RangeInclusive;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -106,6 +107,9 @@
 
 /// Body of a request that crashes the server that runs it.
 pub const CRASHING_BODY: &[u8] = b"crash";
+/// Hashes of prompt parts that crash each server that begins to write an answer on them. With an
+/// odd one it crashes before the head of the response, with an even one after the first event.
+pub const CRASHING_PARTS: RangeInclusive<u64> = 0xdead_0000..=0xdead_ffff;
 /// Time in which rejections for want of room are counted.
 const REJECTION_WINDOW: Duration = Duration::from_secs(1);
 /// Time from the start of such a run to the crash: a model server crashed 40 to 180 ms
@@ -557,10 +561,12 @@
         target,
         body: body.clone(),
     });
-    let is_crashing = body == CRASHING_BODY;
+    let crashing_part = call.shared_parts.iter().find(|id| is_crashing_part(**id));
+    let is_crashing = body == CRASHING_BODY || crashing_part.is_some();
     if is_crashing {
         crash_soon(Arc::clone(&state), crash);
     }
+    let is_silent = crashing_part.is_some_and(|id| !id.is_multiple_of(2));
     let mut guard = CutGuard {
         state,
         is_over: false,
@@ -572,6 +578,7 @@
             return Err(io::Error::other("closed by the stub"));
         }
         ServerFault::Unresponsive => std::future::pending().await,
+        _ if is_silent => std::future::pending().await,
         _ if is_stream => {
             let is_endless = is_crashing || fault == ServerFault::Stalls;
             Response::new(EventBody::stream(&call, fault, guard).with_endless(is_endless))
@@ -604,6 +611,11 @@
     Ok(response)
 }
 
+/// Whether a part of a prompt crashes the servers that run it.
+pub fn is_crashing_part(id: u64) -> bool {
+    CRASHING_PARTS.contains(&id)
+}
+
 fn crash_soon(state: Arc<Mutex<ServerState>>, crash: StopSignal) {
     tokio::task::spawn_local(async move {
         tokio::time::sleep(CRASH_AFTER).await;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -19,7 +19,7 @@
 use hyper_util::rt::TokioIo;
 use onyxfall_adapter::stub::{
     RouteShape, RouteText, ServiceText, TeamText, caller_headers, config_key, document_body,
-    document_with_teams, server_body, server_key,
+    document_with_teams, server_body, server_key, set_prompt_parts, set_prompt_size,
 };
 use onyxfall_fakes::{ServerStub, StoreStub};
 use onyxfall_fleet::{EngineLimits, ServerPhase, ServerRecord, StartTime};
@@ -39,6 +39,9 @@
 /// shared.
 const READY_LIMIT: Duration = Duration::from_secs(20);
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Tokens of prompts and of their responses, and of each part of a prompt.
+const PROMPT_TOKENS: (u32, u32) = (300, 20);
+const PART_TOKENS: u32 = 100;
 const CALL_LIMIT: Duration = Duration::from_secs(20);
 
 static NEXT_SITE: AtomicU32 = AtomicU32::new(1);
@@ -489,6 +492,22 @@
     send_from(from, address, Method::POST, path, headers, body)
 }
 
+/// Sends a request with a prompt of the given parts as a caller that waits for `patience`.
+pub fn call_parts(
+    address: SocketAddr,
+    path: &str,
+    id: &str,
+    parts: &[u64],
+    patience: Duration,
+) -> Option<Reply> {
+    let mut headers = caller_headers(HOST, id, patience);
+    set_prompt_size(&mut headers, PROMPT_TOKENS.0, PROMPT_TOKENS.1);
+    set_prompt_parts(&mut headers, parts, PART_TOKENS);
+    // No two requests have the same content.
+    let body = Bytes::from(id.to_owned());
+    send(address, Method::POST, path, headers, body)
+}
+
 /// Store entry of a server in the first VM's data centre.
 pub fn record(name: &str, server: &ServerStub, started_at: u64) -> ServerRecord {
     ServerRecord {
