--- a/crates/gateway/tests/crashing_parts.rs
+++ b/crates/gateway/tests/crashing_parts.rs
@@ -273,18 +273,12 @@
         let parts = [FIRST_PART, 0xb0 + number % 3, number];
         let sent = start.elapsed();
         let reply = call_parts(gateway.callers(), PATH, &id, &parts, PATIENCE);
-        let count = if sent < BEFORE {
-            before
-        } else if sent > BEFORE + 2 * CONTACT {
-            later
-        } else {
-            continue;
-        };
-        count.sent.fetch_add(1, Ordering::Relaxed);
         let has_begun = reply.is_some_and(|reply| reply.status == StatusCode::OK);
-        count
-            .begun
-            .fetch_add(usize::from(has_begun), Ordering::Relaxed);
+        if sent < BEFORE {
+            before.record(has_begun);
+        } else if sent > BEFORE + 2 * CONTACT {
+            later.record(has_begun);
+        }
         thread::sleep(SOUND_PAUSE);
     }
 }
