--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -387,12 +387,16 @@
     }
 
     /// Fails if the server has started draining, asked for backoff or become unresponsive since
-    /// it was chosen. A new connection takes up to a quarter of a second, and no request may
-    /// follow that signal.
-    fn check_accepting(&self, gateway: &Gateway) -> Result<(), ExchangeFailure> {
+    /// it was chosen, or if the request was found to crash servers. A new connection takes up to
+    /// a quarter of a second, and no request may follow that evidence.
+    fn check_accepting(
+        &self,
+        gateway: &Gateway,
+        call: &CallContext,
+    ) -> Result<(), ExchangeFailure> {
         let now = gateway.now();
         let is_accepting = |server| gateway.fleet.borrow().may_send(now, server);
-        if self.server.is_none_or(is_accepting) {
+        if self.server.is_none_or(is_accepting) && !gateway.is_quarantined(call) {
             return Ok(());
         }
         gateway.metrics.count("onyxfall_sends_held_total");
@@ -418,7 +422,7 @@
             ConnectionChoice::Recent
         };
         while let Some(mut pooled) = gateway.pool.claim(address, choice) {
-            destination.check_accepting(gateway)?;
+            destination.check_accepting(gateway, call)?;
             is_written.set(true);
             match pooled.send(build()).await {
                 Ok(response) => return Ok((pooled, response)),
@@ -438,7 +442,7 @@
             log::info!(address:% = address, error:% = e; "no connection");
             ExchangeFailure::Unreachable
         })?;
-        destination.check_accepting(gateway)?;
+        destination.check_accepting(gateway, call)?;
         is_written.set(true);
         match connection.send(build()).await {
             Ok(response) => Ok((connection, response)),
--- a/crates/gateway/src/backup.rs
+++ b/crates/gateway/src/backup.rs
@@ -10,7 +10,6 @@
 use http::HeaderMap;
 use onyxfall_adapter::{set_copy_from, set_last_event};
 use onyxfall_fleet::ChoiceReason;
-use onyxfall_suspects::SuspectVerdict;
 use onyxfall_types::ServerId;
 
 use crate::attempt::{AttemptEnd, ServerTarget, UpstreamResponse, try_server};
@@ -91,7 +90,7 @@
 ) -> Option<Box<UpstreamResponse>> {
     wait_while_doubted(gateway, &call.needs.service).await;
     let target = backup_target(gateway, call, &backup)?;
-    if matches!(gateway.judge(call), SuspectVerdict::Quarantined { .. }) {
+    if gateway.is_quarantined(call) {
         return None;
     }
     if !gateway.take_retry(&call.needs.service) {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -10,7 +10,7 @@
 use onyxfall_capacity::ClassTag;
 use onyxfall_clock::BootInstant;
 use onyxfall_fleet::{CallRequirements, ConfigVersion, FleetView, HomeRegions};
-use onyxfall_suspects::{FingerprintParts, RequestFingerprint};
+use onyxfall_suspects::{CallKeys, FingerprintParts, PartKeys, PartScope, RequestFingerprint};
 use onyxfall_types::{SoftwareVersion, TeamName, VmName};
 
 /// Origin of a request.
@@ -62,8 +62,8 @@
     pub(crate) route: String,
     /// Team whose key the request carried. `None` on public routes and without teams.
     pub(crate) team: Option<TeamName>,
-    /// Fingerprint of the request, computed on first use.
-    pub(crate) fingerprint: OnceCell<RequestFingerprint>,
+    /// Keys of the evidence about the request, computed on first use.
+    pub(crate) keys: OnceCell<CallKeys>,
     /// Version of the configuration that the request was matched by.
     pub(crate) version: ConfigVersion,
     /// Requirements on a server.
@@ -114,20 +114,36 @@
         }
     }
 
-    /// Digest of the request's content and team, computed on first use.
-    pub(crate) fn fingerprint(&self) -> RequestFingerprint {
-        *self.fingerprint.get_or_init(|| {
+    /// Keys under which evidence about the request is kept, computed on first use: the digest of
+    /// its content and team, and the parts of its prompt that other requests may share.
+    pub(crate) fn keys(&self) -> &CallKeys {
+        self.keys.get_or_init(|| {
             let host = self.headers.get(HOST);
-            RequestFingerprint::of(&FingerprintParts {
+            let fingerprint = RequestFingerprint::of(&FingerprintParts {
                 method: self.method.as_str(),
                 host: host.map_or(&[], http::HeaderValue::as_bytes),
                 target: self.target.path_and_query().map_or("", |t| t.as_str()),
                 team: self.team.as_ref(),
                 body: &self.body,
-            })
+            });
+            CallKeys {
+                request: fingerprint.into(),
+                parts: self.part_keys(),
+            }
         })
     }
 
+    /// Keys of the parts of the prompt that other requests may share.
+    pub(crate) fn part_keys(&self) -> PartKeys {
+        let parts = self.needs.prompt.shared_parts().iter();
+        PartKeys::of(self.part_scope(), parts.map(|part| part.id))
+    }
+
+    /// The scope of the parts of the prompt.
+    pub(crate) fn part_scope(&self) -> PartScope {
+        PartScope::of(&self.needs.service, self.team.as_ref())
+    }
+
     /// Time left until the deadline.
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(BootInstant::now())
--- a/crates/gateway/src/frames.rs
+++ b/crates/gateway/src/frames.rs
@@ -13,7 +13,7 @@
     LinkRelation, OverlayUpdate, RecordVersion, RosterUpdate, ServerTag, ServiceSet, UpdateScope,
     VmCapacity, VmRecord, VmStatus, WorkEntry, WorkUpdate,
 };
-use onyxfall_suspects::{CrashUpdate, InstanceTag, InstanceUpdate, RequestUpdate, SuspectUpdate};
+use onyxfall_suspects::{CrashUpdate, InstanceTag, InstanceUpdate, KeyUpdate, SuspectUpdate};
 use onyxfall_types::{CenterName, Incarnation, RegionName};
 use onyxfall_wire::{
     LostInstanceEntry, ServerWorkEntry, SuspectEntry, VmEntry, VmRosterUpdate, VmUpdate, WorkSet,
@@ -194,18 +194,15 @@
 
 /// Adds changes of crash suspects to a message.
 pub(crate) fn wire_suspects(suspects: &SuspectUpdate, update: &mut VmUpdate) {
-    let requests = suspects.requests.iter();
-    update.suspects = requests
-        .map(|request| SuspectEntry {
-            fingerprint: Bytes::copy_from_slice(request.fingerprint.as_bytes()),
-            lives: request
-                .crashes
-                .iter()
-                .map(|c| c.instance.number())
-                .collect(),
-            ages_ms: request.crashes.iter().map(|c| wire_millis(c.age)).collect(),
-            survivals: request.crashes.iter().map(|c| c.survivals).collect(),
-            good_runs: request.good_runs,
+    let keys = suspects.keys.iter();
+    update.suspects = keys
+        .map(|key| SuspectEntry {
+            fingerprint: Bytes::copy_from_slice(key.key.as_bytes()),
+            lives: key.crashes.iter().map(|c| c.instance.number()).collect(),
+            ages_ms: key.crashes.iter().map(|c| wire_millis(c.age)).collect(),
+            survivals: key.crashes.iter().map(|c| c.survivals).collect(),
+            good_runs: key.good_runs,
+            has_control: key.has_control,
         })
         .collect();
     let instances = suspects.instances.iter();
@@ -220,28 +217,28 @@
 
 /// Extracts the changes of crash suspects from a message, and the number of malformed entries.
 pub(crate) fn read_suspects(update: &VmUpdate) -> (SuspectUpdate, u64) {
-    let requests: Vec<RequestUpdate> = update.suspects.iter().filter_map(read_suspect).collect();
-    let malformed = update.suspects.len() - requests.len();
+    let keys: Vec<KeyUpdate> = update.suspects.iter().filter_map(read_suspect).collect();
+    let malformed = update.suspects.len() - keys.len();
     let instances = update.lost_lives.iter().map(|entry| InstanceUpdate {
         instance: InstanceTag::from_number(entry.life),
         survivals: entry.survivals,
         lost: entry.lost_ms.map(read_millis),
     });
     let suspects = SuspectUpdate {
-        requests,
+        keys,
         instances: instances.collect(),
     };
     (suspects, malformed as u64)
 }
 
-fn read_suspect(entry: &SuspectEntry) -> Option<RequestUpdate> {
+fn read_suspect(entry: &SuspectEntry) -> Option<KeyUpdate> {
     let instances = entry.lives.len();
     if instances != entry.ages_ms.len() || instances != entry.survivals.len() {
         return None;
     }
     let crashes = entry.lives.iter().zip(&entry.ages_ms).zip(&entry.survivals);
-    Some(RequestUpdate {
-        fingerprint: entry.fingerprint.as_ref().try_into().ok()?,
+    Some(KeyUpdate {
+        key: entry.fingerprint.as_ref().try_into().ok()?,
         crashes: crashes
             .map(|((instance, age), survivals)| CrashUpdate {
                 instance: InstanceTag::from_number(*instance),
@@ -250,6 +247,7 @@
             })
             .collect(),
         good_runs: entry.good_runs,
+        has_control: entry.has_control,
     })
 }
 
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -337,7 +337,7 @@
         request_id: call.request_id,
         route: rule.name.to_string(),
         team: team_rule.map(|team| team.name.clone()),
-        fingerprint: OnceCell::new(),
+        keys: OnceCell::new(),
         version: table.version(),
         rules: CallRules {
             repeatable: rule.is_repeatable(),
--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use onyxfall_fleet::{AttemptResult, PathState};
 use onyxfall_policy::Moment;
@@ -27,6 +28,8 @@
     is_finished: bool,
     /// Slowdown of the first byte against the usual time.
     ratio: Cell<Option<f64>>,
+    /// When the first event of the answer was received.
+    written_since: Cell<Option<Moment>>,
     /// Counts the run if its request has been lost with a server before.
     suspect: Option<SuspectRun>,
 }
@@ -56,6 +59,7 @@
             is_from_start,
             is_finished: false,
             ratio: Cell::new(None),
+            written_since: Cell::new(None),
             suspect: SuspectRun::start(gateway, call),
         }
     }
@@ -86,6 +90,19 @@
             .set(ratio.filter(|_| fleet.is_warm(now, self.server)));
     }
 
+    /// Records that the server has written a part of the answer.
+    pub(crate) fn record_written(&self) {
+        if self.written_since.get().is_some() {
+            return;
+        }
+        let now = self.gateway.now();
+        self.written_since.set(Some(now));
+        if self.is_from_start {
+            self.gateway
+                .record_written_run(now, &self.call, self.server);
+        }
+    }
+
     /// Ends the attempt with a result.
     pub(crate) fn finish(&mut self, result: AttemptResult) {
         self.finish_stream(result, None);
@@ -102,6 +119,7 @@
         match result {
             AttemptResult::Broken => self.log_lost_run(now, events),
             AttemptResult::Succeeded if self.is_from_start => {
+                self.record_written();
                 self.gateway.record_completed_run(&self.call);
             }
             _ => {}
@@ -146,6 +164,10 @@
             call: Rc::clone(&self.call),
             server: self.server,
             had_begun: events.is_some(),
+            written: self
+                .written_since
+                .get()
+                .map_or(Duration::ZERO, |since| now - since),
         };
         self.gateway.lost_runs.borrow_mut().push(run);
         self.gateway.settle_lost_runs();
@@ -159,7 +181,7 @@
         let server = fleet.server(self.server);
         log::info!(
             request = self.call.request_id.as_str(),
-            fingerprint:% = self.call.fingerprint(),
+            fingerprint:% = self.call.keys().request,
             route = self.call.route.as_str(),
             server = server.record.name.as_str(),
             others = server.work().requests.saturating_sub(1),
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -42,6 +42,8 @@
     pub(crate) server: ServerId,
     /// Whether the response had begun.
     pub(crate) had_begun: bool,
+    /// Time since the first event of the answer; zero if there was none.
+    pub(crate) written: Duration,
 }
 
 /// States of the paths by service.
@@ -124,7 +126,7 @@
             if state == PathState::Doubted {
                 self.lost_runs.borrow_mut().push(run);
             } else if !is_proved {
-                self.record_lost_run(run.at, &run.call, run.server);
+                self.record_lost_run(&run);
                 if run.had_begun {
                     self.fleet.borrow_mut().record_crash(run.at, run.server);
                 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -225,7 +225,7 @@
         request_id: call.request_id,
         route,
         team,
-        fingerprint: OnceCell::new(),
+        keys: OnceCell::new(),
         version: table.map(|table| table.version()).unwrap_or_default(),
         needs,
         class: None,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -233,6 +233,11 @@
         self.events += part.events;
         if let RelayState::Open(response) = &mut self.state {
             response.events += part.events;
+            if part.events > 0
+                && let Some(attempt) = &response.attempt
+            {
+                attempt.record_written();
+            }
             if part.events > 0 && self.version == StreamVersion::Open {
                 let version = response.version.clone();
                 self.gateway.record_origin(&self.call, version.as_ref());
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -1,9 +1,9 @@
 //! Requests that crash servers: what this VM records of them, and where they may run.
 //!
-//! A single caller that retries such a request can crash many servers: 28 crashed in one
-//! incident, each with up to 128 runs of other callers. Crash evidence therefore outlives
-//! the request and is sent to every VM. `onyxfall_suspects` evaluates the evidence, and
-//! this module applies its verdicts.
+//! A single request that is retried, or a part that many prompts have in common, can crash
+//! one server after the other, each with up to 128 runs of other callers. Crash evidence
+//! therefore outlives the request and is sent to every VM. `onyxfall_suspects` evaluates the
+//! evidence, and this module applies its verdicts.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -15,7 +15,7 @@
 use onyxfall_overlay::{KnownVm, VmRecord};
 use onyxfall_policy::Moment;
 use onyxfall_suspects::{
-    InstanceTag, RequestFingerprint, SuspectCursor, SuspectTable, SuspectVerdict, holder_of,
+    CallJudgement, EvidenceKey, InstanceTag, SuspectCursor, SuspectTable, SuspectVerdict, holder_of,
 };
 use onyxfall_types::{RefusalReason, RegionName, RequestError, ServerId};
 use onyxfall_wire::VmUpdate;
@@ -24,6 +24,7 @@
 use crate::decide::{RouteStep, server_target};
 use crate::frames::{read_suspects, wire_suspects};
 use crate::gateway::Gateway;
+use crate::reach::LostRun;
 use crate::relay::{PeerReason, PeerTarget};
 use crate::serve::CallProgress;
 
@@ -41,39 +42,44 @@
 #[derive(Debug, Default)]
 pub(crate) struct SuspectState {
     table: SuspectTable,
-    /// Number of runs in progress for each request that is in the table.
-    running: HashMap<RequestFingerprint, u32>,
+    /// Number of runs in progress for each key that is in the table.
+    running: HashMap<EvidenceKey, u32>,
 }
 
 /// A run of a request with crash evidence. It counts as running until dropped.
 pub(crate) struct SuspectRun {
     gateway: Rc<Gateway>,
-    fingerprint: RequestFingerprint,
+    keys: Vec<EvidenceKey>,
 }
 
 impl SuspectRun {
     /// Counts a run that starts. Returns `None` if there is no evidence against its request.
     pub(crate) fn start(gateway: &Rc<Gateway>, call: &CallContext) -> Option<Self> {
-        let mut state = gateway.suspects.borrow_mut();
-        if state.table.is_empty() || !state.table.knows(call.fingerprint()) {
+        if gateway.suspects.borrow().table.is_empty() {
             return None;
         }
-        *state.running.entry(call.fingerprint()).or_default() += 1;
+        let tested = gateway.judge(call).map(|judgement| judgement.key);
+        let mut state = gateway.suspects.borrow_mut();
+        let mut keys = state.table.known_keys(call.keys());
+        keys.extend(tested.filter(|key| !keys.contains(key)));
+        for key in &keys {
+            *state.running.entry(*key).or_default() += 1;
+        }
         drop(state);
-        Some(Self {
-            gateway: Rc::clone(gateway),
-            fingerprint: call.fingerprint(),
-        })
+        let gateway = Rc::clone(gateway);
+        (!keys.is_empty()).then_some(Self { gateway, keys })
     }
 }
 
 impl Drop for SuspectRun {
     fn drop(&mut self) {
         let mut state = self.gateway.suspects.borrow_mut();
-        if let Some(count) = state.running.get_mut(&self.fingerprint) {
-            *count -= 1;
-            if *count == 0 {
-                state.running.remove(&self.fingerprint);
+        for key in &self.keys {
+            if let Some(count) = state.running.get_mut(key) {
+                *count -= 1;
+                if *count == 0 {
+                    state.running.remove(key);
+                }
             }
         }
     }
@@ -82,47 +88,62 @@
 impl Gateway {
     /// Records that a server was lost while it ran a request, and sends the evidence at
     /// once.
-    pub(crate) fn record_lost_run(&self, now: Moment, call: &CallContext, server: ServerId) {
-        let instance = self.instance_of(server);
-        let fingerprint = call.fingerprint();
-        let verdict = {
+    pub(crate) fn record_lost_run(&self, run: &LostRun) {
+        let instance = self.instance_of(run.server);
+        let keys = run.call.keys();
+        {
             let mut state = self.suspects.borrow_mut();
-            state.table.record_crash(now, fingerprint, instance);
-            state.table.judge(now, fingerprint)
-        };
+            state.table.record_loss(run.at, keys, instance, run.written);
+        }
         self.metrics.count("onyxfall_lost_runs_total");
-        if verdict != SuspectVerdict::Clear {
+        if let Some(judgement) = self.judge(&run.call) {
             log::warn!(
-                request = call.request_id.as_str(),
-                fingerprint:% = fingerprint,
-                verdict = verdict.as_str();
+                request = run.call.request_id.as_str(),
+                key:% = judgement.key,
+                part = part_text(&run.call, judgement.key).as_deref().unwrap_or("none"),
+                verdict = judgement.verdict.as_str();
                 "request suspected of crashing servers"
             );
         }
         self.send_updates_now.notify_waiters();
     }
 
+    /// Records that a server has begun to write the answer to a request.
+    pub(crate) fn record_written_run(&self, now: Moment, call: &CallContext, server: ServerId) {
+        let parts = call.part_keys();
+        if parts.is_empty() {
+            return;
+        }
+        let instance = self.instance_of(server);
+        let mut state = self.suspects.borrow_mut();
+        state.table.record_start(now, instance, parts);
+    }
+
     /// Records that a request completed without a crash.
     pub(crate) fn record_completed_run(&self, call: &CallContext) {
         let mut state = self.suspects.borrow_mut();
         if !state.table.is_empty() {
-            state.table.record_success(call.fingerprint());
+            state.table.record_success(call.keys().request);
         }
     }
 
-    /// Expires evidence, and clears evidence of lost servers that have shown to be alive.
+    /// Expires evidence, and clears evidence of lost servers that have shown to be alive and of
+    /// parts of prompts that servers have survived.
     pub(crate) fn refresh_suspects(&self, now: Moment) {
         let mut state = self.suspects.borrow_mut();
+        let fleet = self.fleet.borrow();
+        let last_alive = |instance: InstanceTag| {
+            let server = fleet.find_instance(instance.number())?;
+            fleet.server(server).last_liveness()
+        };
+        state.table.settle(now, last_alive);
         if state.table.is_empty() {
             return;
         }
         let lost_instances: Vec<InstanceTag> = state.table.lost_instances().collect();
-        let fleet = self.fleet.borrow();
         for instance in lost_instances {
-            let server = fleet.find_instance(instance.number());
-            let last_liveness = server.and_then(|id| fleet.server(id).last_liveness());
-            if let Some(last_liveness) = last_liveness {
-                state.table.record_liveness(instance, last_liveness);
+            if let Some(last_alive) = last_alive(instance) {
+                state.table.record_liveness(instance, last_alive);
             }
         }
         state.table.expire(now);
@@ -133,13 +154,22 @@
         InstanceTag::from_number(fleet.server(server).instance_hash())
     }
 
-    /// Returns the verdict on a request.
-    pub(crate) fn judge(&self, call: &CallContext) -> SuspectVerdict {
+    /// Judges a request. Returns `None` if it may run as any other.
+    pub(crate) fn judge(&self, call: &CallContext) -> Option<CallJudgement> {
         let state = self.suspects.borrow();
         if state.table.is_empty() || !self.is_on(DecisionSwitch::CrashSuspects) {
-            return SuspectVerdict::Clear;
+            return None;
         }
-        state.table.judge(self.now(), call.fingerprint())
+        let judgement = state.table.judge(self.now(), call.keys());
+        (judgement.verdict != SuspectVerdict::Clear).then_some(judgement)
+    }
+
+    /// Whether the request is known to crash servers.
+    pub(crate) fn is_quarantined(&self, call: &CallContext) -> bool {
+        let judgement = self.judge(call);
+        judgement.is_some_and(|judgement| {
+            matches!(judgement.verdict, SuspectVerdict::Quarantined { .. })
+        })
     }
 
     /// Decides the next step of a request with crash evidence. `None` if the request is routed
@@ -149,27 +179,33 @@
         call: &CallContext,
         progress: &CallProgress,
     ) -> Option<RouteStep> {
-        let verdict = self.judge(call);
+        let CallJudgement { verdict, key } = self.judge(call)?;
         match verdict {
             SuspectVerdict::Clear => None,
-            SuspectVerdict::Quarantined { left } => Some(RouteStep::Refuse(quarantine_error(left))),
+            SuspectVerdict::Quarantined { left } => {
+                Some(RouteStep::Refuse(quarantine_error(call, key, left)))
+            }
             SuspectVerdict::Pending { left } => {
-                Some(reject("servers crashed while running this request", left))
+                Some(reject("servers crashed while running such a request", left))
             }
-            SuspectVerdict::Suspected => Some(self.decide_isolated(call, progress)),
+            SuspectVerdict::Suspected => Some(self.decide_isolated(call, key, progress)),
         }
     }
 
-    fn is_running(&self, call: &CallContext) -> bool {
-        let state = self.suspects.borrow();
-        state.running.contains_key(&call.fingerprint())
+    fn is_running(&self, key: EvidenceKey) -> bool {
+        self.suspects.borrow().running.contains_key(&key)
     }
 
-    /// Runs a suspected request at a single VM of the system, one run at a time, on the server
-    /// where the least would be lost with it.
-    fn decide_isolated(&self, call: &CallContext, progress: &CallProgress) -> RouteStep {
+    /// Runs requests with a suspected key at a single VM of the system, one run at a time, on the
+    /// server where the least would be lost with it.
+    fn decide_isolated(
+        &self,
+        call: &CallContext,
+        key: EvidenceKey,
+        progress: &CallProgress,
+    ) -> RouteStep {
         if call.origin == CallOrigin::Caller
-            && let Some(holder) = self.suspect_holder(call)
+            && let Some(holder) = self.suspect_holder(call, key)
             && holder.name != *self.vm()
         {
             if !progress.vms.is_empty() {
@@ -186,8 +222,8 @@
                 reason: PeerReason::Holder,
             });
         }
-        if self.is_running(call) {
-            return self.wait_or_refuse(call, "the same request is running", RUNNING_RETRY);
+        if self.is_running(key) {
+            return self.wait_or_refuse(call, "such a request is running", RUNNING_RETRY);
         }
         let now = self.now();
         let fleet = self.fleet.borrow();
@@ -199,9 +235,9 @@
         }
     }
 
-    /// Returns the VM that may run a suspected request: one of the live VMs in a region that may
-    /// serve the request and has servers for it.
-    fn suspect_holder(&self, call: &CallContext) -> Option<VmRecord> {
+    /// Returns the VM that may run requests with a suspected key: one of the live VMs in a region
+    /// that may serve the request and has servers for it.
+    fn suspect_holder(&self, call: &CallContext, key: EvidenceKey) -> Option<VmRecord> {
         let overlay = self.overlay.borrow();
         let roster = overlay.roster();
         let fleet = self.fleet.borrow();
@@ -214,7 +250,7 @@
         let vms = others.map(|vm| &vm.record).chain([roster.own()]);
         let vms = vms.filter(|vm| !vm.status.unreached.contains(&call.needs.service));
         let serving: Vec<&VmRecord> = vms.filter(|vm| serves(&vm.region)).collect();
-        let holder = holder_of(call.fingerprint(), serving.iter().map(|vm| &vm.name))?;
+        let holder = holder_of(key, serving.iter().map(|vm| &vm.name))?;
         let record = serving.iter().find(|vm| vm.name == *holder)?;
         Some((*record).clone())
     }
@@ -251,7 +287,16 @@
     RouteStep::Refuse(error.with_retry_after(after))
 }
 
-fn quarantine_error(left: Duration) -> RequestError {
-    let detail = "this request crashes servers";
-    RequestError::not_run(RefusalReason::Quarantined, detail).with_retry_after(left)
+fn quarantine_error(call: &CallContext, key: EvidenceKey, left: Duration) -> RequestError {
+    let detail = part_text(call, key).map_or_else(
+        || "this request crashes servers".to_owned(),
+        |part| format!("part {part} of the prompt crashes servers"),
+    );
+    RequestError::not_run(RefusalReason::Quarantined, &detail).with_retry_after(left)
+}
+
+/// Hash of the part of a request's prompt that a key stands for.
+fn part_text(call: &CallContext, key: EvidenceKey) -> Option<String> {
+    let hash = call.part_scope().hash_of(key)?;
+    Some(format!("{hash:x}"))
 }
--- a/crates/gateway/tests/crashing_parts.rs
+++ b/crates/gateway/tests/crashing_parts.rs
@@ -236,6 +236,7 @@
         check_part(name, &fleet, part);
     }
     let (before, later) = (before.share(), later.share());
+    println!("{name}: {later:.3} of sound requests begin, {before:.3} before");
     assert!(
         later >= before * SERVED_SHARE,
         "{name}: {later:.2} of sound requests begin, {before:.2} before"
@@ -246,12 +247,12 @@
 fn check_part(name: &str, fleet: &ServerFleet<'_>, part: u64) {
     let crashes = fleet.crashes(part);
     assert!(!crashes.is_empty(), "{name}: {part:x} crashed no server");
-    let Some(proved) = crashes.get(PROVING_CRASHES - 1) else {
-        return;
-    };
+    let proved = crashes.get(PROVING_CRASHES - 1);
     let arrivals = fleet.arrivals(part).into_iter();
-    let late = arrivals.filter(|at| *at > *proved + CONTACT).count();
+    let is_late = |at: &Instant| proved.is_some_and(|proved| *at > *proved + CONTACT);
+    let late = arrivals.filter(is_late).count();
     let ended = crashes.len();
+    println!("{name}: {part:x}: {ended} servers crashed, {late} requests were sent late");
     assert!(
         late <= MAX_LATE,
         "{name}: {late} requests with {part:x} were sent late, {ended} servers crashed"
--- a/crates/suspects/src/record.rs
+++ b/crates/suspects/src/record.rs
@@ -1,4 +1,4 @@
-//! Records of one request and of one server instance.
+//! Records of one key and of one server instance.
 //!
 //! Crashes and the events that clear them are ordered by counters and not by times. A time
 //! that is sent as an age over several hops becomes a little later with each hop: an old
@@ -12,8 +12,9 @@
 
 use crate::instance::InstanceTag;
 
-/// Maximum number of crashes kept per request; further ones change no verdict.
-const MAX_CRASHES: usize = 8;
+/// Maximum number of crashes kept per key. Verdicts need five; further ones explain the crashes of
+/// other keys.
+const MAX_CRASHES: usize = 16;
 
 /// Record of a server instance whose connection was lost.
 #[derive(Clone, Copy, Debug, Default)]
@@ -71,12 +72,14 @@
     pub(crate) survivals: u32,
 }
 
-/// Record of a request that was running on servers that were lost.
+/// Record of a key of requests that were running on servers that were lost.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct SuspectRecord {
-    /// Number of times the request succeeded after losses of servers that were running
-    /// it.
+    /// Number of times that a request with the key succeeded after losses of servers that were
+    /// running one.
     pub(crate) good_runs: u32,
+    /// Whether a request without the key has succeeded at the service since the first crash.
+    pub(crate) has_control: bool,
     /// Instances lost while running the request, since its last success.
     crashes: BTreeMap<InstanceTag, CrashRecord>,
     /// Time of the latest of these losses.
@@ -98,11 +101,6 @@
         self.crashes.len()
     }
 
-    /// Whether the request was running on an instance when that was lost.
-    pub(crate) fn was_on(&self, instance: InstanceTag) -> bool {
-        self.crashes.contains_key(&instance)
-    }
-
     /// When a server was last lost while running the request.
     pub(crate) fn newest(&self) -> Moment {
         self.newest
@@ -114,6 +112,7 @@
         let is_new = good_runs > self.good_runs;
         if is_new {
             self.good_runs = good_runs;
+            self.has_control = false;
             self.crashes.clear();
         }
         is_new
--- /dev/null
+++ b/crates/suspects/src/start.rs
@@ -0,0 +1,104 @@
+//! Runs that have begun to write and whose servers may still crash for it.
+//!
+//! A part of a prompt that crashes servers does so when a server begins to write an answer on
+//! it. A run that has begun, and whose server is alive some time later, clears its parts: it
+//! need not have ended, since long answers take many seconds.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use onyxfall_policy::Moment;
+
+use crate::instance::InstanceTag;
+use crate::key::{EvidenceKey, PartKeys};
+
+/// Time after the first event of an answer from which a crash of the server is not due to the
+/// beginning of that answer: servers crashed 40 to 180 ms after it.
+pub(crate) const SURVIVAL: Duration = Duration::from_millis(500);
+/// Time after which a server without a sign of life or of its loss counts as alive. The
+/// connections of a machine that has lost power show nothing for 1.5 s.
+const SILENCE: Duration = Duration::from_secs(3);
+/// Time for which a part that a server has survived gathers no evidence.
+const ALIBI: Duration = Duration::from_secs(2);
+/// Bounds of what is remembered: a VM begins some hundred runs a second.
+const MAX_STARTS: usize = 4096;
+const MAX_ALIBIS: usize = 4096;
+
+/// A run that has begun to write.
+#[derive(Clone, Debug)]
+struct RunStart {
+    at: Moment,
+    instance: InstanceTag,
+    parts: PartKeys,
+}
+
+/// A run whose server survived its beginning.
+#[derive(Clone, Debug)]
+pub(crate) struct SurvivedStart {
+    /// When it began.
+    pub(crate) at: Moment,
+    /// The parts of its prompt.
+    pub(crate) parts: PartKeys,
+}
+
+/// Runs that have begun to write on this VM.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RunStarts {
+    pending: VecDeque<RunStart>,
+    /// When a server was last known to have survived each part.
+    survived: HashMap<EvidenceKey, Moment>,
+}
+
+impl RunStarts {
+    /// Records that a run has begun.
+    pub(crate) fn begin(&mut self, at: Moment, instance: InstanceTag, parts: PartKeys) {
+        if parts.is_empty() || self.pending.len() >= MAX_STARTS {
+            return;
+        }
+        self.pending.push_back(RunStart {
+            at,
+            instance,
+            parts,
+        });
+    }
+
+    /// Removes and returns the runs whose servers have survived their beginning. `is_lost` tells
+    /// whether an instance was lost, and `last_alive` when it last gave a sign of life.
+    pub(crate) fn settle(
+        &mut self,
+        now: Moment,
+        is_lost: impl Fn(InstanceTag) -> bool,
+        last_alive: impl Fn(InstanceTag) -> Option<Moment>,
+    ) -> Vec<SurvivedStart> {
+        let mut survived = Vec::new();
+        self.pending.retain(|start| {
+            if is_lost(start.instance) {
+                return false;
+            }
+            let is_alive = last_alive(start.instance).is_some_and(|at| at >= start.at + SURVIVAL);
+            if !is_alive && now < start.at + SILENCE {
+                return true;
+            }
+            survived.push(SurvivedStart {
+                at: start.at,
+                parts: start.parts.clone(),
+            });
+            false
+        });
+        for key in survived.iter().flat_map(|start| &start.parts.keys) {
+            self.survived.insert(*key, now);
+        }
+        self.survived.retain(|_, at| *at + ALIBI >= now);
+        if self.survived.len() > MAX_ALIBIS {
+            self.survived.clear();
+        }
+        survived
+    }
+
+    /// Whether a server survived a part so shortly before a crash that the part is not its cause.
+    pub(crate) fn has_alibi(&self, key: EvidenceKey, crash: Moment) -> bool {
+        self.survived
+            .get(&key)
+            .is_some_and(|at| *at + ALIBI >= crash)
+    }
+}
--- a/crates/suspects/src/table.rs
+++ b/crates/suspects/src/table.rs
@@ -1,127 +1,143 @@
-//! Table of requests that were running on lost servers, and the verdicts on them.
+//! Table of keys whose requests were running on lost servers, and the verdicts on them.
 
+use std::cell::{Ref, RefCell};
 use std::collections::HashMap;
 use std::time::Duration;
 
 use onyxfall_policy::Moment;
 
-use crate::fingerprint::RequestFingerprint;
+use crate::culprit::{BURST, CountedCrash, KeyCrashes, LocalizedFaults, SUSPECT_WEIGHT};
 use crate::instance::InstanceTag;
+use crate::key::{CallKeys, EvidenceKey, PartKeys};
 use crate::record::{CrashRecord, InstanceRecord, SuspectRecord};
-use crate::update::{CrashUpdate, InstanceUpdate, RequestUpdate, SuspectCursor, SuspectUpdate};
-use crate::verdict::SuspectVerdict;
-
-/// Weights of a crash. A crash near crashes of servers that did not run the request has
-/// half the weight: racks and failure domains fail together, and
-/// a request is retried from one of their servers on the next.
-const FULL_WEIGHT: u32 = 2;
-const SHARED_WEIGHT: u32 = 1;
-/// Time around a crash in which other crashes are near: servers of a failing rack were
-/// lost within 1 s, and unresponsive ones are detected up to 1 s later. A request that was
-/// running on two of them waits until this time is over. In 2,500 crashes of racks that
-/// failed every four seconds, 257 of 483,000 innocent requests were refused with immediate
-/// retries and 57 with the wait; none where racks fail eight seconds apart (test
-/// `innocents`).
-const BURST: Duration = Duration::from_secs(2);
+use crate::start::{RunStarts, SURVIVAL, SurvivedStart};
+use crate::update::{CrashUpdate, InstanceUpdate, KeyUpdate, SuspectCursor, SuspectUpdate};
+use crate::verdict::{CallJudgement, SuspectSummary, SuspectVerdict};
+
 /// Minimum time from a loss to a liveness signal that clears it: bytes received before
 /// the loss are still read for a while.
 pub(crate) const LIVENESS_DELAY: Duration = Duration::from_millis(200);
-/// Weight from which a request runs alone: two crashes of full weight.
-const SUSPECT_WEIGHT: u32 = 2 * FULL_WEIGHT;
-/// Weight from which a request is quarantined: three crashes of full weight. A
-/// request that crashes its servers costs three of them.
-const QUARANTINE_WEIGHT: u32 = 3 * FULL_WEIGHT;
-/// Number of crashes from which a request is quarantined whatever other servers crashed:
-/// two requests that crash servers at the same time would otherwise mask each other.
-const QUARANTINE_CRASHES: usize = 5;
-/// How long a request does not run after its last crash. Then it may be tried once, alone:
-/// a wrong verdict thus ends, and a correct one costs one server per such period.
+/// How long requests with a culprit do not run after its last crash. Then one may be tried,
+/// alone: a wrong verdict thus ends, and a correct one costs one server per such period.
 pub const QUARANTINE: Duration = Duration::from_mins(10);
-/// How long a request's crashes are kept after the last one.
+/// The same for a part of prompts as long as no request without it has succeeded at the service
+/// since: servers may then crash by themselves, and the part may be one that all requests have.
+/// Doubled with each crash after the third.
+const UNCONTROLLED_QUARANTINE: Duration = Duration::from_secs(5);
+const UNCONTROLLED_CRASHES: u32 = 3;
+/// How long a key's crashes are kept after the last one.
 const RETENTION: Duration = Duration::from_hours(1);
-/// The same for a request with a single crash, as hundreds of requests have after each
+/// The same for a key with a single crash, as hundreds of keys have after each
 /// crash.
 const RETENTION_SINGLE: Duration = Duration::from_mins(10);
-/// The same for a request whose crashes are all cleared, since the servers survived: where
+/// The same for a key whose crashes are all cleared, since the servers survived: where
 /// servers drop one connection in fifty, these are most of the table.
 const RETENTION_CLEARED: Duration = Duration::from_secs(10);
-/// Bounds of the table: about 150 bytes per request, 600 KB in total. A crash adds the
-/// requests that ran on the server, at most 128, and requests with the fewest crashes are
-/// evicted first.
-const MAX_REQUESTS: usize = 4096;
+/// Bounds of the table: about 200 bytes per key, 800 KB in total. A crash adds the
+/// requests that ran on the server, at most 128, with the rare parts of their prompts, and
+/// keys with the fewest crashes are evicted first.
+const MAX_KEYS: usize = 4096;
 const MAX_INSTANCES: usize = 1024;
 /// Maximum number of records in one message to another VM, 60 bytes each.
 const MAX_SENT: usize = 256;
 
-/// Requests that were running on lost servers.
+/// Keys of requests that were running on lost servers.
 #[derive(Clone, Debug, Default)]
 pub struct SuspectTable {
-    requests: HashMap<RequestFingerprint, SuspectRecord>,
+    keys: HashMap<EvidenceKey, SuspectRecord>,
     instances: HashMap<InstanceTag, InstanceRecord>,
+    starts: RunStarts,
     changes: u64,
+    /// Culprits by the present evidence, computed on demand.
+    faults: RefCell<Option<LocalizedFaults>>,
 }
 
 impl SuspectTable {
-    /// Whether the table has no request.
+    /// Whether the table has no key.
     pub fn is_empty(&self) -> bool {
-        self.requests.is_empty()
+        self.keys.is_empty()
     }
 
-    /// Number of requests in the table.
+    /// Number of keys in the table.
     pub fn len(&self) -> usize {
-        self.requests.len()
+        self.keys.len()
     }
 
-    /// Whether a request is in the table.
-    pub fn knows(&self, fingerprint: RequestFingerprint) -> bool {
-        self.requests.contains_key(&fingerprint)
+    /// The keys of a request that are in the table.
+    pub fn known_keys(&self, keys: &CallKeys) -> Vec<EvidenceKey> {
+        let known = keys.iter().filter(|key| self.keys.contains_key(key));
+        known.collect()
     }
 
-    /// Records that an instance was lost while running a request.
+    /// Records that an instance was lost while running a request that had been writing its
+    /// answer for `written`, which is zero if it had not begun. A part of a prompt that crashes
+    /// servers does so when they begin to write.
     ///
     /// ```
+    /// use std::time::Duration;
     /// use onyxfall_policy::Moment;
-    /// use onyxfall_suspects::{FingerprintParts, InstanceTag, RequestFingerprint};
-    /// use onyxfall_suspects::{SuspectTable, SuspectVerdict};
-    /// let request = RequestFingerprint::of(&FingerprintParts {
+    /// use onyxfall_suspects::{CallKeys, FingerprintParts, InstanceTag, PartKeys, PartScope};
+    /// use onyxfall_suspects::{RequestFingerprint, SuspectTable, SuspectVerdict};
+    /// let parts = FingerprintParts {
     ///     method: "POST",
     ///     host: b"a",
     ///     target: "/",
     ///     team: None,
     ///     body: b"body",
-    /// });
+    /// };
+    /// let scope = PartScope::of(&"models".parse().unwrap(), None);
+    /// let keys = CallKeys {
+    ///     request: RequestFingerprint::of(&parts).into(),
+    ///     parts: PartKeys::of(scope, [0x91bd]),
+    /// };
     /// let mut table = SuspectTable::default();
     /// for server in ["s1", "s2", "s3"] {
-    ///     table.record_crash(Moment::ZERO, request, InstanceTag::of(server));
+    ///     let instance = InstanceTag::of(server);
+    ///     table.record_loss(Moment::ZERO, &keys, instance, Duration::ZERO);
     /// }
-    /// let verdict = table.judge(Moment::ZERO, request);
+    /// let verdict = table.judge(Moment::ZERO, &keys).verdict;
     /// assert!(matches!(verdict, SuspectVerdict::Quarantined { .. }));
     /// ```
-    pub fn record_crash(
+    pub fn record_loss(
         &mut self,
         now: Moment,
-        fingerprint: RequestFingerprint,
+        keys: &CallKeys,
         instance: InstanceTag,
+        written: Duration,
     ) {
+        self.record_crash(now, keys.request, instance);
+        if written < SURVIVAL {
+            for key in &keys.parts.keys {
+                if !self.starts.has_alibi(*key, now) {
+                    self.record_crash(now, *key, instance);
+                }
+            }
+        }
+        self.bound();
+    }
+
+    fn record_crash(&mut self, now: Moment, key: EvidenceKey, instance: InstanceTag) {
         let survivals = self
             .instances
             .get(&instance)
             .map_or(0, |record| record.survivals);
         self.apply_instance(now, instance, survivals, Some(now));
         let crash = CrashRecord { at: now, survivals };
-        let good_runs = self.requests.get(&fingerprint).map_or(0, |r| r.good_runs);
-        self.apply_request(fingerprint, good_runs, &[(instance, crash)]);
-        self.bound();
+        let (good_runs, has_control) = self
+            .keys
+            .get(&key)
+            .map_or((0, false), |record| (record.good_runs, record.has_control));
+        self.apply_key(key, good_runs, has_control, &[(instance, crash)]);
     }
 
     /// Records a liveness signal of a server instance.
     pub fn record_liveness(&mut self, instance: InstanceTag, at: Moment) {
-        let number = self.changes + 1;
         if let Some(record) = self.instances.get_mut(&instance)
             && record.record_liveness(at)
         {
-            record.changed = number;
-            self.changes = number;
+            self.changes += 1;
+            record.changed = self.changes;
+            self.faults.take();
         }
     }
 
@@ -134,54 +150,171 @@
         lost.map(|(tag, _)| *tag)
     }
 
-    /// Records that a request succeeded, which clears its crashes.
-    pub fn record_success(&mut self, fingerprint: RequestFingerprint) {
-        let number = self.changes + 1;
-        if let Some(record) = self.requests.get_mut(&fingerprint)
-            && record.len() > 0
-        {
-            record.record_good_runs(record.good_runs + 1);
-            record.changed = number;
-            self.changes = number;
+    /// Records that a request succeeded, which clears its own crashes.
+    pub fn record_success(&mut self, request: impl Into<EvidenceKey>) {
+        self.clear(request.into());
+    }
+
+    /// Records that a server has begun to write the answer to a prompt with `parts`.
+    pub fn record_start(&mut self, now: Moment, instance: InstanceTag, parts: PartKeys) {
+        self.starts.begin(now, instance, parts);
+    }
+
+    /// Clears the parts of prompts whose servers have survived the beginning of the answer.
+    /// `last_alive` tells when an instance last gave a sign of life.
+    pub fn settle(&mut self, now: Moment, last_alive: impl Fn(InstanceTag) -> Option<Moment>) {
+        let instances = &self.instances;
+        let is_lost = |tag| {
+            let record: Option<&InstanceRecord> = instances.get(&tag);
+            record.is_some_and(|record| record.lost.is_some())
+        };
+        let survived = self.starts.settle(now, is_lost, last_alive);
+        if self.is_empty() {
+            return;
+        }
+        for start in &survived {
+            for key in &start.parts.keys {
+                self.clear(*key);
+            }
+            self.record_control(start);
         }
     }
 
-    /// Verdict on a request.
-    pub fn judge(&self, now: Moment, fingerprint: RequestFingerprint) -> SuspectVerdict {
-        let Some(record) = self.requests.get(&fingerprint) else {
-            return SuspectVerdict::Clear;
+    /// Clears the crashes of a key. An operator may do so to end a quarantine; returns whether
+    /// there were any.
+    pub fn clear(&mut self, key: EvidenceKey) -> bool {
+        let Some(record) = self.keys.get_mut(&key).filter(|record| record.len() > 0) else {
+            return false;
         };
-        let counted: Vec<Moment> = counted(record, &self.instances).collect();
-        let Some(newest) = counted.iter().copied().max() else {
-            return SuspectVerdict::Clear;
+        record.record_good_runs(record.good_runs + 1);
+        self.changes += 1;
+        record.changed = self.changes;
+        self.faults.take();
+        true
+    }
+
+    /// Records for the culprits of a service that a request without them has succeeded.
+    fn record_control(&mut self, start: &SurvivedStart) {
+        let uncontrolled: Vec<EvidenceKey> = {
+            let faults = self.faults();
+            let culprits = faults.culprits.iter().flat_map(|culprit| &culprit.keys);
+            let others = culprits
+                .filter(|key| key.is_of(start.parts.service) && !start.parts.keys.contains(key));
+            others.copied().collect()
         };
-        let weight: u32 = counted.iter().map(|at| self.weight(record, *at)).sum();
-        let is_proved = weight >= QUARANTINE_WEIGHT || counted.len() >= QUARANTINE_CRASHES;
-        let quarantine = QUARANTINE.saturating_sub(now - newest);
-        let burst = BURST.saturating_sub(now - newest);
-        if is_proved && !quarantine.is_zero() {
-            SuspectVerdict::Quarantined { left: quarantine }
-        } else if !is_proved && weight < SUSPECT_WEIGHT {
-            SuspectVerdict::Clear
-        } else if burst.is_zero() {
-            SuspectVerdict::Suspected
-        } else {
-            SuspectVerdict::Pending { left: burst }
+        for key in uncontrolled {
+            if let Some(record) = self.keys.get_mut(&key)
+                && !record.has_control
+                && record.crashes().any(|(_, crash)| crash.at <= start.at)
+            {
+                record.has_control = true;
+                self.changes += 1;
+                record.changed = self.changes;
+            }
         }
     }
 
-    /// Weight of a request's crash at `at`.
-    fn weight(&self, record: &SuspectRecord, at: Moment) -> u32 {
-        let is_near = |lost: Moment| lost <= at + BURST && at <= lost + BURST;
-        let is_shared = self
-            .instances
-            .iter()
-            .any(|(tag, instance)| instance.lost.is_some_and(is_near) && !record.was_on(*tag));
-        if is_shared {
-            SHARED_WEIGHT
-        } else {
-            FULL_WEIGHT
+    /// Verdict on a request: the most severe one on its keys.
+    pub fn judge(&self, now: Moment, keys: &CallKeys) -> CallJudgement {
+        let verdicts = keys.iter().map(|key| self.judge_key(now, key, keys));
+        let worst = verdicts.max_by_key(|judgement| (judgement.verdict.severity(), judgement.key));
+        worst.unwrap_or(CallJudgement {
+            verdict: SuspectVerdict::Clear,
+            key: keys.request,
+        })
+    }
+
+    fn judge_key(&self, now: Moment, key: EvidenceKey, keys: &CallKeys) -> CallJudgement {
+        let clear = CallJudgement {
+            verdict: SuspectVerdict::Clear,
+            key: keys.request,
+        };
+        let Some(record) = self.keys.get(&key) else {
+            return clear;
+        };
+        let crashes = counted(record, &self.instances);
+        if crashes.len() < 2 {
+            return clear;
+        }
+        let faults = self.faults();
+        if let Some(culprit) = faults.culprit_of(key) {
+            let is_request = key == keys.request;
+            let has_all = culprit.keys.iter().all(|other| keys.has(*other));
+            // Another request with some of the keys of a culprit tells them apart.
+            let period = if is_request || has_all {
+                quarantine(is_request || record.has_control, culprit.crashes)
+            } else {
+                Duration::ZERO
+            };
+            return CallJudgement {
+                verdict: verdict_after(now - culprit.newest, period),
+                key: culprit.keys[0],
+            };
+        }
+        let open = faults.unexplained(&crashes);
+        let newest = open.iter().map(|crash| crash.at).max();
+        match newest {
+            Some(newest) if faults.weight(&open, &self.lost()) >= SUSPECT_WEIGHT => CallJudgement {
+                verdict: verdict_after(now - newest, Duration::ZERO),
+                key,
+            },
+            _ => clear,
+        }
+    }
+
+    /// The culprits and how long requests with them are refused. `is_part` tells which keys are
+    /// those of parts of prompts.
+    pub fn summaries(
+        &self,
+        now: Moment,
+        is_part: impl Fn(EvidenceKey) -> bool,
+    ) -> Vec<SuspectSummary> {
+        let faults = self.faults();
+        let culprits = faults.culprits.iter();
+        let summaries = culprits.flat_map(|culprit| {
+            culprit.keys.iter().map(|key| {
+                let record = self.keys.get(key);
+                let has_control = record.is_some_and(|record| record.has_control);
+                let period = quarantine(has_control || !is_part(*key), culprit.crashes);
+                let age = now - culprit.newest;
+                let others = culprit.keys.iter().copied();
+                SuspectSummary {
+                    key: *key,
+                    verdict: verdict_after(age, period),
+                    crashes: culprit.crashes,
+                    age,
+                    together: others.filter(|other| other != key).collect(),
+                }
+            })
+        });
+        summaries.collect()
+    }
+
+    /// The culprits by the present evidence.
+    fn faults(&self) -> Ref<'_, LocalizedFaults> {
+        if self.faults.borrow().is_none() {
+            let records = self.keys.iter();
+            let candidates = records.map(|(key, record)| KeyCrashes {
+                key: *key,
+                crashes: counted(record, &self.instances),
+            });
+            let candidates = candidates.filter(|candidate| candidate.crashes.len() > 1);
+            let faults = LocalizedFaults::find(candidates.collect(), &self.lost());
+            *self.faults.borrow_mut() = Some(faults);
         }
+        Ref::map(self.faults.borrow(), |faults| {
+            faults.as_ref().expect("computed above")
+        })
+    }
+
+    /// Instances that were lost, with the time of the loss.
+    fn lost(&self) -> Vec<CountedCrash> {
+        let lost = self.instances.iter().filter_map(|(instance, record)| {
+            let at = record.lost?;
+            let instance = *instance;
+            Some(CountedCrash { instance, at })
+        });
+        lost.collect()
     }
 
     /// Changes since `cursor`, the oldest first and limited in number; advances the cursor
@@ -191,7 +324,7 @@
             return SuspectUpdate::default();
         }
         let mut changed: Vec<u64> = self
-            .requests
+            .keys
             .values()
             .map(|record| record.changed)
             .chain(self.instances.values().map(|instance| instance.changed))
@@ -200,14 +333,14 @@
         changed.sort_unstable();
         let up_to = changed.get(MAX_SENT).map_or(self.changes, |next| next - 1);
         let is_due = |number: u64| number > cursor.0 && number <= up_to;
-        let requests = self.requests.iter().filter(|(_, r)| is_due(r.changed));
+        let keys = self.keys.iter().filter(|(_, r)| is_due(r.changed));
         let instances = self
             .instances
             .iter()
             .filter(|(_, instance)| is_due(instance.changed));
         let update = SuspectUpdate {
-            requests: requests
-                .map(|(fingerprint, record)| request_update(now, *fingerprint, record))
+            keys: keys
+                .map(|(key, record)| key_update(now, *key, record))
                 .collect(),
             instances: instances
                 .map(|(tag, instance)| InstanceUpdate {
@@ -222,15 +355,15 @@
     }
 
     /// Applies another VM's update. Returns whether it must be forwarded at once: it changes
-    /// a request with more than one crash.
+    /// a key with more than one crash.
     pub fn apply(&mut self, now: Moment, update: &SuspectUpdate) -> bool {
         let mut is_urgent = false;
         for instance in &update.instances {
             let lost = instance.lost.map(|age| now.before(age));
             self.apply_instance(now, instance.instance, instance.survivals, lost);
         }
-        for request in &update.requests {
-            let crashes: Vec<(InstanceTag, CrashRecord)> = request
+        for key in &update.keys {
+            let crashes: Vec<(InstanceTag, CrashRecord)> = key
                 .crashes
                 .iter()
                 .map(|crash| {
@@ -239,8 +372,13 @@
                     (crash.instance, CrashRecord { at, survivals })
                 })
                 .collect();
-            let is_changed = self.apply_request(request.fingerprint, request.good_runs, &crashes);
+            let is_changed = self.apply_key(key.key, key.good_runs, key.has_control, &crashes);
             is_urgent |= is_changed && crashes.len() > 1;
+            let has_alibi =
+                |(_, crash): &(_, CrashRecord)| self.starts.has_alibi(key.key, crash.at);
+            if is_changed && crashes.iter().any(has_alibi) {
+                self.clear(key.key);
+            }
         }
         self.bound();
         is_urgent
@@ -249,8 +387,8 @@
     /// Evicts old records.
     pub fn expire(&mut self, now: Moment) {
         let instances = &self.instances;
-        self.requests.retain(|_, record| {
-            let retention = match counted(record, instances).count() {
+        self.keys.retain(|_, record| {
+            let retention = match counted(record, instances).len() {
                 0 => RETENTION_CLEARED,
                 1 => RETENTION_SINGLE,
                 _ => RETENTION,
@@ -259,6 +397,7 @@
         });
         self.instances
             .retain(|_, instance| now - instance.updated < RETENTION);
+        self.faults.take();
     }
 
     /// Applies an update on an instance. The record of an instance that was never lost keeps
@@ -270,51 +409,54 @@
         survivals: u32,
         lost: Option<Moment>,
     ) {
-        let number = self.changes + 1;
         let record = self.instances.entry(instance).or_default();
         if record.record_loss(survivals, lost) {
+            self.changes += 1;
             record.updated = now;
-            record.changed = number;
-            self.changes = number;
+            record.changed = self.changes;
+            self.faults.take();
         }
     }
 
-    /// Applies the good runs and crashes of a request; returns whether that changed its
+    /// Applies the good runs, control and crashes of a key; returns whether that changed its
     /// record.
-    fn apply_request(
+    fn apply_key(
         &mut self,
-        fingerprint: RequestFingerprint,
+        key: EvidenceKey,
         good_runs: u32,
+        has_control: bool,
         crashes: &[(InstanceTag, CrashRecord)],
     ) -> bool {
-        let number = self.changes + 1;
-        let record = self.requests.entry(fingerprint).or_default();
+        let record = self.keys.entry(key).or_default();
         let mut is_changed = record.record_good_runs(good_runs);
         if good_runs == record.good_runs {
+            is_changed |= has_control && !record.has_control;
+            record.has_control |= has_control;
             for (instance, crash) in crashes {
                 is_changed |= record.record_crash(*instance, *crash);
             }
         }
         if is_changed {
-            record.changed = number;
-            self.changes = number;
+            self.changes += 1;
+            record.changed = self.changes;
+            self.faults.take();
         }
         is_changed
     }
 
-    /// Evicts what exceeds the bounds: requests with the fewest crashes, the oldest first,
+    /// Evicts what exceeds the bounds: keys with the fewest crashes, the oldest first,
     /// and the oldest instances.
     fn bound(&mut self) {
-        let excess = self.requests.len().saturating_sub(MAX_REQUESTS);
+        let excess = self.keys.len().saturating_sub(MAX_KEYS);
         if excess > 0 {
-            let mut ranked: Vec<(usize, Moment, RequestFingerprint)> = self
-                .requests
+            let mut ranked: Vec<(usize, Moment, EvidenceKey)> = self
+                .keys
                 .iter()
-                .map(|(fingerprint, record)| (record.len(), record.newest(), *fingerprint))
+                .map(|(key, record)| (record.len(), record.newest(), *key))
                 .collect();
             ranked.sort_unstable();
-            for (_, _, fingerprint) in ranked.into_iter().take(excess) {
-                self.requests.remove(&fingerprint);
+            for (_, _, key) in ranked.into_iter().take(excess) {
+                self.keys.remove(&key);
             }
         }
         let excess = self.instances.len().saturating_sub(MAX_INSTANCES);
@@ -332,28 +474,53 @@
     }
 }
 
-/// Times of a request's crashes, without those of servers that survived.
+/// Verdict on requests with a suspected key whose last crash is `age` ago, if they do not run
+/// for `period` after it. They do not run during a burst of crashes in any case.
+fn verdict_after(age: Duration, period: Duration) -> SuspectVerdict {
+    let left = period.saturating_sub(age);
+    let burst = BURST.saturating_sub(age);
+    if !left.is_zero() {
+        SuspectVerdict::Quarantined { left }
+    } else if !burst.is_zero() {
+        SuspectVerdict::Pending { left: burst }
+    } else {
+        SuspectVerdict::Suspected
+    }
+}
+
+/// How long requests with a culprit of so many crashes are refused, which either is sure or a
+/// part of prompts without a control.
+fn quarantine(is_sure: bool, crashes: u32) -> Duration {
+    if is_sure {
+        return QUARANTINE;
+    }
+    let doublings = crashes.saturating_sub(UNCONTROLLED_CRASHES).min(16);
+    QUARANTINE.min(UNCONTROLLED_QUARANTINE * (1 << doublings))
+}
+
+/// A key's crashes, without those of servers that survived.
 fn counted(
     record: &SuspectRecord,
     instances: &HashMap<InstanceTag, InstanceRecord>,
-) -> impl Iterator<Item = Moment> {
+) -> Vec<CountedCrash> {
     let has_survived = |instance: InstanceTag, crash: CrashRecord| {
         let known = instances.get(&instance);
         known.is_some_and(|known| known.survivals > crash.survivals)
     };
     let crashes = record.crashes();
-    let crashes = crashes.filter(move |(instance, crash)| !has_survived(*instance, *crash));
-    crashes.map(|(_, crash)| crash.at)
+    let crashes = crashes.filter(|(instance, crash)| !has_survived(*instance, *crash));
+    let crashes = crashes.map(|(instance, crash)| CountedCrash {
+        instance,
+        at: crash.at,
+    });
+    crashes.collect()
 }
 
-fn request_update(
-    now: Moment,
-    fingerprint: RequestFingerprint,
-    record: &SuspectRecord,
-) -> RequestUpdate {
-    RequestUpdate {
-        fingerprint,
+fn key_update(now: Moment, key: EvidenceKey, record: &SuspectRecord) -> KeyUpdate {
+    KeyUpdate {
+        key,
         good_runs: record.good_runs,
+        has_control: record.has_control,
         crashes: record
             .crashes()
             .map(|(instance, crash)| CrashUpdate {
--- a/crates/suspects/src/update.rs
+++ b/crates/suspects/src/update.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
-use crate::fingerprint::RequestFingerprint;
 use crate::instance::InstanceTag;
+use crate::key::EvidenceKey;
 
 /// The loss of a server instance that was running a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,15 +18,17 @@
     pub survivals: u32,
 }
 
-/// Update on a request.
+/// Update on a key.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RequestUpdate {
-    /// Fingerprint of the request.
-    pub fingerprint: RequestFingerprint,
-    /// Number of times the request succeeded after losses of servers that were running
-    /// it.
+pub struct KeyUpdate {
+    /// The key.
+    pub key: EvidenceKey,
+    /// Number of times that a request with the key succeeded after losses of servers that were
+    /// running one.
     pub good_runs: u32,
-    /// Losses of servers that were running the request, since its last success.
+    /// Whether a request without the key has succeeded at the service since the first crash.
+    pub has_control: bool,
+    /// Losses of servers that were running a request with the key, since the last success.
     pub crashes: Vec<CrashUpdate>,
 }
 
@@ -41,11 +43,11 @@
     pub lost: Option<Duration>,
 }
 
-/// Changes of requests and of server instances.
+/// Changes of keys and of server instances.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SuspectUpdate {
-    /// Changed requests.
-    pub requests: Vec<RequestUpdate>,
+    /// Changed keys.
+    pub keys: Vec<KeyUpdate>,
     /// Changed server instances.
     pub instances: Vec<InstanceUpdate>,
 }
@@ -57,7 +59,7 @@
     /// assert!(onyxfall_suspects::SuspectUpdate::default().is_empty());
     /// ```
     pub fn is_empty(&self) -> bool {
-        self.requests.is_empty() && self.instances.is_empty()
+        self.keys.is_empty() && self.instances.is_empty()
     }
 }
 
--- a/crates/suspects/tests/innocents.rs
+++ b/crates/suspects/tests/innocents.rs
@@ -12,7 +12,8 @@
 use expect_test::expect;
 use onyxfall_policy::Moment;
 use onyxfall_suspects::{
-    FingerprintParts, InstanceTag, RequestFingerprint, SuspectTable, SuspectVerdict,
+    CallKeys, FingerprintParts, InstanceTag, PartKeys, PartScope, RequestFingerprint, SuspectTable,
+    SuspectVerdict,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -71,6 +72,14 @@
     })
 }
 
+/// Keys of a request without shared parts.
+fn keys(request: RequestFingerprint) -> CallKeys {
+    CallKeys {
+        request: request.into(),
+        parts: PartKeys::of(PartScope::of(&"models".parse().unwrap(), None), []),
+    }
+}
+
 impl Region {
     fn new(seed: u64) -> Self {
         let servers = (0..SERVERS).map(|instance| Server {
@@ -144,7 +153,8 @@
         self.servers[index].instance = self.instances;
         self.instances += 1;
         for run in &lost {
-            self.table.record_crash(now, run.request, instance);
+            self.table
+                .record_loss(now, &keys(run.request), instance, Duration::ZERO);
         }
         for run in lost {
             if run.attempts < ATTEMPTS {
@@ -155,7 +165,7 @@
 
     /// Retries a request on a running server, as its verdict allows.
     fn retry(&mut self, request: RequestFingerprint, attempts: usize) {
-        let verdict = self.table.judge(self.now, request);
+        let verdict = self.table.judge(self.now, &keys(request)).verdict;
         if verdict != SuspectVerdict::Clear {
             *self.refused.entry(verdict.as_str()).or_default() += 1;
         }
@@ -237,7 +247,7 @@
         let mut lost = 0;
         for _ in 0..40 {
             region.run_for(Duration::from_millis(500));
-            let verdict = region.table.judge(region.now, guilty);
+            let verdict = region.table.judge(region.now, &keys(guilty)).verdict;
             if !matches!(verdict, SuspectVerdict::Clear | SuspectVerdict::Suspected) {
                 continue;
             }
--- a/crates/suspects/tests/verdicts.rs
+++ b/crates/suspects/tests/verdicts.rs
@@ -4,8 +4,8 @@
 
 use onyxfall_policy::Moment;
 use onyxfall_suspects::{
-    FingerprintParts, InstanceTag, QUARANTINE, RequestFingerprint, SuspectCursor, SuspectTable,
-    SuspectVerdict,
+    CallKeys, FingerprintParts, InstanceTag, PartKeys, PartScope, QUARANTINE, RequestFingerprint,
+    SuspectCursor, SuspectTable, SuspectVerdict,
 };
 use proptest::prelude::*;
 
@@ -23,6 +23,18 @@
     })
 }
 
+/// Keys of a request without shared parts.
+fn keys(body: &str) -> CallKeys {
+    CallKeys {
+        request: request(body).into(),
+        parts: PartKeys::of(PartScope::of(&"models".parse().unwrap(), None), []),
+    }
+}
+
+fn lose(table: &mut SuspectTable, now: Moment, body: &str, server: &str) {
+    table.record_loss(now, &keys(body), InstanceTag::of(server), Duration::ZERO);
+}
+
 /// An event that a VM records, with its time in milliseconds.
 #[derive(Clone, Copy, Debug)]
 enum Event {
@@ -38,7 +50,7 @@
     for event in events {
         match *event {
             Event::Lost(when, body, name) => {
-                table.record_crash(at(when), request(body), InstanceTag::of(name));
+                lose(table, at(when), body, name);
             }
             Event::Served(body) => table.record_success(request(body)),
             Event::Alive(when, name) => table.record_liveness(InstanceTag::of(name), at(when)),
@@ -214,7 +226,7 @@
     for case in CASES {
         let mut table = SuspectTable::default();
         apply_events(&mut table, case.events);
-        let verdict = table.judge(at(case.when), request("a"));
+        let verdict = table.judge(at(case.when), &keys("a")).verdict;
         assert_eq!(verdict.as_str(), case.verdict, "{}", case.name);
     }
 }
@@ -223,10 +235,10 @@
 fn the_verdict_carries_the_remaining_quarantine() {
     let mut table = SuspectTable::default();
     for (when, server) in [(0, "s1"), (100, "s2"), (400, "s3")] {
-        table.record_crash(at(when), request("a"), InstanceTag::of(server));
+        lose(&mut table, at(when), "a", server);
     }
     let left = QUARANTINE.saturating_sub(Duration::from_mins(1));
-    let verdict = table.judge(at(60_400), request("a"));
+    let verdict = table.judge(at(60_400), &keys("a")).verdict;
     assert_eq!(verdict, SuspectVerdict::Quarantined { left });
 }
 
@@ -234,14 +246,18 @@
 fn tables_are_bounded_and_keep_requests_with_most_crashes() {
     let mut table = SuspectTable::default();
     for server in ["s1", "s2", "s3"] {
-        table.record_crash(at(0), request("guilty"), InstanceTag::of(server));
+        lose(&mut table, at(0), "guilty", server);
     }
     for number in 0..6000 {
-        let flood = request(&format!("flood{number}"));
-        table.record_crash(at(10_000 + number), flood, InstanceTag::of("s4"));
+        lose(
+            &mut table,
+            at(10_000 + number),
+            &format!("flood{number}"),
+            "s4",
+        );
     }
     assert!(table.len() <= 4096, "{} requests are kept", table.len());
-    let verdict = table.judge(at(20_000), request("guilty"));
+    let verdict = table.judge(at(20_000), &keys("guilty")).verdict;
     assert_eq!(verdict.as_str(), "quarantined");
     table.expire(at(10_000 + 6000 + 3_600_000));
     assert!(table.is_empty(), "all records expire");
@@ -275,7 +291,7 @@
     let mut second = SuspectTable::default();
     send_all(now, &first, &mut second);
     second.expire(now);
-    assert_eq!(second.judge(now, request("a")), SuspectVerdict::Clear);
+    assert_eq!(second.judge(now, &keys("a")).verdict, SuspectVerdict::Clear);
 }
 
 /// A connection was lost and the server survived. The time of the loss is sent as an age and
@@ -356,7 +372,7 @@
             send_all(now, &sender, &mut tables[to]);
         }
         for body in BODIES {
-            let verdicts = tables.each_ref().map(|table| table.judge(now, request(body)));
+            let verdicts = tables.each_ref().map(|table| table.judge(now, &keys(body)).verdict);
             prop_assert_eq!(verdicts[0], verdicts[1], "{}", body);
             prop_assert_eq!(verdicts[1], verdicts[2], "{}", body);
         }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -515,10 +515,10 @@
     pub lost_lives: Vec<LostInstanceEntry>,
 }
 
-/// Request that was on servers whose connection was lost.
+/// Key of requests that were on servers whose connection was lost.
 #[derive(Clone, PartialEq, Message)]
 pub struct SuspectEntry {
-    /// Digest of the request's content and caller.
+    /// Digest of a request's content and team, or key of a part that prompts have in common.
     #[prost(bytes = "bytes", tag = "1")]
     pub fingerprint: Bytes,
     /// Tags of the server instances.
@@ -530,10 +530,13 @@
     /// Number of survivals of each instance before this loss.
     #[prost(uint32, repeated, tag = "4")]
     pub survivals: Vec<u32>,
-    /// Number of times the request completed successfully after servers had been lost while
-    /// they ran it.
+    /// Number of times that a request with the key succeeded after servers had been lost while
+    /// they ran one.
     #[prost(uint32, tag = "5")]
     pub good_runs: u32,
+    /// Whether a request without the key has succeeded at the service since the first loss.
+    #[prost(bool, tag = "6")]
+    pub has_control: bool,
 }
 
 /// Server instance whose connection was lost.
