A part is refused for minutes only if its service works between its crashes

Where the only server crashes for 9 s by itself, half of all requests were refused for the rest of a minute: a request without the part had succeeded after the crashes, which shows that the server is well again and nothing of the part. The control must now lie between the part's crashes. Without a control a part is tested after 2 s, doubled with each crash, not 5.

--- a/crates/suspects/src/record.rs
+++ b/crates/suspects/src/record.rs
@@ -78,7 +78,7 @@
     /// Number of times that a request with the key succeeded after losses of servers that were
     /// running one.
     pub(crate) good_runs: u32,
-    /// Whether a request without the key has succeeded at the service since the first crash.
+    /// Whether a request without the key has succeeded at the service between its crashes.
     pub(crate) has_control: bool,
     /// Instances lost while running the request, since its last success.
     crashes: BTreeMap<InstanceTag, CrashRecord>,
--- a/crates/suspects/src/start.rs
+++ b/crates/suspects/src/start.rs
@@ -23,6 +23,7 @@
 /// Bounds of what is remembered: a VM begins some hundred runs a second.
 const MAX_STARTS: usize = 4096;
 const MAX_ALIBIS: usize = 4096;
+const MAX_CONTROLS: usize = 16;
 
 /// A run that has begun to write.
 #[derive(Clone, Debug)]
@@ -32,21 +33,14 @@
     parts: PartKeys,
 }
 
-/// A run whose server survived its beginning.
-#[derive(Clone, Debug)]
-pub(crate) struct SurvivedStart {
-    /// When it began.
-    pub(crate) at: Moment,
-    /// The parts of its prompt.
-    pub(crate) parts: PartKeys,
-}
-
 /// Runs that have begun to write on this VM.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RunStarts {
     pending: VecDeque<RunStart>,
     /// When a server was last known to have survived each part.
     survived: HashMap<EvidenceKey, Moment>,
+    /// The latest runs whose servers were found to have survived, and when.
+    controls: VecDeque<(Moment, PartKeys)>,
 }
 
 impl RunStarts {
@@ -62,14 +56,14 @@
         });
     }
 
-    /// Removes and returns the runs whose servers have survived their beginning. `is_lost` tells
+    /// Removes the runs whose servers have survived their beginning, and returns their parts. `is_lost` tells
     /// whether an instance was lost, and `last_alive` when it last gave a sign of life.
     pub(crate) fn settle(
         &mut self,
         now: Moment,
         is_lost: impl Fn(InstanceTag) -> bool,
         last_alive: impl Fn(InstanceTag) -> Option<Moment>,
-    ) -> Vec<SurvivedStart> {
+    ) -> Vec<EvidenceKey> {
         let mut survived = Vec::new();
         self.pending.retain(|start| {
             if is_lost(start.instance) {
@@ -79,13 +73,13 @@
             if !is_alive && now < start.at + SILENCE {
                 return true;
             }
-            survived.push(SurvivedStart {
-                at: start.at,
-                parts: start.parts.clone(),
-            });
+            survived.extend(&start.parts.keys);
+            self.controls.push_back((now, start.parts.clone()));
             false
         });
-        for key in survived.iter().flat_map(|start| &start.parts.keys) {
+        let excess = self.controls.len().saturating_sub(MAX_CONTROLS);
+        self.controls.drain(..excess);
+        for key in &survived {
             self.survived.insert(*key, now);
         }
         self.survived.retain(|_, at| *at + ALIBI >= now);
@@ -95,6 +89,14 @@
         survived
     }
 
+    /// Whether a server survived a run without a part at its service since `crash`.
+    pub(crate) fn has_control(&self, key: EvidenceKey, crash: Moment) -> bool {
+        let mut controls = self.controls.iter();
+        controls.any(|(at, parts)| {
+            *at >= crash && key.is_of(parts.service) && !parts.keys.contains(&key)
+        })
+    }
+
     /// Whether a server survived a part so shortly before a crash that the part is not its cause.
     pub(crate) fn has_alibi(&self, key: EvidenceKey, crash: Moment) -> bool {
         self.survived
--- a/crates/suspects/src/table.rs
+++ b/crates/suspects/src/table.rs
@@ -10,7 +10,7 @@
 use crate::instance::InstanceTag;
 use crate::key::{CallKeys, EvidenceKey, PartKeys};
 use crate::record::{CrashRecord, InstanceRecord, SuspectRecord};
-use crate::start::{RunStarts, SURVIVAL, SurvivedStart};
+use crate::start::{RunStarts, SURVIVAL};
 use crate::update::{CrashUpdate, InstanceUpdate, KeyUpdate, SuspectCursor, SuspectUpdate};
 use crate::verdict::{CallJudgement, SuspectSummary, SuspectVerdict};
 
@@ -20,10 +20,10 @@
 /// How long requests with a culprit do not run after its last crash. Then one may be tried,
 /// alone: a wrong verdict thus ends, and a correct one costs one server per such period.
 pub const QUARANTINE: Duration = Duration::from_mins(10);
-/// The same for a part of prompts as long as no request without it has succeeded at the service
-/// since: servers may then crash by themselves, and the part may be one that all requests have.
-/// Doubled with each crash after the third.
-const UNCONTROLLED_QUARANTINE: Duration = Duration::from_secs(5);
+/// The same for a part of prompts if no request without it has succeeded at the service between
+/// its crashes: servers may then crash by themselves, and the part may be one that all requests
+/// have. Doubled with each crash after the third.
+const UNCONTROLLED_QUARANTINE: Duration = Duration::from_secs(2);
 const UNCONTROLLED_CRASHES: u32 = 3;
 /// How long a key's crashes are kept after the last one.
 const RETENTION: Duration = Duration::from_hours(1);
@@ -123,10 +123,10 @@
             .map_or(0, |record| record.survivals);
         self.apply_instance(now, instance, survivals, Some(now));
         let crash = CrashRecord { at: now, survivals };
-        let (good_runs, has_control) = self
-            .keys
-            .get(&key)
-            .map_or((0, false), |record| (record.good_runs, record.has_control));
+        let known = self.keys.get(&key);
+        let good_runs = known.map_or(0, |record| record.good_runs);
+        let first = known.and_then(|record| record.crashes().map(|(_, crash)| crash.at).min());
+        let has_control = first.is_some_and(|first| self.starts.has_control(key, first));
         self.apply_key(key, good_runs, has_control, &[(instance, crash)]);
     }
 
@@ -172,11 +172,8 @@
         if self.is_empty() {
             return;
         }
-        for start in &survived {
-            for key in &start.parts.keys {
-                self.clear(*key);
-            }
-            self.record_control(start);
+        for key in survived {
+            self.clear(key);
         }
     }
 
@@ -193,27 +190,6 @@
         true
     }
 
-    /// Records for the culprits of a service that a request without them has succeeded.
-    fn record_control(&mut self, start: &SurvivedStart) {
-        let uncontrolled: Vec<EvidenceKey> = {
-            let faults = self.faults();
-            let culprits = faults.culprits.iter().flat_map(|culprit| &culprit.keys);
-            let others = culprits
-                .filter(|key| key.is_of(start.parts.service) && !start.parts.keys.contains(key));
-            others.copied().collect()
-        };
-        for key in uncontrolled {
-            if let Some(record) = self.keys.get_mut(&key)
-                && !record.has_control
-                && record.crashes().any(|(_, crash)| crash.at <= start.at)
-            {
-                record.has_control = true;
-                self.changes += 1;
-                record.changed = self.changes;
-            }
-        }
-    }
-
     /// Verdict on a request: the most severe one on its keys.
     pub fn judge(&self, now: Moment, keys: &CallKeys) -> CallJudgement {
         let verdicts = keys.iter().map(|key| self.judge_key(now, key, keys));
--- a/crates/suspects/src/update.rs
+++ b/crates/suspects/src/update.rs
@@ -26,7 +26,7 @@
     /// Number of times that a request with the key succeeded after losses of servers that were
     /// running one.
     pub good_runs: u32,
-    /// Whether a request without the key has succeeded at the service since the first crash.
+    /// Whether a request without the key has succeeded at the service between its crashes.
     pub has_control: bool,
     /// Losses of servers that were running a request with the key, since the last success.
     pub crashes: Vec<CrashUpdate>,
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -534,7 +534,7 @@
     /// they ran one.
     #[prost(uint32, tag = "5")]
     pub good_runs: u32,
-    /// Whether a request without the key has succeeded at the service since the first loss.
+    /// Whether a request without the key has succeeded at the service between its losses.
     #[prost(bool, tag = "6")]
     pub has_control: bool,
 }
