--- a/crates/suspects/tests/verdicts.rs
+++ b/crates/suspects/tests/verdicts.rs
@@ -25,12 +25,24 @@
 
 /// Keys of a request without shared parts.
 fn keys(body: &str) -> CallKeys {
+    keys_with(body, &[])
+}
+
+/// Keys of a request whose prompt has these parts.
+fn keys_with(body: &str, parts: &[u64]) -> CallKeys {
+    let scope = PartScope::of(&"models".parse().unwrap(), None);
     CallKeys {
         request: request(body).into(),
-        parts: PartKeys::of(PartScope::of(&"models".parse().unwrap(), None), []),
+        parts: PartKeys::of(scope, parts.iter().copied()),
     }
 }
 
+/// Keys of a request that shares a part with each other one whose body differs by one letter.
+fn sharing_keys(body: &str) -> CallKeys {
+    let first = u64::from(body.as_bytes()[0]);
+    keys_with(body, &[1, first, first + 1])
+}
+
 fn lose(table: &mut SuspectTable, now: Moment, body: &str, server: &str) {
     table.record_loss(now, &keys(body), InstanceTag::of(server), Duration::ZERO);
 }
@@ -364,7 +376,13 @@
         let now = at(100_000);
         let mut tables = [(); 3].map(|()| SuspectTable::default());
         for (event, vm) in all.iter().zip(&splits) {
-            apply_events(&mut tables[*vm], std::slice::from_ref(event));
+            match event {
+                Event::Lost(when, body, server) => {
+                    let (keys, instance) = (sharing_keys(body), InstanceTag::of(server));
+                    tables[*vm].record_loss(at(*when), &keys, instance, Duration::ZERO);
+                }
+                _ => apply_events(&mut tables[*vm], std::slice::from_ref(event)),
+            }
         }
         let links = [(0, 1), (1, 2), (2, 1), (1, 0), (0, 2), (2, 0)];
         for (from, to) in order.into_iter().chain(links).chain(links) {
@@ -372,7 +390,7 @@
             send_all(now, &sender, &mut tables[to]);
         }
         for body in BODIES {
-            let verdicts = tables.each_ref().map(|table| table.judge(now, &keys(body)).verdict);
+            let verdicts = tables.each_ref().map(|table| table.judge(now, &sharing_keys(body)));
             prop_assert_eq!(verdicts[0], verdicts[1], "{}", body);
             prop_assert_eq!(verdicts[1], verdicts[2], "{}", body);
         }
