Soak: parts of prompts that crash servers, beside kills, a rack and a cut

It checks that undisturbed VMs send three such requests at most later than 5 s after the fifth crash, and that at least half as many sound requests with the same first part are served from 10 s after it.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -11,7 +11,8 @@
 use crossbeam::channel::{self, Receiver, Sender};
 use http::{Method, Request};
 use onyxfall_adapter::stub::{
-    caller_headers, claim_team, is_signed, response_request_id, resume_stream, set_prompt_size,
+    caller_headers, claim_team, is_signed, response_request_id, resume_stream, set_prompt_parts,
+    set_prompt_size,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -27,6 +28,8 @@
 const MAX_RESUMPTIONS: usize = 3;
 /// Size of the prompts, in tokens; servers of plain services ignore it.
 const PROMPT_TOKENS: (u32, u32) = (200, 20);
+/// Size of each part of a prompt that has parts.
+const PART_TOKENS: u32 = 60;
 /// Largest response body that is read, in bytes.
 const ANSWER_BYTES: u64 = 64 * 1024;
 
@@ -116,6 +119,30 @@
     id: &str,
     kind: RequestKind,
     resumes: Option<StreamPart>,
+) -> CallReport {
+    send(agent, to, path, id, kind, resumes, &[])
+}
+
+/// Sends one request whose prompt has the given parts, and reads its response.
+pub(crate) fn call_with_parts(
+    agent: &Agent,
+    to: SocketAddr,
+    path: &str,
+    id: &str,
+    kind: RequestKind,
+    parts: &[u64],
+) -> CallReport {
+    send(agent, to, path, id, kind, None, parts)
+}
+
+fn send(
+    agent: &Agent,
+    to: SocketAddr,
+    path: &str,
+    id: &str,
+    kind: RequestKind,
+    resumes: Option<StreamPart>,
+    parts: &[u64],
 ) -> CallReport {
     let mut report = CallReport {
         id: id.to_owned(),
@@ -138,6 +165,9 @@
     let mut headers = caller_headers(HOST, id, PATIENCE);
     claim_team(&mut headers, &format!("Bearer {KEY}"), "forged");
     set_prompt_size(&mut headers, PROMPT_TOKENS.0, PROMPT_TOKENS.1);
+    if !parts.is_empty() {
+        set_prompt_parts(&mut headers, parts, PART_TOKENS);
+    }
     if let Some(part) = &report.resumes {
         resume_stream(&mut headers, &part.first_attempt, part.last_id());
     }
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -44,6 +44,10 @@
     /// Streams whose VM was killed were resumed by less than half of the share of new streams that
     /// began.
     NotResumed(String),
+    /// Requests with a prompt part under which five servers had crashed were sent to servers.
+    SentCrashingPart(String),
+    /// Requests that share the other parts of such prompts were not served.
+    UnservedBesidePart(String),
     /// Too many servers fell over because they had to reject requests for want of room.
     FellOver(String),
     /// A VM refused a request for load while the service was idle.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -13,6 +13,7 @@
 mod failover;
 mod limits;
 mod partition;
+mod parts;
 mod plan;
 mod run;
 mod signals;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -18,6 +18,7 @@
 use crate::deployment::{RequestKind, SoakDeployment, has_model_servers, has_plan, version_path};
 use crate::failover;
 use crate::partition::{self, PartitionCheck};
+use crate::parts;
 use crate::plan::{Fault, NextInstance, PlannedFault, RunSize, draw_plan, pace_at};
 use crate::signals::{DisturbedPart, InstanceArrivals, SignalChecks};
 
@@ -39,6 +40,9 @@
 /// Time without a request that shows that a drained server receives nothing more.
 const DRAIN_WATCH: Duration = Duration::from_secs(1);
 
+/// One in so many seeds checks parts of prompts that crash servers, which takes 20 s.
+const PARTS_SEEDS: u64 = 3;
+
 /// Number of concurrent requests with large bodies that a VM receives, three times as many as
 /// it may hold, and the interval between reads of its held bytes meanwhile.
 const BURST_REQUESTS: usize = 8;
@@ -71,6 +75,7 @@
         signals: SignalChecks::default(),
         capacity: CapacityChecks::new(has_model_servers(seed)),
         resumed: String::new(),
+        parts: String::new(),
         probes: 0,
         rewrite_at: None,
         seed,
@@ -89,6 +94,9 @@
         run.check_brittle()?;
     }
     run.check_failover(size)?;
+    if seed.is_multiple_of(PARTS_SEEDS) {
+        run.check_parts()?;
+    }
     run.wait_in_force();
     run.wait_used();
     run.check_drain();
@@ -103,13 +111,14 @@
     let limited = run.signals.limited;
     let summary = format!(
         "{:?}, {checked} signals and {limited} limits of servers checked, {} requests while idle, \
-         served {}, most of {} reads of held bytes {}, resumed {}",
+         served {}, most of {} reads of held bytes {}, resumed {}, parts: {}",
         run.checks.statuses,
         run.capacity.idle,
         run.capacity.order(),
         run.capacity.held_reads,
         run.capacity.most_held,
         run.resumed,
+        run.parts,
     );
     if !broken.is_empty() {
         eprintln!("logs of the gateways: {}", deployment.dir().display());
@@ -137,6 +146,8 @@
     capacity: CapacityChecks,
     /// How many streams of a killed VM were resumed, for the report.
     resumed: String,
+    /// What was seen of parts that crash servers, for the report.
+    parts: String,
     seed: u64,
     probes: u64,
     /// When the operator and the servers rewrite what a restored store has lost, from the
@@ -648,6 +659,37 @@
         Ok(())
     }
 
+    /// Sends requests whose parts crash servers, beside other faults, and checks that they are
+    /// stopped and others served.
+    fn check_parts(&mut self) -> io::Result<()> {
+        self.wait(|run| run.deployment.is_running());
+        let servers = self.deployment.servers.len();
+        for vm in 0..self.targets.len() {
+            self.capacity.begin(Fault::Kill(vm));
+            self.signals.disturbances.begin(DisturbedPart::Process(vm));
+        }
+        for server in 0..servers {
+            self.capacity
+                .begin(Fault::Server(server, ServerFault::Closes));
+        }
+        let result = parts::check_parts(self.deployment, self.seed, &self.targets)?;
+        self.parts = result.to_string();
+        for broken in result.broken {
+            self.checks.record(broken);
+        }
+        for report in result.reports {
+            self.record_report(report);
+        }
+        for vm in 0..self.targets.len() {
+            self.signals.disturbances.end(DisturbedPart::Process(vm));
+            self.capacity.end(|fault| fault == Fault::Kill(vm));
+        }
+        self.capacity
+            .end(|fault| matches!(fault, Fault::Server(_, ServerFault::Closes)));
+        self.wait_served("after servers crashed under parts of prompts");
+        Ok(())
+    }
+
     /// Makes all servers brittle and checks that they do not fall over.
     fn check_brittle(&mut self) -> io::Result<()> {
         let servers = self.deployment.servers.len();
