Fleet: what a lost connection shows of its server, beside the paths

That a run which ends on a lost path is no evidence of a crash was decided in two places of the gateway. It is now one pure rule, LossEvidence::of, with a table of cases that needs no sockets (fleet reach). No change of behaviour: gateway partition, unresponsive and crashing_parts pass as before.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -68,7 +68,7 @@
 pub use quota::{
     QuotaDecision, QuotaPeers, QuotaReceipt, QuotaRequest, QuotaSettings, QuotaTable, TeamFlow,
 };
-pub use reach::{PathCheck, PathState, RegionReach};
+pub use reach::{LossEvidence, LossMoment, PathCheck, PathState, RegionReach};
 pub use record::{ServerPhase, ServerRecord};
 pub use remote::{RemoteOption, RemoteSearch, RemoteTable, ServiceLoad, goes_remote};
 pub use reservation::BacklogLimits;
--- a/crates/fleet/src/reach.rs
+++ b/crates/fleet/src/reach.rs
@@ -80,6 +80,47 @@
     None,
 }
 
+/// What the loss of a run's connection shows about the server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LossEvidence {
+    /// The server has probably crashed.
+    Crash,
+    /// A check of the path will tell.
+    Open,
+    /// Nothing: the connection was lost with its path.
+    None,
+}
+
+/// Whether a loss is judged at once or after a check of its path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LossMoment {
+    /// The connection has just been lost.
+    AtOnce,
+    /// A check of the path has ended since, or none was needed.
+    AfterCheck,
+}
+
+impl LossEvidence {
+    /// What a loss shows, given the state of the path to the server and whether the path
+    /// `is_proved_lost`. Connections on a path that is lost time out whatever their servers do.
+    /// A request that crashes its servers one after the other raises a doubt, too: its losses
+    /// wait for the check, and count unless that proves the path lost.
+    ///
+    /// ```
+    /// use onyxfall_fleet::{LossEvidence, LossMoment, PathState};
+    /// let evidence = LossEvidence::of(PathState::Lost, false, LossMoment::AtOnce);
+    /// assert_eq!(evidence, LossEvidence::None);
+    /// ```
+    pub const fn of(state: PathState, is_proved_lost: bool, moment: LossMoment) -> Self {
+        match (state, moment) {
+            (PathState::Doubted, _) => Self::Open,
+            (PathState::Lost, LossMoment::AtOnce) => Self::None,
+            _ if is_proved_lost => Self::None,
+            _ => Self::Crash,
+        }
+    }
+}
+
 /// Result of a check of the paths to a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PathCheck {
@@ -346,6 +387,12 @@
         monitor.is_some_and(|monitor| monitor.state != PathState::Open && monitor.is_proved)
     }
 
+    /// What the loss of a run's connection to a server of a service shows.
+    pub fn loss_evidence(&self, service: &ServiceName, moment: LossMoment) -> LossEvidence {
+        let is_proved_lost = self.is_path_proved_lost(service);
+        LossEvidence::of(self.path_state(service), is_proved_lost, moment)
+    }
+
     /// Servers by which the paths to a service can be checked, and whether they are sound: those
     /// first that have given no reason for a doubt, then those that have sent a byte most
     /// recently.
--- a/crates/fleet/tests/reach.rs
+++ b/crates/fleet/tests/reach.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use onyxfall_fleet::{
-    AttemptResult, FleetView, LocalOption, PathCheck, PathState, RegionReach, ServerVotes,
+    AttemptResult, FleetView, LocalOption, LossEvidence, LossMoment, PathCheck, PathState,
+    RegionReach, ServerVotes,
 };
 use onyxfall_policy::Moment;
 use onyxfall_types::{ServerId, ServiceName};
@@ -344,3 +345,86 @@
         "{trials} trials, {most} allowed"
     );
 }
+
+struct LossCase {
+    name: &'static str,
+    state: PathState,
+    is_proved_lost: bool,
+    moment: LossMoment,
+    evidence: LossEvidence,
+}
+
+/// Guards against crashes that are not counted, and against suspects that are made by a lost path.
+#[test]
+fn a_connection_lost_with_its_path_is_no_evidence_of_a_crash() {
+    use LossMoment::{AfterCheck, AtOnce};
+    let case = |name, state, is_proved_lost, moment, evidence| LossCase {
+        name,
+        state,
+        is_proved_lost,
+        moment,
+        evidence,
+    };
+    let cases = [
+        case(
+            "the path is open",
+            PathState::Open,
+            false,
+            AtOnce,
+            LossEvidence::Crash,
+        ),
+        case(
+            "only new connections fail",
+            PathState::OpenConnectionsOnly,
+            false,
+            AtOnce,
+            LossEvidence::Crash,
+        ),
+        case(
+            "a check is due",
+            PathState::Doubted,
+            false,
+            AtOnce,
+            LossEvidence::Open,
+        ),
+        case(
+            "a check is running",
+            PathState::Doubted,
+            false,
+            AfterCheck,
+            LossEvidence::Open,
+        ),
+        case(
+            "the path was lost before",
+            PathState::Lost,
+            false,
+            AtOnce,
+            LossEvidence::None,
+        ),
+        case(
+            "a sound server does not respond",
+            PathState::Lost,
+            true,
+            AfterCheck,
+            LossEvidence::None,
+        ),
+        case(
+            "all servers may have ended",
+            PathState::Lost,
+            false,
+            AfterCheck,
+            LossEvidence::Crash,
+        ),
+        case(
+            "the check has succeeded",
+            PathState::Open,
+            false,
+            AfterCheck,
+            LossEvidence::Crash,
+        ),
+    ];
+    for case in cases {
+        let evidence = LossEvidence::of(case.state, case.is_proved_lost, case.moment);
+        assert_eq!(evidence, case.evidence, "{}", case.name);
+    }
+}
--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use onyxfall_fleet::{AttemptResult, PathState};
+use onyxfall_fleet::{AttemptResult, LossEvidence, LossMoment};
 use onyxfall_policy::Moment;
 use onyxfall_types::ServerId;
 
@@ -151,12 +151,14 @@
 
 impl OpenAttempt {
     /// Counts a run whose connection was lost as evidence of a crash, unless the path to its
-    /// server was lost. Connections on a path that is already lost time out whatever their
-    /// servers do.
+    /// server was lost.
     fn record_lost_run(&self, now: Moment, events: Option<u32>) {
         self.gateway.refresh_paths(now);
-        let service = &self.call.needs.service;
-        if self.gateway.fleet.borrow().path_state(service) == PathState::Lost {
+        let evidence = {
+            let fleet = self.gateway.fleet.borrow();
+            fleet.loss_evidence(&self.call.needs.service, LossMoment::AtOnce)
+        };
+        if evidence == LossEvidence::None {
             return;
         }
         let run = LostRun {
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -11,7 +11,8 @@
 use http::{HeaderValue, Method, Request, Uri};
 use http_body_util::Full;
 use onyxfall_fleet::{
-    LocalOption, PathCheck, PathState, RegionPeer, RegionReach, RouteTable, TimePrediction,
+    LocalOption, LossEvidence, LossMoment, PathCheck, PathState, RegionPeer, RegionReach,
+    RouteTable, TimePrediction,
 };
 use onyxfall_overlay::{KnownVm, Roster, ServiceSet};
 use onyxfall_policy::Moment;
@@ -109,26 +110,22 @@
         self.refresh_status();
     }
 
-    /// Counts lost runs as evidence of crashes, unless they were lost with their path. A request
-    /// that crashes its servers one after the other raises a doubt, too, so that the evidence
-    /// waits for the check.
+    /// Counts lost runs as evidence of crashes, unless they were lost with their path.
     pub(crate) fn settle_lost_runs(&self) {
         let runs = self.lost_runs.take();
         for run in runs {
-            let service = &run.call.needs.service;
-            let (state, is_proved) = {
+            let evidence = {
                 let fleet = self.fleet.borrow();
-                (
-                    fleet.path_state(service),
-                    fleet.is_path_proved_lost(service),
-                )
+                fleet.loss_evidence(&run.call.needs.service, LossMoment::AfterCheck)
             };
-            if state == PathState::Doubted {
-                self.lost_runs.borrow_mut().push(run);
-            } else if !is_proved {
-                self.record_lost_run(&run);
-                if run.had_begun {
-                    self.fleet.borrow_mut().record_crash(run.at, run.server);
+            match evidence {
+                LossEvidence::Open => self.lost_runs.borrow_mut().push(run),
+                LossEvidence::None => {}
+                LossEvidence::Crash => {
+                    self.record_lost_run(&run);
+                    if run.had_begun {
+                        self.fleet.borrow_mut().record_crash(run.at, run.server);
+                    }
                 }
             }
         }
