A part is cleared by an answer that ended well, without a further sign of life

Where little is asked of a server it gives no sign for seconds after a short answer, so that a part was cleared only 3 s after its first event. A VM that started late refused a sound request beside a crashing part for that reason (new test a_vm_that_starts_later_does_not_send_the_part_to_servers, which failed). An answer that ended well now clears its parts 0.5 s after it began, unless its server is lost by then; one that has not ended still needs a sign of life.

--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -90,10 +90,10 @@
             .set(ratio.filter(|_| fleet.is_warm(now, self.server)));
     }
 
-    /// Records that the server has written a part of the answer.
-    pub(crate) fn record_written(&self) {
-        if self.written_since.get().is_some() {
-            return;
+    /// Records that the server has written a part of the answer. Returns when it wrote the first.
+    pub(crate) fn record_written(&self) -> Moment {
+        if let Some(since) = self.written_since.get() {
+            return since;
         }
         let now = self.gateway.now();
         self.written_since.set(Some(now));
@@ -101,6 +101,7 @@
             self.gateway
                 .record_written_run(now, &self.call, self.server);
         }
+        now
     }
 
     /// Ends the attempt with a result.
@@ -119,8 +120,9 @@
         match result {
             AttemptResult::Broken => self.log_lost_run(now, events),
             AttemptResult::Succeeded if self.is_from_start => {
-                self.record_written();
-                self.gateway.record_completed_run(&self.call);
+                let started = self.record_written();
+                self.gateway
+                    .record_completed_run(&self.call, started, self.server);
             }
             _ => {}
         }
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -120,9 +120,16 @@
         state.table.record_start(now, instance, parts);
     }
 
-    /// Records that a request completed without a crash.
-    pub(crate) fn record_completed_run(&self, call: &CallContext) {
+    /// Records that a request whose answer began at `started` completed without a crash.
+    pub(crate) fn record_completed_run(
+        &self,
+        call: &CallContext,
+        started: Moment,
+        server: ServerId,
+    ) {
+        let instance = self.instance_of(server);
         let mut state = self.suspects.borrow_mut();
+        state.table.record_end(started, instance);
         if !state.table.is_empty() {
             state.table.record_success(call.keys().request);
         }
--- a/crates/gateway/tests/crashing_parts.rs
+++ b/crates/gateway/tests/crashing_parts.rs
@@ -320,3 +320,43 @@
         thread::sleep(CRASHING_PAUSE);
     }
 }
+
+#[test]
+fn a_vm_that_starts_later_does_not_send_the_part_to_servers() {
+    let part = 0xdead_000c;
+    let site = Site::start_in(3, 1);
+    let mut fleet = ServerFleet::start(&site, 2);
+    site.configure(1);
+    let gateways = [site.gateway(0), site.gateway(1)];
+    for gateway in &gateways {
+        gateway.wait_served();
+    }
+    for number in 0..12 {
+        let gateway = &gateways[number % gateways.len()];
+        let number = u64::try_from(number).unwrap();
+        for (id, parts) in [
+            ("sound", [FIRST_PART, 0xb0, number]),
+            ("crash", [FIRST_PART, part, number]),
+        ] {
+            let id = format!("{id}{number}");
+            call_parts(gateway.callers(), PATH, &id, &parts, PATIENCE);
+        }
+        thread::sleep(2 * CRASHING_PAUSE);
+        fleet.tend();
+    }
+    let before = fleet.arrivals(part).len();
+    let late = site.gateway(2);
+    late.wait_served();
+    thread::sleep(2 * CRASHING_PAUSE);
+    let parts = [FIRST_PART, part, 99];
+    let reply = call_parts(late.callers(), PATH, "late", &parts, PATIENCE).unwrap();
+    assert_eq!(
+        fleet.arrivals(part).len(),
+        before,
+        "it was sent to a server"
+    );
+    assert_eq!(reply.status, StatusCode::SERVICE_UNAVAILABLE);
+    let sound = [FIRST_PART, 0xb0, 99];
+    let reply = call_parts(late.callers(), PATH, "sound", &sound, PATIENCE).unwrap();
+    assert_eq!(reply.status, StatusCode::OK, "a sound request");
+}
--- a/crates/suspects/src/start.rs
+++ b/crates/suspects/src/start.rs
@@ -15,8 +15,8 @@
 /// Time after the first event of an answer from which a crash of the server is not due to the
 /// beginning of that answer: servers crashed 40 to 180 ms after it.
 pub(crate) const SURVIVAL: Duration = Duration::from_millis(500);
-/// Time after which a server without a sign of life or of its loss counts as alive. The
-/// connections of a machine that has lost power show nothing for 1.5 s.
+/// Time after which a server without a sign of life or of its loss counts as alive, if the run
+/// has not ended. The connections of a machine that has lost power show nothing for 1.5 s.
 const SILENCE: Duration = Duration::from_secs(3);
 /// Time for which a part that a server has survived gathers no evidence.
 const ALIBI: Duration = Duration::from_secs(2);
@@ -31,6 +31,7 @@
     at: Moment,
     instance: InstanceTag,
     parts: PartKeys,
+    has_ended: bool,
 }
 
 /// Runs that have begun to write on this VM.
@@ -53,9 +54,18 @@
             at,
             instance,
             parts,
+            has_ended: false,
         });
     }
 
+    /// Records that a run has ended well that began at `at`.
+    pub(crate) fn end(&mut self, at: Moment, instance: InstanceTag) {
+        let mut runs = self.pending.iter_mut().rev();
+        if let Some(run) = runs.find(|run| run.at == at && run.instance == instance) {
+            run.has_ended = true;
+        }
+    }
+
     /// Removes the runs whose servers have survived their beginning, and returns their parts. `is_lost` tells
     /// whether an instance was lost, and `last_alive` when it last gave a sign of life.
     pub(crate) fn settle(
@@ -69,8 +79,10 @@
             if is_lost(start.instance) {
                 return false;
             }
-            let is_alive = last_alive(start.instance).is_some_and(|at| at >= start.at + SURVIVAL);
-            if !is_alive && now < start.at + SILENCE {
+            let due = start.at + SURVIVAL;
+            let is_alive = last_alive(start.instance).is_some_and(|at| at >= due);
+            let has_survived = is_alive || (start.has_ended && now >= due);
+            if !has_survived && now < start.at + SILENCE {
                 return true;
             }
             survived.extend(&start.parts.keys);
--- a/crates/suspects/src/table.rs
+++ b/crates/suspects/src/table.rs
@@ -160,6 +160,11 @@
         self.starts.begin(now, instance, parts);
     }
 
+    /// Records that the answer of which the beginning was recorded at `started` has ended well.
+    pub fn record_end(&mut self, started: Moment, instance: InstanceTag) {
+        self.starts.end(started, instance);
+    }
+
     /// Clears the parts of prompts whose servers have survived the beginning of the answer.
     /// `last_alive` tells when an instance last gave a sign of life.
     pub fn settle(&mut self, now: Moment, last_alive: impl Fn(InstanceTag) -> Option<Moment>) {
--- a/crates/suspects/tests/parts.rs
+++ b/crates/suspects/tests/parts.rs
@@ -48,9 +48,14 @@
     LostAfter(u64, &'static str, &'static [u64], &'static str, u64),
     /// A server that gives signs of life begins to write on a prompt with some parts.
     Began(u64, &'static [u64], &'static str),
+    /// The answer that began at some time on a server ends well. The server gives no other sign.
+    Ended(u64, &'static str, u64),
 }
 
-use Event::{Began, Lost, LostAfter};
+use Event::{Began, Ended, Lost, LostAfter};
+
+/// Servers of this prefix give no signs of life.
+const QUIET: &str = "quiet";
 
 struct PartCase {
     name: &'static str,
@@ -182,6 +187,31 @@
         parts: &[RARE],
         verdict: "clear",
     },
+    PartCase {
+        name: "a server that gives no other sign ended an answer on the part",
+        events: &[
+            Lost(0, "a", &[RARE], "s1"),
+            Lost(1000, "b", &[RARE], "s2"),
+            Lost(2000, "c", &[RARE], "s3"),
+            Began(2100, &[RARE, FIRST], "quiet1"),
+            Ended(2200, "quiet1", 2100),
+        ],
+        when: 2700,
+        parts: &[RARE],
+        verdict: "clear",
+    },
+    PartCase {
+        name: "a server that has not ended its answer gives no sign of life",
+        events: &[
+            Lost(0, "a", &[RARE], "s1"),
+            Lost(1000, "b", &[RARE], "s2"),
+            Lost(2000, "c", &[RARE], "s3"),
+            Began(2100, &[RARE, FIRST], "quiet1"),
+        ],
+        when: 2700,
+        parts: &[RARE],
+        verdict: "quarantined",
+    },
     PartCase {
         name: "the server that began was lost, too",
         events: &[
@@ -213,7 +243,7 @@
     let mut events = events.iter().peekable();
     for now in 0..=until {
         let time = |event: &Event| match event {
-            Lost(when, ..) | LostAfter(when, ..) | Began(when, ..) => *when,
+            Lost(when, ..) | LostAfter(when, ..) | Began(when, ..) | Ended(when, ..) => *when,
         };
         while let Some(event) = events.next_if(|event| time(event) <= now) {
             let lose = |table: &mut SuspectTable, request, parts, server, written| {
@@ -230,10 +260,17 @@
                     let parts = keys("", parts, team).parts;
                     table.record_start(at(now), InstanceTag::of(server), parts);
                 }
+                Ended(_, server, began) => {
+                    table.record_end(at(began), InstanceTag::of(server));
+                }
             }
         }
         if now % REFRESH == 0 {
-            table.settle(at(now), |_| Some(at(now)));
+            let is_quiet = |instance| {
+                let mut quiet = (0..3).map(|number| format!("{QUIET}{number}"));
+                quiet.any(|server| InstanceTag::of(&server) == instance)
+            };
+            table.settle(at(now), |instance| (!is_quiet(instance)).then(|| at(now)));
         }
     }
     table
