--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -203,6 +203,10 @@
     /// What is refused because servers crash under it, as gauges of the seconds left and of the
     /// crashes. A key that is no part of a known service's and team's prompts is a request's.
     pub(crate) fn suspect_gauges(&self) -> String {
+        let state = self.suspects.borrow();
+        if state.table.is_empty() {
+            return String::new();
+        }
         let table = self.table();
         let services = table.iter().flat_map(|table| table.services());
         let teams = table.iter().filter_map(|table| table.teams());
@@ -222,7 +226,6 @@
             });
             parts.next()
         };
-        let state = self.suspects.borrow();
         let summaries = state
             .table
             .summaries(self.now(), |key| part_of(key).is_some());
--- a/crates/suspects/src/key.rs
+++ b/crates/suspects/src/key.rs
@@ -89,7 +89,8 @@
 pub(crate) struct ServiceTag([u8; 4]);
 
 /// The service and the team whose prompts a part belongs to. Callers name the hashes of parts
-/// themselves: with the team in the key, no team can accuse a part of another one's prompts.
+/// themselves: with the team in the key, no team can bring a part of
+/// another one's prompts under suspicion.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PartScope {
     service: ServiceTag,
--- a/crates/suspects/src/start.rs
+++ b/crates/suspects/src/start.rs
@@ -19,10 +19,10 @@
 /// has not ended. The connections of a machine that has lost power show nothing for 1.5 s.
 const SILENCE: Duration = Duration::from_secs(3);
 /// Time for which a part that a server has survived gathers no evidence.
-const ALIBI: Duration = Duration::from_secs(2);
+const RECENT: Duration = Duration::from_secs(2);
 /// Bounds of what is remembered: a VM begins some hundred runs a second.
 const MAX_STARTS: usize = 4096;
-const MAX_ALIBIS: usize = 4096;
+const MAX_SURVIVED: usize = 4096;
 const MAX_CONTROLS: usize = 16;
 
 /// A run that has begun to write.
@@ -94,8 +94,8 @@
         for key in &survived {
             self.survived.insert(*key, now);
         }
-        self.survived.retain(|_, at| *at + ALIBI >= now);
-        if self.survived.len() > MAX_ALIBIS {
+        self.survived.retain(|_, at| *at + RECENT >= now);
+        if self.survived.len() > MAX_SURVIVED {
             self.survived.clear();
         }
         survived
@@ -109,10 +109,11 @@
         })
     }
 
-    /// Whether a server survived a part so shortly before a crash that the part is not its cause.
-    pub(crate) fn has_alibi(&self, key: EvidenceKey, crash: Moment) -> bool {
+    /// Whether a server survived a part so shortly before a crash, or since, that the part is not
+    /// its cause.
+    pub(crate) fn was_survived_near(&self, key: EvidenceKey, crash: Moment) -> bool {
         self.survived
             .get(&key)
-            .is_some_and(|at| *at + ALIBI >= crash)
+            .is_some_and(|at| *at + RECENT >= crash)
     }
 }
--- a/crates/suspects/src/table.rs
+++ b/crates/suspects/src/table.rs
@@ -108,7 +108,7 @@
         self.record_crash(now, keys.request, instance);
         if written < SURVIVAL {
             for key in &keys.parts.keys {
-                if !self.starts.has_alibi(*key, now) {
+                if !self.starts.was_survived_near(*key, now) {
                     self.record_crash(now, *key, instance);
                 }
             }
@@ -355,9 +355,9 @@
                 .collect();
             let is_changed = self.apply_key(key.key, key.good_runs, key.has_control, &crashes);
             is_urgent |= is_changed && crashes.len() > 1;
-            let has_alibi =
-                |(_, crash): &(_, CrashRecord)| self.starts.has_alibi(key.key, crash.at);
-            if is_changed && crashes.iter().any(has_alibi) {
+            let is_cleared =
+                |(_, crash): &(_, CrashRecord)| self.starts.was_survived_near(key.key, crash.at);
+            if is_changed && crashes.iter().any(is_cleared) {
                 self.clear(key.key);
             }
         }
