--- a/crates/suspects/src/start.rs
+++ b/crates/suspects/src/start.rs
@@ -66,8 +66,9 @@
         }
     }
 
-    /// Removes the runs whose servers have survived their beginning, and returns their parts. `is_lost` tells
-    /// whether an instance was lost, and `last_alive` when it last gave a sign of life.
+    /// Removes the runs whose servers have survived their beginning, and returns their parts.
+    /// `is_lost` tells whether an instance was lost, and `last_alive` when it last gave a sign of
+    /// life.
     pub(crate) fn settle(
         &mut self,
         now: Moment,
--- a/crates/suspects/src/table.rs
+++ b/crates/suspects/src/table.rs
@@ -150,9 +150,15 @@
         lost.map(|(tag, _)| *tag)
     }
 
-    /// Records that a request succeeded, which clears its own crashes.
-    pub fn record_success(&mut self, request: impl Into<EvidenceKey>) {
-        self.clear(request.into());
+    /// Records that a request with a key succeeded, which clears the key's crashes.
+    pub fn record_success(&mut self, key: impl Into<EvidenceKey>) {
+        let record = self.keys.get_mut(&key.into());
+        if let Some(record) = record.filter(|record| record.len() > 0) {
+            record.record_good_runs(record.good_runs + 1);
+            self.changes += 1;
+            record.changed = self.changes;
+            self.faults.take();
+        }
     }
 
     /// Records that a server has begun to write the answer to a prompt with `parts`.
@@ -178,23 +184,10 @@
             return;
         }
         for key in survived {
-            self.clear(key);
+            self.record_success(key);
         }
     }
 
-    /// Clears the crashes of a key. An operator may do so to end a quarantine; returns whether
-    /// there were any.
-    pub fn clear(&mut self, key: EvidenceKey) -> bool {
-        let Some(record) = self.keys.get_mut(&key).filter(|record| record.len() > 0) else {
-            return false;
-        };
-        record.record_good_runs(record.good_runs + 1);
-        self.changes += 1;
-        record.changed = self.changes;
-        self.faults.take();
-        true
-    }
-
     /// Verdict on a request: the most severe one on its keys.
     pub fn judge(&self, now: Moment, keys: &CallKeys) -> CallJudgement {
         let verdicts = keys.iter().map(|key| self.judge_key(now, key, keys));
@@ -358,7 +351,7 @@
             let is_cleared =
                 |(_, crash): &(_, CrashRecord)| self.starts.was_survived_near(key.key, crash.at);
             if is_changed && crashes.iter().any(is_cleared) {
-                self.clear(key.key);
+                self.record_success(key.key);
             }
         }
         self.bound();
--- a/crates/suspects/tests/parts.rs
+++ b/crates/suspects/tests/parts.rs
@@ -296,16 +296,17 @@
 }
 
 #[test]
-fn cleared_evidence_ends_a_quarantine() {
+fn a_success_ends_a_quarantine() {
     let mut table = table_of(CASES[0].events, 2100, None);
     let call = keys("new", &[FIRST, GUILTY], None);
     let key = scope(None).key(GUILTY);
     let summaries = table.summaries(at(2100), |_| true);
     let accused: Vec<_> = summaries.iter().map(|summary| summary.key).collect();
     assert_eq!(accused, [key]);
-    assert!(table.clear(key));
+    assert_eq!(table.judge(at(2100), &call).verdict.as_str(), "quarantined");
+    table.record_success(key);
     assert_eq!(table.judge(at(2100), &call).verdict.as_str(), "clear");
-    assert!(!table.clear(key), "there is nothing left to clear");
+    assert!(table.summaries(at(2100), |_| true).is_empty());
 }
 
 /// Made-up parts evict what was on one server, not what was on three.
