Fleet: no public function for tests alone, a named record in place of a tuple

update_region_vms was public for the tests of cold restarts, which now tell the view its peers as the gateway does. No change of behaviour; fleet tests pass.

--- a/crates/fleet/src/brittle.rs
+++ b/crates/fleet/src/brittle.rs
@@ -40,10 +40,17 @@
     Malformed,
 }
 
+/// The rejections that a server has stated it bears.
+#[derive(Clone, Copy, Debug)]
+struct StatedRejections {
+    rate: RequestRate,
+    at: Moment,
+}
+
 /// What was last stated by a server, or by any server of a service.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct BrittleRecord {
-    stated: Option<(RequestRate, Moment)>,
+    stated: Option<StatedRejections>,
     /// When a response last stated that it is not brittle.
     lifted: Option<Moment>,
 }
@@ -51,9 +58,11 @@
 impl BrittleRecord {
     fn apply(&mut self, now: Moment, signal: BrittleSignal, sent: Moment) {
         match signal {
-            BrittleSignal::Rejections(rate) => self.stated = Some((rate, now)),
+            BrittleSignal::Rejections(rate) => {
+                self.stated = Some(StatedRejections { rate, at: now });
+            }
             BrittleSignal::None => {
-                if self.stated.is_none_or(|(_, stated)| sent > stated) {
+                if self.stated.is_none_or(|stated| sent > stated.at) {
                     self.stated = None;
                     self.lifted = Some(now);
                 }
@@ -63,8 +72,8 @@
     }
 
     fn rate(&self, now: Moment) -> Option<RequestRate> {
-        let (rate, stated) = self.stated?;
-        (now - stated < BRITTLE_TTL).then_some(rate)
+        let stated = self.stated?;
+        (now - stated.at < BRITTLE_TTL).then_some(stated.rate)
     }
 
     /// The rate in force for a server with this record, whose service has the record `service`.
@@ -72,8 +81,8 @@
         if let Some(rate) = self.rate(now) {
             return Some(rate);
         }
-        let (_, stated) = service.stated?;
-        let is_later = self.lifted.is_none_or(|lifted| stated > lifted);
+        let stated = service.stated?;
+        let is_later = self.lifted.is_none_or(|lifted| stated.at > lifted);
         service.rate(now).filter(|_| is_later)
     }
 }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -189,7 +189,12 @@
 
     /// Updates the VMs of this region with those discovered so far. A VM that has run for
     /// `discovery_time` since [`Moment::ZERO`] usually knows all of them.
-    pub fn update_region_vms(&mut self, now: Moment, vms: Vec<VmName>, discovery_time: Duration) {
+    pub(crate) fn update_region_vms(
+        &mut self,
+        now: Moment,
+        vms: Vec<VmName>,
+        discovery_time: Duration,
+    ) {
         self.discovery.record(now, &self.peers.vms, &vms);
         self.is_discovering = self.discovery.is_running(now, discovery_time);
         self.peers.vms = vms;
--- a/crates/fleet/tests/cold_restart.rs
+++ b/crates/fleet/tests/cold_restart.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use onyxfall_fleet::{
-    CallRequirements, FleetView, HomeRegions, LocalOption, PromptSize, RouteTable, ServerRecord,
-    is_cold_sender,
+    CallRequirements, FleetView, HomeRegions, LocalOption, PromptSize, RegionPeer, RouteTable,
+    ServerRecord, is_cold_sender,
 };
 use onyxfall_types::VmName;
 use rand::rngs::StdRng;
@@ -25,6 +25,15 @@
 const REQUEST_MS: u64 = 20;
 const SEEDS: u64 = 5;
 
+/// VMs of the region that reach every server.
+fn peers(vms: Vec<VmName>) -> Vec<RegionPeer> {
+    let peers = vms.into_iter().map(|vm| RegionPeer {
+        vm,
+        unreached: Vec::new(),
+    });
+    peers.collect()
+}
+
 /// How the VMs of a region come to know each other.
 struct Case {
     name: &'static str,
@@ -106,10 +115,9 @@
     /// Refreshes the view of the region as a gateway does.
     fn tick(&mut self, now_ms: u64, starts: &[u64], case: &Case) {
         let vms = self.known(now_ms, starts, case);
-        let age = Duration::from_millis(now_ms - self.start_ms);
-        self.view.set_alone(vms.is_empty() && age >= DISCOVERY_TIME);
+        let now = at(now_ms - self.start_ms);
         self.view
-            .update_region_vms(at(now_ms - self.start_ms), vms, DISCOVERY_TIME);
+            .update_region_peers(now, peers(vms), DISCOVERY_TIME);
     }
 
     /// Sends a request, and returns the name of its server.
@@ -323,7 +331,7 @@
                 let list = case.lists.iter().rfind(|(from, _)| *from <= now_ms);
                 known = list.map_or(known, |(_, count)| *count);
                 let vms = (1..=known).map(vm).collect();
-                view.update_region_vms(at(now_ms), vms, DISCOVERY_TIME);
+                view.update_region_peers(at(now_ms), peers(vms), DISCOVERY_TIME);
             }
             let rng = &mut StdRng::seed_from_u64(1);
             let chosen = view.choose(at(case.now_ms), &needs(), &[], rng);
