--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -674,6 +674,7 @@
         }
         let result = parts::check_parts(self.deployment, self.seed, &self.targets)?;
         self.parts = result.to_string();
+        self.restart_crashed()?;
         for broken in result.broken {
             self.checks.record(broken);
         }
@@ -704,14 +705,19 @@
         if let Some(broken) = broken {
             self.checks.record(broken);
         }
-        for server in 0..servers {
+        self.restart_crashed()?;
+        self.capacity
+            .end(|fault| matches!(fault, Fault::Brittle(_)));
+        self.wait_served("after servers were brittle");
+        Ok(())
+    }
+
+    fn restart_crashed(&self) -> io::Result<()> {
+        for server in 0..self.deployment.servers.len() {
             if self.deployment.has_crashed(server) {
                 self.deployment.restart(server)?;
             }
         }
-        self.capacity
-            .end(|fault| matches!(fault, Fault::Brittle(_)));
-        self.wait_served("after servers were brittle");
         Ok(())
     }
 
