--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -180,6 +180,8 @@
     address: Option<SocketAddr>,
     signals: StubSignals,
     transfer: StubTransfer,
+    /// Delay before each event; `None` is the usual one.
+    event_pause: Option<Duration>,
     /// Software version in its events.
     version: Option<&'static str>,
     /// Load in every response, as in the header.
@@ -248,6 +250,17 @@
         self.thread.stop();
     }
 
+    /// Stops it as a signal stops a process while `is_silent`: its port and connections stay
+    /// open, and it neither reads nor writes.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.thread.set_paused(is_silent);
+    }
+
+    /// Sets the delay before each event of the streams that start from now on.
+    pub fn set_event_pause(&self, pause: Duration) {
+        self.state.lock().event_pause = Some(pause);
+    }
+
     /// Sets how it handles requests.
     pub fn set_fault(&self, fault: ServerFault) {
         self.state.lock().fault = fault;
@@ -636,7 +649,7 @@
     breaks: bool,
     /// Whether the last event is never sent.
     is_endless: bool,
-    pause: Option<Pin<Box<Sleep>>>,
+    pause: Option<(Duration, Pin<Box<Sleep>>)>,
     guard: Option<CutGuard>,
     running: Option<RunningGuard>,
     /// Turned off at the end of the body, so that the connection closes regularly.
@@ -675,7 +688,10 @@
 
     fn stream(call: &ReceivedCall, fault: ServerFault, guard: CutGuard) -> Self {
         let sent = call.last_event.as_deref().and_then(|id| id.parse().ok());
-        let version = guard.state.lock().version;
+        let (version, pause) = {
+            let state = guard.state.lock();
+            (state.version, state.event_pause.unwrap_or(EVENT_PAUSE))
+        };
         let events = EVENTS[sent.unwrap_or(0)..].iter();
         let mut events: Vec<Bytes> = events
             .map(|event| with_version(event, version).into())
@@ -700,7 +716,7 @@
             events,
             breaks,
             is_endless: false,
-            pause: Some(Box::pin(tokio::time::sleep(EVENT_PAUSE))),
+            pause: Some((pause, Box::pin(tokio::time::sleep(pause)))),
             guard: Some(guard),
             running: None,
             reset: None,
@@ -724,11 +740,11 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         let this = self.get_mut();
-        if let Some(pause) = &mut this.pause {
-            if pause.as_mut().poll(cx).is_pending() {
+        if let Some((pause, timer)) = &mut this.pause {
+            if timer.as_mut().poll(cx).is_pending() {
                 return Poll::Pending;
             }
-            pause.as_mut().reset(TimerInstant::now() + EVENT_PAUSE);
+            timer.as_mut().reset(TimerInstant::now() + *pause);
         }
         if this.is_endless && this.events.len() <= 1 {
             return Poll::Pending;
--- a/crates/fakes/src/serving.rs
+++ b/crates/fakes/src/serving.rs
@@ -13,6 +13,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use parking_lot::{Condvar, Mutex};
 use socket2::{SockRef, Socket};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -23,6 +24,41 @@
 /// Stops a serving thread, which closes its port and every connection at once.
 pub type StopSignal = Arc<Notify>;
 
+/// Stops a serving thread as a signal stops a process: its kernel still accepts connections and
+/// data, and the thread neither reads nor writes.
+#[derive(Clone, Debug, Default)]
+pub struct PauseGate(Arc<PauseState>);
+
+#[derive(Debug, Default)]
+struct PauseState {
+    is_closed: Mutex<bool>,
+    opened: Condvar,
+    closed: Notify,
+}
+
+impl PauseGate {
+    /// Stops the thread or lets it go on.
+    pub fn set_closed(&self, is_closed: bool) {
+        *self.0.is_closed.lock() = is_closed;
+        if is_closed {
+            self.0.closed.notify_one();
+        } else {
+            self.0.opened.notify_all();
+        }
+    }
+
+    /// Blocks the calling thread whenever the gate is closed.
+    async fn block_while_closed(&self) {
+        loop {
+            self.0.closed.notified().await;
+            let mut is_closed = self.0.is_closed.lock();
+            while *is_closed {
+                self.0.opened.wait(&mut is_closed);
+            }
+        }
+    }
+}
+
 /// Peer address of a request's connection, attached to each request as an extension.
 #[derive(Clone, Copy, Debug)]
 pub struct PeerAddress(pub SocketAddr);
@@ -51,6 +87,7 @@
 pub struct ServingThread {
     address: SocketAddr,
     stop: StopSignal,
+    gate: PauseGate,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -76,12 +113,15 @@
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
         let stopped = Arc::clone(&stop);
+        let gate = PauseGate::default();
+        let paused = gate.clone();
         let thread = thread::Builder::new()
             .name("stand-in".to_owned())
-            .spawn(move || serve(listener, &stopped, &handler))?;
+            .spawn(move || serve(listener, &stopped, &paused, &handler))?;
         Ok(Self {
             address,
             stop,
+            gate,
             thread: Some(thread),
         })
     }
@@ -91,6 +131,11 @@
         self.stop.notify_one();
     }
 
+    /// Stops the thread while `is_paused`; its port and connections stay open.
+    pub fn set_paused(&self, is_paused: bool) {
+        self.gate.set_closed(is_paused);
+    }
+
     /// Address on which it listens.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -100,6 +145,7 @@
 impl Drop for ServingThread {
     fn drop(&mut self) {
         self.stop.notify_one();
+        self.gate.set_closed(false);
         if let Some(thread) = self.thread.take()
             && thread.join().is_err()
         {
@@ -111,6 +157,7 @@
 fn serve<F, B, E>(
     listener: std::net::TcpListener,
     stopped: &Notify,
+    paused: &PauseGate,
     handler: &(impl Fn(Request<Incoming>) -> F + Clone + Send + 'static),
 ) where
     F: Future<Output = Result<Response<B>, E>> + 'static,
@@ -168,6 +215,7 @@
         };
         tokio::select! {
             () = accepting => {}
+            () = paused.block_while_closed() => {}
             () = stopped.notified() => {}
         }
     });
