Streams: which of two runs of a request its answer comes from

A pure type that holds the runs of a request and answers what may be done: a suspicion starts a second run where the request may run twice, and nothing is given up while a run is under way.

--- a/crates/streams/src/lib.rs
+++ b/crates/streams/src/lib.rs
@@ -1,4 +1,6 @@
-//! Which software version began a stream, so that a caller can resume it at any VM.
+//! How streams go on when a server or a VM fails: which software version began a stream, so that a
+//! caller can resume it at any VM, and which of two runs of a request its answer comes from
+//! ([`RunRace`]).
 //!
 //! Servers of several versions may serve one service side by side, and what two versions write
 //! does not fit together. While a service has several versions, the VM that forwards the first
@@ -16,10 +18,12 @@
 mod judge;
 mod memory;
 mod owners;
+mod race;
 mod tag;
 
 pub use history::{HISTORY, HistoryEntry, VersionClaim, VersionHistory};
 pub use judge::{KnowledgeSource, OwnerAnswer, ResumptionVerdict, judge_resumption};
 pub use memory::{MAX_STREAMS, StreamMemory, StreamOrigin};
 pub use owners::stream_owners;
+pub use race::{RunEvent, RunRace, RunSide, RunStep};
 pub use tag::{StreamTag, TagError};
