Silence of a server ends no answer: a second run races the silent one

Cause: one predicate, is_unresponsive, answered two questions: may a server get new work, and is what runs there lost? A server that was silent by the votes of all VMs, or whose path counted as lost, made a VM close the open connection of each run that another server could resume, before any server had taken it. Where none did, the caller's answer was aborted. Runs that may happen once were cut in the same way if a backup copy of them existed, and the runs that were ended by suspicion counted as crashes, which is what copies are made for.

Change: the predicate is split. is_suspected leads new work elsewhere and starts a second run of a request that may run twice; has_ended (another instance) and the end of the connection are proof. A silent run stays open and is read; whichever run brings the next event, or the first head, is kept, and the other is cancelled. Without a server that takes a second run nothing is given up, and it is asked for again each 50 ms. A run with a copy is continued elsewhere after its connection has ended only. A run that was overtaken is evidence of a crash only once its server has ended; a sign of life clears it.

--- a/crates/events/src/framer.rs
+++ b/crates/events/src/framer.rs
@@ -27,7 +27,7 @@
 }
 
 /// Result of a received piece.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct FramedBytes {
     /// Bytes to forward now; may be empty.
     pub forwarded: Bytes,
@@ -36,7 +36,7 @@
 }
 
 /// Splits one stream, over all servers that send parts of it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct EventFramer {
     unit: ForwardUnit,
     scanner: EventScanner,
@@ -109,6 +109,23 @@
         self.held.len()
     }
 
+    /// A framer for another server that sends the stream from its last complete event on.
+    ///
+    /// ```
+    /// use onyxfall_events::{EventFramer, ForwardUnit};
+    /// let mut framer = EventFramer::new(ForwardUnit::Events);
+    /// framer.push("id: 1\ndata: a\n\nid: 2\nda".into()).unwrap();
+    /// let mut other = framer.fork();
+    /// let framed = other.push("id: 2\ndata: b\n\n".into()).unwrap();
+    /// assert_eq!((framed.forwarded.as_ref(), framer.last_id()), (&b"id: 2\ndata: b\n\n"[..], Some("1")));
+    /// ```
+    #[must_use]
+    pub fn fork(&self) -> Self {
+        let mut framer = self.clone();
+        framer.restart();
+        framer
+    }
+
     /// Drops the incomplete event of a server whose connection was lost; another server sends it
     /// anew.
     pub fn restart(&mut self) {
--- a/crates/fleet/src/choose.rs
+++ b/crates/fleet/src/choose.rs
@@ -222,7 +222,7 @@
             return Some(sendable);
         }
         let is_reached =
-            |id: &ServerId| !self.server(*id).is_doubted(now) && !self.is_unresponsive(now, *id);
+            |id: &ServerId| !self.server(*id).is_doubted(now) && !self.is_suspected(now, *id);
         let reached: Vec<ServerId> = sendable.into_iter().filter(is_reached).collect();
         let trusted: Vec<ServerId> = reached
             .iter()
--- a/crates/fleet/src/liveness.rs
+++ b/crates/fleet/src/liveness.rs
@@ -118,6 +118,12 @@
         now - since >= expected.mul_f64(OVERDUE_FACTOR).max(MIN_OVERDUE)
     }
 
+    /// Records that an attempt was given up because the server was silent. Without it, the vote
+    /// would end with the attempt.
+    pub(crate) fn record_silence(&mut self, now: Moment) {
+        self.last_disconnect = Some(now);
+    }
+
     /// Records that an open connection was lost.
     pub(crate) fn record_break(&mut self, now: Moment) {
         self.broken_at = Some(now);
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -41,7 +41,7 @@
 /// Fraction of a model server's memory that admitted requests may occupy.
 const MAX_MEMORY_FRACTION: f64 = 0.9;
 /// Outcome of an attempt at a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum AttemptResult {
     /// The server sent its whole response.
     Succeeded,
@@ -51,9 +51,12 @@
     Unreachable,
     /// The connection was lost after the attempt was sent.
     Broken,
+    /// Another run of the request answered first while the server was silent.
+    Overtaken,
     /// The server reported that it was full.
     Shed,
     /// The caller disconnected or the deadline passed; no information about the server.
+    #[default]
     Unknown,
 }
 
@@ -653,6 +656,10 @@
                 self.circuit.fail(now);
                 self.circuit.trip(now);
             }
+            AttemptResult::Overtaken => {
+                self.liveness.record_silence(now);
+                self.circuit.record_unknown();
+            }
             AttemptResult::Shed => {
                 self.liveness.record_liveness(now);
                 self.circuit.record_unknown();
--- a/crates/fleet/src/signals.rs
+++ b/crates/fleet/src/signals.rs
@@ -162,7 +162,7 @@
             && !self.is_closed_version(id)
             && self.server(id).backoff_end(now).is_none()
             && self.path_state(&self.server(id).record.service).may_send()
-            && !self.is_unresponsive(now, id)
+            && !self.is_suspected(now, id)
     }
 
     /// Whether the backoff and the rate limit of server `id` let this VM send to it now.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -28,13 +28,17 @@
 use crate::pools::{
     DormantServer, MIN_WORKING, PoolId, PoolKey, PoolPosition, PoolServer, PoolTable,
 };
-use crate::reach::{PathState, PathTable, RegionReach};
+use crate::reach::{LossEvidence, LossMoment, PathState, PathTable, RegionReach};
 use crate::record::ServerRecord;
 use crate::route::RouteTable;
 use crate::server::ServerState;
 use crate::switches::{DecisionSwitch, DecisionSwitches};
 use crate::work::WorkShare;
 
+/// Time after which a run that was given up during a silence shows nothing any more: the
+/// platform's store reports servers that have ended within about 4 s.
+const SILENCE_SETTLED: Duration = Duration::from_secs(10);
+
 /// Delay per 1,000 tokens of a shared part that is accepted to avoid prefilling them
 /// again, if the settings give none. It also ties short shared parts to their server:
 /// on a day with a power loss 15.1 M tokens of shared parts were prefilled again
@@ -395,15 +399,36 @@
         is_trusted_here && !self.is_voted_unresponsive(now, id)
     }
 
-    /// Whether requests at a server wait in vain: it is unresponsive by the votes of all VMs,
-    /// it has restarted since, or this VM does not reach it.
-    pub fn is_unresponsive(&self, now: Moment, id: ServerId) -> bool {
+    /// Whether a server is suspected to have ended: it is unresponsive by the votes of all VMs, it
+    /// has restarted since, or this VM does not reach it. A silent server may go on, so a
+    /// suspicion leads requests elsewhere and never ends a run; see [`FleetView::has_ended`].
+    pub fn is_suspected(&self, now: Moment, id: ServerId) -> bool {
         let server = self.server(id);
         let is_cut_off = server.region == self.place.region
             && self.path_state(&server.record.service) == PathState::Lost;
         is_cut_off || self.is_voted_unresponsive(now, id)
     }
 
+    /// Whether all runs at a server have ended for certain: the platform's store names a later
+    /// instance of it.
+    pub fn has_ended(&self, id: ServerId) -> bool {
+        self.server(id).is_replaced()
+    }
+
+    /// What is known of a run that was given up at `at` while its server was suspected. Without
+    /// any sign of life or proof of its end within [`SILENCE_SETTLED`], it shows nothing.
+    pub fn silence_evidence(&self, now: Moment, id: ServerId, at: Moment) -> LossEvidence {
+        let server = self.server(id);
+        let has_returned = server.last_liveness().is_some_and(|sign| sign > at);
+        if has_returned || now - at > SILENCE_SETTLED {
+            LossEvidence::None
+        } else if server.is_replaced() || server.is_gone() || server.is_broken_since(at) {
+            self.loss_evidence(&server.record.service, LossMoment::AfterCheck)
+        } else {
+            LossEvidence::Open
+        }
+    }
+
     fn is_voted_unresponsive(&self, now: Moment, id: ServerId) -> bool {
         let server = self.server(id);
         let has_votes = self.switches().is_on(DecisionSwitch::ServerVotes);
--- a/crates/fleet/tests/instances.rs
+++ b/crates/fleet/tests/instances.rs
@@ -44,18 +44,18 @@
         .server_mut(former)
         .end(at(10), 1, AttemptResult::Broken);
     let former_tag = fleet.server(former).tag();
-    assert!(fleet.is_unresponsive(at(10), former));
+    assert!(fleet.is_suspected(at(10), former));
 
     fleet.put_server(at(6000), ready("s1", 7000), None);
     let later = fleet.find("s1").unwrap();
     assert_ne!(later, former, "another instance");
     assert!(fleet.server(former).is_gone() && fleet.server(former).is_replaced());
     assert!(
-        fleet.is_unresponsive(at(6000), former),
+        fleet.is_suspected(at(6000), former),
         "attempts at the former instance have ended"
     );
     assert!(
-        !fleet.is_unresponsive(at(6000), later),
+        !fleet.is_suspected(at(6000), later),
         "no votes of the former instance"
     );
     assert!(
--- a/crates/fleet/tests/liveness.rs
+++ b/crates/fleet/tests/liveness.rs
@@ -146,7 +146,7 @@
         exchange(&mut views, id, at(2000));
         for view in &views {
             assert_eq!(
-                view.is_unresponsive(at(2000), id),
+                view.is_suspected(at(2000), id),
                 case.is_unresponsive,
                 "{}",
                 case.name
@@ -193,7 +193,7 @@
         }
         if now % 100 == 0 {
             exchange(&mut views, id, at(now));
-            let is_unresponsive = views.iter().any(|view| view.is_unresponsive(at(now), id));
+            let is_unresponsive = views.iter().any(|view| view.is_suspected(at(now), id));
             assert!(!is_unresponsive, "at {now} ms");
         }
     }
@@ -216,9 +216,9 @@
         views.push(view);
     }
     exchange(&mut views, id, at(1100));
-    assert!(!views[0].is_unresponsive(at(1100), id));
+    assert!(!views[0].is_suspected(at(1100), id));
     exchange(&mut views, id, at(2000));
     for view in &views {
-        assert!(view.is_unresponsive(at(2000), id));
+        assert!(view.is_suspected(at(2000), id));
     }
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -29,7 +29,7 @@
 use crate::pool::ConnectionChoice;
 use crate::relay::{PeerTarget, parse_verdict, set_relay_headers, take_version};
 use crate::suspension::within_deadline;
-use crate::unresponsive::{wait_for_replacement, wait_until_unresponsive};
+use crate::suspicion::{wait_until_ended, wait_until_suspected};
 
 /// Largest body of a rejection that is drained so that its connection can be reused.
 const MAX_REJECTION_BODY: usize = 64 * 1024;
@@ -104,15 +104,17 @@
     },
 }
 
-/// Sends a request to a server of this region.
+/// Sends a request to a server of this region. `on_drop` is the result of the attempt if it is
+/// dropped before its end.
 pub(crate) async fn try_server(
     gateway: &Rc<Gateway>,
     call: &SharedCall,
     target: &ServerTarget,
     extra: &HeaderMap,
+    on_drop: Rc<Cell<AttemptResult>>,
 ) -> AttemptEnd {
     let is_from_start = extra.is_empty();
-    let mut attempt = OpenAttempt::start(gateway, target.id, call, is_from_start);
+    let mut attempt = OpenAttempt::start(gateway, target.id, call, is_from_start, on_drop);
     let version = {
         let fleet = gateway.fleet.borrow();
         fleet.server(target.id).record.version.clone()
@@ -146,17 +148,10 @@
     };
     let is_written = Cell::new(false);
     let exchanged = exchange(gateway, call, &destination, &is_written, build);
-    // A request that may run only once keeps waiting while its server may still respond.
-    let exchanged = if call.rules.repeatable {
-        tokio::select! {
-            exchanged = exchanged => exchanged,
-            () = wait_until_unresponsive(Rc::clone(gateway), target.id) => Err(ExchangeFailure::Unresponsive),
-        }
-    } else {
-        tokio::select! {
-            exchanged = exchanged => exchanged,
-            () = wait_for_replacement(Rc::clone(gateway), target.id) => Err(ExchangeFailure::Unresponsive),
-        }
+    let exchanged = tokio::select! {
+        exchanged = exchanged => exchanged,
+        () = wait_until_ended(Rc::clone(gateway), target.id) => Err(ExchangeFailure::Replaced),
+        () = suspected_unwritten(gateway, target.id, &is_written) => Err(ExchangeFailure::Unwritten),
     };
     let (connection, response) = match exchanged {
         Ok(exchanged) => exchanged,
@@ -203,6 +198,15 @@
     }
 }
 
+/// Waits until the server of an attempt is suspected before anything was written to it. What was
+/// written may still be answered.
+async fn suspected_unwritten(gateway: &Rc<Gateway>, server: ServerId, is_written: &Cell<bool>) {
+    wait_until_suspected(Rc::clone(gateway), server).await;
+    if is_written.get() {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Records the signals in a response of the server of an attempt.
 fn record_response_signals(
     gateway: &Gateway,
@@ -312,8 +316,8 @@
     Unreachable,
     Broken,
     TimedOut,
-    /// All VMs treat the server as unresponsive, or it has restarted.
-    Unresponsive,
+    /// Another instance has replaced the server.
+    Replaced,
     /// The server has asked for no work since it was chosen, or is not reached any more.
     Declined,
     /// The wait for a connection was given up.
@@ -325,7 +329,7 @@
     /// was not cannot have run, whatever ended the exchange.
     fn after_write(self, is_written: bool) -> Self {
         match self {
-            Self::TimedOut | Self::Unresponsive if !is_written => Self::Unwritten,
+            Self::TimedOut | Self::Replaced if !is_written => Self::Unwritten,
             failure => failure,
         }
     }
@@ -333,7 +337,7 @@
     fn attempt_result(&self) -> AttemptResult {
         match self {
             Self::Unreachable => AttemptResult::Unreachable,
-            Self::Broken | Self::Unresponsive => AttemptResult::Broken,
+            Self::Broken | Self::Replaced => AttemptResult::Broken,
             Self::TimedOut => AttemptResult::Failed,
             Self::Declined | Self::Unwritten => AttemptResult::Unknown,
         }
@@ -351,8 +355,8 @@
             Self::TimedOut => AttemptEnd::Lost {
                 cause: "no response before the deadline",
             },
-            Self::Unresponsive => AttemptEnd::Lost {
-                cause: "the server is unresponsive",
+            Self::Replaced => AttemptEnd::Lost {
+                cause: "another instance has replaced the server",
             },
             Self::Declined => AttemptEnd::NotRun {
                 arrived: false,
--- a/crates/gateway/src/backup.rs
+++ b/crates/gateway/src/backup.rs
@@ -99,7 +99,7 @@
     let mut extra = HeaderMap::new();
     set_last_event(&mut extra, last_event);
     set_copy_from(&mut extra, backup.source, &call.request_id);
-    let end = try_server(gateway, call, &target, &extra).await;
+    let end = try_server(gateway, call, &target, &extra, Rc::default()).await;
     let cause = match end {
         AttemptEnd::Response(response) if response.status.is_success() => {
             gateway.metrics.count("onyxfall_runs_continued_total");
--- a/crates/gateway/src/decide.rs
+++ b/crates/gateway/src/decide.rs
@@ -64,6 +64,13 @@
     Refuse(RequestError),
 }
 
+impl RouteStep {
+    /// Whether the step makes an attempt.
+    pub(crate) fn is_attempt(&self) -> bool {
+        matches!(self, Self::Server(_) | Self::Peer(_))
+    }
+}
+
 impl Gateway {
     /// Decides the next step of a request.
     pub(crate) fn decide(&self, call: &SharedCall, progress: &CallProgress) -> RouteStep {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -114,14 +114,14 @@
     pub(crate) queries: WorkQueries,
     /// Versions that began streams.
     pub(crate) origins: StreamOrigins,
-    /// Notified when a server becomes unresponsive.
-    pub(crate) unresponsive: Notify,
+    /// Notified when a server is suspected to have ended, or has ended.
+    pub(crate) suspicion: Notify,
     /// Lost runs that may be those of a lost path, until a check of it has ended.
     pub(crate) lost_runs: RefCell<Vec<LostRun>>,
     /// Notified while a path to servers is not open.
     pub(crate) path_closed: Notify,
-    /// Servers that were unresponsive at the last check.
-    pub(crate) unresponsive_servers: RefCell<BTreeSet<ServerId>>,
+    /// Servers that were suspected at the last check.
+    pub(crate) suspected_servers: RefCell<BTreeSet<ServerId>>,
     /// Notified to send store changes to the VMs that report to this one.
     pub(crate) send_deltas_now: Notify,
     pub(crate) rng: RefCell<StdRng>,
@@ -209,10 +209,10 @@
             send_updates_now: Notify::new(),
             queries: WorkQueries::default(),
             origins: StreamOrigins::default(),
-            unresponsive: Notify::new(),
+            suspicion: Notify::new(),
             lost_runs: RefCell::default(),
             path_closed: Notify::new(),
-            unresponsive_servers: RefCell::default(),
+            suspected_servers: RefCell::default(),
             send_deltas_now: Notify::new(),
             rng: RefCell::new(StdRng::from_os_rng()),
             next_attempt: Cell::new(1),
@@ -324,7 +324,7 @@
         self.overlay.borrow_mut().tick(now);
         self.apply_work(now);
         self.refresh_reach(now);
-        self.refresh_unresponsive(now);
+        self.refresh_suspected(now);
         self.log_member_changes();
         self.refresh_status();
         self.refresh_quota_peers(now);
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -29,6 +29,7 @@
 mod plan_report;
 mod planning;
 mod pool;
+mod race;
 mod reach;
 mod relay;
 mod relays;
@@ -46,8 +47,8 @@
 mod stream;
 mod suspects;
 mod suspension;
+mod suspicion;
 mod teams;
-mod unresponsive;
 mod updates;
 mod work_queries;
 
--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -15,7 +15,8 @@
 use crate::suspects::SuspectRun;
 
 /// Accounts for an attempt at a server until it is finished or dropped. A drop without a
-/// result (the caller disconnected) counts neither for nor against the server.
+/// result (the caller disconnected) counts neither for nor against the server, unless another run
+/// has overtaken the attempt.
 pub(crate) struct OpenAttempt {
     gateway: Rc<Gateway>,
     call: SharedCall,
@@ -26,6 +27,8 @@
     /// complete before the server crashes under it.
     is_from_start: bool,
     is_finished: bool,
+    /// Result of the attempt if it is dropped before its end.
+    on_drop: Rc<Cell<AttemptResult>>,
     /// Slowdown of the first byte against the usual time.
     ratio: Cell<Option<f64>>,
     /// When the first event of the answer was received.
@@ -41,6 +44,7 @@
         server: ServerId,
         call: &SharedCall,
         is_from_start: bool,
+        on_drop: Rc<Cell<AttemptResult>>,
     ) -> Self {
         let id = gateway.next_attempt();
         let now = gateway.now();
@@ -58,6 +62,7 @@
             started: now,
             is_from_start,
             is_finished: false,
+            on_drop,
             ratio: Cell::new(None),
             written_since: Cell::new(None),
             suspect: SuspectRun::start(gateway, call),
@@ -118,7 +123,9 @@
         let now = self.gateway.now();
         self.suspect = None;
         match result {
-            AttemptResult::Broken => self.log_lost_run(now, events),
+            AttemptResult::Broken | AttemptResult::Overtaken => {
+                self.log_lost_run(now, result, events);
+            }
             AttemptResult::Succeeded if self.is_from_start => {
                 let started = self.record_written();
                 self.gateway
@@ -141,8 +148,8 @@
             );
         }
         drop(fleet);
-        if result == AttemptResult::Broken {
-            self.record_lost_run(now, events);
+        if matches!(result, AttemptResult::Broken | AttemptResult::Overtaken) {
+            self.record_lost_run(now, result, events);
         }
         let ratio = self.ratio.get();
         let ratio = ratio.map(|ratio| ratio.max(interval_ratio.unwrap_or_default()));
@@ -154,7 +161,7 @@
 impl OpenAttempt {
     /// Counts a run whose connection was lost as evidence of a crash, unless the path to its
     /// server was lost.
-    fn record_lost_run(&self, now: Moment, events: Option<u32>) {
+    fn record_lost_run(&self, now: Moment, result: AttemptResult, events: Option<u32>) {
         self.gateway.refresh_paths(now);
         let evidence = {
             let fleet = self.gateway.fleet.borrow();
@@ -167,6 +174,7 @@
             at: now,
             call: Rc::clone(&self.call),
             server: self.server,
+            is_overtaken: result == AttemptResult::Overtaken,
             had_begun: events.is_some(),
             written: self
                 .written_since
@@ -180,7 +188,7 @@
     /// Logs a run whose connection was lost. The fingerprint shows whether the same request was
     /// lost with other servers, whatever ids its callers gave it, and the parts what different
     /// requests had in common.
-    fn log_lost_run(&self, now: Moment, events: Option<u32>) {
+    fn log_lost_run(&self, now: Moment, result: AttemptResult, events: Option<u32>) {
         let fleet = self.gateway.fleet.borrow();
         let server = fleet.server(self.server);
         log::info!(
@@ -188,6 +196,8 @@
             fingerprint:% = self.call.keys().request,
             route = self.call.route.as_str(),
             server = server.record.name.as_str(),
+            result:? = result,
+            suspected = fleet.is_suspected(now, self.server),
             others = server.work().requests.saturating_sub(1),
             parts:% = self.call.needs.prompt.shared_parts_text(),
             had_begun = events.is_some(),
@@ -200,6 +210,6 @@
 
 impl Drop for OpenAttempt {
     fn drop(&mut self) {
-        self.finish(AttemptResult::Unknown);
+        self.finish(self.on_drop.get());
     }
 }
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -41,6 +41,8 @@
     pub(crate) at: Moment,
     pub(crate) call: SharedCall,
     pub(crate) server: ServerId,
+    /// Whether it was given up while its server was only suspected.
+    pub(crate) is_overtaken: bool,
     /// Whether the response had begun.
     pub(crate) had_begun: bool,
     /// Time since the first event of the answer; zero if there was none.
@@ -103,7 +105,7 @@
             if state == PathState::Lost {
                 self.metrics.count("onyxfall_lost_paths_total");
                 // Requests that wait for servers which this VM does not reach are moved.
-                self.unresponsive.notify_waiters();
+                self.suspicion.notify_waiters();
             }
         }
         self.settle_lost_runs();
@@ -116,7 +118,11 @@
         for run in runs {
             let evidence = {
                 let fleet = self.fleet.borrow();
-                fleet.loss_evidence(&run.call.needs.service, LossMoment::AfterCheck)
+                if run.is_overtaken {
+                    fleet.silence_evidence(self.now(), run.server, run.at)
+                } else {
+                    fleet.loss_evidence(&run.call.needs.service, LossMoment::AfterCheck)
+                }
             };
             match evidence {
                 LossEvidence::Open => self.lost_runs.borrow_mut().push(run),
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -118,6 +118,7 @@
             AttemptResult::Succeeded => ResponseOutcome::Succeeded { ratio },
             AttemptResult::Unreachable
             | AttemptResult::Broken
+            | AttemptResult::Overtaken
             | AttemptResult::Shed
             | AttemptResult::Unknown => return,
         };
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,12 +4,13 @@
 //! only if it is repeatable or no attempt so far ran. The verdict of the request is the
 //! largest verdict of its attempts.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode};
-use onyxfall_adapter::{response_headers, set_last_event};
+use onyxfall_adapter::response_headers;
 use onyxfall_events::StreamEnd;
 use onyxfall_fleet::{AttemptResult, TimePrediction};
 use onyxfall_types::{RefusalReason, RequestError, RunVerdict, ServerId, SoftwareVersion, VmName};
@@ -19,6 +20,7 @@
 use crate::call::{CallOrigin, SharedCall};
 use crate::decide::RouteStep;
 use crate::gateway::Gateway;
+use crate::race::{OpenRun, race_attempt, resume_headers};
 use crate::relay::{PeerReason, set_version};
 use crate::stream::StreamRelay;
 use crate::suspension::within_deadline;
@@ -70,6 +72,44 @@
     pub(crate) last_cause: &'static str,
 }
 
+impl CallProgress {
+    /// Counts an attempt that may have run.
+    pub(crate) fn count_run(&mut self) {
+        self.arrivals += 1;
+        self.runs += 1;
+    }
+
+    /// Counts an attempt without a response that is used.
+    pub(crate) fn count(&mut self, end: &AttemptEnd) {
+        match end {
+            AttemptEnd::Response(_) => self.count_run(),
+            AttemptEnd::NotRun { arrived, cause } => {
+                self.last_cause = cause;
+                self.arrivals += u32::from(*arrived);
+                self.unreached += u32::from(!*arrived);
+            }
+            AttemptEnd::Lost { cause } => {
+                self.last_cause = cause;
+                self.count_run();
+            }
+        }
+    }
+
+    /// The progress with one more attempt that may have run.
+    pub(crate) fn with_run(&self) -> Self {
+        let mut next = self.clone();
+        next.count_run();
+        next
+    }
+
+    /// Takes over what was tried last from `other`, but not its counts.
+    pub(crate) fn take_target(&mut self, other: Self) {
+        let counts = (self.arrivals, self.runs, self.unreached);
+        *self = other;
+        (self.arrivals, self.runs, self.unreached) = counts;
+    }
+}
+
 /// A response that was received whole.
 struct WholeResponse {
     status: StatusCode,
@@ -111,8 +151,7 @@
             }
             continue;
         };
-        progress.arrivals += 1;
-        progress.runs += 1;
+        progress.count_run();
         progress.first_byte = call.age();
         if call.rules.response.is_stream() && response.status.is_success() {
             return Ok(stream_reply(gateway, call, progress, response));
@@ -152,10 +191,7 @@
     mut progress: CallProgress,
     last_event: Option<String>,
 ) -> Option<ResumedStream> {
-    let mut extra = HeaderMap::new();
-    if let Some(event) = &last_event {
-        set_last_event(&mut extra, event);
-    }
+    let extra = resume_headers(last_event.as_deref());
     loop {
         claim_retry(gateway, call, &progress).ok()?;
         let end = next_attempt(gateway, call, &mut progress, &extra)
@@ -173,13 +209,11 @@
                     target = progress.last_target.as_str();
                     "stream resumed"
                 );
-                progress.arrivals += 1;
-                progress.runs += 1;
+                progress.count_run();
                 return Some(ResumedStream { response, progress });
             }
             AttemptEnd::Response(response) => {
-                progress.arrivals += 1;
-                progress.runs += 1;
+                progress.count_run();
                 response.finish(gateway, AttemptResult::Failed);
             }
             other => record_failure(gateway, call, &mut progress, &other).ok()?,
@@ -206,32 +240,64 @@
         match step {
             RouteStep::Later(pause) => tokio::time::sleep(pause).await,
             RouteStep::Refuse(error) => return Err(error),
-            RouteStep::Server(target) => {
-                gateway.record_rate(call, progress);
-                progress.servers.push(target.id);
-                progress.sent = call.age();
-                progress.predicted = target.predicted;
-                progress.reason = target.reason.as_str();
-                progress.last_target.clone_from(&target.name);
-                return Ok(try_server(gateway, call, &target, extra).await);
+            RouteStep::Server(_) | RouteStep::Peer(_) => {
+                if let Some(run) = start_attempt(gateway, call, progress, extra, step) {
+                    return Ok(race_attempt(gateway, call, progress, extra, run).await);
+                }
             }
-            RouteStep::Peer(target) => {
-                gateway.record_rate(call, progress);
-                progress.vms.push(target.vm.clone());
-                progress.sent = call.age();
-                progress.predicted = target.predicted;
-                progress.reason = target.reason.as_str();
-                progress.last_target = target.vm.to_string();
-                let end = try_peer(gateway, call, &target, extra).await;
+        }
+    }
+}
+
+/// Starts the attempt of a step and records its target. `None` if the step makes no attempt.
+pub(crate) fn start_attempt(
+    gateway: &Rc<Gateway>,
+    call: &SharedCall,
+    progress: &mut CallProgress,
+    extra: &HeaderMap,
+    step: RouteStep,
+) -> Option<OpenRun> {
+    let on_drop = Rc::new(Cell::new(AttemptResult::Unknown));
+    let (gateway, call, extra) = (Rc::clone(gateway), Rc::clone(call), extra.clone());
+    gateway.record_rate(&call, progress);
+    progress.sent = call.age();
+    match step {
+        RouteStep::Server(target) => {
+            progress.servers.push(target.id);
+            progress.predicted = target.predicted;
+            progress.reason = target.reason.as_str();
+            progress.last_target.clone_from(&target.name);
+            let (server, dropped) = (Some(target.id), Rc::clone(&on_drop));
+            let end = async move { try_server(&gateway, &call, &target, &extra, dropped).await };
+            Some(OpenRun {
+                end: Box::pin(end),
+                on_drop,
+                server,
+            })
+        }
+        RouteStep::Peer(target) => {
+            progress.vms.push(target.vm.clone());
+            progress.predicted = target.predicted;
+            progress.reason = target.reason.as_str();
+            progress.last_target = target.vm.to_string();
+            let sent = progress.sent;
+            let end = async move {
+                let end = try_peer(&gateway, &call, &target, &extra).await;
                 let is_predicted = target.reason == PeerReason::Remote;
                 if matches!(end, AttemptEnd::Response(_)) && is_predicted {
-                    let took = call.age().saturating_sub(progress.sent);
+                    let took = call.age().saturating_sub(sent);
                     let mut table = gateway.remote_table.borrow_mut();
                     table.record_first(&target.region, target.predicted.first, took);
                 }
-                return Ok(end);
-            }
+                end
+            };
+            Some(OpenRun {
+                end: Box::pin(end),
+                on_drop,
+                server: None,
+            })
         }
+        RouteStep::Later(_) | RouteStep::Refuse(_) => None,
     }
 }
 
@@ -242,19 +308,10 @@
     progress: &mut CallProgress,
     end: &AttemptEnd,
 ) -> Result<(), RequestError> {
-    match end {
-        AttemptEnd::Response(_) => return Ok(()),
-        AttemptEnd::NotRun { arrived, cause } => {
-            progress.last_cause = cause;
-            progress.arrivals += u32::from(*arrived);
-            progress.unreached += u32::from(!*arrived);
-        }
-        AttemptEnd::Lost { cause } => {
-            progress.last_cause = cause;
-            progress.arrivals += 1;
-            progress.runs += 1;
-        }
+    if matches!(end, AttemptEnd::Response(_)) {
+        return Ok(());
     }
+    progress.count(end);
     log_failed_attempt(call, progress);
     claim_retry(gateway, call, progress)
 }
@@ -276,16 +333,32 @@
     call: &SharedCall,
     progress: &CallProgress,
 ) -> Result<(), RequestError> {
+    check_retry(call, progress)?;
+    if progress.arrivals > 0 && !gateway.take_retry(&call.needs.service) {
+        let detail = "the retry budget is used up";
+        return Err(unretried(progress, RefusalReason::Backend, detail));
+    }
+    Ok(())
+}
+
+/// Whether the attempts that a request has left allow another one.
+pub(crate) fn may_reach_another(call: &SharedCall, progress: &CallProgress) -> bool {
+    check_retry(call, progress).is_ok()
+}
+
+fn unretried(progress: &CallProgress, reason: RefusalReason, detail: &str) -> RequestError {
+    RequestError {
+        verdict: verdict_of(progress),
+        reason,
+        detail: detail.to_owned(),
+        retry_after: Some(DEFAULT_RETRY_AFTER),
+    }
+}
+
+/// Checks whether the request may be retried.
+fn check_retry(call: &SharedCall, progress: &CallProgress) -> Result<(), RequestError> {
     let verdict = verdict_of(progress);
-    let reject = |reason, detail: &str| {
-        let error = RequestError {
-            verdict,
-            reason,
-            detail: detail.to_owned(),
-            retry_after: Some(DEFAULT_RETRY_AFTER),
-        };
-        Err(error)
-    };
+    let reject = |reason, detail: &str| Err(unretried(progress, reason, detail));
     if call.time_left().is_zero() {
         return reject(
             RefusalReason::Deadline,
@@ -302,9 +375,6 @@
     {
         return reject(RefusalReason::Backend, progress.last_cause);
     }
-    if progress.arrivals > 0 && !gateway.take_retry(&call.needs.service) {
-        return reject(RefusalReason::Backend, "the retry budget is used up");
-    }
     Ok(())
 }
 
--- a/crates/gateway/src/store_changes.rs
+++ b/crates/gateway/src/store_changes.rs
@@ -90,7 +90,7 @@
         fleet.put_server(now, record, table);
         if before.is_some_and(|id| fleet.server(id).is_replaced()) {
             self.metrics.count("onyxfall_servers_reborn_total");
-            self.unresponsive.notify_waiters();
+            self.suspicion.notify_waiters();
         }
         let Some(id) = fleet.find(name.as_str()) else {
             self.metrics.count("onyxfall_dormant_entries_total");
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -5,6 +5,9 @@
 //! the last event names the point to resume from. Any other stream is forwarded byte by
 //! byte. If no server resumes a stream, the response to the caller is aborted, so that it never
 //! looks complete.
+//!
+//! A server that is only suspected to have ended keeps its stream: a second server may send the
+//! next event first, and takes the stream over with it.
 
 use std::pin::Pin;
 use std::rc::Rc;
@@ -15,19 +18,23 @@
 use http::HeaderMap;
 use http::header::CONTENT_TYPE;
 use hyper::body::{Body, Frame};
-use onyxfall_events::{BodyFraming, EventFramer, ForwardUnit, StreamEnd};
+use onyxfall_events::{BodyFraming, EventFramer, ForwardUnit, FramedBytes, StreamEnd};
 use onyxfall_fleet::AttemptResult;
+use onyxfall_streams::{RunEvent, RunRace, RunSide};
 use onyxfall_types::SoftwareVersion;
 
-use crate::attempt::UpstreamResponse;
+use crate::attempt::{AttemptEnd, UpstreamResponse};
 use crate::backup::continue_run;
 use crate::body::RelayError;
 use crate::call::{ResponseRule, SharedCall};
 use crate::gateway::Gateway;
 use crate::held::HeldBytes;
+use crate::race::{
+    SecondStart, begin_second, log_race, resume_headers, start_second, wait_for_suspicion,
+};
 use crate::serve::{CallProgress, ResumedStream, resume};
 use crate::suspension::wait_for_deadline;
-use crate::unresponsive::wait_until_unresponsive;
+use crate::suspicion::wait_until_ended;
 
 /// Media type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
@@ -50,10 +57,19 @@
     Open(Box<UpstreamResponse>),
     /// Another server is being asked to resume the stream.
     Resuming(LocalBoxFuture<'static, Option<ResumedStream>>),
+    /// The first server has ended, and a second one was already asked.
+    Awaiting,
     /// The stream has ended.
     Ended,
 }
 
+/// A second run of a stream, up to its first event.
+struct SecondRun {
+    start: LocalBoxFuture<'static, Result<SecondStart, AttemptEnd>>,
+    /// Attempts of the request so far, without this one.
+    progress: CallProgress,
+}
+
 /// Forwards a stream to a caller or another VM.
 pub(crate) struct StreamRelay {
     gateway: Rc<Gateway>,
@@ -70,9 +86,13 @@
     /// Number of events forwarded, over all servers.
     events: u32,
     deadline: LocalBoxFuture<'static, ()>,
-    /// Completes when the sending server becomes unresponsive; `None` if no other server
+    /// Completes when the sending server is suspected to have ended; `None` if no other server
     /// could resume the stream.
-    unresponsive: Option<LocalBoxFuture<'static, ()>>,
+    suspicion: Option<LocalBoxFuture<'static, ()>>,
+    /// Completes when the sending server has ended for certain; `None` if it is another VM.
+    ended: Option<LocalBoxFuture<'static, ()>>,
+    race: RunRace,
+    second: Option<SecondRun>,
 }
 
 impl StreamRelay {
@@ -89,15 +109,17 @@
         let has_backup = response.backup.is_some();
         let is_event_stream = is_event_stream(&response.headers);
         let can_resume = is_event_stream && (resumable || has_backup);
+        let race = RunRace::new(is_event_stream && resumable);
         let unit = if can_resume {
             ForwardUnit::Events
         } else {
             ForwardUnit::Bytes
         };
         Self {
-            unresponsive: can_resume
-                .then(|| watch_server(gateway, &response))
-                .flatten(),
+            suspicion: watch_server(gateway, &response, race, false),
+            ended: watch_end(gateway, &response),
+            race,
+            second: None,
             gateway: Rc::clone(gateway),
             call: Rc::clone(call),
             progress,
@@ -133,12 +155,8 @@
                             stream_end: None,
                             ..progress
                         };
-                        // A run continued from its backup has no further backup.
-                        self.unresponsive = match self.call.rules.response {
-                            ResponseRule::Resumable => watch_server(&self.gateway, &response),
-                            _ => None,
-                        };
-                        self.state = RelayState::Open(response);
+                        self.race.apply(RunEvent::Progressed(RunSide::Second));
+                        self.open(response);
                         continue;
                     }
                     Poll::Ready(None) => {
@@ -146,13 +164,21 @@
                         return Poll::Ready(Some(Err(RelayError::Broken)));
                     }
                 },
+                RelayState::Awaiting => Poll::Pending,
                 RelayState::Open(response) => Pin::new(&mut response.body).poll_frame(cx),
             };
             match polled {
-                Poll::Pending if self.is_unresponsive(cx) => {
+                Poll::Pending if self.has_ended(cx) => {
                     self.progress.stream_end = Some(StreamEnd::ConnectionLost);
                 }
-                Poll::Pending => return Poll::Pending,
+                Poll::Pending => match self.poll_second(cx) {
+                    Poll::Pending => return Poll::Pending,
+                    Poll::Ready(Some(part)) if part.events > 0 => {
+                        return Poll::Ready(Some(Ok(self.held_frame(part.forwarded))));
+                    }
+                    Poll::Ready(None) if matches!(self.state, RelayState::Awaiting) => {}
+                    Poll::Ready(_) => continue,
+                },
                 Poll::Ready(Some(Ok(frame))) => match self.forward_frame(frame) {
                     Ok(Some(frame)) => return Poll::Ready(Some(Ok(frame))),
                     Ok(None) => continue,
@@ -173,6 +199,10 @@
                     }
                 }
             }
+            if self.second.is_some() {
+                self.await_second();
+                continue;
+            }
             if !self.try_resume() {
                 self.end(AttemptResult::Broken, "broken off");
                 return Poll::Ready(Some(Err(RelayError::Broken)));
@@ -184,7 +214,9 @@
     fn judge_end(&self) -> StreamEnd {
         let framing = match &self.state {
             RelayState::Open(response) => response.framing,
-            RelayState::Resuming(_) | RelayState::Ended => BodyFraming::Delimited,
+            RelayState::Resuming(_) | RelayState::Awaiting | RelayState::Ended => {
+                BodyFraming::Delimited
+            }
         };
         match (&self.framer, framing) {
             (Some(framer), framing) => framer.end(framing),
@@ -193,20 +225,133 @@
         }
     }
 
-    /// Whether the server has become unresponsive; polled while no data arrives.
-    fn is_unresponsive(&mut self, cx: &mut Context<'_>) -> bool {
-        let has_last_id = self.last_id().is_some();
-        if self.call.rules.response == ResponseRule::LostWithServer && !has_last_id {
-            return false;
+    /// Forwards the stream of `response` from now on.
+    fn open(&mut self, response: Box<UpstreamResponse>) {
+        self.suspicion = watch_server(&self.gateway, &response, self.race, false);
+        self.ended = watch_end(&self.gateway, &response);
+        self.state = RelayState::Open(response);
+    }
+
+    /// Whether the sending server has ended for certain; polled while no data arrives.
+    fn has_ended(&mut self, cx: &mut Context<'_>) -> bool {
+        let has_ended =
+            |ended: &mut LocalBoxFuture<'static, ()>| ended.as_mut().poll(cx).is_ready();
+        self.can_resume && self.ended.as_mut().is_some_and(has_ended)
+    }
+
+    /// Polls the second run, or starts one if the sending server is suspected; called while no
+    /// data arrives from it. Returns the first events of a second run that takes the stream over,
+    /// or `None` if the second run has ended.
+    fn poll_second(&mut self, cx: &mut Context<'_>) -> Poll<Option<FramedBytes>> {
+        loop {
+            if let Some(second) = &mut self.second {
+                let start = std::task::ready!(second.start.as_mut().poll(cx));
+                let Some(SecondRun { progress, .. }) = self.second.take() else {
+                    return Poll::Pending;
+                };
+                return Poll::Ready(match start {
+                    Ok(start) => Some(self.take_over(start, progress)),
+                    Err(end) => {
+                        self.drop_second(progress, &end);
+                        None
+                    }
+                });
+            }
+            let Some(suspicion) = &mut self.suspicion else {
+                return Poll::Pending;
+            };
+            std::task::ready!(suspicion.as_mut().poll(cx));
+            self.start_second();
         }
-        let Some(unresponsive) = &mut self.unresponsive else {
-            return false;
+    }
+
+    /// Starts a second run after the last whole event, beside the first one.
+    fn start_second(&mut self) {
+        self.suspicion = None;
+        let RelayState::Open(response) = &self.state else {
+            return;
         };
-        if unresponsive.as_mut().poll(cx).is_pending() {
-            return false;
+        let mut progress = self.progress.clone();
+        let extra = resume_headers(self.last_id());
+        let run = self
+            .resumed_call()
+            .and_then(|call| start_second(&self.gateway, &call, &mut progress, &extra));
+        let (Some(run), Some(framer)) = (run, &self.framer) else {
+            // Another server may take the run later, while the silence lasts.
+            self.suspicion = watch_server(&self.gateway, response, self.race, true);
+            return;
+        };
+        self.race.apply(RunEvent::Suspected);
+        self.second = Some(SecondRun {
+            start: Box::pin(begin_second(run, framer.fork())),
+            progress,
+        });
+    }
+
+    /// Goes on with the second run, whose first events have arrived.
+    fn take_over(&mut self, start: SecondStart, progress: CallProgress) -> FramedBytes {
+        self.race.apply(RunEvent::Progressed(RunSide::Second));
+        log_race(&self.gateway, &self.call, RunSide::Second);
+        if let RelayState::Open(response) = std::mem::replace(&mut self.state, RelayState::Ended) {
+            response.finish(&self.gateway, AttemptResult::Overtaken);
+        }
+        self.progress = CallProgress {
+            stream_end: None,
+            resumes: progress.resumes + 1,
+            ..progress
+        };
+        self.progress.count_run();
+        self.framer = Some(start.framer);
+        self.held.resize(0);
+        self.open(start.response);
+        self.record_part(&start.part);
+        start.part
+    }
+
+    /// Counts a second run that has ended, or that was cancelled.
+    fn drop_second(&mut self, progress: CallProgress, end: &AttemptEnd) {
+        self.progress.servers = progress.servers;
+        self.progress.vms = progress.vms;
+        self.progress.count(end);
+        self.race.apply(RunEvent::Ended(RunSide::Second));
+    }
+
+    /// Cancels the second run, since the first one goes on.
+    fn keep_first(&mut self) {
+        self.race.apply(RunEvent::Progressed(RunSide::First));
+        if let Some(SecondRun { progress, .. }) = self.second.take() {
+            log_race(&self.gateway, &self.call, RunSide::First);
+            self.progress.servers = progress.servers;
+            self.progress.vms = progress.vms;
+            // The cancelled run may have reached its server.
+            self.progress.count_run();
+        }
+        if self.suspicion.is_none()
+            && let RelayState::Open(response) = &self.state
+        {
+            self.suspicion = watch_server(&self.gateway, response, self.race, true);
+        }
+    }
+
+    /// Waits for the second run after the end of the first one.
+    fn await_second(&mut self) {
+        self.race.apply(RunEvent::Ended(RunSide::First));
+        let state = std::mem::replace(&mut self.state, RelayState::Awaiting);
+        if let RelayState::Open(response) = state {
+            response.finish(&self.gateway, AttemptResult::Broken);
+        }
+    }
+
+    /// The request for the rest of the stream; `None` if no server may send it.
+    fn resumed_call(&self) -> Option<SharedCall> {
+        match &self.version {
+            StreamVersion::Open => Some(Rc::clone(&self.call)),
+            StreamVersion::Known(version) => {
+                let fleet = self.gateway.fleet.borrow();
+                Some(Rc::new(self.call.at_version(&fleet, version)))
+            }
+            StreamVersion::Unknown => None,
         }
-        self.unresponsive = None;
-        true
     }
 
     /// Id of the last event that was forwarded whole.
@@ -230,6 +375,15 @@
         };
         let part = framer.push(data).map_err(|_| RelayError::EventTooLong)?;
         self.held.resize(framer.held_bytes());
+        if part.events > 0 {
+            self.keep_first();
+        }
+        self.record_part(&part);
+        Ok((!part.forwarded.is_empty()).then(|| self.held_frame(part.forwarded)))
+    }
+
+    /// Records events that are forwarded.
+    fn record_part(&mut self, part: &FramedBytes) {
         self.events += part.events;
         if let RelayState::Open(response) = &mut self.state {
             response.events += part.events;
@@ -244,7 +398,6 @@
                 self.version = version.map_or(StreamVersion::Unknown, StreamVersion::Known);
             }
         }
-        Ok((!part.forwarded.is_empty()).then(|| self.held_frame(part.forwarded)))
     }
 
     /// A frame that counts as held until the caller's connection has taken it.
@@ -271,21 +424,18 @@
         }
         self.held.resize(0);
         let last = self.last_id().map(str::to_owned);
-        let RelayState::Open(response) = std::mem::replace(&mut self.state, RelayState::Ended)
-        else {
-            return false;
-        };
-        let mut response = response;
-        let backup = response.backup.take();
-        let is_from_peer = response.attempt.is_none();
-        response.finish(&self.gateway, AttemptResult::Broken);
+        let mut backup = None;
+        let mut is_from_peer = false;
+        if let RelayState::Open(mut response) =
+            std::mem::replace(&mut self.state, RelayState::Ended)
+        {
+            backup = response.backup.take();
+            is_from_peer = response.attempt.is_none();
+            response.finish(&self.gateway, AttemptResult::Broken);
+        }
         let gateway = Rc::clone(&self.gateway);
-        let call = match &self.version {
-            StreamVersion::Open => Rc::clone(&self.call),
-            StreamVersion::Known(version) => {
-                Rc::new(self.call.at_version(&gateway.fleet.borrow(), version))
-            }
-            StreamVersion::Unknown => return false,
+        let Some(call) = self.resumed_call() else {
+            return false;
         };
         if is_from_peer {
             // The VM that relayed the stream is alive for all that is known, and may be the only
@@ -315,6 +465,7 @@
 
     fn end(&mut self, result: AttemptResult, outcome: &'static str) {
         let state = std::mem::replace(&mut self.state, RelayState::Ended);
+        self.second = None;
         if let RelayState::Open(response) = state {
             response.finish(&self.gateway, result);
         }
@@ -335,17 +486,27 @@
     media_type.is_none_or(|media_type| media_type.trim_start().starts_with(EVENT_STREAM))
 }
 
-/// Completes when the server of `response` becomes unresponsive. `None` if the response comes
-/// from another VM.
+/// Completes when the server of `response` is suspected, after a pause if a second run `was_asked`
+/// for. `None` if the response comes from another VM or no second run may be started.
 fn watch_server(
     gateway: &Rc<Gateway>,
     response: &UpstreamResponse,
+    race: RunRace,
+    was_asked: bool,
+) -> Option<LocalBoxFuture<'static, ()>> {
+    let server = response.attempt.as_ref()?.server();
+    let wait = || wait_for_suspicion(Rc::clone(gateway), server, was_asked);
+    race.may_start().then(|| Box::pin(wait()) as _)
+}
+
+/// Completes when the server of `response` has ended for certain. `None` if the response comes
+/// from another VM.
+fn watch_end(
+    gateway: &Rc<Gateway>,
+    response: &UpstreamResponse,
 ) -> Option<LocalBoxFuture<'static, ()>> {
     let server = response.attempt.as_ref()?.server();
-    Some(Box::pin(wait_until_unresponsive(
-        Rc::clone(gateway),
-        server,
-    )))
+    Some(Box::pin(wait_until_ended(Rc::clone(gateway), server)))
 }
 
 impl Drop for StreamRelay {
--- /dev/null
+++ b/crates/gateway/src/suspicion.rs
@@ -0,0 +1,83 @@
+//! Waiting for what may have become of a server: a suspicion that it has ended, which may be
+//! wrong, and its certain end.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+
+use onyxfall_policy::Moment;
+use onyxfall_types::ServerId;
+
+use crate::gateway::Gateway;
+
+/// Waits until a server is suspected to have ended.
+pub(crate) async fn wait_until_suspected(gateway: Rc<Gateway>, server: ServerId) {
+    loop {
+        let notified = gateway.suspicion.notified();
+        if gateway.is_suspected(server) {
+            return;
+        }
+        notified.await;
+    }
+}
+
+/// Waits until a server has ended for certain: whatever ran on it is lost.
+pub(crate) async fn wait_until_ended(gateway: Rc<Gateway>, server: ServerId) {
+    loop {
+        let notified = gateway.suspicion.notified();
+        if gateway.fleet.borrow().has_ended(server) {
+            return;
+        }
+        notified.await;
+    }
+}
+
+impl Gateway {
+    /// Whether a server is suspected to have ended.
+    pub(crate) fn is_suspected(&self, server: ServerId) -> bool {
+        let now = self.now();
+        self.fleet.borrow().is_suspected(now, server)
+    }
+
+    /// Looks for servers that are suspected by passage of time alone: a response to this VM became
+    /// overdue after the other VMs' votes had arrived.
+    pub(crate) fn refresh_suspected(&self, now: Moment) {
+        let live: BTreeSet<ServerId> = self.fleet.borrow().live().map(|(id, _)| id).collect();
+        self.suspected_servers
+            .borrow_mut()
+            .retain(|id| live.contains(id));
+        for server in live {
+            self.update_suspected(now, server);
+        }
+    }
+
+    /// Logs when a suspicion of a server begins or ends, and wakes the tasks that wait for it.
+    pub(crate) fn update_suspected(&self, now: Moment, server: ServerId) {
+        let fleet = self.fleet.borrow();
+        let is_suspected = fleet.is_suspected(now, server);
+        let mut suspected = self.suspected_servers.borrow_mut();
+        let has_changed = if is_suspected {
+            suspected.insert(server)
+        } else {
+            suspected.remove(&server)
+        };
+        if !has_changed {
+            return;
+        }
+        let votes = fleet.votes(now, server);
+        log::info!(
+            server = fleet.server(server).record.name.as_str(),
+            silent = is_suspected,
+            path = fleet.path_state(&fleet.server(server).record.service).as_str(),
+            good = votes.good,
+            bad = votes.bad;
+            "server responsiveness changed"
+        );
+        if is_suspected {
+            self.metrics.count("onyxfall_silent_servers_total");
+            self.suspicion.notify_waiters();
+        } else if !fleet.server(server).is_gone() {
+            // The instance had not ended: it was silent for a while only.
+            self.metrics.count("onyxfall_returned_servers_total");
+        }
+    }
+}
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -147,7 +147,7 @@
                     let mut fleet = self.fleet.borrow_mut();
                     fleet.server_mut(server).set_others(now, work);
                     drop(fleet);
-                    self.update_unresponsive(now, server);
+                    self.update_suspected(now, server);
                     self.log_limit_change(now, server, was_limited);
                 }
                 None if self.apply_evidence(tag, &work) => {}
