A silence of a server is not learned as slowness

After a second in which all servers were silent, callers were refused for predicted times: responses that had waited through the silence were learned as slowness of their servers.

A server that sends something after all VMs had taken it for unresponsive is marked as returned; times that began before that are not learned. Test fleet liveness a_silence_is_not_learned_as_slowness, which failed before.

--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -99,8 +99,8 @@
 pub(crate) struct FirstByte {
     /// Load of the server when the attempt was sent.
     pub(crate) load: ServerLoad,
-    /// Time since sending, divided by the server's pace; `None` if a change of the pace
-    /// explains it.
+    /// Time since sending, divided by the server's pace; `None` if a change of the pace or a
+    /// silence explains it.
     pub(crate) took: Option<Duration>,
     /// Slowness of the server relative to the prediction, this response included.
     pub(crate) slowness: f64,
@@ -158,6 +158,8 @@
     others: WorkShare,
     cached_prefixes: CachedPrefixes,
     liveness: LivenessRecord,
+    /// When the server last sent something after all VMs had taken it for unresponsive.
+    returned_at: Option<Moment>,
 }
 
 impl ServerState {
@@ -189,6 +191,7 @@
             others: WorkShare::default(),
             cached_prefixes: CachedPrefixes::new(now),
             liveness: LivenessRecord::default(),
+            returned_at: None,
         }
     }
 
@@ -429,9 +432,19 @@
 
     /// Records a liveness signal.
     pub fn record_liveness(&mut self, now: Moment) {
+        let last = self.last_liveness();
+        if last.is_none_or(|at| now - at >= SILENCE) && self.votes(now).is_unresponsive() {
+            self.returned_at = Some(now);
+        }
         self.liveness.record_liveness(now);
     }
 
+    /// Whether a silence of the server has ended after `since`. Times that hold one tell nothing
+    /// of how fast it works.
+    fn has_returned_since(&self, since: Moment) -> bool {
+        self.returned_at.is_some_and(|at| at > since)
+    }
+
     /// Sets the total work of the other VMs at the server.
     pub fn set_others(&mut self, now: Moment, work: WorkShare) {
         self.others = work;
@@ -585,14 +598,17 @@
 
     /// Records the first byte of attempt `id`.
     pub(crate) fn record_first_byte(&mut self, now: Moment, id: u64) -> Option<FirstByte> {
-        let pace = self.pace(now);
-        let open = self.open.get_mut(&id)?;
+        let open = self.open.get(&id)?;
         if open.first_byte.is_some() {
             return None;
         }
-        open.first_byte = Some((now, pace));
+        let started = open.started;
+        self.record_liveness(now);
+        let has_returned = self.has_returned_since(started);
+        let pace = self.pace(now);
         self.backoff.record_taken(id);
-        self.liveness.record_liveness(now);
+        let open = self.open.get_mut(&id)?;
+        open.first_byte = Some((now, pace));
         let prefilled = WorkShare {
             prefill: open.work.prefill,
             ..WorkShare::default()
@@ -602,6 +618,7 @@
         let (took, predicted, load) = (now - open.started, open.predicted, open.load);
         let ratio = took.as_secs_f64() / predicted.as_secs_f64().max(1e-3) * open.pace.factor();
         let factor = open.pace.factor_until(pace, ratio);
+        let factor = factor.filter(|_| !has_returned);
         let took = factor.map(|factor| took.div_f64(factor));
         let ratio = factor.map_or(1.0, |factor| ratio / factor);
         let ratio = (ratio * self.slowness).clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1);
@@ -624,6 +641,9 @@
     pub(crate) fn since_first_byte(&self, now: Moment, id: u64) -> Option<SinceFirstByte> {
         let open = self.open.get(&id)?;
         let (first_byte_at, first_pace) = open.first_byte?;
+        if self.has_returned_since(first_byte_at) {
+            return None;
+        }
         Some(SinceFirstByte {
             load: open.load,
             took: now - first_byte_at,
--- a/crates/fleet/tests/liveness.rs
+++ b/crates/fleet/tests/liveness.rs
@@ -222,3 +222,59 @@
         assert!(view.is_suspected(at(2000), id));
     }
 }
+
+struct ReturnCase {
+    name: &'static str,
+    /// Whether the other VMs hear nothing from the server either.
+    is_silent_for_all: bool,
+    /// Whether the late response may change what is predicted.
+    is_learned: bool,
+}
+
+/// A server that was stopped for a second is as fast as before.
+#[test]
+fn a_silence_is_not_learned_as_slowness() {
+    let cases = [
+        ReturnCase {
+            name: "silent for all VMs",
+            is_silent_for_all: true,
+            is_learned: false,
+        },
+        ReturnCase {
+            name: "slow for one VM",
+            is_silent_for_all: false,
+            is_learned: true,
+        },
+    ];
+    for case in &cases {
+        let (mut views, id) = (Vec::new(), view(0).1);
+        let mut before = Duration::ZERO;
+        for vm in 0..2 {
+            let (mut view, _) = view(vm);
+            for number in 0..20 {
+                let now = number * 100;
+                view.start_attempt(at(now), id, number, &needs());
+                view.record_response(at(now + 40), id, number);
+                view.end_attempt(at(now + 40), id, number, AttemptResult::Succeeded, None);
+            }
+            before = view.predict(at(1990), id, &needs()).first;
+            if vm == 0 || case.is_silent_for_all {
+                view.start_attempt(at(2000), id, 100, &needs());
+            }
+            views.push(view);
+        }
+        if !case.is_silent_for_all {
+            views[1].server_mut(id).record_liveness(at(3150));
+        }
+        exchange(&mut views, id, at(3150));
+        views[0].record_response(at(3200), id, 100);
+        views[0].end_attempt(at(3200), id, 100, AttemptResult::Succeeded, None);
+        let after = views[0].predict(at(3200), id, &needs()).first;
+        let is_learned = after > before.mul_f64(1.02);
+        let name = case.name;
+        assert_eq!(
+            is_learned, case.is_learned,
+            "{name}: {before:?} to {after:?}"
+        );
+    }
+}
