A stream whose server has sent nothing for two gap goals gets a second run

A process that hangs while its kernel accepts data is suspected by votes only if a first byte is due.

A VM now suspects a server by its own streams: nothing received for twice the longest pause that the route still counts as on time. That only starts a second run; it is no vote, and no path or breaker reads it. Test gateway silence streams_of_a_server_that_does_not_come_back_go_on_at_another.

--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -89,6 +89,14 @@
         self.repeat == RepeatRule::Repeatable
     }
 
+    /// Longest pause between two events that is still on time; `None` without a stream.
+    pub fn gap_goal(&self) -> Option<Duration> {
+        match self.shape {
+            ResponseShape::Whole => None,
+            ResponseShape::Stream { gap_goal, .. } => Some(gap_goal),
+        }
+    }
+
     /// Whether another server may resume an interrupted stream.
     pub fn is_resumable(&self) -> bool {
         matches!(
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -51,6 +51,8 @@
     pub(crate) response: ResponseRule,
     /// Most servers that may run the request.
     pub(crate) max_attempts: u32,
+    /// Longest pause between two events of a stream that is still on time.
+    pub(crate) gap_goal: Option<Duration>,
 }
 
 /// A request that was received whole and matched to its route.
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -343,6 +343,7 @@
             repeatable: rule.is_repeatable(),
             response: response_rule(rule),
             max_attempts: rule.max_attempts,
+            gap_goal: rule.gap_goal(),
         },
         needs,
         class,
--- a/crates/gateway/src/race.rs
+++ b/crates/gateway/src/race.rs
@@ -21,7 +21,7 @@
 use crate::gateway::Gateway;
 use crate::report::millis;
 use crate::serve::{CallProgress, may_reach_another, start_attempt};
-use crate::suspicion::wait_until_suspected;
+use crate::suspicion::{wait_until_stalled, wait_until_suspected};
 
 /// Time after which a second run is asked for again if no server takes one.
 const ASK_INTERVAL: Duration = Duration::from_millis(50);
@@ -36,12 +36,22 @@
     pub(crate) server: Option<ServerId>,
 }
 
-/// Waits until a server is suspected, asked at most once per [`ASK_INTERVAL`].
-pub(crate) async fn wait_for_suspicion(gateway: Rc<Gateway>, server: ServerId, has_asked: bool) {
-    if has_asked {
+/// Waits until a server is suspected, or has sent nothing for `pause`. Completes at most once per
+/// [`ASK_INTERVAL`] after a second run `was_asked` for.
+pub(crate) async fn wait_for_suspicion(
+    gateway: Rc<Gateway>,
+    server: ServerId,
+    pause: Option<Duration>,
+    was_asked: bool,
+) {
+    if was_asked {
         tokio::time::sleep(ASK_INTERVAL).await;
     }
-    wait_until_suspected(gateway, server).await;
+    let stalled = wait_until_stalled(Rc::clone(&gateway), server, pause.unwrap_or(Duration::MAX));
+    tokio::select! {
+        () = wait_until_suspected(gateway, server) => {}
+        () = stalled, if pause.is_some() => {}
+    }
 }
 
 /// Starts a second run of a request at a server that can take it now. `progress` then names its
@@ -112,7 +122,7 @@
                 None => std::future::pending().await,
             }
         };
-        let suspected = wait_for_suspicion(Rc::clone(gateway), server, has_asked);
+        let suspected = wait_for_suspicion(Rc::clone(gateway), server, None, has_asked);
         tokio::select! {
             biased;
             end = &mut first.end => {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -238,6 +238,7 @@
                 Some(_) => ResponseRule::ResumedBySender,
             },
             max_attempts: 1,
+            gap_goal: None,
         },
         method: head.method,
         target: head.uri,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -36,6 +36,9 @@
 use crate::suspension::wait_for_deadline;
 use crate::suspicion::wait_until_ended;
 
+/// Number of longest pauses between events after which a server that sends this VM nothing is
+/// suspected. One such pause may come from a long prompt that the server reads.
+const STALLED_GAPS: u32 = 2;
 /// Media type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
 
@@ -116,7 +119,7 @@
             ForwardUnit::Bytes
         };
         Self {
-            suspicion: watch_server(gateway, &response, race, false),
+            suspicion: watch_server(gateway, call, &response, race, false),
             ended: watch_end(gateway, &response),
             race,
             second: None,
@@ -227,7 +230,7 @@
 
     /// Forwards the stream of `response` from now on.
     fn open(&mut self, response: Box<UpstreamResponse>) {
-        self.suspicion = watch_server(&self.gateway, &response, self.race, false);
+        self.suspicion = watch_server(&self.gateway, &self.call, &response, self.race, false);
         self.ended = watch_end(&self.gateway, &response);
         self.state = RelayState::Open(response);
     }
@@ -278,7 +281,7 @@
             .and_then(|call| start_second(&self.gateway, &call, &mut progress, &extra));
         let (Some(run), Some(framer)) = (run, &self.framer) else {
             // Another server may take the run later, while the silence lasts.
-            self.suspicion = watch_server(&self.gateway, response, self.race, true);
+            self.suspicion = watch_server(&self.gateway, &self.call, response, self.race, true);
             return;
         };
         self.race.apply(RunEvent::Suspected);
@@ -329,7 +332,7 @@
         if self.suspicion.is_none()
             && let RelayState::Open(response) = &self.state
         {
-            self.suspicion = watch_server(&self.gateway, response, self.race, true);
+            self.suspicion = watch_server(&self.gateway, &self.call, response, self.race, true);
         }
     }
 
@@ -490,12 +493,14 @@
 /// for. `None` if the response comes from another VM or no second run may be started.
 fn watch_server(
     gateway: &Rc<Gateway>,
+    call: &SharedCall,
     response: &UpstreamResponse,
     race: RunRace,
     was_asked: bool,
 ) -> Option<LocalBoxFuture<'static, ()>> {
     let server = response.attempt.as_ref()?.server();
-    let wait = || wait_for_suspicion(Rc::clone(gateway), server, was_asked);
+    let pause = call.rules.gap_goal.map(|goal| goal * STALLED_GAPS);
+    let wait = || wait_for_suspicion(Rc::clone(gateway), server, pause, was_asked);
     race.may_start().then(|| Box::pin(wait()) as _)
 }
 
--- a/crates/gateway/src/suspicion.rs
+++ b/crates/gateway/src/suspicion.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
+use std::time::Duration;
 
 use onyxfall_policy::Moment;
 use onyxfall_types::ServerId;
@@ -20,6 +21,20 @@
     }
 }
 
+/// Waits until a server has sent this VM nothing for `pause`. A process that hangs is seen by its
+/// streams alone if no first byte is due.
+pub(crate) async fn wait_until_stalled(gateway: Rc<Gateway>, server: ServerId, pause: Duration) {
+    let start = gateway.now();
+    loop {
+        let sign = gateway.fleet.borrow().server(server).last_liveness();
+        let silent_for = gateway.now() - sign.map_or(start, |at| at.max(start));
+        if silent_for >= pause {
+            return;
+        }
+        tokio::time::sleep(pause.saturating_sub(silent_for)).await;
+    }
+}
+
 /// Waits until a server has ended for certain: whatever ran on it is lost.
 pub(crate) async fn wait_until_ended(gateway: Rc<Gateway>, server: ServerId) {
     loop {
--- a/crates/gateway/tests/silence.rs
+++ b/crates/gateway/tests/silence.rs
@@ -7,12 +7,14 @@
 use std::time::Duration;
 
 use onyxfall_fakes::{BreakPoint, ServerFault, ServerStub};
-use support::{Gateway, Site, call, wait_for};
+use support::{Gateway, Reply, Site, call, wait_for};
 
 /// Concurrent requests of each VM.
 const CALLERS: usize = 6;
 /// Delay before each of the three events of a stream.
 const EVENT_PAUSE: Duration = Duration::from_millis(200);
+/// Time after a silence from which nothing may follow from it.
+const SETTLED: Duration = Duration::from_millis(500);
 /// Time from the requests to the silence: most streams have sent their first event.
 const SENT_BEFORE: Duration = Duration::from_millis(300);
 
@@ -21,7 +23,9 @@
     path: &'static str,
     vms: u8,
     regions: usize,
-    /// Servers in each region.
+    /// Regions that have servers; VMs of the others forward their requests.
+    served_regions: usize,
+    /// Servers in each of these regions.
     servers: usize,
     /// Number of them that fall silent.
     silent: usize,
@@ -33,12 +37,13 @@
     path: "/stream/resume/x",
     vms: 3,
     regions: 1,
+    served_regions: 1,
     servers: 3,
     silent: 3,
     silent_for: Duration::from_millis(1200),
 };
 
-const CASES: [SilenceCase; 8] = [
+const CASES: [SilenceCase; 10] = [
     STREAM_OF_ALL,
     SilenceCase {
         name: "streams that may be resumed, two of three servers silent",
@@ -55,10 +60,24 @@
         name: "streams that may be resumed, two regions",
         vms: 4,
         regions: 2,
+        served_regions: 2,
         servers: 2,
         silent: 2,
         ..STREAM_OF_ALL
     },
+    SilenceCase {
+        name: "streams that may be resumed, forwarded to the other region",
+        vms: 2,
+        regions: 2,
+        ..STREAM_OF_ALL
+    },
+    SilenceCase {
+        name: "streams that run once, forwarded to the other region",
+        path: "/stream/x",
+        vms: 2,
+        regions: 2,
+        ..STREAM_OF_ALL
+    },
     SilenceCase {
         name: "streams that may be resumed, a short silence",
         silent_for: Duration::from_millis(600),
@@ -92,8 +111,8 @@
     fn start(case: &SilenceCase) -> Self {
         let site = Site::start_in(case.vms, case.regions);
         let mut servers = Vec::new();
-        for number in 0..case.servers * case.regions {
-            let vm = number % case.regions;
+        for number in 0..case.servers * case.served_regions {
+            let vm = number % case.served_regions;
             let server = ServerStub::start(site.ip(vm)).unwrap();
             server.set_event_pause(EVENT_PAUSE);
             site.announce(&format!("s{number}"), &server, vm);
@@ -121,25 +140,53 @@
 }
 
 /// Starts requests at all VMs, silences servers while they run, and returns what is wrong with
-/// the answers.
+/// the answers, and with those to the same requests afterwards.
 fn check_case(case: &SilenceCase) -> Vec<String> {
     let site = SilentSite::start(case);
-    let silent = &site.servers[..case.silent * case.regions];
+    let mut wrong = check_silence(case, &site);
+    thread::sleep(SETTLED);
+    let site = &site;
+    let replies = thread::scope(|scope| {
+        let callers: Vec<_> = callers(site)
+            .map(|(gateway, caller)| scope.spawn(move || call_case(case, gateway, caller, "again")))
+            .collect();
+        let replies = callers.into_iter().map(|caller| caller.join().unwrap());
+        replies.collect::<Vec<_>>()
+    });
+    for reply in replies {
+        let status = reply.map_or(0, |reply| reply.status.as_u16());
+        if status != 200 {
+            wrong.push(format!("{}: again: {status}", case.name));
+        }
+    }
+    wrong
+}
+
+/// All callers of a site.
+fn callers(site: &SilentSite) -> impl Iterator<Item = (&Gateway, usize)> {
+    let gateways = site.gateways.iter();
+    gateways.flat_map(|gateway| (0..CALLERS).map(move |caller| (gateway, caller)))
+}
+
+/// Sends a request that no other caller sends.
+fn call_case(case: &SilenceCase, gateway: &Gateway, caller: usize, round: &str) -> Option<Reply> {
+    let id = format!("{}-{caller}-{round}", gateway.ip);
+    let path = format!("{}{caller}-{}", case.path, gateway.ip);
+    call(gateway.callers(), &path, &id)
+}
+
+fn check_silence(case: &SilenceCase, site: &SilentSite) -> Vec<String> {
+    let silent = &site.servers[..case.silent * case.served_regions];
     let is_stream = case.path.starts_with("/stream/");
     thread::scope(|scope| {
         if !is_stream {
             set_silent(silent, true);
         }
-        let callers: Vec<_> = site
-            .gateways
-            .iter()
-            .flat_map(|gateway| (0..CALLERS).map(move |caller| (gateway, caller)))
+        let callers: Vec<_> = callers(site)
             .map(|(gateway, caller)| {
                 scope.spawn(move || {
-                    let id = format!("{}-{caller}", gateway.ip);
-                    // Each request differs, so that none is suspected of crashing servers.
-                    let path = format!("{}{caller}-{}", case.path, gateway.ip);
-                    (id.clone(), call(gateway.callers(), &path, &id))
+                    let reply = call_case(case, gateway, caller, "silent");
+                    (format!("{}-{caller}", gateway.ip), reply)
                 })
             })
             .collect();
@@ -228,3 +275,29 @@
         }
     });
 }
+
+/// A server that stays silent for good costs no stream that another one can resume.
+#[test]
+fn streams_of_a_server_that_does_not_come_back_go_on_at_another() {
+    let case = SilenceCase {
+        silent: 1,
+        ..STREAM_OF_ALL
+    };
+    let site = SilentSite::start(&case);
+    thread::scope(|scope| {
+        let streams: Vec<_> = callers(&site)
+            .map(|(gateway, caller)| {
+                let case = &case;
+                scope.spawn(move || call_case(case, gateway, caller, "dark").unwrap())
+            })
+            .collect();
+        thread::sleep(SENT_BEFORE);
+        site.servers[0].set_silent(true);
+        let replies = streams.into_iter().map(|stream| stream.join().unwrap());
+        let lost = replies
+            .filter(|reply| reply.text() != ServerStub::whole_stream())
+            .count();
+        site.servers[0].set_silent(false);
+        assert_eq!(lost, 0, "streams that did not go on");
+    });
+}
