--- a/crates/gateway/tests/silence.rs
+++ b/crates/gateway/tests/silence.rs
@@ -218,7 +218,14 @@
 
 #[test]
 fn no_answer_ends_while_its_server_is_silent() {
-    let wrong: Vec<String> = CASES.iter().flat_map(check_case).collect();
+    let wrong: Vec<String> = thread::scope(|scope| {
+        let cases = CASES
+            .iter()
+            .map(|case| scope.spawn(|| check_case(case)))
+            .collect::<Vec<_>>();
+        let wrong = cases.into_iter().flat_map(|case| case.join().unwrap());
+        wrong.collect()
+    });
     assert_eq!(wrong, Vec::<String>::new());
 }
 
