Reach: a silent server is not taken for a lost path

Callers of all VMs got 503 with "no VM of the region reaches a server" while the servers were stopped for a second, and VMs withdrew their votes and told their neighbours that they reach nothing. A check counted a server that gave no answer for 0.5 s as a lost path, though its host had accepted the connection.

A check now has four results (`PathCheck`): answered, accepted (the path is open, no liveness signal), a sound server not reached, none reached. It ends 15 ms after the connection was accepted; an answer within half a second after that is still a liveness signal.

--- a/crates/fleet/src/reach.rs
+++ b/crates/fleet/src/reach.rs
@@ -6,8 +6,9 @@
 //! votes on them, and its requests go by way of another VM.
 //!
 //! Paths are tracked by service, since the servers of different services may be in different
-//! networks. Invariants: a byte from any server of the service ends the doubt; a lost path is
-//! never tried with a caller's request.
+//! networks. Invariants: a byte from any server of the service ends the doubt, and so does a
+//! connection that a server's host accepts, since a host does that while the server process is
+//! silent; a lost path is never tried with a caller's request.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -57,6 +58,20 @@
         matches!(self, Self::Open | Self::OpenConnectionsOnly)
     }
 
+    /// Why a request that needs this path is not served here, if no server can take it. While the
+    /// path is open, servers are silent or refuse connections.
+    ///
+    /// ```
+    /// use onyxfall_fleet::PathState;
+    /// assert_eq!(PathState::Open.unserved_reason(), "no server responds");
+    /// ```
+    pub const fn unserved_reason(self) -> &'static str {
+        match self {
+            Self::Open => "no server responds",
+            Self::OpenConnectionsOnly | Self::Doubted | Self::Lost => "this VM reaches no server",
+        }
+    }
+
     /// Name in logs.
     pub const fn as_str(self) -> &'static str {
         match self {
@@ -123,13 +138,16 @@
 
 /// Result of a check of the paths to a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PathCheck {
-    /// Server that was asked, if there is one.
-    pub server: Option<ServerId>,
-    /// Whether it had given no reason for a doubt when the check began.
-    pub was_sound: bool,
-    /// Whether it has responded.
-    pub has_responded: bool,
+pub enum PathCheck {
+    /// This server has responded.
+    Answered(ServerId),
+    /// The host of a server has accepted a connection, and the server has sent nothing yet: the
+    /// path is open, and the server may be silent.
+    Accepted,
+    /// A server that had given no reason for a doubt was not reached.
+    SoundUnreached,
+    /// No server was reached; the one that was asked had already failed, or there was none.
+    Unreached,
 }
 
 /// What the servers of a service in the region show at one moment.
@@ -220,17 +238,20 @@
     }
 
     fn record_check(&mut self, now: Moment, check: PathCheck) {
-        if check.has_responded {
-            self.is_proved = false;
-            self.failed_dials.clear();
-            self.refuted = Some(now);
-            self.set(now, PathState::Open);
-        } else {
-            if self.state == PathState::Doubted {
-                self.set(now, PathState::Lost);
+        match check {
+            PathCheck::Answered(_) | PathCheck::Accepted => {
+                self.is_proved = false;
+                self.failed_dials.clear();
+                self.refuted = Some(now);
+                self.set(now, PathState::Open);
+            }
+            PathCheck::SoundUnreached | PathCheck::Unreached => {
+                if self.state == PathState::Doubted {
+                    self.set(now, PathState::Lost);
+                }
+                self.is_checked = true;
+                self.is_proved |= check == PathCheck::SoundUnreached;
             }
-            self.is_checked = true;
-            self.is_proved |= check.was_sound;
         }
     }
 }
@@ -333,8 +354,7 @@
         monitor.record_dial(id, is_established);
     }
 
-    /// Records whether a server has responded to a check of the paths to its service. The server
-    /// had not failed before if it `was_sound`. A path that is found lost raises a doubt about
+    /// Records a check of the paths to a service. A path that is found lost raises a doubt about
     /// those to other services.
     ///
     /// ```
@@ -350,12 +370,11 @@
     /// # });
     /// let service = "svc".parse().unwrap();
     /// // Without a doubt, a failed check shows nothing about the path.
-    /// let check = PathCheck { server: None, was_sound: false, has_responded: false };
-    /// fleet.record_check(Moment::ZERO, &service, check);
+    /// fleet.record_check(Moment::ZERO, &service, PathCheck::Unreached);
     /// assert_eq!(fleet.path_state(&service), PathState::Open);
     /// ```
     pub fn record_check(&mut self, now: Moment, service: &ServiceName, check: PathCheck) {
-        if let Some(id) = check.server.filter(|_| check.has_responded) {
+        if let PathCheck::Answered(id) = check {
             self.server_mut(id).record_liveness(now);
         }
         let monitor = self.paths.monitor_mut(service);
@@ -380,8 +399,8 @@
         unreached.map(|(service, _)| service)
     }
 
-    /// Whether the paths to a service are lost beyond doubt: a server that had not failed has not
-    /// responded to a check either. Otherwise all servers may have ended.
+    /// Whether the paths to a service are lost beyond doubt: a check has not reached a server that
+    /// had not failed either. Otherwise all servers may have ended.
     pub fn is_path_proved_lost(&self, service: &ServiceName) -> bool {
         let monitor = self.paths.monitors.get(service);
         monitor.is_some_and(|monitor| monitor.state != PathState::Open && monitor.is_proved)
@@ -393,10 +412,14 @@
         LossEvidence::of(self.path_state(service), is_proved_lost, moment)
     }
 
-    /// Servers by which the paths to a service can be checked, and whether they are sound: those
-    /// first that have given no reason for a doubt, then those that have sent a byte most
-    /// recently.
-    pub fn servers_to_check(&self, now: Moment, service: &ServiceName) -> Vec<(ServerId, bool)> {
+    /// Servers by which the paths to a service can be checked, with the result of a check that
+    /// does not reach them: those first that have given no reason for a doubt, then those that
+    /// have sent a byte most recently.
+    pub fn servers_to_check(
+        &self,
+        now: Moment,
+        service: &ServiceName,
+    ) -> Vec<(ServerId, PathCheck)> {
         let rank = |id: &ServerId| {
             let server = self.server(*id);
             (server.is_failing(now), Reverse(server.last_liveness()), *id)
@@ -408,8 +431,15 @@
             .filter(|id| self.server(*id).region == self.place().region && self.may_work(*id))
             .collect();
         servers.sort_by_cached_key(rank);
-        let is_sound = |id: &ServerId| !self.server(*id).is_failing(now);
-        servers.into_iter().map(|id| (id, is_sound(&id))).collect()
+        let unreached = |id: &ServerId| {
+            if self.server(*id).is_failing(now) {
+                PathCheck::Unreached
+            } else {
+                PathCheck::SoundUnreached
+            }
+        };
+        let servers = servers.into_iter();
+        servers.map(|id| (id, unreached(&id))).collect()
     }
 
     /// Sets how requests reach the servers of a service in this region.
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::future::join_all;
+use futures_util::FutureExt;
+use futures_util::future::{self, LocalBoxFuture, join_all};
 use http::header::HOST;
 use http::{HeaderValue, Method, Request, Uri};
 use http_body_util::Full;
@@ -27,7 +28,10 @@
 
 /// Time between two checks of a path that is not open.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Longest wait for the response to a check on a connection that was established. A server may
+/// Time after which a connection that was accepted for a check and not reset shows an open path.
+/// A reset takes one round trip within the region, and requests wait 30 ms for the check.
+const ACCEPTED_AFTER: Duration = Duration::from_millis(15);
+/// Longest wait for the response to a check, which shows that the server is alive. A server may
 /// answer health checks in turn with its requests.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause of a request that waits for the first check of a path.
@@ -84,6 +88,14 @@
         self.refresh_paths(self.now());
     }
 
+    /// Records a check of the paths to a service.
+    fn record_check(&self, service: &ServiceName, check: PathCheck) {
+        let before = self.path_states();
+        let now = self.now();
+        self.fleet.borrow_mut().record_check(now, service, check);
+        self.note_paths(&before);
+    }
+
     /// Logs changes of paths since `before`, tells other VMs and starts checks.
     fn note_paths(&self, before: &PathStates) {
         for (service, state) in self.path_states() {
@@ -194,13 +206,13 @@
         if is_settling {
             return Some(RouteStep::Later(SETTLING_PAUSE));
         }
+        let service = &call.needs.service;
+        let state = self.fleet.borrow().path_state(service);
         if call.origin != CallOrigin::Caller {
-            return Some(refuse_unreached("this VM reaches no server"));
+            return Some(refuse_unreached(state.unserved_reason()));
         }
         // Where the path is open, another VM has little reason to reach more.
-        let service = &call.needs.service;
-        let is_open = self.fleet.borrow().path_state(service) == PathState::Open;
-        if is_open && !progress.vms.is_empty() {
+        if state == PathState::Open && !progress.vms.is_empty() {
             return None;
         }
         let region = self.settings().place.region.clone();
@@ -215,13 +227,20 @@
         }))
     }
 
-    /// Next step of a request that neither this region nor another one can serve. While the
-    /// path is only doubted, a check is about to show whether servers are reached.
+    /// Next step of a request that neither this region nor another one can serve. A lost path
+    /// cannot serve it. Servers that are silent may go on at any moment, and while the path is
+    /// only doubted, a check is about to show whether servers are reached.
     pub(crate) fn wait_for_path(&self, call: &CallContext) -> RouteStep {
-        if self.fleet.borrow().path_state(&call.needs.service) == PathState::Lost {
-            return refuse_unreached("no VM of the region reaches a server");
+        let state = self.fleet.borrow().path_state(&call.needs.service);
+        match state {
+            PathState::Lost => refuse_unreached("no VM of the region reaches a server"),
+            PathState::Open => {
+                self.wait_or_refuse(call, state.unserved_reason(), call.needs.goal / 2)
+            }
+            PathState::Doubted | PathState::OpenConnectionsOnly => {
+                self.wait_or_refuse(call, "no server is reached", UNREACHED_RETRY)
+            }
         }
-        self.wait_or_refuse(call, "no server is reached", UNREACHED_RETRY)
     }
 }
 
@@ -302,41 +321,52 @@
     closed.map(|(service, _)| service).collect()
 }
 
-/// Asks one server for its health on a new connection. Any response shows that the path is
-/// open.
-async fn check_path(gateway: &Gateway, service: &ServiceName, turn: usize) {
+/// Checks the paths to a service by asking one server for its health on a new connection. A
+/// response that follows after the check still shows that the server is alive.
+async fn check_path(gateway: &Rc<Gateway>, service: &ServiceName, turn: usize) {
     let now = gateway.now();
     let servers = gateway.fleet.borrow().servers_to_check(now, service);
     let index = turn.checked_rem(servers.len());
     let chosen = index.and_then(|index| servers.get(index).copied());
-    let has_responded = match chosen {
-        Some((server, _)) => is_answered(gateway, service, server).await,
-        None => false,
+    gateway.metrics.count("onyxfall_path_checks_total");
+    let Some((server, unreached)) = chosen else {
+        return gateway.record_check(service, PathCheck::Unreached);
     };
-    let check = PathCheck {
-        server: chosen.map(|(server, _)| server),
-        was_sound: chosen.is_some_and(|(_, is_sound)| is_sound),
-        has_responded,
+    let Some(mut response) = ask_health(gateway, service, server).await else {
+        return gateway.record_check(service, unreached);
     };
-    gateway.metrics.count("onyxfall_path_checks_total");
-    let before = gateway.path_states();
-    let now = gateway.now();
-    gateway.fleet.borrow_mut().record_check(now, service, check);
-    gateway.note_paths(&before);
+    match tokio::time::timeout(ACCEPTED_AFTER, &mut response).await {
+        Ok(true) => gateway.record_check(service, PathCheck::Answered(server)),
+        Ok(false) => gateway.record_check(service, unreached),
+        Err(_) => {
+            gateway.metrics.count("onyxfall_silent_path_checks_total");
+            gateway.record_check(service, PathCheck::Accepted);
+            let (gateway, service) = (Rc::clone(gateway), service.clone());
+            tokio::task::spawn_local(async move {
+                if let Ok(true) = tokio::time::timeout(CHECK_TIMEOUT, response).await {
+                    gateway.record_check(&service, PathCheck::Answered(server));
+                }
+            });
+        }
+    }
 }
 
-async fn is_answered(gateway: &Gateway, service: &ServiceName, server: ServerId) -> bool {
+/// Sends a health request on a new connection, and returns the wait for its end: whether a
+/// response arrived. `None` if no connection could be established. Without a health check, the
+/// connection itself has to do.
+async fn ask_health(
+    gateway: &Gateway,
+    service: &ServiceName,
+    server: ServerId,
+) -> Option<LocalBoxFuture<'static, bool>> {
     let address = gateway.fleet.borrow().server(server).record.address;
     let table = gateway.table();
     let service = table.as_ref().and_then(|table| table.service(service));
     let path = service.map_or("", |service| service.health_path.as_str());
     let plan = gateway.dial_plan(LOCAL_DIAL_LIMIT);
-    let Ok(mut connection) = HttpConnection::open(address, plan).await else {
-        return false;
-    };
+    let mut connection = HttpConnection::open(address, plan).await.ok()?;
     let Ok(target) = path.parse::<Uri>() else {
-        // Without a health check, the connection itself has to do.
-        return true;
+        return Some(future::pending().boxed_local());
     };
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.method_mut() = Method::GET;
@@ -344,6 +374,5 @@
     if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
         request.headers_mut().insert(HOST, host);
     }
-    let sent = tokio::time::timeout(CHECK_TIMEOUT, connection.send(request)).await;
-    matches!(sent, Ok(Ok(_)))
+    Some(async move { connection.send(request).await.is_ok() }.boxed_local())
 }
