--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -16,7 +16,9 @@
 
 /// Time after which unacknowledged data or keep-alive probes break the connection, so that a
 /// peer without power or behind a network cut is detected within the goal of a request. Data is
-/// retransmitted up to 1.4 s after it was sent, so that a peer may be silent for a second.
+/// retransmitted up to 1.4 s after it was sent, so that a peer may be silent for a second. Linux
+/// also ends a connection whose peer has kept its receive window closed for 1.8 s, and one whose
+/// only probe was lost, 2 s after the last byte: see `docs/design/suspicion.md`.
 const USER_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Idle time before the first keep-alive probe; the shortest that the kernel supports.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
--- a/crates/gateway/src/connection/tests.rs
+++ b/crates/gateway/src/connection/tests.rs
@@ -1,5 +1,6 @@
 //! When connections to a peer that has become unreachable end.
 
+use std::io::{Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::time::Duration;
 
@@ -65,3 +66,27 @@
         _ = without_timeout.read_u8() => panic!("probes alone ended a connection first"),
     }
 }
+
+/// Longer than any silence of a server that is still there.
+const SILENCE: Duration = Duration::from_secs(3);
+/// Fits into the receive window that a host opens at first.
+const SMALL_BODY: usize = 48 * 1024;
+
+/// Guards against timers of the kernel that end the connection of a stopped process, whose host
+/// acknowledges data and probes.
+#[tokio::test]
+async fn a_peer_that_acknowledges_and_reads_nothing_keeps_its_connection() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let plan = DialPlan {
+        limit: Duration::from_secs(5),
+        source: None,
+    };
+    let mut waiting = dial(listener.local_addr().unwrap(), plan).await.unwrap();
+    let (mut peer, _) = listener.accept().unwrap();
+    waiting.write_all(&vec![0; SMALL_BODY]).await.unwrap();
+    let ended = tokio::time::timeout(SILENCE, waiting.read_u8()).await;
+    assert!(ended.is_err(), "{ended:?}");
+    peer.read_exact(&mut vec![0; SMALL_BODY]).unwrap();
+    peer.write_all(b"a").unwrap();
+    assert_eq!(waiting.read_u8().await.unwrap(), b'a');
+}
