Capacity: a VM's state of the plan moves out of the gateway

Classes, reports and plans of a VM decide without any part of the gateway; they stand beside the ledger and the plan now, with their tests, unchanged.

--- a/crates/gateway/src/capacity.rs
+++ b/crates/capacity/src/state.rs
@@ -1,15 +1,14 @@
 //! Classes of requests to model services, the work that callers ask for, and the plan that
 //! divides the capacity of all regions between the classes.
 //!
-//! This module takes no part of the gateway, so that its decisions run in a test without a
-//! network. Invariants: only model services whose requests differ in importance are planned;
+//! Invariants: only model services whose requests differ in importance are planned;
 //! without a recent report of another region there is no plan, and each request is decided
 //! by itself.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use onyxfall_capacity::{
+use crate::{
     ClassDemand, ClassStanding, ClassTag, Importance, LoadLedger, PlanRules, PlanShare, RegionMask,
     ServiceDemand, ServicePlan, WorkRate,
 };
@@ -38,17 +37,24 @@
 
 /// A class of requests to one service.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct RequestClass {
-    pub(crate) service: ServiceName,
-    pub(crate) importance: Importance,
+pub struct RequestClass {
+    /// Service that the requests are for.
+    pub service: ServiceName,
+    /// Importance of the requests.
+    pub importance: Importance,
     /// Regions that may serve the class.
-    pub(crate) homes: RegionMask,
+    pub homes: RegionMask,
     /// Name of the class in messages between VMs.
-    pub(crate) tag: ClassTag,
+    pub tag: ClassTag,
 }
 
 /// Importance of a request from the priorities of its route and its team.
-pub(crate) fn importance(route: u8, team: Option<u8>) -> Importance {
+///
+/// ```
+/// use onyxfall_capacity::{importance, urgency};
+/// assert!(urgency(importance(0, Some(1))) < urgency(importance(1, None)));
+/// ```
+pub fn importance(route: u8, team: Option<u8>) -> Importance {
     Importance {
         kind: route,
         team: team.unwrap_or(0).min(MAX_TEAM_RANK),
@@ -56,7 +62,7 @@
 }
 
 /// Order of admission in a model server that follows the importance.
-pub(crate) fn urgency(importance: Importance) -> u8 {
+pub fn urgency(importance: Importance) -> u8 {
     importance.kind.min(MAX_KIND_RANK) * (MAX_TEAM_RANK + 1) + importance.team
 }
 
@@ -150,16 +156,20 @@
 
 /// Plan of one service, with the classes in the order of the plan.
 #[derive(Clone, Debug)]
-pub(crate) struct PlannedService {
-    pub(crate) classes: Vec<RequestClass>,
-    pub(crate) demand: ServiceDemand,
-    pub(crate) plan: ServicePlan,
-    pub(crate) computed_at: Moment,
+pub struct PlannedService {
+    /// Classes of the service.
+    pub classes: Vec<RequestClass>,
+    /// Work that the plan divides the capacity for.
+    pub demand: ServiceDemand,
+    /// Division of the capacity.
+    pub plan: ServicePlan,
+    /// When the plan was computed.
+    pub computed_at: Moment,
 }
 
 /// Capacity of model services as this VM knows it.
 #[derive(Clone, Debug)]
-pub(crate) struct CapacityState {
+pub struct CapacityState {
     /// All regions, sorted, so that every VM numbers them alike.
     regions: Vec<RegionName>,
     own_region: usize,
@@ -178,7 +188,7 @@
 
 impl CapacityState {
     /// Creates a state without classes for a VM in `own`.
-    pub(crate) fn new(regions: impl IntoIterator<Item = RegionName>, own: &RegionName) -> Self {
+    pub fn new(regions: impl IntoIterator<Item = RegionName>, own: &RegionName) -> Self {
         let sorted: BTreeSet<RegionName> = regions.into_iter().collect();
         let regions: Vec<RegionName> = sorted.into_iter().collect();
         let own_region = regions.iter().position(|name| name == own).unwrap_or(0);
@@ -197,7 +207,7 @@
     }
 
     /// Applies the routes and teams of a configuration.
-    pub(crate) fn set_table(&mut self, table: &RouteTable) {
+    pub fn set_table(&mut self, table: &RouteTable) {
         self.limits = BacklogLimits::new(table);
         let teams = team_kinds(table);
         let mut classes: BTreeMap<ClassTag, RequestClass> = BTreeMap::new();
@@ -243,17 +253,17 @@
     }
 
     /// Backlog limit of a kind of requests to a service.
-    pub(crate) fn backlog_limit(&self, service: &ServiceName, route: u8) -> Option<Duration> {
+    pub fn backlog_limit(&self, service: &ServiceName, route: u8) -> Option<Duration> {
         self.limits.of(service, route)
     }
 
     /// Backlog limit of a class.
-    pub(crate) fn class_limit(&self, class: &RequestClass) -> Option<Duration> {
+    pub fn class_limit(&self, class: &RequestClass) -> Option<Duration> {
         self.limits.of(&class.service, class.importance.kind)
     }
 
     /// Names of the regions in a set; empty if every region is.
-    pub(crate) fn names_of(&self, mask: RegionMask) -> Vec<RegionName> {
+    pub fn names_of(&self, mask: RegionMask) -> Vec<RegionName> {
         if mask == RegionMask::ALL {
             return Vec::new();
         }
@@ -263,7 +273,7 @@
     }
 
     /// The class of a request; `None` if its service is not planned.
-    pub(crate) fn class(
+    pub fn class(
         &self,
         service: &ServiceName,
         importance: Importance,
@@ -286,20 +296,30 @@
         }
     }
 
-    pub(crate) fn ledger(&self) -> &LoadLedger {
+    /// Work by class and region.
+    pub fn ledger(&self) -> &LoadLedger {
         &self.ledger
     }
 
-    pub(crate) fn ledger_mut(&mut self) -> &mut LoadLedger {
+    /// Work by class and region, to be updated.
+    pub fn ledger_mut(&mut self) -> &mut LoadLedger {
         &mut self.ledger
     }
 
-    pub(crate) fn region_index(&self, region: &RegionName) -> Option<usize> {
+    /// Number of a region, the same on every VM; `None` if it is unknown.
+    ///
+    /// ```
+    /// use onyxfall_capacity::CapacityState;
+    /// let regions = ["south", "north"].map(|name| name.parse().unwrap());
+    /// let state = CapacityState::new(regions.clone(), &regions[0]);
+    /// assert_eq!(state.region_index(&regions[0]), Some(1));
+    /// ```
+    pub fn region_index(&self, region: &RegionName) -> Option<usize> {
         self.regions.iter().position(|name| name == region)
     }
 
     /// Records the work of a caller's request, unless the request is a retry.
-    pub(crate) fn record_offered(
+    pub fn record_offered(
         &mut self,
         now: Moment,
         class: ClassTag,
@@ -313,19 +333,19 @@
     }
 
     /// Records work that a server of this region has done.
-    pub(crate) fn record_done(&mut self, now: Moment, service: &ServiceName, work: Duration) {
+    pub fn record_done(&mut self, now: Moment, service: &ServiceName, work: Duration) {
         if self.classes.iter().any(|class| class.service == *service) {
             self.ledger.record(now, done_tag(service), work);
         }
     }
 
     /// Capacity of a service in this region.
-    pub(crate) fn own_capacity(&self, service: &ServiceName) -> WorkRate {
+    pub fn own_capacity(&self, service: &ServiceName) -> WorkRate {
         self.own_capacity.get(service).copied().unwrap_or_default()
     }
 
     /// Records the capacity of a service that another region has reported.
-    pub(crate) fn receive_capacity(
+    pub fn receive_capacity(
         &mut self,
         sent: Moment,
         region: usize,
@@ -363,7 +383,7 @@
     }
 
     /// The services that are planned.
-    pub(crate) fn services(&self) -> BTreeSet<ServiceName> {
+    pub fn services(&self) -> BTreeSet<ServiceName> {
         self.classes
             .iter()
             .map(|class| class.service.clone())
@@ -372,7 +392,7 @@
 
     /// Computes the plan of a service that has `servers` usable servers in this region. There
     /// is none if no other region has reported recently.
-    pub(crate) fn refresh(
+    pub fn refresh(
         &mut self,
         now: Moment,
         service: &ServiceName,
@@ -440,11 +460,12 @@
     }
 
     /// All plans, for operators.
-    pub(crate) fn plans(&self) -> &BTreeMap<ServiceName, PlannedService> {
+    pub fn plans(&self) -> &BTreeMap<ServiceName, PlannedService> {
         &self.plans
     }
 
-    pub(crate) fn regions(&self) -> &[RegionName] {
+    /// All regions, sorted by name.
+    pub fn regions(&self) -> &[RegionName] {
         &self.regions
     }
 
@@ -455,19 +476,19 @@
     }
 
     /// Share of a class from callers of this region.
-    pub(crate) fn share(&self, service: &ServiceName, class: ClassTag) -> Option<&PlanShare> {
+    pub fn share(&self, service: &ServiceName, class: ClassTag) -> Option<&PlanShare> {
         let (planned, index) = self.planned(service, class)?;
         Some(planned.plan.share(index, self.own_region))
     }
 
     /// Name of a class in logs and metrics: its service and importance.
-    pub(crate) fn class_label(&self, tag: ClassTag) -> Option<String> {
+    pub fn class_label(&self, tag: ClassTag) -> Option<String> {
         let class = self.classes.iter().find(|class| class.tag == tag)?;
         Some(format!("{}/{}", class.service, class.importance))
     }
 
     /// Standing of a class from callers of this region.
-    pub(crate) fn standing(&self, service: &ServiceName, class: ClassTag) -> Option<ClassStanding> {
+    pub fn standing(&self, service: &ServiceName, class: ClassTag) -> Option<ClassStanding> {
         let (planned, index) = self.planned(service, class)?;
         Some(planned.plan.standing(index, self.own_region))
     }
@@ -475,7 +496,7 @@
     /// Region in which the plan serves a request of a class. `point`, from 0 to 1, is uniform
     /// over requests and the same for requests with the same shared prefix, so that a prefix
     /// is prefilled in few regions. `None` if there is no plan or the region is this VM's own.
-    pub(crate) fn planned_region(
+    pub fn planned_region(
         &self,
         service: &ServiceName,
         class: ClassTag,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,7 +22,6 @@
 use rand::rngs::StdRng;
 use tokio::sync::Notify;
 
-use crate::capacity::CapacityState;
 use crate::connection::DialPlan;
 use crate::copies::{CachedParts, IncomingCopy};
 use crate::held::HeldAccount;
@@ -36,6 +35,7 @@
 use crate::store::StoreLink;
 use crate::suspects::SharedSuspects;
 use crate::work_queries::WorkQueries;
+use onyxfall_capacity::CapacityState;
 
 /// Interval of the periodic check for changes that come with time alone. An unresponsive
 /// VM or server is detected up to this much later.
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -26,7 +26,6 @@
 use crate::body::{BodyError, HoldRule, ReplyBody, collect_body};
 use crate::call::{CallContext, CallOrigin, CallRules, ResponseRule, limit_to_version};
 use crate::caller_stream::{CallerStream, StalledWrite};
-use crate::capacity::{importance, urgency};
 use crate::connection::set_socket_options;
 use crate::directory::handle_directory;
 use crate::gateway::Gateway;
@@ -37,6 +36,7 @@
 use crate::serve::{CallFailure, serve};
 use crate::shutdown::{accepts, closes_connections, wait_for_close};
 use crate::teams::{CallerStanding, QuotaCharge, admit, identify};
+use onyxfall_capacity::{importance, urgency};
 
 /// Most connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -10,7 +10,6 @@
 mod body;
 mod call;
 mod caller_stream;
-mod capacity;
 mod capacity_settings;
 mod connection;
 mod copies;
--- a/crates/gateway/src/plan_report.rs
+++ b/crates/gateway/src/plan_report.rs
@@ -9,8 +9,8 @@
     ServiceName,
 };
 
-use crate::capacity::{CapacityState, PlannedService};
 use crate::report::millis;
+use onyxfall_capacity::{CapacityState, PlannedService};
 
 /// Builds the report of a VM's plans; without a plan it has the mode only.
 pub(crate) fn plan_report(now: Moment, mode: PlanMode, capacity: &CapacityState) -> PlanReport {
