--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -22,6 +22,7 @@
 mod links;
 mod listen;
 mod metrics;
+mod numbered;
 mod open;
 mod origin_messages;
 mod origins;
