Suspects: parts that crash servers at the same time don't mask each other

Two parts of prompts that crash servers in the same seconds cost five servers each in place of three: every crash of one had crashes of the other near it, which halved its weight as in a failing rack.

A crash near those of a part with a control no longer halves their weight if another part with a control and two crashes or more explains it, unless the two parts were on several of the same servers. For the proof, and for the proof by five crashes of a part with a control, the crashes must be more than two seconds apart: in a rack that fails, retried requests are on three of its servers. Requests' own keys have no control and are judged as before.

The cases of test `parts` failed before ("two parts crash two servers each at the same time": clear in place of pending).

--- a/crates/suspects/src/culprit.rs
+++ b/crates/suspects/src/culprit.rs
@@ -5,7 +5,12 @@
 //! server. The key that was on the most lost servers is therefore found first, and the
 //! crashes that it explains count against no other key. Keys that were on the same servers
 //! are one culprit: only requests that have all of them are known to crash servers.
+//!
+//! Several parts of prompts may crash servers in the same seconds, and each makes the crashes of
+//! the others look like those of a failing rack. A crash near those of one part therefore
+//! shows nothing in its favour if a second part explains it ([`JointCause`]).
 
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -31,8 +36,14 @@
 /// Weight from which a key is proved to crash servers: three crashes of full weight.
 const PROVING_WEIGHT: u32 = 3 * FULL_WEIGHT;
 /// Number of crashes from which a key is proved whatever other servers crashed: two keys
-/// that crash servers at the same time would otherwise mask each other.
+/// that crash servers at the same time would otherwise mask each other. Those of a part with a
+/// control must be further apart than a burst: a part that most prompts have is on five servers
+/// that other parts crash within a second.
 const PROVING_CRASHES: usize = 5;
+/// Crashes from which a part may explain those near the crashes of another part.
+const JOINT_CRASHES: usize = 2;
+/// Maximum number of such parts, since each of them is compared with all other candidates.
+const MAX_JOINT_CAUSES: usize = 16;
 
 /// A crash of a server that was running requests with a key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -45,9 +56,45 @@
 #[derive(Clone, Debug)]
 pub(crate) struct KeyCrashes {
     pub(crate) key: EvidenceKey,
+    /// Whether a request without the key succeeded at the service between the crashes; only for
+    /// parts of prompts.
+    pub(crate) has_control: bool,
     pub(crate) crashes: Vec<CountedCrash>,
 }
 
+impl KeyCrashes {
+    /// Whether the crashes are further apart than those of one failing rack.
+    fn is_spread(&self) -> bool {
+        let times = || self.crashes.iter().map(|crash| crash.at);
+        let span = times().min().zip(times().max());
+        span.is_some_and(|(first, last)| last > first + BURST)
+    }
+}
+
+/// A part of prompts that may be one of several that crash servers at the same time: requests
+/// without it succeeded between its crashes.
+#[derive(Clone, Debug)]
+struct JointCause {
+    instances: BTreeSet<InstanceTag>,
+}
+
+impl JointCause {
+    /// The parts with the most crashes among `candidates`.
+    fn find(candidates: &[KeyCrashes]) -> Vec<Self> {
+        let may_explain = |candidate: &&KeyCrashes| {
+            candidate.has_control && candidate.crashes.len() >= JOINT_CRASHES
+        };
+        let mut parts: Vec<&KeyCrashes> = candidates.iter().filter(may_explain).collect();
+        parts.sort_unstable_by_key(|part| (Reverse(part.crashes.len()), part.key));
+        let causes = parts.into_iter().take(MAX_JOINT_CAUSES);
+        causes
+            .map(|part| Self {
+                instances: instances(&part.crashes),
+            })
+            .collect()
+    }
+}
+
 /// Keys that explain the same crashes.
 #[derive(Clone, Debug)]
 pub(crate) struct CrashCulprit {
@@ -64,6 +111,8 @@
 pub(crate) struct LocalizedFaults {
     pub(crate) culprits: Vec<CrashCulprit>,
     explained: BTreeSet<InstanceTag>,
+    /// Parts that may explain crashes which no culprit explains.
+    joint: Vec<JointCause>,
 }
 
 impl LocalizedFaults {
@@ -76,17 +125,19 @@
                 let is_open = |crash: &CountedCrash| !faults.explained.contains(&crash.instance);
                 candidate.crashes.retain(is_open);
             }
+            faults.joint = JointCause::find(&candidates);
             let ranked = candidates.iter().map(|candidate| {
-                let weight = faults.weight(&candidate.crashes, lost);
+                let weight = faults.proving_weight(candidate, lost);
                 (weight, candidate.crashes.len(), candidate)
             });
             let best = ranked.max_by_key(|(weight, crashes, candidate)| {
-                (*weight, *crashes, std::cmp::Reverse(candidate.key))
+                (*weight, *crashes, Reverse(candidate.key))
             });
             let Some((weight, crashes, best)) = best else {
                 return faults;
             };
-            if weight < PROVING_WEIGHT && crashes < PROVING_CRASHES {
+            let has_many = crashes >= PROVING_CRASHES && (best.is_spread() || !best.has_control);
+            if weight < PROVING_WEIGHT && !has_many {
                 return faults;
             }
             let explained = instances(&best.crashes);
@@ -116,14 +167,55 @@
             .collect()
     }
 
-    /// Weight of crashes that count against one key. Crashes that are explained by a culprit
-    /// show nothing about the ones near them.
-    pub(crate) fn weight(&self, crashes: &[CountedCrash], lost: &[CountedCrash]) -> u32 {
+    /// Weight of the crashes of a key for the proof that it crashes servers. Joint causes count
+    /// only for crashes further apart than a burst: a request that is retried on the servers of
+    /// a failing rack crashes on several of them, and so do others beside it.
+    fn proving_weight(&self, candidate: &KeyCrashes, lost: &[CountedCrash]) -> u32 {
+        if candidate.is_spread() {
+            self.weight(candidate, lost)
+        } else {
+            self.weight_beside(candidate, lost, &BTreeSet::new())
+        }
+    }
+
+    /// Weight of the crashes of a key for the suspicion that it crashes servers.
+    pub(crate) fn weight(&self, candidate: &KeyCrashes, lost: &[CountedCrash]) -> u32 {
+        self.weight_beside(candidate, lost, &self.joint_crashes(candidate))
+    }
+
+    /// The crashes that other parts may explain, if the key is one of a part itself. A part that
+    /// was on several of the same servers is no second cause; two causes may meet on one.
+    fn joint_crashes(&self, candidate: &KeyCrashes) -> BTreeSet<InstanceTag> {
+        if !candidate.has_control {
+            return BTreeSet::new();
+        }
+        let own = instances(&candidate.crashes);
+        let is_second = |cause: &&JointCause| {
+            let shared = cause.instances.intersection(&own).count();
+            shared <= 1 && cause.instances.len() - shared >= JOINT_CRASHES
+        };
+        let others = self.joint.iter().filter(is_second);
+        others.flat_map(|cause| cause.instances.clone()).collect()
+    }
+
+    /// Weight of the crashes of a key beside crashes that are explained otherwise: by a culprit
+    /// or by `joint` causes. These show nothing about the ones near them.
+    fn weight_beside(
+        &self,
+        candidate: &KeyCrashes,
+        lost: &[CountedCrash],
+        joint: &BTreeSet<InstanceTag>,
+    ) -> u32 {
+        let crashes = &candidate.crashes;
         let weigh = |crash: &CountedCrash| {
             let is_other = |other: &&CountedCrash| {
                 let is_near = other.at <= crash.at + BURST && crash.at <= other.at + BURST;
                 let is_own = |own: &CountedCrash| own.instance == other.instance;
-                is_near && !self.explained.contains(&other.instance) && !crashes.iter().any(is_own)
+                let is_explained = self.explained.contains(&other.instance);
+                is_near
+                    && !is_explained
+                    && !joint.contains(&other.instance)
+                    && !crashes.iter().any(is_own)
             };
             if lost.iter().any(|other| is_other(&other)) {
                 SHARED_WEIGHT
--- a/crates/suspects/src/table.rs
+++ b/crates/suspects/src/table.rs
@@ -225,8 +225,12 @@
                 key: culprit.keys[0],
             };
         }
-        let open = faults.unexplained(&crashes);
-        let newest = open.iter().map(|crash| crash.at).max();
+        let open = KeyCrashes {
+            key,
+            has_control: record.has_control,
+            crashes: faults.unexplained(&crashes),
+        };
+        let newest = open.crashes.iter().map(|crash| crash.at).max();
         match newest {
             Some(newest) if faults.weight(&open, &self.lost()) >= SUSPECT_WEIGHT => CallJudgement {
                 verdict: verdict_after(now - newest, Duration::ZERO),
@@ -270,6 +274,7 @@
             let records = self.keys.iter();
             let candidates = records.map(|(key, record)| KeyCrashes {
                 key: *key,
+                has_control: record.has_control,
                 crashes: counted(record, &self.instances),
             });
             let candidates = candidates.filter(|candidate| candidate.crashes.len() > 1);
--- a/crates/suspects/tests/crowds.rs
+++ b/crates/suspects/tests/crowds.rs
@@ -76,6 +76,12 @@
         guilty_parts: 1,
         ..CROWD
     },
+    CrowdCase {
+        name: "two parts",
+        guilty: 1.0,
+        guilty_parts: 2,
+        ..CROWD
+    },
     CrowdCase {
         name: "four parts",
         guilty: 1.0,
@@ -479,10 +485,14 @@
           requests: servers lost [210, 186, 188, 184, 204], refused 0.0 % of 5966 sound requests, at most 0.0 %
           sums: servers lost [3, 3, 3, 3, 3], refused 0.2 % of 6082 sound requests, at most 0.5 %
           localized: servers lost [3, 3, 3, 3, 3], refused 0.3 % of 6090 sound requests, at most 0.6 %
+        two parts
+          requests: servers lost [182, 198, 191, 196, 202], refused 0.0 % of 5965 sound requests, at most 0.0 %
+          sums: servers lost [6, 6, 6, 6, 6], refused 0.2 % of 6083 sound requests, at most 0.6 %
+          localized: servers lost [8, 7, 7, 8, 7], refused 0.5 % of 6092 sound requests, at most 1.8 %
         four parts
           requests: servers lost [238, 240, 251, 261, 253], refused 0.0 % of 6025 sound requests, at most 0.0 %
           sums: servers lost [11, 10, 12, 11, 11], refused 5.1 % of 5936 sound requests, at most 11.1 %
-          localized: servers lost [22, 19, 18, 19, 19], refused 0.5 % of 5947 sound requests, at most 1.6 %
+          localized: servers lost [15, 15, 17, 18, 14], refused 0.6 % of 5974 sound requests, at most 2.2 %
         one part, few and long runs
           requests: servers lost [87, 86, 93, 75, 82], refused 0.0 % of 307 sound requests, at most 0.0 %
           sums: servers lost [3, 3, 3, 3, 3], refused 34.8 % of 316 sound requests, at most 55.9 %
--- a/crates/suspects/tests/parts.rs
+++ b/crates/suspects/tests/parts.rs
@@ -8,11 +8,12 @@
 };
 use onyxfall_types::TeamName;
 
-/// A part that all requests have, one that crashes servers, and two sound ones.
+/// A part that all requests have, two that crash servers, and two sound ones.
 const FIRST: u64 = 1;
 const GUILTY: u64 = 2;
 const OTHER: u64 = 3;
 const RARE: u64 = 4;
+const SECOND: u64 = 5;
 /// Interval at which runs that have begun are looked at.
 const REFRESH: u64 = 100;
 
@@ -236,6 +237,86 @@
         parts: &[FIRST],
         verdict: "clear",
     },
+    PartCase {
+        name: "two parts crash two servers each at the same time",
+        events: TWO_PARTS,
+        when: 1300,
+        parts: &[FIRST, GUILTY],
+        verdict: "pending",
+    },
+    PartCase {
+        name: "a third crash of one of them, seconds later",
+        events: TWO_PARTS,
+        when: 3600,
+        parts: &[FIRST, GUILTY],
+        verdict: "quarantined",
+    },
+    PartCase {
+        name: "the other one after that",
+        events: TWO_PARTS,
+        when: 3600,
+        parts: &[FIRST, SECOND],
+        verdict: "suspected",
+    },
+    PartCase {
+        name: "a third crash of the other one",
+        events: TWO_PARTS,
+        when: 3900,
+        parts: &[FIRST, SECOND],
+        verdict: "quarantined",
+    },
+    PartCase {
+        name: "two parts, but a server without them crashed near",
+        events: &[
+            Lost(0, "a", &[FIRST, GUILTY], "s1"),
+            Lost(200, "x", &[FIRST, SECOND], "s2"),
+            Began(250, &[FIRST, OTHER], "s9"),
+            Lost(900, "z", &[FIRST, RARE], "s5"),
+            Lost(1000, "b", &[FIRST, GUILTY], "s3"),
+            Lost(1200, "y", &[FIRST, SECOND], "s4"),
+        ],
+        when: 1300,
+        parts: &[FIRST, GUILTY],
+        verdict: "clear",
+    },
+    PartCase {
+        name: "two parts without a control",
+        events: &[
+            Lost(0, "a", &[FIRST, GUILTY], "s1"),
+            Lost(200, "x", &[FIRST, SECOND], "s2"),
+            Lost(1000, "b", &[FIRST, GUILTY], "s3"),
+            Lost(1200, "y", &[FIRST, SECOND], "s4"),
+        ],
+        when: 1300,
+        parts: &[OTHER, GUILTY],
+        verdict: "clear",
+    },
+    PartCase {
+        name: "two parts on three servers each of a rack that fails within a second",
+        events: &[
+            Lost(0, "a", &[GUILTY], "s1"),
+            Lost(100, "x", &[SECOND], "s2"),
+            Began(100, &[OTHER], "s9"),
+            Lost(800, "a", &[GUILTY], "s3"),
+            Lost(900, "x", &[SECOND], "s4"),
+            Lost(1000, "a", &[GUILTY], "s5"),
+            Lost(1100, "x", &[SECOND], "s6"),
+        ],
+        when: 3200,
+        parts: &[GUILTY, OTHER],
+        verdict: "suspected",
+    },
+];
+
+/// Two parts that crash servers in turn, and a sound request between.
+const TWO_PARTS: &[Event] = &[
+    Lost(0, "a", &[FIRST, GUILTY], "s1"),
+    Lost(200, "x", &[FIRST, SECOND], "s2"),
+    Began(250, &[FIRST, OTHER], "s9"),
+    Lost(1000, "b", &[FIRST, GUILTY], "s3"),
+    Lost(1200, "y", &[FIRST, SECOND], "s4"),
+    Lost(3500, "c", &[FIRST, GUILTY], "s5"),
+    Lost(3800, "z", &[FIRST, SECOND], "s6"),
 ];
 
 fn table_of(events: &[Event], until: u64, team: Option<&str>) -> SuspectTable {
