Suspects: the end of an old verdict reaches all VMs

A request that was tested after its quarantine and ended well was cleared on the VM that ran it, but the record was evicted with the next tick (0.1 s), since records without crashes were kept for ten seconds after the last crash. If no update went out in between, the other VMs kept the verdict for the rest of the hour; a VM that was cut off meanwhile brought it back to all.

A record whose verdict was cleared is now kept for an hour after that, as its crashes would have been; one with a single cleared crash for ten seconds as before.

Test `the_end_of_an_old_verdict_reaches_vms_that_are_cut_off_for_minutes` failed before (suspected in place of clear).

--- a/crates/suspects/src/record.rs
+++ b/crates/suspects/src/record.rs
@@ -7,6 +7,7 @@
 //! tenth of the day's value in inter-region traffic.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use onyxfall_policy::Moment;
 
@@ -84,6 +85,10 @@
     crashes: BTreeMap<InstanceTag, CrashRecord>,
     /// Time of the latest of these losses.
     newest: Moment,
+    /// Number of crashes that a good run has cleared.
+    cleared: usize,
+    /// When the record was first found without crashes.
+    empty_since: Option<Moment>,
     /// Number of the record's last change.
     pub(crate) changed: u64,
 }
@@ -106,6 +111,16 @@
         self.newest
     }
 
+    /// Number of crashes that a good run has cleared, and the time since that was first seen;
+    /// none if there are crashes.
+    pub(crate) fn cleared(&mut self, now: Moment) -> Option<(usize, Duration)> {
+        if !self.crashes.is_empty() {
+            self.empty_since = None;
+            return None;
+        }
+        Some((self.cleared, now - *self.empty_since.get_or_insert(now)))
+    }
+
     /// Applies a number of good runs: a number larger than the recorded one clears the
     /// recorded crashes. Returns whether that changed the record.
     pub(crate) fn record_good_runs(&mut self, good_runs: u32) -> bool {
@@ -113,6 +128,7 @@
         if is_new {
             self.good_runs = good_runs;
             self.has_control = false;
+            self.cleared = self.cleared.max(self.crashes.len());
             self.crashes.clear();
         }
         is_new
--- a/crates/suspects/src/table.rs
+++ b/crates/suspects/src/table.rs
@@ -25,13 +25,15 @@
 /// have. Doubled with each crash after the third.
 const UNCONTROLLED_QUARANTINE: Duration = Duration::from_secs(2);
 const UNCONTROLLED_CRASHES: u32 = 3;
-/// How long a key's crashes are kept after the last one.
+/// How long a key's crashes are kept after the last one, and that a good run has cleared them: a
+/// VM that was cut off meanwhile still has them and sends them when it is back.
 const RETENTION: Duration = Duration::from_hours(1);
 /// The same for a key with a single crash, as hundreds of keys have after each
 /// crash.
 const RETENTION_SINGLE: Duration = Duration::from_mins(10);
-/// The same for a key whose crashes are all cleared, since the servers survived: where
-/// servers drop one connection in fifty, these are most of the table.
+/// The same for a key whose crashes are all cleared, since the servers survived, or whose single
+/// crash a good run has cleared: where servers drop one connection in fifty, these are most of
+/// the table.
 const RETENTION_CLEARED: Duration = Duration::from_secs(10);
 /// Bounds of the table: about 200 bytes per key, 800 KB in total. A crash adds the
 /// requests that ran on the server, at most 128, with the rare parts of their prompts, and
@@ -367,6 +369,15 @@
     pub fn expire(&mut self, now: Moment) {
         let instances = &self.instances;
         self.keys.retain(|_, record| {
+            if let Some((crashes, age)) = record.cleared(now) {
+                let had_verdict = crashes > 1;
+                return age
+                    < if had_verdict {
+                        RETENTION
+                    } else {
+                        RETENTION_CLEARED
+                    };
+            }
             let retention = match counted(record, instances).len() {
                 0 => RETENTION_CLEARED,
                 1 => RETENTION_SINGLE,
--- a/crates/suspects/tests/verdicts.rs
+++ b/crates/suspects/tests/verdicts.rs
@@ -306,6 +306,32 @@
     assert_eq!(second.judge(now, &keys("a")).verdict, SuspectVerdict::Clear);
 }
 
+/// Guards against a VM that forgets the end of an old verdict before it has told the others, or
+/// that takes the evidence back from one that was cut off.
+#[test]
+fn the_end_of_an_old_verdict_reaches_vms_that_are_cut_off_for_minutes() {
+    let mut first = SuspectTable::default();
+    for server in ["s1", "s2", "s3"] {
+        lose(&mut first, at(0), "a", server);
+    }
+    let mut second = SuspectTable::default();
+    send_all(at(0), &first, &mut second);
+    first.record_success(request("a"));
+    for tick in 1..=600 {
+        first.expire(at(700_000 + 100 * tick));
+    }
+    let now = at(760_000);
+    let stale = second.clone();
+    send_all(now, &stale, &mut first);
+    send_all(now, &first, &mut second);
+    for table in [&first, &second] {
+        let verdict = table.judge(now, &keys("a")).verdict;
+        assert_eq!(verdict, SuspectVerdict::Clear);
+    }
+    first.expire(at(760_000 + 3_600_000));
+    assert!(first.is_empty(), "the record expires");
+}
+
 /// A connection was lost and the server survived. The time of the loss is sent as an age and
 /// becomes later with each hop, so that an update must not count as a second loss. On a day
 /// with broken connections such updates circulated between 68 VMs, which cost a tenth of the
