Operators lift the verdict on a crashing request or part

A wrong verdict refused a sound request or part for ten minutes after the last crash, and no command ended it but the replacement of all VMs.

The VM counts it as a good run of the key, so that the suspects' messages carry it to all VMs without a new field; the key begins with no evidence. The order is taken on the status port alone (the directory's port had the same handler), checked, logged and counted.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -2,12 +2,13 @@
 
 use std::net::SocketAddr;
 
-use http::header::CONTENT_TYPE;
-use http::{HeaderValue, Response, StatusCode, Uri};
+use http::header::{ALLOW, CONTENT_TYPE};
+use http::{HeaderValue, Method, Response, StatusCode, Uri};
 use onyxfall_adapter::{
     DirectoryQuery, READY_PATH, RESOLVE_PATH, directory_body, read_directory_query,
 };
 use onyxfall_overlay::VmRecord;
+use onyxfall_suspects::EvidenceKey;
 use onyxfall_types::{PlanReport, RegionName};
 
 use crate::body::ReplyBody;
@@ -39,6 +40,31 @@
     }
 }
 
+/// Handles requests to lift the verdict on a key, which all VMs learn from this one.
+pub(crate) fn handle_verdict(gateway: &Gateway, method: &Method, key: &str) -> Response<ReplyBody> {
+    if method != Method::DELETE {
+        let mut response = plain(
+            StatusCode::METHOD_NOT_ALLOWED,
+            "expected DELETE\n".to_owned(),
+        );
+        let allowed = HeaderValue::from_static("DELETE");
+        response.headers_mut().insert(ALLOW, allowed);
+        return response;
+    }
+    let key: EvidenceKey = match key.parse() {
+        Ok(key) => key,
+        Err(e) => return plain(StatusCode::BAD_REQUEST, format!("{e}\n")),
+    };
+    if gateway.lift_suspect(key) {
+        plain(StatusCode::OK, format!("lifted {key}\n"))
+    } else {
+        plain(
+            StatusCode::NOT_FOUND,
+            format!("no evidence against {key}\n"),
+        )
+    }
+}
+
 fn resolve(gateway: &Gateway, query: &str) -> Response<ReplyBody> {
     let query = read_directory_query(query);
     let addresses = entries_for(gateway, &query);
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -19,6 +19,7 @@
 use onyxfall_capacity::ClassTag;
 use onyxfall_clock::BootInstant;
 use onyxfall_fleet::{CallRequirements, ResponseShape, RouteRule, RouteTable, TeamRule};
+use onyxfall_suspects::EvidenceKey;
 use onyxfall_types::{RefusalReason, RequestError, RunVerdict};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -28,7 +29,7 @@
 use crate::caller_stream::{CallerStream, StalledWrite};
 use crate::capacity::{importance, urgency};
 use crate::connection::set_socket_options;
-use crate::directory::handle_directory;
+use crate::directory::{handle_directory, handle_verdict};
 use crate::gateway::Gateway;
 use crate::held::HeldFull;
 use crate::links::serve_links;
@@ -68,6 +69,7 @@
 enum PortKind {
     Callers,
     Status,
+    Directory,
     Relay,
 }
 
@@ -77,7 +79,7 @@
     let ports = [
         (settings.callers, PortKind::Callers),
         (settings.ready, PortKind::Status),
-        (settings.directory, PortKind::Status),
+        (settings.directory, PortKind::Directory),
         (settings.relay, PortKind::Relay),
     ];
     for (address, kind) in ports {
@@ -123,6 +125,7 @@
         match kind {
             PortKind::Callers => serve_connection(gateway, stream, handle_caller),
             PortKind::Status => serve_connection(gateway, stream, handle_status),
+            PortKind::Directory => serve_connection(gateway, stream, handle_lookup),
             PortKind::Relay => serve_connection(gateway, stream, handle_relayed),
         }
     }
@@ -224,6 +227,18 @@
 }
 
 async fn handle_status(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<ReplyBody> {
+    match request
+        .uri()
+        .path()
+        .strip_prefix(EvidenceKey::VERDICTS_PATH)
+    {
+        Some(key) => handle_verdict(&gateway, request.method(), key),
+        None => handle_directory(&gateway, request.uri()),
+    }
+}
+
+/// Serves callers, who may not lift verdicts.
+async fn handle_lookup(gateway: Rc<Gateway>, request: Request<Incoming>) -> Response<ReplyBody> {
     handle_directory(&gateway, request.uri())
 }
 
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -172,6 +172,18 @@
         (judgement.verdict != SuspectVerdict::Clear).then_some(judgement)
     }
 
+    /// Lifts the verdict on a key, and sends that to the other VMs at once. Returns whether there
+    /// was evidence against it.
+    pub(crate) fn lift_suspect(&self, key: EvidenceKey) -> bool {
+        let had_evidence = self.suspects.borrow_mut().table.lift(key);
+        if had_evidence {
+            self.metrics.count("onyxfall_lifted_suspects_total");
+            log::warn!(key:% = key; "verdict on crashing requests lifted by an operator");
+            self.send_updates_now.notify_waiters();
+        }
+        had_evidence
+    }
+
     /// Whether the request is known to crash servers.
     pub(crate) fn is_quarantined(&self, call: &CallContext) -> bool {
         let judgement = self.judge(call);
--- a/crates/gateway/tests/crashing_parts.rs
+++ b/crates/gateway/tests/crashing_parts.rs
@@ -7,14 +7,17 @@
 mod support;
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use http::StatusCode;
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
 use onyxfall_fakes::{CRASHING_PARTS, ServerStub, is_crashing_part};
-use support::{Gateway, Site, call_parts, get};
+use onyxfall_suspects::{EvidenceKey, PartScope};
+use support::{Gateway, Site, call_parts, get, send, wait_for};
 
 const PATH: &str = "/stream/resume/x";
 /// Time after the fifth crash in which VMs learn of it. Then at most `MAX_LATE` more requests with
@@ -321,16 +324,8 @@
     }
 }
 
-#[test]
-fn a_vm_that_starts_later_does_not_send_the_part_to_servers() {
-    let part = 0xdead_000c;
-    let site = Site::start_in(3, 1);
-    let mut fleet = ServerFleet::start(&site, 2);
-    site.configure(1);
-    let gateways = [site.gateway(0), site.gateway(1)];
-    for gateway in &gateways {
-        gateway.wait_served();
-    }
+/// Sends requests with and without `part` at the VMs in turn, while crashed servers are replaced.
+fn crash_with(part: u64, gateways: &[Gateway], fleet: &mut ServerFleet<'_>) {
     for number in 0..12 {
         let gateway = &gateways[number % gateways.len()];
         let number = u64::try_from(number).unwrap();
@@ -344,6 +339,19 @@
         thread::sleep(2 * CRASHING_PAUSE);
         fleet.tend();
     }
+}
+
+#[test]
+fn a_vm_that_starts_later_does_not_send_the_part_to_servers() {
+    let part = 0xdead_000c;
+    let site = Site::start_in(3, 1);
+    let mut fleet = ServerFleet::start(&site, 2);
+    site.configure(1);
+    let gateways = [site.gateway(0), site.gateway(1)];
+    for gateway in &gateways {
+        gateway.wait_served();
+    }
+    crash_with(part, &gateways, &mut fleet);
     let before = fleet.arrivals(part).len();
     let late = site.gateway(2);
     late.wait_served();
@@ -360,3 +368,64 @@
     let reply = call_parts(late.callers(), PATH, "sound", &sound, PATIENCE).unwrap();
     assert_eq!(reply.status, StatusCode::OK, "a sound request");
 }
+
+fn delete(address: SocketAddr, path: &str) -> StatusCode {
+    let reply = send(
+        address,
+        Method::DELETE,
+        path,
+        HeaderMap::new(),
+        Bytes::new(),
+    );
+    reply.unwrap().status
+}
+
+/// Guards against a verdict that an operator lifts on one VM and that stands on the others, and
+/// against callers that lift one.
+#[test]
+fn a_verdict_that_is_lifted_on_one_vm_ends_on_all() {
+    let part = 0xdead_000e;
+    let site = Site::start_in(3, 1);
+    let mut fleet = ServerFleet::start(&site, 3);
+    site.configure(1);
+    let gateways = [site.gateway(0), site.gateway(1), site.gateway(2)];
+    for gateway in &gateways {
+        gateway.wait_served();
+    }
+    crash_with(part, &gateways, &mut fleet);
+    let scope = PartScope::of(&"svc".parse().unwrap(), None);
+    let path = |hash| format!("{}{}", EvidenceKey::VERDICTS_PATH, scope.key(hash));
+    let is_accused = |gateway: &Gateway| {
+        let metrics = get(gateway.ready(), "/metrics").unwrap();
+        metrics.text().contains(&format!("id=\"{part:x}\""))
+    };
+    assert!(gateways.iter().all(is_accused), "the part is known to all");
+    let [first, other, last] = &gateways;
+    for (name, address, path, status) in [
+        ("callers' port", first.callers(), path(part), 400),
+        ("directory", first.directory(), path(part), 404),
+        ("no key", first.ready(), "/suspects/".to_owned(), 400),
+        ("short key", first.ready(), "/suspects/91bd".to_owned(), 400),
+        ("no evidence", first.ready(), path(0xb1), 404),
+    ] {
+        assert_eq!(delete(address, &path).as_u16(), status, "{name}");
+    }
+    let reply = get(first.ready(), &path(part)).unwrap();
+    assert_eq!(reply.status, StatusCode::METHOD_NOT_ALLOWED);
+    assert!(gateways.iter().all(is_accused), "nothing is lifted yet");
+    assert_eq!(delete(first.ready(), &path(part)), StatusCode::OK);
+    wait_for("the verdict to end on all VMs", || {
+        !gateways.iter().any(is_accused)
+    });
+    wait_for("the log line", || {
+        let log = first.log();
+        log.contains("verdict on crashing requests lifted by an operator")
+    });
+    let before = fleet.arrivals(part).len();
+    for (gateway, number) in [(other, 97), (last, 98)] {
+        let parts = [FIRST_PART, part, number];
+        let id = format!("lifted{number}");
+        call_parts(gateway.callers(), PATH, &id, &parts, PATIENCE);
+    }
+    assert!(fleet.arrivals(part).len() > before, "requests run again");
+}
--- a/crates/operator/src/main.rs
+++ b/crates/operator/src/main.rs
@@ -13,9 +13,10 @@
 use onyxfall_logging::{LogSink, start_logging};
 use onyxfall_operator::{
     OperatorContext, PredictionReport, RequestTimeline, RollPlan, SuspectReport, TeamReport,
-    VersionReport, load_operator_settings, read_plan,
+    VersionReport, lift_suspect, load_operator_settings, read_plan,
 };
 use onyxfall_platform::PlatformClient;
+use onyxfall_suspects::EvidenceKey;
 use onyxfall_types::RegionName;
 
 /// Timeout for reading the metrics or the plan of one VM.
@@ -182,10 +183,14 @@
 }
 
 /// show which requests and prompt parts are refused because servers crash under them, from the
-/// metrics of gateways
+/// metrics of gateways, or lift the verdict on one of them
 #[derive(FromArgs)]
 #[argh(subcommand, name = "suspects")]
 struct SuspectsCommand {
+    /// lift the verdict on this key on all VMs, through the first of the gateways that can
+    #[argh(option)]
+    lift: Option<EvidenceKey>,
+
     /// addresses at which gateways serve readiness and metrics, IP:PORT each
     #[argh(positional)]
     addresses: Vec<SocketAddr>,
@@ -323,6 +328,9 @@
 }
 
 fn suspects(command: &SuspectsCommand) -> Result<(), Report> {
+    if let Some(key) = command.lift {
+        return lift(&command.addresses, key);
+    }
     let mut report = SuspectReport::default();
     read_metrics(&command.addresses, |vm, metrics| report.read(vm, metrics));
     if report.is_empty() {
@@ -334,6 +342,23 @@
     Ok(())
 }
 
+/// Lifts the verdict on a key through one VM; prints an error for each VM that cannot.
+fn lift(addresses: &[SocketAddr], key: EvidenceKey) -> Result<(), Report> {
+    if addresses.is_empty() {
+        return Err(miette!("expected the status address of a gateway, IP:PORT"));
+    }
+    for address in addresses {
+        match lift_suspect(*address, key, METRICS_TIMEOUT) {
+            Ok(()) => {
+                println!("lifted {key} at {address}, which tells the other VMs");
+                return Ok(());
+            }
+            Err(e) => eprintln!("{e}"),
+        }
+    }
+    Err(miette!("no VM has lifted the verdict on {key}"))
+}
+
 fn plan(command: &PlanCommand) -> Result<(), Report> {
     let report = read_plan(command.address, METRICS_TIMEOUT).into_diagnostic()?;
     print!("{report}");
--- a/crates/operator/src/plan.rs
+++ b/crates/operator/src/plan.rs
@@ -6,6 +6,8 @@
 use onyxfall_types::PlanReport;
 use thiserror::Error;
 
+use crate::status_port::status_agent;
+
 /// Error of reading a VM's capacity plan.
 #[derive(Debug, Error)]
 pub enum PlanError {
@@ -60,13 +62,7 @@
 /// assert!(matches!(result, Err(PlanError::Unreachable { .. })));
 /// ```
 pub fn read_plan(address: SocketAddr, timeout: Duration) -> Result<PlanReport, PlanError> {
-    let config = ureq::Agent::config_builder()
-        .timeout_global(Some(timeout))
-        .http_status_as_error(false)
-        // A redirect leads to another program than the one queried.
-        .max_redirects(0)
-        .max_redirects_will_error(false);
-    let agent: ureq::Agent = config.build().into();
+    let agent = status_agent(timeout);
     let unreachable = |cause| PlanError::Unreachable {
         address,
         cause: Box::new(cause),
--- a/crates/operator/tests/plan.rs
+++ b/crates/operator/tests/plan.rs
@@ -1,13 +1,14 @@
 //! Tests of the command `plan` against a small HTTP listener.
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+mod support;
+
+use std::net::SocketAddr;
 use std::process::Command;
-use std::thread;
 use std::time::Duration;
 
 use expect_test::expect;
 use onyxfall_operator::{PlanError, read_plan};
+use support::{response, serve_once, without_address};
 
 const PLAN: &str = r#"{"mode":"on","age_ms":80,"regions":[{"service":"search","region":"cairns",
 "capacity":3.5,"full":true,"report_age_ms":0}],"classes":[{"service":"search","importance":"1.0",
@@ -17,42 +18,6 @@
 const SHORT_TIMEOUT: Duration = Duration::from_millis(300);
 const TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Serves one connection with `response`; sends nothing if it is empty. Returns the address
-/// and the head that was received.
-fn serve_once(response: String) -> (SocketAddr, thread::JoinHandle<String>) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let server = thread::spawn(move || {
-        let (mut stream, _) = listener.accept().unwrap();
-        let mut head = Vec::new();
-        let mut part = [0; 1024];
-        while !head.ends_with(b"\r\n\r\n") {
-            let length = stream.read(&mut part).unwrap();
-            if length == 0 {
-                break;
-            }
-            head.extend_from_slice(&part[..length]);
-        }
-        if response.is_empty() {
-            // Holds the connection until the client gives up.
-            let _ = stream.read(&mut part);
-        }
-        let _ = stream.write_all(response.as_bytes());
-        String::from_utf8(head).unwrap()
-    });
-    (address, server)
-}
-
-fn response(status: &str, body: &str) -> String {
-    let length = body.len();
-    format!("HTTP/1.1 {status}\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}")
-}
-
-/// Replaces the address, whose port differs in each run.
-fn without_address(text: &str, address: SocketAddr) -> String {
-    text.replace(&address.to_string(), "ADDRESS")
-}
-
 /// Guards against a command that asks for another path or prints other than the table.
 #[test]
 fn the_command_prints_the_table() {
--- a/crates/suspects/src/key.rs
+++ b/crates/suspects/src/key.rs
@@ -38,6 +38,10 @@
 pub struct KeyError;
 
 impl EvidenceKey {
+    /// Path of the verdicts on a gateway's status port. `DELETE` of the path followed by a key
+    /// lifts the verdict on it.
+    pub const VERDICTS_PATH: &str = "/suspects/";
+
     /// The bytes of the key, as carried in messages.
     pub const fn as_bytes(&self) -> &[u8; KEY_BYTES] {
         &self.0
--- a/crates/suspects/src/table.rs
+++ b/crates/suspects/src/table.rs
@@ -163,6 +163,20 @@
         }
     }
 
+    /// Lifts the verdict on requests with a key: its evidence is removed here, and on the VMs
+    /// that receive the update. Returns whether there was any.
+    ///
+    /// ```
+    /// use onyxfall_suspects::{PartScope, SuspectTable};
+    /// let key = PartScope::of(&"models".parse().unwrap(), None).key(0x91bd);
+    /// assert!(!SuspectTable::default().lift(key));
+    /// ```
+    pub fn lift(&mut self, key: EvidenceKey) -> bool {
+        let has_evidence = self.keys.get(&key).is_some_and(|record| record.len() > 0);
+        self.record_success(key);
+        has_evidence
+    }
+
     /// Records that a server has begun to write the answer to a prompt with `parts`.
     pub fn record_start(&mut self, now: Moment, instance: InstanceTag, parts: PartKeys) {
         self.starts.begin(now, instance, parts);
--- a/crates/suspects/tests/verdicts.rs
+++ b/crates/suspects/tests/verdicts.rs
@@ -332,6 +332,35 @@
     assert!(first.is_empty(), "the record expires");
 }
 
+/// Guards against a lifted verdict that comes back with the next crash, or from another VM.
+#[test]
+fn a_lifted_key_begins_with_no_evidence_on_all_vms() {
+    let mut first = SuspectTable::default();
+    for server in ["s1", "s2", "s3"] {
+        lose(&mut first, at(0), "a", server);
+    }
+    let mut second = SuspectTable::default();
+    send_all(at(0), &first, &mut second);
+    assert!(!second.lift(request("b").into()), "no evidence");
+    assert!(second.lift(request("a").into()));
+    assert!(!second.lift(request("a").into()), "lifted before");
+    let stale = first.clone();
+    send_all(at(100), &stale, &mut second);
+    send_all(at(100), &second, &mut first);
+    for (when, server, verdict) in [
+        (5000, "s4", "clear"),
+        (15_000, "s5", "suspected"),
+        (25_000, "s6", "quarantined"),
+    ] {
+        lose(&mut first, at(when), "a", server);
+        send_all(at(when), &first, &mut second);
+        for table in [&first, &second] {
+            let found = table.judge(at(when + 3000), &keys("a")).verdict;
+            assert_eq!(found.as_str(), verdict, "after the crash of {server}");
+        }
+    }
+}
+
 /// A connection was lost and the server survived. The time of the loss is sent as an age and
 /// becomes later with each hop, so that an update must not count as a second loss. On a day
 /// with broken connections such updates circulated between 68 VMs, which cost a tenth of the
