Soak: servers that are stopped and go on; a check of answers that are cut

The soak paused gateways only, and no check counted an answer that ended before its server had ended it, so it could not see that streams are cut while their servers are silent.

Eight more callers send streams of a second meanwhile. The stub of a server records how each of its runs ended, and a stub that is stopped ends at once when it crashes, as a killed process does. The check takes an answer as cut if its connection closes before its end, or for 502 and 504 of a VM, and excuses what the rule LOST excuses, but not silence.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -22,7 +22,7 @@
 pub use platform::{FakePlatform, PlatformFaults};
 pub use server::{
     ArrivedRequest, BreakEnd, BreakPoint, CRASHING_BODY, CRASHING_PARTS, ReceivedRequest,
-    RequestedBackoff, ServerFault, ServerStub, StubFraming, StubSignals, StubTransfer,
+    RequestedBackoff, RunState, ServerFault, ServerStub, StubFraming, StubSignals, StubTransfer,
     is_crashing_part,
 };
 pub use service::{FakeService, ServiceFaults, ServiceSettings};
--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -103,6 +103,26 @@
     pub done: Option<Instant>,
     /// Signals in the response to the request.
     pub signals: StubSignals,
+    /// How far the stub got with the request.
+    pub run: RunState,
+    /// Whether it has sent a part of the body of its response.
+    pub has_sent: bool,
+}
+
+/// How far a server got with a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RunState {
+    /// The server has not run it.
+    #[default]
+    NotRun,
+    /// The server is running it.
+    Running,
+    /// The server has sent its whole response.
+    Finished,
+    /// The server has broken off its response or answered with another id, or it has crashed.
+    BrokenOff,
+    /// The connection was closed by its other end before the server had ended.
+    Abandoned,
 }
 
 /// Body of a request that crashes the server that runs it.
@@ -220,6 +240,8 @@
 const READ_PAUSE: Duration = Duration::from_millis(60);
 /// Prefix of the paths whose responses are streams.
 const STREAM_PATH: &str = "/stream/";
+/// Query of a stream's path that sets the delay before each event, in milliseconds.
+const PAUSE_QUERY: &str = "pause-ms=";
 
 impl ServerStub {
     /// Starts it on a free port of `ip`.
@@ -371,7 +393,7 @@
     }
 }
 
-/// Records the end of a request when dropped.
+/// Records the progress of a request, and its end when dropped.
 struct RunningGuard {
     state: Arc<Mutex<ServerState>>,
     number: usize,
@@ -382,13 +404,41 @@
         state.lock().running += 1;
         Self { state, number }
     }
+
+    fn begin(&self) {
+        self.state.lock().arrivals[self.number - 1].run = RunState::Running;
+    }
+
+    fn record_sent(&self) {
+        self.state.lock().arrivals[self.number - 1].has_sent = true;
+    }
+
+    /// Records how the run has ended, unless it did not begin or has ended before.
+    fn end(&self, end: RunState) {
+        self.state.lock().arrivals[self.number - 1].end(end);
+    }
+}
+
+impl ArrivedRequest {
+    fn end(&mut self, end: RunState) {
+        if self.run == RunState::Running {
+            self.run = end;
+        }
+    }
 }
 
 impl Drop for RunningGuard {
     fn drop(&mut self) {
         let mut state = self.state.lock();
         state.running -= 1;
-        state.arrivals[self.number - 1].done = Some(Instant::now());
+        let end = if state.is_crashed {
+            RunState::BrokenOff
+        } else {
+            RunState::Abandoned
+        };
+        let arrived = &mut state.arrivals[self.number - 1];
+        arrived.done = Some(Instant::now());
+        arrived.end(end);
     }
 }
 
@@ -428,6 +478,8 @@
         request_id: call.request_id.clone(),
         done: None,
         signals: StubSignals::default(),
+        run: RunState::NotRun,
+        has_sent: false,
     });
     state.arrivals.len()
 }
@@ -463,7 +515,7 @@
         set_retry_after(rejection.headers_mut(), backoff.seconds);
         rejection
     } else {
-        run(Arc::clone(&state), crash, &head, call, body).await?
+        run(&running, crash, &head, call, body).await?
     };
     if signals.is_draining {
         mark_draining(response.headers_mut());
@@ -536,12 +588,13 @@
 
 /// Handles a request according to the fault of the stub.
 async fn run(
-    state: Arc<Mutex<ServerState>>,
+    running: &RunningGuard,
     crash: StopSignal,
     head: &Parts,
     call: ReceivedCall,
     body: Bytes,
 ) -> Result<Response<EventBody>, io::Error> {
+    let state = Arc::clone(&running.state);
     let (fault, transfer) = {
         let state = state.lock();
         (state.fault, state.transfer)
@@ -574,6 +627,7 @@
         target,
         body: body.clone(),
     });
+    running.begin();
     let crashing_part = call.shared_parts.iter().find(|id| is_crashing_part(**id));
     let is_crashing = body == CRASHING_BODY || crashing_part.is_some();
     if is_crashing {
@@ -588,13 +642,15 @@
         ServerFault::Fails => whole(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
         ServerFault::Closes => {
             guard.is_over = true;
+            running.end(RunState::BrokenOff);
             return Err(io::Error::other("closed by the stub"));
         }
         ServerFault::Unresponsive => std::future::pending().await,
         _ if is_silent => std::future::pending().await,
         _ if is_stream => {
             let is_endless = is_crashing || fault == ServerFault::Stalls;
-            Response::new(EventBody::stream(&call, fault, guard).with_endless(is_endless))
+            let pause = head.uri.query().and_then(requested_pause);
+            Response::new(EventBody::stream(&call, fault, pause, guard).with_endless(is_endless))
         }
         _ if is_crashing => std::future::pending().await,
         _ => {
@@ -603,7 +659,10 @@
         }
     };
     let id = match fault {
-        ServerFault::WrongResponse => "somebody-else",
+        ServerFault::WrongResponse => {
+            running.end(RunState::BrokenOff);
+            "somebody-else"
+        }
         _ => &call.request_id,
     };
     sign_response(response.headers_mut(), id);
@@ -624,6 +683,12 @@
     Ok(response)
 }
 
+/// The delay before each event that the query of a path asks for.
+fn requested_pause(query: &str) -> Option<Duration> {
+    let millis = query.strip_prefix(PAUSE_QUERY)?.parse().ok()?;
+    Some(Duration::from_millis(millis))
+}
+
 /// Whether a part of a prompt crashes the servers that run it.
 pub fn is_crashing_part(id: u64) -> bool {
     CRASHING_PARTS.contains(&id)
@@ -686,12 +751,18 @@
         }
     }
 
-    fn stream(call: &ReceivedCall, fault: ServerFault, guard: CutGuard) -> Self {
+    fn stream(
+        call: &ReceivedCall,
+        fault: ServerFault,
+        pause: Option<Duration>,
+        guard: CutGuard,
+    ) -> Self {
         let sent = call.last_event.as_deref().and_then(|id| id.parse().ok());
-        let (version, pause) = {
+        let (version, usual_pause) = {
             let state = guard.state.lock();
             (state.version, state.event_pause.unwrap_or(EVENT_PAUSE))
         };
+        let pause = pause.unwrap_or(usual_pause);
         let events = EVENTS[sent.unwrap_or(0)..].iter();
         let mut events: Vec<Bytes> = events
             .map(|event| with_version(event, version).into())
@@ -751,11 +822,21 @@
         }
         if !this.events.is_empty() {
             let event = this.events.remove(0);
+            if let Some(running) = &this.running {
+                running.record_sent();
+            }
             return Poll::Ready(Some(Ok(Frame::data(event))));
         }
         if let Some(guard) = &mut this.guard {
             guard.is_over = true;
         }
+        if let Some(running) = &this.running {
+            running.end(if this.breaks {
+                RunState::BrokenOff
+            } else {
+                RunState::Finished
+            });
+        }
         if let Some(reset) = this.reset.take() {
             reset.set(false)?;
         }
--- a/crates/fakes/src/serving.rs
+++ b/crates/fakes/src/serving.rs
@@ -31,29 +31,54 @@
 
 #[derive(Debug, Default)]
 struct PauseState {
-    is_closed: Mutex<bool>,
+    gate: Mutex<GateState>,
     opened: Condvar,
     closed: Notify,
 }
 
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum GateState {
+    #[default]
+    Open,
+    Closed,
+    /// The thread ends, also if the gate was closed before.
+    Ended,
+}
+
 impl PauseGate {
     /// Stops the thread or lets it go on.
     pub fn set_closed(&self, is_closed: bool) {
-        *self.0.is_closed.lock() = is_closed;
-        if is_closed {
-            self.0.closed.notify_one();
+        self.set(if is_closed {
+            GateState::Closed
         } else {
-            self.0.opened.notify_all();
+            GateState::Open
+        });
+    }
+
+    /// Ends the thread, which does nothing more even if it is stopped.
+    fn end(&self) {
+        self.set(GateState::Ended);
+    }
+
+    fn set(&self, to: GateState) {
+        let mut gate = self.0.gate.lock();
+        if *gate != GateState::Ended {
+            *gate = to;
         }
+        self.0.closed.notify_one();
+        self.0.opened.notify_all();
     }
 
-    /// Blocks the calling thread whenever the gate is closed.
+    /// Blocks the calling thread whenever the gate is closed; returns when it has ended.
     async fn block_while_closed(&self) {
         loop {
             self.0.closed.notified().await;
-            let mut is_closed = self.0.is_closed.lock();
-            while *is_closed {
-                self.0.opened.wait(&mut is_closed);
+            let mut gate = self.0.gate.lock();
+            while *gate == GateState::Closed {
+                self.0.opened.wait(&mut gate);
+            }
+            if *gate == GateState::Ended {
+                return;
             }
         }
     }
@@ -86,7 +111,6 @@
 /// A serving thread; dropping it closes the port and every connection.
 pub struct ServingThread {
     address: SocketAddr,
-    stop: StopSignal,
     gate: PauseGate,
     thread: Option<JoinHandle<()>>,
 }
@@ -112,23 +136,21 @@
         let listener = std::net::TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
-        let stopped = Arc::clone(&stop);
         let gate = PauseGate::default();
         let paused = gate.clone();
         let thread = thread::Builder::new()
             .name("stand-in".to_owned())
-            .spawn(move || serve(listener, &stopped, &paused, &handler))?;
+            .spawn(move || serve(listener, &stop, &paused, &handler))?;
         Ok(Self {
             address,
-            stop,
             gate,
             thread: Some(thread),
         })
     }
 
-    /// Closes the port and every connection.
+    /// Closes the port and every connection, also while the thread is paused.
     pub fn stop(&self) {
-        self.stop.notify_one();
+        self.gate.end();
     }
 
     /// Stops the thread while `is_paused`; its port and connections stay open.
@@ -144,8 +166,7 @@
 
 impl Drop for ServingThread {
     fn drop(&mut self) {
-        self.stop.notify_one();
-        self.gate.set_closed(false);
+        self.gate.end();
         if let Some(thread) = self.thread.take()
             && thread.join().is_err()
         {
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -3,6 +3,7 @@
 
 use std::io::Read;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
@@ -46,6 +47,8 @@
     pub(crate) sent: Instant,
     /// When the head of the response had been received.
     pub(crate) answered: Option<Instant>,
+    /// When the response had ended, or the request had failed.
+    pub(crate) ended: Instant,
     /// Status of the response; `None` if no response began.
     pub(crate) status: Option<u16>,
     /// Whether the response carries the id of this request and the signature of a server.
@@ -144,12 +147,14 @@
     resumes: Option<StreamPart>,
     parts: &[u64],
 ) -> CallReport {
+    let sent = Instant::now();
     let mut report = CallReport {
         id: id.to_owned(),
         kind,
         to,
-        sent: Instant::now(),
+        sent,
         answered: None,
+        ended: sent,
         status: None,
         is_own: false,
         body: String::new(),
@@ -173,6 +178,7 @@
     }
     *request.headers_mut() = headers;
     let Ok(answer) = agent.run(request) else {
+        report.ended = Instant::now();
         return report;
     };
     let (head, body) = answer.into_parts();
@@ -185,11 +191,38 @@
         .limit(ANSWER_BYTES)
         .reader()
         .read_to_end(&mut bytes);
+    report.ended = Instant::now();
     report.is_whole = read.is_ok();
     report.body = String::from_utf8_lossy(&bytes).into_owned();
     report
 }
 
+/// What a group of callers sends.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum CallPaths {
+    /// Requests of all kinds.
+    Usual,
+    /// Streams that take a second.
+    LongStreams,
+}
+
+impl CallPaths {
+    const fn kinds(self) -> &'static [RequestKind] {
+        match self {
+            Self::Usual => &RequestKind::ALL,
+            Self::LongStreams => &[RequestKind::Stream, RequestKind::ResumableStream],
+        }
+    }
+
+    /// End of the paths.
+    const fn end(self) -> &'static str {
+        match self {
+            Self::Usual => "x",
+            Self::LongStreams => "x?pause-ms=250",
+        }
+    }
+}
+
 /// A group of running callers.
 pub(crate) struct CallerGroup {
     stop: Arc<AtomicBool>,
@@ -198,15 +231,20 @@
 }
 
 impl CallerGroup {
-    /// Starts `count` callers of the gateways at `targets`.
-    pub(crate) fn start(seed: u64, count: usize, targets: &[SocketAddr]) -> Self {
+    /// Starts callers of the gateways at `targets`; `numbers` differ from those of other groups.
+    pub(crate) fn start(
+        seed: u64,
+        numbers: Range<usize>,
+        paths: CallPaths,
+        targets: &[SocketAddr],
+    ) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let (sender, reports) = channel::unbounded();
-        let threads = (0..count)
+        let threads = numbers
             .map(|caller| {
                 let (stop, sender) = (Arc::clone(&stop), sender.clone());
                 let targets = targets.to_vec();
-                thread::spawn(move || run_caller(seed, caller, &targets, &stop, &sender))
+                thread::spawn(move || run_caller(seed, caller, paths, &targets, &stop, &sender))
             })
             .collect();
         Self {
@@ -235,6 +273,7 @@
 fn run_caller(
     seed: u64,
     caller: usize,
+    paths: CallPaths,
     targets: &[SocketAddr],
     stop: &AtomicBool,
     reports: &Sender<CallReport>,
@@ -245,8 +284,9 @@
     while !stop.load(Ordering::Relaxed) {
         number += 1;
         let to = targets[rng.random_range(0..targets.len())];
-        let kind = RequestKind::ALL[rng.random_range(0..RequestKind::ALL.len())];
-        let path = format!("{}x", kind.prefix());
+        let kinds = paths.kinds();
+        let kind = kinds[rng.random_range(0..kinds.len())];
+        let path = format!("{}{}", kind.prefix(), paths.end());
         let id = format!("c{caller}-{number}");
         let mut report = call(&agent, to, &path, &id, kind, None);
         for retry in 1..=MAX_RESUMPTIONS {
--- a/crates/soak/src/capacity.rs
+++ b/crates/soak/src/capacity.rs
@@ -12,6 +12,7 @@
 use crate::callers::CallReport;
 use crate::checks::BrokenPromise;
 use crate::deployment::{HELD_BOUND, RequestKind, SLOTS, has_plan};
+use crate::fault_log::FaultLog;
 use crate::plan::Fault;
 use crate::signals::{DisturbanceLog, DisturbedPart};
 
@@ -70,8 +71,6 @@
     metrics: Agent,
     /// Whether the service consists of model servers, whose capacity is planned.
     is_planned: bool,
-    /// Faults, with their start and end.
-    faults: Vec<(Fault, Instant, Option<Instant>)>,
     responses: Vec<VmResponse>,
     more_important: DecidedRequests,
     less_important: DecidedRequests,
@@ -88,7 +87,6 @@
         Self {
             metrics: metrics.build().into(),
             is_planned,
-            faults: Vec::new(),
             responses: Vec::new(),
             more_important: DecidedRequests::default(),
             less_important: DecidedRequests::default(),
@@ -98,21 +96,6 @@
         }
     }
 
-    /// Records the start of a fault.
-    pub(crate) fn begin(&mut self, fault: Fault) {
-        let now = Instant::now();
-        let end = fault.is_momentary().then_some(now);
-        self.faults.push((fault, now, end));
-    }
-
-    /// Records the end of the faults for which `is_ended` is true.
-    pub(crate) fn end(&mut self, is_ended: impl Fn(Fault) -> bool) {
-        let open = self.faults.iter_mut().filter(|(_, _, end)| end.is_none());
-        for (_, _, end) in open.filter(|(fault, ..)| is_ended(*fault)) {
-            *end = Some(Instant::now());
-        }
-    }
-
     /// Records the report of a caller about its request to `vm`.
     pub(crate) fn record_report(&mut self, report: &CallReport, vm: usize) {
         if has_plan(vm) {
@@ -187,6 +170,7 @@
         servers: usize,
         arrivals: &[ArrivedRequest],
         disturbances: &DisturbanceLog,
+        faults: &FaultLog,
     ) -> Vec<BrokenPromise> {
         let mut broken = Vec::new();
         let mut idle = 0;
@@ -194,13 +178,8 @@
             let from = response.sent.checked_sub(SETTLING_TIME);
             let from = from.unwrap_or(response.sent);
             let process = DisturbedPart::Process(response.vm);
-            let is_settled = |is_of: &dyn Fn(Fault) -> bool| {
-                !self.faults.iter().any(|(fault, begun, end)| {
-                    *begun <= response.answered
-                        && end.is_none_or(|end| end >= from)
-                        && is_of(*fault)
-                })
-            };
+            let is_settled =
+                |is_of: &dyn Fn(Fault) -> bool| !faults.between(from, response.answered).any(is_of);
             let vm = response.vm;
             if disturbances.is_disturbed(process, from, response.answered)
                 || !is_settled(&|fault| disturbs_vm(fault, vm))
@@ -258,6 +237,7 @@
         | Fault::Backoff(server, _)
         | Fault::Limit(server, _)
         | Fault::Brittle(server)
+        | Fault::Stop(server)
         | Fault::MalformedEntry(server, _) => Some(server),
         _ => None,
     }
@@ -324,7 +304,10 @@
         ];
         for (name, fault, taken, is_broken) in cases {
             let mut checks = CapacityChecks::new(true);
-            checks.faults = fault.into_iter().map(|fault| (fault, sent, None)).collect();
+            let mut faults = FaultLog::default();
+            if let Some(fault) = fault {
+                faults.begin_at(fault, sent);
+            }
             checks.responses.push(VmResponse {
                 id: "a".to_owned(),
                 vm: 1,
@@ -338,9 +321,11 @@
                 request_id: "b".to_owned(),
                 done: None,
                 signals: onyxfall_fakes::StubSignals::default(),
+                run: onyxfall_fakes::RunState::NotRun,
+                has_sent: false,
             };
             let arrivals = vec![arrived; taken];
-            let broken = checks.check_idle(1, &arrivals, &DisturbanceLog::default());
+            let broken = checks.check_idle(1, &arrivals, &DisturbanceLog::default(), &faults);
             assert_eq!(!broken.is_empty(), is_broken, "{name}");
         }
     }
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -25,6 +25,8 @@
     WrongResponse(String, String),
     /// A stream has a gap or events of two versions, or ended regularly before its last event.
     BrokenStream(String, String),
+    /// A response ended before its server had ended it.
+    CutAnswer(String),
     /// A VM reverted to an older configuration.
     Reverted(String),
     /// A gateway process exited without a shutdown signal.
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -29,7 +29,9 @@
 /// Number of regions; gateways and servers are assigned to them in turn.
 pub(crate) const REGIONS: usize = 3;
 /// Time in which a gateway must exit after a shutdown signal, in seconds.
-const STOP_GRACE_S: u64 = 3;
+pub(crate) const STOP_GRACE_S: u64 = 3;
+/// Longest time that a request may take.
+pub(crate) const ROUTE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Kinds of requests; each has a path prefix of its own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -312,7 +314,7 @@
             path_prefix,
             shape,
             service: SERVICE,
-            timeout: Duration::from_secs(3),
+            timeout: ROUTE_TIMEOUT,
             home_regions: &[],
             is_public: false,
         };
@@ -456,6 +458,16 @@
         }
     }
 
+    /// Stops the present instance of a server as a signal stops a process, or lets all its instances
+    /// go on.
+    pub(crate) fn set_stopped(&self, server: usize, is_stopped: bool) {
+        let state = self.servers[server].lock();
+        let count = if is_stopped { 1 } else { state.instances.len() };
+        for instance in state.instances.iter().rev().take(count) {
+            instance.set_silent(is_stopped);
+        }
+    }
+
     /// Whether the present instance of a server has crashed.
     pub(crate) fn has_crashed(&self, server: usize) -> bool {
         let state = self.servers[server].lock();
--- a/crates/soak/src/limits.rs
+++ b/crates/soak/src/limits.rs
@@ -2,7 +2,7 @@
 //!
 //! A request counts if its caller sent it after any caller of the same VM had received a
 //! response that carried the limit. A suspension or restart of the VM excuses the request,
-//! and so does a faulty link to the server.
+//! and so does a faulty link to the server, or a stop of the server.
 
 use std::net::IpAddr;
 use std::time::{Duration, Instant};
@@ -71,6 +71,8 @@
                 DisturbedPart::Link(server),
                 // What was written before a cut may arrive after it.
                 DisturbedPart::Path(vm),
+                // A stopped server reads all of it when it goes on.
+                DisturbedPart::Server(server),
             ];
             let is_sent_later = |id| self.calls.get(id).is_some_and(|call| call.sent > read);
             let is_disturbed = |until| {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -14,6 +14,8 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use crate::deployment::REGIONS;
+
 /// Range of a fault's duration, in milliseconds.
 const FAULT_MS: std::ops::Range<u64> = 200..2500;
 /// Mean time between the starts of two faults, in milliseconds.
@@ -85,6 +87,14 @@
 /// Seconds by which a suspended VM's clock is advanced.
 const SUSPENSION_S: std::ops::RangeInclusive<u64> = 1..=60;
 
+/// Stops of servers are drawn in a separate series, for the same reason. They do not overlap, so that
+/// none is longer than a request may take.
+const STOP_SERIES: u64 = 0x7374_6f70_735f_6f66;
+/// Range of a stop's duration, of which short ones are more frequent, and of the time between two, in
+/// milliseconds.
+const STOP_MS: std::ops::Range<f64> = 400.0..3000.0;
+const STOP_PAUSE_MS: std::ops::Range<u64> = 400..1200;
+
 /// Name of a server's next instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NextInstance {
@@ -124,6 +134,8 @@
     Restore,
     /// Sets how a server fails requests.
     Server(usize, ServerFault),
+    /// The process of a server is stopped, and goes on when the fault ends.
+    Stop(usize),
     /// Sets how a server transfers its responses.
     Transfer(usize, StubTransfer),
     /// A server drains, and a new instance with a new name replaces it.
@@ -264,10 +276,65 @@
     ];
     let drawn = series.iter().flat_map(|series| series.draw(seed, size));
     let mut faults: Vec<PlannedFault> = drawn.collect();
+    faults.extend(draw_stops(seed, size));
     faults.sort_by_key(|fault| fault.at);
     faults
 }
 
+/// Draws stops of one, most or all servers, or of those of a region, each beside a fault of another
+/// kind.
+fn draw_stops(seed: u64, size: &RunSize) -> Vec<PlannedFault> {
+    let mut rng = StdRng::seed_from_u64(seed ^ STOP_SERIES);
+    let mut faults = Vec::new();
+    let mut end = LEAD;
+    while end < LEAD + size.time {
+        let at = end + Duration::from_millis(rng.random_range(STOP_PAUSE_MS));
+        let skewed = rng.random::<f64>().powi(2);
+        let lasts_ms = STOP_MS.start + (STOP_MS.end - STOP_MS.start) * skewed;
+        let lasts = Duration::from_secs_f64(lasts_ms / 1000.0);
+        end = at + lasts;
+        let servers = draw_stopped(&mut rng, size);
+        let planned = |at, fault| PlannedFault {
+            at,
+            until: end,
+            fault,
+        };
+        let stops = servers
+            .iter()
+            .map(|server| planned(at, Fault::Stop(*server)));
+        faults.extend(stops);
+        let beside = at + lasts.mul_f64(rng.random());
+        faults.push(planned(beside, draw_beside_stop(&mut rng, size)));
+    }
+    faults
+}
+
+/// Draws the servers that are stopped together.
+fn draw_stopped(rng: &mut StdRng, size: &RunSize) -> Vec<usize> {
+    let drawn = rng.random_range(0..size.servers);
+    let kind = rng.random_range(0..4);
+    let is_stopped = |server: &usize| match kind {
+        0 => *server == drawn,
+        1 => *server != drawn,
+        2 => server % REGIONS == drawn % REGIONS,
+        _ => true,
+    };
+    (0..size.servers).filter(is_stopped).collect()
+}
+
+/// Draws a planned change or a fault of a VM or server beside a stop.
+fn draw_beside_stop(rng: &mut StdRng, size: &RunSize) -> Fault {
+    let vm = rng.random_range(0..size.vms);
+    match rng.random_range(0..8) {
+        0..=2 => Fault::Configure,
+        3 => Fault::Reload(vm),
+        4 => Fault::Shutdown(vm),
+        5 => Fault::Kill(vm),
+        6 => Fault::Paths(vm, PathCut::ALL[rng.random_range(0..PathCut::ALL.len())]),
+        _ => Fault::Replace(rng.random_range(0..size.servers)),
+    }
+}
+
 fn draw_entry_fault(rng: &mut StdRng, size: &RunSize) -> Fault {
     let server = rng.random_range(0..size.servers);
     if rng.random() {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -12,11 +12,13 @@
 use ureq::Agent;
 
 use crate::brittle;
-use crate::callers::{CallReport, CallerGroup, call, new_agent};
+use crate::callers::{CallPaths, CallReport, CallerGroup, call, new_agent};
 use crate::capacity::CapacityChecks;
 use crate::checks::{BrokenPromise, PromiseChecks};
+use crate::cuts::CutChecks;
 use crate::deployment::{RequestKind, SoakDeployment, has_model_servers, has_plan, version_path};
 use crate::failover;
+use crate::fault_log::FaultLog;
 use crate::partition::{self, PartitionCheck};
 use crate::parts;
 use crate::plan::{Fault, NextInstance, PlannedFault, RunSize, draw_plan, pace_at};
@@ -26,6 +28,8 @@
 const STEP: Duration = Duration::from_millis(20);
 /// Steps between two probes of the configuration in force.
 const PROBE_STEPS: u64 = 10;
+/// Number of concurrent callers of long streams, some of which are under way when servers are stopped.
+const LONG_CALLERS: usize = 8;
 /// Delay until the operator and the servers rewrite what a restored store has lost.
 const REWRITE_DELAY: Duration = Duration::from_millis(300);
 /// Number of concurrent callers. With 6, and the plan in half of the VMs, no seed of 1 to 12
@@ -74,6 +78,8 @@
         checks: PromiseChecks::default(),
         signals: SignalChecks::default(),
         capacity: CapacityChecks::new(has_model_servers(seed)),
+        cuts: CutChecks::default(),
+        faults: FaultLog::default(),
         resumed: String::new(),
         parts: String::new(),
         probes: 0,
@@ -83,8 +89,13 @@
         deployment: &deployment,
     };
     run.wait_served("at the start");
-    let callers = CallerGroup::start(seed, CALLERS, &targets);
+    let callers = CallerGroup::start(seed, 0..CALLERS, CallPaths::Usual, &targets);
+    let long = CALLERS..CALLERS + LONG_CALLERS;
+    let long_callers = CallerGroup::start(seed, long, CallPaths::LongStreams, &targets);
     run.apply_faults(&plan, &callers, size)?;
+    for report in long_callers.finish() {
+        run.record_report(report);
+    }
     run.wait_served("after the faults");
     run.check_burst();
     // Each takes some seconds; one of them is enough for a seed.
@@ -104,19 +115,22 @@
         run.record_report(report);
     }
     run.record_runs();
-    run.check_signals();
+    run.check_arrivals();
     run.check_capacity();
     let broken = run.checks.broken();
     let checked = run.signals.checked;
     let limited = run.signals.limited;
     let summary = format!(
         "{:?}, {checked} signals and {limited} limits of servers checked, {} requests while idle, \
-         served {}, most of {} reads of held bytes {}, resumed {}, parts: {}",
+         served {}, most of {} reads of held bytes {}, {} runs at stopped servers, {} cut answers of runs, \
+         resumed {}, parts: {}",
         run.checks.statuses,
         run.capacity.idle,
         run.capacity.order(),
         run.capacity.held_reads,
         run.capacity.most_held,
+        run.cuts.stopped_runs,
+        run.cuts.of_runs,
         run.resumed,
         run.parts,
     );
@@ -144,6 +158,8 @@
     checks: PromiseChecks,
     signals: SignalChecks,
     capacity: CapacityChecks,
+    cuts: CutChecks,
+    faults: FaultLog,
     /// How many streams of a killed VM were resumed, for the report.
     resumed: String,
     /// What was seen of parts that crash servers, for the report.
@@ -219,7 +235,7 @@
         if let Some(part) = disturbed_part(fault) {
             self.signals.disturbances.begin(part);
         }
-        self.capacity.begin(fault);
+        self.faults.begin(fault);
         self.set(fault)
     }
 
@@ -281,6 +297,10 @@
                 self.set_fault(server, fault);
                 Ok(())
             }
+            Fault::Stop(server) => {
+                self.deployment.set_stopped(server, true);
+                Ok(())
+            }
             Fault::Transfer(server, transfer) => {
                 for instance in &self.deployment.servers[server].lock().instances {
                     instance.set_transfer(transfer);
@@ -296,7 +316,7 @@
 
     fn end(&mut self, fault: Fault) -> io::Result<()> {
         self.clear_fault(fault)?;
-        self.capacity.end(|other| is_same_target(other, fault));
+        self.faults.end(|other| is_same_target(other, fault));
         match disturbed_part(fault) {
             // A process stays disturbed until it is started again.
             None | Some(DisturbedPart::Process(_)) => {}
@@ -322,6 +342,10 @@
                 Ok(())
             }
             Fault::Server(server, _) => self.set(Fault::Server(server, ServerFault::None)),
+            Fault::Stop(server) => {
+                self.deployment.set_stopped(server, false);
+                Ok(())
+            }
             Fault::Transfer(server, _) => {
                 self.set(Fault::Transfer(server, StubTransfer::default()))
             }
@@ -389,6 +413,7 @@
         self.signals.record_report(&report);
         if let Some(vm) = self.targets.iter().position(|to| *to == report.to) {
             self.capacity.record_report(&report, vm);
+            self.cuts.record_report(&report, vm);
         }
         self.checks.record_report(report);
     }
@@ -420,15 +445,17 @@
         }
         let servers = self.deployment.servers.len();
         let disturbances = &self.signals.disturbances;
-        let idle = self.capacity.check_idle(servers, &arrivals, disturbances);
+        let idle = self
+            .capacity
+            .check_idle(servers, &arrivals, disturbances, &self.faults);
         let order = self.capacity.check_order();
         for broken in idle.into_iter().chain(order) {
             self.checks.record(broken);
         }
     }
 
-    /// Checks that VMs obeyed the signals in the servers' responses.
-    fn check_signals(&mut self) {
+    /// Checks that VMs obeyed the signals in the servers' responses, and cut no response short.
+    fn check_arrivals(&mut self) {
         let vms: Vec<IpAddr> = (0..self.targets.len())
             .map(SoakDeployment::source_address)
             .collect();
@@ -443,6 +470,9 @@
                 });
             }
         }
+        for broken in self.cuts.check(&instances, &vms, &self.faults) {
+            self.checks.record(broken);
+        }
         for instance in &instances {
             self.signals.record_arrivals(instance);
         }
@@ -566,7 +596,7 @@
             return;
         };
         for server in 0..self.deployment.servers.len() {
-            self.capacity
+            self.faults
                 .begin(Fault::Server(server, ServerFault::ReadsSlowly));
             self.set_fault(server, ServerFault::ReadsSlowly);
         }
@@ -593,7 +623,7 @@
         }
         for server in 0..self.deployment.servers.len() {
             self.set_fault(server, ServerFault::None);
-            self.capacity
+            self.faults
                 .end(|fault| fault == Fault::Server(server, ServerFault::ReadsSlowly));
         }
     }
@@ -608,7 +638,7 @@
         self.record_observations(callers);
         let cut = PathCut::Silent;
         for vm in 0..size.vms {
-            self.capacity.begin(Fault::Paths(vm, cut));
+            self.faults.begin(Fault::Paths(vm, cut));
         }
         let mut check = PartitionCheck::begin(self.deployment, self.seed, size.vms)?;
         let end = Instant::now() + partition::CONTACT + partition::COUNTED;
@@ -623,7 +653,7 @@
         if let Some(broken) = check.finish(self.deployment)? {
             self.checks.record(broken);
         }
-        self.capacity.end(|fault| matches!(fault, Fault::Paths(..)));
+        self.faults.end(|fault| matches!(fault, Fault::Paths(..)));
         self.wait_served("after a partition");
         Ok(())
     }
@@ -637,10 +667,10 @@
         let vm = usize::try_from(self.seed).unwrap_or(0) % size.vms;
         let servers = self.deployment.servers.len();
         for server in 0..servers {
-            self.capacity
+            self.faults
                 .begin(Fault::Server(server, ServerFault::Stalls));
         }
-        self.capacity.begin(Fault::Kill(vm));
+        self.faults.begin(Fault::Kill(vm));
         self.signals.disturbances.begin(DisturbedPart::Process(vm));
         let result = failover::check_failover(self.deployment, vm, &self.targets)?;
         if let Some(broken) = result.broken() {
@@ -651,10 +681,10 @@
             self.record_report(report);
         }
         for server in 0..servers {
-            self.capacity
+            self.faults
                 .end(|fault| fault == Fault::Server(server, ServerFault::Stalls));
         }
-        self.capacity.end(|fault| fault == Fault::Kill(vm));
+        self.faults.end(|fault| fault == Fault::Kill(vm));
         self.wait_served("after a VM was killed");
         Ok(())
     }
@@ -665,11 +695,11 @@
         self.wait(|run| run.deployment.is_running());
         let servers = self.deployment.servers.len();
         for vm in 0..self.targets.len() {
-            self.capacity.begin(Fault::Kill(vm));
+            self.faults.begin(Fault::Kill(vm));
             self.signals.disturbances.begin(DisturbedPart::Process(vm));
         }
         for server in 0..servers {
-            self.capacity
+            self.faults
                 .begin(Fault::Server(server, ServerFault::Closes));
         }
         let result = parts::check_parts(self.deployment, self.seed, &self.targets)?;
@@ -683,9 +713,9 @@
         }
         for vm in 0..self.targets.len() {
             self.signals.disturbances.end(DisturbedPart::Process(vm));
-            self.capacity.end(|fault| fault == Fault::Kill(vm));
+            self.faults.end(|fault| fault == Fault::Kill(vm));
         }
-        self.capacity
+        self.faults
             .end(|fault| matches!(fault, Fault::Server(_, ServerFault::Closes)));
         self.wait_served("after servers crashed under parts of prompts");
         Ok(())
@@ -695,7 +725,7 @@
     fn check_brittle(&mut self) -> io::Result<()> {
         let servers = self.deployment.servers.len();
         for server in 0..servers {
-            self.capacity.begin(Fault::Brittle(server));
+            self.faults.begin(Fault::Brittle(server));
         }
         let (reports, broken) = brittle::check_brittle(self.deployment, &self.targets);
         for report in reports {
@@ -706,8 +736,7 @@
             self.checks.record(broken);
         }
         self.restart_crashed()?;
-        self.capacity
-            .end(|fault| matches!(fault, Fault::Brittle(_)));
+        self.faults.end(|fault| matches!(fault, Fault::Brittle(_)));
         self.wait_served("after servers were brittle");
         Ok(())
     }
@@ -723,7 +752,7 @@
 
     /// Drains the first server; after `DRAIN_BOUND`, no request may reach it.
     fn check_drain(&mut self) {
-        self.capacity
+        self.faults
             .begin(Fault::SignalDrain(0, NextInstance::Renamed));
         self.deployment.drain(0);
         let until = Instant::now() + DRAIN_BOUND;
@@ -769,6 +798,7 @@
         Fault::Paths(vm, _) => Some(DisturbedPart::Path(vm)),
         Fault::Kill(vm) | Fault::Shutdown(vm) => Some(DisturbedPart::Process(vm)),
         Fault::ServerLink(server, _) => Some(DisturbedPart::Link(server)),
+        Fault::Stop(server) => Some(DisturbedPart::Server(server)),
         _ => None,
     }
 }
@@ -785,6 +815,7 @@
         | (Fault::Backoff(a, _), Fault::Backoff(b, _))
         | (Fault::Limit(a, _), Fault::Limit(b, _))
         | (Fault::Brittle(a), Fault::Brittle(b))
+        | (Fault::Stop(a), Fault::Stop(b))
         | (Fault::Transfer(a, _), Fault::Transfer(b, _))
         | (Fault::MalformedEntry(a, _), Fault::MalformedEntry(b, _))
         | (Fault::Server(a, _), Fault::Server(b, _)) => a == b,
--- a/crates/soak/src/signals.rs
+++ b/crates/soak/src/signals.rs
@@ -31,6 +31,8 @@
     Link(usize),
     /// The paths of a VM to all servers, which are cut.
     Path(usize),
+    /// A server, whose process is stopped.
+    Server(usize),
 }
 
 /// Times at which parts were disturbed.
