--- a/crates/fleet/tests/liveness.rs
+++ b/crates/fleet/tests/liveness.rs
@@ -146,7 +146,7 @@
         exchange(&mut views, id, at(2000));
         for view in &views {
             assert_eq!(
-                view.is_unresponsive(at(2000), id),
+                view.is_suspected(at(2000), id),
                 case.is_unresponsive,
                 "{}",
                 case.name
@@ -193,7 +193,7 @@
         }
         if now % 100 == 0 {
             exchange(&mut views, id, at(now));
-            let is_unresponsive = views.iter().any(|view| view.is_unresponsive(at(now), id));
+            let is_unresponsive = views.iter().any(|view| view.is_suspected(at(now), id));
             assert!(!is_unresponsive, "at {now} ms");
         }
     }
@@ -216,9 +216,65 @@
         views.push(view);
     }
     exchange(&mut views, id, at(1100));
-    assert!(!views[0].is_unresponsive(at(1100), id));
+    assert!(!views[0].is_suspected(at(1100), id));
     exchange(&mut views, id, at(2000));
     for view in &views {
-        assert!(view.is_unresponsive(at(2000), id));
+        assert!(view.is_suspected(at(2000), id));
+    }
+}
+
+struct ReturnCase {
+    name: &'static str,
+    /// Whether the other VMs hear nothing from the server either.
+    is_silent_for_all: bool,
+    /// Whether the late response may change what is predicted.
+    is_learned: bool,
+}
+
+/// A server that was stopped for a second is as fast as before.
+#[test]
+fn a_silence_is_not_learned_as_slowness() {
+    let cases = [
+        ReturnCase {
+            name: "silent for all VMs",
+            is_silent_for_all: true,
+            is_learned: false,
+        },
+        ReturnCase {
+            name: "slow for one VM",
+            is_silent_for_all: false,
+            is_learned: true,
+        },
+    ];
+    for case in &cases {
+        let (mut views, id) = (Vec::new(), view(0).1);
+        let mut before = Duration::ZERO;
+        for vm in 0..2 {
+            let (mut view, _) = view(vm);
+            for number in 0..20 {
+                let now = number * 100;
+                view.start_attempt(at(now), id, number, &needs());
+                view.record_response(at(now + 40), id, number);
+                view.end_attempt(at(now + 40), id, number, AttemptResult::Succeeded, None);
+            }
+            before = view.predict(at(1990), id, &needs()).first;
+            if vm == 0 || case.is_silent_for_all {
+                view.start_attempt(at(2000), id, 100, &needs());
+            }
+            views.push(view);
+        }
+        if !case.is_silent_for_all {
+            views[1].server_mut(id).record_liveness(at(3150));
+        }
+        exchange(&mut views, id, at(3150));
+        views[0].record_response(at(3200), id, 100);
+        views[0].end_attempt(at(3200), id, 100, AttemptResult::Succeeded, None);
+        let after = views[0].predict(at(3200), id, &needs()).first;
+        let is_learned = after > before.mul_f64(1.02);
+        let name = case.name;
+        assert_eq!(
+            is_learned, case.is_learned,
+            "{name}: {before:?} to {after:?}"
+        );
     }
 }
