Soak: server processes that are stopped by signal

A link stands between VMs and the stubs of servers, so that VMs never met the kernel of a stopped process. The processes report their runs to the check of cut answers.

--- a/crates/soak/src/cuts.rs
+++ b/crates/soak/src/cuts.rs
@@ -17,7 +17,7 @@
 use crate::deployment::{ROUTE_TIMEOUT, RequestKind, STOP_GRACE_S};
 use crate::fault_log::FaultLog;
 use crate::plan::Fault;
-use crate::signals::InstanceArrivals;
+use crate::signals::{ENTRY_DELAY, InstanceArrivals};
 
 /// Time from a shutdown signal after which a VM may cut what its servers still run. It ends 0.8 s
 /// before its grace is over, which is less than the sixth of a usual grace that the rule allows.
@@ -42,6 +42,8 @@
     server: usize,
     vm: Option<usize>,
     arrived: &'a ArrivedRequest,
+    /// Whether its VM may have taken the server for its former instance: both have one name.
+    is_early: bool,
 }
 
 /// The check of cut answers, updated during a run.
@@ -115,12 +117,15 @@
 ) -> BTreeMap<&'a str, Vec<Run<'a>>> {
     let mut runs: BTreeMap<&str, Vec<Run<'_>>> = BTreeMap::new();
     for instance in instances {
+        let first = instance.arrivals.first().map(|arrived| arrived.at);
+        let is_early = |at: Instant| first.is_some_and(|first| at - first < ENTRY_DELAY);
         let ran = |arrived: &&ArrivedRequest| arrived.run != RunState::NotRun;
         for arrived in instance.arrivals.iter().filter(ran) {
             runs.entry(&arrived.request_id).or_default().push(Run {
                 server: instance.server,
                 vm: vms.iter().position(|ip| *ip == arrived.from),
                 arrived,
+                is_early: instance.instance > 0 && is_early(arrived.at),
             });
         }
     }
@@ -179,7 +184,7 @@
     let is_vm_excused = run
         .vm
         .is_none_or(|vm| is_vm_excused(vm, sent, ended, faults));
-    run.arrived.run == RunState::BrokenOff || is_cut_off || is_vm_excused
+    run.arrived.run == RunState::BrokenOff || run.is_early || is_cut_off || is_vm_excused
 }
 
 fn describe(answer: &CutAnswer, lost: &Run<'_>, runs: &[Run<'_>], faults: &FaultLog) -> String {
--- a/crates/soak/src/cuts/tests.rs
+++ b/crates/soak/src/cuts/tests.rs
@@ -11,6 +11,7 @@
 /// One run of a request, with times in milliseconds since the request was sent.
 struct RunCase {
     server: usize,
+    instance: usize,
     from: IpAddr,
     at: u64,
     done: Option<u64>,
@@ -20,6 +21,7 @@
 
 const CUT_RUN: RunCase = RunCase {
     server: SERVER,
+    instance: 0,
     from: VM,
     at: 10,
     done: Some(500),
@@ -116,6 +118,15 @@
         is_broken: false,
         ..CUT
     },
+    CutCase {
+        name: "server restarted just before",
+        runs: &[RunCase {
+            instance: 1,
+            ..CUT_RUN
+        }],
+        is_broken: false,
+        ..CUT
+    },
     CutCase {
         name: "server cut off",
         fault: Some((Fault::ServerLink(SERVER, LinkMode::Broken), 100)),
@@ -259,7 +270,7 @@
             .iter()
             .map(|run| InstanceArrivals {
                 server: run.server,
-                instance: 0,
+                instance: run.instance,
                 arrivals: vec![ArrivedRequest {
                     at: after(run.at),
                     from: run.from,
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -19,6 +19,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::plan::RunSize;
+use crate::processes::{ServerProcess, ServerReport};
 
 /// Host header of the callers' requests.
 pub(crate) const HOST: &str = "a.example";
@@ -187,6 +188,8 @@
     pub(crate) instances: Vec<ServerStub>,
     /// Link between gateways and the server.
     pub(crate) link: FaultyLink,
+    /// The process that serves in place of the last instance, without the link.
+    process: Option<ServerProcess>,
 }
 
 /// A running deployment.
@@ -245,6 +248,7 @@
                     signals: StubSignals::default(),
                     instances,
                     link,
+                    process: None,
                 }))
             })
             .collect::<io::Result<_>>()?;
@@ -355,7 +359,10 @@
             started_at: StartTime::from_millis(state.started_ms),
             service: SERVICE.parse().expect("a name of letters"),
             version: Some(version.parse().expect("a word of letters and digits")),
-            address: state.link.address(),
+            address: state
+                .process
+                .as_ref()
+                .map_or(state.link.address(), ServerProcess::address),
             center: format!("c{}", server % REGIONS)
                 .parse()
                 .expect("a name of letters and digits"),
@@ -409,6 +416,44 @@
         Ok(())
     }
 
+    /// Ends an instance of a server; a process replaces it under a new name.
+    pub(crate) fn replace_by_process(&self, server: usize) -> io::Result<()> {
+        let generation = self.servers[server].lock().generation;
+        let name = server_name(server, generation + 1);
+        let version = version_of(server, generation + 1, self.has_two_versions);
+        let process = ServerProcess::start(stub_ip(), &name, version)?;
+        self.store
+            .delete(&server_key(&server_name(server, generation)));
+        {
+            let mut state = self.servers[server].lock();
+            if let Some(before) = state.instances.last() {
+                before.crash();
+            }
+            state.process = Some(process);
+            state.generation += 1;
+            state.signals = StubSignals::default();
+            state.started_ms = unix_millis().max(state.started_ms + 1);
+        }
+        self.put_entry(server, ServerPhase::Ready);
+        Ok(())
+    }
+
+    /// Sends a signal to the process of a server.
+    pub(crate) fn signal_server(&self, server: usize, signal: Signal) -> io::Result<()> {
+        match &self.servers[server].lock().process {
+            Some(process) => process.signal(signal),
+            None => Ok(()),
+        }
+    }
+
+    /// Ends the process of a server, which a new instance replaces; returns what reached it.
+    pub(crate) fn end_process(&self, server: usize) -> io::Result<ServerReport> {
+        let process = self.servers[server].lock().process.take();
+        let report = process.map(ServerProcess::finish).transpose()?;
+        self.replace_instance(server)?;
+        Ok(report.unwrap_or_default())
+    }
+
     /// Crashes a server and restarts it at once under the same name.
     pub(crate) fn restart(&self, server: usize) -> io::Result<()> {
         let stub = ServerStub::start(stub_ip())?;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -17,6 +17,7 @@
 mod partition;
 mod parts;
 mod plan;
+mod processes;
 mod run;
 mod signals;
 
@@ -28,6 +29,7 @@
 use miette::{IntoDiagnostic, Report, miette};
 
 use crate::plan::RunSize;
+use crate::processes::ServerArguments;
 
 /// Inject faults into real gateways from outside, and check their promises.
 #[derive(FromArgs)]
@@ -55,10 +57,29 @@
     /// gateway program; by default the one beside this program
     #[argh(option)]
     program: Option<PathBuf>,
+
+    #[argh(subcommand)]
+    command: Option<SoakCommand>,
+}
+
+/// What a process that the soak has started does in place of a soak.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum SoakCommand {
+    Server(ServerArguments),
 }
 
 fn main() -> ExitCode {
     let arguments: SoakArguments = argh::from_env();
+    if let Some(SoakCommand::Server(server)) = &arguments.command {
+        return match processes::serve(server) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(e) => {
+                eprintln!("{e}");
+                ExitCode::FAILURE
+            }
+        };
+    }
     match run(&arguments) {
         Ok(0) => ExitCode::SUCCESS,
         Ok(failed) => {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -310,7 +310,7 @@
 }
 
 /// Draws the servers that are stopped together.
-fn draw_stopped(rng: &mut StdRng, size: &RunSize) -> Vec<usize> {
+pub(crate) fn draw_stopped(rng: &mut StdRng, size: &RunSize) -> Vec<usize> {
     let drawn = rng.random_range(0..size.servers);
     let kind = rng.random_range(0..4);
     let is_stopped = |server: &usize| match kind {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,7 +7,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use onyxfall_fakes::{LinkMode, PathCut, ServerFault, ServerStub, StoreMode, StubTransfer};
+use onyxfall_fakes::{
+    ArrivedRequest, LinkMode, PathCut, ServerFault, ServerStub, StoreMode, StubTransfer,
+};
 use rustix::process::Signal;
 use ureq::Agent;
 
@@ -22,6 +24,7 @@
 use crate::partition::{self, PartitionCheck};
 use crate::parts;
 use crate::plan::{Fault, NextInstance, PlannedFault, RunSize, draw_plan, pace_at};
+use crate::processes::{BETWEEN_STOPS, draw_process_stops};
 use crate::signals::{DisturbedPart, InstanceArrivals, SignalChecks};
 
 /// Interval between two steps of the run.
@@ -79,6 +82,7 @@
         signals: SignalChecks::default(),
         capacity: CapacityChecks::new(has_model_servers(seed)),
         cuts: CutChecks::default(),
+        process_arrivals: Vec::new(),
         faults: FaultLog::default(),
         resumed: String::new(),
         parts: String::new(),
@@ -108,6 +112,7 @@
     if seed.is_multiple_of(PARTS_SEEDS) {
         run.check_parts()?;
     }
+    run.check_processes(size)?;
     run.wait_in_force();
     run.wait_used();
     run.check_drain();
@@ -159,6 +164,8 @@
     signals: SignalChecks,
     capacity: CapacityChecks,
     cuts: CutChecks,
+    /// What reached servers that ran as processes of their own.
+    process_arrivals: Vec<InstanceArrivals>,
     faults: FaultLog,
     /// How many streams of a killed VM were resumed, for the report.
     resumed: String,
@@ -433,16 +440,9 @@
     /// Checks that an idle service refused nobody, and that the important requests were
     /// served first.
     fn check_capacity(&mut self) {
-        let mut arrivals = Vec::new();
-        for server in &self.deployment.servers {
-            let state = server.lock();
-            arrivals.extend(
-                state
-                    .instances
-                    .iter()
-                    .flat_map(|stub| stub.arrivals_from(0)),
-            );
-        }
+        let instances = self.instances().into_iter();
+        let arrivals: Vec<ArrivedRequest> =
+            instances.flat_map(|instance| instance.arrivals).collect();
         let servers = self.deployment.servers.len();
         let disturbances = &self.signals.disturbances;
         let idle = self
@@ -454,12 +454,9 @@
         }
     }
 
-    /// Checks that VMs obeyed the signals in the servers' responses, and cut no response short.
-    fn check_arrivals(&mut self) {
-        let vms: Vec<IpAddr> = (0..self.targets.len())
-            .map(SoakDeployment::source_address)
-            .collect();
-        let mut instances = Vec::new();
+    /// The requests that reached each instance of each server.
+    fn instances(&self) -> Vec<InstanceArrivals> {
+        let mut instances = self.process_arrivals.clone();
         for (server, state) in self.deployment.servers.iter().enumerate() {
             for (instance, stub) in state.lock().instances.iter().enumerate() {
                 let arrivals = stub.arrivals_from(0);
@@ -470,6 +467,15 @@
                 });
             }
         }
+        instances
+    }
+
+    /// Checks that VMs obeyed the signals in the servers' responses, and cut no response short.
+    fn check_arrivals(&mut self) {
+        let vms: Vec<IpAddr> = (0..self.targets.len())
+            .map(SoakDeployment::source_address)
+            .collect();
+        let instances = self.instances();
         for broken in self.cuts.check(&instances, &vms, &self.faults) {
             self.checks.record(broken);
         }
@@ -721,6 +727,52 @@
         Ok(())
     }
 
+    /// Replaces the servers by processes and stops some of them several times while streams are
+    /// under way, beside changes of the configuration; the check of cut responses judges it.
+    fn check_processes(&mut self, size: &RunSize) -> io::Result<()> {
+        self.wait(|run| run.deployment.is_running());
+        for server in 0..size.servers {
+            self.faults.begin(Fault::Replace(server));
+            self.deployment.replace_by_process(server)?;
+        }
+        self.wait_served("with servers as processes");
+        let numbers = CALLERS + LONG_CALLERS..CALLERS + 2 * LONG_CALLERS;
+        let callers = CallerGroup::start(self.seed, numbers, CallPaths::LongStreams, &self.targets);
+        for stop in draw_process_stops(self.seed, size) {
+            thread::sleep(BETWEEN_STOPS);
+            for server in &stop.servers {
+                self.faults.begin(Fault::Stop(*server));
+                self.deployment.signal_server(*server, Signal::STOP)?;
+            }
+            thread::sleep(stop.lasts / 2);
+            self.begin(Fault::Configure)?;
+            self.begin(Fault::Reload(stop.reloads))?;
+            thread::sleep(stop.lasts / 2);
+            for server in &stop.servers {
+                self.deployment.signal_server(*server, Signal::CONT)?;
+            }
+            self.faults.end(|fault| matches!(fault, Fault::Stop(_)));
+        }
+        for report in callers.finish() {
+            self.record_report(report);
+        }
+        for server in 0..size.servers {
+            self.faults.begin(Fault::Replace(server));
+            let report = self.deployment.end_process(server)?;
+            for run in &report.runs {
+                self.checks.record_run(run);
+            }
+            let instance = self.deployment.servers[server].lock().instances.len();
+            self.process_arrivals.push(InstanceArrivals {
+                server,
+                instance,
+                arrivals: report.arrivals,
+            });
+        }
+        self.wait_served("after servers as processes");
+        Ok(())
+    }
+
     /// Makes all servers brittle and checks that they do not fall over.
     fn check_brittle(&mut self) -> io::Result<()> {
         let servers = self.deployment.servers.len();
--- a/crates/soak/src/signals.rs
+++ b/crates/soak/src/signals.rs
@@ -71,6 +71,7 @@
 }
 
 /// The requests that reached one instance of a server.
+#[derive(Clone)]
 pub(crate) struct InstanceArrivals {
     /// Index of the server.
     pub(crate) server: usize,
@@ -82,7 +83,7 @@
 
 /// Time in which the entry of a restarted server reaches all VMs, also if the store is restored
 /// meanwhile.
-const ENTRY_DELAY: Duration = Duration::from_secs(1);
+pub(crate) const ENTRY_DELAY: Duration = Duration::from_secs(1);
 
 /// The checks of signals, updated during a run.
 #[derive(Default)]
