Soak: only a server restarted under its name excuses a cut right after its start

The check of cut answers also passed runs in the first second of a server that came up under another name, among them all of the server processes' first second. Such a server turns away requests for the one before, so no VM can take it for that one.

--- a/crates/soak/src/cuts.rs
+++ b/crates/soak/src/cuts.rs
@@ -125,7 +125,7 @@
                 server: instance.server,
                 vm: vms.iter().position(|ip| *ip == arrived.from),
                 arrived,
-                is_early: instance.instance > 0 && is_early(arrived.at),
+                is_early: instance.keeps_name && is_early(arrived.at),
             });
         }
     }
--- a/crates/soak/src/cuts/tests.rs
+++ b/crates/soak/src/cuts/tests.rs
@@ -11,7 +11,7 @@
 /// One run of a request, with times in milliseconds since the request was sent.
 struct RunCase {
     server: usize,
-    instance: usize,
+    keeps_name: bool,
     from: IpAddr,
     at: u64,
     done: Option<u64>,
@@ -21,7 +21,7 @@
 
 const CUT_RUN: RunCase = RunCase {
     server: SERVER,
-    instance: 0,
+    keeps_name: false,
     from: VM,
     at: 10,
     done: Some(500),
@@ -121,7 +121,7 @@
     CutCase {
         name: "server restarted just before",
         runs: &[RunCase {
-            instance: 1,
+            keeps_name: true,
             ..CUT_RUN
         }],
         is_broken: false,
@@ -270,7 +270,8 @@
             .iter()
             .map(|run| InstanceArrivals {
                 server: run.server,
-                instance: run.instance,
+                instance: 0,
+                keeps_name: run.keeps_name,
                 arrivals: vec![ArrivedRequest {
                     at: after(run.at),
                     from: run.from,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -458,11 +458,13 @@
     fn instances(&self) -> Vec<InstanceArrivals> {
         let mut instances = self.process_arrivals.clone();
         for (server, state) in self.deployment.servers.iter().enumerate() {
-            for (instance, stub) in state.lock().instances.iter().enumerate() {
+            let state = state.lock();
+            for (instance, stub) in state.instances.iter().enumerate() {
                 let arrivals = stub.arrivals_from(0);
                 instances.push(InstanceArrivals {
                     server,
                     instance,
+                    keeps_name: state.restarted.contains(&instance),
                     arrivals,
                 });
             }
@@ -766,6 +768,7 @@
             self.process_arrivals.push(InstanceArrivals {
                 server,
                 instance,
+                keeps_name: false,
                 arrivals: report.arrivals,
             });
         }
--- a/crates/soak/src/signals.rs
+++ b/crates/soak/src/signals.rs
@@ -77,6 +77,8 @@
     pub(crate) server: usize,
     /// Index of the instance.
     pub(crate) instance: usize,
+    /// Whether it has the name of the instance before it.
+    pub(crate) keeps_name: bool,
     /// Requests in the order of arrival.
     pub(crate) arrivals: Vec<ArrivedRequest>,
 }
