--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -409,6 +409,10 @@
         self.state.lock().arrivals[self.number - 1].run = RunState::Running;
     }
 
+    fn has_sent(&self) -> bool {
+        self.state.lock().arrivals[self.number - 1].has_sent
+    }
+
     fn record_sent(&self) {
         self.state.lock().arrivals[self.number - 1].has_sent = true;
     }
@@ -669,6 +673,7 @@
     if transfer.framing == StubFraming::UntilClose {
         // Hyper delimits the body of an HTTP/1.0 response by the end of the connection.
         *response.version_mut() = Version::HTTP_10;
+        response.body_mut().is_delimited = false;
     }
     let is_reset = transfer.break_end == BreakEnd::Reset
         || (transfer.framing == StubFraming::UntilClose && fault.breaks_between_events());
@@ -712,6 +717,8 @@
 pub struct EventBody {
     events: Vec<Bytes>,
     breaks: bool,
+    /// Whether the body has a delimiter of its own.
+    is_delimited: bool,
     /// Whether the last event is never sent.
     is_endless: bool,
     pause: Option<(Duration, Pin<Box<Sleep>>)>,
@@ -743,6 +750,7 @@
         Self {
             events: vec![Bytes::from_static(body.as_bytes())],
             breaks: false,
+            is_delimited: true,
             is_endless: false,
             pause: None,
             guard: None,
@@ -786,6 +794,7 @@
         Self {
             events,
             breaks,
+            is_delimited: true,
             is_endless: false,
             pause: Some((pause, Box::pin(tokio::time::sleep(pause)))),
             guard: Some(guard),
@@ -831,7 +840,9 @@
             guard.is_over = true;
         }
         if let Some(running) = &this.running {
-            running.end(if this.breaks {
+            // Without a delimiter, an empty body may also have broken off before its first event.
+            let is_complete = this.is_delimited || running.has_sent();
+            running.end(if this.breaks || !is_complete {
                 RunState::BrokenOff
             } else {
                 RunState::Finished
