--- a/crates/soak/src/cuts.rs
+++ b/crates/soak/src/cuts.rs
@@ -42,8 +42,8 @@
     server: usize,
     vm: Option<usize>,
     arrived: &'a ArrivedRequest,
-    /// Whether its VM may have taken the server for its former instance: both have one name.
-    is_early: bool,
+    /// First arrival at its instance, if that has the name of the instance before it.
+    restarted: Option<Instant>,
 }
 
 /// The check of cut answers, updated during a run.
@@ -118,14 +118,13 @@
     let mut runs: BTreeMap<&str, Vec<Run<'_>>> = BTreeMap::new();
     for instance in instances {
         let first = instance.arrivals.first().map(|arrived| arrived.at);
-        let is_early = |at: Instant| first.is_some_and(|first| at - first < ENTRY_DELAY);
         let ran = |arrived: &&ArrivedRequest| arrived.run != RunState::NotRun;
         for arrived in instance.arrivals.iter().filter(ran) {
             runs.entry(&arrived.request_id).or_default().push(Run {
                 server: instance.server,
                 vm: vms.iter().position(|ip| *ip == arrived.from),
                 arrived,
-                is_early: instance.keeps_name && is_early(arrived.at),
+                restarted: first.filter(|_| instance.keeps_name),
             });
         }
     }
@@ -168,7 +167,7 @@
         let mut faults = faults.between(from, to);
         faults.any(|fault| fault == Fault::Shutdown(vm))
     });
-    is_down || is_grace_over
+    is_down || is_grace_over || faults.may_step_clock(vm, sent, ended)
 }
 
 /// Whether the end of a run or a fault on its way may have cut the answer.
@@ -184,7 +183,26 @@
     let is_vm_excused = run
         .vm
         .is_none_or(|vm| is_vm_excused(vm, sent, ended, faults));
-    run.arrived.run == RunState::BrokenOff || run.is_early || is_cut_off || is_vm_excused
+    run.arrived.run == RunState::BrokenOff
+        || is_cut_off
+        || is_vm_excused
+        || may_be_mistaken(run, ended, faults)
+}
+
+/// Whether the VM of a run may have taken the server for its former instance, of the same name, since
+/// the entry of the new one had not reached it.
+fn may_be_mistaken(run: &Run<'_>, ended: Instant, faults: &FaultLog) -> bool {
+    let at = run.arrived.at;
+    let Some(restarted) = run.restarted else {
+        return false;
+    };
+    let is_delayed = |fault| match fault {
+        Fault::Pause(vm) | Fault::Suspend(vm, _) | Fault::StoreLink(vm, _) => Some(vm) == run.vm,
+        Fault::Store(_) | Fault::Restore => true,
+        _ => false,
+    };
+    let before = at.checked_sub(ENTRY_DELAY).unwrap_or(at);
+    at - restarted < ENTRY_DELAY || faults.between(before, ended.max(at)).any(is_delayed)
 }
 
 fn describe(answer: &CutAnswer, lost: &Run<'_>, runs: &[Run<'_>], faults: &FaultLog) -> String {
--- a/crates/soak/src/cuts/tests.rs
+++ b/crates/soak/src/cuts/tests.rs
@@ -37,6 +37,8 @@
     runs: &'static [RunCase],
     /// A fault, and when it began.
     fault: Option<(Fault, u64)>,
+    /// A fault that was in effect until a minute before.
+    former: Option<Fault>,
     is_broken: bool,
 }
 
@@ -47,6 +49,7 @@
     ended: 500,
     runs: &[CUT_RUN],
     fault: None,
+    former: None,
     is_broken: true,
 };
 
@@ -127,6 +130,63 @@
         is_broken: false,
         ..CUT
     },
+    CutCase {
+        name: "server restarted before, paused VM",
+        runs: &[
+            RunCase {
+                at: 0,
+                keeps_name: true,
+                state: RunState::NotRun,
+                ..CUT_RUN
+            },
+            RunCase {
+                at: 1500,
+                done: Some(1600),
+                keeps_name: true,
+                ..CUT_RUN
+            },
+        ],
+        ended: 1600,
+        fault: Some((Fault::Pause(0), 1400)),
+        is_broken: false,
+        ..CUT
+    },
+    CutCase {
+        name: "server restarted before",
+        runs: &[
+            RunCase {
+                at: 0,
+                keeps_name: true,
+                state: RunState::NotRun,
+                ..CUT_RUN
+            },
+            RunCase {
+                at: 1500,
+                done: Some(1600),
+                keeps_name: true,
+                ..CUT_RUN
+            },
+        ],
+        ended: 1600,
+        ..CUT
+    },
+    CutCase {
+        name: "reload",
+        fault: Some((Fault::Reload(0), 100)),
+        ..CUT
+    },
+    CutCase {
+        name: "reload that moves the clock",
+        former: Some(Fault::Suspend(0, 30)),
+        fault: Some((Fault::Reload(0), 100)),
+        is_broken: false,
+        ..CUT
+    },
+    CutCase {
+        name: "clock moved long before",
+        former: Some(Fault::Suspend(0, 30)),
+        ..CUT
+    },
     CutCase {
         name: "server cut off",
         fault: Some((Fault::ServerLink(SERVER, LinkMode::Broken), 100)),
@@ -265,25 +325,30 @@
             },
             0,
         );
-        let instances: Vec<InstanceArrivals> = case
-            .runs
-            .iter()
-            .map(|run| InstanceArrivals {
+        let mut instances: BTreeMap<usize, InstanceArrivals> = BTreeMap::new();
+        for run in case.runs {
+            let instance = instances.entry(run.server).or_insert(InstanceArrivals {
                 server: run.server,
                 instance: 0,
                 keeps_name: run.keeps_name,
-                arrivals: vec![ArrivedRequest {
-                    at: after(run.at),
-                    from: run.from,
-                    request_id: "a".to_owned(),
-                    done: run.done.map(after),
-                    signals: StubSignals::default(),
-                    run: run.state,
-                    has_sent: run.has_sent,
-                }],
-            })
-            .collect();
+                arrivals: Vec::new(),
+            });
+            instance.arrivals.push(ArrivedRequest {
+                at: after(run.at),
+                from: run.from,
+                request_id: "a".to_owned(),
+                done: run.done.map(after),
+                signals: StubSignals::default(),
+                run: run.state,
+                has_sent: run.has_sent,
+            });
+        }
+        let instances: Vec<InstanceArrivals> = instances.into_values().collect();
         let mut faults = FaultLog::default();
+        if let Some(former) = case.former {
+            faults.begin(former);
+            faults.end(|fault| fault == former);
+        }
         if let Some((fault, begun)) = case.fault {
             faults.begin_at(fault, after(begun));
         }
--- a/crates/soak/src/fault_log.rs
+++ b/crates/soak/src/fault_log.rs
@@ -37,4 +37,23 @@
             faults.filter(move |(_, begun, end)| *begun <= to && end.is_none_or(|end| end >= from));
         active.map(|(fault, ..)| *fault)
     }
+
+    /// Whether a reload of a VM's settings between `from` and `to` may have moved its clock: a
+    /// gateway that is starting misses the signal at the end of a suspension.
+    pub(crate) fn may_step_clock(&self, vm: usize, from: Instant, to: Instant) -> bool {
+        let mut is_moved = false;
+        for (fault, begun, _) in &self.faults {
+            match *fault {
+                Fault::Suspend(other, _) if other == vm => is_moved = true,
+                Fault::Reload(other) if other == vm => {
+                    if is_moved && (from..=to).contains(begun) {
+                        return true;
+                    }
+                    is_moved = false;
+                }
+                _ => {}
+            }
+        }
+        false
+    }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -737,6 +737,10 @@
             self.faults.begin(Fault::Replace(server));
             self.deployment.replace_by_process(server)?;
         }
+        // No later reload moves a clock.
+        for vm in 0..size.vms {
+            self.begin(Fault::Reload(vm))?;
+        }
         self.wait_served("with servers as processes");
         let numbers = CALLERS + LONG_CALLERS..CALLERS + 2 * LONG_CALLERS;
         let callers = CallerGroup::start(self.seed, numbers, CallPaths::LongStreams, &self.targets);
