--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -1,6 +1,7 @@
 //! The deployment under test: real gateways as processes, stubs of the store and the
 //! backend servers, and a link that can be made faulty in front of each of them.
 
+use std::collections::BTreeSet;
 use std::fmt::Write as _;
 use std::fs::{self, File};
 use std::io;
@@ -19,6 +20,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::plan::RunSize;
+use crate::processes::{ServerProcess, ServerReport};
 
 /// Host header of the callers' requests.
 pub(crate) const HOST: &str = "a.example";
@@ -29,7 +31,9 @@
 /// Number of regions; gateways and servers are assigned to them in turn.
 pub(crate) const REGIONS: usize = 3;
 /// Time in which a gateway must exit after a shutdown signal, in seconds.
-const STOP_GRACE_S: u64 = 3;
+pub(crate) const STOP_GRACE_S: u64 = 3;
+/// Longest time that a request may take.
+pub(crate) const ROUTE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Kinds of requests; each has a path prefix of its own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -183,8 +187,12 @@
     signals: StubSignals,
     /// Stubs of all instances, the present one last.
     pub(crate) instances: Vec<ServerStub>,
+    /// Indexes of the instances that have the name of the one before.
+    pub(crate) restarted: BTreeSet<usize>,
     /// Link between gateways and the server.
     pub(crate) link: FaultyLink,
+    /// The process that serves in place of the last instance, without the link.
+    process: Option<ServerProcess>,
 }
 
 /// A running deployment.
@@ -242,7 +250,9 @@
                     started_ms: unix_millis(),
                     signals: StubSignals::default(),
                     instances,
+                    restarted: BTreeSet::new(),
                     link,
+                    process: None,
                 }))
             })
             .collect::<io::Result<_>>()?;
@@ -312,7 +322,7 @@
             path_prefix,
             shape,
             service: SERVICE,
-            timeout: Duration::from_secs(3),
+            timeout: ROUTE_TIMEOUT,
             home_regions: &[],
             is_public: false,
         };
@@ -353,7 +363,10 @@
             started_at: StartTime::from_millis(state.started_ms),
             service: SERVICE.parse().expect("a name of letters"),
             version: Some(version.parse().expect("a word of letters and digits")),
-            address: state.link.address(),
+            address: state
+                .process
+                .as_ref()
+                .map_or(state.link.address(), ServerProcess::address),
             center: format!("c{}", server % REGIONS)
                 .parse()
                 .expect("a name of letters and digits"),
@@ -407,6 +420,44 @@
         Ok(())
     }
 
+    /// Ends an instance of a server; a process replaces it under a new name.
+    pub(crate) fn replace_by_process(&self, server: usize) -> io::Result<()> {
+        let generation = self.servers[server].lock().generation;
+        let name = server_name(server, generation + 1);
+        let version = version_of(server, generation + 1, self.has_two_versions);
+        let process = ServerProcess::start(stub_ip(), &name, version)?;
+        self.store
+            .delete(&server_key(&server_name(server, generation)));
+        {
+            let mut state = self.servers[server].lock();
+            if let Some(before) = state.instances.last() {
+                before.crash();
+            }
+            state.process = Some(process);
+            state.generation += 1;
+            state.signals = StubSignals::default();
+            state.started_ms = unix_millis().max(state.started_ms + 1);
+        }
+        self.put_entry(server, ServerPhase::Ready);
+        Ok(())
+    }
+
+    /// Sends a signal to the process of a server.
+    pub(crate) fn signal_server(&self, server: usize, signal: Signal) -> io::Result<()> {
+        match &self.servers[server].lock().process {
+            Some(process) => process.signal(signal),
+            None => Ok(()),
+        }
+    }
+
+    /// Ends the process of a server, which a new instance replaces; returns what reached it.
+    pub(crate) fn end_process(&self, server: usize) -> io::Result<ServerReport> {
+        let process = self.servers[server].lock().process.take();
+        let report = process.map(ServerProcess::finish).transpose()?;
+        self.replace_instance(server)?;
+        Ok(report.unwrap_or_default())
+    }
+
     /// Crashes a server and restarts it at once under the same name.
     pub(crate) fn restart(&self, server: usize) -> io::Result<()> {
         let stub = ServerStub::start(stub_ip())?;
@@ -418,6 +469,8 @@
                 before.crash();
             }
             state.link.set_target(stub.address());
+            let instance = state.instances.len();
+            state.restarted.insert(instance);
             state.instances.push(stub);
             state.signals = StubSignals::default();
             state.started_ms = unix_millis().max(state.started_ms + 1);
@@ -456,6 +509,16 @@
         }
     }
 
+    /// Stops the present instance of a server as a signal stops a process, or lets all its instances
+    /// go on.
+    pub(crate) fn set_stopped(&self, server: usize, is_stopped: bool) {
+        let state = self.servers[server].lock();
+        let count = if is_stopped { 1 } else { state.instances.len() };
+        for instance in state.instances.iter().rev().take(count) {
+            instance.set_silent(is_stopped);
+        }
+    }
+
     /// Whether the present instance of a server has crashed.
     pub(crate) fn has_crashed(&self, server: usize) -> bool {
         let state = self.servers[server].lock();
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,25 +7,32 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use onyxfall_fakes::{LinkMode, PathCut, ServerFault, ServerStub, StoreMode, StubTransfer};
+use onyxfall_fakes::{
+    ArrivedRequest, LinkMode, PathCut, ServerFault, ServerStub, StoreMode, StubTransfer,
+};
 use rustix::process::Signal;
 use ureq::Agent;
 
 use crate::brittle;
-use crate::callers::{CallReport, CallerGroup, call, new_agent};
+use crate::callers::{CallPaths, CallReport, CallerGroup, call, new_agent};
 use crate::capacity::CapacityChecks;
 use crate::checks::{BrokenPromise, PromiseChecks};
+use crate::cuts::CutChecks;
 use crate::deployment::{RequestKind, SoakDeployment, has_model_servers, has_plan, version_path};
 use crate::failover;
+use crate::fault_log::FaultLog;
 use crate::partition::{self, PartitionCheck};
 use crate::parts;
 use crate::plan::{Fault, NextInstance, PlannedFault, RunSize, draw_plan, pace_at};
+use crate::processes::{BETWEEN_STOPS, draw_process_stops};
 use crate::signals::{DisturbedPart, InstanceArrivals, SignalChecks};
 
 /// Interval between two steps of the run.
 const STEP: Duration = Duration::from_millis(20);
 /// Steps between two probes of the configuration in force.
 const PROBE_STEPS: u64 = 10;
+/// Number of concurrent callers of long streams, some of which are under way when servers are stopped.
+const LONG_CALLERS: usize = 8;
 /// Delay until the operator and the servers rewrite what a restored store has lost.
 const REWRITE_DELAY: Duration = Duration::from_millis(300);
 /// Number of concurrent callers. With 6, and the plan in half of the VMs, no seed of 1 to 12
@@ -74,6 +81,9 @@
         checks: PromiseChecks::default(),
         signals: SignalChecks::default(),
         capacity: CapacityChecks::new(has_model_servers(seed)),
+        cuts: CutChecks::default(),
+        process_arrivals: Vec::new(),
+        faults: FaultLog::default(),
         resumed: String::new(),
         parts: String::new(),
         probes: 0,
@@ -83,8 +93,13 @@
         deployment: &deployment,
     };
     run.wait_served("at the start");
-    let callers = CallerGroup::start(seed, CALLERS, &targets);
+    let callers = CallerGroup::start(seed, 0..CALLERS, CallPaths::Usual, &targets);
+    let long = CALLERS..CALLERS + LONG_CALLERS;
+    let long_callers = CallerGroup::start(seed, long, CallPaths::LongStreams, &targets);
     run.apply_faults(&plan, &callers, size)?;
+    for report in long_callers.finish() {
+        run.record_report(report);
+    }
     run.wait_served("after the faults");
     run.check_burst();
     // Each takes some seconds; one of them is enough for a seed.
@@ -97,6 +112,7 @@
     if seed.is_multiple_of(PARTS_SEEDS) {
         run.check_parts()?;
     }
+    run.check_processes(size)?;
     run.wait_in_force();
     run.wait_used();
     run.check_drain();
@@ -104,19 +120,22 @@
         run.record_report(report);
     }
     run.record_runs();
-    run.check_signals();
+    run.check_arrivals();
     run.check_capacity();
     let broken = run.checks.broken();
     let checked = run.signals.checked;
     let limited = run.signals.limited;
     let summary = format!(
         "{:?}, {checked} signals and {limited} limits of servers checked, {} requests while idle, \
-         served {}, most of {} reads of held bytes {}, resumed {}, parts: {}",
+         served {}, most of {} reads of held bytes {}, {} runs at stopped servers, {} cut answers of runs, \
+         resumed {}, parts: {}",
         run.checks.statuses,
         run.capacity.idle,
         run.capacity.order(),
         run.capacity.held_reads,
         run.capacity.most_held,
+        run.cuts.stopped_runs,
+        run.cuts.of_runs,
         run.resumed,
         run.parts,
     );
@@ -144,6 +163,10 @@
     checks: PromiseChecks,
     signals: SignalChecks,
     capacity: CapacityChecks,
+    cuts: CutChecks,
+    /// What reached servers that ran as processes of their own.
+    process_arrivals: Vec<InstanceArrivals>,
+    faults: FaultLog,
     /// How many streams of a killed VM were resumed, for the report.
     resumed: String,
     /// What was seen of parts that crash servers, for the report.
@@ -219,7 +242,7 @@
         if let Some(part) = disturbed_part(fault) {
             self.signals.disturbances.begin(part);
         }
-        self.capacity.begin(fault);
+        self.faults.begin(fault);
         self.set(fault)
     }
 
@@ -281,6 +304,10 @@
                 self.set_fault(server, fault);
                 Ok(())
             }
+            Fault::Stop(server) => {
+                self.deployment.set_stopped(server, true);
+                Ok(())
+            }
             Fault::Transfer(server, transfer) => {
                 for instance in &self.deployment.servers[server].lock().instances {
                     instance.set_transfer(transfer);
@@ -296,7 +323,7 @@
 
     fn end(&mut self, fault: Fault) -> io::Result<()> {
         self.clear_fault(fault)?;
-        self.capacity.end(|other| is_same_target(other, fault));
+        self.faults.end(|other| is_same_target(other, fault));
         match disturbed_part(fault) {
             // A process stays disturbed until it is started again.
             None | Some(DisturbedPart::Process(_)) => {}
@@ -322,6 +349,10 @@
                 Ok(())
             }
             Fault::Server(server, _) => self.set(Fault::Server(server, ServerFault::None)),
+            Fault::Stop(server) => {
+                self.deployment.set_stopped(server, false);
+                Ok(())
+            }
             Fault::Transfer(server, _) => {
                 self.set(Fault::Transfer(server, StubTransfer::default()))
             }
@@ -389,6 +420,7 @@
         self.signals.record_report(&report);
         if let Some(vm) = self.targets.iter().position(|to| *to == report.to) {
             self.capacity.record_report(&report, vm);
+            self.cuts.record_report(&report, vm);
         }
         self.checks.record_report(report);
     }
@@ -408,41 +440,47 @@
     /// Checks that an idle service refused nobody, and that the important requests were
     /// served first.
     fn check_capacity(&mut self) {
-        let mut arrivals = Vec::new();
-        for server in &self.deployment.servers {
-            let state = server.lock();
-            arrivals.extend(
-                state
-                    .instances
-                    .iter()
-                    .flat_map(|stub| stub.arrivals_from(0)),
-            );
-        }
+        let instances = self.instances().into_iter();
+        let arrivals: Vec<ArrivedRequest> =
+            instances.flat_map(|instance| instance.arrivals).collect();
         let servers = self.deployment.servers.len();
         let disturbances = &self.signals.disturbances;
-        let idle = self.capacity.check_idle(servers, &arrivals, disturbances);
+        let idle = self
+            .capacity
+            .check_idle(servers, &arrivals, disturbances, &self.faults);
         let order = self.capacity.check_order();
         for broken in idle.into_iter().chain(order) {
             self.checks.record(broken);
         }
     }
 
-    /// Checks that VMs obeyed the signals in the servers' responses.
-    fn check_signals(&mut self) {
-        let vms: Vec<IpAddr> = (0..self.targets.len())
-            .map(SoakDeployment::source_address)
-            .collect();
-        let mut instances = Vec::new();
+    /// The requests that reached each instance of each server.
+    fn instances(&self) -> Vec<InstanceArrivals> {
+        let mut instances = self.process_arrivals.clone();
         for (server, state) in self.deployment.servers.iter().enumerate() {
-            for (instance, stub) in state.lock().instances.iter().enumerate() {
+            let state = state.lock();
+            for (instance, stub) in state.instances.iter().enumerate() {
                 let arrivals = stub.arrivals_from(0);
                 instances.push(InstanceArrivals {
                     server,
                     instance,
+                    keeps_name: state.restarted.contains(&instance),
                     arrivals,
                 });
             }
         }
+        instances
+    }
+
+    /// Checks that VMs obeyed the signals in the servers' responses, and cut no response short.
+    fn check_arrivals(&mut self) {
+        let vms: Vec<IpAddr> = (0..self.targets.len())
+            .map(SoakDeployment::source_address)
+            .collect();
+        let instances = self.instances();
+        for broken in self.cuts.check(&instances, &vms, &self.faults) {
+            self.checks.record(broken);
+        }
         for instance in &instances {
             self.signals.record_arrivals(instance);
         }
@@ -566,7 +604,7 @@
             return;
         };
         for server in 0..self.deployment.servers.len() {
-            self.capacity
+            self.faults
                 .begin(Fault::Server(server, ServerFault::ReadsSlowly));
             self.set_fault(server, ServerFault::ReadsSlowly);
         }
@@ -593,7 +631,7 @@
         }
         for server in 0..self.deployment.servers.len() {
             self.set_fault(server, ServerFault::None);
-            self.capacity
+            self.faults
                 .end(|fault| fault == Fault::Server(server, ServerFault::ReadsSlowly));
         }
     }
@@ -608,7 +646,7 @@
         self.record_observations(callers);
         let cut = PathCut::Silent;
         for vm in 0..size.vms {
-            self.capacity.begin(Fault::Paths(vm, cut));
+            self.faults.begin(Fault::Paths(vm, cut));
         }
         let mut check = PartitionCheck::begin(self.deployment, self.seed, size.vms)?;
         let end = Instant::now() + partition::CONTACT + partition::COUNTED;
@@ -623,7 +661,7 @@
         if let Some(broken) = check.finish(self.deployment)? {
             self.checks.record(broken);
         }
-        self.capacity.end(|fault| matches!(fault, Fault::Paths(..)));
+        self.faults.end(|fault| matches!(fault, Fault::Paths(..)));
         self.wait_served("after a partition");
         Ok(())
     }
@@ -637,10 +675,10 @@
         let vm = usize::try_from(self.seed).unwrap_or(0) % size.vms;
         let servers = self.deployment.servers.len();
         for server in 0..servers {
-            self.capacity
+            self.faults
                 .begin(Fault::Server(server, ServerFault::Stalls));
         }
-        self.capacity.begin(Fault::Kill(vm));
+        self.faults.begin(Fault::Kill(vm));
         self.signals.disturbances.begin(DisturbedPart::Process(vm));
         let result = failover::check_failover(self.deployment, vm, &self.targets)?;
         if let Some(broken) = result.broken() {
@@ -651,10 +689,10 @@
             self.record_report(report);
         }
         for server in 0..servers {
-            self.capacity
+            self.faults
                 .end(|fault| fault == Fault::Server(server, ServerFault::Stalls));
         }
-        self.capacity.end(|fault| fault == Fault::Kill(vm));
+        self.faults.end(|fault| fault == Fault::Kill(vm));
         self.wait_served("after a VM was killed");
         Ok(())
     }
@@ -665,11 +703,11 @@
         self.wait(|run| run.deployment.is_running());
         let servers = self.deployment.servers.len();
         for vm in 0..self.targets.len() {
-            self.capacity.begin(Fault::Kill(vm));
+            self.faults.begin(Fault::Kill(vm));
             self.signals.disturbances.begin(DisturbedPart::Process(vm));
         }
         for server in 0..servers {
-            self.capacity
+            self.faults
                 .begin(Fault::Server(server, ServerFault::Closes));
         }
         let result = parts::check_parts(self.deployment, self.seed, &self.targets)?;
@@ -683,19 +721,70 @@
         }
         for vm in 0..self.targets.len() {
             self.signals.disturbances.end(DisturbedPart::Process(vm));
-            self.capacity.end(|fault| fault == Fault::Kill(vm));
+            self.faults.end(|fault| fault == Fault::Kill(vm));
         }
-        self.capacity
+        self.faults
             .end(|fault| matches!(fault, Fault::Server(_, ServerFault::Closes)));
         self.wait_served("after servers crashed under parts of prompts");
         Ok(())
     }
 
+    /// Replaces the servers by processes and stops some of them several times while streams are
+    /// under way, beside changes of the configuration; the check of cut responses judges it.
+    fn check_processes(&mut self, size: &RunSize) -> io::Result<()> {
+        self.wait(|run| run.deployment.is_running());
+        for server in 0..size.servers {
+            self.faults.begin(Fault::Replace(server));
+            self.deployment.replace_by_process(server)?;
+        }
+        // No later reload moves a clock.
+        for vm in 0..size.vms {
+            self.begin(Fault::Reload(vm))?;
+        }
+        self.wait_served("with servers as processes");
+        let numbers = CALLERS + LONG_CALLERS..CALLERS + 2 * LONG_CALLERS;
+        let callers = CallerGroup::start(self.seed, numbers, CallPaths::LongStreams, &self.targets);
+        for stop in draw_process_stops(self.seed, size) {
+            thread::sleep(BETWEEN_STOPS);
+            for server in &stop.servers {
+                self.faults.begin(Fault::Stop(*server));
+                self.deployment.signal_server(*server, Signal::STOP)?;
+            }
+            thread::sleep(stop.lasts / 2);
+            self.begin(Fault::Configure)?;
+            self.begin(Fault::Reload(stop.reloads))?;
+            thread::sleep(stop.lasts / 2);
+            for server in &stop.servers {
+                self.deployment.signal_server(*server, Signal::CONT)?;
+            }
+            self.faults.end(|fault| matches!(fault, Fault::Stop(_)));
+        }
+        for report in callers.finish() {
+            self.record_report(report);
+        }
+        for server in 0..size.servers {
+            self.faults.begin(Fault::Replace(server));
+            let report = self.deployment.end_process(server)?;
+            for run in &report.runs {
+                self.checks.record_run(run);
+            }
+            let instance = self.deployment.servers[server].lock().instances.len();
+            self.process_arrivals.push(InstanceArrivals {
+                server,
+                instance,
+                keeps_name: false,
+                arrivals: report.arrivals,
+            });
+        }
+        self.wait_served("after servers as processes");
+        Ok(())
+    }
+
     /// Makes all servers brittle and checks that they do not fall over.
     fn check_brittle(&mut self) -> io::Result<()> {
         let servers = self.deployment.servers.len();
         for server in 0..servers {
-            self.capacity.begin(Fault::Brittle(server));
+            self.faults.begin(Fault::Brittle(server));
         }
         let (reports, broken) = brittle::check_brittle(self.deployment, &self.targets);
         for report in reports {
@@ -706,8 +795,7 @@
             self.checks.record(broken);
         }
         self.restart_crashed()?;
-        self.capacity
-            .end(|fault| matches!(fault, Fault::Brittle(_)));
+        self.faults.end(|fault| matches!(fault, Fault::Brittle(_)));
         self.wait_served("after servers were brittle");
         Ok(())
     }
@@ -723,7 +811,7 @@
 
     /// Drains the first server; after `DRAIN_BOUND`, no request may reach it.
     fn check_drain(&mut self) {
-        self.capacity
+        self.faults
             .begin(Fault::SignalDrain(0, NextInstance::Renamed));
         self.deployment.drain(0);
         let until = Instant::now() + DRAIN_BOUND;
@@ -769,6 +857,7 @@
         Fault::Paths(vm, _) => Some(DisturbedPart::Path(vm)),
         Fault::Kill(vm) | Fault::Shutdown(vm) => Some(DisturbedPart::Process(vm)),
         Fault::ServerLink(server, _) => Some(DisturbedPart::Link(server)),
+        Fault::Stop(server) => Some(DisturbedPart::Server(server)),
         _ => None,
     }
 }
@@ -785,6 +874,7 @@
         | (Fault::Backoff(a, _), Fault::Backoff(b, _))
         | (Fault::Limit(a, _), Fault::Limit(b, _))
         | (Fault::Brittle(a), Fault::Brittle(b))
+        | (Fault::Stop(a), Fault::Stop(b))
         | (Fault::Transfer(a, _), Fault::Transfer(b, _))
         | (Fault::MalformedEntry(a, _), Fault::MalformedEntry(b, _))
         | (Fault::Server(a, _), Fault::Server(b, _)) => a == b,
--- a/crates/soak/src/signals.rs
+++ b/crates/soak/src/signals.rs
@@ -31,6 +31,8 @@
     Link(usize),
     /// The paths of a VM to all servers, which are cut.
     Path(usize),
+    /// A server, whose process is stopped.
+    Server(usize),
 }
 
 /// Times at which parts were disturbed.
@@ -69,18 +71,21 @@
 }
 
 /// The requests that reached one instance of a server.
+#[derive(Clone)]
 pub(crate) struct InstanceArrivals {
     /// Index of the server.
     pub(crate) server: usize,
     /// Index of the instance.
     pub(crate) instance: usize,
+    /// Whether it has the name of the instance before it.
+    pub(crate) keeps_name: bool,
     /// Requests in the order of arrival.
     pub(crate) arrivals: Vec<ArrivedRequest>,
 }
 
 /// Time in which the entry of a restarted server reaches all VMs, also if the store is restored
 /// meanwhile.
-const ENTRY_DELAY: Duration = Duration::from_secs(1);
+pub(crate) const ENTRY_DELAY: Duration = Duration::from_secs(1);
 
 /// The checks of signals, updated during a run.
 #[derive(Default)]
