--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -172,6 +172,11 @@
             };
             match polled {
                 Poll::Pending if self.has_ended(cx) => {
+                    log::info!(
+                        request = self.call.request_id.as_str(),
+                        target = self.progress.last_target.as_str();
+                        "run given up: another instance has replaced its server"
+                    );
                     self.progress.stream_end = Some(StreamEnd::ConnectionLost);
                 }
                 Poll::Pending => match self.poll_second(cx) {
