--- a/crates/gateway/tests/silent_paths.rs
+++ b/crates/gateway/tests/silent_paths.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -11,8 +11,9 @@
 
 /// Time between two new requests of each VM's callers.
 const CALL_INTERVAL: Duration = Duration::from_millis(50);
-/// Time after the servers go on within which nothing of the silence may be left.
-const SETTLED: Duration = Duration::from_millis(500);
+/// Time after the servers go on within which nothing of the silence may be left. Votes against a
+/// server would last for 3 s.
+const SETTLED: Duration = Duration::from_secs(1);
 
 /// Requests that run at most once and requests that may be repeated.
 const PREFIXES: [&str; 4] = ["/once/", "/stream/", "/repeat/", "/stream/resume/"];
@@ -83,6 +84,25 @@
     verdicts.iter().map(|text| log.matches(text).count()).sum()
 }
 
+/// Number of servers that the VM suspects.
+fn suspected_servers(gateway: &Gateway) -> usize {
+    let log = gateway.log();
+    let changes = log
+        .lines()
+        .filter(|line| line.contains("\"server responsiveness changed\""));
+    let mut suspected = BTreeSet::new();
+    for line in changes {
+        let server = line.split("\"server\":\"").nth(1).unwrap();
+        let server = server.split('"').next().unwrap();
+        if line.contains("\"silent\":true") {
+            suspected.insert(server);
+        } else {
+            suspected.remove(server);
+        }
+    }
+    suspected.len()
+}
+
 fn is_path_open(gateway: &Gateway) -> bool {
     let metrics = get(gateway.ready(), "/metrics").unwrap();
     let gauge = format!("onyxfall_path_open{{service=\"{}\"}} 1", support::SERVICE);
@@ -131,6 +151,10 @@
         if reply.status != 200 {
             wrong.push(format!("{}: {} afterwards", case.name, reply.text()));
         }
+        let suspected = suspected_servers(gateway);
+        if suspected > 0 {
+            wrong.push(format!("{}: {suspected} servers suspected", case.name));
+        }
         if !is_path_open(gateway) {
             wrong.push(format!("{}: a path is not open afterwards", case.name));
         }
