--- a/crates/fleet/src/reach.rs
+++ b/crates/fleet/src/reach.rs
@@ -59,7 +59,8 @@
     }
 
     /// Why a request that needs this path is not served here, if no server can take it. While the
-    /// path is open, servers are silent or refuse connections.
+    /// path is open, servers are silent or refuse connections; while it is doubted, no more is
+    /// known.
     ///
     /// ```
     /// use onyxfall_fleet::PathState;
@@ -67,8 +68,8 @@
     /// ```
     pub const fn unserved_reason(self) -> &'static str {
         match self {
-            Self::Open => "no server responds",
-            Self::OpenConnectionsOnly | Self::Doubted | Self::Lost => "this VM reaches no server",
+            Self::Open | Self::Doubted => "no server responds",
+            Self::OpenConnectionsOnly | Self::Lost => "this VM reaches no server",
         }
     }
 
--- a/crates/fleet/tests/reach.rs
+++ b/crates/fleet/tests/reach.rs
@@ -370,6 +370,25 @@
     }
 }
 
+/// Guards against refusals that state a lost path before a check has found one.
+#[test]
+fn a_doubted_path_is_not_given_as_the_reason_of_a_refusal() {
+    let states = [
+        (Open, false),
+        (Doubted, false),
+        (OpenConnectionsOnly, true),
+        (Lost, true),
+    ];
+    for (state, is_unreached) in states {
+        let reason = state.unserved_reason();
+        assert_eq!(
+            reason.contains("reaches no server"),
+            is_unreached,
+            "{state:?}"
+        );
+    }
+}
+
 #[test]
 fn no_request_is_placed_on_a_path_that_is_not_open() {
     for (state, end) in [(PathState::Doubted, 900), (PathState::Lost, 2000)] {
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -232,15 +232,12 @@
     /// only doubted, a check is about to show whether servers are reached.
     pub(crate) fn wait_for_path(&self, call: &CallContext) -> RouteStep {
         let state = self.fleet.borrow().path_state(&call.needs.service);
-        match state {
-            PathState::Lost => refuse_unreached("no VM of the region reaches a server"),
-            PathState::Open => {
-                self.wait_or_refuse(call, state.unserved_reason(), call.needs.goal / 2)
-            }
-            PathState::Doubted | PathState::OpenConnectionsOnly => {
-                self.wait_or_refuse(call, "no server is reached", UNREACHED_RETRY)
-            }
-        }
+        let retry = match state {
+            PathState::Lost => return refuse_unreached("no VM of the region reaches a server"),
+            PathState::Open => call.needs.goal / 2,
+            PathState::Doubted | PathState::OpenConnectionsOnly => UNREACHED_RETRY,
+        };
+        self.wait_or_refuse(call, state.unserved_reason(), retry)
     }
 }
 
