Second runs: findings of the review

- A stream whose silent server was replaced while a second run was under way polled a completed future: its task panicked, and the answer was cut (replaced_race, which failed before).
- A server error of a second run ended a first one that was only silent; a second run that crashed its server before its first event was no evidence (second_runs, which failed before).
- A second run that has not run leaves room for another one.
- A stream of a known length was cut between regions, since numbered frames made it longer (known_length, which failed before).
- has_ended was true of an entry whose service or version changed under the same start time.
- A check of a path waits 100 ms for a reset in place of 15: under load, a path whose connections are accepted and reset counted as open (partition, seen once).
- The steps of RunRace now decide; the budget is looked at before a choice.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -49,14 +49,19 @@
     /// assert!(!RetryShare::default().try_repeat(Moment::ZERO, &limits, Some(1)));
     /// ```
     pub fn try_repeat(&mut self, now: Moment, limits: &BudgetLimits, vms: Option<usize>) -> bool {
+        let has_left = self.has_left(now, limits, vms);
+        if has_left {
+            self.retries.push_back(now);
+        }
+        has_left
+    }
+
+    /// Whether a retry of the budget is left.
+    pub fn has_left(&mut self, now: Moment, limits: &BudgetLimits, vms: Option<usize>) -> bool {
         self.drop_expired(now, limits.window);
         let fixed = vms.map_or(0.0, |vms| limits.extra / vms.max(1) as f64);
         let allowed = USED_FRACTION * (limits.ratio * self.requests.len() as f64 + fixed);
-        if (self.retries.len() + 1) as f64 > allowed {
-            return false;
-        }
-        self.retries.push_back(now);
-        true
+        (self.retries.len() + 1) as f64 <= allowed
     }
 
     fn drop_expired(&mut self, now: Moment, window: Duration) {
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -29,6 +29,12 @@
 /// slow response indicates the state of the batch at that time rather than of the
 /// server.
 const INTERVAL_GAIN: f64 = 0.05;
+/// Time without a response after which the learned slowness is forgotten, and the time in which
+/// it decays to 1/e from then on. A server that is predicted to be slow gets no request at light
+/// load, so that nothing else would correct the figure. A VM of a large fleet sends a server one
+/// request in some seconds.
+const SLOWNESS_KEPT: Duration = Duration::from_secs(15);
+const SLOWNESS_DECAY: Duration = Duration::from_secs(3);
 /// Bounds of the learned slowness.
 const SLOWNESS_RANGE: (f64, f64) = (0.8, 20.0);
 /// Pause after a server has reported that it is full.
@@ -135,8 +141,10 @@
     cold_until: Moment,
     cold_share: ColdShare,
     gone: bool,
-    /// Another instance has taken the name; the requests running here have ended.
+    /// Another entry has taken the name: this state gets no further requests.
     is_replaced: bool,
+    /// A later instance has taken the name: the requests running here have ended.
+    has_ended: bool,
     /// When a response first signalled that the server is draining.
     draining_since: Option<Moment>,
     backoff: ServerBackoff,
@@ -148,6 +156,8 @@
     full_until: Moment,
     circuit: CircuitBreaker,
     slowness: f64,
+    /// When `slowness` was last learned from a response.
+    slowness_at: Moment,
     interval_slowness: f64,
     flow: FlowMeter,
     open: BTreeMap<u64, OpenAttempt>,
@@ -174,6 +184,7 @@
             region,
             gone: false,
             is_replaced: false,
+            has_ended: false,
             draining_since: None,
             backoff: ServerBackoff::default(),
             backoff_requested_at: None,
@@ -183,6 +194,7 @@
             full_until: Moment::ZERO,
             circuit: CircuitBreaker::new(),
             slowness: 1.0,
+            slowness_at: now,
             interval_slowness: 1.0,
             flow: FlowMeter::new(FLOW_DECAY),
             open: BTreeMap::new(),
@@ -214,18 +226,24 @@
         self.cached_prefixes = CachedPrefixes::new(now);
     }
 
-    /// Records that the server has restarted: this instance and the requests running on
-    /// it have ended.
-    pub(crate) fn replace(&mut self) {
+    /// Records that another entry has taken the name of the server. If it is one of another
+    /// instance, this instance and the requests running on it have ended.
+    pub(crate) fn replace(&mut self, is_other_instance: bool) {
         self.gone = true;
         self.is_replaced = true;
+        self.has_ended |= is_other_instance;
     }
 
-    /// Whether the server has restarted since.
+    /// Whether another entry has taken the name of the server.
     pub fn is_replaced(&self) -> bool {
         self.is_replaced
     }
 
+    /// Whether a later instance has taken the name of the server.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.has_ended
+    }
+
     /// Hash of the instance, the same on every VM.
     pub fn instance_hash(&self) -> u64 {
         self.instance
@@ -522,7 +540,7 @@
         // Up to three times the prediction is within the normal variance of a busy
         // batch.
         let overdue = if overdue > 3.0 { overdue / 3.0 } else { 0.0 };
-        self.slowness
+        self.remembered_slowness(now)
             .max(overdue)
             .clamp(SLOWNESS_RANGE.0, SLOWNESS_RANGE.1)
     }
@@ -537,6 +555,13 @@
         self.own = self.own.without(backup_share(memory));
     }
 
+    /// The learned slowness, less what is forgotten of it.
+    fn remembered_slowness(&self, now: Moment) -> f64 {
+        let idle = (now - self.slowness_at).saturating_sub(SLOWNESS_KEPT);
+        let kept = (-idle.as_secs_f64() / SLOWNESS_DECAY.as_secs_f64()).exp();
+        self.slowness.powf(kept)
+    }
+
     /// Learned ratio of response times to predictions.
     pub(crate) fn learned_slowness(&self) -> f64 {
         self.slowness
@@ -625,7 +650,9 @@
         // The mean of the logarithms is close to the median, with half of all responses
         // below it.
         if took.is_some() {
-            self.slowness *= (ratio / self.slowness).powf(SAMPLE_GAIN);
+            let before = self.remembered_slowness(now);
+            self.slowness = before * (ratio / before).powf(SAMPLE_GAIN);
+            self.slowness_at = now;
         }
         self.circuit.succeed();
         let slowness = self.slowness;
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -412,7 +412,7 @@
     /// Whether all runs at a server have ended for certain: the platform's store names a later
     /// instance of it.
     pub fn has_ended(&self, id: ServerId) -> bool {
-        self.server(id).is_replaced()
+        self.server(id).has_ended()
     }
 
     /// What is known of a run that was given up at `at` while its server was suspected. Without
@@ -531,10 +531,11 @@
             Some(PoolServer::Dormant(dormant)) => &mut dormant.record,
             None => return false,
         };
-        if current.started_at != record.started_at || !is_same_pool {
+        let is_other_instance = current.started_at != record.started_at;
+        if is_other_instance || !is_same_pool {
             self.remove_server(now, record.name.as_str());
             if let Some(id) = last_working {
-                self.servers[id].replace();
+                self.servers[id].replace(is_other_instance);
             }
             return false;
         }
--- a/crates/fleet/tests/liveness.rs
+++ b/crates/fleet/tests/liveness.rs
@@ -223,6 +223,24 @@
     }
 }
 
+/// Without this, a server that was slow once gets no request at light load ever again.
+#[test]
+fn learned_slowness_is_forgotten_while_no_request_is_sent() {
+    let (mut view, id) = view(0);
+    let fresh = view.predict(at(0), id, &needs()).first;
+    for number in 0..20 {
+        let now = number * 1000;
+        view.start_attempt(at(now), id, number, &needs());
+        view.record_response(at(now) + fresh * 8, id, number);
+        view.end_attempt(at(now + 990), id, number, AttemptResult::Succeeded, None);
+    }
+    let predict = |now| view.server(id).slowness(at(now));
+    let learned = predict(20_000);
+    assert!(learned > 1.3, "{learned}");
+    assert!(predict(30_000) > 1.3, "{}", predict(30_000));
+    assert!(predict(45_000) < 1.05, "{}", predict(45_000));
+}
+
 struct ReturnCase {
     name: &'static str,
     /// Whether the other VMs hear nothing from the server either.
--- a/crates/gateway/src/backup.rs
+++ b/crates/gateway/src/backup.rs
@@ -16,6 +16,7 @@
 use crate::call::{ResponseRule, SharedCall};
 use crate::gateway::Gateway;
 use crate::reach::wait_while_doubted;
+use crate::serve::{RESUME_PATIENCE, RESUME_PAUSE};
 
 /// A backup copy of a run. Its memory is accounted for until this value is dropped.
 pub(crate) struct RunBackup {
@@ -89,7 +90,17 @@
     last_event: &str,
 ) -> Option<Box<UpstreamResponse>> {
     wait_while_doubted(gateway, &call.needs.service).await;
-    let target = backup_target(gateway, call, &backup)?;
+    let wait_end = call.age() + RESUME_PATIENCE;
+    let target = loop {
+        if let Some(target) = backup_target(gateway, call, &backup) {
+            break target;
+        }
+        // The server that holds the copy may be silent only.
+        if call.age() >= wait_end || !gateway.is_suspected(backup.server) {
+            return None;
+        }
+        tokio::time::sleep(RESUME_PAUSE).await;
+    };
     if gateway.is_quarantined(call) {
         return None;
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -300,6 +300,15 @@
         (self.started.elapsed() >= DISCOVERY_TIME).then_some(others + 1)
     }
 
+    /// Whether the retry budget of `service` has a retry left.
+    pub(crate) fn has_retry(&self, service: &ServiceName) -> bool {
+        let (now, vms) = (self.now(), self.vm_count());
+        let limits = self.settings().retries;
+        let mut retries = self.retries.borrow_mut();
+        let share = retries.entry(service.clone()).or_default();
+        share.has_left(now, &limits, vms)
+    }
+
     /// Claims one retry from the retry budget of `service`.
     pub(crate) fn take_retry(&self, service: &ServiceName) -> bool {
         let now = self.now();
--- a/crates/gateway/src/numbered.rs
+++ b/crates/gateway/src/numbered.rs
@@ -9,6 +9,7 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
+use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, HeaderValue, Response};
 use hyper::body::{Body, Frame, Incoming};
 use onyxfall_events::{FrameDecoder, FrameEncoder, SequenceError};
@@ -34,14 +35,15 @@
     headers.get(FRAMES) == Some(&NUMBERED)
 }
 
-/// Encodes the stream of a response to another VM that has asked for numbered frames.
+/// Encodes the stream of a response to another VM that has asked for numbered frames. One that
+/// names its length stays as it is: the length shows missing bytes.
 pub(crate) fn encode_frames(
     gateway: &Rc<Gateway>,
     response: Response<ReplyBody>,
 ) -> Response<ReplyBody> {
     let (mut head, body) = response.into_parts();
     let body = match body {
-        ReplyBody::Stream(relay) => {
+        ReplyBody::Stream(relay) if !head.headers.contains_key(CONTENT_LENGTH) => {
             request_frames(&mut head.headers);
             ReplyBody::Numbered(Box::new(NumberedStream {
                 gateway: Rc::clone(gateway),
--- a/crates/gateway/src/race.rs
+++ b/crates/gateway/src/race.rs
@@ -13,7 +13,7 @@
 use onyxfall_adapter::set_last_event;
 use onyxfall_events::{EventFramer, FramedBytes};
 use onyxfall_fleet::AttemptResult;
-use onyxfall_streams::{RunEvent, RunRace, RunSide};
+use onyxfall_streams::{RunEvent, RunRace, RunSide, RunStep};
 use onyxfall_types::ServerId;
 
 use crate::attempt::{AttemptEnd, UpstreamResponse};
@@ -23,8 +23,9 @@
 use crate::serve::{CallProgress, may_reach_another, start_attempt};
 use crate::suspicion::{wait_until_stalled, wait_until_suspected};
 
-/// Time after which a second run is asked for again if no server takes one.
-const ASK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time after which a second run is asked for again if no server takes one. Each question is a
+/// choice over all servers.
+const ASK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// An attempt under way. Dropping it closes its connection, which cancels the run.
 pub(crate) struct OpenRun {
@@ -62,7 +63,7 @@
     progress: &mut CallProgress,
     extra: &HeaderMap,
 ) -> Option<OpenRun> {
-    if !may_reach_another(call, progress) {
+    if !may_reach_another(call, progress) || !gateway.has_retry(&call.needs.service) {
         return None;
     }
     let silent = progress.last_target.clone();
@@ -126,48 +127,70 @@
         tokio::select! {
             biased;
             end = &mut first.end => {
-                let Some((run, after)) = second else {
-                    return end;
+                let event = match &end {
+                    AttemptEnd::Response(_) => RunEvent::Progressed(RunSide::First),
+                    AttemptEnd::NotRun { .. } | AttemptEnd::Lost { .. } => RunEvent::Ended(RunSide::First),
+                };
+                return match (race.apply(event), second) {
+                    (RunStep::Wait, Some((run, after))) => {
+                        progress.count(&end);
+                        progress.take_target(after);
+                        run.end.await
+                    }
+                    (RunStep::Keep(kept), Some(_)) => {
+                        // The cancelled run may have reached its server.
+                        progress.count_run();
+                        log_race(gateway, call, kept);
+                        end
+                    }
+                    _ => end,
                 };
-                if matches!(end, AttemptEnd::Response(_)) {
-                    // The cancelled run may have reached its server.
-                    progress.count_run();
-                    log_race(gateway, call, RunSide::First);
-                    return end;
-                }
-                progress.count(&end);
-                progress.take_target(after);
-                return run.end.await;
             }
             end = second_end => {
                 let Some((_, after)) = second.take() else { continue };
-                if matches!(end, AttemptEnd::Response(_)) {
+                if let RunStep::Keep(kept) = race.apply(end.second_event()) {
                     first.on_drop.set(AttemptResult::Overtaken);
                     progress.count_run();
                     progress.take_target(after);
-                    log_race(gateway, call, RunSide::Second);
+                    log_race(gateway, call, kept);
                     return end;
                 }
                 progress.servers = after.servers;
                 progress.vms = after.vms;
                 progress.count(&end);
-                race.apply(RunEvent::Ended(RunSide::Second));
+                if let AttemptEnd::Response(response) = end {
+                    response.finish(gateway, AttemptResult::Failed);
+                }
             }
             () = suspected, if race.may_start() => {
                 has_asked = true;
                 let mut after = progress.with_run();
                 match start_second(gateway, call, &mut after, extra) {
-                    Some(run) => {
-                        race.apply(RunEvent::Suspected);
+                    Some(run) if race.apply(RunEvent::Suspected) == RunStep::Start => {
                         second = Some((run, after));
                     }
-                    None => log::debug!(request = call.request_id.as_str(); "no server takes a second run"),
+                    _ => log::debug!(request = call.request_id.as_str(); "no server takes a second run"),
                 }
             }
         }
     }
 }
 
+impl AttemptEnd {
+    /// The end of a second run before its first part, as an event of its race. One that has not
+    /// run costs nothing, and another server may be asked; the failure of a second run is no
+    /// answer while the first one may go on.
+    pub(crate) fn second_event(&self) -> RunEvent {
+        match self {
+            Self::Response(response) if !response.status.is_server_error() => {
+                RunEvent::Progressed(RunSide::Second)
+            }
+            Self::NotRun { .. } => RunEvent::Refused,
+            Self::Response(_) | Self::Lost { .. } => RunEvent::Ended(RunSide::Second),
+        }
+    }
+}
+
 /// A second run of a stream whose first event has arrived, or which has ended complete before it.
 pub(crate) struct SecondStart {
     pub(crate) response: Box<UpstreamResponse>,
@@ -177,33 +200,52 @@
 
 /// Waits for the first event of a second run of a stream.
 pub(crate) async fn begin_second(
+    gateway: Rc<Gateway>,
     run: OpenRun,
     mut framer: EventFramer,
 ) -> Result<SecondStart, AttemptEnd> {
-    let lost = |cause| Err(AttemptEnd::Lost { cause });
     let mut response = match run.end.await {
         AttemptEnd::Response(response) => response,
         end => return Err(end),
     };
-    if !response.status.is_success() {
-        return lost("the server returned an error");
-    }
-    loop {
-        let part = match response.body.frame().await {
-            Some(Ok(frame)) => match frame.into_data().map(|data| framer.push(data)) {
-                Ok(Ok(part)) if part.events == 0 => continue,
-                Ok(Ok(part)) => part,
-                Ok(Err(_)) => return lost("an event is too long"),
-                Err(_) => continue,
-            },
-            None if framer.end(response.framing).is_complete() => FramedBytes::default(),
-            Some(Err(_)) | None => return lost("the connection was lost"),
-        };
-        return Ok(SecondStart {
+    let begun = if response.status.is_success() {
+        first_event(&mut response, &mut framer).await
+    } else {
+        Err((AttemptResult::Failed, "the server returned an error"))
+    };
+    match begun {
+        Ok(part) => Ok(SecondStart {
             response,
             framer,
             part,
-        });
+        }),
+        Err((result, cause)) => {
+            response.finish(&gateway, result);
+            Err(AttemptEnd::Lost { cause })
+        }
+    }
+}
+
+/// Receives a stream up to its first event, or its end if it is complete without one.
+async fn first_event(
+    response: &mut UpstreamResponse,
+    framer: &mut EventFramer,
+) -> Result<FramedBytes, (AttemptResult, &'static str)> {
+    loop {
+        let data = match response.body.frame().await {
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            None if framer.end(response.framing).is_complete() => {
+                return Ok(FramedBytes::default());
+            }
+            Some(Err(_)) | None => {
+                return Err((AttemptResult::Broken, "the connection was lost"));
+            }
+        };
+        match framer.push(data) {
+            Ok(part) if part.events > 0 => return Ok(part),
+            Ok(_) => {}
+            Err(_) => return Err((AttemptResult::Unknown, "an event is too long")),
+        }
     }
 }
 
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -29,8 +29,8 @@
 /// Time between two checks of a path that is not open.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Time after which a connection that was accepted for a check and not reset shows an open path.
-/// A reset takes one round trip within the region, and requests wait 30 ms for the check.
-const ACCEPTED_AFTER: Duration = Duration::from_millis(15);
+/// A reset takes one round trip within the region, or longer if what resets it is busy.
+const ACCEPTED_AFTER: Duration = Duration::from_millis(100);
 /// Longest wait for the response to a check, which shows that the server is alive. A server may
 /// answer health checks in turn with its requests.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -35,6 +35,11 @@
 /// Retry delay sent to a caller when no better one is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// Time for which a stream whose server has ended waits for another one, and the pause between
+/// two choices. Callers give a stream up after two seconds without an event at the earliest.
+pub(crate) const RESUME_PATIENCE: Duration = Duration::from_secs(2);
+pub(crate) const RESUME_PAUSE: Duration = Duration::from_millis(50);
+
 /// Attempts of a request so far.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CallProgress {
@@ -192,11 +197,18 @@
     last_event: Option<String>,
 ) -> Option<ResumedStream> {
     let extra = resume_headers(last_event.as_deref());
+    let wait_end = call.age() + RESUME_PATIENCE;
+    claim_retry(gateway, call, &progress).ok()?;
     loop {
-        claim_retry(gateway, call, &progress).ok()?;
-        let end = next_attempt(gateway, call, &mut progress, &extra)
-            .await
-            .ok()?;
+        let end = match next_attempt(gateway, call, &mut progress, &extra).await {
+            Ok(end) => end,
+            // The other servers may be silent only.
+            Err(error) if error.reason == RefusalReason::Overloaded && call.age() < wait_end => {
+                tokio::time::sleep(RESUME_PAUSE).await;
+                continue;
+            }
+            Err(_) => return None,
+        };
         match end {
             AttemptEnd::Response(response) if response.status.is_success() => {
                 let (needed, version) = (&call.needs.version, &response.version);
@@ -215,6 +227,7 @@
             AttemptEnd::Response(response) => {
                 progress.count_run();
                 response.finish(gateway, AttemptResult::Failed);
+                claim_retry(gateway, call, &progress).ok()?;
             }
             other => record_failure(gateway, call, &mut progress, &other).ok()?,
         }
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -20,7 +20,7 @@
 use hyper::body::{Body, Frame};
 use onyxfall_events::{BodyFraming, EventFramer, ForwardUnit, FramedBytes, StreamEnd};
 use onyxfall_fleet::AttemptResult;
-use onyxfall_streams::{RunEvent, RunRace, RunSide};
+use onyxfall_streams::{RunEvent, RunRace, RunSide, RunStep};
 use onyxfall_types::SoftwareVersion;
 
 use crate::attempt::{AttemptEnd, UpstreamResponse};
@@ -207,11 +207,14 @@
                     }
                 }
             }
-            if self.second.is_some() {
+            let step = match &self.state {
+                // Both runs have ended.
+                RelayState::Awaiting => RunStep::Start,
+                _ => self.race.apply(RunEvent::Ended(RunSide::First)),
+            };
+            if step == RunStep::Wait {
                 self.await_second();
-                continue;
-            }
-            if !self.try_resume() {
+            } else if !self.try_resume() {
                 self.end(AttemptResult::Broken, "broken off");
                 return Poll::Ready(Some(Err(RelayError::Broken)));
             }
@@ -242,9 +245,14 @@
 
     /// Whether the sending server has ended for certain; polled while no data arrives.
     fn has_ended(&mut self, cx: &mut Context<'_>) -> bool {
-        let has_ended =
-            |ended: &mut LocalBoxFuture<'static, ()>| ended.as_mut().poll(cx).is_ready();
-        self.can_resume && self.ended.as_mut().is_some_and(has_ended)
+        let Some(ended) = self.ended.as_mut().filter(|_| self.can_resume) else {
+            return false;
+        };
+        if ended.as_mut().poll(cx).is_pending() {
+            return false;
+        }
+        self.ended = None;
+        true
     }
 
     /// Polls the second run, or starts one if the sending server is suspected; called while no
@@ -276,9 +284,6 @@
     /// Starts a second run after the last whole event, beside the first one.
     fn start_second(&mut self) {
         self.suspicion = None;
-        let RelayState::Open(response) = &self.state else {
-            return;
-        };
         let mut progress = self.progress.clone();
         let extra = resume_headers(self.last_id());
         let run = self
@@ -286,12 +291,12 @@
             .and_then(|call| start_second(&self.gateway, &call, &mut progress, &extra));
         let (Some(run), Some(framer)) = (run, &self.framer) else {
             // Another server may take the run later, while the silence lasts.
-            self.suspicion = watch_server(&self.gateway, &self.call, response, self.race, true);
+            self.watch_again();
             return;
         };
         self.race.apply(RunEvent::Suspected);
         self.second = Some(SecondRun {
-            start: Box::pin(begin_second(run, framer.fork())),
+            start: Box::pin(begin_second(Rc::clone(&self.gateway), run, framer.fork())),
             progress,
         });
     }
@@ -321,7 +326,17 @@
         self.progress.servers = progress.servers;
         self.progress.vms = progress.vms;
         self.progress.count(end);
-        self.race.apply(RunEvent::Ended(RunSide::Second));
+        self.race.apply(end.second_event());
+        self.watch_again();
+    }
+
+    /// Watches the sending server for another suspicion, if it would start a second run.
+    fn watch_again(&mut self) {
+        if self.suspicion.is_none()
+            && let RelayState::Open(response) = &self.state
+        {
+            self.suspicion = watch_server(&self.gateway, &self.call, response, self.race, true);
+        }
     }
 
     /// Cancels the second run, since the first one goes on.
@@ -334,16 +349,12 @@
             // The cancelled run may have reached its server.
             self.progress.count_run();
         }
-        if self.suspicion.is_none()
-            && let RelayState::Open(response) = &self.state
-        {
-            self.suspicion = watch_server(&self.gateway, &self.call, response, self.race, true);
-        }
+        self.watch_again();
     }
 
     /// Waits for the second run after the end of the first one.
     fn await_second(&mut self) {
-        self.race.apply(RunEvent::Ended(RunSide::First));
+        self.ended = None;
         let state = std::mem::replace(&mut self.state, RelayState::Awaiting);
         if let RelayState::Open(response) = state {
             response.finish(&self.gateway, AttemptResult::Broken);
@@ -431,6 +442,7 @@
             framer.restart();
         }
         self.held.resize(0);
+        self.ended = None;
         let last = self.last_id().map(str::to_owned);
         let mut backup = None;
         let mut is_from_peer = false;
