--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -5,15 +5,18 @@
 //! Lines end as in the specification of server-sent events (WHATWG HTML, section 9.2.6): with
 //! LF, CR LF or CR. A line that begins with a colon is a comment and belongs to no event.
 //!
-//! Pure code: no I/O, no clock. Invariants: how a stream is split into pieces changes neither
+//! Pure code: no I/O of its own, no clock. Invariants: how a stream is split into pieces changes neither
 //! what is forwarded nor the verdict on its end; at most one incomplete event is held, of at most
-//! [`MAX_EVENT_BYTES`].
+//! [`MAX_EVENT_BYTES`]; of a body in numbered frames, nothing that follows missing bytes is
+//! returned.
 
+mod body;
 mod end;
 mod framer;
 mod numbered;
 mod scanner;
 
+pub use body::{NumberedBody, ReceiveError, ReceivedBody};
 pub use end::{BodyFraming, StreamEnd};
 pub use framer::{EventError, EventFramer, ForwardUnit, FramedBytes, MAX_EVENT_BYTES};
 pub use numbered::{FrameDecoder, FrameEncoder, SequenceError};
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,7 +16,7 @@
     ResponseKind, classify_response, keep_alive_timeout, parse_signals, set_copy_to,
     set_expected_server, set_team, set_time_left, set_urgency,
 };
-use onyxfall_events::BodyFraming;
+use onyxfall_events::{BodyFraming, ReceivedBody};
 use onyxfall_fleet::{AttemptResult, ChoiceReason, DecisionSwitch, PathState, TimePrediction};
 use onyxfall_types::{RunVerdict, ServerId, SoftwareVersion};
 
@@ -25,7 +25,7 @@
 use crate::call::{CallContext, SharedCall};
 use crate::connection::{HttpConnection, LATE_DIAL_LIMIT, LOCAL_DIAL_LIMIT, SendError};
 use crate::gateway::Gateway;
-use crate::numbered::{UpstreamBody, decode_frames};
+use crate::numbered::decode_stream;
 use crate::open::OpenAttempt;
 use crate::pool::ConnectionChoice;
 use crate::relay::{PeerTarget, parse_verdict, set_relay_headers, take_version};
@@ -56,7 +56,7 @@
 pub(crate) struct UpstreamResponse {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: UpstreamBody,
+    pub(crate) body: ReceivedBody<Incoming>,
     /// How the body is delimited.
     pub(crate) framing: BodyFraming,
     /// Connection that the response arrives on.
@@ -273,7 +273,7 @@
         ResponseKind::Signed => {
             let mut upstream = upstream_response(connection, response, target.address, None);
             upstream.version = take_version(&mut upstream.headers);
-            decode_frames(gateway, call, &mut upstream);
+            decode_stream(gateway, call, &mut upstream);
             let version = upstream.version.as_ref();
             if upstream.status.is_success() && !call.needs.allows_version(version) {
                 // A VM of an older build does not know that the request needs a version.
@@ -479,7 +479,7 @@
         status: head.status,
         framing: body_framing(head.status, &head.headers),
         headers: head.headers,
-        body: UpstreamBody::new(body),
+        body: ReceivedBody::new(body),
         connection,
         address,
         attempt,
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -11,11 +11,10 @@
 use http::{HeaderMap, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, SizeHint};
-use onyxfall_events::{BodyFraming, MAX_EVENT_BYTES};
+use onyxfall_events::{BodyFraming, MAX_EVENT_BYTES, NumberedBody};
 use thiserror::Error;
 
 use crate::held::{HeldBytes, HeldFull};
-use crate::numbered::NumberedStream;
 use crate::stream::StreamRelay;
 
 /// Why a response ended after its head was sent.
@@ -114,7 +113,7 @@
     /// A stream forwarded as it arrives.
     Stream(Box<StreamRelay>),
     /// A stream forwarded to another VM in numbered frames.
-    Numbered(Box<NumberedStream>),
+    Numbered(Box<NumberedBody<Self>>),
 }
 
 impl ReplyBody {
@@ -140,7 +139,7 @@
                 Poll::Ready(Some(Err(never))) => match never {},
             },
             Self::Stream(relay) => relay.poll_next(cx),
-            Self::Numbered(stream) => stream.poll_next(cx),
+            Self::Numbered(stream) => Pin::new(stream.as_mut()).poll_frame(cx),
         }
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -23,7 +23,7 @@
 use crate::call::{CallContext, CallOrigin, CallRules, ResponseRule};
 use crate::gateway::Gateway;
 use crate::listen::read_body;
-use crate::numbered::{FRAMES, encode_frames, names_frames, request_frames};
+use crate::numbered::{FRAMES, encode_stream, has_frames, set_frames};
 use crate::origin_messages::{answer_origin_message, is_origin_message};
 use crate::serve::{CallFailure, serve};
 
@@ -126,7 +126,7 @@
     }
     headers.remove(FRAMES);
     if call.rules.response.is_stream() {
-        request_frames(headers);
+        set_frames(headers);
     }
     match call.rules.response {
         ResponseRule::Whole => {}
@@ -165,13 +165,13 @@
     if !request.headers().contains_key(SERVICE) && is_origin_message(request.uri()) {
         return answer_origin_message(&gateway, request).await;
     }
-    let is_numbered = names_frames(request.headers());
+    let is_numbered = has_frames(request.headers());
     let result = match read_relayed(&gateway, request, arrived).await {
         Ok(call) => serve(&gateway, &Rc::new(call)).await,
         Err(error) => Err(error.into()),
     };
     match result {
-        Ok(response) if is_numbered => encode_frames(&gateway, response),
+        Ok(response) if is_numbered => encode_stream(&gateway, response),
         Ok(response) => response,
         Err(failure) => reject_relayed(&failure),
     }
