--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -2,8 +2,9 @@
 
 mod support;
 
+use onyxfall_events::FrameDecoder;
 use onyxfall_fakes::{ServerFault, ServerStub};
-use support::{Site, relay};
+use support::{Reply, ServingSite, Site, relay};
 
 struct RelayCase {
     name: &'static str,
@@ -77,3 +78,27 @@
         "a forwarded request was forwarded again"
     );
 }
+
+/// Guards against a VM of an older build that gets a stream in numbered frames.
+#[test]
+fn a_stream_is_numbered_only_for_a_vm_that_asks_for_it() {
+    let ServingSite {
+        gateway,
+        server: _server,
+        site: _site,
+    } = ServingSite::start();
+    for kind in ["once", "resumable"] {
+        let kind_header = ("onyxfall-stream", kind);
+        let asking = [kind_header, ("onyxfall-frames", "numbered")];
+        let plain = relay(&gateway, "/stream/x", "plain", &[kind_header]);
+        let numbered = relay(&gateway, "/stream/x", "numbered", &asking);
+        let has_frames = |reply: &Reply| reply.headers.contains_key("onyxfall-frames");
+        assert_eq!((has_frames(&plain), has_frames(&numbered)), (false, true));
+        let mut decoder = FrameDecoder::default();
+        let stream = decoder.decode(numbered.body).unwrap();
+        assert_eq!(decoder.check_end(), Ok(()), "{kind}");
+        for body in [plain.body, stream] {
+            assert_eq!(body, ServerStub::whole_stream(), "{kind}");
+        }
+    }
+}
