--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -119,7 +119,8 @@
     Running,
     /// The server has sent its whole response.
     Finished,
-    /// The server has broken off its response or answered with another id, or it has crashed.
+    /// The server has broken off its response, answered with another id or answered the
+    /// continuation of a stream with an error, or it has crashed.
     BrokenOff,
     /// The connection was closed by its other end before the server had ended.
     Abandoned,
@@ -643,7 +644,13 @@
         is_over: false,
     };
     let mut response = match fault {
-        ServerFault::Fails => whole(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
+        ServerFault::Fails => {
+            // A stream that another server has begun cannot go on with an error.
+            if call.last_event.is_some() {
+                running.end(RunState::BrokenOff);
+            }
+            whole(StatusCode::INTERNAL_SERVER_ERROR, "failed")
+        }
         ServerFault::Closes => {
             guard.is_over = true;
             running.end(RunState::BrokenOff);
