Soak: the check of cut answers knows which VMs a phase disturbs

The phases of cut paths and of crashing parts recorded every VM as cut off or killed, which excused every cut answer at them. They record those that are; the others count as disturbed only where refusals are judged.

--- a/crates/soak/src/partition.rs
+++ b/crates/soak/src/partition.rs
@@ -42,9 +42,9 @@
 }
 
 impl PartitionCheck {
-    /// Cuts all VMs of the first region from all servers, and some of the others, but for those
-    /// of the last region.
-    pub(crate) fn begin(deployment: &SoakDeployment, seed: u64, vms: usize) -> io::Result<Self> {
+    /// Draws a cut of all VMs of the first region, and some of the others, but for those of the last
+    /// region.
+    pub(crate) fn new(seed: u64, vms: usize) -> Self {
         let kinds = PathCut::ALL;
         let cut = kinds[usize::try_from(seed / 2).unwrap_or(0) % kinds.len()];
         let is_drawn = |vm: usize| (seed >> (vm % 16)) & 1 == 1;
@@ -52,17 +52,27 @@
             0 => true,
             region => region + 1 < REGIONS && is_drawn(*vm),
         };
-        let cut_vms: BTreeSet<usize> = (0..vms).filter(is_cut).collect();
-        for vm in &cut_vms {
-            deployment.cut_paths(*vm, Some(cut))?;
-        }
-        Ok(Self {
-            vms: cut_vms,
+        Self {
+            vms: (0..vms).filter(is_cut).collect(),
             cut,
             from: Instant::now() + CONTACT,
             apart: TryCounts::default(),
             others: TryCounts::default(),
-        })
+        }
+    }
+
+    /// How a VM is cut from all servers, if it is.
+    pub(crate) fn cut_of(&self, vm: usize) -> Option<PathCut> {
+        self.vms.contains(&vm).then_some(self.cut)
+    }
+
+    /// Cuts the paths.
+    pub(crate) fn begin(&mut self, deployment: &SoakDeployment) -> io::Result<()> {
+        self.from = Instant::now() + CONTACT;
+        for vm in &self.vms {
+            deployment.cut_paths(*vm, Some(self.cut))?;
+        }
+        Ok(())
     }
 
     /// Counts a first try. Large bodies are left out, since some VMs have little memory for them.
--- a/crates/soak/src/parts.rs
+++ b/crates/soak/src/parts.rs
@@ -75,6 +75,21 @@
     until: Instant,
 }
 
+/// The VMs that faults of the phase disturb.
+pub(crate) struct DisturbedVms {
+    pub(crate) killed: usize,
+    pub(crate) cut: usize,
+}
+
+/// Draws the disturbed VMs of a seed.
+pub(crate) fn disturbed_vms(seed: u64, vms: usize) -> DisturbedVms {
+    let killed = usize::try_from(seed).unwrap_or(0) % vms;
+    DisturbedVms {
+        killed,
+        cut: (killed + 1) % vms,
+    }
+}
+
 /// Sends requests whose parts crash servers, one part in odd seeds and two at once in even ones.
 ///
 /// # Errors
@@ -173,8 +188,7 @@
     disturbed: &mut Vec<Disturbance>,
 ) -> io::Result<()> {
     let vms = deployment.vms.len();
-    let killed = usize::try_from(seed).unwrap_or(0) % vms;
-    let cut = (killed + 1) % vms;
+    let DisturbedVms { killed, cut } = disturbed_vms(seed, vms);
     let mut due: Vec<(Instant, usize)> = Vec::new();
     let (mut is_killed, mut has_rack_failed, mut is_cut) = (false, false, false);
     loop {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -644,11 +644,13 @@
             self.checks.record(BrokenPromise::NotRecovered(what));
         }
         self.record_observations(callers);
-        let cut = PathCut::Silent;
+        let mut check = PartitionCheck::new(self.seed, size.vms);
         for vm in 0..size.vms {
+            // The others may refuse requests, since they serve for those that are cut off.
+            let cut = check.cut_of(vm).unwrap_or(PathCut::NewConnections);
             self.faults.begin(Fault::Paths(vm, cut));
         }
-        let mut check = PartitionCheck::begin(self.deployment, self.seed, size.vms)?;
+        check.begin(self.deployment)?;
         let end = Instant::now() + partition::CONTACT + partition::COUNTED;
         while Instant::now() < end {
             thread::sleep(STEP);
@@ -702,8 +704,16 @@
     fn check_parts(&mut self) -> io::Result<()> {
         self.wait(|run| run.deployment.is_running());
         let servers = self.deployment.servers.len();
+        let disturbed = parts::disturbed_vms(self.seed, self.targets.len());
         for vm in 0..self.targets.len() {
-            self.faults.begin(Fault::Kill(vm));
+            self.faults.begin(if vm == disturbed.killed {
+                Fault::Kill(vm)
+            } else if vm == disturbed.cut {
+                Fault::Paths(vm, PathCut::Silent)
+            } else {
+                // The others may refuse requests, since they serve for these.
+                Fault::Pause(vm)
+            });
             self.signals.disturbances.begin(DisturbedPart::Process(vm));
         }
         for server in 0..servers {
@@ -721,8 +731,9 @@
         }
         for vm in 0..self.targets.len() {
             self.signals.disturbances.end(DisturbedPart::Process(vm));
-            self.faults.end(|fault| fault == Fault::Kill(vm));
         }
+        self.faults
+            .end(|fault| matches!(fault, Fault::Kill(_) | Fault::Paths(..) | Fault::Pause(_)));
         self.faults
             .end(|fault| matches!(fault, Fault::Server(_, ServerFault::Closes)));
         self.wait_served("after servers crashed under parts of prompts");
