--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -326,7 +326,11 @@
     }
     progress.count(end);
     log_failed_attempt(call, progress);
-    claim_retry(gateway, call, progress)
+    match end {
+        // The retry that was claimed for this attempt has reached no server and is left.
+        AttemptEnd::NotRun { arrived: false, .. } => check_retry(call, progress),
+        _ => claim_retry(gateway, call, progress),
+    }
 }
 
 fn log_failed_attempt(call: &SharedCall, progress: &CallProgress) {
