--- a/crates/gateway/tests/known_length.rs
+++ b/crates/gateway/tests/known_length.rs
@@ -7,8 +7,8 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
 
-use http::{HeaderMap, StatusCode};
-use onyxfall_adapter::stub::sign_response;
+use http::{HeaderMap, HeaderName, StatusCode};
+use onyxfall_adapter::stub::{received_call, sign_response};
 use onyxfall_fleet::ServerPhase;
 use support::{Site, call, wait_for};
 
@@ -38,9 +38,13 @@
             }
         }
         buffer.drain(..end + length);
+        let mut received = HeaderMap::new();
+        for (name, value) in head.lines().filter_map(|line| line.split_once(": ")) {
+            let name: HeaderName = name.parse().unwrap();
+            received.insert(name, value.parse().unwrap());
+        }
         let mut headers = HeaderMap::new();
-        let id = field("attempt-id:").unwrap_or_default();
-        sign_response(&mut headers, &id);
+        sign_response(&mut headers, &received_call(&received).request_id);
         let mut text = format!(
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: {}\r\n",
             BODY.len()
