Learned costs: a silence of all servers is not learned as slowness

Cause: a response after a silence was left out only if two VMs had voted the server unresponsive at the moment of its first byte. A VM alone, a vote that had turned good elsewhere, or attempts that had ended meanwhile let the silence in.

Change: the path monitor, which already sees that several servers owe a byte and none has sent one, keeps when such a silence ended. Times that hold the end are not learned. A silence counts only after a response that took its usual time, so that the times of a slow service are still learned.

--- a/crates/fleet/src/predict.rs
+++ b/crates/fleet/src/predict.rs
@@ -136,7 +136,14 @@
     /// Records the first byte of an attempt. Returns the ratio of its time to the usual
     /// one.
     pub fn record_response(&mut self, now: Moment, id: ServerId, attempt: u64) -> Option<f64> {
-        let first_byte = self.server_mut(id).record_first_byte(now, attempt)?;
+        let service = self.server(id).record.service.clone();
+        self.end_silence(now, &service);
+        let silence_end = self.silence_end(&service);
+        let server = self.server_mut(id);
+        let first_byte = server.record_first_byte(now, attempt, silence_end)?;
+        if first_byte.is_usual {
+            self.record_usual_response(&service);
+        }
         // Times of a cold server do not apply to a warm one.
         if !self.learns_costs() || self.server(id).is_cold(now) {
             return Some(first_byte.ratio);
@@ -147,7 +154,6 @@
         let factor = self.relative_slowness(id, first_byte.slowness);
         let took = took.div_f64(factor);
         let uncertainty = factor.max(1.0 / factor);
-        let service = self.server(id).record.service.clone();
         let costs = self.costs_mut(&service);
         match first_byte.load {
             ServerLoad::Engine(load) => costs.engine_mut().learn_first(&load, took, uncertainty),
@@ -167,7 +173,9 @@
         result: AttemptResult,
         events: Option<u32>,
     ) -> Option<f64> {
-        let since = self.server(id).since_first_byte(now, attempt);
+        let server = self.server(id);
+        let silence_end = self.silence_end(&server.record.service);
+        let since = server.since_first_byte(now, attempt, silence_end);
         self.server_mut(id).end(now, attempt, result);
         if result == AttemptResult::Shed {
             self.record_brittle_rejection(now, id);
--- a/crates/fleet/src/reach.rs
+++ b/crates/fleet/src/reach.rs
@@ -179,6 +179,41 @@
     failed_dials: BTreeSet<ServerId>,
     /// When a check last refuted a doubt.
     refuted: Option<Moment>,
+    silence: SilenceRecord,
+}
+
+/// Silences of the servers of a service, which interrupt responses that take their usual time.
+///
+/// Invariant: after a silence, the next one is recorded only once a response has taken its usual
+/// time. Otherwise the times of a service that has become slow would never be learned.
+#[derive(Clone, Copy, Debug, Default)]
+struct SilenceRecord {
+    /// Whether a response has taken its usual time since the last silence.
+    is_usual: bool,
+    /// When a silence that goes on was first observed.
+    open_since: Option<Moment>,
+    /// When the last silence ended.
+    ended_at: Option<Moment>,
+}
+
+impl SilenceRecord {
+    /// Applies whether the servers are silent together, and when one of them last sent a byte.
+    fn observe(&mut self, now: Moment, is_silent: bool, last_sign: Option<Moment>) {
+        match (self.open_since, last_sign) {
+            (Some(since), Some(sign)) if sign > since => self.end(sign),
+            (None, _) if is_silent && self.is_usual => {
+                self.open_since = Some(now);
+                self.is_usual = false;
+            }
+            _ => {}
+        }
+    }
+
+    fn end(&mut self, now: Moment) {
+        if self.open_since.take().is_some() {
+            self.ended_at = Some(now);
+        }
+    }
 }
 
 impl PathMonitor {
@@ -193,11 +228,14 @@
 
     /// Applies what the servers show.
     fn update(&mut self, now: Moment, evidence: PathEvidence) {
+        let has_sign = |at: Moment| evidence.last_sign.is_some_and(|sign| sign > at);
+        let required = required_failures(evidence.servers);
+        let is_silent = evidence.silent >= required.max(1) && !has_sign(now.before(SILENCE));
+        self.silence.observe(now, is_silent, evidence.last_sign);
         if evidence.servers == 0 {
             self.set(now, PathState::Open);
             return;
         }
-        let has_sign = |at: Moment| evidence.last_sign.is_some_and(|sign| sign > at);
         if !self.state.may_send() {
             if has_sign(self.since) {
                 self.set(now, self.state_of_dials(evidence.servers));
@@ -205,8 +243,6 @@
             return;
         }
         let was_refuted = self.refuted.is_some_and(|at| now - at < REFUTED_FOR);
-        let required = required_failures(evidence.servers);
-        let is_silent = evidence.silent >= required && !has_sign(now.before(SILENCE));
         let is_broken = evidence.broken >= required;
         if (is_silent || is_broken) && !was_refuted {
             self.set(now, PathState::Doubted);
@@ -348,6 +384,25 @@
         self.paths.update_closed();
     }
 
+    /// When a silence of all servers of a service last ended.
+    pub(crate) fn silence_end(&self, service: &ServiceName) -> Option<Moment> {
+        self.paths.monitors.get(service)?.silence.ended_at
+    }
+
+    /// Records that a server of a service has begun a response, which ends a silence.
+    pub(crate) fn end_silence(&mut self, now: Moment, service: &ServiceName) {
+        if let Some(monitor) = self.paths.monitors.get_mut(service) {
+            monitor.silence.end(now);
+        }
+    }
+
+    /// Records that a response of a service has taken its usual time.
+    pub(crate) fn record_usual_response(&mut self, service: &ServiceName) {
+        if let Some(monitor) = self.paths.monitors.get_mut(service) {
+            monitor.silence.is_usual = true;
+        }
+    }
+
     /// Records whether a new connection to a server could be established.
     pub fn record_dial(&mut self, id: ServerId, is_established: bool) {
         let service = self.server(id).record.service.clone();
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -112,6 +112,8 @@
     pub(crate) slowness: f64,
     /// Ratio of this response's time to the usual one.
     pub(crate) ratio: f64,
+    /// Whether the response came before its server would have counted as silent.
+    pub(crate) is_usual: bool,
 }
 
 /// Measurements from the first byte of a response to now.
@@ -457,10 +459,13 @@
         self.liveness.record_liveness(now);
     }
 
-    /// Whether a silence of the server has ended after `since`. Times that hold one tell nothing
-    /// of how fast it works.
-    fn has_returned_since(&self, since: Moment) -> bool {
-        self.returned_at.is_some_and(|at| at > since)
+    /// Whether a silence of the server has ended after `since`, or one of all servers of its
+    /// service, the last of which ended at `silence_end`. Times that hold one tell nothing of how
+    /// fast the server works.
+    fn has_returned_since(&self, since: Moment, silence_end: Option<Moment>) -> bool {
+        self.returned_at
+            .max(silence_end)
+            .is_some_and(|at| at > since)
     }
 
     /// Sets the total work of the other VMs at the server.
@@ -621,15 +626,21 @@
             .touch(now, &needs.prompt, self.work().memory);
     }
 
-    /// Records the first byte of attempt `id`.
-    pub(crate) fn record_first_byte(&mut self, now: Moment, id: u64) -> Option<FirstByte> {
+    /// Records the first byte of attempt `id`. `silence_end` is when a silence of all servers of
+    /// the service last ended.
+    pub(crate) fn record_first_byte(
+        &mut self,
+        now: Moment,
+        id: u64,
+        silence_end: Option<Moment>,
+    ) -> Option<FirstByte> {
         let open = self.open.get(&id)?;
         if open.first_byte.is_some() {
             return None;
         }
         let started = open.started;
         self.record_liveness(now);
-        let has_returned = self.has_returned_since(started);
+        let has_returned = self.has_returned_since(started, silence_end);
         let pace = self.pace(now);
         self.backoff.record_taken(id);
         let open = self.open.get_mut(&id)?;
@@ -641,6 +652,7 @@
         self.own = self.own.without(prefilled);
         open.work = open.work.without(prefilled);
         let (took, predicted, load) = (now - open.started, open.predicted, open.load);
+        let is_usual = !has_returned && took < predicted + SILENCE;
         let ratio = took.as_secs_f64() / predicted.as_secs_f64().max(1e-3) * open.pace.factor();
         let factor = open.pace.factor_until(pace, ratio);
         let factor = factor.filter(|_| !has_returned);
@@ -661,14 +673,20 @@
             took,
             slowness,
             ratio,
+            is_usual,
         })
     }
 
     /// Measurements since the first byte of attempt `id`.
-    pub(crate) fn since_first_byte(&self, now: Moment, id: u64) -> Option<SinceFirstByte> {
+    pub(crate) fn since_first_byte(
+        &self,
+        now: Moment,
+        id: u64,
+        silence_end: Option<Moment>,
+    ) -> Option<SinceFirstByte> {
         let open = self.open.get(&id)?;
         let (first_byte_at, first_pace) = open.first_byte?;
-        if self.has_returned_since(first_byte_at) {
+        if self.has_returned_since(first_byte_at, silence_end) {
             return None;
         }
         Some(SinceFirstByte {
