--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -14,9 +14,23 @@
 /// Body of a plain response of the stub.
 const PLAIN_RESPONSE: &str = "answer";
 
-/// A promise that was broken.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum BrokenPromise {
+/// Declares [`BrokenPromise`] with the names of its variants.
+macro_rules! broken_promises {
+    ($($(#[$doc:meta])* $name:ident($($field:ty),+),)+) => {
+        /// A promise that was broken.
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+        pub(crate) enum BrokenPromise {
+            $($(#[$doc])* $name($($field),+),)+
+        }
+
+        impl BrokenPromise {
+            /// Names of all variants.
+            pub(crate) const NAMES: &[&str] = &[$(stringify!($name)),+];
+        }
+    };
+}
+
+broken_promises! {
     /// A request that may run at most once ran more often.
     Doubled(String, usize),
     /// A caller received a status that guarantees that its request had not run, but it had.
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -115,7 +115,7 @@
 pub(crate) const VERSIONS: [&str; 2] = ["v1", "v2"];
 
 /// Whether servers of both versions serve side by side.
-const fn has_two_versions(seed: u64) -> bool {
+pub(crate) const fn has_two_versions(seed: u64) -> bool {
     !seed.is_multiple_of(3)
 }
 
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -13,6 +13,7 @@
 mod deployment;
 mod failover;
 mod fault_log;
+mod inventory;
 mod limits;
 mod partition;
 mod parts;
@@ -62,17 +63,28 @@
     command: Option<SoakCommand>,
 }
 
-/// What a process that the soak has started does in place of a soak.
+/// What the program does in place of a soak.
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum SoakCommand {
     Server(ServerArguments),
+    List(ListArguments),
 }
 
+/// Print the names of the faults that seeds draw and of the promises that are checked.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "list")]
+struct ListArguments {}
+
 fn main() -> ExitCode {
     let arguments: SoakArguments = argh::from_env();
-    if let Some(SoakCommand::Server(server)) = &arguments.command {
-        return match processes::serve(server) {
+    let done = match &arguments.command {
+        Some(SoakCommand::Server(server)) => Some(processes::serve(server)),
+        Some(SoakCommand::List(_)) => Some(inventory::print()),
+        None => None,
+    };
+    if let Some(done) = done {
+        return match done {
             Ok(()) => ExitCode::SUCCESS,
             Err(e) => {
                 eprintln!("{e}");
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -159,6 +159,28 @@
 }
 
 impl Fault {
+    /// Name of the fault and its mode, without the index of its VM or server.
+    pub(crate) fn switch(self) -> String {
+        match self {
+            Self::StoreLink(_, mode) => format!("StoreLink {mode:?}"),
+            Self::CallerLink(_, mode) => format!("CallerLink {mode:?}"),
+            Self::ServerLink(_, mode) => format!("ServerLink {mode:?}"),
+            Self::Paths(_, cut) => format!("Paths {cut:?}"),
+            Self::Store(mode) => format!("Store {mode:?}"),
+            Self::Server(_, fault) => format!("Server {fault:?}"),
+            Self::SignalDrain(_, next) => format!("SignalDrain {next:?}"),
+            Self::Backoff(_, backoff) => format!("Backoff {}", backoff.seconds),
+            Self::Limit(_, limit) => format!("Limit {limit}"),
+            Self::Transfer(_, StubTransfer { framing, break_end }) => {
+                format!("Transfer {framing:?} {break_end:?}")
+            }
+            other => {
+                let text = format!("{other:?}");
+                text.split('(').next().unwrap_or_default().to_owned()
+            }
+        }
+    }
+
     /// Whether the fault has no duration.
     pub(crate) fn is_momentary(self) -> bool {
         matches!(
@@ -235,6 +257,11 @@
     }
 }
 
+/// All paces that servers state.
+pub(crate) fn paces() -> impl Iterator<Item = &'static str> {
+    PACES.into_iter().chain(MALFORMED_PACES)
+}
+
 /// The pace that a server states at a time of the run of a seed.
 pub(crate) fn pace_at(seed: u64, server: usize, time: Duration) -> &'static str {
     let period = u64::try_from(time.as_millis() / PACE_MS).unwrap_or(u64::MAX);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -15,7 +15,7 @@
 use ureq::Agent;
 
 use self::inject::is_same_target;
-use self::phases::Phase;
+pub(crate) use self::phases::Phase;
 use crate::callers::{CallPaths, CallerGroup, new_agent};
 use crate::capacity::CapacityChecks;
 use crate::checks::{BrokenPromise, PromiseChecks};
