Relayed runs that may happen once outlive a cut of 3 s

Cause: connections between VMs had the user timeout of those to servers. A cut of more than 1.9 s between two regions ended every relayed stream, with time left in its budget. Change: the connection of a relayed run that may happen once has a user timeout of 5 s at the caller's VM, and all relay connections at the other end. It is set for each request by a second handle to the socket; idle connections and requests that may run twice keep 1.5 s. The pool drops connections that the other side has closed when it looks for expired ones, since the second handle would keep their sockets.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -23,7 +23,9 @@
 use crate::backup::RunBackup;
 use crate::body::body_framing;
 use crate::call::{CallContext, SharedCall};
-use crate::connection::{HttpConnection, LATE_DIAL_LIMIT, LOCAL_DIAL_LIMIT, SendError};
+use crate::connection::{
+    HttpConnection, LATE_DIAL_LIMIT, LOCAL_DIAL_LIMIT, SendError, USER_TIMEOUT, VM_USER_TIMEOUT,
+};
 use crate::gateway::Gateway;
 use crate::numbered::decode_stream;
 use crate::open::OpenAttempt;
@@ -430,6 +432,7 @@
         while let Some(mut pooled) = gateway.pool.claim(address, choice) {
             destination.check_accepting(gateway, call)?;
             is_written.set(true);
+            pooled.set_user_timeout(user_timeout(call));
             match pooled.send(build()).await {
                 Ok(response) => return Ok((pooled, response)),
                 // The other side had closed the connection; nothing was written.
@@ -440,7 +443,11 @@
         if !destination.may_dial(gateway) {
             return Err(ExchangeFailure::Unwritten);
         }
-        let opened = HttpConnection::open(address, gateway.dial_plan(destination.dial_limit)).await;
+        let plan = gateway.dial_plan(destination.dial_limit);
+        let opened = match destination.server {
+            Some(_) => HttpConnection::open(address, plan).await,
+            None => HttpConnection::open_to_vm(address, plan).await,
+        };
         if let Some(server) = destination.server {
             gateway.record_dial(server, opened.is_ok());
         }
@@ -450,6 +457,7 @@
         })?;
         destination.check_accepting(gateway, call)?;
         is_written.set(true);
+        connection.set_user_timeout(user_timeout(call));
         match connection.send(build()).await {
             Ok(response) => Ok((connection, response)),
             Err(SendError::Unsent) => Err(ExchangeFailure::Unreachable),
@@ -459,6 +467,16 @@
     exchanged.await.unwrap_or(Err(ExchangeFailure::TimedOut))
 }
 
+/// User timeout of a connection to another VM. A request that may run twice is sent elsewhere as
+/// soon as its connection ends; any other is lost with it.
+fn user_timeout(call: &CallContext) -> Duration {
+    if call.rules.repeatable {
+        USER_TIMEOUT
+    } else {
+        VM_USER_TIMEOUT
+    }
+}
+
 fn connection_lost(address: SocketAddr, error: &hyper::Error) -> ExchangeFailure {
     log::info!(address:% = address, error:% = error; "connection lost");
     ExchangeFailure::Broken
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -10,7 +10,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
+use socket2::{SockRef, Socket, TcpKeepalive};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 
@@ -19,7 +19,10 @@
 /// retransmitted up to 1.4 s after it was sent, so that a peer may be silent for a second. Linux
 /// also ends a connection whose peer has kept its receive window closed for 1.8 s, and one whose
 /// only probe was lost, 2 s after the last byte: see `docs/design/suspicion.md`.
-const USER_TIMEOUT: Duration = Duration::from_millis(1500);
+pub(crate) const USER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// The same between VMs for runs that are lost with their connection, so that they outlive a network
+/// cut of 3 s. The roster takes another VM for gone much earlier, and new requests go elsewhere.
+pub(crate) const VM_USER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Idle time before the first keep-alive probe; the shortest that the kernel supports.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 /// Number of unacknowledged probes that breaks a connection where the kernel does not apply the
@@ -53,6 +56,8 @@
 pub(crate) struct HttpConnection {
     sender: SendRequest<Full<Bytes>>,
     _task: AbortGuard,
+    /// Second handle to the socket of a connection to another VM.
+    socket: Option<Socket>,
 }
 
 /// Why a request got no response head.
@@ -65,7 +70,7 @@
 }
 
 /// Sets the socket options that detect an unresponsive peer.
-pub(crate) fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
+pub(crate) fn set_socket_options(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
@@ -73,7 +78,7 @@
         .with_interval(KEEPALIVE_IDLE)
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(user_timeout))
 }
 
 /// How to dial a connection.
@@ -90,7 +95,7 @@
     let connecting = connect(address, plan.source);
     let dialled = tokio::time::timeout(plan.limit, connecting).await;
     let stream = dialled.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    set_socket_options(&stream)?;
+    set_socket_options(&stream, USER_TIMEOUT)?;
     Ok(stream)
 }
 
@@ -110,6 +115,21 @@
     /// Opens a connection.
     pub(crate) async fn open(address: SocketAddr, plan: DialPlan) -> io::Result<Self> {
         let stream = dial(address, plan).await?;
+        Self::start(address, stream, None).await
+    }
+
+    /// Opens a connection to another VM, whose user timeout can be set for each request.
+    pub(crate) async fn open_to_vm(address: SocketAddr, plan: DialPlan) -> io::Result<Self> {
+        let stream = dial(address, plan).await?;
+        let socket = SockRef::from(&stream).try_clone()?;
+        Self::start(address, stream, Some(socket)).await
+    }
+
+    async fn start(
+        address: SocketAddr,
+        stream: TcpStream,
+        socket: Option<Socket>,
+    ) -> io::Result<Self> {
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
@@ -121,9 +141,18 @@
         Ok(Self {
             sender,
             _task: AbortGuard(task),
+            socket,
         })
     }
 
+    /// Sets the user timeout of a connection to another VM; that of other connections stays.
+    pub(crate) fn set_user_timeout(&self, user_timeout: Duration) {
+        let set = |socket: &Socket| socket.set_tcp_user_timeout(Some(user_timeout));
+        if let Some(Err(e)) = self.socket.as_ref().map(set) {
+            log::debug!("cannot set the user timeout: {e}");
+        }
+    }
+
     /// Whether the next request can be sent at once.
     pub(crate) fn is_ready(&self) -> bool {
         self.sender.is_ready()
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -22,7 +22,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::Framed;
 
-use crate::connection::{LATE_DIAL_LIMIT, dial};
+use crate::connection::{LATE_DIAL_LIMIT, USER_TIMEOUT, dial};
 use crate::copies::OutgoingCopy;
 use crate::frames::{vm_entry, vm_record};
 use crate::gateway::Gateway;
@@ -159,7 +159,7 @@
 /// Accepts links that other VMs dial.
 pub(crate) async fn serve_links(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
-        let (stream, from) = accept(&listener).await;
+        let (stream, from) = accept(&listener, USER_TIMEOUT).await;
         let gateway = Rc::clone(&gateway);
         tokio::task::spawn_local(async move {
             if let Err(e) = LinkEnd::new(&gateway, stream).run_accepted().await {
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -27,7 +27,7 @@
 use crate::body::{BodyError, HoldRule, ReplyBody, collect_body};
 use crate::call::{CallContext, CallOrigin, CallRules, ResponseRule, limit_to_version};
 use crate::caller_stream::{CallerStream, StalledWrite};
-use crate::connection::set_socket_options;
+use crate::connection::{USER_TIMEOUT, VM_USER_TIMEOUT, set_socket_options};
 use crate::directory::{handle_directory, handle_verdict};
 use crate::gateway::Gateway;
 use crate::held::HeldFull;
@@ -101,11 +101,14 @@
 }
 
 /// Accepts the next connection, and waits while the system has no descriptor left.
-pub(crate) async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
+pub(crate) async fn accept(
+    listener: &TcpListener,
+    user_timeout: Duration,
+) -> (TcpStream, SocketAddr) {
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
-                if let Err(e) = set_socket_options(&stream) {
+                if let Err(e) = set_socket_options(&stream, user_timeout) {
                     log::warn!(error:% = e; "cannot set the socket options");
                 }
                 return (stream, from);
@@ -119,8 +122,12 @@
 }
 
 async fn accept_http(gateway: Rc<Gateway>, listener: TcpListener, kind: PortKind) {
+    let user_timeout = match kind {
+        PortKind::Callers | PortKind::Status | PortKind::Directory => USER_TIMEOUT,
+        PortKind::Relay => VM_USER_TIMEOUT,
+    };
     loop {
-        let (stream, _) = accept(&listener).await;
+        let (stream, _) = accept(&listener, user_timeout).await;
         let gateway = Rc::clone(&gateway);
         match kind {
             PortKind::Callers => serve_connection(gateway, stream, handle_caller),
--- a/crates/gateway/src/origin_messages.rs
+++ b/crates/gateway/src/origin_messages.rs
@@ -212,7 +212,7 @@
                 answered => return answered.ok(),
             }
         }
-        let opened = HttpConnection::open(address, gateway.dial_plan(ANSWER_LIMIT)).await;
+        let opened = HttpConnection::open_to_vm(address, gateway.dial_plan(ANSWER_LIMIT)).await;
         exchange(gateway, address, opened.ok()?, path, message)
             .await
             .ok()
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::connection::HttpConnection;
+use crate::connection::{HttpConnection, USER_TIMEOUT};
 use onyxfall_clock::BootInstant;
 
 /// How long an idle connection is kept if the other side names no limit. It is long because
@@ -83,6 +83,7 @@
         connection: HttpConnection,
         limit: Option<Duration>,
     ) {
+        connection.set_user_timeout(USER_TIMEOUT);
         let lifetime = limit.map_or(DEFAULT_IDLE, |limit| limit.mul_f64(IDLE_SHARE));
         let now = BootInstant::now();
         let entry = IdleConnection {
@@ -102,11 +103,11 @@
         self.idle.borrow_mut().clear();
     }
 
-    /// Closes expired connections.
+    /// Closes expired connections, and drops those that the other side has closed.
     pub(crate) fn close_expired(&self) {
         let now = BootInstant::now();
         self.idle.borrow_mut().retain(|_, connections| {
-            connections.retain(|entry| now < entry.expires);
+            connections.retain(|entry| !entry.connection.is_closed() && now < entry.expires);
             !connections.is_empty()
         });
     }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -68,6 +68,8 @@
     regions: usize,
     /// Whether each VM has a source address of its own, so that links can tell VMs apart.
     has_sources: bool,
+    /// A VM that forwards requests to another port than the VMs listen on, and that port.
+    relay_port: Option<(usize, u16)>,
     dir: PathBuf,
 }
 
@@ -104,6 +106,7 @@
             ips,
             regions,
             has_sources: false,
+            relay_port: None,
             dir,
         }
     }
@@ -114,6 +117,17 @@
         self
     }
 
+    /// Lets a VM forward requests to `port` of the other VMs, where a link may listen; before its
+    /// gateway is started. The VM itself listens on that port, too.
+    pub fn set_relay_port(&mut self, vm: usize, port: u16) {
+        self.relay_port = Some((vm, port));
+    }
+
+    /// Address of a VM itself.
+    pub fn vm_ip(&self, vm: usize) -> IpAddr {
+        IpAddr::V4(self.ips[vm])
+    }
+
     /// Source address of a VM's connections.
     pub fn source(&self, vm: usize) -> Ipv4Addr {
         let [net, second, third, fourth] = self.ips[vm].octets();
@@ -300,6 +314,10 @@
         for n in 0..self.ips.len() {
             let _ = writeln!(centers, "[center c{n}]\nregion = r{}", n % self.regions);
         }
+        let relay = match self.relay_port {
+            Some((at, port)) if at == vm => port,
+            _ => ports.relay,
+        };
         let mut source = String::new();
         if self.has_sources {
             source = format!("source-address = {}\n", self.source(vm));
@@ -314,8 +332,8 @@
             ports.ready,
             ports.directory,
             ports.peers,
-            ports.relay,
-            ports.relay,
+            relay,
+            relay,
             seeds.join(","),
         )
     }
