Attempts at servers that have ended do not count against the limit

Cause: `check_retry` ended a request after `max_attempts` runs, whatever became of the servers. A second run beside a silent server is an attempt, also when it is cancelled, so a stream whose silent server then died was broken off beside a sound server. A run that another VM had lost with a dead server counted as well.

Change: `onyxfall_streams::AttemptLog` holds the servers of the attempts and which of them have ended; it replaces the numbers in `CallProgress`. Servers are dialled only when no attempt would be left. A VM adds to its verdict whether its server has ended, and names the server of a forwarded stream; older builds ignore both headers and send neither. MAX_ARRIVALS stays at 3.

Test: ended_servers, two streams each.

Not cured: streams lost with two servers within two seconds are held by the crash evidence (verdict `pending`) until their patience is over.

--- a/crates/fleet/src/liveness.rs
+++ b/crates/fleet/src/liveness.rs
@@ -15,6 +15,8 @@
 
 use onyxfall_policy::Moment;
 
+use crate::ended::EndCheck;
+
 /// How long a liveness signal counts as a good vote. A busy server gives one VM of a
 /// hundred a signal every second or two, and all of them together one every few
 /// milliseconds.
@@ -80,6 +82,8 @@
     broken_at: Option<Moment>,
     /// When a connection could last not be established, unless there was a signal since.
     failed_dial: Option<Moment>,
+    /// Last check of whether the server has ended, unless there was a signal since.
+    end_check: Option<EndCheck>,
 }
 
 impl LivenessRecord {
@@ -92,6 +96,17 @@
     pub(crate) fn record_liveness(&mut self, now: Moment) {
         self.last_signal = Some(now);
         self.failed_dial = None;
+        self.end_check = None;
+    }
+
+    /// Records a check of whether the server has ended.
+    pub(crate) fn record_end_check(&mut self, check: EndCheck) {
+        self.end_check = Some(check);
+    }
+
+    /// The last check of whether the server has ended since the last liveness signal.
+    pub(crate) fn end_check(&self) -> Option<EndCheck> {
+        self.end_check
     }
 
     /// Records that no connection could be established.
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -10,6 +10,7 @@
 use crate::cached_prefixes::CachedPrefixes;
 use crate::call::{CallRequirements, PromptSize};
 use crate::cold::ColdShare;
+use crate::ended::EndCheck;
 use crate::flow::FlowMeter;
 use crate::learn::EngineLoad;
 use crate::limit::ServerLimit;
@@ -400,8 +401,22 @@
     /// Whether the server may be the reason why requests fail: it is silent, cannot be connected
     /// to, or has lost a connection and sent nothing since.
     pub(crate) fn is_failing(&self, now: Moment) -> bool {
-        let is_broken = self.liveness.is_broken_since(Moment::ZERO);
-        self.liveness.is_undialled() || is_broken || self.is_silent(now)
+        self.liveness.is_undialled() || self.is_broken() || self.is_silent(now)
+    }
+
+    /// Whether a connection to the server was lost, and nothing was received from it afterwards.
+    pub(crate) fn is_broken(&self) -> bool {
+        self.liveness.is_broken_since(Moment::ZERO)
+    }
+
+    /// Records a check of whether the server has ended.
+    pub(crate) fn record_end_check(&mut self, check: EndCheck) {
+        self.liveness.record_end_check(check);
+    }
+
+    /// The last check of whether the server has ended, if nothing was received since.
+    pub(crate) fn end_check(&self) -> Option<EndCheck> {
+        self.liveness.end_check()
     }
 
     /// Whether a connection to the server was lost after `since`, and nothing was received from
--- /dev/null
+++ b/crates/fleet/tests/ended.rs
@@ -0,0 +1,128 @@
+//! What proves that a server instance has ended.
+
+use onyxfall_fleet::{EndCheck, EndEvidence, EntryState};
+
+struct EndCase {
+    name: &'static str,
+    evidence: EndEvidence,
+    is_proof: bool,
+}
+
+const NONE: EndEvidence = EndEvidence {
+    is_replaced: false,
+    entry: EntryState::Ready,
+    is_broken: false,
+    check: None,
+};
+
+const CASES: [EndCase; 12] = [
+    EndCase {
+        name: "silence alone",
+        evidence: NONE,
+        is_proof: false,
+    },
+    EndCase {
+        name: "the store names another instance",
+        evidence: EndEvidence {
+            is_replaced: true,
+            ..NONE
+        },
+        is_proof: true,
+    },
+    EndCase {
+        name: "a connection was lost, as by a reset of the path",
+        evidence: EndEvidence {
+            is_broken: true,
+            ..NONE
+        },
+        is_proof: false,
+    },
+    EndCase {
+        name: "a connection was lost, and the port is open",
+        evidence: EndEvidence {
+            is_broken: true,
+            check: Some(EndCheck::Accepted),
+            ..NONE
+        },
+        is_proof: false,
+    },
+    EndCase {
+        name: "a connection was lost, and the port is closed",
+        evidence: EndEvidence {
+            is_broken: true,
+            check: Some(EndCheck::Refused),
+            ..NONE
+        },
+        is_proof: true,
+    },
+    EndCase {
+        name: "the port of a ready server is closed, and no connection was open",
+        evidence: EndEvidence {
+            check: Some(EndCheck::Refused),
+            ..NONE
+        },
+        is_proof: true,
+    },
+    EndCase {
+        name: "a draining server has closed its port and may complete its streams",
+        evidence: EndEvidence {
+            entry: EntryState::Draining,
+            check: Some(EndCheck::Refused),
+            ..NONE
+        },
+        is_proof: false,
+    },
+    EndCase {
+        name: "the entry is gone, as of a server that serves on without one",
+        evidence: EndEvidence {
+            entry: EntryState::Gone,
+            ..NONE
+        },
+        is_proof: false,
+    },
+    EndCase {
+        name: "the entry of a stopped process is gone, and its port is open",
+        evidence: EndEvidence {
+            entry: EntryState::Gone,
+            is_broken: true,
+            check: Some(EndCheck::Accepted),
+            ..NONE
+        },
+        is_proof: false,
+    },
+    EndCase {
+        name: "a machine without power: nothing answers and the entry is gone",
+        evidence: EndEvidence {
+            entry: EntryState::Gone,
+            is_broken: true,
+            check: Some(EndCheck::Unanswered),
+            ..NONE
+        },
+        is_proof: true,
+    },
+    EndCase {
+        name: "a cut path: nothing answers and the store has the entry",
+        evidence: EndEvidence {
+            is_broken: true,
+            check: Some(EndCheck::Unanswered),
+            ..NONE
+        },
+        is_proof: false,
+    },
+    EndCase {
+        name: "a kernel has not timed out yet",
+        evidence: EndEvidence {
+            entry: EntryState::Gone,
+            check: Some(EndCheck::Unanswered),
+            ..NONE
+        },
+        is_proof: false,
+    },
+];
+
+#[test]
+fn silence_and_lost_connections_alone_prove_no_end() {
+    for case in &CASES {
+        assert_eq!(case.evidence.is_proof(), case.is_proof, "{}", case.name);
+    }
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -28,7 +28,7 @@
 use crate::numbered::decode_stream;
 use crate::open::OpenAttempt;
 use crate::pool::ConnectionChoice;
-use crate::relay::{PeerTarget, parse_verdict, set_relay_headers, take_version};
+use crate::relay::{PeerTarget, parse_verdict, set_relay_headers, take_server, take_version};
 use crate::suspension::within_deadline;
 use crate::suspicion::{wait_until_ended, wait_until_suspected};
 
@@ -63,6 +63,8 @@
     pub(crate) connection: HttpConnection,
     /// Remote address of the connection.
     pub(crate) address: SocketAddr,
+    /// Server that sends it; `None` if another VM does not name its server.
+    pub(crate) server: Option<ServerId>,
     /// Accounting of the attempt; `None` if another VM accounts for it.
     pub(crate) attempt: Option<OpenAttempt>,
     /// Number of events received so far.
@@ -103,6 +105,11 @@
         /// Reason, for the log.
         cause: &'static str,
     },
+    /// The same at a server that has ended, by the verdict of another VM.
+    LostWithServer {
+        /// Reason, for the log.
+        cause: &'static str,
+    },
 }
 
 /// Sends a request to a server of this region. `on_drop` is the result of the attempt if it is
@@ -268,6 +275,11 @@
                 arrived: peer.arrived,
                 cause: "the other region rejected the request",
             },
+            RunVerdict::MayHaveRun | RunVerdict::Ran if peer.is_ended => {
+                AttemptEnd::LostWithServer {
+                    cause: "the other region lost the request with its server",
+                }
+            }
             RunVerdict::MayHaveRun | RunVerdict::Ran => AttemptEnd::Lost {
                 cause: "the other region lost the request",
             },
@@ -277,6 +289,8 @@
         ResponseKind::Signed => {
             let mut upstream = upstream_response(connection, response, target.address, None);
             upstream.version = take_version(&mut upstream.headers);
+            let server = take_server(&mut upstream.headers);
+            upstream.server = server.and_then(|tag| gateway.find_instance(tag));
             decode_stream(gateway, call, &mut upstream);
             let version = upstream.version.as_ref();
             if upstream.status.is_success() && !call.needs.allows_version(version) {
@@ -486,6 +500,7 @@
         body: ReceivedBody::new(body),
         connection,
         address,
+        server: attempt.as_ref().map(OpenAttempt::server),
         attempt,
         events: 0,
         backup: None,
--- a/crates/gateway/src/backup.rs
+++ b/crates/gateway/src/backup.rs
@@ -123,7 +123,9 @@
             return Some(response);
         }
         AttemptEnd::Response(_) => "the server returned an error",
-        AttemptEnd::NotRun { cause, .. } | AttemptEnd::Lost { cause } => cause,
+        AttemptEnd::NotRun { cause, .. }
+        | AttemptEnd::Lost { cause }
+        | AttemptEnd::LostWithServer { cause } => cause,
     };
     gateway.metrics.count("onyxfall_runs_not_continued_total");
     log::info!(
--- a/crates/gateway/src/decide.rs
+++ b/crates/gateway/src/decide.rs
@@ -211,7 +211,7 @@
             return None;
         }
         // A server here rejected the request; the others of the region are as full.
-        let is_rejected = progress.arrivals > progress.runs;
+        let is_rejected = progress.log.arrivals() > progress.log.runs();
         let overflow = if is_rejected {
             1.0
         } else {
@@ -247,7 +247,7 @@
 
     /// Counts a request for the arrival rates of its service at its first attempt.
     pub(crate) fn record_rate(&self, call: &CallContext, progress: &CallProgress) {
-        if progress.arrivals + progress.unreached > 0 {
+        if progress.log.attempts() > 0 {
             return;
         }
         let kind = match &call.origin {
@@ -382,7 +382,7 @@
         call: &CallContext,
         progress: &CallProgress,
     ) -> Option<RemoteOption> {
-        let is_first = progress.arrivals + progress.unreached == 0;
+        let is_first = progress.log.attempts() == 0;
         let is_planned = call.class.is_some() && self.is_on(DecisionSwitch::PlannedRegions);
         if !is_planned || !is_first || !self.may_forward(call) {
             return None;
--- a/crates/gateway/src/race.rs
+++ b/crates/gateway/src/race.rs
@@ -63,7 +63,7 @@
     progress: &mut CallProgress,
     extra: &HeaderMap,
 ) -> Option<OpenRun> {
-    if !may_reach_another(call, progress) || !gateway.has_retry(&call.needs.service) {
+    if !may_reach_another(gateway, call, progress) || !gateway.has_retry(&call.needs.service) {
         return None;
     }
     let silent = progress.last_target.clone();
@@ -129,7 +129,7 @@
             end = &mut first.end => {
                 let event = match &end {
                     AttemptEnd::Response(_) => RunEvent::Progressed(RunSide::First),
-                    AttemptEnd::NotRun { .. } | AttemptEnd::Lost { .. } => RunEvent::Ended(RunSide::First),
+                    _ => RunEvent::Ended(RunSide::First),
                 };
                 return match (race.apply(event), second) {
                     (RunStep::Wait, Some((run, after))) => {
@@ -137,9 +137,9 @@
                         progress.take_target(after);
                         run.end.await
                     }
-                    (RunStep::Keep(kept), Some(_)) => {
+                    (RunStep::Keep(kept), Some((_, after))) => {
                         // The cancelled run may have reached its server.
-                        progress.count_run();
+                        progress.log.record_run(after.server);
                         log_race(gateway, call, kept);
                         end
                     }
@@ -155,9 +155,7 @@
                     log_race(gateway, call, kept);
                     return end;
                 }
-                progress.servers = after.servers;
-                progress.vms = after.vms;
-                progress.count(&end);
+                progress.count_other(after, &end);
                 if let AttemptEnd::Response(response) = end {
                     response.finish(gateway, AttemptResult::Failed);
                 }
@@ -186,7 +184,9 @@
                 RunEvent::Progressed(RunSide::Second)
             }
             Self::NotRun { .. } => RunEvent::Refused,
-            Self::Response(_) | Self::Lost { .. } => RunEvent::Ended(RunSide::Second),
+            Self::Response(_) | Self::Lost { .. } | Self::LostWithServer { .. } => {
+                RunEvent::Ended(RunSide::Second)
+            }
         }
     }
 }
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -206,7 +206,8 @@
             let fleet = self.fleet.borrow();
             let service = &call.needs.service;
             // The evidence against a request that has lost a run waits for the check.
-            let is_held = progress.runs > 0 && fleet.path_state(service) == PathState::Doubted;
+            let is_held =
+                progress.log.runs() > 0 && fleet.path_state(service) == PathState::Doubted;
             is_held || fleet.is_path_settling(self.now(), service)
         };
         if is_settling {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,6 +15,7 @@
 use onyxfall_adapter::{forward_headers, read_call};
 use onyxfall_clock::BootInstant;
 use onyxfall_fleet::{CallRequirements, HomeRegions, RouteTable, TimePrediction};
+use onyxfall_suspects::InstanceTag;
 use onyxfall_types::{
     RefusalReason, RegionName, RequestError, RunVerdict, SoftwareVersion, TeamName, VmName,
 };
@@ -42,8 +43,12 @@
 const NEEDED_VERSION: &str = "onyxfall-needed-version";
 /// Software version of the server that sends a response.
 const SERVED_VERSION: &str = "onyxfall-served-version";
+/// Tag of the instance of the server that sends a response.
+const SERVED_INSTANCE: &str = "onyxfall-served-instance";
 const VERDICT: &str = "onyxfall-verdict";
 const ARRIVED: &str = "onyxfall-arrived";
+/// Whether the server that lost a request has ended.
+const ENDED: &str = "onyxfall-ended";
 const RELAY_HEADERS: [&str; 10] = [
     VM,
     SERVICE,
@@ -107,6 +112,8 @@
     pub(crate) verdict: RunVerdict,
     /// Whether the request reached a server.
     pub(crate) arrived: bool,
+    /// Whether all servers that may have run it have ended.
+    pub(crate) is_ended: bool,
 }
 
 /// Adds the headers for a forwarded request.
@@ -138,8 +145,12 @@
 /// Parses the verdict of another VM. `None` if the response comes from a server.
 pub(crate) fn parse_verdict(headers: &HeaderMap) -> Option<PeerVerdict> {
     let verdict = headers.get(VERDICT)?.to_str().ok()?.parse().ok()?;
-    let arrived = headers.get(ARRIVED).is_some_and(|value| value == "1");
-    Some(PeerVerdict { verdict, arrived })
+    let has = |name| headers.get(name).is_some_and(|value| value == "1");
+    Some(PeerVerdict {
+        verdict,
+        arrived: has(ARRIVED),
+        is_ended: has(ENDED),
+    })
 }
 
 /// Sets the version of the server that sends a response, for the VM that forwarded the request.
@@ -156,6 +167,20 @@
     headers.remove(SERVED_VERSION)?.to_str().ok()?.parse().ok()
 }
 
+/// Names the server that sends a response, for the VM that forwarded the request.
+pub(crate) fn set_server(headers: &mut HeaderMap, server: Option<InstanceTag>) {
+    headers.remove(SERVED_INSTANCE);
+    if let Some(server) = server {
+        set(headers, SERVED_INSTANCE, &server.to_string());
+    }
+}
+
+/// Removes the name of the server from the response of another VM and returns it. A VM of an
+/// older build names none.
+pub(crate) fn take_server(headers: &mut HeaderMap) -> Option<InstanceTag> {
+    headers.remove(SERVED_INSTANCE)?.to_str().ok()?.parse().ok()
+}
+
 /// Serves a request that another VM forwarded.
 pub(crate) async fn handle_relayed(
     gateway: Rc<Gateway>,
@@ -276,10 +301,11 @@
 fn reject_relayed(failure: &CallFailure) -> Response<ReplyBody> {
     let mut response = Response::new(ReplyBody::whole(""));
     *response.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
-    let arrived = if failure.arrivals > 0 { "1" } else { "0" };
+    let flag = |is_set| if is_set { "1" } else { "0" };
     let headers = response.headers_mut();
     set(headers, VERDICT, failure.error.verdict.as_str());
-    set(headers, ARRIVED, arrived);
+    set(headers, ARRIVED, flag(failure.arrivals > 0));
+    set(headers, ENDED, flag(failure.is_ended));
     response
 }
 
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -38,7 +38,7 @@
         if self.rollouts.borrow().is_empty() || call.needs.version.is_some() {
             return None;
         }
-        let is_first = progress.arrivals + progress.unreached == 0 && progress.events == 0;
+        let is_first = progress.log.attempts() == 0 && progress.events == 0;
         if !is_first || call.origin != CallOrigin::Caller {
             return None;
         }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -13,6 +13,7 @@
 use onyxfall_adapter::response_headers;
 use onyxfall_events::StreamEnd;
 use onyxfall_fleet::{AttemptResult, TimePrediction};
+use onyxfall_streams::AttemptLog;
 use onyxfall_types::{RefusalReason, RequestError, RunVerdict, ServerId, SoftwareVersion, VmName};
 
 use crate::attempt::{AttemptEnd, UpstreamResponse, try_peer, try_server};
@@ -21,14 +22,11 @@
 use crate::decide::RouteStep;
 use crate::gateway::Gateway;
 use crate::race::{OpenRun, race_attempt, resume_headers};
-use crate::relay::{PeerReason, set_version};
+use crate::relay::{PeerReason, set_server, set_version};
 use crate::stream::StreamRelay;
 use crate::suspension::within_deadline;
+use crate::suspicion::{find_ended, note_ended};
 
-/// Most times that one request may reach a server, including rejections.
-const MAX_ARRIVALS: u32 = 3;
-/// Attempts without a connection after which a request is rejected.
-const MAX_UNREACHED: u32 = 6;
 /// Responses up to this size are buffered whole before their head is sent to the caller,
 /// so that a response cut off by a lost connection can be replaced by a retry.
 const MAX_BUFFERED_BODY: usize = 256 * 1024;
@@ -47,12 +45,10 @@
     pub(crate) servers: Vec<ServerId>,
     /// VMs that are not tried again.
     pub(crate) vms: Vec<VmName>,
-    /// Number of attempts that reached a server.
-    pub(crate) arrivals: u32,
-    /// Number of attempts that may have run.
-    pub(crate) runs: u32,
-    /// Number of attempts without a connection.
-    pub(crate) unreached: u32,
+    /// Attempts so far, without the one under way.
+    pub(crate) log: AttemptLog,
+    /// Server of the last attempt; `None` if it went to another VM.
+    pub(crate) server: Option<ServerId>,
     /// Number of times that another server resumed the stream.
     pub(crate) resumes: u32,
     /// Number of events forwarded to the caller.
@@ -78,25 +74,31 @@
 }
 
 impl CallProgress {
-    /// Counts an attempt that may have run.
+    /// Counts the last attempt, which may have run.
     pub(crate) fn count_run(&mut self) {
-        self.arrivals += 1;
-        self.runs += 1;
+        self.log.record_run(self.server);
     }
 
-    /// Counts an attempt without a response that is used.
+    /// Counts the last attempt, which has brought this end.
     pub(crate) fn count(&mut self, end: &AttemptEnd) {
         match end {
-            AttemptEnd::Response(_) => self.count_run(),
+            AttemptEnd::Response(response) => self.log.record_run(response.server),
             AttemptEnd::NotRun { arrived, cause } => {
                 self.last_cause = cause;
-                self.arrivals += u32::from(*arrived);
-                self.unreached += u32::from(!*arrived);
+                if *arrived {
+                    self.log.record_rejection();
+                } else {
+                    self.log.record_unreached();
+                }
             }
             AttemptEnd::Lost { cause } => {
                 self.last_cause = cause;
                 self.count_run();
             }
+            AttemptEnd::LostWithServer { cause } => {
+                self.last_cause = cause;
+                self.log.record_ended_run();
+            }
         }
     }
 
@@ -109,9 +111,17 @@
 
     /// Takes over what was tried last from `other`, but not its counts.
     pub(crate) fn take_target(&mut self, other: Self) {
-        let counts = (self.arrivals, self.runs, self.unreached);
-        *self = other;
-        (self.arrivals, self.runs, self.unreached) = counts;
+        let log = std::mem::take(&mut self.log);
+        *self = Self { log, ..other };
+    }
+
+    /// Counts the attempt of `other` with its end, and leaves out what it has tried.
+    pub(crate) fn count_other(&mut self, other: Self, end: &AttemptEnd) {
+        let server = std::mem::replace(&mut self.server, other.server);
+        self.count(end);
+        self.server = server;
+        self.servers = other.servers;
+        self.vms = other.vms;
     }
 }
 
@@ -129,12 +139,18 @@
     pub(crate) error: RequestError,
     /// Number of attempts that reached a server.
     pub(crate) arrivals: u32,
+    /// Whether all servers that may have run it have ended.
+    pub(crate) is_ended: bool,
 }
 
 impl From<RequestError> for CallFailure {
     /// Converts the error of a request that was rejected before any attempt.
     fn from(error: RequestError) -> Self {
-        Self { error, arrivals: 0 }
+        Self {
+            error,
+            arrivals: 0,
+            is_ended: false,
+        }
     }
 }
 
@@ -151,12 +167,12 @@
             Err(error) => return finish_unserved(gateway, call, &progress, fallback, error),
         };
         let AttemptEnd::Response(response) = end else {
-            if let Err(error) = record_failure(gateway, call, &mut progress, &end) {
+            if let Err(error) = record_failure(gateway, call, &mut progress, &end).await {
                 return finish_unserved(gateway, call, &progress, fallback, error);
             }
             continue;
         };
-        progress.count_run();
+        progress.log.record_run(response.server);
         progress.first_byte = call.age();
         if call.rules.response.is_stream() && response.status.is_success() {
             return Ok(stream_reply(gateway, call, progress, response));
@@ -173,7 +189,7 @@
             }
             None => progress.last_cause = "the connection was lost during the response",
         }
-        if let Err(error) = claim_retry(gateway, call, &progress) {
+        if let Err(error) = claim_retry(gateway, call, &mut progress).await {
             return finish_unserved(gateway, call, &progress, fallback, error);
         }
     }
@@ -198,7 +214,7 @@
 ) -> Option<ResumedStream> {
     let extra = resume_headers(last_event.as_deref());
     let wait_end = call.age() + RESUME_PATIENCE;
-    claim_retry(gateway, call, &progress).ok()?;
+    claim_retry(gateway, call, &mut progress).await.ok()?;
     loop {
         let end = match next_attempt(gateway, call, &mut progress, &extra).await {
             Ok(end) => end,
@@ -221,15 +237,17 @@
                     target = progress.last_target.as_str();
                     "stream resumed"
                 );
-                progress.count_run();
+                progress.log.record_run(response.server);
                 return Some(ResumedStream { response, progress });
             }
             AttemptEnd::Response(response) => {
-                progress.count_run();
+                progress.log.record_run(response.server);
                 response.finish(gateway, AttemptResult::Failed);
-                claim_retry(gateway, call, &progress).ok()?;
+                claim_retry(gateway, call, &mut progress).await.ok()?;
             }
-            other => record_failure(gateway, call, &mut progress, &other).ok()?,
+            other => record_failure(gateway, call, &mut progress, &other)
+                .await
+                .ok()?,
         }
     }
 }
@@ -277,6 +295,7 @@
     match step {
         RouteStep::Server(target) => {
             progress.servers.push(target.id);
+            progress.server = Some(target.id);
             progress.predicted = target.predicted;
             progress.reason = target.reason.as_str();
             progress.last_target.clone_from(&target.name);
@@ -290,6 +309,7 @@
         }
         RouteStep::Peer(target) => {
             progress.vms.push(target.vm.clone());
+            progress.server = None;
             progress.predicted = target.predicted;
             progress.reason = target.reason.as_str();
             progress.last_target = target.vm.to_string();
@@ -315,7 +335,7 @@
 }
 
 /// Records a failed attempt. Returns an error if the request may not be retried.
-fn record_failure(
+async fn record_failure(
     gateway: &Gateway,
     call: &SharedCall,
     progress: &mut CallProgress,
@@ -329,7 +349,7 @@
     match end {
         // The retry that was claimed for this attempt has reached no server and is left.
         AttemptEnd::NotRun { arrived: false, .. } => check_retry(call, progress),
-        _ => claim_retry(gateway, call, progress),
+        _ => claim_retry(gateway, call, progress).await,
     }
 }
 
@@ -337,21 +357,22 @@
     log::info!(
         request = call.request_id.as_str(),
         target = progress.last_target.as_str(),
-        arrivals = progress.arrivals,
-        runs = progress.runs,
+        arrivals = progress.log.arrivals(),
+        runs = progress.log.runs(),
         cause = progress.last_cause;
         "attempt failed"
     );
 }
 
 /// Checks whether the request may be retried, and claims a retry from the budget.
-fn claim_retry(
+async fn claim_retry(
     gateway: &Gateway,
     call: &SharedCall,
-    progress: &CallProgress,
+    progress: &mut CallProgress,
 ) -> Result<(), RequestError> {
+    find_ended(gateway, call, &mut progress.log).await;
     check_retry(call, progress)?;
-    if progress.arrivals > 0 && !gateway.take_retry(&call.needs.service) {
+    if progress.log.arrivals() > 0 && !gateway.take_retry(&call.needs.service) {
         let detail = "the retry budget is used up";
         return Err(unretried(progress, RefusalReason::Backend, detail));
     }
@@ -359,7 +380,12 @@
 }
 
 /// Whether the attempts that a request has left allow another one.
-pub(crate) fn may_reach_another(call: &SharedCall, progress: &CallProgress) -> bool {
+pub(crate) fn may_reach_another(
+    gateway: &Rc<Gateway>,
+    call: &SharedCall,
+    progress: &mut CallProgress,
+) -> bool {
+    note_ended(gateway, call, &mut progress.log);
     check_retry(call, progress).is_ok()
 }
 
@@ -385,18 +411,14 @@
     if verdict == RunVerdict::MayHaveRun && !call.rules.repeatable {
         return reject(RefusalReason::Backend, progress.last_cause);
     }
-    let has_no_attempts_left = progress.runs >= call.rules.max_attempts;
-    if has_no_attempts_left
-        || progress.arrivals >= MAX_ARRIVALS
-        || progress.unreached >= MAX_UNREACHED
-    {
+    if !progress.log.has_attempt(call.rules.max_attempts) {
         return reject(RefusalReason::Backend, progress.last_cause);
     }
     Ok(())
 }
 
 fn verdict_of(progress: &CallProgress) -> RunVerdict {
-    if progress.runs > 0 {
+    if progress.log.runs() > 0 {
         RunVerdict::MayHaveRun
     } else {
         RunVerdict::NotRun
@@ -418,7 +440,8 @@
     gateway.log_refusal(call, progress, &error);
     Err(CallFailure {
         error,
-        arrivals: progress.arrivals,
+        arrivals: progress.log.arrivals(),
+        is_ended: progress.log.is_ended(),
     })
 }
 
@@ -472,11 +495,11 @@
     response: Box<UpstreamResponse>,
 ) -> Response<ReplyBody> {
     let (status, mut headers) = (response.status, response_headers(&response.headers));
-    let version = response.version.as_ref();
-    set_version(
-        &mut headers,
-        version.filter(|_| call.origin != CallOrigin::Caller),
-    );
+    let is_relayed = call.origin != CallOrigin::Caller;
+    let version = response.version.as_ref().filter(|_| is_relayed);
+    set_version(&mut headers, version);
+    let server = response.server.filter(|_| is_relayed);
+    set_server(&mut headers, server.map(|id| gateway.instance_of(id)));
     let relay = StreamRelay::new(gateway, call, progress, response);
     let mut response = Response::new(ReplyBody::Stream(Box::new(relay)));
     *response.status_mut() = status;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -313,7 +313,7 @@
             resumes: progress.resumes + 1,
             ..progress
         };
-        self.progress.count_run();
+        self.progress.log.record_run(start.response.server);
         self.framer = Some(start.framer);
         self.held.resize(0);
         self.open(start.response);
@@ -323,9 +323,7 @@
 
     /// Counts a second run that has ended, or that was cancelled.
     fn drop_second(&mut self, progress: CallProgress, end: &AttemptEnd) {
-        self.progress.servers = progress.servers;
-        self.progress.vms = progress.vms;
-        self.progress.count(end);
+        self.progress.count_other(progress, end);
         self.race.apply(end.second_event());
         self.watch_again();
     }
@@ -347,7 +345,7 @@
             self.progress.servers = progress.servers;
             self.progress.vms = progress.vms;
             // The cancelled run may have reached its server.
-            self.progress.count_run();
+            self.progress.log.record_run(progress.server);
         }
         self.watch_again();
     }
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -157,7 +157,8 @@
         state.table.expire(now);
     }
 
-    fn instance_of(&self, server: ServerId) -> InstanceTag {
+    /// The tag of a server's instance, the same on every VM.
+    pub(crate) fn instance_of(&self, server: ServerId) -> InstanceTag {
         let fleet = self.fleet.borrow();
         InstanceTag::from_number(fleet.server(server).instance_hash())
     }
--- a/crates/gateway/src/suspicion.rs
+++ b/crates/gateway/src/suspicion.rs
@@ -2,14 +2,29 @@
 //! wrong, and its certain end.
 
 use std::collections::BTreeSet;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
+use onyxfall_fleet::EndCheck;
 use onyxfall_policy::Moment;
+use onyxfall_streams::AttemptLog;
+use onyxfall_suspects::InstanceTag;
 use onyxfall_types::ServerId;
 
+use crate::call::{CallContext, CallOrigin};
+use crate::connection::{LOCAL_DIAL_LIMIT, dial};
 use crate::gateway::Gateway;
 
+/// Pauses before the checks of whether servers have ended. A process that is ending may close
+/// its port after its connections.
+const END_CHECK_PAUSES: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(20),
+    Duration::from_millis(60),
+];
+
 /// Waits until a server is suspected to have ended.
 pub(crate) async fn wait_until_suspected(gateway: Rc<Gateway>, server: ServerId) {
     loop {
@@ -46,7 +61,65 @@
     }
 }
 
+/// Records in `log` which servers have ended, if the request has no attempt left otherwise.
+/// Dials those of which this VM has no proof.
+pub(crate) async fn find_ended(gateway: &Gateway, call: &CallContext, log: &mut AttemptLog) {
+    for pause in END_CHECK_PAUSES {
+        let unproved = gateway.take_proofs(call, log);
+        if unproved.is_empty() {
+            return;
+        }
+        tokio::time::sleep(pause).await;
+        join_all(unproved.into_iter().map(|id| gateway.check_end(id))).await;
+    }
+    gateway.take_proofs(call, log);
+}
+
+/// Like [`find_ended`], but the checks are started only and found by a later call.
+pub(crate) fn note_ended(gateway: &Rc<Gateway>, call: &CallContext, log: &mut AttemptLog) {
+    for server in gateway.take_proofs(call, log) {
+        let gateway = Rc::clone(gateway);
+        tokio::task::spawn_local(async move { gateway.check_end(server).await });
+    }
+}
+
 impl Gateway {
+    /// Records in `log` which servers are known to have ended, if the request has no attempt left
+    /// otherwise. Returns those that may have ended, too, if it would have one left then.
+    fn take_proofs(&self, call: &CallContext, log: &mut AttemptLog) -> Vec<ServerId> {
+        let may_run_again = call.rules.repeatable || call.origin != CallOrigin::Caller;
+        if !may_run_again || log.has_attempt(call.rules.max_attempts) || !log.has_arrival() {
+            return Vec::new();
+        }
+        let (now, fleet) = (self.now(), self.fleet.borrow());
+        let mut unproved = Vec::new();
+        for server in log.unproved() {
+            if fleet.is_proved_ended(server) {
+                log.record_end(server);
+            } else if fleet.may_have_ended(now, server) {
+                unproved.push(server);
+            }
+        }
+        unproved
+    }
+
+    /// Dials a server to learn whether it has ended.
+    async fn check_end(&self, server: ServerId) {
+        let address = self.fleet.borrow().server(server).record.address;
+        let check = match dial(address, self.dial_plan(LOCAL_DIAL_LIMIT)).await {
+            Ok(_) => EndCheck::Accepted,
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => EndCheck::Refused,
+            Err(_) => EndCheck::Unanswered,
+        };
+        self.metrics.count("onyxfall_end_checks_total");
+        self.fleet.borrow_mut().record_end_check(server, check);
+    }
+
+    /// Finds a live server by the tag of its instance.
+    pub(crate) fn find_instance(&self, tag: InstanceTag) -> Option<ServerId> {
+        self.fleet.borrow().find_instance(tag.number())
+    }
+
     /// Whether a server is suspected to have ended.
     pub(crate) fn is_suspected(&self, server: ServerId) -> bool {
         let now = self.now();
--- a/crates/streams/src/lib.rs
+++ b/crates/streams/src/lib.rs
@@ -1,6 +1,6 @@
 //! How streams go on when a server or a VM fails: which software version began a stream, so that a
 //! caller can resume it at any VM, and which of two runs of a request its answer comes from
-//! ([`RunRace`]).
+//! ([`RunRace`]), and which attempts of a request count against its limit ([`AttemptLog`]).
 //!
 //! Servers of several versions may serve one service side by side, and what two versions write
 //! does not fit together. While a service has several versions, the VM that forwards the first
@@ -14,6 +14,7 @@
 //! was asked has seen another one within the life of a stream. State is bounded, and no VM
 //! records more than its share of the streams.
 
+mod attempts;
 mod history;
 mod judge;
 mod memory;
@@ -21,6 +22,7 @@
 mod race;
 mod tag;
 
+pub use attempts::{AttemptLog, MAX_ARRIVALS, MAX_UNREACHED};
 pub use history::{HISTORY, HistoryEntry, VersionClaim, VersionHistory};
 pub use judge::{KnowledgeSource, OwnerAnswer, ResumptionVerdict, judge_resumption};
 pub use memory::{MAX_STREAMS, StreamMemory, StreamOrigin};
