A connection timed out by the kernel is no evidence of a crash

Cause: a server whose host acknowledged nothing for 2 s (a frozen machine, a cut) lost its connections by the kernel's timers; each loss tripped its circuit breaker and counted as a crash of a server that went on. Change: io::ErrorKind::TimedOut, before the head or in the body, ends the attempt as AttemptResult::TimedOut, treated as an overtaken run: a bad vote until the next byte, and evidence only once the server has ended. Measured: timed_out_server (a host that acknowledges nothing for 2.6 s) counted lost runs and withdrew the trust before, and neither now; gateway partition, silent_paths, silence, second_runs, crashing, crashing_fleet and unresponsive pass.

--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -59,6 +59,9 @@
     Broken,
     /// Another run of the request answered first while the server was silent.
     Overtaken,
+    /// The kernel ended the connection after the attempt was sent: the server's host has
+    /// acknowledged nothing for a while, or the server has not read a large request.
+    TimedOut,
     /// The server reported that it was full.
     Shed,
     /// The caller disconnected or the deadline passed; no information about the server.
@@ -703,7 +706,7 @@
                 self.circuit.fail(now);
                 self.circuit.trip(now);
             }
-            AttemptResult::Overtaken => {
+            AttemptResult::Overtaken | AttemptResult::TimedOut => {
                 self.liveness.record_silence(now);
                 self.circuit.record_unknown();
             }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::combinators::MapErr;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use onyxfall_adapter::{
@@ -25,6 +26,7 @@
 use crate::call::{CallContext, SharedCall};
 use crate::connection::{
     HttpConnection, LATE_DIAL_LIMIT, LOCAL_DIAL_LIMIT, SendError, USER_TIMEOUT, VM_USER_TIMEOUT,
+    is_kernel_timeout,
 };
 use crate::gateway::Gateway;
 use crate::numbered::decode_stream;
@@ -54,11 +56,16 @@
     pub(crate) reason: ChoiceReason,
 }
 
+/// A body whose errors are looked at on their way.
+type WatchedBody = MapErr<Incoming, Box<dyn FnMut(hyper::Error) -> hyper::Error>>;
+
 /// Head of a response whose body is still being received.
 pub(crate) struct UpstreamResponse {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: ReceivedBody<Incoming>,
+    pub(crate) body: ReceivedBody<WatchedBody>,
+    /// Whether the kernel has timed out the connection.
+    is_timed_out: Rc<Cell<bool>>,
     /// How the body is delimited.
     pub(crate) framing: BodyFraming,
     /// Connection that the response arrives on.
@@ -78,6 +85,10 @@
 impl UpstreamResponse {
     /// Records the result, and returns the connection to the pool if the response is whole.
     pub(crate) fn finish(mut self, gateway: &Gateway, result: AttemptResult) {
+        let result = match result {
+            AttemptResult::Broken if self.is_timed_out.get() => AttemptResult::TimedOut,
+            result => result,
+        };
         if let Some(attempt) = &mut self.attempt {
             attempt.finish_stream(result, Some(self.events));
         }
@@ -319,6 +330,8 @@
 enum ExchangeFailure {
     Unreachable,
     Broken,
+    /// The kernel has timed out the connection.
+    Unacknowledged,
     TimedOut,
     /// Another instance has replaced the server.
     Replaced,
@@ -342,6 +355,7 @@
         match self {
             Self::Unreachable => AttemptResult::Unreachable,
             Self::Broken | Self::Replaced => AttemptResult::Broken,
+            Self::Unacknowledged => AttemptResult::TimedOut,
             Self::TimedOut => AttemptResult::Failed,
             Self::Declined | Self::Unwritten => AttemptResult::Unknown,
         }
@@ -356,6 +370,9 @@
             Self::Broken => AttemptEnd::Lost {
                 cause: "the connection was lost",
             },
+            Self::Unacknowledged => AttemptEnd::Lost {
+                cause: "the other side acknowledged nothing",
+            },
             Self::TimedOut => AttemptEnd::Lost {
                 cause: "no response before the deadline",
             },
@@ -479,7 +496,11 @@
 
 fn connection_lost(address: SocketAddr, error: &hyper::Error) -> ExchangeFailure {
     log::info!(address:% = address, error:% = error; "connection lost");
-    ExchangeFailure::Broken
+    if is_kernel_timeout(error) {
+        ExchangeFailure::Unacknowledged
+    } else {
+        ExchangeFailure::Broken
+    }
 }
 
 fn build_request(call: &CallContext, headers: HeaderMap) -> Request<Full<Bytes>> {
@@ -497,11 +518,18 @@
     attempt: Option<OpenAttempt>,
 ) -> UpstreamResponse {
     let (head, body) = response.into_parts();
+    let is_timed_out = Rc::new(Cell::new(false));
+    let seen = Rc::clone(&is_timed_out);
+    let look: Box<dyn FnMut(hyper::Error) -> hyper::Error> = Box::new(move |error| {
+        seen.set(is_kernel_timeout(&error));
+        error
+    });
     UpstreamResponse {
+        is_timed_out,
         status: head.status,
         framing: body_framing(head.status, &head.headers),
         headers: head.headers,
-        body: ReceivedBody::new(body),
+        body: ReceivedBody::new(body.map_err(look)),
         connection,
         address,
         attempt,
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,5 +1,6 @@
 //! Outgoing HTTP/1.1 connections and how they are dialled.
 
+use std::error::Error as _;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
@@ -69,6 +70,12 @@
     Broken(hyper::Error),
 }
 
+/// Whether the kernel has timed out a connection, which proves nothing of what its peer does.
+pub(crate) fn is_kernel_timeout(error: &hyper::Error) -> bool {
+    let cause = error.source().and_then(|cause| cause.downcast_ref());
+    cause.is_some_and(|cause: &io::Error| cause.kind() == io::ErrorKind::TimedOut)
+}
+
 /// Sets the socket options that detect an unresponsive peer.
 pub(crate) fn set_socket_options(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
--- a/crates/gateway/src/open.rs
+++ b/crates/gateway/src/open.rs
@@ -123,7 +123,7 @@
         let now = self.gateway.now();
         self.suspect = None;
         match result {
-            AttemptResult::Broken | AttemptResult::Overtaken => {
+            AttemptResult::Broken | AttemptResult::Overtaken | AttemptResult::TimedOut => {
                 self.log_lost_run(now, result, events);
             }
             AttemptResult::Succeeded if self.is_from_start => {
@@ -148,7 +148,10 @@
             );
         }
         drop(fleet);
-        if matches!(result, AttemptResult::Broken | AttemptResult::Overtaken) {
+        if matches!(
+            result,
+            AttemptResult::Broken | AttemptResult::Overtaken | AttemptResult::TimedOut
+        ) {
             self.record_lost_run(now, result, events);
         }
         let ratio = self.ratio.get();
@@ -160,7 +163,7 @@
 
 impl OpenAttempt {
     /// Counts a run whose connection was lost as evidence of a crash, unless the path to its
-    /// server was lost.
+    /// server was lost, or its server is only suspected and goes on.
     fn record_lost_run(&self, now: Moment, result: AttemptResult, events: Option<u32>) {
         self.gateway.refresh_paths(now);
         let evidence = {
@@ -174,7 +177,7 @@
             at: now,
             call: Rc::clone(&self.call),
             server: self.server,
-            is_overtaken: result == AttemptResult::Overtaken,
+            is_suspicion: result != AttemptResult::Broken,
             had_begun: events.is_some(),
             written: self
                 .written_since
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -45,8 +45,9 @@
     pub(crate) at: Moment,
     pub(crate) call: SharedCall,
     pub(crate) server: ServerId,
-    /// Whether it was given up while its server was only suspected.
-    pub(crate) is_overtaken: bool,
+    /// Whether its server is only suspected: another run has overtaken it, or the kernel has timed
+    /// out its connection.
+    pub(crate) is_suspicion: bool,
     /// Whether the response had begun.
     pub(crate) had_begun: bool,
     /// Time since the first event of the answer; zero if there was none.
@@ -130,7 +131,7 @@
         for run in runs {
             let evidence = {
                 let fleet = self.fleet.borrow();
-                if run.is_overtaken {
+                if run.is_suspicion {
                     fleet.silence_evidence(self.now(), run.server, run.at)
                 } else {
                     fleet.loss_evidence(&run.call.needs.service, LossMoment::AfterCheck)
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -119,6 +119,7 @@
             AttemptResult::Unreachable
             | AttemptResult::Broken
             | AttemptResult::Overtaken
+            | AttemptResult::TimedOut
             | AttemptResult::Shed
             | AttemptResult::Unknown => return,
         };
