A second run beside a relayed stream whose VM is silent

Cause: a stream that another VM relays had no second run. A stopped VM, whose kernel acknowledges, held it until the deadline; a cut of 2.6 s ended its connection and left no server to resume at. Change: watch_server suspects the VM of a relayed stream when nothing of the stream has arrived for 0.4 s and the roster takes the VM for gone, or for twice the allowed pause and 2 s at least. The race is that of silent servers.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -10,13 +10,14 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::combinators::MapErr;
+use http_body_util::combinators::{MapErr, MapFrame};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
 use onyxfall_adapter::{
     ResponseKind, classify_response, keep_alive_timeout, parse_signals, set_copy_to,
     set_expected_server, set_team, set_time_left, set_urgency,
 };
+use onyxfall_clock::BootInstant;
 use onyxfall_events::{BodyFraming, ReceivedBody};
 use onyxfall_fleet::{AttemptResult, ChoiceReason, DecisionSwitch, PathState, TimePrediction};
 use onyxfall_types::{RunVerdict, ServerId, SoftwareVersion};
@@ -56,8 +57,11 @@
     pub(crate) reason: ChoiceReason,
 }
 
-/// A body whose errors are looked at on their way.
-type WatchedBody = MapErr<Incoming, Box<dyn FnMut(hyper::Error) -> hyper::Error>>;
+/// A body whose frames and errors are looked at on their way.
+type WatchedBody = MapErr<
+    MapFrame<Incoming, Box<dyn FnMut(Frame<Bytes>) -> Frame<Bytes>>>,
+    Box<dyn FnMut(hyper::Error) -> hyper::Error>,
+>;
 
 /// Head of a response whose body is still being received.
 pub(crate) struct UpstreamResponse {
@@ -66,6 +70,8 @@
     pub(crate) body: ReceivedBody<WatchedBody>,
     /// Whether the kernel has timed out the connection.
     is_timed_out: Rc<Cell<bool>>,
+    /// When this VM last received a part of the response.
+    pub(crate) received: Rc<Cell<BootInstant>>,
     /// How the body is delimited.
     pub(crate) framing: BodyFraming,
     /// Connection that the response arrives on.
@@ -291,6 +297,10 @@
             let mut upstream = upstream_response(connection, response, target.address, None);
             upstream.version = take_version(&mut upstream.headers);
             decode_stream(gateway, call, &mut upstream);
+            if call.rules.response.is_stream() {
+                // From here on, a second run can start while the connection stands.
+                upstream.connection.set_user_timeout(VM_USER_TIMEOUT);
+            }
             let version = upstream.version.as_ref();
             if upstream.status.is_success() && !call.needs.allows_version(version) {
                 // A VM of an older build does not know that the request needs a version.
@@ -524,12 +534,20 @@
         seen.set(is_kernel_timeout(&error));
         error
     });
+    let received = Rc::new(Cell::new(BootInstant::now()));
+    let arrival = Rc::clone(&received);
+    let arrive: Box<dyn FnMut(Frame<Bytes>) -> Frame<Bytes>> = Box::new(move |frame| {
+        arrival.set(BootInstant::now());
+        frame
+    });
+    let body = body.map_frame(arrive).map_err(look);
     UpstreamResponse {
         is_timed_out,
+        received,
         status: head.status,
         framing: body_framing(head.status, &head.headers),
         headers: head.headers,
-        body: ReceivedBody::new(body.map_err(look)),
+        body: ReceivedBody::new(body),
         connection,
         address,
         attempt,
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -12,6 +12,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
@@ -34,11 +35,14 @@
 };
 use crate::serve::{CallProgress, ResumedStream, resume};
 use crate::suspension::wait_for_deadline;
-use crate::suspicion::wait_until_ended;
+use crate::suspicion::{wait_until_ended, wait_until_vm_suspected};
 
 /// Number of longest pauses between events after which a server that sends this VM nothing is
 /// suspected. One such pause may come from a long prompt that the server reads.
 const STALLED_GAPS: u32 = 2;
+/// Shortest silence of a relayed stream that starts a second run by itself: the path to the other
+/// VM may be cut while both reach the rest of the fleet.
+const RELAY_PAUSE: Duration = Duration::from_secs(2);
 /// Media type of a stream of events.
 const EVENT_STREAM: &str = "text/event-stream";
 
@@ -506,8 +510,8 @@
     media_type.is_none_or(|media_type| media_type.trim_start().starts_with(EVENT_STREAM))
 }
 
-/// Completes when the server of `response` is suspected, after a pause if a second run `was_asked`
-/// for. `None` if the response comes from another VM or no second run may be started.
+/// Completes when the server of `response`, or the VM that relays it, is suspected, after a pause if
+/// a second run `was_asked` for. `None` if no second run may be started.
 fn watch_server(
     gateway: &Rc<Gateway>,
     call: &SharedCall,
@@ -515,10 +519,25 @@
     race: RunRace,
     was_asked: bool,
 ) -> Option<LocalBoxFuture<'static, ()>> {
-    let server = response.attempt.as_ref()?.server();
+    if !race.may_start() {
+        return None;
+    }
+    let gateway = Rc::clone(gateway);
     let pause = call.rules.gap_goal.map(|goal| goal * STALLED_GAPS);
-    let wait = || wait_for_suspicion(Rc::clone(gateway), server, pause, was_asked);
-    race.may_start().then(|| Box::pin(wait()) as _)
+    Some(match &response.attempt {
+        Some(attempt) => Box::pin(wait_for_suspicion(
+            gateway,
+            attempt.server(),
+            pause,
+            was_asked,
+        )),
+        None => Box::pin(wait_until_vm_suspected(
+            gateway,
+            response.address.ip(),
+            Rc::clone(&response.received),
+            pause.unwrap_or_default().max(RELAY_PAUSE),
+        )),
+    })
 }
 
 /// Completes when the server of `response` has ended for certain. `None` if the response comes
--- a/crates/gateway/src/suspicion.rs
+++ b/crates/gateway/src/suspicion.rs
@@ -1,15 +1,23 @@
 //! Waiting for what may have become of a server: a suspicion that it has ended, which may be
 //! wrong, and its certain end.
 
+use std::cell::Cell;
 use std::collections::BTreeSet;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use onyxfall_clock::BootInstant;
 use onyxfall_policy::Moment;
 use onyxfall_types::ServerId;
 
 use crate::gateway::Gateway;
 
+/// Interval at which the VM of a relayed stream is checked.
+const VM_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Silence of a stream from which the roster is asked for its VM.
+const MIN_VM_SILENCE: Duration = Duration::from_millis(400);
+
 /// Waits until a server is suspected to have ended.
 pub(crate) async fn wait_until_suspected(gateway: Rc<Gateway>, server: ServerId) {
     loop {
@@ -35,6 +43,24 @@
     }
 }
 
+/// Waits until the VM that relays a stream is suspected: this VM has received nothing for `pause`,
+/// or for [`MIN_VM_SILENCE`] while the roster takes the other VM for gone. A stream that arrives
+/// shows its VM to be alive, whatever the roster knows.
+pub(crate) async fn wait_until_vm_suspected(
+    gateway: Rc<Gateway>,
+    address: IpAddr,
+    received: Rc<Cell<BootInstant>>,
+    pause: Duration,
+) {
+    loop {
+        tokio::time::sleep(VM_CHECK_INTERVAL).await;
+        let silent_for = received.get().elapsed();
+        if silent_for >= pause || (silent_for >= MIN_VM_SILENCE && gateway.is_vm_gone(address)) {
+            return;
+        }
+    }
+}
+
 /// Waits until a server has ended for certain: whatever ran on it is lost.
 pub(crate) async fn wait_until_ended(gateway: Rc<Gateway>, server: ServerId) {
     loop {
@@ -47,6 +73,13 @@
 }
 
 impl Gateway {
+    /// Whether the roster knows no live VM at an address.
+    fn is_vm_gone(&self, address: IpAddr) -> bool {
+        let overlay = self.overlay.borrow();
+        let mut others = overlay.roster().others();
+        !others.any(|vm| vm.is_alive() && vm.record.peer_address.ip() == address)
+    }
+
     /// Whether a server is suspected to have ended.
     pub(crate) fn is_suspected(&self, server: ServerId) -> bool {
         let now = self.now();
--- a/crates/gateway/tests/cut_between_vms.rs
+++ b/crates/gateway/tests/cut_between_vms.rs
@@ -131,6 +131,13 @@
     assert_eq!(site.check("/stream/"), Vec::<String>::new());
 }
 
+/// No second run can start elsewhere, since the only servers are behind the cut.
+#[test]
+fn a_stream_that_may_be_resumed_outlives_a_cut_between_two_vms() {
+    let site = CutSite::start();
+    assert_eq!(site.check("/stream/resume/"), Vec::<String>::new());
+}
+
 /// A packet filter of one instruction: how many bytes of each packet are accepted.
 const fn accept(bytes: u32) -> [SockFilter; 1] {
     const RETURN: u16 = 0x06;
