Roll-outs: a silence of all servers does not give up a good version

Cause: a request whose caller's time was over counted as a failure of its server's version at once. Once a region has shifted its traffic, no server of the old version responds that could show that the silence is shared.

Change: while all servers of the service are silent, such requests wait. A silence of all servers is known by this VM's own attempts or by the votes of all VMs. A version that alone stops responding is counted at once, as before.

--- a/crates/fleet/src/reach.rs
+++ b/crates/fleet/src/reach.rs
@@ -162,6 +162,18 @@
     pub(crate) broken: usize,
     /// When a server last sent a byte.
     pub(crate) last_sign: Option<Moment>,
+    /// Number of them that are unresponsive by the votes of all VMs, and of the others that a VM
+    /// has lately received something from.
+    pub(crate) unresponsive: usize,
+    pub(crate) responsive: usize,
+}
+
+impl PathEvidence {
+    /// Whether all servers with work are silent, to this VM or by the votes of all VMs.
+    fn is_joint_silence(&self, is_silent: bool) -> bool {
+        let is_voted = self.unresponsive >= required_failures(self.servers).max(1);
+        is_silent || (is_voted && self.responsive == 0)
+    }
 }
 
 /// Tracks the paths to the servers of one service.
@@ -231,7 +243,8 @@
         let has_sign = |at: Moment| evidence.last_sign.is_some_and(|sign| sign > at);
         let required = required_failures(evidence.servers);
         let is_silent = evidence.silent >= required.max(1) && !has_sign(now.before(SILENCE));
-        self.silence.observe(now, is_silent, evidence.last_sign);
+        let is_joint = evidence.is_joint_silence(is_silent);
+        self.silence.observe(now, is_joint, evidence.last_sign);
         if evidence.servers == 0 {
             self.set(now, PathState::Open);
             return;
@@ -373,6 +386,9 @@
                 evidence.silent += usize::from(server.is_silent(now));
                 evidence.broken += usize::from(server.is_broken_since(now.before(SILENCE)));
                 evidence.last_sign = evidence.last_sign.max(server.last_liveness());
+                let votes = server.votes(now);
+                evidence.unresponsive += usize::from(votes.is_unresponsive());
+                evidence.responsive += usize::from(votes.good > 0 && !votes.is_unresponsive());
             }
         }
         for (service, monitor) in &mut self.paths.monitors {
@@ -384,8 +400,15 @@
         self.paths.update_closed();
     }
 
+    /// Whether all servers of a service that owe this VM a byte have been silent together since
+    /// the last response.
+    pub fn is_service_silent(&self, service: &ServiceName) -> bool {
+        let monitor = self.paths.monitors.get(service);
+        monitor.is_some_and(|monitor| monitor.silence.open_since.is_some())
+    }
+
     /// When a silence of all servers of a service last ended.
-    pub(crate) fn silence_end(&self, service: &ServiceName) -> Option<Moment> {
+    pub fn silence_end(&self, service: &ServiceName) -> Option<Moment> {
         self.paths.monitors.get(service)?.silence.ended_at
     }
 
--- a/crates/fleet/tests/silence.rs
+++ b/crates/fleet/tests/silence.rs
@@ -65,6 +65,10 @@
     /// Requests that were refused in the first second after the silence, and in the next.
     refused_at_first: u32,
     refused: u32,
+    /// Requests given up in the silence that no VM takes for one of all servers, so that they
+    /// count against the version of their server.
+    counted: u32,
+    given_up: u32,
     /// Requests that a server rejected because too many were sent on its return.
     rejected: u32,
 }
@@ -185,6 +189,10 @@
             for request in waiting.filter(|request| request.deadline <= now) {
                 request.is_given_up = true;
                 let view = &mut self.views[request.vm];
+                let is_known = view.is_service_silent(&needs().service);
+                let is_silent = self.case.is_silent && (SILENT_FROM..SILENT_TO).contains(&now);
+                self.left.given_up += u32::from(is_silent);
+                self.left.counted += u32::from(is_silent && !is_known);
                 let result = AttemptResult::Failed;
                 view.end_attempt(at(now), *id, request.attempt, result, None);
             }
@@ -361,6 +369,12 @@
     assert!(found.is_empty(), "{found:#?}");
 }
 
+#[test]
+fn requests_given_up_in_a_silence_of_all_servers_are_known_as_such() {
+    let found = left_of(|left| left.counted > 0);
+    assert!(found.is_empty(), "{found:#?}");
+}
+
 #[test]
 fn no_request_is_refused_a_second_after_a_silence_of_all_servers() {
     let found = left_of(|left| left.refused > 0);
--- a/crates/gateway/src/rollouts.rs
+++ b/crates/gateway/src/rollouts.rs
@@ -131,8 +131,13 @@
         };
         let state = fleet.server(server);
         let mut rollouts = self.rollouts.borrow_mut();
-        let service = &state.record.service;
-        rollouts.note(service, &call.route, side, state.instance_hash(), outcome);
+        let (service, instance) = (&state.record.service, state.instance_hash());
+        // Any response would have ended the silence: the caller's time was over.
+        if result == AttemptResult::Failed && fleet.is_service_silent(service) {
+            rollouts.note_unanswered(self.now(), service, &call.route, side, instance);
+        } else {
+            rollouts.note(service, &call.route, side, instance, outcome);
+        }
     }
 
     /// Evidence of this VM, encoded as work for other VMs.
@@ -199,6 +204,11 @@
         if self.rollouts.borrow().is_empty() {
             return;
         }
+        let fleet = self.fleet.borrow();
+        let silence_end = |service: &ServiceName| fleet.silence_end(service);
+        let mut rollouts = self.rollouts.borrow_mut();
+        rollouts.settle_unanswered(now, silence_end);
+        drop((rollouts, fleet));
         self.log_verdicts(now);
         let rules: BTreeMap<_, _> = {
             let rollouts = self.rollouts.borrow();
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -22,6 +22,7 @@
 mod service;
 mod table;
 mod timeline;
+mod unanswered;
 
 pub use canary::CanaryShare;
 pub use evidence::{
--- a/crates/rollout/src/service.rs
+++ b/crates/rollout/src/service.rs
@@ -8,12 +8,13 @@
 use rand::Rng;
 
 use crate::canary::{CANARY_SHARE, CanaryShare};
-use crate::evidence::{RolloutEvidence, VersionSide};
+use crate::evidence::{ResponseOutcome, RolloutEvidence, VersionSide};
 use crate::history::EvidenceHistory;
 use crate::judge::{BadMetric, RolloutJudgement};
 use crate::order::RolloutOrder;
 use crate::record::{RolloutReason, RolloutRecord, RolloutState};
 use crate::timeline::RolloutTimeline;
+use crate::unanswered::UnansweredRequests;
 
 /// Minimum time between two judgements of the evidence.
 const JUDGE_INTERVAL: Duration = Duration::from_millis(200);
@@ -136,6 +137,8 @@
     marks: BTreeMap<RegionName, ShiftMark>,
     longest_answer: Duration,
     pub(crate) evidence: RolloutEvidence,
+    /// Requests that count as failures if the silence of all servers lasts.
+    pub(crate) unanswered: UnansweredRequests,
     history: EvidenceHistory,
     judged: Option<Moment>,
     pub(crate) judgement: RolloutJudgement,
@@ -153,6 +156,7 @@
             marks: BTreeMap::new(),
             longest_answer: Duration::ZERO,
             evidence: RolloutEvidence::new(""),
+            unanswered: UnansweredRequests::default(),
             history: EvidenceHistory::default(),
             judged: None,
             judgement: RolloutJudgement::default(),
@@ -172,6 +176,7 @@
         let (ordered, number) = (&order.order, order.number());
         let scope = format!("{}/{}/{number}", ordered.service, ordered.target);
         self.evidence = RolloutEvidence::new(&scope);
+        self.unanswered = UnansweredRequests::default();
         self.history = EvidenceHistory::default();
         self.judgement = RolloutJudgement::default();
         self.verdict = None;
@@ -427,6 +432,17 @@
         self.canary.claim();
     }
 
+    /// Counts the requests of a silence that has lasted as failures. `silence_end` is when a
+    /// silence of all servers last ended.
+    pub(crate) fn settle_unanswered(&mut self, now: Moment, silence_end: Option<Moment>) {
+        for request in self.unanswered.settle(now, silence_end) {
+            let (side, instance) = (request.side, request.instance);
+            let outcome = ResponseOutcome::Failed;
+            self.evidence
+                .record(&request.route, side, instance, outcome);
+        }
+    }
+
     /// Judges the evidence; returns the verdict if it is new.
     pub(crate) fn judge(&mut self, now: Moment) -> Option<BadMetric> {
         let is_running = self
@@ -489,7 +505,8 @@
         let mut serving = servers.iter().filter(|(_, n)| n.old + n.new > 0).peekable();
         let is_shifted =
             serving.peek().is_some() && serving.all(|(region, n)| n.new > 0 && has_shifted(region));
-        if is_shifted && age >= steps.complete_at {
+        // The old servers stop at the completion, so that it waits for the end of a silence.
+        if is_shifted && age >= steps.complete_at && !self.unanswered.may_count(now) {
             return Some(final_record(&stored.record, RolloutReason::Proved));
         }
         let is_late = !is_shifted && age >= steps.abort_at;
--- a/crates/rollout/src/table.rs
+++ b/crates/rollout/src/table.rs
@@ -14,6 +14,7 @@
 use crate::service::{
     DueWrite, PendingOrder, RolloutPhase, ServerCounts, ServiceRollout, VersionRule,
 };
+use crate::unanswered::UnansweredRequest;
 
 /// Additional delay per rank before a VM makes a write that is due: by then it has received
 /// the write of the VM before it.
@@ -238,6 +239,41 @@
         }
     }
 
+    /// Records a request of which no server has sent anything before its caller's time was over,
+    /// while all servers of the service were silent. `instance` is the hash of the server
+    /// instance.
+    pub fn note_unanswered(
+        &mut self,
+        now: Moment,
+        service: &ServiceName,
+        route: &str,
+        side: VersionSide,
+        instance: u64,
+    ) {
+        if let Some(rollout) = self.services.get_mut(service) {
+            rollout.unanswered.add(UnansweredRequest {
+                at: now,
+                route: route.to_owned(),
+                side,
+                instance,
+            });
+        }
+    }
+
+    /// Counts the unanswered requests of silences that have lasted as failures, and drops those
+    /// of silences that have ended. `silence_end` is when a silence of a service last ended.
+    pub fn settle_unanswered(
+        &mut self,
+        now: Moment,
+        silence_end: impl Fn(&ServiceName) -> Option<Moment>,
+    ) {
+        for (service, rollout) in &mut self.services {
+            if !rollout.unanswered.is_settled() {
+                rollout.settle_unanswered(now, silence_end(service));
+            }
+        }
+    }
+
     /// Nonzero counts of this VM, for the other VMs of its region.
     pub fn own_evidence(&self) -> impl Iterator<Item = (EvidenceTag, EvidenceCounts)> {
         self.services
--- a/crates/rollout/tests/support/mod.rs
+++ b/crates/rollout/tests/support/mod.rs
@@ -72,6 +72,18 @@
     }
 }
 
+/// A time in which servers of both versions send nothing.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Silence {
+    pub from: Duration,
+    pub to: Duration,
+    /// Time that callers allow.
+    pub allowed: Duration,
+}
+
+/// Time from which VMs take the servers for silent.
+const SILENCE_OBSERVED: Duration = Duration::from_millis(450);
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RolloutScenario {
     pub kind: VersionKind,
@@ -83,6 +95,7 @@
     pub has_grey: bool,
     pub servers: usize,
     pub load: ScenarioLoad,
+    pub silence: Option<Silence>,
 }
 
 impl RolloutScenario {
@@ -95,6 +108,7 @@
             has_grey: false,
             servers: 30,
             load: ScenarioLoad::Steady,
+            silence: None,
         }
     }
 }
@@ -142,6 +156,18 @@
     }
 }
 
+/// An outcome of a request during a silence.
+struct DelayedOutcome {
+    at: Duration,
+    vm: usize,
+    route: usize,
+    side: VersionSide,
+    instance: u64,
+    is_answered: bool,
+    /// Whether its caller's time was over while the servers were known to be silent.
+    is_unanswered: bool,
+}
+
 struct Vm {
     table: RolloutTable,
     region: usize,
@@ -170,6 +196,7 @@
     grey: Vec<bool>,
     record: Option<(u64, RolloutRecord)>,
     marks: BTreeMap<RegionName, u64>,
+    delayed: Vec<DelayedOutcome>,
 }
 
 pub const VMS: usize = 8;
@@ -222,6 +249,7 @@
             grey,
             record: None,
             marks: BTreeMap::new(),
+            delayed: Vec::new(),
         };
         for number in 0..VMS {
             let vm = simulation.start_vm(number % REGIONS);
@@ -275,6 +303,7 @@
                 self.receive(vm);
                 self.serve(vm);
             }
+            self.note_delayed();
             self.exchange_counts();
             for vm in 0..VMS {
                 let now = self.moment(vm);
@@ -404,6 +433,22 @@
         let number = self.rng.random_range(0..among);
         let is_new = usize::from(side == VersionSide::New);
         let server = (region * 2 + is_new) * self.scenario.servers + number;
+        let instance = server as u64 * 0x9e37_79b9 + 11;
+        let at = self.now();
+        let silence = self.scenario.silence;
+        if let Some(silence) = silence.filter(|it| (it.from..it.to).contains(&at)) {
+            let given_up = at + silence.allowed;
+            self.delayed.push(DelayedOutcome {
+                at: given_up.min(silence.to),
+                vm,
+                route,
+                side,
+                instance,
+                is_answered: silence.to <= given_up,
+                is_unanswered: (silence.from + SILENCE_OBSERVED..silence.to).contains(&given_up),
+            });
+            return;
+        }
         let mut failures = BASELINE_FAILURES[route];
         if self.grey[server] {
             failures += GREY_FAILURES;
@@ -452,11 +497,42 @@
                 ratio: is_warm.then_some(ratio),
             }
         };
-        let instance = server as u64 * 0x9e37_79b9 + 11;
         let table = &mut self.vms[vm].table;
         table.note(&service(), ROUTES[route], side, instance, outcome);
     }
 
+    /// Notes the outcomes of requests that ended during or with a silence.
+    fn note_delayed(&mut self) {
+        let now = self.now();
+        let delayed = std::mem::take(&mut self.delayed);
+        let (due, later) = delayed.into_iter().partition(|it| it.at <= now);
+        self.delayed = later;
+        for outcome in due {
+            let moment = self.moment(outcome.vm);
+            let table = &mut self.vms[outcome.vm].table;
+            let (side, instance) = (outcome.side, outcome.instance);
+            let route = ROUTES[outcome.route];
+            if outcome.is_unanswered {
+                table.note_unanswered(moment, &service(), route, side, instance);
+                continue;
+            }
+            let result = if outcome.is_answered {
+                ResponseOutcome::Succeeded { ratio: Some(1.0) }
+            } else {
+                ResponseOutcome::Failed
+            };
+            table.note(&service(), route, side, instance, result);
+        }
+        let Some(silence) = self.scenario.silence else {
+            return;
+        };
+        for vm in 0..VMS {
+            let moment = self.moment(vm);
+            let end = (now >= silence.to).then_some(moment);
+            self.vms[vm].table.settle_unanswered(moment, |_| end);
+        }
+    }
+
     /// Sends the counts within each region.
     fn exchange_counts(&mut self) {
         let own: Vec<BTreeMap<u32, EvidenceCounts>> = self
