Capacity plan: what has waited for a silence is no throughput

Cause: after a silence of all servers, the responses that waited begin together and count as work done at once. The highest throughput that was seen is the capacity, and decays in 30 s. Where servers did not count as lost meanwhile (a VM alone, or too few votes), the plan gave out more than servers can do.

Change: the measure is left out for 4 s after the end of a silence, as it is after a loss of servers.

Measured (state/tests.rs, virtual time, silence of 1.5 s, ten servers that do 0.9 s/s each): capacity of a VM alone a second later 14.8 s/s as found; now within 9.5 to 11 after 1, 4 and 6 s, for a VM alone and for several.

--- a/crates/capacity/src/state.rs
+++ b/crates/capacity/src/state.rs
@@ -31,8 +31,8 @@
 /// keep it through a quiet time between two bursts.
 const THROUGHPUT_DECAY: Duration = Duration::from_secs(30);
 
-/// Time after a loss of servers for which their work dominates the measured work: four times the
-/// decay of the ledger's meters.
+/// Time after a loss of servers for which their work dominates the measured work, as the work that
+/// has waited does after a silence of all servers: four times the decay of the ledger's meters.
 const LOST_WORK_FADE: Duration = Duration::from_secs(4);
 
 /// A class of requests to one service.
@@ -78,6 +78,8 @@
     servers: usize,
     /// When servers were last lost. What they did counts as done for a while.
     lost_at: Option<Moment>,
+    /// When a silence of all servers last ended. What waited for it is done at once.
+    silence_end: Option<Moment>,
 }
 
 impl ServerThroughput {
@@ -87,6 +89,7 @@
             at: now,
             servers: 0,
             lost_at: None,
+            silence_end: None,
         }
     }
 
@@ -97,7 +100,8 @@
             self.lost_at = Some(now);
         }
         self.servers = servers;
-        let is_mixed = self.lost_at.is_some_and(|lost| now - lost < LOST_WORK_FADE);
+        let disturbed_at = self.lost_at.max(self.silence_end);
+        let is_mixed = disturbed_at.is_some_and(|at| now - at < LOST_WORK_FADE);
         let seen = done.per_second() / servers.max(1) as f64;
         self.highest = if is_mixed { decayed } else { decayed.max(seen) };
         self.at = now;
@@ -339,6 +343,13 @@
         }
     }
 
+    /// Records when a silence of all servers of a service last ended.
+    pub fn record_silence(&mut self, service: &ServiceName, ended_at: Moment) {
+        if let Some(throughput) = self.throughput.get_mut(service) {
+            throughput.silence_end = Some(ended_at);
+        }
+    }
+
     /// Capacity of a service in this region.
     pub fn own_capacity(&self, service: &ServiceName) -> WorkRate {
         self.own_capacity.get(service).copied().unwrap_or_default()
--- a/crates/capacity/src/state/tests.rs
+++ b/crates/capacity/src/state/tests.rs
@@ -665,3 +665,53 @@
     let offered = state.ledger().offered(at(8000), class, 0).per_second();
     assert_near(offered, 1.0, "offered");
 }
+
+struct SilenceCase {
+    name: &'static str,
+    /// Servers that count as usable during the silence. A VM alone has no votes on them.
+    usable: usize,
+    /// Work that is asked for, in seconds a second and server.
+    rate: f64,
+}
+
+const SILENCE_CASES: &[SilenceCase] = &[
+    SilenceCase {
+        name: "a VM alone",
+        usable: 10,
+        rate: 0.9,
+    },
+    SilenceCase {
+        name: "several VMs",
+        usable: 0,
+        rate: 0.9,
+    },
+];
+
+/// Guards against a plan that gives out more than servers can do, or less: the responses that
+/// waited for the end of a silence begin together.
+#[test]
+fn a_silence_of_all_servers_leaves_the_capacity_as_it_was() {
+    const SERVERS: usize = 10;
+    const LENGTH_MS: u64 = 1500;
+    for case in SILENCE_CASES {
+        let mut state = state("ra");
+        let from = 5000;
+        work(&mut state, 0, from, SERVERS, case.rate);
+        let to = from + LENGTH_MS;
+        for now in (from..to).step_by(200) {
+            refresh(&mut state, now, case.usable);
+        }
+        let waiting = case.rate * SERVERS as f64 * LENGTH_MS as f64 / 1e3;
+        state.record_done(at(to), &chat(), Duration::from_secs_f64(waiting));
+        state.record_silence(&chat(), at(to));
+        let mut last = to;
+        for after in [1000, 4000, 6000] {
+            let now = to + after;
+            work(&mut state, last, now, SERVERS, case.rate);
+            last = now;
+            let found = state.own_capacity(&chat()).per_second();
+            let is_usual = (9.5..=11.0).contains(&found);
+            assert!(is_usual, "{}: {found} s/s after {after} ms", case.name);
+        }
+    }
+}
--- a/crates/gateway/src/planning.rs
+++ b/crates/gateway/src/planning.rs
@@ -81,7 +81,12 @@
         };
         let mut capacity = self.capacity.borrow_mut();
         for service in capacity.services() {
-            let servers = self.fleet.borrow().usable_servers(now, &service);
+            let fleet = self.fleet.borrow();
+            let servers = fleet.usable_servers(now, &service);
+            if let Some(end) = fleet.silence_end(&service) {
+                capacity.record_silence(&service, end);
+            }
+            drop(fleet);
             let rules = PlanRules {
                 reserved: reserved(&settings.capacity_plan, &service),
                 ..rules.clone()
