One model of a server in virtual time, which the stand-in uses

What a server does by the pages was written into the stand-in's HTTP handlers, so that no test without sockets could use it. The crate onyxfall-server-model holds it as a state machine without I/O: places and queue, rejections, backoff, the parts of an answer and how it ends with and without a length, silence, crashes, draining, the record of each request. The stand-in asks it what comes next and keeps the protocol; it gains a queue (ServerStub::set_places). Its faults and types move to the crate and are exported as before.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -19,11 +19,13 @@
 pub use engine::{EngineFaults, EngineSettings, FakeEngine};
 pub use faulty_link::{FaultyLink, LinkMode, PathCut};
 pub use link::{FakeLink, LinkRules};
+pub use onyxfall_server_model::{
+    BreakEnd, BreakPoint, RequestedBackoff, RunState, ServerFault, StubFraming, StubSignals,
+    StubTransfer,
+};
 pub use platform::{FakePlatform, PlatformFaults};
 pub use server::{
-    ArrivedRequest, BreakEnd, BreakPoint, CRASHING_BODY, CRASHING_PARTS, ReceivedRequest,
-    RequestedBackoff, RunState, ServerFault, ServerStub, StubFraming, StubSignals, StubTransfer,
-    is_crashing_part,
+    ArrivedRequest, CRASHING_BODY, CRASHING_PARTS, ReceivedRequest, ServerStub, is_crashing_part,
 };
 pub use service::{FakeService, ServiceFaults, ServiceSettings};
 pub use store::{StoreMode, StoreStub};
--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -1,6 +1,5 @@
 //! Stub of a backend server, with the protocol that the adapter uses and with faults.
 
-use std::collections::VecDeque;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::ops::RangeInclusive;
@@ -18,78 +17,18 @@
     HEALTH_PATH, ReceivedCall, add_server_load, mark_draining, mark_not_run, received_call,
     set_retry_after, set_server_brittle, set_server_limit, sign_response,
 };
-use parking_lot::Mutex;
-use tokio::time::{Instant as TimerInstant, Sleep};
+use onyxfall_server_model::{
+    Admission, Answer, BreakEnd, CRASH_AFTER, Capacity, CrashPoint, Health, NextPart, Rejection,
+    RequestNumber, RunRequest, RunState, ServerFault, ServerModel, StubFraming, StubSignals,
+    StubTransfer,
+};
+use parking_lot::{Mutex, MutexGuard};
+use tokio::sync::Notify;
+use tokio::time::Sleep;
 
 use crate::copies::{put_copy, take_copy};
 use crate::serving::{PeerAddress, ResetSwitch, ServingThread, StopSignal};
 
-/// How a server handles requests.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum ServerFault {
-    /// Runs the request and sends a complete response.
-    #[default]
-    None,
-    /// Runs the request and responds with 500.
-    Fails,
-    /// Responds that the request has not run, and does not run it.
-    Rejects,
-    /// Responds that the request is for another instance.
-    Replaced,
-    /// Runs the request and closes the connection without a response.
-    Closes,
-    /// Runs the request and responds with the id of another request.
-    WrongResponse,
-    /// Runs the request and closes the connection after the first event.
-    Disconnects,
-    /// Runs the request and never responds.
-    Unresponsive,
-    /// Sends all events of a stream but the last, then nothing.
-    Stalls,
-    /// Reads the body of the request slowly, then runs it.
-    ReadsSlowly,
-    /// Breaks streams that start on this server, but continues runs of other servers of
-    /// which it holds a backup.
-    BreaksStreams(BreakPoint),
-    /// Breaks streams that start on this server, and has lost the backups that it held.
-    BreaksAndLosesBackups,
-}
-
-impl ServerFault {
-    /// Whether streams are broken off between two events.
-    const fn breaks_between_events(self) -> bool {
-        matches!(
-            self,
-            Self::Disconnects
-                | Self::BreaksStreams(BreakPoint::AfterEvent | BreakPoint::BeforeEnd)
-                | Self::BreaksAndLosesBackups
-        )
-    }
-}
-
-/// Signals in a server's responses, independent of its fault.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct StubSignals {
-    /// Whether every response signals that the server is draining.
-    pub is_draining: bool,
-    /// If set, the server rejects requests and asks for this backoff.
-    pub backoff: Option<RequestedBackoff>,
-    /// Limit in every response, in requests per second, as in the header.
-    pub limit: Option<&'static str>,
-    /// If set, the server crashes when it rejects more requests for want of room in a second,
-    /// and says so in every response, as in the header.
-    pub brittle: Option<&'static str>,
-}
-
-/// The backoff that a server asks for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RequestedBackoff {
-    /// Duration in seconds, as in the header.
-    pub seconds: &'static str,
-    /// The server rejects every request whose number is a multiple of this.
-    pub every: usize,
-}
-
 /// A request that reached the stub, whether it was run or not.
 #[derive(Clone, Debug)]
 pub struct ArrivedRequest {
@@ -109,76 +48,11 @@
     pub has_sent: bool,
 }
 
-/// How far a server got with a request.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum RunState {
-    /// The server has not run it.
-    #[default]
-    NotRun,
-    /// The server is running it.
-    Running,
-    /// The server has sent its whole response.
-    Finished,
-    /// The server has broken off its response, answered with another id or answered the
-    /// continuation of a stream with an error, or it has crashed.
-    BrokenOff,
-    /// The connection was closed by its other end before the server had ended.
-    Abandoned,
-}
-
 /// Body of a request that crashes the server that runs it.
 pub const CRASHING_BODY: &[u8] = b"crash";
 /// Hashes of prompt parts that crash each server that begins to write an answer on them. With an
 /// odd one it crashes before the head of the response, with an even one after the first event.
 pub const CRASHING_PARTS: RangeInclusive<u64> = 0xdead_0000..=0xdead_ffff;
-/// Time in which rejections for want of room are counted.
-const REJECTION_WINDOW: Duration = Duration::from_secs(1);
-/// Time from the start of such a run to the crash: a model server crashed 40 to 180 ms
-/// after the start of a run.
-const CRASH_AFTER: Duration = Duration::from_millis(40);
-
-/// Point at which a stream is broken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BreakPoint {
-    /// Before its first event.
-    BeforeEvents,
-    /// After its first event.
-    AfterEvent,
-    /// In the middle of its second event.
-    InEvent,
-    /// After the last event, before the end of the stream.
-    BeforeEnd,
-}
-
-/// How the body of a response is delimited.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum StubFraming {
-    /// By chunks.
-    #[default]
-    Chunks,
-    /// By the end of the connection, without a length or chunks.
-    UntilClose,
-}
-
-/// How a connection ends whose response is broken off. Without a length or chunks, one that is
-/// broken off between two events is always reset: nothing else tells it from a complete one.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum BreakEnd {
-    /// With a regular close.
-    #[default]
-    Close,
-    /// With a reset.
-    Reset,
-}
-
-/// How a server transfers its responses, independent of its fault.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct StubTransfer {
-    /// Framing of all responses to requests that it runs.
-    pub framing: StubFraming,
-    /// End of the connections of streams that it breaks off.
-    pub break_end: BreakEnd,
-}
 
 /// A request that the stub ran.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -193,14 +67,13 @@
     pub body: Bytes,
 }
 
-#[derive(Default)]
 struct ServerState {
-    fault: ServerFault,
+    /// When the model has begun.
+    started: Instant,
+    model: ServerModel,
     /// Name of the instance; requests for another one are rejected.
     name: Option<String>,
     address: Option<SocketAddr>,
-    signals: StubSignals,
-    transfer: StubTransfer,
     /// Delay before each event; `None` is the usual one.
     event_pause: Option<Duration>,
     /// Software version in its events.
@@ -209,23 +82,52 @@
     load: Option<String>,
     /// Slots and pace; the load in every response is made from these and the requests running.
     pace: Option<(u32, &'static str)>,
-    /// Most requests under way; others are rejected.
-    room: Option<u32>,
-    /// When requests were rejected for want of room within the last second.
-    rejected: VecDeque<Instant>,
-    /// Number of requests that have arrived and not ended.
-    running: u32,
-    arrivals: Vec<ArrivedRequest>,
+    /// Source address and id of each request, in the order of arrival.
+    callers: Vec<(IpAddr, String)>,
     runs: Vec<ReceivedRequest>,
     /// Number of responses that were in progress when their connection closed.
     cut: usize,
-    /// Whether the stub has crashed.
-    is_crashed: bool,
+}
+
+impl ServerState {
+    fn new() -> Self {
+        Self {
+            started: Instant::now(),
+            model: ServerModel::new(EVENTS.len()),
+            name: None,
+            address: None,
+            event_pause: None,
+            version: None,
+            load: None,
+            pace: None,
+            callers: Vec::new(),
+            runs: Vec::new(),
+            cut: 0,
+        }
+    }
+
+    /// The present time of the model.
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+}
+
+/// The state of a stub, shared by its handle and its thread.
+struct SharedServer {
+    state: Mutex<ServerState>,
+    /// Notified when a request has ended, for those that wait for its place.
+    freed: Notify,
+}
+
+impl SharedServer {
+    fn lock(&self) -> MutexGuard<'_, ServerState> {
+        self.state.lock()
+    }
 }
 
 /// A running stub of a server.
 pub struct ServerStub {
-    state: Arc<Mutex<ServerState>>,
+    state: Arc<SharedServer>,
     thread: ServingThread,
 }
 
@@ -251,7 +153,10 @@
     ///
     /// No port is free, or no thread can be started.
     pub fn start(ip: IpAddr) -> io::Result<Self> {
-        let state = Arc::new(Mutex::new(ServerState::default()));
+        let state = Arc::new(SharedServer {
+            state: Mutex::new(ServerState::new()),
+            freed: Notify::new(),
+        });
         let served = Arc::clone(&state);
         let stop = StopSignal::default();
         let crash = StopSignal::clone(&stop);
@@ -269,7 +174,10 @@
 
     /// Crashes it: its port and connections are closed; its recorded requests stay available.
     pub fn crash(&self) {
-        self.state.lock().is_crashed = true;
+        let mut state = self.state.lock();
+        let now = state.now();
+        state.model.crash(now);
+        drop(state);
         self.thread.stop();
     }
 
@@ -286,7 +194,7 @@
 
     /// Sets how it handles requests.
     pub fn set_fault(&self, fault: ServerFault) {
-        self.state.lock().fault = fault;
+        self.state.lock().model.set_fault(fault);
     }
 
     /// Sets the name of its instance: it rejects requests for another one.
@@ -296,7 +204,7 @@
 
     /// Sets the signals in its responses.
     pub fn set_signals(&self, signals: StubSignals) {
-        self.state.lock().signals = signals;
+        self.state.lock().model.set_signals(signals);
     }
 
     /// Makes it name its software version in every event.
@@ -306,7 +214,7 @@
 
     /// Sets how it transfers its responses.
     pub fn set_transfer(&self, transfer: StubTransfer) {
-        self.state.lock().transfer = transfer;
+        self.state.lock().model.set_transfer(transfer);
     }
 
     /// Sets the load in its responses, as in the header: `"1, 0, 4, 160"` for one running
@@ -323,18 +231,39 @@
 
     /// Sets how many requests may be under way; it rejects others. `None` sets no bound.
     pub fn set_room(&self, room: Option<u32>) {
-        self.state.lock().room = room;
+        let model = &mut self.state.lock().model;
+        let capacity = model.capacity();
+        model.set_capacity(Capacity { room, ..capacity });
+    }
+
+    /// Sets how many requests it runs at the same time; others wait in its queue. `None` sets no
+    /// bound.
+    pub fn set_places(&self, places: Option<u32>) {
+        let model = &mut self.state.lock().model;
+        let capacity = model.capacity();
+        model.set_capacity(Capacity { places, ..capacity });
+        self.state.freed.notify_waiters();
     }
 
     /// The requests that reached it, without the first `from`.
     pub fn arrivals_from(&self, from: usize) -> Vec<ArrivedRequest> {
         let state = self.state.lock();
-        state.arrivals.iter().skip(from).cloned().collect()
+        let arrivals = state.model.records().zip(&state.callers).skip(from);
+        let arrivals = arrivals.map(|(record, (source, request_id))| ArrivedRequest {
+            at: state.started + record.at,
+            from: *source,
+            request_id: request_id.clone(),
+            done: record.done.map(|done| state.started + done),
+            signals: record.signals,
+            run: record.run,
+            has_sent: record.has_sent,
+        });
+        arrivals.collect()
     }
 
     /// Number of requests that reached it.
     pub fn arrived(&self) -> usize {
-        self.state.lock().arrivals.len()
+        self.state.lock().callers.len()
     }
 
     /// The requests that it ran.
@@ -351,7 +280,7 @@
 
     /// Whether it has crashed: its port and connections are closed.
     pub fn is_crashed(&self) -> bool {
-        self.state.lock().is_crashed
+        self.state.lock().model.is_crashed()
     }
 
     /// Number of responses that were in progress when their connection closed.
@@ -382,7 +311,7 @@
 
 /// Counts a response as cut if its connection closes before its end.
 struct CutGuard {
-    state: Arc<Mutex<ServerState>>,
+    state: Arc<SharedServer>,
     is_over: bool,
 }
 
@@ -394,56 +323,28 @@
     }
 }
 
-/// Records the progress of a request, and its end when dropped.
+/// Records the end of a request when dropped.
 struct RunningGuard {
-    state: Arc<Mutex<ServerState>>,
-    number: usize,
+    state: Arc<SharedServer>,
+    number: RequestNumber,
 }
 
 impl RunningGuard {
-    fn new(state: Arc<Mutex<ServerState>>, number: usize) -> Self {
-        state.lock().running += 1;
-        Self { state, number }
-    }
-
-    fn begin(&self) {
-        self.state.lock().arrivals[self.number - 1].run = RunState::Running;
-    }
-
-    fn has_sent(&self) -> bool {
-        self.state.lock().arrivals[self.number - 1].has_sent
-    }
-
-    fn record_sent(&self) {
-        self.state.lock().arrivals[self.number - 1].has_sent = true;
-    }
-
-    /// Records how the run has ended, unless it did not begin or has ended before.
-    fn end(&self, end: RunState) {
-        self.state.lock().arrivals[self.number - 1].end(end);
-    }
-}
-
-impl ArrivedRequest {
-    fn end(&mut self, end: RunState) {
-        if self.run == RunState::Running {
-            self.run = end;
-        }
+    /// Takes the next part of the response, if it is due.
+    fn next(&self) -> NextPart {
+        let mut state = self.state.lock();
+        let now = state.now();
+        state.model.next(self.number, now)
     }
 }
 
 impl Drop for RunningGuard {
     fn drop(&mut self) {
         let mut state = self.state.lock();
-        state.running -= 1;
-        let end = if state.is_crashed {
-            RunState::BrokenOff
-        } else {
-            RunState::Abandoned
-        };
-        let arrived = &mut state.arrivals[self.number - 1];
-        arrived.done = Some(Instant::now());
-        arrived.end(end);
+        let now = state.now();
+        state.model.leave(self.number, now);
+        drop(state);
+        self.state.freed.notify_waiters();
     }
 }
 
@@ -464,33 +365,30 @@
 }
 
 /// Whether a request is meant for another instance.
-fn is_for_other_instance(state: &Mutex<ServerState>, call: &ReceivedCall) -> bool {
+fn is_for_other_instance(state: &SharedServer, call: &ReceivedCall) -> bool {
     let state = state.lock();
     let named = state.name.as_ref().zip(call.expected_server.as_ref());
     named.is_some_and(|(own, expected)| own != expected)
 }
 
-/// Records that a request has arrived; returns its number.
+/// Records that a request has arrived.
 fn record_arrival(
-    state: &Mutex<ServerState>,
+    state: &Arc<SharedServer>,
     from: Option<&PeerAddress>,
     call: &ReceivedCall,
-) -> usize {
-    let mut state = state.lock();
-    state.arrivals.push(ArrivedRequest {
-        at: Instant::now(),
-        from: from.map_or(Ipv4Addr::UNSPECIFIED.into(), |peer| peer.0.ip()),
-        request_id: call.request_id.clone(),
-        done: None,
-        signals: StubSignals::default(),
-        run: RunState::NotRun,
-        has_sent: false,
-    });
-    state.arrivals.len()
+) -> RunningGuard {
+    let mut locked = state.lock();
+    let source = from.map_or(Ipv4Addr::UNSPECIFIED.into(), |peer| peer.0.ip());
+    locked.callers.push((source, call.request_id.clone()));
+    let now = locked.now();
+    RunningGuard {
+        state: Arc::clone(state),
+        number: locked.model.arrive(now),
+    }
 }
 
 async fn respond(
-    state: Arc<Mutex<ServerState>>,
+    state: Arc<SharedServer>,
     crash: StopSignal,
     request: Request<Incoming>,
 ) -> Result<Response<EventBody>, io::Error> {
@@ -502,26 +400,16 @@
     if is_for_other_instance(&state, &call) {
         return Ok(whole(StatusCode::MISDIRECTED_REQUEST, ""));
     }
-    let number = record_arrival(&state, head.extensions.get(), &call);
-    let running = RunningGuard::new(Arc::clone(&state), number);
-    let is_slow = state.lock().fault == ServerFault::ReadsSlowly;
+    let running = record_arrival(&state, head.extensions.get(), &call);
+    let is_slow = state.lock().model.fault() == ServerFault::ReadsSlowly;
     let body = read_body(body, is_slow).await?;
-    let mut signals = state.lock().signals;
-    signals.backoff = signals
-        .backoff
-        .filter(|backoff| number.is_multiple_of(backoff.every));
-    let mut response = if has_no_room(&state, &crash) {
-        let mut rejection = whole(StatusCode::SERVICE_UNAVAILABLE, "");
-        mark_not_run(rejection.headers_mut());
-        rejection
-    } else if let Some(backoff) = signals.backoff {
-        let mut rejection = whole(StatusCode::SERVICE_UNAVAILABLE, "");
-        mark_not_run(rejection.headers_mut());
-        set_retry_after(rejection.headers_mut(), backoff.seconds);
-        rejection
-    } else {
-        run(&running, crash, &head, call, body).await?
+    let rejection = admit(&running, &crash).await;
+    let mut response = match rejection {
+        Some(rejection) => reject(rejection),
+        None => run(&running, crash, &head, call, body).await?,
     };
+    // A request without a response has received no signals.
+    let signals = state.lock().model.respond(running.number, rejection);
     if signals.is_draining {
         mark_draining(response.headers_mut());
     }
@@ -532,66 +420,76 @@
         set_server_brittle(response.headers_mut(), rejections);
     }
     {
-        let mut state = state.lock();
+        let state = state.lock();
         if let Some(load) = &state.load {
             add_server_load(response.headers_mut(), load);
         }
         if let Some((slots, pace)) = state.pace {
-            let load = format!("{}, 0, {slots}, {pace}", state.running);
+            let load = format!("{}, 0, {slots}, {pace}", state.model.under_way());
             add_server_load(response.headers_mut(), &load);
         }
-        // A request without a response has received no signals.
-        state.arrivals[number - 1].signals = signals;
     }
     response.body_mut().running = Some(running);
     Ok(response)
 }
 
+/// Waits until the model runs or rejects a request.
+async fn admit(running: &RunningGuard, crash: &StopSignal) -> Option<Rejection> {
+    loop {
+        let freed = running.state.freed.notified();
+        let admission = {
+            let mut state = running.state.lock();
+            let now = state.now();
+            let admission = state.model.admit(running.number, now);
+            if state.model.is_crashed() {
+                crash.notify_one();
+            }
+            admission
+        };
+        match admission {
+            Admission::Run => return None,
+            Admission::Reject(rejection) => return Some(rejection),
+            Admission::Wait => freed.await,
+        }
+    }
+}
+
+/// The response to a request that is not run.
+fn reject(rejection: Rejection) -> Response<EventBody> {
+    if rejection == Rejection::Misdirected {
+        return whole(StatusCode::MISDIRECTED_REQUEST, "");
+    }
+    let mut response = whole(StatusCode::SERVICE_UNAVAILABLE, "");
+    mark_not_run(response.headers_mut());
+    if let Rejection::Backoff(seconds) = rejection {
+        set_retry_after(response.headers_mut(), seconds);
+    }
+    response
+}
+
 /// Answers a health check, which is neither recorded nor run.
 async fn check_health(
-    state: &Mutex<ServerState>,
+    state: &SharedServer,
     crash: &StopSignal,
 ) -> Result<Response<EventBody>, io::Error> {
-    if has_no_room(state, crash) {
-        return Ok(whole(StatusCode::SERVICE_UNAVAILABLE, ""));
-    }
-    let (fault, is_draining) = {
-        let state = state.lock();
-        (state.fault, state.signals.is_draining)
+    let health = {
+        let mut state = state.lock();
+        let now = state.now();
+        let health = state.model.check_health(now);
+        if state.model.is_crashed() {
+            crash.notify_one();
+        }
+        health
     };
-    match fault {
-        ServerFault::Unresponsive => std::future::pending().await,
-        ServerFault::Closes => Err(io::Error::other("closed by the stub")),
-        _ if is_draining => Ok(whole(StatusCode::SERVICE_UNAVAILABLE, "")),
-        _ => Ok(whole(StatusCode::OK, "")),
-    }
-}
-
-/// Whether the stub has no room for the request that has just arrived. A brittle one crashes if
-/// it has rejected too many for that.
-fn has_no_room(state: &Mutex<ServerState>, crash: &StopSignal) -> bool {
-    let mut state = state.lock();
-    if state.room.is_none_or(|room| state.running <= room) {
-        return false;
-    }
-    let now = Instant::now();
-    state.rejected.push_back(now);
-    let is_old = |at: &Instant| now.duration_since(*at) > REJECTION_WINDOW;
-    while state.rejected.front().is_some_and(is_old) {
-        state.rejected.pop_front();
-    }
-    let tolerated = state
-        .signals
-        .brittle
-        .and_then(|text| text.parse::<f64>().ok());
-    if tolerated.is_some_and(|tolerated| state.rejected.len() as f64 > tolerated) {
-        state.is_crashed = true;
-        crash.notify_one();
+    match health {
+        Health::Never => std::future::pending().await,
+        Health::Closes => Err(io::Error::other("closed by the stub")),
+        Health::NotReady => Ok(whole(StatusCode::SERVICE_UNAVAILABLE, "")),
+        Health::Ready => Ok(whole(StatusCode::OK, "")),
     }
-    true
 }
 
-/// Handles a request according to the fault of the stub.
+/// Runs a request that was admitted.
 async fn run(
     running: &RunningGuard,
     crash: StopSignal,
@@ -600,87 +498,73 @@
     body: Bytes,
 ) -> Result<Response<EventBody>, io::Error> {
     let state = Arc::clone(&running.state);
-    let (fault, transfer) = {
+    let (fault, transfer, address) = {
         let state = state.lock();
-        (state.fault, state.transfer)
+        (state.model.fault(), state.model.transfer(), state.address)
     };
-    match fault {
-        ServerFault::Rejects => {
-            let mut rejection = whole(StatusCode::SERVICE_UNAVAILABLE, "");
-            mark_not_run(rejection.headers_mut());
-            return Ok(rejection);
-        }
-        ServerFault::Replaced => return Ok(whole(StatusCode::MISDIRECTED_REQUEST, "")),
-        _ => {}
-    }
-    let address = state.lock().address;
     if let (Some(run), Some(address)) = (&call.copy_from, address)
         && (!take_copy(address, run) || fault == ServerFault::BreaksAndLosesBackups)
     {
-        let mut rejection = whole(StatusCode::SERVICE_UNAVAILABLE, "");
-        mark_not_run(rejection.headers_mut());
-        return Ok(rejection);
+        return Ok(reject(Rejection::Unwanted));
     }
     if let (Some(backup), Some(address)) = (call.copy_to, address) {
         put_copy(backup, format!("{address}/{}", call.request_id));
     }
     let target = head.uri.to_string();
-    let is_stream = target.starts_with(STREAM_PATH);
-    state.lock().runs.push(ReceivedRequest {
-        call: call.clone(),
-        method: head.method.to_string(),
-        target,
-        body: body.clone(),
-    });
-    running.begin();
     let crashing_part = call.shared_parts.iter().find(|id| is_crashing_part(**id));
-    let is_crashing = body == CRASHING_BODY || crashing_part.is_some();
-    if is_crashing {
+    let request = RunRequest {
+        is_stream: target.starts_with(STREAM_PATH),
+        received: call.last_event.as_deref().map(|id| id.parse().unwrap_or(0)),
+        is_from_copy: call.copy_from.is_some(),
+        crash: match crashing_part {
+            Some(id) if !id.is_multiple_of(2) => Some(CrashPoint::BeforeHead),
+            Some(_) => Some(CrashPoint::DuringAnswer),
+            None => (body == CRASHING_BODY).then_some(CrashPoint::DuringAnswer),
+        },
+        pause: head
+            .uri
+            .query()
+            .and_then(requested_pause)
+            .or(state.lock().event_pause)
+            .unwrap_or(EVENT_PAUSE),
+    };
+    let answer = {
+        let mut state = state.lock();
+        state.runs.push(ReceivedRequest {
+            call: call.clone(),
+            method: head.method.to_string(),
+            target,
+            body,
+        });
+        let now = state.now();
+        state.model.begin(running.number, &request, now)
+    };
+    if request.crash.is_some() {
         crash_soon(Arc::clone(&state), crash);
     }
-    let is_silent = crashing_part.is_some_and(|id| !id.is_multiple_of(2));
-    let mut guard = CutGuard {
-        state,
-        is_over: false,
+    let version = state.lock().version;
+    let guard = CutGuard {
+        state: Arc::clone(&state),
+        is_over: matches!(answer, Answer::Whole | Answer::Closed),
     };
-    let mut response = match fault {
-        ServerFault::Fails => {
-            // A stream that another server has begun cannot go on with an error.
-            if call.last_event.is_some() {
-                running.end(RunState::BrokenOff);
-            }
-            whole(StatusCode::INTERNAL_SERVER_ERROR, "failed")
-        }
-        ServerFault::Closes => {
-            guard.is_over = true;
-            running.end(RunState::BrokenOff);
-            return Err(io::Error::other("closed by the stub"));
-        }
-        ServerFault::Unresponsive => std::future::pending().await,
-        _ if is_silent => std::future::pending().await,
-        _ if is_stream => {
-            let is_endless = is_crashing || fault == ServerFault::Stalls;
-            let pause = head.uri.query().and_then(requested_pause);
-            Response::new(EventBody::stream(&call, fault, pause, guard).with_endless(is_endless))
-        }
-        _ if is_crashing => std::future::pending().await,
-        _ => {
-            guard.is_over = true;
-            whole(StatusCode::OK, "answer")
+    let mut response = match answer {
+        Answer::Never => std::future::pending().await,
+        Answer::Closed => return Err(io::Error::other("closed by the stub")),
+        Answer::Failure => whole(StatusCode::INTERNAL_SERVER_ERROR, "failed"),
+        Answer::Whole => whole(StatusCode::OK, "answer"),
+        Answer::Stream => {
+            let events = EVENTS.map(|event| Bytes::from(with_version(event, version)));
+            Response::new(EventBody::new(events.into(), Some(guard)))
         }
     };
     let id = match fault {
-        ServerFault::WrongResponse => {
-            running.end(RunState::BrokenOff);
-            "somebody-else"
-        }
+        ServerFault::WrongResponse => "somebody-else",
         _ => &call.request_id,
     };
     sign_response(response.headers_mut(), id);
     if transfer.framing == StubFraming::UntilClose {
         // Hyper delimits the body of an HTTP/1.0 response by the end of the connection.
         *response.version_mut() = Version::HTTP_10;
-        response.body_mut().is_delimited = false;
     }
     let is_reset = transfer.break_end == BreakEnd::Reset
         || (transfer.framing == StubFraming::UntilClose && fault.breaks_between_events());
@@ -689,8 +573,8 @@
     {
         // A server that crashes during the response resets the connection.
         reset.set(true)?;
-        let body = response.body_mut();
-        body.reset = (!body.breaks || !is_reset).then(|| reset.clone());
+        let breaks = state.lock().model.breaks(running.number);
+        response.body_mut().reset = (!breaks || !is_reset).then(|| reset.clone());
     }
     Ok(response)
 }
@@ -706,115 +590,75 @@
     CRASHING_PARTS.contains(&id)
 }
 
-fn crash_soon(state: Arc<Mutex<ServerState>>, crash: StopSignal) {
+fn crash_soon(state: Arc<SharedServer>, crash: StopSignal) {
     tokio::task::spawn_local(async move {
         tokio::time::sleep(CRASH_AFTER).await;
-        state.lock().is_crashed = true;
+        {
+            let mut state = state.lock();
+            let now = state.now();
+            state.model.crash(now);
+        }
         crash.notify_one();
     });
 }
 
 fn whole(status: StatusCode, body: &'static str) -> Response<EventBody> {
-    let mut response = Response::new(EventBody::whole(body));
+    let body = Bytes::from_static(body.as_bytes());
+    let mut response = Response::new(EventBody::new(vec![body], None));
     *response.status_mut() = status;
     response
 }
 
-/// A complete body, or a stream of events.
+/// A complete body, or a stream of events, of which the model says what is sent when.
 pub struct EventBody {
+    /// The events by index; of a complete body, the body.
     events: Vec<Bytes>,
-    breaks: bool,
-    /// Whether the body has a delimiter of its own.
-    is_delimited: bool,
-    /// Whether the last event is never sent.
-    is_endless: bool,
-    pause: Option<(Duration, Pin<Box<Sleep>>)>,
+    timer: Pin<Box<Sleep>>,
     guard: Option<CutGuard>,
+    /// The request; `None` for a complete body that is not recorded.
     running: Option<RunningGuard>,
     /// Turned off at the end of the body, so that the connection closes regularly.
     reset: Option<ResetSwitch>,
 }
 
-impl BreakPoint {
-    /// Truncates `events` to those sent before the break.
-    fn cut(self, events: &mut Vec<Bytes>) {
-        match self {
-            Self::BeforeEvents => events.clear(),
-            Self::AfterEvent => events.truncate(1),
-            Self::InEvent => {
-                events.truncate(2);
-                if let Some(second) = events.get_mut(1) {
-                    second.truncate(second.len() / 2);
-                }
-            }
-            Self::BeforeEnd => {}
-        }
-    }
-}
-
 impl EventBody {
-    fn whole(body: &'static str) -> Self {
+    fn new(events: Vec<Bytes>, guard: Option<CutGuard>) -> Self {
         Self {
-            events: vec![Bytes::from_static(body.as_bytes())],
-            breaks: false,
-            is_delimited: true,
-            is_endless: false,
-            pause: None,
-            guard: None,
+            events,
+            timer: Box::pin(tokio::time::sleep(Duration::ZERO)),
+            guard,
             running: None,
             reset: None,
         }
     }
 
-    fn stream(
-        call: &ReceivedCall,
-        fault: ServerFault,
-        pause: Option<Duration>,
-        guard: CutGuard,
-    ) -> Self {
-        let sent = call.last_event.as_deref().and_then(|id| id.parse().ok());
-        let (version, usual_pause) = {
-            let state = guard.state.lock();
-            (state.version, state.event_pause.unwrap_or(EVENT_PAUSE))
-        };
-        let pause = pause.unwrap_or(usual_pause);
-        let events = EVENTS[sent.unwrap_or(0)..].iter();
-        let mut events: Vec<Bytes> = events
-            .map(|event| with_version(event, version).into())
-            .collect();
-        let starts_here = call.copy_from.is_none();
-        let breaks = match fault {
-            ServerFault::Disconnects => {
-                events.truncate(1);
-                true
-            }
-            ServerFault::BreaksStreams(moment) if starts_here => {
-                moment.cut(&mut events);
-                true
-            }
-            ServerFault::BreaksAndLosesBackups if starts_here => {
-                BreakPoint::AfterEvent.cut(&mut events);
-                true
-            }
-            _ => false,
-        };
-        Self {
-            events,
-            breaks,
-            is_delimited: true,
-            is_endless: false,
-            pause: Some((pause, Box::pin(tokio::time::sleep(pause)))),
-            guard: Some(guard),
-            running: None,
-            reset: None,
+    fn next(&mut self) -> NextPart {
+        match &self.running {
+            Some(running) => running.next(),
+            // The body of an answer to a health check, or to a request for another instance.
+            None if self.events.is_empty() => NextPart::End,
+            None => NextPart::Event(0),
         }
     }
-}
 
-impl EventBody {
-    /// If `is_endless`, never sends the last event: the server crashes before it.
-    fn with_endless(self, is_endless: bool) -> Self {
-        Self { is_endless, ..self }
+    /// Takes an event, or the whole body.
+    fn take(&mut self, index: usize) -> Bytes {
+        let event = self.events.get_mut(index).map(std::mem::take);
+        if self.running.is_none() {
+            self.events.clear();
+        }
+        event.unwrap_or_default()
+    }
+
+    /// Records that the server has ended the body.
+    fn end(&mut self) -> io::Result<()> {
+        if let Some(guard) = &mut self.guard {
+            guard.is_over = true;
+        }
+        match self.reset.take() {
+            Some(reset) => reset.set(false),
+            None => Ok(()),
+        }
     }
 }
 
@@ -827,40 +671,37 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         let this = self.get_mut();
-        if let Some((pause, timer)) = &mut this.pause {
-            if timer.as_mut().poll(cx).is_pending() {
-                return Poll::Pending;
-            }
-            timer.as_mut().reset(TimerInstant::now() + *pause);
-        }
-        if this.is_endless && this.events.len() <= 1 {
-            return Poll::Pending;
-        }
-        if !this.events.is_empty() {
-            let event = this.events.remove(0);
-            if let Some(running) = &this.running {
-                running.record_sent();
-            }
-            return Poll::Ready(Some(Ok(Frame::data(event))));
-        }
-        if let Some(guard) = &mut this.guard {
-            guard.is_over = true;
-        }
-        if let Some(running) = &this.running {
-            // Without a delimiter, an empty body may also have broken off before its first event.
-            let is_complete = this.is_delimited || running.has_sent();
-            running.end(if this.breaks || !is_complete {
-                RunState::BrokenOff
-            } else {
-                RunState::Finished
-            });
-        }
-        if let Some(reset) = this.reset.take() {
-            reset.set(false)?;
-        }
-        if this.breaks {
-            return Poll::Ready(Some(Err(io::Error::other("disconnected by the stub"))));
+        loop {
+            let sent = match this.next() {
+                NextPart::Never => return Poll::Pending,
+                NextPart::At(due) => {
+                    let started = this
+                        .running
+                        .as_ref()
+                        .map(|guard| guard.state.lock().started);
+                    let due = started.unwrap_or_else(Instant::now) + due;
+                    this.timer.as_mut().reset(due.into());
+                    if this.timer.as_mut().poll(cx).is_pending() {
+                        return Poll::Pending;
+                    }
+                    continue;
+                }
+                NextPart::Event(index) => this.take(index),
+                NextPart::HalfEvent(index) => {
+                    let event = this.take(index);
+                    event.slice(..event.len() / 2)
+                }
+                NextPart::End => {
+                    this.end()?;
+                    return Poll::Ready(None);
+                }
+                NextPart::Break => {
+                    this.end()?;
+                    let error = io::Error::other("disconnected by the stub");
+                    return Poll::Ready(Some(Err(error)));
+                }
+            };
+            return Poll::Ready(Some(Ok(Frame::data(sent))));
         }
-        Poll::Ready(None)
     }
 }
