--- a/crates/soak/src/capacity.rs
+++ b/crates/soak/src/capacity.rs
@@ -237,6 +237,7 @@
         | Fault::Backoff(server, _)
         | Fault::Limit(server, _)
         | Fault::Brittle(server)
+        | Fault::Places(server, _)
         | Fault::Stop(server)
         | Fault::MalformedEntry(server, _) => Some(server),
         _ => None,
--- a/crates/soak/src/cuts.rs
+++ b/crates/soak/src/cuts.rs
@@ -249,6 +249,7 @@
         | Fault::ServerLink(other, _)
         | Fault::Server(other, _)
         | Fault::Transfer(other, _)
+        | Fault::Places(other, _)
         | Fault::Replace(other)
         | Fault::Restart(other)
         | Fault::SignalDrain(other, _)
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -121,6 +121,8 @@
 
 /// Slots of a server.
 pub(crate) const SLOTS: u32 = 8;
+/// Requests that wait at a server with few places.
+const QUEUE: u32 = 4;
 /// Rank of the less important kind; the others have rank 0 or 1.
 const LESS_IMPORTANT_RANK: u8 = 3;
 /// Model servers of the seeds that have some; memory is no bottleneck.
@@ -502,6 +504,15 @@
         self.set_signals(server, |signals| signals.brittle = rejections);
     }
 
+    /// Sets how many requests all instances of a server run at the same time, with [`QUEUE`] more
+    /// under way; `None` ends that.
+    pub(crate) fn set_places(&self, server: usize, places: Option<u32>) {
+        for instance in &self.servers[server].lock().instances {
+            instance.set_places(places);
+            instance.set_room(places.map(|places| places + QUEUE));
+        }
+    }
+
     /// Sets how many requests may be under way at the present instance of a server.
     pub(crate) fn set_room(&self, server: usize, room: Option<u32>) {
         if let Some(instance) = self.servers[server].lock().instances.last() {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -87,6 +87,12 @@
 /// Seconds by which a suspended VM's clock is advanced.
 const SUSPENSION_S: std::ops::RangeInclusive<u64> = 1..=60;
 
+/// Servers with few places are drawn in a separate series, for the same reason, with this mean time
+/// between the starts in milliseconds and this number of places.
+const PLACES_SERIES: u64 = 0x706c_6163_6573_5f31;
+const PLACES_PAUSE_MS: u64 = 1200;
+const PLACES: std::ops::Range<u32> = 1..5;
+
 /// Stops of servers are drawn in a separate series, for the same reason. They do not overlap, so that
 /// none is longer than a request may take.
 const STOP_SERIES: u64 = 0x7374_6f70_735f_6f66;
@@ -153,6 +159,9 @@
     Limit(usize, &'static str),
     /// A server says that it falls over if it rejects too many requests for want of room.
     Brittle(usize),
+    /// A server runs at most so many requests at the same time, keeps a few more in its queue and
+    /// rejects others.
+    Places(usize, u32),
     /// Another writer overwrites a server's entry with a foreign value. The second number
     /// selects the kind of value.
     MalformedEntry(usize, usize),
@@ -291,6 +300,10 @@
             Fault::Server(rng.random_range(0..size.servers), ServerFault::ReadsSlowly)
         }),
         usual(TRANSFER_SERIES, TRANSFER_PAUSE_MS, draw_transfer),
+        usual(PLACES_SERIES, PLACES_PAUSE_MS, |rng, size| {
+            let server = rng.random_range(0..size.servers);
+            Fault::Places(server, rng.random_range(PLACES))
+        }),
         usual(RESTORE_SERIES, RESTORE_PAUSE_MS, |_, _| Fault::Restore),
         usual(PATH_SERIES, PATH_PAUSE_MS, |rng, size| {
             let vm = rng.random_range(0..size.vms);
--- a/crates/soak/src/run/inject.rs
+++ b/crates/soak/src/run/inject.rs
@@ -39,6 +39,10 @@
                 self.deployment.set_limit(server, Some(limit));
                 Ok(())
             }
+            Fault::Places(server, places) => {
+                self.deployment.set_places(server, Some(places));
+                Ok(())
+            }
             Fault::Brittle(server) => {
                 self.deployment
                     .set_brittle(server, Some(brittle::REJECTIONS));
@@ -141,6 +145,10 @@
                 self.deployment.set_limit(server, None);
                 Ok(())
             }
+            Fault::Places(server, _) => {
+                self.deployment.set_places(server, None);
+                Ok(())
+            }
             Fault::Brittle(server) => {
                 self.deployment.set_brittle(server, None);
                 Ok(())
@@ -189,6 +197,7 @@
         | (Fault::SignalDrain(a, _), Fault::SignalDrain(b, _))
         | (Fault::Backoff(a, _), Fault::Backoff(b, _))
         | (Fault::Limit(a, _), Fault::Limit(b, _))
+        | (Fault::Places(a, _), Fault::Places(b, _))
         | (Fault::Brittle(a), Fault::Brittle(b))
         | (Fault::Stop(a), Fault::Stop(b))
         | (Fault::Transfer(a, _), Fault::Transfer(b, _))
