--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -381,7 +381,7 @@
                 cause: "the connection was lost",
             },
             Self::Unacknowledged => AttemptEnd::Lost {
-                cause: "the other side acknowledged nothing",
+                cause: "the kernel timed out the connection",
             },
             Self::TimedOut => AttemptEnd::Lost {
                 cause: "no response before the deadline",
