Votes on a server end when its entry leaves the store

Cause: VMs vote on servers with entries only, and the last votes of the other VMs were kept. Change: the votes are dropped when the entry leaves. A VM's own vote and its streams still suspect the server. Test: fleet liveness::a_server_that_serves_on_without_its_entry_is_not_suspected failed before at 1.6 s (its entry stays away), passes now.

--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -226,9 +226,12 @@
         self.cold_until = self.cold_until.max(now + left);
     }
 
-    /// Records that the instance has ended, and drops its cached prefixes.
+    /// Records that the entry of the instance has left the store, and drops its cached prefixes.
+    /// The votes of other VMs would stay as they are, since VMs vote on servers with entries only,
+    /// while some servers serve on without one.
     pub(crate) fn end_instance(&mut self, now: Moment) {
         self.gone = true;
+        self.others.votes = ServerVotes::default();
         self.cached_prefixes = CachedPrefixes::new(now);
     }
 
--- a/crates/fleet/tests/liveness.rs
+++ b/crates/fleet/tests/liveness.rs
@@ -296,3 +296,42 @@
         );
     }
 }
+
+struct LapsedEntry {
+    name: &'static str,
+    /// When the entry is written again, in milliseconds.
+    returns: Option<u64>,
+}
+
+/// VMs vote on servers with entries only, so that the last votes would stay.
+#[test]
+fn a_server_that_serves_on_without_its_entry_is_not_suspected() {
+    let cases = [
+        LapsedEntry {
+            name: "its entry stays away",
+            returns: None,
+        },
+        LapsedEntry {
+            name: "its entry returns",
+            returns: Some(1500),
+        },
+    ];
+    for case in cases {
+        let (mut view, id) = view(0);
+        view.start_attempt(at(100), id, 1, &needs());
+        let silent = WorkShare {
+            votes: ServerVotes { good: 0, bad: 3 },
+            ..WorkShare::default()
+        };
+        view.server_mut(id).set_others(at(1000), silent);
+        assert!(view.is_suspected(at(1000), id), "{}", case.name);
+        view.remove_server(at(1100), "s");
+        if let Some(returns) = case.returns {
+            view.put_server(at(returns), ready_server("s"), None);
+        }
+        for ms in (1600..10_000).step_by(100) {
+            view.server_mut(id).record_liveness(at(ms));
+            assert!(!view.is_suspected(at(ms), id), "{} at {ms} ms", case.name);
+        }
+    }
+}
