--- a/crates/fleet/src/predict.rs
+++ b/crates/fleet/src/predict.rs
@@ -176,14 +176,7 @@
         let server = self.server(id);
         let silence_end = self.silence_end(&server.record.service);
         let since = server.since_first_byte(now, attempt, silence_end);
-        // Where all servers were silent, the run that lost the race speaks against none of them.
-        let started = server.started(attempt);
-        let was_joint = started.is_some_and(|started| silence_end > Some(started));
-        let known = match result {
-            AttemptResult::Overtaken if was_joint => AttemptResult::Unknown,
-            result => result,
-        };
-        self.server_mut(id).end(now, attempt, known);
+        self.server_mut(id).end(now, attempt, result);
         if result == AttemptResult::Shed {
             self.record_brittle_rejection(now, id);
         }
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -723,11 +723,6 @@
         })
     }
 
-    /// When attempt `id` was sent; `None` if it has ended.
-    pub(crate) fn started(&self, id: u64) -> Option<Moment> {
-        self.open.get(&id).map(|open| open.started)
-    }
-
     /// Records the end of attempt `id`.
     pub fn end(&mut self, now: Moment, id: u64, result: AttemptResult) {
         if let Some(open) = self.open.remove(&id) {
--- a/crates/fleet/tests/silence.rs
+++ b/crates/fleet/tests/silence.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use onyxfall_fleet::{
-    AttemptResult, BrittleSignal, CallRequirements, FleetView, LimitSignal, LocalOption,
-    LossEvidence, PaceSignal, PathCheck, PathState, ServerPace, ServerRecord, WorkShare,
+    AttemptResult, CallRequirements, FleetView, LocalOption, PathCheck, PathState, ServerRecord,
+    WorkShare,
 };
-use onyxfall_types::{RequestRate, ServerId};
+use onyxfall_types::ServerId;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use support::{at, needs, place, ready_server};
@@ -437,88 +437,3 @@
         assert!((0.5..2.0).contains(&ratio), "{}: {ratio}", case.name);
     }
 }
-
-struct OvertakenCase {
-    name: &'static str,
-    /// Whether another server sends something during the silence.
-    is_partial: bool,
-    is_suspected: bool,
-}
-
-/// Guards against suspicion that outlasts a silence: the server that goes on last has lost all
-/// its runs to the others, and no run is left there to end the votes.
-#[test]
-fn the_last_server_to_go_on_after_a_silence_is_not_suspected() {
-    let cases = [
-        OvertakenCase {
-            name: "all servers are silent",
-            is_partial: false,
-            is_suspected: false,
-        },
-        OvertakenCase {
-            name: "two of four are silent",
-            is_partial: true,
-            is_suspected: true,
-        },
-    ];
-    for case in cases {
-        let mut views: Vec<FleetView> = (0..2).map(|vm| view(vm, 2)).collect();
-        let ids: Vec<ServerId> = (0..SERVERS)
-            .map(|server| views[0].find(&format!("s{server}")).unwrap())
-            .collect();
-        let service = needs().service;
-        for view in &mut views {
-            for (id, attempt) in ids.iter().zip(1..) {
-                view.refresh_paths(at(0));
-                view.start_attempt(at(1), *id, attempt, &needs());
-                view.record_response(at(20), *id, attempt);
-                view.end_attempt(at(20), *id, attempt, AttemptResult::Succeeded, None);
-            }
-            view.start_attempt(at(30), ids[0], 10, &needs());
-            view.start_attempt(at(30), ids[1], 11, &needs());
-            for now in (30..1530).step_by(30) {
-                if case.is_partial {
-                    view.server_mut(ids[2]).record_liveness(at(now));
-                }
-                view.refresh_paths(at(now));
-                view.record_check(at(now), &service, PathCheck::Accepted);
-            }
-            view.start_attempt(at(800), ids[1], 12, &needs());
-            // The second run answers first.
-            view.record_response(at(1530), ids[1], 12);
-            view.end_attempt(at(1531), ids[0], 10, AttemptResult::Overtaken, None);
-        }
-        let votes = views
-            .iter()
-            .map(|view| view.server(ids[0]).own_work(at(2530)).votes);
-        let bad: u32 = votes.map(|votes| votes.bad).sum();
-        assert_eq!(bad > 0, case.is_suspected, "{}: {bad}", case.name);
-        // The overtaken run is no crash: open until the server sends something, then nothing.
-        let evidence = |view: &FleetView| view.silence_evidence(at(2530), ids[0], at(1531));
-        assert_eq!(evidence(&views[0]), LossEvidence::Open, "{}", case.name);
-        views[0].server_mut(ids[0]).record_liveness(at(2000));
-        assert_eq!(evidence(&views[0]), LossEvidence::None, "{}", case.name);
-    }
-}
-
-/// Guards against figures that servers stated before a silence and that would outlast it: the
-/// first response without them ends them, also one to a request that was sent before the silence.
-#[test]
-fn figures_stated_before_a_silence_end_with_the_first_response_after_it() {
-    let mut view = view(0, 1);
-    let id = view.find("s0").unwrap();
-    let rate = RequestRate::new(2.0).unwrap();
-    let stated = at(SILENT_FROM - 100);
-    view.apply_limit(stated, id, LimitSignal::Rate(rate), Some(at(2000)));
-    view.apply_brittle(stated, id, BrittleSignal::Rejections(rate), at(2000));
-    view.apply_pace(stated, id, PaceSignal::Percent("400".parse().unwrap()));
-    let silent = at(SILENT_TO - 1);
-    assert!(view.server(id).limit(silent).is_some());
-    assert!(view.tolerated_rejections(silent, id).is_some());
-    assert_eq!(view.server(id).pace(silent), ServerPace::USUAL);
-    let (sent, now) = (at(SILENT_FROM - 50), at(SILENT_TO));
-    view.apply_limit(now, id, LimitSignal::None, Some(sent));
-    view.apply_brittle(now, id, BrittleSignal::None, sent);
-    assert!(view.server(id).limit(now).is_none());
-    assert!(view.tolerated_rejections(now, id).is_none());
-}
