--- a/crates/gateway/tests/silent_rest.rs
+++ b/crates/gateway/tests/silent_rest.rs
@@ -9,6 +9,8 @@
 use support::{Gateway, Site, call, wait_for};
 
 const CALLERS: usize = 6;
+/// Requests of each VM that make room in the retry budget for what its streams need.
+const BUDGETED: usize = 40;
 const EVENT_PAUSE: Duration = Duration::from_millis(700);
 
 fn ended(gateway: &Gateway) -> Vec<String> {
@@ -32,6 +34,13 @@
         for server in &servers {
             support::wait_used("every server to be used", gateway, server);
         }
+        for number in 0..BUDGETED {
+            call(
+                gateway.callers(),
+                "/repeat/x",
+                &format!("b{number}-{}", gateway.ip),
+            );
+        }
     }
     for server in &servers {
         server.set_event_pause(EVENT_PAUSE);
