--- a/crates/server-model/src/model.rs
+++ b/crates/server-model/src/model.rs
@@ -286,6 +286,10 @@
         let (fault, framing) = (self.fault, self.transfer.framing);
         let request = &mut self.requests[number.index()];
         request.record.run = RunState::Running;
+        if self.is_crashed {
+            request.record.end(RunState::BrokenOff);
+            return Answer::Closed;
+        }
         if run.crash.is_some() {
             let due = now + CRASH_AFTER;
             self.crash_due = Some(self.crash_due.map_or(due, |other| other.min(due)));
--- a/crates/server-model/tests/cases.rs
+++ b/crates/server-model/tests/cases.rs
@@ -336,3 +336,13 @@
     }
     assert!(server.is_crashed());
 }
+
+/// The run would be recorded as one that goes on.
+#[test]
+fn a_request_that_was_admitted_before_a_crash_does_not_run_after_it() {
+    let mut server = ServerModel::new(EVENTS);
+    let number = admitted(&mut server, at(0));
+    server.crash(at(1));
+    assert_eq!(server.begin(number, &STREAM, at(2)), Answer::Closed);
+    assert_eq!(server.record(number).run, RunState::BrokenOff);
+}
