--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -5,11 +5,15 @@
 //! own requests. The fixed number is divided by the known VMs, including those lost
 //! recently; a VM that does not know the others yet uses nothing of it.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
 use std::time::Duration;
 
 use onyxfall_policy::Moment;
+use onyxfall_types::CenterName;
 
+/// Age from which a VM has discovered the others.
+const DISCOVERY_TIME: Duration = Duration::from_millis(1500);
 /// Fraction of the budget that is used. The rest covers requests in flight and windows
 /// that are not aligned with those of the observer.
 const USED_FRACTION: f64 = 0.8;
@@ -25,6 +29,73 @@
     pub window: Duration,
 }
 
+/// How much of its share of a retry budget a VM has used.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetUsage {
+    /// Retries that count now.
+    pub retries: usize,
+    /// Retries that the share allows now.
+    pub allowed: f64,
+}
+
+impl BudgetUsage {
+    /// Whether one more retry is allowed.
+    fn has_left(self) -> bool {
+        (self.retries + 1) as f64 <= self.allowed
+    }
+}
+
+impl fmt::Display for BudgetUsage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{:.1}", self.retries, self.allowed)
+    }
+}
+
+/// VMs that share the fixed part of a budget, as far as this VM knows.
+///
+/// ```
+/// use onyxfall_fleet::SharerCount;
+/// use onyxfall_policy::Moment;
+/// use std::time::Duration;
+/// # use onyxfall_types::CenterName;
+/// let [near, far]: [CenterName; 2] = ["c0", "c1"].map(|name| name.parse().unwrap());
+/// let mut count = SharerCount::new([near.clone(), far.clone()]);
+/// count.update([&near, &near, &far]);
+/// assert_eq!(count.known(Moment::ZERO), None);
+/// assert_eq!(count.known(Moment::ZERO + Duration::from_mins(3)), Some(3));
+/// ```
+#[derive(Clone, Debug)]
+pub struct SharerCount {
+    /// Known VMs of each data centre.
+    centers: BTreeMap<CenterName, usize>,
+}
+
+impl SharerCount {
+    /// Creates the count of a VM in a deployment of `centers`.
+    pub fn new(centers: impl IntoIterator<Item = CenterName>) -> Self {
+        Self {
+            centers: centers.into_iter().map(|center| (center, 0)).collect(),
+        }
+    }
+
+    /// Records the data centres of all known VMs, including this one and those lost recently.
+    pub fn update<'a>(&mut self, vms: impl IntoIterator<Item = &'a CenterName>) {
+        self.centers.values_mut().for_each(|count| *count = 0);
+        for center in vms {
+            match self.centers.get_mut(center) {
+                Some(count) => *count += 1,
+                None => _ = self.centers.insert(center.clone(), 1),
+            }
+        }
+    }
+
+    /// Number of VMs that share the budget. `None` while this VM, whose process started at
+    /// [`Moment::ZERO`], may not have met all of them.
+    pub fn known(&self, now: Moment) -> Option<usize> {
+        (now >= Moment::ZERO + DISCOVERY_TIME).then(|| self.centers.values().sum())
+    }
+}
+
 /// Requests and retries of one service in this VM.
 #[derive(Clone, Debug, Default)]
 pub struct RetryShare {
@@ -58,10 +129,27 @@
 
     /// Whether a retry of the budget is left.
     pub fn has_left(&mut self, now: Moment, limits: &BudgetLimits, vms: Option<usize>) -> bool {
+        self.usage(now, limits, vms).has_left()
+    }
+
+    /// How much of the share is used.
+    ///
+    /// ```
+    /// use onyxfall_fleet::{BudgetLimits, RetryShare};
+    /// use onyxfall_policy::Moment;
+    /// let window = std::time::Duration::from_secs(10);
+    /// let limits = BudgetLimits { ratio: 0.2, extra: 40.0, window };
+    /// let usage = RetryShare::default().usage(Moment::ZERO, &limits, Some(4));
+    /// assert_eq!(usage.to_string(), "0/8.0");
+    /// ```
+    pub fn usage(&mut self, now: Moment, limits: &BudgetLimits, vms: Option<usize>) -> BudgetUsage {
         self.drop_expired(now, limits.window);
         let fixed = vms.map_or(0.0, |vms| limits.extra / vms.max(1) as f64);
         let allowed = USED_FRACTION * (limits.ratio * self.requests.len() as f64 + fixed);
-        (self.retries.len() + 1) as f64 <= allowed
+        BudgetUsage {
+            retries: self.retries.len(),
+            allowed,
+        }
     }
 
     fn drop_expired(&mut self, now: Moment, window: Duration) {
--- a/crates/gateway/src/backup.rs
+++ b/crates/gateway/src/backup.rs
@@ -104,7 +104,7 @@
     if gateway.is_quarantined(call) {
         return None;
     }
-    if !gateway.take_retry(&call.needs.service) {
+    if !gateway.take_retry(call) {
         return None;
     }
     let mut extra = HeaderMap::new();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,7 +12,7 @@
 use onyxfall_clock::{BootInstant, SuspensionWatch};
 use onyxfall_fleet::{
     DecisionSwitch, FleetView, QuotaTable, RemoteTable, ResponseLengths, RetryShare, RoundTrips,
-    RouteTable, StoreMirror,
+    RouteTable, SharerCount, StoreMirror,
 };
 use onyxfall_overlay::{KnownVm, OverlayNode, RecordVersion, RosterTiming, VmRecord, VmStatus};
 use onyxfall_policy::Moment;
@@ -22,6 +22,7 @@
 use rand::rngs::StdRng;
 use tokio::sync::Notify;
 
+use crate::call::CallContext;
 use crate::connection::DialPlan;
 use crate::copies::{CachedParts, IncomingCopy};
 use crate::held::HeldAccount;
@@ -78,6 +79,8 @@
     /// Response lengths by route.
     pub(crate) lengths: RefCell<ResponseLengths>,
     retries: RefCell<BTreeMap<ServiceName, RetryShare>>,
+    /// VMs that share the retry budgets.
+    sharers: RefCell<SharerCount>,
     /// Usage of the team quotas.
     pub(crate) quotas: RefCell<QuotaTable>,
     /// Classes, load and plans of model services.
@@ -171,6 +174,7 @@
         let held = HeldAccount::new(HeldAccount::bound_for(settings.memory));
         let mut quotas = QuotaTable::default();
         quotas.set_settings(settings.quotas);
+        let sharers = SharerCount::new(place.centers.keys().cloned());
         let regions = place.centers.values().cloned();
         let capacity = CapacityState::new(regions, &place.region);
         Self {
@@ -187,6 +191,7 @@
             trips: RefCell::default(),
             lengths: RefCell::default(),
             retries: RefCell::default(),
+            sharers: RefCell::new(sharers),
             quotas: RefCell::new(quotas),
             capacity: RefCell::new(capacity),
             rollouts: RefCell::new(RolloutTable::new(place.region, unix_start)),
@@ -293,30 +298,26 @@
             .record_first(now);
     }
 
-    /// Number of VMs, including those lost recently. `None` until this VM is old enough to
-    /// have discovered all of them.
-    fn vm_count(&self) -> Option<usize> {
-        let others = self.overlay.borrow().roster().others().count();
-        (self.started.elapsed() >= DISCOVERY_TIME).then_some(others + 1)
-    }
-
     /// Whether the retry budget of `service` has a retry left.
     pub(crate) fn has_retry(&self, service: &ServiceName) -> bool {
-        let (now, vms) = (self.now(), self.vm_count());
+        let vms = self.sharers.borrow().known(self.now());
         let limits = self.settings().retries;
         let mut retries = self.retries.borrow_mut();
         let share = retries.entry(service.clone()).or_default();
-        share.has_left(now, &limits, vms)
+        share.has_left(self.now(), &limits, vms)
     }
 
-    /// Claims one retry from the retry budget of `service`.
-    pub(crate) fn take_retry(&self, service: &ServiceName) -> bool {
-        let now = self.now();
-        let vms = self.vm_count();
+    /// Claims one retry of `call` from the retry budget of its service.
+    pub(crate) fn take_retry(&self, call: &CallContext) -> bool {
+        let (now, service) = (self.now(), &call.needs.service);
+        let vms = self.sharers.borrow().known(self.now());
         let limits = self.settings().retries;
         let mut retries = self.retries.borrow_mut();
         let share = retries.entry(service.clone()).or_default();
-        share.try_repeat(now, &limits, vms)
+        let usage = share.usage(now, &limits, vms);
+        let is_claimed = share.try_repeat(now, &limits, vms);
+        self.log_retry(call, usage, vms, is_claimed);
+        is_claimed
     }
 
     /// Whether any other VM is alive.
@@ -351,6 +352,10 @@
         let mut overlay = self.overlay.borrow_mut();
         let age = overlay.plan(now).knowledge_age();
         let roster = overlay.roster();
+        let others = roster.others().map(|vm| &vm.record.center);
+        self.sharers
+            .borrow_mut()
+            .update(others.chain([&self.settings().place.center]));
         let mut fleet = self.fleet.borrow_mut();
         let peers = region_peers(roster, self.table.borrow().as_deref());
         fleet.update_region_peers(now, peers, DISCOVERY_TIME);
--- a/crates/gateway/src/race.rs
+++ b/crates/gateway/src/race.rs
@@ -68,7 +68,7 @@
     }
     let silent = progress.last_target.clone();
     let step = gateway.decide(call, progress);
-    if !step.is_attempt() || !gateway.take_retry(&call.needs.service) {
+    if !step.is_attempt() || !gateway.take_retry(call) {
         return None;
     }
     let run = start_attempt(gateway, call, progress, extra, step)?;
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use onyxfall_events::StreamEnd;
+use onyxfall_fleet::BudgetUsage;
 use onyxfall_types::RequestError;
 
 use crate::call::CallContext;
@@ -10,6 +11,27 @@
 use crate::serve::CallProgress;
 
 impl Gateway {
+    /// Logs a claim on the retry budget, with its usage before and the VMs that share it.
+    pub(crate) fn log_retry(
+        &self,
+        call: &CallContext,
+        usage: BudgetUsage,
+        vms: Option<usize>,
+        is_claimed: bool,
+    ) {
+        if !is_claimed {
+            self.metrics.count("onyxfall_retries_denied_total");
+        }
+        log::info!(
+            request = call.request_id.as_str(),
+            service = call.needs.service.as_str(),
+            usage:% = usage,
+            vms = vms.unwrap_or(0),
+            is_claimed;
+            "retry asked of the budget"
+        );
+    }
+
     /// Logs and counts the end of a request that a server responded to.
     pub(crate) fn log_request_end(
         &self,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -388,7 +388,7 @@
 ) -> Result<(), RequestError> {
     find_ended(gateway, call, &mut progress.log).await;
     check_retry(call, progress)?;
-    if progress.log.arrivals() > 0 && !gateway.take_retry(&call.needs.service) {
+    if progress.log.arrivals() > 0 && !gateway.take_retry(call) {
         let detail = "the retry budget is used up";
         return Err(unretried(progress, RefusalReason::Backend, detail));
     }
