Retry budget: a VM that has just started uses nothing of the fixed part

Callers' repeats exceeded the budget of a service where VMs were killed beside failing servers. Cause: a new process knows nothing of the retries of the former one, which still count, and used its part of the fixed number again from 1.5 s on. Change: no fixed part until a whole window after the start. The part by ratio is as before: it is paid for by requests of the same life.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -3,7 +3,10 @@
 //! The budget of a service is `ratio` times its requests in a window plus a fixed
 //! number, summed over all VMs. The part by ratio needs no sharing: each VM counts its
 //! own requests. The fixed number is divided by the known VMs, including those lost
-//! recently; a VM that does not know the others yet uses nothing of it.
+//! recently. A VM that has just started uses nothing of it: the retries of its former
+//! process still count, and it may not know the others yet.
+//!
+//! Moments are counted from the start of the process.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
@@ -144,6 +147,7 @@
     /// ```
     pub fn usage(&mut self, now: Moment, limits: &BudgetLimits, vms: Option<usize>) -> BudgetUsage {
         self.drop_expired(now, limits.window);
+        let vms = vms.filter(|_| now > Moment::ZERO + limits.window);
         let fixed = vms.map_or(0.0, |vms| limits.extra / vms.max(1) as f64);
         let allowed = USED_FRACTION * (limits.ratio * self.requests.len() as f64 + fixed);
         BudgetUsage {
