Retry budget: a VM that starts behind a cut uses nothing of the fixed part

Callers' repeats exceeded the budget of a service where VMs started again while regions were cut off from each other. Cause: the fixed number was divided by the VMs that the new process had met, those of its own region, so that each region used the whole. Change: the number of VMs is not known while some data centre of the settings has no known VM, for two minutes after the start, the time after which lost VMs are forgotten. Left: VMs that are apart for more than two minutes forget each other.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -15,8 +15,9 @@
 use onyxfall_policy::Moment;
 use onyxfall_types::CenterName;
 
-/// Age from which a VM has discovered the others.
-const DISCOVERY_TIME: Duration = Duration::from_millis(1500);
+/// Age from which a VM takes a data centre of which it knows no VM for empty. It is that after
+/// which lost VMs are forgotten.
+const MEETING_TIME: Duration = Duration::from_mins(2);
 /// Fraction of the budget that is used. The rest covers requests in flight and windows
 /// that are not aligned with those of the observer.
 const USED_FRACTION: f64 = 0.8;
@@ -59,13 +60,13 @@
 /// ```
 /// use onyxfall_fleet::SharerCount;
 /// use onyxfall_policy::Moment;
-/// use std::time::Duration;
 /// # use onyxfall_types::CenterName;
 /// let [near, far]: [CenterName; 2] = ["c0", "c1"].map(|name| name.parse().unwrap());
 /// let mut count = SharerCount::new([near.clone(), far.clone()]);
-/// count.update([&near, &near, &far]);
+/// count.update([&near, &near]);
 /// assert_eq!(count.known(Moment::ZERO), None);
-/// assert_eq!(count.known(Moment::ZERO + Duration::from_mins(3)), Some(3));
+/// count.update([&near, &near, &far]);
+/// assert_eq!(count.known(Moment::ZERO), Some(3));
 /// ```
 #[derive(Clone, Debug)]
 pub struct SharerCount {
@@ -93,9 +94,11 @@
     }
 
     /// Number of VMs that share the budget. `None` while this VM, whose process started at
-    /// [`Moment::ZERO`], may not have met all of them.
+    /// [`Moment::ZERO`], may not have met all of them: one that starts behind a cut knows none of
+    /// some data centres.
     pub fn known(&self, now: Moment) -> Option<usize> {
-        (now >= Moment::ZERO + DISCOVERY_TIME).then(|| self.centers.values().sum())
+        let is_complete = self.centers.values().all(|count| *count > 0);
+        (is_complete || now >= Moment::ZERO + MEETING_TIME).then(|| self.centers.values().sum())
     }
 }
 
