Retry budget: requests of two windows do not pay for the retries of one

Callers' repeats exceeded the budget of a service where callers moved to other VMs, or a rush ended. Cause: each VM counts the requests of the window before its own retry. The VM that callers have left retries at the start of the rule's window and the one that they have gone to at its end, each at 0.8 of the ratio. Change: half of the ratio. The requests of a window and of the one before it are at most twice those of the larger, which the rule takes.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -18,9 +18,11 @@
 /// Age from which a VM takes a data centre of which it knows no VM for empty. It is that after
 /// which lost VMs are forgotten.
 const MEETING_TIME: Duration = Duration::from_mins(2);
-/// Fraction of the budget that is used. The rest covers requests in flight and windows
-/// that are not aligned with those of the observer.
-const USED_FRACTION: f64 = 0.8;
+/// Fraction of the part by ratio that is used. Where callers move from one VM to another, requests
+/// of two windows pay for the retries of one, and they are at most twice those of the larger one.
+const RATIO_FRACTION: f64 = 0.5;
+/// Fraction of the fixed part that is used. The rest covers VMs that are not known yet.
+const FIXED_FRACTION: f64 = 0.8;
 
 /// Parameters of a retry budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -152,10 +154,10 @@
         self.drop_expired(now, limits.window);
         let vms = vms.filter(|_| now > Moment::ZERO + limits.window);
         let fixed = vms.map_or(0.0, |vms| limits.extra / vms.max(1) as f64);
-        let allowed = USED_FRACTION * (limits.ratio * self.requests.len() as f64 + fixed);
+        let by_ratio = limits.ratio * self.requests.len() as f64;
         BudgetUsage {
             retries: self.retries.len(),
-            allowed,
+            allowed: RATIO_FRACTION * by_ratio + FIXED_FRACTION * fixed,
         }
     }
 
