Retry budget: a retry counts until it can no longer arrive in a later window

Callers' repeats could exceed the budget of a service after a silence of its servers or a cut. Cause: a claim counted for one window from when it was made, but it may wait for a server, or lie unread at a silent one for three seconds, and arrive together with the claims of the next window. Change: a claim counts for three seconds more, and the fixed part is used from three seconds later on after a start. All tests of the gateway pass.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -18,6 +18,9 @@
 /// Age from which a VM takes a data centre of which it knows no VM for empty. It is that after
 /// which lost VMs are forgotten.
 const MEETING_TIME: Duration = Duration::from_mins(2);
+/// Longest time from the claim of a retry to its arrival: it may wait for a server, or a server be
+/// silent. Until then it may still arrive in a later window.
+const LATEST_ARRIVAL: Duration = Duration::from_secs(3);
 /// Fraction of the part by ratio that is used. Where callers move from one VM to another, requests
 /// of two windows pay for the retries of one, and they are at most twice those of the larger one.
 const RATIO_FRACTION: f64 = 0.5;
@@ -152,7 +155,7 @@
     /// ```
     pub fn usage(&mut self, now: Moment, limits: &BudgetLimits, vms: Option<usize>) -> BudgetUsage {
         self.drop_expired(now, limits.window);
-        let vms = vms.filter(|_| now > Moment::ZERO + limits.window);
+        let vms = vms.filter(|_| now > Moment::ZERO + limits.window + LATEST_ARRIVAL);
         let fixed = vms.map_or(0.0, |vms| limits.extra / vms.max(1) as f64);
         let by_ratio = limits.ratio * self.requests.len() as f64;
         BudgetUsage {
@@ -162,10 +165,13 @@
     }
 
     fn drop_expired(&mut self, now: Moment, window: Duration) {
-        for times in [&mut self.requests, &mut self.retries] {
-            while times.front().is_some_and(|at| now - *at > window) {
-                times.pop_front();
-            }
-        }
+        drop_older(&mut self.requests, now, window);
+        drop_older(&mut self.retries, now, window + LATEST_ARRIVAL);
+    }
+}
+
+fn drop_older(times: &mut VecDeque<Moment>, now: Moment, age: Duration) {
+    while times.front().is_some_and(|at| now - *at > age) {
+        times.pop_front();
     }
 }
