Retry budget: a reserve for streams whose server has ended

Change: `RetryPurpose`. A repetition uses 0.6 of a share at most, a second run 0.75, a resumption all of it. Logged with each claim. The sum is not changed by it. Also: the example of `RetryShare::usage` asked a VM that has just started, and its doc test failed since the fixed part is not used then.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -38,6 +38,38 @@
     pub window: Duration,
 }
 
+/// What a retry saves, and with it how much of a share it may use. The rest is kept for retries that
+/// save more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryPurpose {
+    /// A request whose caller has received nothing yet and can send it again.
+    Repetition,
+    /// A second run beside a silent server, which may go on by itself.
+    SecondRun,
+    /// The rest of a response that its caller has begun to receive, whose server has ended.
+    Resumption,
+}
+
+impl RetryPurpose {
+    /// Name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Repetition => "repetition",
+            Self::SecondRun => "second run",
+            Self::Resumption => "resumption",
+        }
+    }
+
+    /// Fraction of a share that retries of this purpose may use.
+    fn usable_share(self) -> f64 {
+        match self {
+            Self::Repetition => 0.6,
+            Self::SecondRun => 0.75,
+            Self::Resumption => 1.0,
+        }
+    }
+}
+
 /// How much of its share of a retry budget a VM has used.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BudgetUsage {
@@ -49,8 +81,15 @@
 
 impl BudgetUsage {
     /// Whether one more retry is allowed.
-    fn has_left(self) -> bool {
-        (self.retries + 1) as f64 <= self.allowed
+    ///
+    /// ```
+    /// use onyxfall_fleet::{BudgetUsage, RetryPurpose};
+    /// let usage = BudgetUsage { retries: 8, allowed: 10.0 };
+    /// assert!(!usage.has_left(RetryPurpose::SecondRun));
+    /// assert!(usage.has_left(RetryPurpose::Resumption));
+    /// ```
+    pub fn has_left(self, purpose: RetryPurpose) -> bool {
+        (self.retries + 1) as f64 <= purpose.usable_share() * self.allowed
     }
 }
 
@@ -120,37 +159,40 @@
         self.requests.push_back(now);
     }
 
-    /// Consumes one retry of the budget if one is left. The fixed part is divided by
-    /// `vms`, and not used while their number is unknown.
+    /// Claims one retry of the budget if one is left for its purpose.
     ///
     /// ```
-    /// use onyxfall_fleet::{BudgetLimits, RetryShare};
+    /// use onyxfall_fleet::{BudgetLimits, RetryPurpose, RetryShare};
     /// use onyxfall_policy::Moment;
     /// let window = std::time::Duration::from_secs(10);
     /// let limits = BudgetLimits { ratio: 0.2, extra: 0.0, window };
-    /// assert!(!RetryShare::default().try_repeat(Moment::ZERO, &limits, Some(1)));
+    /// let mut share = RetryShare::default();
+    /// assert!(!share.try_retry(Moment::ZERO, &limits, Some(1), RetryPurpose::Resumption));
     /// ```
-    pub fn try_repeat(&mut self, now: Moment, limits: &BudgetLimits, vms: Option<usize>) -> bool {
-        let has_left = self.has_left(now, limits, vms);
+    pub fn try_retry(
+        &mut self,
+        now: Moment,
+        limits: &BudgetLimits,
+        vms: Option<usize>,
+        purpose: RetryPurpose,
+    ) -> bool {
+        let has_left = self.usage(now, limits, vms).has_left(purpose);
         if has_left {
             self.retries.push_back(now);
         }
         has_left
     }
 
-    /// Whether a retry of the budget is left.
-    pub fn has_left(&mut self, now: Moment, limits: &BudgetLimits, vms: Option<usize>) -> bool {
-        self.usage(now, limits, vms).has_left()
-    }
-
-    /// How much of the share is used.
+    /// How much of the share is used. The fixed part of the budget is divided by `vms`, and not
+    /// used while their number is unknown.
     ///
     /// ```
     /// use onyxfall_fleet::{BudgetLimits, RetryShare};
     /// use onyxfall_policy::Moment;
     /// let window = std::time::Duration::from_secs(10);
     /// let limits = BudgetLimits { ratio: 0.2, extra: 40.0, window };
-    /// let usage = RetryShare::default().usage(Moment::ZERO, &limits, Some(4));
+    /// let now = Moment::ZERO + window * 2;
+    /// let usage = RetryShare::default().usage(now, &limits, Some(4));
     /// assert_eq!(usage.to_string(), "0/8.0");
     /// ```
     pub fn usage(&mut self, now: Moment, limits: &BudgetLimits, vms: Option<usize>) -> BudgetUsage {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -45,7 +45,7 @@
 pub use backup::BackupDecision;
 pub use balance::RateKind;
 pub use brittle::BrittleSignal;
-pub use budget::{BudgetLimits, BudgetUsage, RetryShare, SharerCount};
+pub use budget::{BudgetLimits, BudgetUsage, RetryPurpose, RetryShare, SharerCount};
 pub use call::{CallRequirements, PromptPart, PromptSize};
 pub use choose::{ChoiceReason, LocalOption, ServerChoice};
 pub use cold::{ColdShare, SENDERS, is_cold_sender};
--- a/crates/fleet/tests/retry_sum.rs
+++ b/crates/fleet/tests/retry_sum.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use onyxfall_fleet::{BudgetLimits, RetryShare, SharerCount};
+use onyxfall_fleet::{BudgetLimits, RetryPurpose, RetryShare, SharerCount};
 use onyxfall_types::CenterName;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -164,6 +164,14 @@
             due: 0.0,
         }
     }
+
+    /// Claims a retry of the purpose that may use the whole share.
+    fn retry(&mut self, now: u64) -> bool {
+        let age = at(now - self.started);
+        let sharers = self.sharers.known(age);
+        self.share
+            .try_retry(age, &LIMITS, sharers, RetryPurpose::Resumption)
+    }
 }
 
 /// Requests and repeats of a service over all VMs, by time of arrival.
@@ -206,9 +214,8 @@
             vm.share.record_first(at(now - vm.started));
             self.requests.push(now);
         }
-        let sharers = vm.sharers.known(at(now - vm.started));
         let is_pressed = history.pressure.iter().any(|span| span.contains(now));
-        while is_pressed && vm.share.try_repeat(at(now - vm.started), &LIMITS, sharers) {
+        while is_pressed && vm.retry(now) {
             self.repeats.push(history.arrival(vm.center, now));
         }
     }
--- a/crates/fleet/tests/shares.rs
+++ b/crates/fleet/tests/shares.rs
@@ -6,8 +6,8 @@
 
 use onyxfall_fleet::{
     BackendService, BudgetLimits, CallRequirements, CallerLimits, ColdShare, ConfigVersion,
-    FleetView, HomeRegions, LocalOption, PromptSize, RetryShare, RouteTable, SENDERS, ServerRecord,
-    is_cold_sender,
+    FleetView, HomeRegions, LocalOption, PromptSize, RetryPurpose, RetryShare, RouteTable, SENDERS,
+    ServerRecord, is_cold_sender,
 };
 use onyxfall_types::{ServerName, VmName};
 use proptest::prelude::*;
@@ -44,7 +44,7 @@
             if is_first {
                 share.record_first(at(now));
                 firsts.push(now);
-            } else if share.try_repeat(at(now), &limits, Some(known)) {
+            } else if share.try_retry(at(now), &limits, Some(known), RetryPurpose::Resumption) {
                 retries.push(now);
             }
         }
@@ -71,7 +71,7 @@
         let limits = BudgetLimits { ratio: 0.2, extra: f64::from(extra), window: WINDOW };
         let mut share = RetryShare::default();
         (0..firsts).for_each(|_| share.record_first(at(0)));
-        let retries = (0..tries).filter(|_| share.try_repeat(at(1), &limits, None)).count();
+        let retries = (0..tries).filter(|_| share.try_retry(at(1), &limits, None, RetryPurpose::Resumption)).count();
         prop_assert!(retries as f64 <= limits.ratio * firsts as f64);
     }
 
@@ -182,3 +182,52 @@
         version: None,
     }
 }
+
+#[test]
+fn retries_whose_callers_can_ask_again_leave_a_reserve() {
+    struct Case {
+        purposes: &'static [RetryPurpose],
+        claimed: &'static [usize],
+    }
+    use RetryPurpose::{Repetition, Resumption, SecondRun};
+    let cases = [
+        Case {
+            purposes: &[Repetition],
+            claimed: &[12],
+        },
+        Case {
+            purposes: &[SecondRun],
+            claimed: &[15],
+        },
+        Case {
+            purposes: &[Resumption],
+            claimed: &[20],
+        },
+        Case {
+            purposes: &[Repetition, SecondRun, Resumption],
+            claimed: &[12, 3, 5],
+        },
+        Case {
+            purposes: &[Resumption, SecondRun, Repetition],
+            claimed: &[20, 0, 0],
+        },
+    ];
+    let limits = BudgetLimits {
+        ratio: 0.2,
+        extra: 0.0,
+        window: WINDOW,
+    };
+    for case in cases {
+        let mut share = RetryShare::default();
+        (0..200).for_each(|_| share.record_first(at(0)));
+        let claimed: Vec<usize> = (case.purposes.iter())
+            .map(|purpose| {
+                let tries = 0..100;
+                tries
+                    .filter(|_| share.try_retry(at(1), &limits, None, *purpose))
+                    .count()
+            })
+            .collect();
+        assert_eq!(claimed, case.claimed, "{:?}", case.purposes);
+    }
+}
--- a/crates/gateway/src/backup.rs
+++ b/crates/gateway/src/backup.rs
@@ -9,7 +9,7 @@
 
 use http::HeaderMap;
 use onyxfall_adapter::{set_copy_from, set_last_event};
-use onyxfall_fleet::ChoiceReason;
+use onyxfall_fleet::{ChoiceReason, RetryPurpose};
 use onyxfall_types::ServerId;
 
 use crate::attempt::{AttemptEnd, ServerTarget, UpstreamResponse, try_server};
@@ -104,7 +104,7 @@
     if gateway.is_quarantined(call) {
         return None;
     }
-    if !gateway.take_retry(call) {
+    if !gateway.take_retry(call, RetryPurpose::Resumption) {
         return None;
     }
     let mut extra = HeaderMap::new();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,8 +11,8 @@
 use onyxfall_adapter::OPERATOR_PREFIX;
 use onyxfall_clock::{BootInstant, SuspensionWatch};
 use onyxfall_fleet::{
-    DecisionSwitch, FleetView, QuotaTable, RemoteTable, ResponseLengths, RetryShare, RoundTrips,
-    RouteTable, SharerCount, StoreMirror,
+    DecisionSwitch, FleetView, QuotaTable, RemoteTable, ResponseLengths, RetryPurpose, RetryShare,
+    RoundTrips, RouteTable, SharerCount, StoreMirror,
 };
 use onyxfall_overlay::{KnownVm, OverlayNode, RecordVersion, RosterTiming, VmRecord, VmStatus};
 use onyxfall_policy::Moment;
@@ -298,25 +298,25 @@
             .record_first(now);
     }
 
-    /// Whether the retry budget of `service` has a retry left.
-    pub(crate) fn has_retry(&self, service: &ServiceName) -> bool {
+    /// Whether the retry budget of the service of `call` has a retry left.
+    pub(crate) fn has_retry(&self, call: &CallContext, purpose: RetryPurpose) -> bool {
         let vms = self.sharers.borrow().known(self.now());
         let limits = self.settings().retries;
         let mut retries = self.retries.borrow_mut();
-        let share = retries.entry(service.clone()).or_default();
-        share.has_left(self.now(), &limits, vms)
+        let share = retries.entry(call.needs.service.clone()).or_default();
+        share.usage(self.now(), &limits, vms).has_left(purpose)
     }
 
     /// Claims one retry of `call` from the retry budget of its service.
-    pub(crate) fn take_retry(&self, call: &CallContext) -> bool {
-        let (now, service) = (self.now(), &call.needs.service);
-        let vms = self.sharers.borrow().known(self.now());
+    pub(crate) fn take_retry(&self, call: &CallContext, purpose: RetryPurpose) -> bool {
+        let now = self.now();
+        let vms = self.sharers.borrow().known(now);
         let limits = self.settings().retries;
         let mut retries = self.retries.borrow_mut();
-        let share = retries.entry(service.clone()).or_default();
+        let share = retries.entry(call.needs.service.clone()).or_default();
         let usage = share.usage(now, &limits, vms);
-        let is_claimed = share.try_repeat(now, &limits, vms);
-        self.log_retry(call, usage, vms, is_claimed);
+        let is_claimed = share.try_retry(now, &limits, vms, purpose);
+        self.log_retry(call, purpose, usage, vms, is_claimed);
         is_claimed
     }
 
--- a/crates/gateway/src/race.rs
+++ b/crates/gateway/src/race.rs
@@ -12,7 +12,7 @@
 use http_body_util::BodyExt;
 use onyxfall_adapter::set_last_event;
 use onyxfall_events::{EventFramer, FramedBytes};
-use onyxfall_fleet::AttemptResult;
+use onyxfall_fleet::{AttemptResult, RetryPurpose};
 use onyxfall_streams::{RunEvent, RunRace, RunSide, RunStep};
 use onyxfall_types::ServerId;
 
@@ -63,12 +63,13 @@
     progress: &mut CallProgress,
     extra: &HeaderMap,
 ) -> Option<OpenRun> {
-    if !may_reach_another(gateway, call, progress) || !gateway.has_retry(&call.needs.service) {
+    let purpose = RetryPurpose::SecondRun;
+    if !may_reach_another(gateway, call, progress) || !gateway.has_retry(call, purpose) {
         return None;
     }
     let silent = progress.last_target.clone();
     let step = gateway.decide(call, progress);
-    if !step.is_attempt() || !gateway.take_retry(call) {
+    if !step.is_attempt() || !gateway.take_retry(call, purpose) {
         return None;
     }
     let run = start_attempt(gateway, call, progress, extra, step)?;
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use onyxfall_events::StreamEnd;
-use onyxfall_fleet::BudgetUsage;
+use onyxfall_fleet::{BudgetUsage, RetryPurpose};
 use onyxfall_types::RequestError;
 
 use crate::call::CallContext;
@@ -15,6 +15,7 @@
     pub(crate) fn log_retry(
         &self,
         call: &CallContext,
+        purpose: RetryPurpose,
         usage: BudgetUsage,
         vms: Option<usize>,
         is_claimed: bool,
@@ -25,6 +26,7 @@
         log::info!(
             request = call.request_id.as_str(),
             service = call.needs.service.as_str(),
+            purpose = purpose.as_str(),
             usage:% = usage,
             vms = vms.unwrap_or(0),
             is_claimed;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -12,7 +12,7 @@
 use http::{HeaderMap, Response, StatusCode};
 use onyxfall_adapter::response_headers;
 use onyxfall_events::StreamEnd;
-use onyxfall_fleet::{AttemptResult, TimePrediction};
+use onyxfall_fleet::{AttemptResult, RetryPurpose, TimePrediction};
 use onyxfall_streams::AttemptLog;
 use onyxfall_types::{RefusalReason, RequestError, RunVerdict, ServerId, SoftwareVersion, VmName};
 
@@ -109,6 +109,15 @@
         next
     }
 
+    /// What a retry after the last attempt saves.
+    fn retry_purpose(&self) -> RetryPurpose {
+        if self.resumes > 0 {
+            RetryPurpose::Resumption
+        } else {
+            RetryPurpose::Repetition
+        }
+    }
+
     /// Takes over what was tried last from `other`, but not its counts.
     pub(crate) fn take_target(&mut self, other: Self) {
         let log = std::mem::take(&mut self.log);
@@ -388,7 +397,7 @@
 ) -> Result<(), RequestError> {
     find_ended(gateway, call, &mut progress.log).await;
     check_retry(call, progress)?;
-    if progress.log.arrivals() > 0 && !gateway.take_retry(call) {
+    if progress.log.arrivals() > 0 && !gateway.take_retry(call, progress.retry_purpose()) {
         let detail = "the retry budget is used up";
         return Err(unretried(progress, RefusalReason::Backend, detail));
     }
