Soak: check of repeats over all VMs, and a phase that presses the budget

Cause: nothing of ours counted the arrivals beyond the first of each request over all VMs and servers, which is what the budget promises.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -55,6 +55,8 @@
     SentDuringBackoff(String),
     /// A server received more requests than the limit that it had signalled.
     SentBeyondLimit(String),
+    /// Servers received more repeats of requests, over all VMs, than the retry budget allows.
+    RepeatedBeyondBudget(String),
     /// Callers of VMs without a path to any server were not served, or those of others were not.
     UnservedWithoutPath(String),
     /// Streams whose VM was killed were resumed by less than half of the share of new streams that
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -15,12 +15,13 @@
     malformed_entries, server_body, server_key, with_route_priority,
 };
 use onyxfall_fakes::{FaultyLink, PathCut, RequestedBackoff, ServerStub, StoreStub, StubSignals};
-use onyxfall_fleet::{EngineLimits, ServerPhase, ServerRecord, StartTime};
+use onyxfall_fleet::{BudgetLimits, EngineLimits, ServerPhase, ServerRecord, StartTime};
 use parking_lot::Mutex;
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::plan::RunSize;
 use crate::processes::{ServerProcess, ServerReport};
+use crate::repeats::budget_of;
 
 /// Host header of the callers' requests.
 pub(crate) const HOST: &str = "a.example";
@@ -223,7 +224,8 @@
                 let callers = SocketAddr::from((ips[vm], ports[0]));
                 let store_link = FaultyLink::start(stub_ip(), store.address())?;
                 let settings = dir.join(format!("vm{vm}.ini"));
-                let text = settings_text(vm, &ips, &ports, store_link.address());
+                let budget = budget_of(seed);
+                let text = settings_text(vm, &ips, &ports, store_link.address(), &budget);
                 fs::write(&settings, &text)?;
                 Ok(Mutex::new(SoakVm {
                     settings,
@@ -728,7 +730,13 @@
     Ok(ports)
 }
 
-fn settings_text(vm: usize, ips: &[Ipv4Addr], ports: &[u16; 5], store: SocketAddr) -> String {
+fn settings_text(
+    vm: usize,
+    ips: &[Ipv4Addr],
+    ports: &[u16; 5],
+    store: SocketAddr,
+    budget: &BudgetLimits,
+) -> String {
     let ip = ips[vm];
     let [callers, ready, directory, peers, relay] = ports;
     let seeds: Vec<String> = ips
@@ -747,10 +755,12 @@
          [listen]\ncallers = {ip}:{callers}\nready = {ip}:{ready}\ndirectory = {ip}:{directory}\n\
          peers = {ip}:{peers}\npeer-ports = {relay},{relay}\n\
          [peers]\nseeds = {}\n[store]\naddress = {store}\n\
-         [bounds]\nstop-grace-s = {STOP_GRACE_S}\nretry-ratio = 1\nretry-extra = 100\n",
+         [bounds]\nstop-grace-s = {STOP_GRACE_S}\nretry-ratio = {}\nretry-extra = {}\n",
         vm % REGIONS,
         source_ip(vm),
         seeds.join(","),
+        budget.ratio,
+        budget.extra,
     );
     for region in 0..REGIONS {
         let _ = writeln!(text, "[center c{region}]\nregion = r{region}");
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -19,6 +19,7 @@
 mod parts;
 mod plan;
 mod processes;
+mod repeats;
 mod run;
 mod signals;
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -23,6 +23,7 @@
 use crate::deployment::{SoakDeployment, has_model_servers};
 use crate::fault_log::FaultLog;
 use crate::plan::{Fault, PlannedFault, RunSize, draw_plan, pace_at};
+use crate::repeats::RepeatCount;
 use crate::signals::{DisturbedPart, InstanceArrivals, SignalChecks};
 
 /// Interval between two steps of the run.
@@ -66,6 +67,7 @@
         signals: SignalChecks::default(),
         capacity: CapacityChecks::new(has_model_servers(seed)),
         cuts: CutChecks::default(),
+        repeats: RepeatCount::default(),
         process_arrivals: Vec::new(),
         faults: FaultLog::default(),
         resumed: String::new(),
@@ -100,7 +102,7 @@
     let summary = format!(
         "{:?}, {checked} signals and {limited} limits of servers checked, {} requests while idle, \
          served {}, most of {} reads of held bytes {}, {} runs at stopped servers, {} cut answers of runs, \
-         resumed {}, parts: {}",
+         {} repeats in a window of {:.1} allowed, resumed {}, parts: {}",
         run.checks.statuses,
         run.capacity.idle,
         run.capacity.order(),
@@ -108,6 +110,8 @@
         run.capacity.most_held,
         run.cuts.stopped_runs,
         run.cuts.of_runs,
+        run.repeats.repeats,
+        run.repeats.allowed,
         run.resumed,
         run.parts,
     );
@@ -136,6 +140,7 @@
     signals: SignalChecks,
     capacity: CapacityChecks,
     cuts: CutChecks,
+    repeats: RepeatCount,
     /// What reached servers that ran as processes of their own.
     process_arrivals: Vec<InstanceArrivals>,
     faults: FaultLog,
--- a/crates/soak/src/run/observe.rs
+++ b/crates/soak/src/run/observe.rs
@@ -8,6 +8,7 @@
 use crate::callers::{CallReport, CallerGroup, call};
 use crate::checks::BrokenPromise;
 use crate::deployment::{RequestKind, SoakDeployment, has_plan, version_path};
+use crate::repeats::{budget_of, check_repeats, most_repeats};
 use crate::signals::InstanceArrivals;
 
 impl SoakRun<'_> {
@@ -76,6 +77,13 @@
         for broken in self.cuts.check(&instances, &vms, &self.faults) {
             self.checks.record(broken);
         }
+        let arrivals = instances.iter().flat_map(|instance| &instance.arrivals);
+        let arrivals: Vec<ArrivedRequest> = arrivals.cloned().collect();
+        let limits = budget_of(self.seed);
+        self.repeats = most_repeats(&self.signals.calls, &arrivals, &limits).unwrap_or_default();
+        if let Some(broken) = check_repeats(self.repeats) {
+            self.checks.record(broken);
+        }
         for instance in &instances {
             self.signals.record_arrivals(instance);
         }
--- a/crates/soak/src/run/phases.rs
+++ b/crates/soak/src/run/phases.rs
@@ -17,6 +17,7 @@
 use crate::parts;
 use crate::plan::{Fault, NextInstance, RunSize};
 use crate::processes::{BETWEEN_STOPS, draw_process_stops};
+use crate::repeats::{PRESSURE, draw_pressure, has_narrow_budget};
 use crate::signals::{DisturbedPart, InstanceArrivals};
 
 /// Time after which a draining server must receive no more requests, with the allowance of
@@ -42,6 +43,8 @@
     Brittle,
     /// A VM is killed while it sends streams.
     Failover,
+    /// All servers fail while VMs are killed, under a narrow retry budget.
+    Repeats,
     /// Parts of prompts crash servers.
     Parts,
     /// Servers run as processes that are stopped and go on.
@@ -60,8 +63,10 @@
             Self::Brittle
         };
         let parts = seed.is_multiple_of(PARTS_SEEDS).then_some(Self::Parts);
+        let repeats = has_narrow_budget(seed).then_some(Self::Repeats);
         let first = [Self::Burst, alternating, Self::Failover].into_iter();
         first
+            .chain(repeats)
             .chain(parts)
             .chain([Self::Processes, Self::Drain])
             .collect()
@@ -81,6 +86,7 @@
             Phase::Partition => return self.check_partition(callers, size),
             Phase::Brittle => return self.check_brittle(),
             Phase::Failover => return self.check_failover(size),
+            Phase::Repeats => return self.press_budget(callers, size),
             Phase::Parts => return self.check_parts(),
             Phase::Processes => return self.check_processes(size),
             Phase::Drain => {
@@ -194,6 +200,19 @@
         Ok(())
     }
 
+    /// Lets all servers fail while VMs are killed; the check of repeats judges all arrivals.
+    fn press_budget(&mut self, callers: &CallerGroup, size: &RunSize) -> io::Result<()> {
+        self.wait(|run| run.deployment.is_running());
+        let time = PRESSURE;
+        self.apply_faults(
+            &draw_pressure(self.seed, size),
+            callers,
+            &RunSize { time, ..*size },
+        )?;
+        self.wait_served("after all servers failed");
+        Ok(())
+    }
+
     /// Sends requests whose parts crash servers, beside other faults, and checks that they are
     /// stopped and others served.
     fn check_parts(&mut self) -> io::Result<()> {
