Streams: an event without end is resumed at another server

Callers lost streams that may be resumed beside a sound server. Cause: an event longer than a VM holds ended the response, though the bytes are of one server that is in trouble. Change: such a stream is lost with its server and resumed elsewhere, like one that breaks off inside an event. Other streams end as before. Seen (gateway `endless_bytes`, one VM, a raw server beside a sound one): an event at full speed 1 to 3 of 8 streams broken before, none now. No HTTP, header lines, one header line and a body without end cost no answer on the code as found, and nothing stays open. Listed as known red: interim responses, and bytes that come slowly, which last until the route's timeout.

--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -194,6 +194,10 @@
                 Poll::Ready(Some(Ok(frame))) => match self.forward_frame(frame) {
                     Ok(Some(frame)) => return Poll::Ready(Some(Ok(frame))),
                     Ok(None) => continue,
+                    // Another server may send the event.
+                    Err(_) if self.can_resume => {
+                        self.progress.stream_end = Some(StreamEnd::InsideEvent);
+                    }
                     Err(error) => {
                         self.end(AttemptResult::Unknown, "broken off");
                         return Poll::Ready(Some(Err(error)));
