Connections: interim responses without end are a lost connection

Callers of requests that may be repeated got 504 at the route's timeout beside a sound server that could have answered. Cause: a server's interim responses (1xx) are passed over by the HTTP library without a bound, and a response never begins. Change: after 16 of them to one request, its connection is dropped and the attempt counts as lost.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -479,6 +479,7 @@
                 // The other side had closed the connection; nothing was written.
                 Err(SendError::Unsent) => is_written.set(false),
                 Err(SendError::Broken(e)) => return Err(connection_lost(address, &e)),
+                Err(SendError::Flooded) => return Err(ExchangeFailure::Broken),
             }
         }
         if !destination.may_dial(gateway) {
@@ -503,6 +504,7 @@
             Ok(response) => Ok((connection, response)),
             Err(SendError::Unsent) => Err(ExchangeFailure::Unreachable),
             Err(SendError::Broken(e)) => Err(connection_lost(address, &e)),
+            Err(SendError::Flooded) => Err(ExchangeFailure::Broken),
         }
     });
     exchanged.await.unwrap_or(Err(ExchangeFailure::TimedOut))
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -3,16 +3,20 @@
 use std::error::Error as _;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::ext::on_informational;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, Socket, TcpKeepalive};
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
 /// Time after which unacknowledged data or keep-alive probes break the connection, so that a
@@ -38,6 +42,10 @@
 /// retransmission.
 pub(crate) const LATE_DIAL_LIMIT: Duration = Duration::from_millis(1200);
 
+/// Interim responses to one request after which its connection is given up. Servers send one or
+/// two, if any.
+const MAX_INTERIM: u32 = 16;
+
 #[cfg(test)]
 mod tests;
 
@@ -68,6 +76,8 @@
     Unsent,
     /// The request may have been received.
     Broken(hyper::Error),
+    /// The request may have been received; interim responses come without end.
+    Flooded,
 }
 
 /// Whether the kernel has timed out a connection, which proves nothing of what its peer does.
@@ -173,12 +183,29 @@
     /// Sends a request and waits for the head of the response.
     pub(crate) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        let sent = self.sender.try_send_request(request).await;
+        let flooded = limit_interim(&mut request);
+        let sent = tokio::select! {
+            sent = self.sender.try_send_request(request) => sent,
+            () = flooded.notified() => return Err(SendError::Flooded),
+        };
         sent.map_err(|mut e| match e.take_message() {
             Some(_) => SendError::Unsent,
             None => SendError::Broken(e.into_error()),
         })
     }
 }
+
+/// Notifies once the other side has sent more than [`MAX_INTERIM`] interim responses to a request.
+/// They end no response, and may come without end.
+fn limit_interim(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
+    let (flooded, count) = (Arc::new(Notify::new()), AtomicU32::new(0));
+    let notify = Arc::clone(&flooded);
+    on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM {
+            notify.notify_one();
+        }
+    });
+    flooded
+}
--- a/crates/gateway/src/store_client.rs
+++ b/crates/gateway/src/store_client.rs
@@ -86,7 +86,7 @@
             };
             let sent = connection.send(request.map(Full::new)).await;
             let response = sent.map_err(|e| match e {
-                SendError::Unsent | SendError::Broken(_) => CallError::Broken,
+                SendError::Unsent | SendError::Broken(_) | SendError::Flooded => CallError::Broken,
             })?;
             let (head, body) = response.into_parts();
             let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
