Streams: a server that was tried is asked again if no other takes the rest

Callers lost streams beside a sound server. Change: a stream that no server takes asks those again that it has tried, at most every half second. Attempts and arrivals are limited as before.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -37,6 +37,9 @@
 /// two choices. Callers give a stream up after two seconds without an event at the earliest.
 pub(crate) const RESUME_PATIENCE: Duration = Duration::from_secs(2);
 pub(crate) const RESUME_PAUSE: Duration = Duration::from_millis(50);
+/// Interval at which a waiting stream asks those again that it has tried. Attempts without a
+/// connection are limited, too.
+const FORGET_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Attempts of a request so far.
 #[derive(Clone, Debug, Default)]
@@ -118,6 +121,12 @@
         }
     }
 
+    /// Allows servers and VMs that were tried to be tried again.
+    fn forget_targets(&mut self) {
+        self.servers.clear();
+        self.vms.clear();
+    }
+
     /// Takes over what was tried last from `other`, but not its counts.
     pub(crate) fn take_target(&mut self, other: Self) {
         let log = std::mem::take(&mut self.log);
@@ -241,12 +250,17 @@
 ) -> Result<ResumedStream, RequestError> {
     let extra = resume_headers(last_event.as_deref());
     let wait_end = call.age() + RESUME_PATIENCE;
+    let mut forget_at = call.age();
     claim_retry(gateway, call, &mut progress).await?;
     loop {
         let end = match next_attempt(gateway, call, &mut progress, &extra).await {
             Ok(end) => end,
-            // The other servers may be silent only.
+            // The other servers may be silent only, and one that was tried may be back.
             Err(error) if error.reason == RefusalReason::Overloaded && call.age() < wait_end => {
+                if call.age() >= forget_at {
+                    progress.forget_targets();
+                    forget_at = call.age() + FORGET_INTERVAL;
+                }
                 tokio::time::sleep(RESUME_PAUSE).await;
                 continue;
             }
--- a/crates/gateway/tests/ended_servers.rs
+++ b/crates/gateway/tests/ended_servers.rs
@@ -181,3 +181,25 @@
     let reply = call(gateway.callers(), "/stream/resume/x", "a caller's").unwrap();
     assert!(!reply.headers.contains_key("onyxfall-served-instance"));
 }
+
+/// The second run has taken the streams over when its server dies, and the first server is back.
+#[test]
+fn a_server_that_was_silent_resumes_the_streams_that_it_lost_to_one_that_died() {
+    let mut runs = CancelledRuns::start(ServerFault::None);
+    thread::scope(|scope| {
+        let before = runs.servers[0].arrived();
+        let streams = spawn_streams(scope, &runs.gateways, CALLERS);
+        wait_for("the streams to start", || {
+            runs.servers[0].arrived() >= before + CALLERS
+        });
+        thread::sleep(SHORT_PAUSE + SHORT_PAUSE / 3);
+        runs.servers[0].set_silent(true);
+        runs.announce();
+        wait_for("the second runs to take over", || {
+            runs.count("\"kept\":\"second\"") == CALLERS
+        });
+        runs.servers[0].set_silent(false);
+        runs.servers[1].crash();
+        assert_whole(&runs.gateways, streams);
+    });
+}
