Races: a second run of a stream needs the first part of its body

Callers lost streams beside a sound server. Cause: before the first event of a stream, the head of a second run decided the race; its server then broke off before an event, no attempt was left, and the silent first run was gone though its server was about to go on. Change: a second run of a stream completes with the first part of its body (`ReceivedBody::wait_for_part`); one that ends before is a lost second run, and the first one goes on alone. The head of the first run decides as before. Seen: gateway `the_head_of_a_second_run_does_not_end_a_silent_first_one` fails before and passes now.

--- a/crates/events/src/body.rs
+++ b/crates/events/src/body.rs
@@ -1,5 +1,6 @@
 //! Bodies of responses that travel between two VMs in numbered frames.
 
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
@@ -74,6 +75,8 @@
 pub struct ReceivedBody<B> {
     inner: B,
     reader: Option<FrameReader>,
+    /// The next part, if it was received by [`ReceivedBody::wait_for_part`].
+    next: Option<Frame<Bytes>>,
 }
 
 impl<B> ReceivedBody<B> {
@@ -82,6 +85,7 @@
         Self {
             inner,
             reader: None,
+            next: None,
         }
     }
 
@@ -94,6 +98,21 @@
     }
 }
 
+impl<B: Body<Data = Bytes> + Unpin> ReceivedBody<B> {
+    /// Receives the next part and keeps it. Returns whether there is one.
+    ///
+    /// # Errors
+    ///
+    /// The body failed, or bytes of it are missing.
+    pub async fn wait_for_part(&mut self) -> Result<bool, ReceiveError<B::Error>> {
+        if self.next.is_none() {
+            let part = poll_fn(|cx| Pin::new(&mut *self).poll_frame(cx)).await;
+            self.next = part.transpose()?;
+        }
+        Ok(self.next.is_some())
+    }
+}
+
 impl FrameReader {
     /// Decodes a part of a body, or checks its end.
     fn read(&mut self, part: Option<Frame<Bytes>>) -> Result<Option<Frame<Bytes>>, SequenceError> {
@@ -115,6 +134,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         let this = self.get_mut();
+        if let Some(part) = this.next.take() {
+            return Poll::Ready(Some(Ok(part)));
+        }
         let part = ready!(Pin::new(&mut this.inner).poll_frame(cx)).transpose();
         let part = part.map_err(ReceiveError::Body)?;
         let decoded = match &mut this.reader {
--- a/crates/gateway/src/race.rs
+++ b/crates/gateway/src/race.rs
@@ -11,7 +11,7 @@
 use http::HeaderMap;
 use http_body_util::BodyExt;
 use onyxfall_adapter::set_last_event;
-use onyxfall_events::{EventFramer, FramedBytes};
+use onyxfall_events::{BodyFraming, EventFramer, FramedBytes};
 use onyxfall_fleet::{AttemptResult, RetryPurpose};
 use onyxfall_streams::{RunEvent, RunRace, RunSide, RunStep};
 use onyxfall_types::ServerId;
@@ -37,6 +37,39 @@
     pub(crate) server: Option<ServerId>,
 }
 
+impl OpenRun {
+    /// The run of a stream, which completes with the first part of its body. A head alone may be
+    /// followed by nothing.
+    fn until_first_part(self, gateway: Rc<Gateway>) -> Self {
+        let Self {
+            end,
+            on_drop,
+            server,
+        } = self;
+        let end = Box::pin(async move {
+            let mut response = match end.await {
+                AttemptEnd::Response(response) if response.status.is_success() => response,
+                end => return end,
+            };
+            let is_delimited = response.framing == BodyFraming::Delimited;
+            match response.body.wait_for_part().await {
+                Ok(has_part) if has_part || is_delimited => AttemptEnd::Response(response),
+                Ok(_) | Err(_) => {
+                    response.finish(&gateway, AttemptResult::Broken);
+                    AttemptEnd::Lost {
+                        cause: "the stream ended before its first event",
+                    }
+                }
+            }
+        });
+        Self {
+            end,
+            on_drop,
+            server,
+        }
+    }
+}
+
 /// Waits until a server is suspected, or has sent nothing for `pause`. Completes at most once per
 /// [`ASK_INTERVAL`] after a second run `was_asked` for.
 pub(crate) async fn wait_for_suspicion(
@@ -166,6 +199,11 @@
                 let mut after = progress.with_run();
                 match start_second(gateway, call, &mut after, extra) {
                     Some(run) if race.apply(RunEvent::Suspected) == RunStep::Start => {
+                        let run = if call.rules.response.is_stream() {
+                            run.until_first_part(Rc::clone(gateway))
+                        } else {
+                            run
+                        };
                         second = Some((run, after));
                     }
                     _ => log::debug!(request = call.request_id.as_str(); "no server takes a second run"),
--- a/crates/gateway/tests/second_runs.rs
+++ b/crates/gateway/tests/second_runs.rs
@@ -131,3 +131,47 @@
         );
     });
 }
+
+/// The second server sends heads and breaks off before an event; the first one is silent before its
+/// head, and goes on.
+#[test]
+fn the_head_of_a_second_run_does_not_end_a_silent_first_one() {
+    let site = Site::start_in(2, 1);
+    let servers = [0, 1].map(|number| {
+        let server = ServerStub::start(site.ip(0)).unwrap();
+        site.announce(&format!("s{number}"), &server, 0);
+        server
+    });
+    site.configure(1);
+    let gateways = [site.gateway(0), site.gateway(1)];
+    for gateway in &gateways {
+        gateway.wait_served();
+        for server in &servers {
+            support::wait_used("every server to be used", gateway, server);
+        }
+    }
+    thread::scope(|scope| {
+        servers[0].set_silent(true);
+        let callers: Vec<_> = gateways
+            .iter()
+            .flat_map(|gateway| spawn_calls(scope, gateway, "/stream/resume/x"))
+            .collect();
+        thread::sleep(Duration::from_millis(100));
+        servers[1].set_fault(ServerFault::BreaksStreams(BreakPoint::BeforeEvents));
+        thread::sleep(Duration::from_millis(1400));
+        servers[0].set_silent(false);
+        let replies = callers.into_iter().map(|caller| caller.join().unwrap());
+        let broken = replies.filter(|reply| {
+            let whole = reply.as_ref().filter(|reply| !reply.broken);
+            whole.is_none_or(|reply| reply.text() != ServerStub::whole_stream())
+        });
+        let words = ["second run", "race of", "request ended", "could not"];
+        assert_eq!(
+            broken.count(),
+            0,
+            "{}\n{}",
+            lines(&gateways[0], &words),
+            lines(&gateways[1], &words)
+        );
+    });
+}
