Review case 3: a rolling restart cuts streams between regions inside the grace

Broken: LOST around a SIGTERM. A gateway that relays streams for another region ends 0.8 s before the end of its grace, though its servers need only 0.25 s more. The requests were accepted by a gateway that was stopped 2 s later, so that no excuse applies.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/slow_reader review/standins/slow_reader.rs
+for program in slow_reader rolling_stop; do
+  rustc --edition 2024 -O -o "target/review/$program" "review/standins/$program.rs"
+done
--- a/review/standins/site.rs
+++ b/review/standins/site.rs
@@ -249,6 +249,7 @@
 /// A request at a server stand-in.
 pub struct Arrival<'a> {
     pub wire: &'a mut Wire,
+    #[allow(dead_code)]
     pub head: &'a Head,
     pub id: String,
 }
@@ -468,7 +469,10 @@
     }
 }
 
+#[allow(dead_code)]
 pub const SIGHUP: i32 = 1;
+#[allow(dead_code)]
+pub const SIGTERM: i32 = 15;
 
 /// Sends a signal to a process that this program started.
 pub fn send_signal(process: u32, signal: i32) -> bool {
--- a/review/standins/slow_reader.rs
+++ b/review/standins/slow_reader.rs
@@ -227,7 +227,7 @@
         "{{\"Version\":1,\"Routes\":[{long},{short}],\"Services\":[{{\"Name\":\"models\",\
          \"HealthPath\":\"/health\",\"MaxConns\":620,\"Protocol\":\"h1\",\"Tls\":false,\
          \"ColdS\":0,\"ColdPerS\":0,\"Engine\":{{\"Slots\":128,\"KvTokens\":671115,\
-         \"KvTokenBytes\":35136,\"LinkMbps\":1100000.0,\"MoveCount\":true,\"BackupCount\":false,\
+         \"KvTokenBytes\":35136,\"LinkMbps\":1100000.0,\"MoveCount\":true,\"BackupCount\":true,\
          \"Stride\":7,\"most\":12,\"PinTtlMs\":4000.0,\"HoldTimeoutMs\":2000.0,\"handle_s\":5.0,\
          \"Models\":[{{\"Name\":\"m\"}}]}}}}],\"Limits\":{{\"MaxHeaderBytes\":16384,\
          \"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}}}}"
