--- a/review/standins/site.rs
+++ b/review/standins/site.rs
@@ -1,6 +1,7 @@
 //! A small deployment for the scripts of the review: gateway processes as the deploy file starts
 //! them, and stand-ins for the store, the servers and the clients. Names of the platform's wire
-//! stand in `names.txt`.
+//! stand in `names.txt`. Each program uses a part of this module.
+#![allow(dead_code)]
 
 use std::collections::BTreeMap;
 use std::fs::{self, File};
@@ -249,7 +250,6 @@
 /// A request at a server stand-in.
 pub struct Arrival<'a> {
     pub wire: &'a mut Wire,
-    #[allow(dead_code)]
     pub head: &'a Head,
     pub id: String,
 }
@@ -469,10 +469,7 @@
     }
 }
 
-#[allow(dead_code)]
 pub const SIGHUP: i32 = 1;
-#[allow(dead_code)]
-pub const SIGTERM: i32 = 15;
 
 /// Sends a signal to a process that this program started.
 pub fn send_signal(process: u32, signal: i32) -> bool {
--- a/review/standins/slow_reader.rs
+++ b/review/standins/slow_reader.rs
@@ -1,4 +1,4 @@
-//! Case 2: clients that read slowly, but without a break, lose their answers.
+//! Clients that read slowly, but without a break, lose their answers.
 //!
 //! Arguments: the folder of the case. Environment: `TROUBLE=0` lets the clients read at once.
 
