--- a/review/standins/grey_server.rs
+++ b/review/standins/grey_server.rs
@@ -60,7 +60,12 @@
             *counted.lock().unwrap().entry(attempt.clone()).or_default() += 1;
             thread::sleep(WORK);
             let count = served.fetch_add(1, Ordering::Relaxed);
-            let is_failed = fails && count * GREY_PERCENT / 100 != (count + 1) * GREY_PERCENT / 100;
+            let is_chosen = count * GREY_PERCENT / 100 != (count + 1) * GREY_PERCENT / 100;
+            let is_now = since
+                .lock()
+                .unwrap()
+                .is_some_and(|at| at.elapsed() < GREY_FOR);
+            let is_failed = fails && is_chosen && is_now;
             let status = if is_failed {
                 "503 Service Unavailable"
             } else {
