--- a/review/standins/grey_server.rs
+++ b/review/standins/grey_server.rs
@@ -1,7 +1,7 @@
 //! A grey server runs requests that may run once and answers 503. The callers are told that these
 //! requests have not run, and send them again.
 //!
-//! Arguments: the folder of the case. Environment: `TROUBLE=0` leaves all servers sound.
+//! Arguments: the file of the record. Environment: `TROUBLE=0` leaves all servers sound.
 
 #[path = "site.rs"]
 mod site;
@@ -29,9 +29,11 @@
 const WORK: Duration = Duration::from_millis(15);
 
 fn main() -> ExitCode {
-    let folder = std::env::args().nth(1).unwrap_or_else(|| ".".to_owned());
+    let path = std::env::args()
+        .nth(1)
+        .unwrap_or_else(|| "record.txt".to_owned());
     let is_grey = std::env::var("TROUBLE").as_deref() != Ok("0");
-    match run(&folder, is_grey) {
+    match run(&path, is_grey) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(1),
         Err(error) => {
@@ -42,8 +44,8 @@
 }
 
 /// Runs the case; returns whether the rule held.
-fn run(folder: &str, is_grey: bool) -> io::Result<bool> {
-    let record = Record::create(&format!("{folder}/record.txt"))?;
+fn run(path: &str, is_grey: bool) -> io::Result<bool> {
+    let record = Record::create(path)?;
     let mut site = Site::prepare(&["west"])?;
     // What was run, by attempt id: the purchase and how often.
     let runs: Arc<Mutex<BTreeMap<String, u32>>> = Arc::default();
--- a/review/standins/slow_reader.rs
+++ b/review/standins/slow_reader.rs
@@ -1,6 +1,6 @@
 //! Clients that read slowly, but without a break, lose their answers.
 //!
-//! Arguments: the folder of the case. Environment: `TROUBLE=0` lets the clients read at once.
+//! Arguments: the file of the record. Environment: `TROUBLE=0` lets the clients read at once.
 
 #[path = "site.rs"]
 mod site;
@@ -40,9 +40,11 @@
 }
 
 fn main() -> ExitCode {
-    let folder = std::env::args().nth(1).unwrap_or_else(|| ".".to_owned());
+    let path = std::env::args()
+        .nth(1)
+        .unwrap_or_else(|| "record.txt".to_owned());
     let is_slow = std::env::var("TROUBLE").as_deref() != Ok("0");
-    match run(&folder, is_slow) {
+    match run(&path, is_slow) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(1),
         Err(error) => {
@@ -53,8 +55,8 @@
 }
 
 /// Runs the case; returns whether the rule held.
-fn run(folder: &str, is_slow: bool) -> io::Result<bool> {
-    let record = Record::create(&format!("{folder}/record.txt"))?;
+fn run(path: &str, is_slow: bool) -> io::Result<bool> {
+    let record = Record::create(path)?;
     let mut site = Site::prepare(&["west"])?;
     let finished: Arc<Mutex<Vec<String>>> = Arc::default();
     let (noted, done) = (record.clone(), Arc::clone(&finished));
