--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for program in grey_server slow_reader reborn_server; do
+for program in grey_server slow_reader; do
   rustc --edition 2024 -O -o "target/review/$program" "review/standins/$program.rs"
 done
