--- a/review/standins/site.rs
+++ b/review/standins/site.rs
@@ -10,6 +10,7 @@
 use std::os::fd::FromRawFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -149,6 +150,7 @@
 pub struct Store {
     pub address: SocketAddrV4,
     data: Arc<(Mutex<StoreData>, Condvar)>,
+    is_busy: Arc<AtomicBool>,
 }
 
 impl Store {
@@ -156,12 +158,29 @@
         let listener = TcpListener::bind((ip, 0))?;
         let address = SocketAddrV4::new(ip, listener.local_addr()?.port());
         let data = Arc::new((Mutex::new(StoreData::default()), Condvar::new()));
-        let store = Self { address, data };
+        let store = Self {
+            address,
+            data,
+            is_busy: Arc::default(),
+        };
         let served = store.clone();
         accept_all(listener, move |wire| served.serve(wire));
         Ok(store)
     }
 
+    /// Whether the store answers all calls with 503 from now on; watches that wait end so, too.
+    pub fn set_busy(&self, is_busy: bool) {
+        let (data, changed) = &*self.data;
+        let data = data.lock().unwrap();
+        self.is_busy.store(is_busy, Ordering::Relaxed);
+        drop(data);
+        changed.notify_all();
+    }
+
+    fn is_busy(&self) -> bool {
+        self.is_busy.load(Ordering::Relaxed)
+    }
+
     pub fn put(&self, key: &str, value: &str) {
         let (data, changed) = &*self.data;
         let data = &mut *data.lock().unwrap();
@@ -200,7 +219,7 @@
                     .and_then(|v| v.parse().ok())
                     .unwrap_or(0);
                 let until = Instant::now() + Duration::from_millis(wait);
-                while data.revision <= after && Instant::now() < until {
+                while data.revision <= after && Instant::now() < until && !self.is_busy() {
                     let left = until - Instant::now();
                     data = changed.wait_timeout(data, left).unwrap().0;
                 }
@@ -212,6 +231,11 @@
                 "{}".to_owned()
             };
             drop(data);
+            if self.is_busy() {
+                let head = "HTTP/1.1 503 Service Unavailable\r\n";
+                write!(wire.stream, "{head}Content-Length: 0\r\n\r\n")?;
+                continue;
+            }
             let length = body.len();
             let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
             write!(wire.stream, "{head}Content-Length: {length}\r\n\r\n{body}")?;
@@ -300,6 +324,18 @@
     }
 }
 
+/// What a server says of itself in the store.
+pub struct Entry {
+    pub service: &'static str,
+    pub address: SocketAddrV4,
+    pub center: usize,
+    pub slots: u32,
+    pub state: &'static str,
+    /// Unix millisecond of its start; servers of older sites leave it out.
+    pub born: Option<u64>,
+    pub seq: u32,
+}
+
 /// The gateways and what they need.
 pub struct Site {
     pub store: Store,
@@ -349,15 +385,40 @@
     }
 
     /// Announces a server of a service in a data centre.
-    pub fn announce(&self, server: &Server, service: &str, center: usize, slots: u32) {
-        let (id, address, zone) = (&server.id, server.address, &self.centers[center].0);
-        let cold = name("cold");
-        let entry = format!(
-            "{{\"Service\":\"{service}\",\"Address\":\"{address}\",\"Zone\":\"{zone}\",\
-             \"Version\":\"v1\",\"Slots\":{slots},\"State\":\"ready\",\"{cold}\":0,\"Seq\":1}}"
+    pub fn announce(&self, server: &Server, service: &'static str, center: usize, slots: u32) {
+        let entry = Entry {
+            service,
+            address: server.address,
+            center,
+            slots,
+            state: "ready",
+            born: None,
+            seq: 1,
+        };
+        self.write_entry(&server.id, &entry);
+    }
+
+    /// Writes a server's entry, as the server does.
+    pub fn write_entry(&self, id: &str, entry: &Entry) {
+        let Entry {
+            service,
+            address,
+            slots,
+            state,
+            seq,
+            ..
+        } = entry;
+        let (zone, cold) = (&self.centers[entry.center].0, name("cold"));
+        let born = entry
+            .born
+            .map(|born| format!("\"{}\":{born},", name("born")));
+        let born = born.unwrap_or_default();
+        let value = format!(
+            "{{\"Service\":\"{service}\",\"Address\":\"{address}\",\"Zone\":\"{zone}\",{born}\
+             \"Version\":\"v1\",\"Slots\":{slots},\"State\":\"{state}\",\"{cold}\":0,\"Seq\":{seq}}}"
         );
         self.store
-            .put(&format!("{}{id}", name("server-prefix")), &entry);
+            .put(&format!("{}{id}", name("server-prefix")), &value);
     }
 
     /// Fills the settings template as the platform does, and starts a gateway as the deploy file
