Gateway: a late entry of a restarted server ends none of its answers

Cause: runs are recorded for the instance whose entry was known when they were sent. The later start time was taken as proof that all of them had ended (FleetView::has_ended, read before the head of a response and while a stream waits for data). It proves that the former process has ended, not that a run was there.

Change: no entry ends a run. The connection of a process that has ended is reset, and keep-alive probes fail one whose machine is gone (connection.rs), so both waits are removed. The entry is still a suspicion, and starts a second run of what may run twice, but for a run that has been silent since the restart only (fleet/restart.rs). Start times come from other clocks: one is never taken as later than the arrival of its entry.

ServerStub::start_at restarts a stub at its address.

--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -153,6 +153,15 @@
     ///
     /// No port is free, or no thread can be started.
     pub fn start(ip: IpAddr) -> io::Result<Self> {
+        Self::start_at(SocketAddr::new(ip, 0))
+    }
+
+    /// Starts it at `address`, where another one may have crashed.
+    ///
+    /// # Errors
+    ///
+    /// The port is in use, or no thread can be started.
+    pub fn start_at(address: SocketAddr) -> io::Result<Self> {
         let state = Arc::new(SharedServer {
             state: Mutex::new(ServerState::new()),
             freed: Notify::new(),
@@ -160,7 +169,7 @@
         let served = Arc::clone(&state);
         let stop = StopSignal::default();
         let crash = StopSignal::clone(&stop);
-        let thread = ServingThread::start(SocketAddr::new(ip, 0), stop, move |request| {
+        let thread = ServingThread::start(address, stop, move |request| {
             respond(Arc::clone(&served), StopSignal::clone(&crash), request)
         })?;
         state.lock().address = Some(thread.address());
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -33,6 +33,7 @@
 mod record;
 mod remote;
 mod reservation;
+mod restart;
 mod route;
 mod server;
 mod signals;
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -74,8 +74,10 @@
 
 /// Latest server instance seen under a name.
 #[derive(Clone, Copy, Debug)]
-struct LatestInstance {
-    started_at: StartTime,
+pub(crate) struct LatestInstance {
+    pub(crate) started_at: StartTime,
+    /// When its entry was first received.
+    pub(crate) received_at: Moment,
     /// Id of the latest instance that was in the working set.
     last_working: Option<ServerId>,
 }
@@ -401,7 +403,7 @@
 
     /// Whether a server is suspected to have ended: it is unresponsive by the votes of all VMs, it
     /// has restarted since, or this VM does not reach it. A silent server may go on, so a
-    /// suspicion leads requests elsewhere and never ends a run; see [`FleetView::has_ended`].
+    /// suspicion leads requests elsewhere and never ends a run.
     pub fn is_suspected(&self, now: Moment, id: ServerId) -> bool {
         let server = self.server(id);
         let is_cut_off = server.region == self.place.region
@@ -409,12 +411,6 @@
         is_cut_off || self.is_voted_unresponsive(now, id)
     }
 
-    /// Whether all runs at a server have ended for certain: the platform's store names a later
-    /// instance of it.
-    pub fn has_ended(&self, id: ServerId) -> bool {
-        self.server(id).has_ended()
-    }
-
     /// What is known of a run that was given up at `at` while its server was suspected. Without
     /// any sign of life or proof of its end within [`SILENCE_SETTLED`], it shows nothing.
     pub fn silence_evidence(&self, now: Moment, id: ServerId, at: Moment) -> LossEvidence {
@@ -497,7 +493,7 @@
         if let Some(service) = service {
             self.pools.get_mut(pool).cold_rate = service.cold_rate;
         }
-        self.record_latest(&record);
+        self.record_latest(now, &record);
         let record = self.with_interned_names(record, pool);
         let position = self.pools.add(
             pool,
@@ -702,7 +698,12 @@
             .unwrap_or(id)
     }
 
-    fn record_latest(&mut self, record: &ServerRecord) {
+    /// The latest instance seen under a name.
+    pub(crate) fn latest_instance(&self, name: &ServerName) -> Option<LatestInstance> {
+        self.latest.get(name).copied()
+    }
+
+    fn record_latest(&mut self, now: Moment, record: &ServerRecord) {
         if self.latest.len() >= self.prune_len {
             let pools = &self.pools;
             self.latest.retain(|name, _| pools.has(name.as_str()));
@@ -714,9 +715,13 @@
         let started_at = record.started_at;
         let latest = latest.or_insert(LatestInstance {
             started_at,
+            received_at: now,
             last_working: None,
         });
-        latest.started_at = started_at;
+        if latest.started_at < started_at {
+            latest.started_at = started_at;
+            latest.received_at = now;
+        }
     }
 
     /// Records that a server's entry was removed, or that another instance responded.
--- /dev/null
+++ b/crates/fleet/tests/restart.rs
@@ -0,0 +1,98 @@
+//! What a late entry of a restarted server shows of the runs that are recorded for its former
+//! instance.
+
+mod support;
+
+use onyxfall_fleet::{FleetView, ServerRecord, ServerVotes, StartTime, WorkShare};
+use onyxfall_types::ServerId;
+use support::{at, place, ready_server};
+
+/// When the entry of the later instance arrives.
+const ENTRY_AT: u64 = 15_000;
+
+fn ready(started_at: u64) -> ServerRecord {
+    ServerRecord {
+        started_at: StartTime::from_millis(started_at),
+        ..ready_server("s1")
+    }
+}
+
+/// A view with a server that has restarted at `restarted_at` by its own clock, and the id of its
+/// former instance. Moments of the view are Unix times.
+fn restarted(restarted_at: u64) -> (FleetView, ServerId) {
+    let mut fleet = FleetView::new(place("vm1", &[("c0", "r0")]));
+    fleet.put_server(at(0), ready(100), None);
+    let former = fleet.find("s1").unwrap();
+    fleet.put_server(at(ENTRY_AT), ready(restarted_at), None);
+    (fleet, former)
+}
+
+struct RunCase {
+    name: &'static str,
+    /// Start of the later instance by its own clock.
+    restarted_at: u64,
+    /// When the run last sent something, or was sent.
+    last_seen: u64,
+    is_suspected: bool,
+}
+
+const RUNS: [RunCase; 6] = [
+    RunCase {
+        name: "silent since before the restart",
+        restarted_at: 7000,
+        last_seen: 6900,
+        is_suspected: true,
+    },
+    RunCase {
+        name: "sent after the restart",
+        restarted_at: 7000,
+        last_seen: 7100,
+        is_suspected: false,
+    },
+    RunCase {
+        name: "sending when the entry arrives",
+        restarted_at: 7000,
+        last_seen: ENTRY_AT - 90,
+        is_suspected: false,
+    },
+    RunCase {
+        name: "silent since before the entry, the server's clock is ahead",
+        restarted_at: 99_000,
+        last_seen: ENTRY_AT - 90,
+        is_suspected: true,
+    },
+    RunCase {
+        name: "has sent something since the entry, the server's clock is ahead",
+        restarted_at: 99_000,
+        last_seen: ENTRY_AT + 90,
+        is_suspected: false,
+    },
+    RunCase {
+        name: "silent since before the restart, the server's clock is behind",
+        restarted_at: 200,
+        last_seen: 6900,
+        is_suspected: false,
+    },
+];
+
+#[test]
+fn only_runs_that_were_silent_since_the_restart_are_suspected() {
+    for case in &RUNS {
+        let (fleet, former) = restarted(case.restarted_at);
+        let now = at(ENTRY_AT + 100);
+        let is_suspected = fleet.is_run_suspected(now, former, at(case.last_seen));
+        assert_eq!(is_suspected, case.is_suspected, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_run_at_the_later_instance_is_suspected_with_it() {
+    let (mut fleet, former) = restarted(7000);
+    let later = fleet.find("s1").unwrap();
+    let bad = WorkShare {
+        votes: ServerVotes { good: 0, bad: 4 },
+        ..WorkShare::default()
+    };
+    fleet.server_mut(later).set_others(at(ENTRY_AT), bad);
+    assert!(fleet.is_run_suspected(at(ENTRY_AT), former, at(8000)));
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -35,7 +35,7 @@
 use crate::pool::ConnectionChoice;
 use crate::relay::{PeerTarget, parse_verdict, set_relay_headers, take_server, take_version};
 use crate::suspension::within_deadline;
-use crate::suspicion::{wait_until_ended, wait_until_suspected};
+use crate::suspicion::wait_until_suspected;
 
 /// Largest body of a rejection that is drained so that its connection can be reused.
 const MAX_REJECTION_BODY: usize = 64 * 1024;
@@ -177,7 +177,6 @@
     let exchanged = exchange(gateway, call, &destination, &is_written, build);
     let exchanged = tokio::select! {
         exchanged = exchanged => exchanged,
-        () = wait_until_ended(Rc::clone(gateway), target.id) => Err(ExchangeFailure::Replaced),
         () = suspected_unwritten(gateway, target.id, &is_written) => Err(ExchangeFailure::Unwritten),
     };
     let (connection, response) = match exchanged {
@@ -357,8 +356,6 @@
     /// The kernel has timed out the connection.
     Unacknowledged,
     TimedOut,
-    /// Another instance has replaced the server.
-    Replaced,
     /// The server has asked for no work since it was chosen, or is not reached any more.
     Declined,
     /// The wait for a connection was given up.
@@ -370,7 +367,7 @@
     /// was not cannot have run, whatever ended the exchange.
     fn after_write(self, is_written: bool) -> Self {
         match self {
-            Self::TimedOut | Self::Replaced if !is_written => Self::Unwritten,
+            Self::TimedOut if !is_written => Self::Unwritten,
             failure => failure,
         }
     }
@@ -378,7 +375,7 @@
     fn attempt_result(&self) -> AttemptResult {
         match self {
             Self::Unreachable => AttemptResult::Unreachable,
-            Self::Broken | Self::Replaced => AttemptResult::Broken,
+            Self::Broken => AttemptResult::Broken,
             Self::Unacknowledged => AttemptResult::TimedOut,
             Self::TimedOut => AttemptResult::Failed,
             Self::Declined | Self::Unwritten => AttemptResult::Unknown,
@@ -400,9 +397,6 @@
             Self::TimedOut => AttemptEnd::Lost {
                 cause: "no response before the deadline",
             },
-            Self::Replaced => AttemptEnd::Lost {
-                cause: "another instance has replaced the server",
-            },
             Self::Declined => AttemptEnd::NotRun {
                 arrived: false,
                 cause: "the server takes no requests any more",
--- a/crates/gateway/src/race.rs
+++ b/crates/gateway/src/race.rs
@@ -11,6 +11,7 @@
 use http::HeaderMap;
 use http_body_util::BodyExt;
 use onyxfall_adapter::set_last_event;
+use onyxfall_clock::BootInstant;
 use onyxfall_events::{BodyFraming, EventFramer, FramedBytes};
 use onyxfall_fleet::{AttemptResult, RetryPurpose};
 use onyxfall_streams::{RunEvent, RunRace, RunSide, RunStep};
@@ -21,7 +22,7 @@
 use crate::gateway::Gateway;
 use crate::report::millis;
 use crate::serve::{CallProgress, may_reach_another, start_attempt};
-use crate::suspicion::{wait_until_stalled, wait_until_suspected};
+use crate::suspicion::{wait_until_run_suspected, wait_until_stalled};
 
 /// Time after which a second run is asked for again if no server takes one. Each question is a
 /// choice over all servers.
@@ -70,11 +71,13 @@
     }
 }
 
-/// Waits until a server is suspected, or has sent nothing for `pause`. Completes at most once per
+/// Waits until a run recorded for a server is suspected, or the server has sent nothing for `pause`.
+/// `received` holds when the run last sent something, or was sent. Completes at most once per
 /// [`ASK_INTERVAL`] after a second run `was_asked` for.
 pub(crate) async fn wait_for_suspicion(
     gateway: Rc<Gateway>,
     server: ServerId,
+    received: Rc<Cell<BootInstant>>,
     pause: Option<Duration>,
     was_asked: bool,
 ) {
@@ -83,7 +86,7 @@
     }
     let stalled = wait_until_stalled(Rc::clone(&gateway), server, pause.unwrap_or(Duration::MAX));
     tokio::select! {
-        () = wait_until_suspected(gateway, server) => {}
+        () = wait_until_run_suspected(gateway, server, received) => {}
         () = stalled, if pause.is_some() => {}
     }
 }
@@ -147,6 +150,7 @@
     let Some(server) = first.server.filter(|_| call.rules.repeatable) else {
         return first.end.await;
     };
+    let sent = Rc::new(Cell::new(BootInstant::now()));
     let mut race = RunRace::new(true);
     let mut has_asked = false;
     let mut second: Option<(OpenRun, CallProgress)> = None;
@@ -157,7 +161,13 @@
                 None => std::future::pending().await,
             }
         };
-        let suspected = wait_for_suspicion(Rc::clone(gateway), server, None, has_asked);
+        let suspected = wait_for_suspicion(
+            Rc::clone(gateway),
+            server,
+            Rc::clone(&sent),
+            None,
+            has_asked,
+        );
         tokio::select! {
             biased;
             end = &mut first.end => {
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -35,7 +35,7 @@
 };
 use crate::serve::{CallProgress, ResumedStream, resume};
 use crate::suspension::wait_for_deadline;
-use crate::suspicion::{wait_until_ended, wait_until_vm_suspected};
+use crate::suspicion::wait_until_vm_suspected;
 
 /// Number of longest pauses between events after which a server that sends this VM nothing is
 /// suspected. One such pause may come from a long prompt that the server reads.
@@ -96,8 +96,6 @@
     /// Completes when the sending server is suspected to have ended; `None` if no other server
     /// could resume the stream.
     suspicion: Option<LocalBoxFuture<'static, ()>>,
-    /// Completes when the sending server has ended for certain; `None` if it is another VM.
-    ended: Option<LocalBoxFuture<'static, ()>>,
     race: RunRace,
     second: Option<SecondRun>,
 }
@@ -124,7 +122,6 @@
         };
         Self {
             suspicion: watch_server(gateway, call, &response, race, false),
-            ended: watch_end(gateway, &response),
             race,
             second: None,
             gateway: Rc::clone(gateway),
@@ -175,14 +172,6 @@
                 RelayState::Open(response) => Pin::new(&mut response.body).poll_frame(cx),
             };
             match polled {
-                Poll::Pending if self.has_ended(cx) => {
-                    log::info!(
-                        request = self.call.request_id.as_str(),
-                        target = self.progress.last_target.as_str();
-                        "run given up: another instance has replaced its server"
-                    );
-                    self.progress.stream_end = Some(StreamEnd::ConnectionLost);
-                }
                 Poll::Pending => match self.poll_second(cx) {
                     Poll::Pending => return Poll::Pending,
                     Poll::Ready(Some(part)) if part.events > 0 => {
@@ -247,22 +236,9 @@
     /// Forwards the stream of `response` from now on.
     fn open(&mut self, response: Box<UpstreamResponse>) {
         self.suspicion = watch_server(&self.gateway, &self.call, &response, self.race, false);
-        self.ended = watch_end(&self.gateway, &response);
         self.state = RelayState::Open(response);
     }
 
-    /// Whether the sending server has ended for certain; polled while no data arrives.
-    fn has_ended(&mut self, cx: &mut Context<'_>) -> bool {
-        let Some(ended) = self.ended.as_mut().filter(|_| self.can_resume) else {
-            return false;
-        };
-        if ended.as_mut().poll(cx).is_pending() {
-            return false;
-        }
-        self.ended = None;
-        true
-    }
-
     /// Polls the second run, or starts one if the sending server is suspected; called while no
     /// data arrives from it. Returns the first events of a second run that takes the stream over,
     /// or `None` if the second run has ended.
@@ -360,7 +336,6 @@
 
     /// Waits for the second run after the end of the first one.
     fn await_second(&mut self) {
-        self.ended = None;
         let state = std::mem::replace(&mut self.state, RelayState::Awaiting);
         if let RelayState::Open(response) = state {
             response.finish(&self.gateway, AttemptResult::Broken);
@@ -448,7 +423,6 @@
             framer.restart();
         }
         self.held.resize(0);
-        self.ended = None;
         let last = self.last_id().map(str::to_owned);
         let mut backup = None;
         let mut is_from_peer = false;
@@ -530,6 +504,7 @@
         Some(attempt) => Box::pin(wait_for_suspicion(
             gateway,
             attempt.server(),
+            Rc::clone(&response.received),
             pause,
             was_asked,
         )),
@@ -542,16 +517,6 @@
     })
 }
 
-/// Completes when the server of `response` has ended for certain. `None` if the response comes
-/// from another VM.
-fn watch_end(
-    gateway: &Rc<Gateway>,
-    response: &UpstreamResponse,
-) -> Option<LocalBoxFuture<'static, ()>> {
-    let server = response.attempt.as_ref()?.server();
-    Some(Box::pin(wait_until_ended(Rc::clone(gateway), server)))
-}
-
 impl Drop for StreamRelay {
     fn drop(&mut self) {
         self.end(AttemptResult::Unknown, "the caller left");
--- a/crates/gateway/src/suspicion.rs
+++ b/crates/gateway/src/suspicion.rs
@@ -1,5 +1,4 @@
-//! Waiting for what may have become of a server: a suspicion that it has ended, which may be
-//! wrong, and its certain end.
+//! Suspicions that a server or VM has ended, which may be wrong, and proofs that a server has.
 
 use std::cell::Cell;
 use std::collections::BTreeSet;
@@ -43,6 +42,28 @@
     }
 }
 
+/// Waits until a run recorded for a server is suspected to be lost. `received` holds when the run
+/// last sent something, or was sent.
+pub(crate) async fn wait_until_run_suspected(
+    gateway: Rc<Gateway>,
+    server: ServerId,
+    received: Rc<Cell<BootInstant>>,
+) {
+    loop {
+        let notified = gateway.suspicion.notified();
+        let now = gateway.now();
+        let last_seen = now.before(received.get().elapsed());
+        let is_suspected = {
+            let fleet = gateway.fleet.borrow();
+            fleet.is_run_suspected(now, server, last_seen)
+        };
+        if is_suspected {
+            return;
+        }
+        notified.await;
+    }
+}
+
 /// Waits until a server has sent this VM nothing for `pause`. A process that hangs is seen by its
 /// streams alone if no first byte is due.
 pub(crate) async fn wait_until_stalled(gateway: Rc<Gateway>, server: ServerId, pause: Duration) {
@@ -75,17 +96,6 @@
     }
 }
 
-/// Waits until a server has ended for certain: whatever ran on it is lost.
-pub(crate) async fn wait_until_ended(gateway: Rc<Gateway>, server: ServerId) {
-    loop {
-        let notified = gateway.suspicion.notified();
-        if gateway.fleet.borrow().has_ended(server) {
-            return;
-        }
-        notified.await;
-    }
-}
-
 /// Records in `log` which servers have ended, if the request has no attempt left otherwise.
 /// Dials those of which this VM has no proof.
 pub(crate) async fn find_ended(gateway: &Gateway, call: &CallContext, log: &mut AttemptLog) {
