Fleet: a later instance alone proves no end of an attempt

Callers could have a request run at more servers than its route allows: an attempt at a restarted server stopped counting once the later entry arrived, though the new process may be at work on it.

The attempts of a request are recorded for the instance known when they were sent, and the later start time was taken as the end of all of them (EndEvidence::is_replaced), also in the verdict for other VMs. Besides, the entry of a replaced instance counted as gone, so that a lost connection and a cut path to the new process were a proof as well.

Change: the proof is a lost connection or a check, as without a restart; the entry that they are read with is the latest one under the name.

The case "the store names another instance" of tests/ended.rs stated the fault. In its place fleet restart a_later_instance_alone_proves_no_end... holds four cases over the view (later instance alone; with a lost connection and an open port, a cut path, a closed port); it failed in its first case before. Gateway ended_servers passes.

--- a/crates/fleet/src/ended.rs
+++ b/crates/fleet/src/ended.rs
@@ -29,10 +29,10 @@
     Unanswered,
 }
 
-/// Entry of a server instance in the platform's store.
+/// Latest entry under a server's name in the platform's store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EntryState {
-    /// The instance takes new requests.
+    /// The server takes new requests.
     Ready,
     /// It is draining: it may refuse connections while it completes its requests.
     Draining,
@@ -43,9 +43,7 @@
 /// What is known about the end of a server instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EndEvidence {
-    /// Whether the platform's store names a later instance.
-    pub is_replaced: bool,
-    /// Its entry in the store.
+    /// The latest entry under its name in the store.
     pub entry: EntryState,
     /// Whether an open connection to it was lost and nothing has arrived from it since.
     pub is_broken: bool,
@@ -54,13 +52,13 @@
 }
 
 impl EndEvidence {
-    /// Whether the evidence proves that the instance has ended. A process that was stopped keeps
-    /// its port and its connections, and a cut path loses them while the store keeps the entry.
+    /// Whether the evidence proves that what was sent to the instance has ended. A process that was
+    /// stopped keeps its port and its connections, and a cut path loses them while the store keeps
+    /// the entry. A later instance in the store may be the one that requests were sent to.
     ///
     /// ```
     /// use onyxfall_fleet::{EndCheck, EndEvidence, EntryState};
     /// let crashed = EndEvidence {
-    ///     is_replaced: false,
     ///     entry: EntryState::Ready,
     ///     is_broken: true,
     ///     check: Some(EndCheck::Refused),
@@ -70,12 +68,11 @@
     /// assert!(!stopped.is_proof());
     /// ```
     pub fn is_proof(self) -> bool {
-        let is_checked = match self.check {
+        match self.check {
             Some(EndCheck::Refused) => self.is_broken || self.entry == EntryState::Ready,
             Some(EndCheck::Unanswered) => self.is_broken && self.entry == EntryState::Gone,
             Some(EndCheck::Accepted) | None => false,
-        };
-        self.is_replaced || is_checked
+        }
     }
 }
 
@@ -86,20 +83,26 @@
         let server = self.server(id);
         let is_reached = self.path_state(&server.record.service) != PathState::Lost;
         let evidence = EndEvidence {
-            is_replaced: server.has_ended(),
-            entry: if server.is_gone() {
-                EntryState::Gone
-            } else if server.takes_work() {
-                EntryState::Ready
-            } else {
-                EntryState::Draining
-            },
+            entry: self.entry_state(id),
             is_broken: server.is_broken(),
             check: server.end_check().filter(|_| is_reached),
         };
         evidence.is_proof()
     }
 
+    /// State of the latest entry under the name of a server.
+    fn entry_state(&self, id: ServerId) -> EntryState {
+        let latest = self.find(self.server(id).record.name.as_str());
+        let server = self.server(latest.unwrap_or(id));
+        if server.is_gone() {
+            EntryState::Gone
+        } else if server.takes_work() {
+            EntryState::Ready
+        } else {
+            EntryState::Draining
+        }
+    }
+
     /// Whether a check may prove that a server has ended: it is in this region, and it has lost
     /// a connection or sent nothing for a while.
     pub fn may_have_ended(&self, now: Moment, id: ServerId) -> bool {
--- a/crates/fleet/src/server.rs
+++ b/crates/fleet/src/server.rs
@@ -149,8 +149,6 @@
     gone: bool,
     /// Another entry has taken the name: this state gets no further requests.
     is_replaced: bool,
-    /// A later instance has taken the name: the requests running here have ended.
-    has_ended: bool,
     /// When a response first signalled that the server is draining.
     draining_since: Option<Moment>,
     backoff: ServerBackoff,
@@ -190,7 +188,6 @@
             region,
             gone: false,
             is_replaced: false,
-            has_ended: false,
             draining_since: None,
             backoff: ServerBackoff::default(),
             backoff_requested_at: None,
@@ -235,12 +232,10 @@
         self.cached_prefixes = CachedPrefixes::new(now);
     }
 
-    /// Records that another entry has taken the name of the server. If it is one of another
-    /// instance, this instance and the requests running on it have ended.
-    pub(crate) fn replace(&mut self, is_other_instance: bool) {
+    /// Records that another entry has taken the name of the server.
+    pub(crate) fn replace(&mut self) {
         self.gone = true;
         self.is_replaced = true;
-        self.has_ended |= is_other_instance;
     }
 
     /// Whether another entry has taken the name of the server.
@@ -248,11 +243,6 @@
         self.is_replaced
     }
 
-    /// Whether a later instance has taken the name of the server.
-    pub(crate) fn has_ended(&self) -> bool {
-        self.has_ended
-    }
-
     /// Hash of the instance, the same on every VM.
     pub fn instance_hash(&self) -> u64 {
         self.instance
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -531,7 +531,7 @@
         if is_other_instance || !is_same_pool {
             self.remove_server(now, record.name.as_str());
             if let Some(id) = last_working {
-                self.servers[id].replace(is_other_instance);
+                self.servers[id].replace();
             }
             return false;
         }
--- a/crates/fleet/tests/ended.rs
+++ b/crates/fleet/tests/ended.rs
@@ -12,26 +12,17 @@
 }
 
 const NONE: EndEvidence = EndEvidence {
-    is_replaced: false,
     entry: EntryState::Ready,
     is_broken: false,
     check: None,
 };
 
-const CASES: [EndCase; 12] = [
+const CASES: [EndCase; 11] = [
     EndCase {
         name: "silence alone",
         evidence: NONE,
         is_proof: false,
     },
-    EndCase {
-        name: "the store names another instance",
-        evidence: EndEvidence {
-            is_replaced: true,
-            ..NONE
-        },
-        is_proof: true,
-    },
     EndCase {
         name: "a connection was lost, as by a reset of the path",
         evidence: EndEvidence {
@@ -89,7 +80,6 @@
             entry: EntryState::Gone,
             is_broken: true,
             check: Some(EndCheck::Accepted),
-            ..NONE
         },
         is_proof: false,
     },
@@ -99,7 +89,6 @@
             entry: EntryState::Gone,
             is_broken: true,
             check: Some(EndCheck::Unanswered),
-            ..NONE
         },
         is_proof: true,
     },
--- a/crates/fleet/tests/restart.rs
+++ b/crates/fleet/tests/restart.rs
@@ -3,7 +3,9 @@
 
 mod support;
 
-use onyxfall_fleet::{FleetView, ServerRecord, ServerVotes, StartTime, WorkShare};
+use onyxfall_fleet::{
+    AttemptResult, EndCheck, FleetView, ServerRecord, ServerVotes, StartTime, WorkShare,
+};
 use onyxfall_types::ServerId;
 use support::{at, place, ready_server};
 
@@ -96,3 +98,59 @@
     fleet.server_mut(later).set_others(at(ENTRY_AT), bad);
     assert!(fleet.is_run_suspected(at(ENTRY_AT), former, at(8000)));
 }
+
+struct EndCase {
+    name: &'static str,
+    is_broken: bool,
+    check: Option<EndCheck>,
+    is_proved: bool,
+}
+
+const ENDS: [EndCase; 4] = [
+    EndCase {
+        name: "the store names a later instance",
+        is_broken: false,
+        check: None,
+        is_proved: false,
+    },
+    EndCase {
+        name: "a connection was lost",
+        is_broken: true,
+        check: Some(EndCheck::Accepted),
+        is_proved: false,
+    },
+    EndCase {
+        name: "a connection was lost, and the later instance is behind a cut path",
+        is_broken: true,
+        check: Some(EndCheck::Unanswered),
+        is_proved: false,
+    },
+    EndCase {
+        name: "a connection was lost, and the port is closed",
+        is_broken: true,
+        check: Some(EndCheck::Refused),
+        is_proved: true,
+    },
+];
+
+/// Attempts that do not count beyond the limit of their route while their server works on them.
+#[test]
+fn a_later_instance_alone_proves_no_end_of_an_attempt() {
+    for case in &ENDS {
+        let (mut fleet, former) = restarted(7000);
+        let lost_at = at(ENTRY_AT + 100);
+        if case.is_broken {
+            let server = fleet.server_mut(former);
+            server.end(lost_at, 1, AttemptResult::Broken);
+        }
+        if let Some(check) = case.check {
+            fleet.record_end_check(former, check);
+        }
+        assert_eq!(
+            fleet.is_proved_ended(former),
+            case.is_proved,
+            "{}",
+            case.name
+        );
+    }
+}
