Fleet: a run given up at a restarted server shows no crash of it

A request could be quarantined for crashes that were none: a run that was given up while its server was silent counts as lost with the server once that has ended, and the later entry of a server that had restarted before the run was sent was taken for that end.

Change: the later entry counts for runs that were given up before the restart. Others need a lost connection, as before; a run whose server sends again shows nothing, as before.

Test: fleet restart a_run_that_was_given_up_at_the_later_instance_shows_ no_crash, three cases, one with an entry that had left the store; failed before (Crash in place of Open).

--- a/crates/fleet/src/restart.rs
+++ b/crates/fleet/src/restart.rs
@@ -6,7 +6,7 @@
 //!
 //! Invariant: an entry never ends a run. A process that ends loses its connections, and its machine
 //! fails their keep-alive probes. Start times come from the clocks of servers, so that no more than
-//! a suspicion follows from them.
+//! a suspicion and the attribution of a loss follow from them.
 
 use onyxfall_policy::Moment;
 use onyxfall_types::ServerId;
@@ -33,4 +33,12 @@
         let later = self.find(self.server(id).record.name.as_str());
         later.is_some_and(|later| self.is_suspected(now, later))
     }
+
+    /// Whether the store shows that the process of a run which was given up at `at` has ended.
+    pub(crate) fn has_lost_run(&self, id: ServerId, at: Moment) -> bool {
+        match self.restarted_at(id) {
+            Some(restarted_at) => at < restarted_at,
+            None => self.server(id).is_gone(),
+        }
+    }
 }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -418,7 +418,7 @@
         let has_returned = server.last_liveness().is_some_and(|sign| sign > at);
         if has_returned || now - at > SILENCE_SETTLED {
             LossEvidence::None
-        } else if server.is_replaced() || server.is_gone() || server.is_broken_since(at) {
+        } else if self.has_lost_run(id, at) || server.is_broken_since(at) {
             self.loss_evidence(&server.record.service, LossMoment::AfterCheck)
         } else {
             LossEvidence::Open
--- a/crates/fleet/tests/restart.rs
+++ b/crates/fleet/tests/restart.rs
@@ -4,7 +4,8 @@
 mod support;
 
 use onyxfall_fleet::{
-    AttemptResult, EndCheck, FleetView, ServerRecord, ServerVotes, StartTime, WorkShare,
+    AttemptResult, EndCheck, FleetView, LossEvidence, ServerRecord, ServerVotes, StartTime,
+    WorkShare,
 };
 use onyxfall_types::ServerId;
 use support::{at, place, ready_server};
@@ -21,10 +22,13 @@
 
 /// A view with a server that has restarted at `restarted_at` by its own clock, and the id of its
 /// former instance. Moments of the view are Unix times.
-fn restarted(restarted_at: u64) -> (FleetView, ServerId) {
+fn restarted(restarted_at: u64, is_lapsed: bool) -> (FleetView, ServerId) {
     let mut fleet = FleetView::new(place("vm1", &[("c0", "r0")]));
     fleet.put_server(at(0), ready(100), None);
     let former = fleet.find("s1").unwrap();
+    if is_lapsed {
+        fleet.remove_server(at(ENTRY_AT - 1000), "s1");
+    }
     fleet.put_server(at(ENTRY_AT), ready(restarted_at), None);
     (fleet, former)
 }
@@ -80,7 +84,7 @@
 #[test]
 fn only_runs_that_were_silent_since_the_restart_are_suspected() {
     for case in &RUNS {
-        let (fleet, former) = restarted(case.restarted_at);
+        let (fleet, former) = restarted(case.restarted_at, false);
         let now = at(ENTRY_AT + 100);
         let is_suspected = fleet.is_run_suspected(now, former, at(case.last_seen));
         assert_eq!(is_suspected, case.is_suspected, "{}", case.name);
@@ -89,7 +93,7 @@
 
 #[test]
 fn a_run_at_the_later_instance_is_suspected_with_it() {
-    let (mut fleet, former) = restarted(7000);
+    let (mut fleet, former) = restarted(7000, false);
     let later = fleet.find("s1").unwrap();
     let bad = WorkShare {
         votes: ServerVotes { good: 0, bad: 4 },
@@ -99,6 +103,45 @@
     assert!(fleet.is_run_suspected(at(ENTRY_AT), former, at(8000)));
 }
 
+struct LossCase {
+    name: &'static str,
+    is_lapsed: bool,
+    /// When the run was given up.
+    given_up_at: u64,
+    evidence: LossEvidence,
+}
+
+const LOSSES: [LossCase; 3] = [
+    LossCase {
+        name: "given up before the restart",
+        is_lapsed: false,
+        given_up_at: 6900,
+        evidence: LossEvidence::Crash,
+    },
+    LossCase {
+        name: "given up after the restart",
+        is_lapsed: false,
+        given_up_at: 7100,
+        evidence: LossEvidence::Open,
+    },
+    LossCase {
+        name: "given up after the restart, the former entry was gone",
+        is_lapsed: true,
+        given_up_at: 7100,
+        evidence: LossEvidence::Open,
+    },
+];
+
+/// Crash evidence against requests whose server runs on.
+#[test]
+fn a_run_that_was_given_up_at_the_later_instance_shows_no_crash() {
+    for case in &LOSSES {
+        let (fleet, former) = restarted(7000, case.is_lapsed);
+        let evidence = fleet.silence_evidence(at(ENTRY_AT), former, at(case.given_up_at));
+        assert_eq!(evidence, case.evidence, "{}", case.name);
+    }
+}
+
 struct EndCase {
     name: &'static str,
     is_broken: bool,
@@ -137,7 +180,7 @@
 #[test]
 fn a_later_instance_alone_proves_no_end_of_an_attempt() {
     for case in &ENDS {
-        let (mut fleet, former) = restarted(7000);
+        let (mut fleet, former) = restarted(7000, false);
         let lost_at = at(ENTRY_AT + 100);
         if case.is_broken {
             let server = fleet.server_mut(former);
