Streams: a restarted server's stream is not joined to its former version

A stream that the new process began and then broke off was resumed at a server of the former version, within one answer of 200 and with nothing to show it.

Cause: the version of a stream is that of the entry known when its request was sent. The later entry, which names the other version, was not held against it.

Change: before a stream is resumed, or a second run of it starts, its version is that of the process that may have sent it (FleetView::run_version). If a later instance of another version may have done so, by start times that may differ by a second, it is unknown, and the stream is not resumed.

Not covered: what can only be known from an entry that arrives after the resumption, and the records of a stream's version at other VMs, which keep the former version.

--- a/crates/fleet/src/restart.rs
+++ b/crates/fleet/src/restart.rs
@@ -9,8 +9,9 @@
 //! a suspicion and the attribution of a loss follow from them.
 
 use onyxfall_policy::Moment;
-use onyxfall_types::ServerId;
+use onyxfall_types::{ServerId, SoftwareVersion};
 
+use crate::signals::CLOCK_TOLERANCE;
 use crate::view::FleetView;
 
 impl FleetView {
@@ -34,6 +35,22 @@
         later.is_some_and(|later| self.is_suspected(now, later))
     }
 
+    /// Software version of the process of a run recorded for server `id`, which last sent something
+    /// at `last_seen`. `None` if it has no valid version, or if a later instance of another one may
+    /// have sent it.
+    pub fn run_version(&self, id: ServerId, last_seen: Moment) -> Option<&SoftwareVersion> {
+        let record = &self.server(id).record;
+        let version = record.version.as_ref()?;
+        if self
+            .restarted_at(id)
+            .is_none_or(|at| last_seen + CLOCK_TOLERANCE < at)
+        {
+            return Some(version);
+        }
+        let later = self.server(self.find(record.name.as_str())?);
+        (later.record.version.as_ref() == Some(version)).then_some(version)
+    }
+
     /// Whether the store shows that the process of a run which was given up at `at` has ended.
     pub(crate) fn has_lost_run(&self, id: ServerId, at: Moment) -> bool {
         match self.restarted_at(id) {
--- a/crates/fleet/src/signals.rs
+++ b/crates/fleet/src/signals.rs
@@ -28,7 +28,7 @@
 /// Least time by which a start time must be later than a signal for the signal to be
 /// attributed to the former instance, since clocks of servers and VMs may differ. A draining
 /// server keeps serving for at least 3 s before it can restart.
-const CLOCK_TOLERANCE: Duration = Duration::from_secs(1);
+pub(crate) const CLOCK_TOLERANCE: Duration = Duration::from_secs(1);
 /// Backoff of an instance that may have signalled draining: draining servers were seen to
 /// keep serving for 12 s. After it, one request probes the server.
 pub(crate) const AMBIGUOUS_DRAINING: Duration = Duration::from_secs(20);
--- a/crates/fleet/tests/restart.rs
+++ b/crates/fleet/tests/restart.rs
@@ -197,3 +197,57 @@
         );
     }
 }
+
+struct VersionCase {
+    name: &'static str,
+    /// Version of the later instance.
+    later: &'static str,
+    /// When the run last sent something.
+    last_seen: u64,
+    version: Option<&'static str>,
+}
+
+const VERSIONS: [VersionCase; 4] = [
+    VersionCase {
+        name: "ended long before the restart",
+        later: "v2",
+        last_seen: 5000,
+        version: Some("v1"),
+    },
+    VersionCase {
+        name: "ended just before the restart, by clocks that may differ",
+        later: "v2",
+        last_seen: 6500,
+        version: None,
+    },
+    VersionCase {
+        name: "sent by an instance of another version",
+        later: "v2",
+        last_seen: 8000,
+        version: None,
+    },
+    VersionCase {
+        name: "sent by an instance of the same version",
+        later: "v1",
+        last_seen: 8000,
+        version: Some("v1"),
+    },
+];
+
+/// Streams that are joined from two versions.
+#[test]
+fn a_run_has_the_version_of_the_process_that_may_have_sent_it() {
+    for case in &VERSIONS {
+        let mut fleet = FleetView::new(place("vm1", &[("c0", "r0")]));
+        let of_version = |started_at, version: &str| ServerRecord {
+            version: Some(version.parse().unwrap()),
+            ..ready(started_at)
+        };
+        fleet.put_server(at(0), of_version(100, "v1"), None);
+        let former = fleet.find("s1").unwrap();
+        fleet.put_server(at(ENTRY_AT), of_version(7000, case.later), None);
+        let version = fleet.run_version(former, at(case.last_seen));
+        let version = version.map(ToString::to_string);
+        assert_eq!(version.as_deref(), case.version, "{}", case.name);
+    }
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -261,6 +261,11 @@
         Moment::from_duration(self.started.elapsed())
     }
 
+    /// Converts an instant to the time since the process started.
+    pub(crate) fn moment_of(&self, instant: BootInstant) -> Moment {
+        self.now().before(instant.elapsed())
+    }
+
     /// The configuration in force, if there is one.
     pub(crate) fn table(&self) -> Option<Rc<RouteTable>> {
         self.table.borrow().clone()
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -268,6 +268,7 @@
     /// Starts a second run after the last whole event, beside the first one.
     fn start_second(&mut self) {
         self.suspicion = None;
+        self.check_version();
         let mut progress = self.progress.clone();
         let extra = resume_headers(self.last_id());
         let run = self
@@ -354,6 +355,21 @@
         }
     }
 
+    /// Forgets the version of the stream if its server has restarted with another one, and the new
+    /// process may have sent the stream.
+    fn check_version(&mut self) {
+        let RelayState::Open(response) = &self.state else {
+            return;
+        };
+        if let (Some(server), StreamVersion::Known(version)) = (response.server, &self.version) {
+            let last_seen = self.gateway.moment_of(response.received.get());
+            let fleet = self.gateway.fleet.borrow();
+            if fleet.run_version(server, last_seen) != Some(version) {
+                self.version = StreamVersion::Unknown;
+            }
+        }
+    }
+
     /// Id of the last event that was forwarded whole.
     fn last_id(&self) -> Option<&str> {
         self.framer.as_ref()?.last_id()
@@ -419,6 +435,7 @@
         if !self.can_resume {
             return false;
         }
+        self.check_version();
         if let Some(framer) = &mut self.framer {
             framer.restart();
         }
--- a/crates/gateway/src/suspicion.rs
+++ b/crates/gateway/src/suspicion.rs
@@ -51,13 +51,7 @@
 ) {
     loop {
         let notified = gateway.suspicion.notified();
-        let now = gateway.now();
-        let last_seen = now.before(received.get().elapsed());
-        let is_suspected = {
-            let fleet = gateway.fleet.borrow();
-            fleet.is_run_suspected(now, server, last_seen)
-        };
-        if is_suspected {
+        if gateway.is_run_suspected(server, received.get()) {
             return;
         }
         notified.await;
@@ -172,6 +166,14 @@
         self.fleet.borrow().is_suspected(now, server)
     }
 
+    /// Whether a run recorded for a server, which last sent something at `received`, is suspected
+    /// to be lost.
+    fn is_run_suspected(&self, server: ServerId, received: BootInstant) -> bool {
+        let (now, last_seen) = (self.now(), self.moment_of(received));
+        let fleet = self.fleet.borrow();
+        fleet.is_run_suspected(now, server, last_seen)
+    }
+
     /// Looks for servers that are suspected by passage of time alone: a response to this VM became
     /// overdue after the other VMs' votes had arrived.
     pub(crate) fn refresh_suspected(&self, now: Moment) {
--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -6,13 +6,13 @@
 use std::io::{Read, Write as _};
 use std::net::{SocketAddr, TcpStream};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
 use onyxfall_adapter::stub::{caller_headers, resume_stream};
 use onyxfall_fakes::{BreakPoint, ServerFault, ServerStub};
-use support::{Gateway, Reply, Site, call, send, wait_for};
+use support::{Gateway, Reply, Site, call, record, send, wait_for};
 
 const VERSIONS: [&str; 2] = ["v1", "v2"];
 const RESUMABLE: &str = "/stream/resume/";
@@ -146,6 +146,76 @@
     });
 }
 
+/// Writes the entry of a server of a version that started at `started_at`.
+fn put_version(
+    site: &Site,
+    name: &str,
+    server: &ServerStub,
+    version: &str,
+    started_at: SystemTime,
+) {
+    let started_at = started_at.duration_since(UNIX_EPOCH).unwrap();
+    let started_at = u64::try_from(started_at.as_millis()).unwrap();
+    let mut entry = record(name, server, started_at);
+    entry.version = Some(version.parse().unwrap());
+    site.put(&entry);
+}
+
+/// A server restarts under its name with another version, and its entry arrives while the new
+/// process sends a stream. Guards against a rest of the version that the former entry names.
+#[test]
+fn a_stream_of_a_restarted_server_is_not_joined_to_its_former_version() {
+    let site = Site::start(1);
+    let uptime = Duration::from_hours(1);
+    let former = ServerStub::start(site.ip(0)).unwrap();
+    former.set_version("v1");
+    put_version(&site, "s0", &former, "v1", SystemTime::now() - uptime);
+    site.configure(1);
+    let gateway = site.gateway(0);
+    gateway.wait_served();
+    former.crash();
+    let restarted_at = SystemTime::now();
+    let mut restarted = None;
+    wait_for("the port to be free", || {
+        restarted = ServerStub::start_at(former.address()).ok();
+        restarted.is_some()
+    });
+    let restarted = restarted.unwrap();
+    restarted.set_version("v2");
+    support::wait_used("the new process to be used", &gateway, &restarted);
+    restarted.set_fault(ServerFault::Stalls);
+    let streams: Vec<OpenStream> = thread::scope(|scope| {
+        let begin = |number| OpenStream::begin(&gateway, format!("begun{number}"));
+        let readers: Vec<_> = (0..STREAMS)
+            .map(|number| scope.spawn(move || begin(number)))
+            .collect();
+        let streams = readers.into_iter().map(|reader| reader.join().unwrap());
+        streams.collect()
+    });
+    let peer = start_server(&site, "s1", "v1");
+    put_version(&site, "s0", &restarted, "v2", restarted_at);
+    let log_has = |words: &str| gateway.log().contains(words);
+    wait_for("both entries to be known", || {
+        log_has("\"server\":\"s1\"")
+            && gateway
+                .log()
+                .matches("\"server\":\"s0\",\"service\"")
+                .count()
+                == 2
+    });
+    restarted.crash();
+    for stream in streams {
+        let received = stream.finish();
+        assert_eq!(version_of(&received), Some("v2"), "{received}");
+    }
+    assert!(
+        !peer
+            .runs()
+            .iter()
+            .any(|run| run.call.request_id.starts_with("begun"))
+    );
+}
+
 /// A stream that a caller is reading.
 struct OpenStream {
     id: String,
