--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,6 +2,8 @@
 //! addresses of its own.
 #![allow(dead_code)]
 
+pub mod versioned;
+
 use std::fmt::Write as _;
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
--- a/crates/gateway/tests/versions.rs
+++ b/crates/gateway/tests/versions.rs
@@ -2,49 +2,22 @@
 
 mod support;
 
-use std::fmt::Write as _;
-use std::io::{Read, Write as _};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::thread;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
-use onyxfall_adapter::stub::{caller_headers, resume_stream};
 use onyxfall_fakes::{BreakPoint, ServerFault, ServerStub};
-use support::{Gateway, Reply, Site, call, record, send, wait_for};
+use support::versioned::{
+    RECORD_TIME, RESUMABLE, VERSIONS, begin_streams, has_run, put_version, restart_server, resume,
+    start_server, version_of,
+};
+use support::{Site, call, send, wait_for};
 
-const VERSIONS: [&str; 2] = ["v1", "v2"];
-const RESUMABLE: &str = "/stream/resume/";
-const PATIENCE: Duration = Duration::from_secs(3);
-/// Time in which the owners of a stream learn its version. No server that stalls for so long is
-/// treated as unresponsive.
-const RECORD_TIME: Duration = Duration::from_millis(150);
 /// Streams that are resumed after the death of their VM.
 const STREAMS: usize = 8;
 
-/// Starts a server of a version, announced in the first VM's data centre.
-fn start_server(site: &Site, name: &str, version: &'static str) -> ServerStub {
-    let server = ServerStub::start(site.ip(0)).unwrap();
-    server.set_version(version);
-    site.announce_version(name, &server, 0, version);
-    server
-}
-
-/// The version of which all events of a part of a stream are.
-fn version_of(part: &str) -> Option<&'static str> {
-    let is_of = |version: &&&str| part.lines().all(|line| !names_other(line, version));
-    VERSIONS.iter().find(is_of).copied()
-}
-
-fn names_other(line: &str, version: &str) -> bool {
-    line.starts_with("data: ") && !line.ends_with(version)
-}
-
-fn has_run(server: &ServerStub, id: &str) -> bool {
-    server.runs().iter().any(|run| run.call.request_id == id)
-}
-
 struct BreakCase {
     name: &'static str,
     /// VM that receives the requests; servers are in the region of VM 0.
@@ -146,21 +119,6 @@
     });
 }
 
-/// Writes the entry of a server of a version that started at `started_at`.
-fn put_version(
-    site: &Site,
-    name: &str,
-    server: &ServerStub,
-    version: &str,
-    started_at: SystemTime,
-) {
-    let started_at = started_at.duration_since(UNIX_EPOCH).unwrap();
-    let started_at = u64::try_from(started_at.as_millis()).unwrap();
-    let mut entry = record(name, server, started_at);
-    entry.version = Some(version.parse().unwrap());
-    site.put(&entry);
-}
-
 /// A server restarts under its name with another version, and its entry arrives while the new
 /// process sends a stream. Guards against a rest of the version that the former entry names.
 #[test]
@@ -175,23 +133,10 @@
     gateway.wait_served();
     former.crash();
     let restarted_at = SystemTime::now();
-    let mut restarted = None;
-    wait_for("the port to be free", || {
-        restarted = ServerStub::start_at(former.address()).ok();
-        restarted.is_some()
-    });
-    let restarted = restarted.unwrap();
-    restarted.set_version("v2");
+    let restarted = restart_server(&former, "v2");
     support::wait_used("the new process to be used", &gateway, &restarted);
     restarted.set_fault(ServerFault::Stalls);
-    let streams: Vec<OpenStream> = thread::scope(|scope| {
-        let begin = |number| OpenStream::begin(&gateway, format!("begun{number}"));
-        let readers: Vec<_> = (0..STREAMS)
-            .map(|number| scope.spawn(move || begin(number)))
-            .collect();
-        let streams = readers.into_iter().map(|reader| reader.join().unwrap());
-        streams.collect()
-    });
+    let streams = begin_streams(&gateway, STREAMS);
     let peer = start_server(&site, "s1", "v1");
     put_version(&site, "s0", &restarted, "v2", restarted_at);
     let log_has = |words: &str| gateway.log().contains(words);
@@ -216,73 +161,6 @@
     );
 }
 
-/// A stream that a caller is reading.
-struct OpenStream {
-    id: String,
-    connection: TcpStream,
-    received: String,
-}
-
-impl OpenStream {
-    /// Sends a request and reads the first event.
-    fn begin(gateway: &Gateway, id: String) -> Self {
-        let mut connection = TcpStream::connect(gateway.callers()).unwrap();
-        let mut head = format!("POST {RESUMABLE}{id} HTTP/1.1\r\ncontent-length: 0\r\n");
-        for (name, value) in &caller_headers(support::HOST, &id, PATIENCE) {
-            let _ = write!(head, "{name}: {}\r\n", value.to_str().unwrap());
-        }
-        head.push_str("\r\n");
-        connection.write_all(head.as_bytes()).unwrap();
-        let mut stream = Self {
-            id,
-            connection,
-            received: String::new(),
-        };
-        while !stream.received.contains("data: ") {
-            assert!(stream.read() > 0, "ended early: {}", stream.received);
-        }
-        stream
-    }
-
-    fn read(&mut self) -> usize {
-        let mut buffer = [0; 4096];
-        let count = self.connection.read(&mut buffer).unwrap_or(0);
-        self.received
-            .push_str(&String::from_utf8_lossy(&buffer[..count]));
-        count
-    }
-
-    /// Reads to the end of the connection; returns the whole events, without the framing.
-    fn finish(mut self) -> String {
-        while self.read() > 0 {}
-        let whole = VERSIONS.map(ServerStub::stream_of);
-        let events = whole
-            .iter()
-            .flat_map(|stream| stream.split_inclusive("\n\n"));
-        let received = events.filter(|event| self.received.contains(event));
-        received.collect()
-    }
-}
-
-/// Resumes a stream after the part that its caller has received.
-fn resume(gateway: &Gateway, attempt: &str, received: &str, id: &str) -> Reply {
-    let last = received
-        .lines()
-        .rev()
-        .find_map(|line| line.strip_prefix("id: "));
-    let mut headers = caller_headers(support::HOST, id, PATIENCE);
-    resume_stream(&mut headers, attempt, last.unwrap_or("0"));
-    let path = format!("{RESUMABLE}{attempt}");
-    send(
-        gateway.callers(),
-        Method::POST,
-        &path,
-        headers,
-        Bytes::new(),
-    )
-    .unwrap()
-}
-
 struct FailoverCase {
     name: &'static str,
     /// Versions of the servers, two of each.
@@ -347,16 +225,7 @@
     for server in &servers {
         server.set_fault(ServerFault::Stalls);
     }
-    let begin = |number| OpenStream::begin(&gateways[case.begins], format!("begun{number}"));
-    let streams: Vec<OpenStream> = thread::scope(|scope| {
-        let readers: Vec<_> = (0..STREAMS)
-            .map(|number| scope.spawn(move || begin(number)))
-            .collect();
-        readers
-            .into_iter()
-            .map(|reader| reader.join().unwrap())
-            .collect()
-    });
+    let streams = begin_streams(&gateways[case.begins], STREAMS);
     // What a VM has not told the owners yet is lost with it.
     thread::sleep(RECORD_TIME);
     gateways[case.begins].child.kill().unwrap();
