--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -12,9 +12,9 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, SizeHint};
 use onyxfall_events::{BodyFraming, MAX_EVENT_BYTES, NumberedBody};
+use onyxfall_held::{HeldBytes, HeldFull};
 use thiserror::Error;
 
-use crate::held::{HeldBytes, HeldFull};
 use crate::stream::StreamRelay;
 
 /// Why a response ended after its head was sent.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,6 +14,7 @@
     DecisionSwitch, FleetView, QuotaTable, RemoteTable, ResponseLengths, RetryPurpose, RetryShare,
     RoundTrips, RouteTable, SharerCount, StoreMirror,
 };
+use onyxfall_held::HeldAccount;
 use onyxfall_overlay::{KnownVm, OverlayNode, RecordVersion, RosterTiming, VmRecord, VmStatus};
 use onyxfall_policy::Moment;
 use onyxfall_rollout::RolloutTable;
@@ -25,7 +26,6 @@
 use crate::call::CallContext;
 use crate::connection::DialPlan;
 use crate::copies::{CachedParts, IncomingCopy};
-use crate::held::HeldAccount;
 use crate::metrics::GatewayMetrics;
 use crate::origins::StreamOrigins;
 use crate::pool::ConnectionPool;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -18,7 +18,6 @@
 mod directory;
 mod frames;
 mod gateway;
-mod held;
 mod links;
 mod listen;
 mod metrics;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -6,10 +6,9 @@
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
+use onyxfall_held::HeldAccount;
 use onyxfall_types::RefusalReason;
 
-use crate::held::HeldAccount;
-
 const QUANTILES: [f64; 4] = [0.5, 0.9, 0.95, 0.99];
 /// Largest recorded time in microseconds: two minutes.
 const MAX_MICROS: u64 = 120_000_000;
--- a/crates/gateway/src/stream.rs
+++ b/crates/gateway/src/stream.rs
@@ -21,6 +21,7 @@
 use hyper::body::{Body, Frame};
 use onyxfall_events::{BodyFraming, EventFramer, ForwardUnit, FramedBytes, StreamEnd};
 use onyxfall_fleet::AttemptResult;
+use onyxfall_held::HeldBytes;
 use onyxfall_streams::{RunEvent, RunRace, RunSide, RunStep};
 use onyxfall_types::SoftwareVersion;
 
@@ -29,7 +30,6 @@
 use crate::body::RelayError;
 use crate::call::{ResponseRule, SharedCall};
 use crate::gateway::Gateway;
-use crate::held::HeldBytes;
 use crate::race::{
     SecondStart, begin_second, log_race, resume_headers, start_second, wait_for_suspicion,
 };
--- a/crates/gateway/tests/held.rs
+++ b/crates/gateway/tests/held.rs
@@ -5,9 +5,6 @@
 #[allow(dead_code)]
 #[path = "../src/caller_stream.rs"]
 mod caller_stream;
-#[allow(dead_code)]
-#[path = "../src/held.rs"]
-mod held;
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -25,11 +22,11 @@
 use hyper::rt::Write as _;
 use onyxfall_adapter::stub::{caller_headers, received_call, sign_response};
 use onyxfall_fleet::ServerPhase;
+use onyxfall_held::{HeldAccount, HeldBytes};
 use onyxfall_types::ByteSize;
 use tokio::time::Sleep;
 
 use caller_stream::{CallerStream, StallEnd, StalledWrite};
-use held::{HeldAccount, HeldBytes};
 use support::{Gateway, HOST, ServingSite, Site, call, get, wait_for};
 
 /// A step of a case. Holds are kept in a list and referred to by index.
--- a/crates/gateway/src/held.rs
+++ b/crates/held/src/lib.rs
@@ -34,11 +34,11 @@
 /// Error for bytes that the account has no room for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("this VM holds {held} of at most {bound} for its callers")]
-pub(crate) struct HeldFull {
+pub struct HeldFull {
     /// Bytes held at the time of the refusal.
-    pub(crate) held: ByteSize,
+    pub held: ByteSize,
     /// The bound.
-    pub(crate) bound: ByteSize,
+    pub bound: ByteSize,
 }
 
 #[derive(Debug)]
@@ -49,7 +49,7 @@
 
 /// The account of all held bytes of a VM. Clones share one account; the default has no bound.
 #[derive(Clone, Debug)]
-pub(crate) struct HeldAccount(Arc<AccountState>);
+pub struct HeldAccount(Arc<AccountState>);
 
 impl Default for HeldAccount {
     fn default() -> Self {
@@ -59,10 +59,17 @@
 
 impl HeldAccount {
     /// The bound of an account without one.
-    pub(crate) const UNBOUNDED: ByteSize = ByteSize::new(u64::MAX);
+    pub const UNBOUNDED: ByteSize = ByteSize::new(u64::MAX);
 
     /// Creates an empty account.
-    pub(crate) fn new(bound: ByteSize) -> Self {
+    ///
+    /// ```
+    /// use onyxfall_held::HeldAccount;
+    /// use onyxfall_types::ByteSize;
+    /// let account = HeldAccount::new(ByteSize::new(100));
+    /// assert_eq!(account.held(), ByteSize::new(0));
+    /// ```
+    pub fn new(bound: ByteSize) -> Self {
         Self(Arc::new(AccountState {
             held: AtomicU64::new(0),
             bound: AtomicU64::new(bound.bytes()),
@@ -70,19 +77,44 @@
     }
 
     /// The bound for a VM with `memory`; without a known size there is none.
-    pub(crate) fn bound_for(memory: Option<ByteSize>) -> ByteSize {
+    ///
+    /// ```
+    /// use onyxfall_held::HeldAccount;
+    /// use onyxfall_types::ByteSize;
+    /// let bound = HeldAccount::bound_for(Some(ByteSize::new(400)));
+    /// assert_eq!(bound, ByteSize::new(100));
+    /// assert_eq!(HeldAccount::bound_for(None), HeldAccount::UNBOUNDED);
+    /// ```
+    pub fn bound_for(memory: Option<ByteSize>) -> ByteSize {
         memory.map_or(Self::UNBOUNDED, |memory| {
             ByteSize::new(memory.bytes() / MEMORY_PARTS)
         })
     }
 
     /// Changes the bound. Bytes beyond a lower bound stay held.
-    pub(crate) fn set_bound(&self, bound: ByteSize) {
+    ///
+    /// ```
+    /// use onyxfall_held::HeldAccount;
+    /// use onyxfall_types::ByteSize;
+    /// let account = HeldAccount::default();
+    /// account.set_bound(ByteSize::new(10));
+    /// assert!(account.try_hold(11).is_err());
+    /// ```
+    pub fn set_bound(&self, bound: ByteSize) {
         self.0.bound.store(bound.bytes(), Ordering::Relaxed);
     }
 
     /// Number of bytes held.
-    pub(crate) fn held(&self) -> ByteSize {
+    ///
+    /// ```
+    /// use onyxfall_held::HeldAccount;
+    /// let account = HeldAccount::default();
+    /// let bytes = account.hold(7);
+    /// assert_eq!(account.held().bytes(), 7);
+    /// drop(bytes);
+    /// assert_eq!(account.held().bytes(), 0);
+    /// ```
+    pub fn held(&self) -> ByteSize {
         ByteSize::new(self.0.held.load(Ordering::Relaxed))
     }
 
@@ -100,14 +132,34 @@
     }
 
     /// Holds `bytes` if they stay within the bound.
-    pub(crate) fn try_hold(&self, bytes: usize) -> Result<HeldBytes, HeldFull> {
+    ///
+    /// # Errors
+    ///
+    /// The bound would be exceeded.
+    ///
+    /// ```
+    /// use onyxfall_held::HeldAccount;
+    /// use onyxfall_types::ByteSize;
+    /// let account = HeldAccount::new(ByteSize::new(10));
+    /// let _bytes = account.try_hold(10).unwrap();
+    /// assert!(account.try_hold(1).is_err());
+    /// ```
+    pub fn try_hold(&self, bytes: usize) -> Result<HeldBytes, HeldFull> {
         let mut held = self.hold(0);
         held.try_grow(bytes)?;
         Ok(held)
     }
 
     /// Holds `bytes` of a request that is already being served, even beyond the bound.
-    pub(crate) fn hold(&self, bytes: usize) -> HeldBytes {
+    ///
+    /// ```
+    /// use onyxfall_held::HeldAccount;
+    /// use onyxfall_types::ByteSize;
+    /// let account = HeldAccount::new(ByteSize::new(10));
+    /// let _bytes = account.hold(20);
+    /// assert_eq!(account.held().bytes(), 20);
+    /// ```
+    pub fn hold(&self, bytes: usize) -> HeldBytes {
         let mut held = HeldBytes {
             account: self.clone(),
             bytes: 0,
@@ -131,32 +183,73 @@
 
 /// Bytes counted in an account until dropped.
 #[derive(Debug)]
-pub(crate) struct HeldBytes {
+pub struct HeldBytes {
     account: HeldAccount,
     bytes: u64,
 }
 
 impl HeldBytes {
     /// Holds `bytes` more if they stay within the bound; otherwise holds what it held.
-    pub(crate) fn try_grow(&mut self, bytes: usize) -> Result<(), HeldFull> {
+    ///
+    /// # Errors
+    ///
+    /// The bound would be exceeded.
+    ///
+    /// ```
+    /// use onyxfall_held::HeldAccount;
+    /// use onyxfall_types::ByteSize;
+    /// let account = HeldAccount::new(ByteSize::new(10));
+    /// let mut bytes = account.hold(6);
+    /// assert!(bytes.try_grow(5).is_err());
+    /// assert_eq!(account.held().bytes(), 6);
+    /// ```
+    pub fn try_grow(&mut self, bytes: usize) -> Result<(), HeldFull> {
         self.account.check(to_u64(bytes))?;
         self.grow(bytes);
         Ok(())
     }
 
     /// Holds `bytes` more, even beyond the bound.
-    pub(crate) fn grow(&mut self, bytes: usize) {
+    ///
+    /// ```
+    /// use onyxfall_held::HeldAccount;
+    /// let account = HeldAccount::default();
+    /// let mut bytes = account.hold(6);
+    /// bytes.grow(5);
+    /// assert_eq!(account.held().bytes(), 11);
+    /// ```
+    pub fn grow(&mut self, bytes: usize) {
         self.bytes += self.account.add(to_u64(bytes));
     }
 
     /// Changes the number of bytes held, even beyond the bound.
-    pub(crate) fn resize(&mut self, bytes: usize) {
+    ///
+    /// ```
+    /// use onyxfall_held::HeldAccount;
+    /// let account = HeldAccount::default();
+    /// let mut bytes = account.hold(6);
+    /// bytes.resize(2);
+    /// assert_eq!(account.held().bytes(), 2);
+    /// ```
+    pub fn resize(&mut self, bytes: usize) {
         self.account.remove(std::mem::take(&mut self.bytes));
         self.grow(bytes);
     }
 
     /// Attaches the hold to `bytes`: it is released when their last reference is dropped.
-    pub(crate) fn attach(self, bytes: Bytes) -> Bytes {
+    ///
+    /// ```
+    /// use bytes::Bytes;
+    /// use onyxfall_held::HeldAccount;
+    /// let account = HeldAccount::default();
+    /// let chunk = account.hold(3).attach(Bytes::from_static(b"abc"));
+    /// let clone = chunk.clone();
+    /// drop(chunk);
+    /// assert_eq!(account.held().bytes(), 3);
+    /// drop(clone);
+    /// assert_eq!(account.held().bytes(), 0);
+    /// ```
+    pub fn attach(self, bytes: Bytes) -> Bytes {
         if bytes.is_empty() {
             return bytes;
         }
