--- a/crates/fleet/src/restart.rs
+++ b/crates/fleet/src/restart.rs
@@ -4,9 +4,9 @@
 //! process a run is at. The entry may arrive seconds after the restart, and what was sent meanwhile
 //! runs at the new process though it is recorded for the former instance.
 //!
-//! Invariant: an entry never ends a run. A process that ends loses its connections, and its machine
-//! fails their keep-alive probes. Start times come from the clocks of servers, so that no more than
-//! a suspicion and the attribution of a loss follow from them.
+//! Invariant: an entry never ends a run. A process that ends loses its connections, and a machine
+//! without power fails their keep-alive probes. Start times come from the clocks of servers, so
+//! that no more than a suspicion and the attribution of a run follow from them.
 
 use onyxfall_policy::Moment;
 use onyxfall_types::{ServerId, SoftwareVersion};
