Soak: a late entry of a restarted server excuses no cut answer

The check of cut answers passed runs at a restarted server in its first second, or beside a pause of the VM or trouble of its store, since the new entry might not have reached the VM. The excuse and what it alone needed are removed; the two cases that expected it are expected to break now.

--- a/crates/soak/src/cuts.rs
+++ b/crates/soak/src/cuts.rs
@@ -1,7 +1,8 @@
 //! Checks that no answer to a caller ends before its server has ended it.
 //!
 //! An answer is cut if its connection closes before its end, or if its VM answers 502 or 504 in place
-//! of a server. Silence of a server, of its link or of a paused VM excuses no cut. What excuses it: the
+//! of a server. Silence of a server, of its link or of a paused VM excuses no cut, nor does the entry
+//! of a restarted server that arrives late. What excuses it: the
 //! server broke the answer off, crashed, was replaced or cut off; the time of the request was over;
 //! a VM on its way was killed, had its clock moved, or was near the end of its grace; the caller's
 //! connection was reset.
@@ -17,7 +18,7 @@
 use crate::deployment::{ROUTE_TIMEOUT, RequestKind, STOP_GRACE_S};
 use crate::fault_log::FaultLog;
 use crate::plan::Fault;
-use crate::signals::{ENTRY_DELAY, InstanceArrivals};
+use crate::signals::InstanceArrivals;
 
 /// Time from a shutdown signal after which a VM may cut what its servers still run. It ends 0.8 s
 /// before its grace is over, which is less than the sixth of a usual grace that the rule allows.
@@ -42,8 +43,6 @@
     server: usize,
     vm: Option<usize>,
     arrived: &'a ArrivedRequest,
-    /// First arrival at its instance, if that has the name of the instance before it.
-    restarted: Option<Instant>,
 }
 
 /// The check of cut answers, updated during a run.
@@ -117,14 +116,12 @@
 ) -> BTreeMap<&'a str, Vec<Run<'a>>> {
     let mut runs: BTreeMap<&str, Vec<Run<'_>>> = BTreeMap::new();
     for instance in instances {
-        let first = instance.arrivals.first().map(|arrived| arrived.at);
         let ran = |arrived: &&ArrivedRequest| arrived.run != RunState::NotRun;
         for arrived in instance.arrivals.iter().filter(ran) {
             runs.entry(&arrived.request_id).or_default().push(Run {
                 server: instance.server,
                 vm: vms.iter().position(|ip| *ip == arrived.from),
                 arrived,
-                restarted: first.filter(|_| instance.keeps_name),
             });
         }
     }
@@ -183,26 +180,7 @@
     let is_vm_excused = run
         .vm
         .is_none_or(|vm| is_vm_excused(vm, sent, ended, faults));
-    run.arrived.run == RunState::BrokenOff
-        || is_cut_off
-        || is_vm_excused
-        || may_be_mistaken(run, ended, faults)
-}
-
-/// Whether the VM of a run may have taken the server for its former instance, of the same name, since
-/// the entry of the new one had not reached it.
-fn may_be_mistaken(run: &Run<'_>, ended: Instant, faults: &FaultLog) -> bool {
-    let at = run.arrived.at;
-    let Some(restarted) = run.restarted else {
-        return false;
-    };
-    let is_delayed = |fault| match fault {
-        Fault::Pause(vm) | Fault::Suspend(vm, _) | Fault::StoreLink(vm, _) => Some(vm) == run.vm,
-        Fault::Store(_) | Fault::Restore => true,
-        _ => false,
-    };
-    let before = at.checked_sub(ENTRY_DELAY).unwrap_or(at);
-    at - restarted < ENTRY_DELAY || faults.between(before, ended.max(at)).any(is_delayed)
+    run.arrived.run == RunState::BrokenOff || is_cut_off || is_vm_excused
 }
 
 fn describe(answer: &CutAnswer, lost: &Run<'_>, runs: &[Run<'_>], faults: &FaultLog) -> String {
--- a/crates/soak/src/cuts/tests.rs
+++ b/crates/soak/src/cuts/tests.rs
@@ -11,7 +11,6 @@
 /// One run of a request, with times in milliseconds since the request was sent.
 struct RunCase {
     server: usize,
-    keeps_name: bool,
     from: IpAddr,
     at: u64,
     done: Option<u64>,
@@ -21,7 +20,6 @@
 
 const CUT_RUN: RunCase = RunCase {
     server: SERVER,
-    keeps_name: false,
     from: VM,
     at: 10,
     done: Some(500),
@@ -123,11 +121,14 @@
     },
     CutCase {
         name: "server restarted just before",
-        runs: &[RunCase {
-            keeps_name: true,
-            ..CUT_RUN
-        }],
-        is_broken: false,
+        runs: &[
+            RunCase {
+                at: 0,
+                state: RunState::NotRun,
+                ..CUT_RUN
+            },
+            CUT_RUN,
+        ],
         ..CUT
     },
     CutCase {
@@ -135,20 +136,17 @@
         runs: &[
             RunCase {
                 at: 0,
-                keeps_name: true,
                 state: RunState::NotRun,
                 ..CUT_RUN
             },
             RunCase {
                 at: 1500,
                 done: Some(1600),
-                keeps_name: true,
                 ..CUT_RUN
             },
         ],
         ended: 1600,
         fault: Some((Fault::Pause(0), 1400)),
-        is_broken: false,
         ..CUT
     },
     CutCase {
@@ -156,14 +154,12 @@
         runs: &[
             RunCase {
                 at: 0,
-                keeps_name: true,
                 state: RunState::NotRun,
                 ..CUT_RUN
             },
             RunCase {
                 at: 1500,
                 done: Some(1600),
-                keeps_name: true,
                 ..CUT_RUN
             },
         ],
@@ -330,7 +326,6 @@
             let instance = instances.entry(run.server).or_insert(InstanceArrivals {
                 server: run.server,
                 instance: 0,
-                keeps_name: run.keeps_name,
                 arrivals: Vec::new(),
             });
             instance.arrivals.push(ArrivedRequest {
--- a/crates/soak/src/deployment.rs
+++ b/crates/soak/src/deployment.rs
@@ -1,7 +1,6 @@
 //! The deployment under test: real gateways as processes, stubs of the store and the
 //! backend servers, and a link that can be made faulty in front of each of them.
 
-use std::collections::BTreeSet;
 use std::fmt::Write as _;
 use std::fs::{self, File};
 use std::io;
@@ -190,8 +189,6 @@
     signals: StubSignals,
     /// Stubs of all instances, the present one last.
     pub(crate) instances: Vec<ServerStub>,
-    /// Indexes of the instances that have the name of the one before.
-    pub(crate) restarted: BTreeSet<usize>,
     /// Link between gateways and the server.
     pub(crate) link: FaultyLink,
     /// The process that serves in place of the last instance, without the link.
@@ -254,7 +251,6 @@
                     started_ms: unix_millis(),
                     signals: StubSignals::default(),
                     instances,
-                    restarted: BTreeSet::new(),
                     link,
                     process: None,
                 }))
@@ -473,8 +469,6 @@
                 before.crash();
             }
             state.link.set_target(stub.address());
-            let instance = state.instances.len();
-            state.restarted.insert(instance);
             state.instances.push(stub);
             state.signals = StubSignals::default();
             state.started_ms = unix_millis().max(state.started_ms + 1);
--- a/crates/soak/src/run/observe.rs
+++ b/crates/soak/src/run/observe.rs
@@ -60,7 +60,6 @@
                 instances.push(InstanceArrivals {
                     server,
                     instance,
-                    keeps_name: state.restarted.contains(&instance),
                     arrivals,
                 });
             }
--- a/crates/soak/src/run/phases.rs
+++ b/crates/soak/src/run/phases.rs
@@ -297,7 +297,6 @@
             self.process_arrivals.push(InstanceArrivals {
                 server,
                 instance,
-                keeps_name: false,
                 arrivals: report.arrivals,
             });
         }
--- a/crates/soak/src/signals.rs
+++ b/crates/soak/src/signals.rs
@@ -77,15 +77,13 @@
     pub(crate) server: usize,
     /// Index of the instance.
     pub(crate) instance: usize,
-    /// Whether it has the name of the instance before it.
-    pub(crate) keeps_name: bool,
     /// Requests in the order of arrival.
     pub(crate) arrivals: Vec<ArrivedRequest>,
 }
 
 /// Time in which the entry of a restarted server reaches all VMs, also if the store is restored
 /// meanwhile.
-pub(crate) const ENTRY_DELAY: Duration = Duration::from_secs(1);
+const ENTRY_DELAY: Duration = Duration::from_secs(1);
 
 /// The checks of signals, updated during a run.
 #[derive(Default)]
