Gateway: a lost watch of the store is found by checks in turn

Cause: nothing but its own timeout (8 s + 1.5 s) ends a watch that the store has lost, unless another VM reports a later revision. All watchers send their next watch in the same tenth of a second after a change, so a silence takes all of them at once and no VM has anything later to report. Ruled out: changes that arrive and are dropped (no line), a store that rejects (no line; it answers new calls), watches that were open before (all were answered at 5.0 s).

Now a copy of the store has an age, the time since an answer proved it. VMs state the ages of their copies in their updates, so that a proof serves all copies that hold as much. The first of the VMs that watch asks the store over another connection when no VM has a proof of the last 0.8 s, the next ones 0.4 s later each; a watch that is late behind other VMs' reports is checked after 0.3 s. What a check finds in place of the watch is applied, and deletions count as those after an outage, since leases may have run out. Reads that are not answered are repeated after 0.5 s. For this the open watches wait 24 s in place of 8 s, and the pause after responses with changes grows from 0.15 to 0.4 s while changes follow each other. Metric onyxfall_store_copy_age_seconds, onyxfall_lost_watches_total; log lines when a copy grows old, and for each lost watch.

--- a/crates/fakes/src/store.rs
+++ b/crates/fakes/src/store.rs
@@ -34,7 +34,8 @@
     Normal,
     /// Rejects every call with 503.
     Refusing,
-    /// Responds to no call.
+    /// Responds to no call, nor to the watches that are open. Their connections stay open and
+    /// are never answered again.
     Unresponsive,
 }
 
@@ -64,6 +65,8 @@
     writes: usize,
     /// Number of future conditional writes that take effect but are never answered.
     lost_responses: usize,
+    /// Number of calls so far that are never answered.
+    unanswered_calls: usize,
 }
 
 impl StoreData {
@@ -216,6 +219,11 @@
         self.shared.state.lock().answered_ranges
     }
 
+    /// Number of calls so far that the store received or answered while it was unresponsive.
+    pub fn unanswered_calls(&self) -> usize {
+        self.shared.state.lock().unanswered_calls
+    }
+
     /// Sets how it behaves.
     pub fn set_mode(&self, mode: StoreMode) {
         self.shared.state.lock().mode = mode;
@@ -227,11 +235,21 @@
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let mut response = respond_to_call(&shared, request).await?;
+    let is_lost = shared.state.lock().mode == StoreMode::Unresponsive;
+    if is_lost {
+        match lose_call(&shared).await {}
+    }
     let era = StoreEra::new(shared.state.lock().era);
     set_store_era(response.headers_mut(), era);
     Ok(response)
 }
 
+/// Never answers a call; the connection that carries it is blocked from then on.
+async fn lose_call(shared: &StoreShared) -> Infallible {
+    shared.state.lock().unanswered_calls += 1;
+    std::future::pending().await
+}
+
 async fn respond_to_call(
     shared: &StoreShared,
     request: Request<Incoming>,
@@ -240,7 +258,7 @@
     match mode {
         StoreMode::Normal => {}
         StoreMode::Refusing => return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, String::new())),
-        StoreMode::Unresponsive => std::future::pending().await,
+        StoreMode::Unresponsive => match lose_call(shared).await {},
     }
     if is_store_write(request.uri()) {
         return write(shared, request).await;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 mod ended;
 mod flow;
 mod follow;
+mod freshness;
 mod home;
 mod instance;
 mod learn;
@@ -52,6 +53,7 @@
 pub use cold::{ColdShare, SENDERS, is_cold_sender};
 pub use ended::{EndCheck, EndEvidence, EntryState};
 pub use follow::{ASK_LIMIT, BEHIND_LIMIT, CATCH_UP_PAUSE, CopyCheck, CopyState};
+pub use freshness::{AgeChange, BatchPause, CheckCause, CopyAge, WatchCheck, check_pause};
 pub use home::HomeRegions;
 pub use instance::{ServerInstance, StartTime, StartTimeError};
 pub use learn::{
--- a/crates/fleet/src/mirror.rs
+++ b/crates/fleet/src/mirror.rs
@@ -355,6 +355,20 @@
         self.apply_as(now, events, health)
     }
 
+    /// Records that the store has no changes up to `revision` that the copy lacks.
+    ///
+    /// ```
+    /// use onyxfall_fleet::StoreMirror;
+    /// use onyxfall_policy::Moment;
+    /// let mut mirror = StoreMirror::default();
+    /// mirror.confirm(Moment::ZERO, 7);
+    /// mirror.confirm(Moment::ZERO, 5);
+    /// assert_eq!(mirror.revision(), 7);
+    /// ```
+    pub fn confirm(&mut self, now: Moment, revision: u64) {
+        self.advance(now, revision);
+    }
+
     /// Applies events, treating deletions according to `health`.
     fn apply_as(
         &mut self,
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -32,6 +32,7 @@
                 + &gateway.team_gauges()
                 + &gateway.rollout_gauges()
                 + &gateway.path_gauges()
+                + &gateway.copy_gauges()
                 + &gateway.suspect_gauges(),
         ),
         PlanReport::PATH => plan(gateway),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -341,6 +341,7 @@
         self.refresh_reach(now);
         self.refresh_suspected(now);
         self.log_member_changes();
+        self.log_copy_age();
         self.refresh_status();
         self.refresh_quota_peers(now);
         self.refresh_plans(now);
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -42,6 +42,7 @@
 mod signals;
 mod store;
 mod store_changes;
+mod store_check;
 mod store_client;
 mod stream;
 mod suspects;
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -14,7 +14,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use onyxfall_fleet::{CopyCheck, CopyState, MirrorChange, MirrorDelta, StoreItem};
+use onyxfall_fleet::{
+    AgeChange, CopyAge, CopyCheck, CopyState, MirrorChange, MirrorDelta, StoreItem,
+};
 use onyxfall_overlay::{Roster, VmRecord};
 use onyxfall_policy::Moment;
 use onyxfall_types::VmName;
@@ -27,6 +29,8 @@
 const STORE_WATCHERS: usize = 2;
 /// Name of this duty when VMs of a region are ranked for it.
 const WATCH_DUTY: &str = "watch store";
+/// Name of the duty to ask the store whether the copies are current.
+const CHECK_DUTY: &str = "check store";
 /// How long a region may have no watcher before the next VM in the order tries to watch the
 /// store, and again until the VM after that tries: the store may reject some VMs. In an outage
 /// of nine seconds 24 VMs of a region call the store instead of all.
@@ -56,6 +60,8 @@
     pub(crate) state: CopyState,
     /// Whether the copy is complete.
     pub(crate) is_whole: bool,
+    /// When the copy was last proved to be current.
+    pub(crate) proved_at: Option<Moment>,
 }
 
 /// Changes to forward, and how this VM's copy compares with those of other VMs.
@@ -67,6 +73,7 @@
     check: CopyCheck,
     /// Whether this VM's copy is complete.
     is_whole: bool,
+    age: CopyAge,
     /// Since when no VM of the region has reported that it watches the store.
     unwatched_since: Option<Moment>,
     /// The VM whose update arrived last, and the state of its copy.
@@ -176,6 +183,57 @@
         self.share.borrow().check.is_outdated(own)
     }
 
+    /// Number of VMs that ask the store before this one whether the copies are current. All
+    /// VMs that watch the store are in the order.
+    pub(crate) fn check_rank(&self) -> usize {
+        let overlay = self.overlay.borrow();
+        let roster = overlay.roster();
+        let watchers = roster.others().filter(|vm| vm.is_staying());
+        let mut watchers: Vec<&VmRecord> = watchers
+            .map(|vm| &vm.record)
+            .filter(|vm| vm.status.watches_store)
+            .collect();
+        watchers.push(roster.own());
+        let order = roster.duty_order(CHECK_DUTY, &watchers);
+        let rank = order.iter().position(|name| *name == self.vm());
+        rank.unwrap_or(order.len())
+    }
+
+    /// Time since this VM's copy was last proved to be current; `None` before the first proof.
+    pub(crate) fn copy_age(&self) -> Option<Duration> {
+        self.share.borrow().age.at(self.now())
+    }
+
+    /// Whether the copy is so old that the store may have been unavailable.
+    pub(crate) fn copy_spans_outage(&self) -> bool {
+        self.share.borrow().age.spans_outage(self.now())
+    }
+
+    /// The age of the copy as a metric.
+    pub(crate) fn copy_gauges(&self) -> String {
+        let gauge =
+            |age: Duration| format!("onyxfall_store_copy_age_seconds {:.3}\n", age.as_secs_f64());
+        self.copy_age().map_or_else(String::new, gauge)
+    }
+
+    /// Logs when the copy becomes old and when it is proved again.
+    pub(crate) fn log_copy_age(&self) {
+        let change = self.share.borrow_mut().age.take_change(self.now());
+        let revision = self.mirror.borrow().revision();
+        match change {
+            Some(AgeChange::Old) => {
+                log::warn!(revision; "nothing proves that the copy of the store is current");
+            }
+            Some(AgeChange::Current) => log::info!(revision; "the copy of the store is current"),
+            None => {}
+        }
+    }
+
+    /// Records that this VM's copy held everything that the store did at a moment.
+    pub(crate) fn record_copy_proof(&self, at: Moment) {
+        self.share.borrow_mut().age.record_proof(at);
+    }
+
     /// Records that this VM's copy is complete.
     pub(crate) fn record_caught_up(&self) {
         let mut share = self.share.borrow_mut();
@@ -273,6 +331,12 @@
         if is_watcher {
             share.check.compare_with_watcher(now, own, copy.state);
         }
+        if let Some(at) = copy.proved_at
+            && share.is_whole
+            && !share.check.has_gap()
+        {
+            share.age.record_peer_proof(own, copy.state, at);
+        }
         share.last_peer_copy = Some((from.clone(), copy));
     }
 
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -5,7 +5,8 @@
 //! A watch continues from the revision of the last response. If the watch fails, or the store
 //! has discarded that revision's history, everything is read again: a store that discards its
 //! history may cut watches before it rejects them. While the store is unavailable, the copy
-//! stays in force, and peers may have a newer one.
+//! stays in force, and peers may have a newer one. A watch that the store has lost is found by
+//! checks, see `store_check.rs`.
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -16,7 +17,7 @@
     watch_request,
 };
 use onyxfall_fleet::{
-    BEHIND_LIMIT, MirrorChange, RETURN_WINDOW, StoreEvent, StoreHealth, StoreMirror,
+    BatchPause, MirrorChange, RETURN_WINDOW, StoreEvent, StoreHealth, StoreMirror,
 };
 use onyxfall_policy::Moment;
 use onyxfall_types::StorePosition;
@@ -24,11 +25,12 @@
 use thiserror::Error;
 
 use crate::gateway::Gateway;
+use crate::store_check::find_missed_changes;
 use crate::store_client::{CallError, StoreClient};
 
-/// How long the store may hold a watch request. Each call is charged for, and probes detect a
-/// dead connection, so this only bounds the wait for a store that hangs.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(8);
+/// How long the store may hold a watch request. Each call is charged for, keep-alive probes
+/// detect a dead connection, and checks a lost watch.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(24);
 /// First and largest delay between failed calls; the delay doubles from one to the other.
 const MIN_BACKOFF: Duration = Duration::from_millis(60);
 const MAX_BACKOFF: Duration = Duration::from_millis(700);
@@ -47,9 +49,6 @@
 const READ_JITTER: Duration = Duration::from_millis(800);
 /// Age from which a VM that has no contact with any other VM reads everything itself.
 const NO_PEERS_READ_AFTER: Duration = Duration::from_millis(300);
-/// Delay after a watch response, so that changes in quick succession cost one call. It is far
-/// below the limits on how soon a change must be in force.
-const BATCH_DELAY: Duration = Duration::from_millis(150);
 /// Interval at which a VM that does not watch checks whether it has to.
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -61,6 +60,7 @@
     was_lost: bool,
     /// Time at which changes may have been missed, until everything is read again.
     missed_at: Option<Moment>,
+    /// When the store last became available again.
     returned_at: Option<Moment>,
 }
 
@@ -91,6 +91,11 @@
         true
     }
 
+    /// Records that the store has lost a response, or was unavailable until now.
+    pub(crate) fn record_outage(&mut self, now: Moment) {
+        self.returned_at = Some(now);
+    }
+
     /// How to treat changes of the store: leases may have expired during an outage.
     pub(crate) fn health(&self, now: Moment) -> StoreHealth {
         let recently_returned = self.returned_at.is_some_and(|at| now - at < RETURN_WINDOW);
@@ -117,31 +122,18 @@
     let mut reader = StoreReader {
         gateway: Rc::clone(gateway),
         client: StoreClient::new(gateway),
+        checker: StoreClient::new(gateway),
         backoff: MIN_BACKOFF,
         read_jitter,
     };
     tokio::task::spawn_local(async move { reader.run().await });
 }
 
-/// Waits until peers have reported a later revision than this VM's for [`BEHIND_LIMIT`] without
-/// a break. A working watch responds at once, so the pending one is stalled. A VM that falls
-/// behind for moments only, as under constant changes, is not stalled: its watch responds in
-/// between.
-async fn wait_until_stalled(gateway: &Gateway) {
-    let mut waited = Duration::ZERO;
-    while waited < BEHIND_LIMIT {
-        tokio::time::sleep(FOLLOW_INTERVAL).await;
-        waited = if gateway.is_behind_peers() {
-            waited + FOLLOW_INTERVAL
-        } else {
-            Duration::ZERO
-        };
-    }
-}
-
 struct StoreReader {
     gateway: Rc<Gateway>,
     client: StoreClient,
+    /// Client for the short calls that check an open watch.
+    checker: StoreClient,
     backoff: Duration,
     /// This VM's share of [`READ_JITTER`], added to the age from which it reads everything
     /// itself.
@@ -227,13 +219,18 @@
     /// count as an outage of the store.
     async fn watch_from(&mut self, mut position: StorePosition) -> WatchEnd {
         self.set_watched(true);
+        let mut pause = BatchPause::default();
         let end = loop {
+            let sent_at = self.gateway.now();
             match self.watch(position).await {
-                Ok(batch) => {
+                Ok((batch, proved_at)) => {
                     position = batch.position.max(position);
-                    if !batch.events.is_empty() {
-                        self.apply_events(batch.events);
-                        tokio::time::sleep(BATCH_DELAY).await;
+                    let has_events = !batch.events.is_empty();
+                    apply_batch(&self.gateway, batch);
+                    self.gateway.record_copy_proof(proved_at);
+                    if has_events {
+                        let waited = self.gateway.now() - sent_at;
+                        tokio::time::sleep(pause.after_changes(waited)).await;
                     }
                 }
                 Err(e) => break WatchEnd::Failed(e),
@@ -284,24 +281,14 @@
     }
 
     fn apply_events(&self, events: Vec<StoreEvent>) {
-        self.update_mirror(|mirror, now, health| mirror.apply(now, events, health));
-    }
-
-    /// Changes the copy, forwards the changes and applies them.
-    fn update_mirror(
-        &self,
-        change: impl FnOnce(&mut StoreMirror, Moment, StoreHealth) -> Vec<MirrorChange>,
-    ) {
-        let now = self.gateway.now();
-        let health = self.gateway.store.borrow().health(now);
-        let base = self.gateway.mirror.borrow().revision();
-        let changes = change(&mut self.gateway.mirror.borrow_mut(), now, health);
-        self.gateway.pass_on(base, &changes);
-        self.gateway.apply_changes(changes);
+        update_mirror(&self.gateway, |mirror, now, health| {
+            mirror.apply(now, events, health)
+        });
     }
 
     /// Reads every page. Returns the position from which to watch.
     async fn read_all(&mut self, cause: &'static str) -> Result<StorePosition, CallError> {
+        let begun_at = self.gateway.now();
         let mut listed = BTreeSet::new();
         let mut position = None;
         let mut after: Option<String> = None;
@@ -320,6 +307,7 @@
             self.apply_events(page.items.into_iter().map(StoreEvent::Put).collect());
             if is_last {
                 self.apply_listing(first, &listed);
+                self.gateway.record_copy_proof(begun_at);
                 return Ok(first);
             }
         }
@@ -327,7 +315,7 @@
 
     /// Removes all items that are not listed, since the store no longer has them.
     fn apply_listing(&self, position: StorePosition, listed: &BTreeSet<String>) {
-        self.update_mirror(|mirror, now, health| {
+        update_mirror(&self.gateway, |mirror, now, health| {
             mirror.remove_unlisted(now, WATCHED_PREFIX, listed, position.order(), health)
         });
         self.gateway.store.borrow_mut().missed_at = None;
@@ -340,36 +328,33 @@
         cause: &'static str,
     ) -> Result<ItemPage, CallError> {
         let request = range_request(&self.client.host(), WATCHED_PREFIX, after);
-        let reply = self.client.call(request, Duration::ZERO, cause).await?;
+        // While VMs start, pages saturate the store's link, and repeated reads add to that.
+        let reply = if self.gateway.copy_is_whole() {
+            self.client.call_repeatedly(request, cause).await?
+        } else {
+            self.client.call(request, Duration::ZERO, cause).await?
+        };
         let page = read_page(reply.status, &reply.headers, &reply.body)?;
-        self.check_restored(page.position);
+        note_answer(&self.gateway, page.position);
         Ok(page)
     }
 
-    async fn watch(&mut self, after: StorePosition) -> Result<EventBatch, CallError> {
+    /// Waits for changes after a position. Returns them, and when they were all changes.
+    async fn watch(&mut self, after: StorePosition) -> Result<(EventBatch, Moment), CallError> {
         let host = self.client.host();
         let request = watch_request(&host, WATCHED_PREFIX, after, WATCH_TIMEOUT);
-        // The watch may be stalled, alone or with its connection. Without these checks, this VM
-        // and the VMs that it watches for would stay behind for up to eight seconds, until the
-        // watch times out.
         let gateway = Rc::clone(&self.gateway);
-        let reply = tokio::select! {
-            reply = self.client.call(request, WATCH_TIMEOUT, "watch") => reply?,
-            () = wait_until_stalled(&gateway) => return Err(CallError::WatchStalled),
+        let (batch, proved_at) = tokio::select! {
+            reply = self.client.call(request, WATCH_TIMEOUT, "watch") => {
+                let reply = reply?;
+                let batch = read_batch(after, reply.status, &reply.headers, &reply.body)?;
+                (batch, gateway.now())
+            }
+            missed = find_missed_changes(&gateway, &mut self.checker, after) => missed?,
             () = gateway.woken.notified() => return Err(CallError::Suspended),
         };
-        let batch = read_batch(after, reply.status, &reply.headers, &reply.body)?;
-        self.check_restored(batch.position);
-        Ok(batch)
-    }
-
-    /// Logs if the store was restored from a backup since this VM's copy was made.
-    fn check_restored(&self, position: StorePosition) {
-        let current = StorePosition::from_order(self.gateway.mirror.borrow().revision());
-        if current != StorePosition::default() && position.era() > current.era() {
-            self.gateway.metrics.count("onyxfall_store_restores_total");
-            log::warn!(position:% = position, held:% = current; "store was restored");
-        }
+        note_answer(&gateway, batch.position);
+        Ok((batch, proved_at))
     }
 
     fn record_success(&mut self) {
@@ -395,3 +380,44 @@
         self.backoff = (self.backoff * 2).min(longest);
     }
 }
+
+/// Records an answer of the store before it is applied.
+pub(crate) fn note_answer(gateway: &Gateway, position: StorePosition) {
+    check_restored(gateway, position);
+    let mut store = gateway.store.borrow_mut();
+    // After a suspension of this VM the copy is old although the store was available.
+    if store.missed_at.is_none() && gateway.copy_spans_outage() {
+        store.record_outage(gateway.now());
+    }
+}
+
+/// Logs if the store was restored from a backup since this VM's copy was made.
+fn check_restored(gateway: &Gateway, position: StorePosition) {
+    let current = StorePosition::from_order(gateway.mirror.borrow().revision());
+    if current != StorePosition::default() && position.era() > current.era() {
+        gateway.metrics.count("onyxfall_store_restores_total");
+        log::warn!(position:% = position, held:% = current; "store was restored");
+    }
+}
+
+/// Applies the changes of a watch or of its check.
+pub(crate) fn apply_batch(gateway: &Gateway, batch: EventBatch) {
+    update_mirror(gateway, |mirror, now, health| {
+        let changes = mirror.apply(now, batch.events, health);
+        mirror.confirm(now, batch.position.order());
+        changes
+    });
+}
+
+/// Changes the copy, forwards the changes and applies them.
+fn update_mirror(
+    gateway: &Gateway,
+    change: impl FnOnce(&mut StoreMirror, Moment, StoreHealth) -> Vec<MirrorChange>,
+) {
+    let now = gateway.now();
+    let health = gateway.store.borrow().health(now);
+    let base = gateway.mirror.borrow().revision();
+    let changes = change(&mut gateway.mirror.borrow_mut(), now, health);
+    gateway.pass_on(base, &changes);
+    gateway.apply_changes(changes);
+}
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -71,6 +71,8 @@
         update.copy_hash = copy.hash;
         update.copy_revision = copy.revision;
         update.copy_is_whole = self.shares_copy();
+        let age = self.copy_age().filter(|_| update.copy_is_whole);
+        update.copy_age_ms = age.map(wire_millis);
         update.costs = cost_view(relation).map_or_else(Vec::new, |view| sent.costs.due(self, view));
         update.regions = self.region_updates(now, relation, &mut sent.regions);
         self.collect_suspects(&mut sent.suspects, &mut update);
@@ -113,6 +115,9 @@
                     hash: update.copy_hash,
                 },
                 is_whole: update.copy_is_whole,
+                proved_at: update
+                    .copy_age_ms
+                    .map(|age| self.peer_moment(now, from, age)),
             },
         );
         Some(UpdateReceiveState {
@@ -122,6 +127,18 @@
         })
     }
 
+    /// The moment that another VM states as an age in milliseconds, if the message took half a
+    /// round trip.
+    fn peer_moment(&self, now: Moment, from: &VmName, age_ms: u32) -> Moment {
+        let overlay = self.overlay.borrow();
+        let roster = overlay.roster();
+        let far = roster.get(from).filter(|vm| !roster.is_near(&vm.record));
+        let trip = far.map_or(Duration::ZERO, |vm| {
+            self.trips.borrow().to(&vm.record.region)
+        });
+        now.before(Duration::from_millis(age_ms.into()) + trip / 2)
+    }
+
     /// Refreshes this VM's own status. If it has changed, other VMs are notified at once.
     pub(crate) fn refresh_status(&self) {
         let status = VmStatus {
--- a/crates/gateway/tests/watchers.rs
+++ b/crates/gateway/tests/watchers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use onyxfall_adapter::stub::{RouteShape, RouteText, ServiceText, config_key, document_body};
-use onyxfall_fakes::ServerStub;
+use onyxfall_fakes::{ServerStub, StoreMode};
 use support::{Gateway, Site, call, wait_for};
 
 /// Number of VMs, all in one region.
@@ -101,6 +101,32 @@
     assert!(ended < MAX_WATCHES, "{ended} watches finished before then");
 }
 
+/// Makes the store lose every watch that is open or sent within its silence.
+fn lose_all_watches(site: &Site) {
+    let before = site.store.unanswered_calls();
+    site.store.set_mode(StoreMode::Unresponsive);
+    wait_for("all watches to be lost", || {
+        site.store.unanswered_calls() >= before + WATCHERS && site.store.open_watches() == 0
+    });
+    site.store.set_mode(StoreMode::Normal);
+}
+
+/// Guards against VMs that miss all changes after a silence of the store has lost every watch,
+/// until a watch times out and the store is read again.
+#[test]
+fn a_silence_that_loses_every_watch_hides_no_change() {
+    let (gateways, _server, site) = start();
+    wait_watched(&site);
+    lose_all_watches(&site);
+    let before = site.store.answered_ranges();
+    withdraw_routes(&site, 2);
+    for gateway in &gateways {
+        wait_in_force(gateway);
+    }
+    let reads = site.store.answered_ranges() - before;
+    assert_eq!(reads, 0, "pages read until the change was in force");
+}
+
 /// Number of unused routes. As in large deployments, they make the configuration larger than
 /// what the link of a small VM should carry at once.
 const IDLE_ROUTES: usize = 600;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -499,6 +499,10 @@
     /// Whether the sender's copy of the store is complete.
     #[prost(bool, tag = "8")]
     pub copy_is_whole: bool,
+    /// Time since the sender's copy of the store was last proved to be current, in milliseconds;
+    /// absent if it is not complete or was never proved.
+    #[prost(uint32, optional, tag = "14")]
+    pub copy_age_ms: Option<u32>,
     /// Learned costs of services; not in every message.
     #[prost(message, repeated, tag = "9")]
     pub costs: Vec<ServiceCostEntry>,
