--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -43,6 +43,8 @@
     CutAnswer(String),
     /// A VM reverted to an older configuration.
     Reverted(String),
+    /// A VM decided by an old copy of the store after a silence of the store.
+    StaleCopy(String),
     /// A gateway process exited without a shutdown signal.
     Exited(String),
     /// Something did not recover after the faults.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -22,6 +22,7 @@
 mod repeats;
 mod run;
 mod signals;
+mod silence;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/crates/soak/src/run/phases.rs
+++ b/crates/soak/src/run/phases.rs
@@ -4,7 +4,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use onyxfall_fakes::{PathCut, ServerFault};
+use onyxfall_fakes::{PathCut, ServerFault, StoreMode};
 use rustix::process::Signal;
 
 use super::{CALLERS, LONG_CALLERS, STEP, SoakRun};
@@ -19,6 +19,7 @@
 use crate::processes::{BETWEEN_STOPS, draw_process_stops};
 use crate::repeats::{PRESSURE, draw_pressure, has_narrow_budget};
 use crate::signals::{DisturbedPart, InstanceArrivals};
+use crate::silence;
 
 /// Time after which a draining server must receive no more requests, with the allowance of
 /// [`super::RECOVERY`].
@@ -37,6 +38,8 @@
 pub(crate) enum Phase {
     /// A VM receives more large bodies at once than it may hold.
     Burst,
+    /// The store is silent for moments near changes.
+    Silence,
     /// Some VMs are cut from all servers.
     Partition,
     /// All servers are brittle, and overloaded.
@@ -64,7 +67,7 @@
         };
         let parts = seed.is_multiple_of(PARTS_SEEDS).then_some(Self::Parts);
         let repeats = has_narrow_budget(seed).then_some(Self::Repeats);
-        let first = [Self::Burst, alternating, Self::Failover].into_iter();
+        let first = [Self::Burst, Self::Silence, alternating, Self::Failover].into_iter();
         first
             .chain(repeats)
             .chain(parts)
@@ -83,6 +86,7 @@
     ) -> io::Result<()> {
         match phase {
             Phase::Burst => self.check_burst(),
+            Phase::Silence => self.check_silences(),
             Phase::Partition => return self.check_partition(callers, size),
             Phase::Brittle => return self.check_brittle(),
             Phase::Failover => return self.check_failover(size),
@@ -137,6 +141,36 @@
         }
     }
 
+    /// Silences the store near changes, and checks that every VM acts on the changes soon after.
+    fn check_silences(&mut self) {
+        for silence in silence::draw_silences(self.seed) {
+            self.wait(|run| run.deployment.is_running());
+            self.wait_in_force();
+            let fault = Fault::Store(StoreMode::Unresponsive);
+            self.deployment.configure();
+            thread::sleep(silence.after_change);
+            self.faults.begin(fault);
+            self.deployment.store.set_mode(StoreMode::Unresponsive);
+            thread::sleep(silence.length);
+            if silence.hides_change {
+                self.deployment.configure();
+            }
+            self.deployment.store.set_mode(StoreMode::Normal);
+            self.faults.end(|active| active == fault);
+            if !silence.hides_change {
+                self.deployment.configure();
+            }
+            thread::sleep(silence::NOTICE_BOUND);
+            let newest = *self.deployment.version.lock();
+            for vm in 0..self.targets.len() {
+                if !self.has_version(vm, newest) {
+                    let what = format!("vm{vm} lacks v{newest} after {silence:?}");
+                    self.checks.record(BrokenPromise::StaleCopy(what));
+                }
+            }
+        }
+    }
+
     /// Cuts some VMs from all servers and checks that their callers are served all the same.
     fn check_partition(&mut self, callers: &CallerGroup, size: &RunSize) -> io::Result<()> {
         // A gateway that was told to stop may serve open connections for seconds.
