Tests: heads that stop midway are no responses

Operators of other systems saw a 200 with an empty or short body, framed as whole, when a server stopped in the middle of its answer's head and closed. It does not happen here; nothing in the product is changed. What the tests show:

- entry half_heads: each byte of a success, a redirect and a client error, of which the library accepts parts of redirects when it is told to follow them: 502, may-have-run.

The callers of the entry's tests follow no redirects now, so that they see them.

--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -303,6 +303,7 @@
 ) -> Option<TestAnswer> {
     let agent = ureq::Agent::config_builder()
         .proxy(None)
+        .max_redirects(0)
         .http_status_as_error(false)
         .allow_non_standard_methods(true)
         .timeout_global(Some(PATIENCE))
@@ -357,6 +358,17 @@
     Reset,
     /// Never responds.
     Silent,
+    /// Sends this response; that to each fourth request stops at the next byte, starting with
+    /// the first one, before the connection is closed.
+    Parts(&'static str),
+}
+
+impl RawBehaviour {
+    /// Number of bytes that [`Self::Parts`] sends to a request, counted from 0; `None` if it
+    /// sends all.
+    pub fn part_of(request: usize) -> Option<usize> {
+        (request % 4 == 3).then_some(request / 4)
+    }
 }
 
 /// A backend server that sends raw bytes and counts the requests that it receives.
@@ -403,8 +415,13 @@
         );
         return;
     }
-    count.fetch_add(1, Ordering::SeqCst);
+    let request = count.fetch_add(1, Ordering::SeqCst);
     match behaviour {
+        RawBehaviour::Parts(response) => {
+            read_rest(&mut stream, &text);
+            let bytes = RawBehaviour::part_of(request).unwrap_or(response.len());
+            let _ = stream.write_all(&response.as_bytes()[..bytes]);
+        }
         RawBehaviour::Answer(answer) => {
             let _ = stream.write_all(answer.as_bytes());
         }
@@ -416,6 +433,19 @@
     }
 }
 
+/// Reads the rest of a request's body, of which unread bytes would reset the connection when it
+/// is closed.
+fn read_rest(stream: &mut TcpStream, received: &[u8]) {
+    let text = String::from_utf8_lossy(received).to_lowercase();
+    let (head, body) = text.split_once("\r\n\r\n").unwrap();
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "));
+    let length: usize = length.map_or(0, |length| length.parse().unwrap());
+    let mut rest = vec![0; length.saturating_sub(body.len())];
+    stream.read_exact(&mut rest).unwrap();
+}
+
 impl Drop for TestDeployment {
     fn drop(&mut self) {
         for entry in self.entries.iter_mut().filter_map(Option::take) {
