Fleet: a failed check of the watch delays no check of a late one

A VM with others before it pauses after a failed check, up to seconds, and did not look at the reports of the other VMs meanwhile, which had the change by then (cause old-copy in the line, where late-watch was due earlier).

Now the pause holds for the turn alone; a late watch is checked as soon as other VMs have reported a later revision for 0.3 s.

fleet freshness::a_failed_check_delays_no_check_of_a_late_watch (new).

--- a/crates/fleet/src/freshness.rs
+++ b/crates/fleet/src/freshness.rs
@@ -151,7 +151,10 @@
 pub struct WatchCheck {
     /// Since when the watch is open and other VMs report a later revision.
     late_since: Option<Moment>,
-    checked_at: Option<Moment>,
+    /// Until when a late watch is not checked again.
+    late_pause: Option<Moment>,
+    /// Until when it is not this VM's turn again.
+    turn_pause: Option<Moment>,
 }
 
 impl WatchCheck {
@@ -183,27 +186,48 @@
         } else {
             self.late_since = None;
         }
+        let is_over = |pause: Option<Moment>| pause.is_none_or(|until| now >= until);
         let is_late = self.late_since.is_some_and(|at| now - at >= LATE_WATCH);
-        // A check that has found nothing is not repeated at once: the report may be wrong.
-        let is_pause_over = self.checked_at.is_none_or(|at| now - at >= CATCH_UP_PAUSE);
-        if is_late && is_pause_over {
+        if is_late && is_over(self.late_pause) {
             return Some(CheckCause::LateWatch);
         }
         // The rank is computed only if the copy is old.
         let is_turn = |age| age >= CHECK_AGE && age >= CHECK_AGE + check_pause(rank());
-        let is_due = age.is_none_or(is_turn);
+        let is_due = is_over(self.turn_pause) && age.is_none_or(is_turn);
         is_due.then_some(CheckCause::OldCopy)
     }
 
-    /// Records that a check has found nothing new.
+    /// Records that a check has found nothing new. A check of a late watch is not repeated at
+    /// once: the report of the other VM may be wrong.
     pub fn record_unchanged(&mut self, now: Moment) {
-        self.checked_at = Some(now);
         self.late_since = None;
+        self.late_pause = Some(now + CATCH_UP_PAUSE);
+    }
+
+    /// Records that a check has failed, for a VM with `rank` VMs before it in the order of
+    /// checks. `pause` is the shortest pause before the next check. A late watch is checked
+    /// after it: other VMs have reached the store.
+    ///
+    /// ```
+    /// use onyxfall_fleet::{CheckCause, WatchCheck};
+    /// use onyxfall_policy::Moment;
+    /// use std::time::Duration;
+    /// let at = |ms| Moment::from_duration(Duration::from_millis(ms));
+    /// let age = Some(Duration::from_secs(9));
+    /// let mut check = WatchCheck::default();
+    /// check.record_failed(at(0), Duration::ZERO, 5);
+    /// assert_eq!(check.cause(at(1000), true, age, || 5), None);
+    /// let late = check.cause(at(1300), true, age, || 5);
+    /// assert_eq!(late, Some(CheckCause::LateWatch));
+    /// ```
+    pub fn record_failed(&mut self, now: Moment, pause: Duration, rank: usize) {
+        self.late_pause = Some(now + pause);
+        self.turn_pause = Some(now + pause.max(check_pause(rank)));
     }
 }
 
-/// Pause after a check that failed, for a VM with `rank` VMs before it in the order of checks.
-/// Few VMs call a store that does not respond.
+/// How much later than the first VM one with `rank` VMs before it in the order of checks asks the
+/// store, and its pause after a check that failed: few VMs call a store that does not respond.
 ///
 /// ```
 /// use onyxfall_fleet::check_pause;
--- a/crates/fleet/tests/freshness.rs
+++ b/crates/fleet/tests/freshness.rs
@@ -142,6 +142,21 @@
     assert_eq!(checks, 10);
 }
 
+/// Guards against a VM that does not check its late watch since its own checks of a silent store
+/// have failed.
+#[test]
+fn a_failed_check_delays_no_check_of_a_late_watch() {
+    for rank in [0, 3, 9] {
+        let mut check = WatchCheck::default();
+        check.record_failed(at(0), Duration::ZERO, rank);
+        let first = (0..PLAYED).step_by(50).find_map(|time| {
+            let cause = check.cause(at(time), true, Some(ms(1000)), || rank + 9);
+            cause.map(|cause| (time, cause))
+        });
+        assert_eq!(first, Some((300, CheckCause::LateWatch)), "rank {rank}");
+    }
+}
+
 /// Guards against a herd: in an outage of eight seconds, at most a quarter of the 88 VMs that
 /// watch the store of a large fleet may call it.
 #[test]
--- a/crates/gateway/src/store_check.rs
+++ b/crates/gateway/src/store_check.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use onyxfall_adapter::{EventBatch, StoreError, WATCHED_PREFIX, read_batch, watch_request};
-use onyxfall_fleet::{CheckCause, WatchCheck, check_pause};
+use onyxfall_fleet::{CheckCause, WatchCheck};
 use onyxfall_policy::Moment;
 use onyxfall_types::StorePosition;
 
@@ -18,8 +18,8 @@
 
 /// Interval at which a VM decides whether to check its watch.
 const DECISION_INTERVAL: Duration = Duration::from_millis(50);
-/// Shortest pause after a failed check.
-const MIN_PAUSE: Duration = Duration::from_millis(60);
+/// Shortest pause after a check that the store has rejected.
+const FAILED_PAUSE: Duration = Duration::from_millis(300);
 /// How long the store may hold the call that checks a watch: it answers at once.
 const CHECK_WAIT: Duration = Duration::from_millis(1);
 /// How long a watch may take to bring the changes that a check has found.
@@ -46,8 +46,11 @@
             }
             Err(e) => {
                 log::debug!("cannot check the watch: {e}");
-                let pause = check_pause(gateway.check_rank());
-                tokio::time::sleep(pause.max(MIN_PAUSE)).await;
+                let pause = match e {
+                    CallError::TimedOut => Duration::ZERO,
+                    _ => FAILED_PAUSE,
+                };
+                check.record_failed(gateway.now(), pause, gateway.check_rank());
                 continue;
             }
         };
