Soak: a probe that a busy VM refuses shows no old copy

Traced in its log: v8 was in force at 437,243 ms, 0.8 s after the silence, and the probe at 437,931 ms was refused with 503, since the VM held 49,156 of at most 62,500 bytes for its callers. A 503 tells nothing about the configuration; an old one answers 404.

The probe is now repeated up to five times while it is refused; a VM that refuses all of them, or rejects the route as unknown, breaks the promise as before.

--- a/crates/soak/src/run/observe.rs
+++ b/crates/soak/src/run/observe.rs
@@ -11,6 +11,9 @@
 use crate::repeats::{budget_of, check_repeats, most_repeats};
 use crate::signals::InstanceArrivals;
 
+/// Probes of a VM that are repeated if it refuses them.
+const REPEATED_PROBES: usize = 5;
+
 impl SoakRun<'_> {
     pub(super) fn record_report(&mut self, report: CallReport) {
         self.signals.record_report(&report);
@@ -132,6 +135,22 @@
             .is_some_and(|status| status != 404 && status != 503)
     }
 
+    /// Whether a VM rejects the route that only configuration `version` contains as unknown. A
+    /// refusal for another reason, such as too many held bytes, tells nothing, and the probe is
+    /// repeated.
+    pub(super) fn lacks_version(&mut self, vm: usize, version: u64) -> bool {
+        let path = format!("{}x", version_path(version));
+        let answers = |report: &CallReport| !matches!(report.status, None | Some(503));
+        let mut report = self.probe(vm, &path);
+        for _ in 0..REPEATED_PROBES {
+            if answers(&report) {
+                break;
+            }
+            report = self.probe(vm, &path);
+        }
+        report.status == Some(404) || !answers(&report)
+    }
+
     /// Probes one VM for the newest configuration and for the one before the newest seen
     /// there. A process that has served a newer version must never serve an older one.
     pub(super) fn probe_versions(&mut self) {
--- a/crates/soak/src/run/phases.rs
+++ b/crates/soak/src/run/phases.rs
@@ -163,7 +163,7 @@
             thread::sleep(silence::NOTICE_BOUND);
             let newest = *self.deployment.version.lock();
             for vm in 0..self.targets.len() {
-                if !self.has_version(vm, newest) {
+                if self.lacks_version(vm, newest) {
                     let what = format!("vm{vm} lacks v{newest} after {silence:?}");
                     self.checks.record(BrokenPromise::StaleCopy(what));
                 }
