--- /dev/null
+++ b/review/standins-2/store.rs
@@ -0,0 +1,205 @@
+//! Stand-in of the platform's store: pages of items and watches. It is never disturbed.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::http::{Connection, response};
+use crate::names::name;
+
+#[derive(Clone)]
+enum Event {
+    Put { key: String, value: String },
+    Removed { key: String },
+}
+
+#[derive(Default)]
+struct State {
+    items: BTreeMap<String, (String, u64)>,
+    /// All changes, with their revisions.
+    history: Vec<(u64, Event)>,
+    revision: u64,
+}
+
+/// The running stand-in.
+#[derive(Clone)]
+pub struct Store {
+    state: Arc<(Mutex<State>, Condvar)>,
+    address: SocketAddr,
+}
+
+impl Store {
+    /// Starts it on a free port of `ip`.
+    pub fn start(ip: IpAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind((ip, 0))?;
+        let store = Self {
+            state: Arc::default(),
+            address: listener.local_addr()?,
+        };
+        let served = store.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let store = served.clone();
+                thread::spawn(move || store.serve(Connection::new(stream)));
+            }
+        });
+        Ok(store)
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Writes an item. The store has confirmed it when this returns.
+    pub fn put(&self, key: &str, value: &str) {
+        self.change(Event::Put {
+            key: key.to_owned(),
+            value: value.to_owned(),
+        });
+    }
+
+    /// Removes an item.
+    pub fn remove(&self, key: &str) {
+        self.change(Event::Removed {
+            key: key.to_owned(),
+        });
+    }
+
+    fn change(&self, event: Event) {
+        let (state, changed) = &*self.state;
+        let mut state = state.lock().expect("the store's lock");
+        state.revision += 1;
+        let revision = state.revision;
+        match &event {
+            Event::Put { key, value } => {
+                state.items.insert(key.clone(), (value.clone(), revision));
+            }
+            Event::Removed { key } => {
+                state.items.remove(key);
+            }
+        }
+        state.history.push((revision, event));
+        changed.notify_all();
+    }
+
+    fn serve(&self, mut connection: Connection) {
+        while let Ok(Some(request)) = connection.receive() {
+            let (path, query) = request.target().split_once('?').unwrap_or_default();
+            let body = if path == name("range-path") {
+                Some(self.page(query))
+            } else if path == name("watch-path") {
+                Some(self.watch(query))
+            } else {
+                None
+            };
+            let json = ("content-type", "application/json");
+            let answer = match body {
+                Some(body) => response("200 OK", &[json], body.as_bytes()),
+                None => response("404 Not Found", &[], b""),
+            };
+            if connection.send(&answer).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn page(&self, query: &str) -> String {
+        let prefix = parameter(query, name("range-prefix")).unwrap_or_default();
+        let after = parameter(query, name("watch-after")).unwrap_or_default();
+        let state = self.state.0.lock().expect("the store's lock");
+        let items = state.items.iter();
+        let items = items.filter(|(key, _)| key.starts_with(&prefix) && **key > after);
+        let items: Vec<String> = items
+            .map(|(key, (value, revision))| item(key, value, *revision))
+            .collect();
+        let revision = state.revision;
+        format!(
+            "{{\"items\":[{}],\"HasMore\":false,\"{}\":{revision}}}",
+            items.join(","),
+            name("answer-revision")
+        )
+    }
+
+    fn watch(&self, query: &str) -> String {
+        let number = |name| parameter(query, name).and_then(|text| text.parse().ok());
+        let after: u64 = number(name("watch-after")).unwrap_or(0);
+        let wait = Duration::from_millis(number(name("watch-wait")).unwrap_or(0));
+        let end = Instant::now() + wait;
+        let (state, changed) = &*self.state;
+        let mut state = state.lock().expect("the store's lock");
+        while state.revision <= after {
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break;
+            }
+            state = changed
+                .wait_timeout(state, left)
+                .expect("the store's lock")
+                .0;
+        }
+        let events = state
+            .history
+            .iter()
+            .filter(|(revision, _)| *revision > after);
+        let events: Vec<String> = events
+            .map(|(revision, event)| match event {
+                Event::Put { key, value } => item(key, value, *revision),
+                Event::Removed { key } => removal(key, *revision),
+            })
+            .collect();
+        let revision = state.revision.max(after);
+        format!(
+            "{{\"events\":[{}],\"{}\":{revision}}}",
+            events.join(","),
+            name("answer-revision")
+        )
+    }
+}
+
+fn item(key: &str, value: &str, revision: u64) -> String {
+    format!(
+        "{{\"{}\":\"{key}\",\"{}\":\"{}\",\"{}\":{revision},\"{}\":{revision},\"{}\":0}}",
+        name("item-key"),
+        name("item-value"),
+        base64(value.as_bytes()),
+        name("item-revision"),
+        name("item-created"),
+        name("item-lease"),
+    )
+}
+
+fn removal(key: &str, revision: u64) -> String {
+    format!(
+        "{{\"{}\":\"{key}\",\"{}\":{revision},\"{}\":true}}",
+        name("item-key"),
+        name("item-revision"),
+        name("item-deleted"),
+    )
+}
+
+/// A parameter of a query.
+fn parameter(query: &str, wanted: &str) -> Option<String> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let found = pairs.find(|(known, _)| *known == wanted);
+    found.map(|(_, value)| value.to_owned())
+}
+
+fn base64(bytes: &[u8]) -> String {
+    const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut text = String::new();
+    for group in bytes.chunks(3) {
+        let byte = |index: usize| u32::from(group.get(index).copied().unwrap_or(0));
+        let bits = byte(0) << 16 | byte(1) << 8 | byte(2);
+        for digit in 0..4 {
+            if digit <= group.len() {
+                let index = bits >> (18 - 6 * digit) & 63;
+                text.push(char::from(DIGITS[index as usize]));
+            } else {
+                text.push('=');
+            }
+        }
+    }
+    text
+}
