--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -13,6 +13,7 @@
 mod record;
 mod server;
 mod stage;
+mod stepped_clock;
 mod store;
 
 use std::path::Path;
@@ -35,6 +36,7 @@
     let is_disturbed = std::env::var("TROUBLE").as_deref() != Ok("0");
     let played = Record::create(Path::new(folder)).and_then(|record| match case.as_str() {
         "extra-answer" => extra_answer::play(&record, is_disturbed),
+        "stepped-clock" => stepped_clock::play(&record, is_disturbed),
         _ => Err(std::io::Error::other("unknown case")),
     });
     match played {
