--- a/review/standins-2/documents.rs
+++ b/review/standins-2/documents.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 const CONFIG: &str = include_str!("config.txt");
+const STREAM_CONFIG: &str = include_str!("stream_config.txt");
 const ENTRY: &str = include_str!("entry.txt");
 
 /// Host of all routes.
@@ -21,6 +22,12 @@
     fill(CONFIG, &values)
 }
 
+/// A desired state with one route of streams that may be resumed.
+pub fn stream_config(service: &str) -> String {
+    let values = [("@host", HOST.to_owned()), ("@service", service.to_owned())];
+    fill(STREAM_CONFIG, &values)
+}
+
 /// Entry of a server.
 pub struct ServerEntry<'a> {
     pub service: &'a str,
--- a/review/standins-2/gateway.rs
+++ b/review/standins-2/gateway.rs
@@ -141,6 +141,16 @@
         SocketAddr::new(self.ip, self.first_port)
     }
 
+    /// Stops the process as the platform does.
+    pub fn terminate(&self) -> io::Result<()> {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &id]).status()?;
+        if sent.success() {
+            return Ok(());
+        }
+        Err(io::Error::other("the signal could not be sent"))
+    }
+
     fn is_ready(&self) -> bool {
         let address = SocketAddr::new(self.ip, self.first_port + 1);
         let ask = || -> io::Result<bool> {
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -12,6 +12,8 @@
 mod names;
 mod record;
 mod server;
+mod slow_reader;
+mod small_window;
 mod stage;
 mod stepped_clock;
 mod store;
@@ -36,6 +38,7 @@
     let is_disturbed = std::env::var("TROUBLE").as_deref() != Ok("0");
     let played = Record::create(Path::new(folder)).and_then(|record| match case.as_str() {
         "extra-answer" => extra_answer::play(&record, is_disturbed),
+        "slow-reader" => slow_reader::play(&record, is_disturbed),
         "stepped-clock" => stepped_clock::play(&record, is_disturbed),
         _ => Err(std::io::Error::other("unknown case")),
     });
