--- a/review/standins-2/documents.rs
+++ b/review/standins-2/documents.rs
@@ -4,6 +4,7 @@
 
 const CONFIG: &str = include_str!("config.txt");
 const STREAM_CONFIG: &str = include_str!("stream_config.txt");
+const ONCE_CONFIG: &str = include_str!("once_config.txt");
 const ENTRY: &str = include_str!("entry.txt");
 
 /// Host of all routes.
@@ -28,12 +29,20 @@
     fill(STREAM_CONFIG, &values)
 }
 
+/// A desired state with one route of streams that may run once, at model servers that keep copies
+/// of each other's runs.
+pub fn once_config(service: &str) -> String {
+    let values = [("@host", HOST.to_owned()), ("@service", service.to_owned())];
+    fill(ONCE_CONFIG, &values)
+}
+
 /// Entry of a server.
 pub struct ServerEntry<'a> {
     pub service: &'a str,
     pub zone: &'a str,
     pub address: SocketAddr,
     pub state: &'a str,
+    pub slots: u32,
     /// Start of the server by its own clock, where servers tell it.
     pub born: Option<u64>,
 }
@@ -49,6 +58,7 @@
             ("@address", self.address.to_string()),
             ("@zone", self.zone.to_owned()),
             ("@state", self.state.to_owned()),
+            ("@slots", self.slots.to_string()),
             ("@born", born),
         ];
         fill(ENTRY, &values)
--- a/review/standins-2/extra_answer.rs
+++ b/review/standins-2/extra_answer.rs
@@ -57,6 +57,7 @@
             zone: zone.name,
             address: server.address(),
             state: "ready",
+            slots: 6,
             born: None,
         };
         store.put(
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -49,6 +49,10 @@
         }
     }
 
+    pub fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
     pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.stream.write_all(bytes)
     }
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 //! case could not run. With `TROUBLE=0` in the environment the disturbance is left out.
 
 mod client;
+mod copied_run;
 mod documents;
 mod extra_answer;
 mod gateway;
@@ -37,6 +38,7 @@
     };
     let is_disturbed = std::env::var("TROUBLE").as_deref() != Ok("0");
     let played = Record::create(Path::new(folder)).and_then(|record| match case.as_str() {
+        "copied-run" => copied_run::play(&record, is_disturbed),
         "extra-answer" => extra_answer::play(&record, is_disturbed),
         "slow-reader" => slow_reader::play(&record, is_disturbed),
         "stepped-clock" => stepped_clock::play(&record, is_disturbed),
--- a/review/standins-2/slow_reader.rs
+++ b/review/standins-2/slow_reader.rs
@@ -49,6 +49,7 @@
             zone: ZONES[0].name,
             address: listener.local_addr()?,
             state: "ready",
+            slots: 48,
             born: None,
         };
         store.put(&format!("{}{id}", name("server-prefix")), &entry.text());
--- a/review/standins-2/stepped_clock.rs
+++ b/review/standins-2/stepped_clock.rs
@@ -47,6 +47,7 @@
         zone: ZONES[0].name,
         address: server.address(),
         state,
+        slots: 6,
         born: Some(born),
     };
     store.put(&entry_key(server), &entry.text());
