--- a/review/standins-2/copied_run.rs
+++ b/review/standins-2/copied_run.rs
@@ -357,7 +357,7 @@
         name("time-left"),
         BUDGET.as_millis(),
         name("model"),
-        name("token-counts"),
+        name("prompt-tokens"),
         name("prompt-parts"),
     );
     stream.write_all(request.as_bytes())?;
--- a/review/standins-2/gateway.rs
+++ b/review/standins-2/gateway.rs
@@ -54,8 +54,8 @@
         let mut sockets = addresses.iter().map(|ip| TcpListener::bind((*ip, port)));
         sockets.all(|socket| socket.is_ok())
     };
-    let first = 20_000 + u16::try_from(std::process::id() % 10_000).unwrap_or(0);
-    let mut candidates = (first..first + 5_000).step_by(usize::from(PORTS));
+    let first = 20_000 + u16::try_from(std::process::id() % 8_000).unwrap_or(0);
+    let mut candidates = (first..first + 3_000).step_by(usize::from(PORTS));
     let found = candidates.find(|port| (*port..*port + PORTS).all(is_free));
     found.ok_or_else(|| io::Error::other("no free ports"))
 }
