--- a/review/standins-2/client.rs
+++ b/review/standins-2/client.rs
@@ -48,10 +48,21 @@
 impl Clients {
     /// Starts `count` clients.
     pub fn start(count: usize, traffic: &Traffic, record: &Record) -> Self {
+        Self::start_at(&[traffic.gateway], count, traffic, record)
+    }
+
+    /// Starts clients of these gateways in turn.
+    pub fn start_at(
+        gateways: &[SocketAddr],
+        count: usize,
+        traffic: &Traffic,
+        record: &Record,
+    ) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let sent = Arc::new(Mutex::new(Vec::new()));
         let threads = (0..count).map(|number| {
-            let (traffic, record) = (traffic.clone(), record.clone());
+            let (mut traffic, record) = (traffic.clone(), record.clone());
+            traffic.gateway = gateways[number % gateways.len()];
             let (stop, sent) = (Arc::clone(&stop), Arc::clone(&sent));
             thread::spawn(move || {
                 // Clients do not send in step.
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -9,6 +9,7 @@
 mod documents;
 mod extra_answer;
 mod gateway;
+mod half_read;
 mod http;
 mod names;
 mod record;
@@ -40,6 +41,7 @@
     let played = Record::create(Path::new(folder)).and_then(|record| match case.as_str() {
         "copied-run" => copied_run::play(&record, is_disturbed),
         "extra-answer" => extra_answer::play(&record, is_disturbed),
+        "half-read" => half_read::play(&record, is_disturbed),
         "slow-reader" => slow_reader::play(&record, is_disturbed),
         "stepped-clock" => stepped_clock::play(&record, is_disturbed),
         _ => Err(std::io::Error::other("unknown case")),
