Review: case 7, streams between two regions are lost in a roll of stops

What is broken: LOST. A gateway that passes streams on ends its process 0.8 s before the end of its grace, whatever is open. Streams that another machine has accepted, whose servers are nearly done, close without a complete answer.

How shown: two gateways in each of two regions, sound servers in one of them; three gateways get SIGTERM, 2 s apart, nothing else is disturbed.

--- a/review/standins-2/documents.rs
+++ b/review/standins-2/documents.rs
@@ -5,6 +5,7 @@
 const CONFIG: &str = include_str!("config.txt");
 const STREAM_CONFIG: &str = include_str!("stream_config.txt");
 const ONCE_CONFIG: &str = include_str!("once_config.txt");
+const HOME_CONFIG: &str = include_str!("home_config.txt");
 const FLEET_CONFIG: &str = include_str!("fleet_config.txt");
 const ENTRY: &str = include_str!("entry.txt");
 
@@ -37,6 +38,16 @@
     fill(ONCE_CONFIG, &values)
 }
 
+/// The same with a route that is at home in one region.
+pub fn home_config(service: &str, region: &str) -> String {
+    let values = [
+        ("@host", HOST.to_owned()),
+        ("@service", service.to_owned()),
+        ("@region", region.to_owned()),
+    ];
+    fill(HOME_CONFIG, &values)
+}
+
 /// A desired state with a route of streams to model servers, and one of requests that may run once.
 pub fn fleet_config(service: &str) -> String {
     let values = [("@host", HOST.to_owned()), ("@service", service.to_owned())];
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -13,6 +13,7 @@
 mod http;
 mod names;
 mod record;
+mod rolling_stop;
 mod server;
 mod slow_reader;
 mod small_window;
@@ -42,6 +43,7 @@
         "copied-run" => copied_run::play(&record, is_disturbed),
         "extra-answer" => extra_answer::play(&record, is_disturbed),
         "half-read" => half_read::play(&record, is_disturbed),
+        "rolling-stop" => rolling_stop::play(&record, is_disturbed),
         "slow-reader" => slow_reader::play(&record, is_disturbed),
         "stepped-clock" => stepped_clock::play(&record, is_disturbed),
         _ => Err(std::io::Error::other("unknown case")),
