--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,7 +1,7 @@
 //! Plays one case of the review: the project's gateways as processes, and stand-ins for the
 //! platform's store, the backend servers and the clients in this process.
 //!
-//! `driver CASE FOLDER` exits with 1 if the rule was broken, with 0 if it held, and with 2 if the
+//! `driver CASE RECORD` exits with 1 if the rule was broken, with 0 if it held, and with 2 if the
 //! case could not run. With `TROUBLE=0` in the environment the disturbance is left out.
 
 mod client;
@@ -34,12 +34,12 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = arguments.as_slice() else {
-        eprintln!("expected a case and a folder");
+    let [_, case, path] = arguments.as_slice() else {
+        eprintln!("expected a case and the path of its record");
         return ExitCode::from(2);
     };
     let is_disturbed = std::env::var("TROUBLE").as_deref() != Ok("0");
-    let played = Record::create(Path::new(folder)).and_then(|record| match case.as_str() {
+    let played = Record::create(Path::new(path)).and_then(|record| match case.as_str() {
         "copied-run" => copied_run::play(&record, is_disturbed),
         "extra-answer" => extra_answer::play(&record, is_disturbed),
         "half-read" => half_read::play(&record, is_disturbed),
--- a/review/standins-2/record.rs
+++ b/review/standins-2/record.rs
@@ -15,9 +15,9 @@
 }
 
 impl Record {
-    /// Creates the record in a folder.
-    pub fn create(folder: &Path) -> std::io::Result<Self> {
-        let file = File::create(folder.join("record.txt"))?;
+    /// Creates the record's file.
+    pub fn create(path: &Path) -> std::io::Result<Self> {
+        let file = File::create(path)?;
         Ok(Self {
             started: Instant::now(),
             file: Arc::new(Mutex::new(BufWriter::new(file))),
