Gateway: held bytes are bounded on every deployment

What callers saw: many bodies of legal size at once, most stopping just short of their end, ended a VM; it ran out of memory.

Cause: the account of held bytes had a bound only where the capacity plan is on. Elsewhere, and where the memory of the VM is not stated, it had none. Within the account, a body that does not end kept its bytes until the deadline of its request, and a buffer could be twice as large as its bytes.

Change: the bound applies always; without `memory-mb` the system tells the memory. Bodies are received by `collect_body` in the new crate `intake`: one buffer whose spare room is a fifth at most, whatever the pieces are. While the account is full, an upload that has lasted 3 s gives way. A quarter of the bound is left to bodies of up to 64 KiB. Messages of other VMs about streams are counted, too.

Status and directory ports were held before: they read no body.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod control;
 mod copies;
+mod crowd;
 mod engine;
 mod faulty_link;
 mod link;
@@ -16,6 +17,7 @@
 mod slots;
 mod store;
 
+pub use crowd::{CallerCrowd, ProcessUse, RawUpload, UploadShape};
 pub use engine::{EngineFaults, EngineSettings, FakeEngine};
 pub use faulty_link::{FaultyLink, LinkMode, PathCut};
 pub use link::{FakeLink, LinkRules};
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,18 +1,14 @@
-//! Bodies: responses for callers and other VMs, and bodies that are received whole.
-//!
-//! A body received whole carries its hold in the account of held bytes, which ends with the last
-//! reference to the body.
+//! Bodies of responses for callers and other VMs.
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::response::Parts;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
 use onyxfall_events::{BodyFraming, MAX_EVENT_BYTES, NumberedBody};
 use onyxfall_framing::response_framing;
-use onyxfall_held::{HeldBytes, HeldFull};
 use thiserror::Error;
 
 use crate::stream::StreamRelay;
@@ -39,69 +35,6 @@
     }
 }
 
-/// Whether the bytes of a body may exceed the bound on held bytes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum HoldRule {
-    /// The body of a new request is refused beyond the bound.
-    WithinBound,
-    /// The response to a request that has run is held beyond the bound.
-    BeyondBound,
-}
-
-/// Why a body was not received whole.
-#[derive(Debug)]
-pub(crate) enum BodyError<E> {
-    /// It has more bytes than allowed.
-    TooLarge,
-    /// The account of held bytes is full.
-    Held(HeldFull),
-    /// The connection failed.
-    Broken(E),
-}
-
-/// Receives a body of at most `limit` bytes, each chunk counted in `held`.
-pub(crate) async fn collect_body<B>(
-    body: B,
-    limit: usize,
-    mut held: HeldBytes,
-    rule: HoldRule,
-) -> Result<Bytes, BodyError<B::Error>>
-where
-    B: Body<Data = Bytes>,
-{
-    let mut body = std::pin::pin!(body);
-    // A body that arrives as one chunk is not copied.
-    let mut first = Bytes::new();
-    let mut collected = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(BodyError::Broken)?.into_data() else {
-            continue;
-        };
-        let received = first.len().max(collected.len());
-        if data.len() > limit - received {
-            return Err(BodyError::TooLarge);
-        }
-        match rule {
-            HoldRule::WithinBound => held.try_grow(data.len()).map_err(BodyError::Held)?,
-            HoldRule::BeyondBound => held.grow(data.len()),
-        }
-        if received == 0 {
-            first = data;
-            continue;
-        }
-        if collected.is_empty() {
-            collected.extend_from_slice(&std::mem::take(&mut first));
-        }
-        collected.extend_from_slice(&data);
-    }
-    let whole = if collected.is_empty() {
-        first
-    } else {
-        collected.freeze()
-    };
-    Ok(held.attach(whole))
-}
-
 /// The body of a response.
 pub(crate) enum ReplyBody {
     /// A body held whole in memory.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -171,7 +171,7 @@
         fleet.set_unix_start(unix_start);
         fleet.set_switches(settings.switches.clone());
         fleet.set_reprefill_penalty(settings.costs.reprefill_penalty);
-        let held = HeldAccount::new(HeldAccount::bound_for(settings.memory));
+        let held = HeldAccount::new(HeldAccount::bound_for(settings.machine.memory));
         let mut quotas = QuotaTable::default();
         quotas.set_settings(settings.quotas);
         let sharers = SharerCount::new(place.centers.keys().cloned());
@@ -240,7 +240,8 @@
         fleet.set_switches(settings.switches.clone());
         fleet.set_reprefill_penalty(settings.costs.reprefill_penalty);
         self.quotas.borrow_mut().set_settings(settings.quotas);
-        self.held.set_bound(HeldAccount::bound_for(settings.memory));
+        self.held
+            .set_bound(HeldAccount::bound_for(settings.machine.memory));
         self.overlay.borrow_mut().set_seeds(settings.seeds.clone());
         *self.settings.borrow_mut() = Rc::new(settings);
     }
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER, WWW_AUTHENTICATE};
 use http::{HeaderValue, Request, Response, StatusCode, Version};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -20,12 +20,13 @@
 use onyxfall_clock::BootInstant;
 use onyxfall_fleet::{CallRequirements, ResponseShape, RouteRule, RouteTable, TeamRule};
 use onyxfall_held::HeldFull;
+use onyxfall_intake::{BodyError, HoldRule, collect_body};
 use onyxfall_suspects::EvidenceKey;
 use onyxfall_types::{RefusalReason, RequestError, RunVerdict};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
-use crate::body::{BodyError, HoldRule, ReplyBody, collect_body};
+use crate::body::ReplyBody;
 use crate::call::{CallContext, CallOrigin, CallRules, ResponseRule, limit_to_version};
 use crate::caller_stream::{CallerStream, STALL_LIMIT, StalledWrite};
 use crate::connection::{VM_USER_TIMEOUT, set_socket_options};
@@ -201,7 +202,7 @@
     stream: TcpStream,
 ) -> CallerStream<TokioIo<TcpStream>, impl Fn(StalledWrite)> {
     // Without a bound on held bytes, the kernel's buffer may grow as it likes.
-    if gateway.settings().memory.is_some()
+    if gateway.settings().machine.memory.is_some()
         && let Err(e) = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT)
     {
         log::warn!(error:% = e; "cannot limit the unsent bytes of a connection");
@@ -464,42 +465,36 @@
     }
 }
 
-/// Receives a body of at most `limit` bytes. Fails at once if the account of held bytes has no
-/// room for its declared length, and later as soon as it has none for the next chunk.
+/// Receives a body of at most `limit` bytes within the account of held bytes.
 pub(crate) async fn read_body(
     gateway: &Gateway,
-    body: Incoming,
+    mut body: Incoming,
     limit: usize,
     time_left: Duration,
 ) -> Result<Bytes, RequestError> {
-    let refuse = |full| held_full(gateway, full, time_left);
-    // A body that is too large for its route is refused for that.
-    let declared = usize::try_from(body.size_hint().lower());
-    let declared = declared.ok().filter(|declared| *declared <= limit);
-    let mut held = gateway
-        .held
-        .try_hold(declared.unwrap_or(0))
-        .map_err(refuse)?;
-    // Only bytes that have arrived are counted, so that a caller cannot fill the account by
-    // declaring a body that it does not send.
-    held.resize(0);
-    let reading = collect_body(body, limit, held, HoldRule::WithinBound);
-    match tokio::time::timeout(time_left, reading).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(BodyError::TooLarge)) => Err(RequestError::not_run(
-            RefusalReason::TooLarge,
-            "the body is too large",
-        )),
-        Ok(Err(BodyError::Held(full))) => Err(refuse(full)),
-        Ok(Err(BodyError::Broken(e))) => {
+    let held = gateway.held.hold(0);
+    let reading = collect_body(&mut body, limit, held, HoldRule::WithinBound);
+    let error = match tokio::time::timeout(time_left, reading).await {
+        Ok(Ok(body)) => return Ok(body),
+        Ok(Err(error)) => error,
+        Err(_) => {
+            return Err(RequestError::not_run(
+                RefusalReason::Deadline,
+                "the body was not received before the deadline",
+            ));
+        }
+    };
+    let refusal = match error {
+        BodyError::TooLarge => {
+            RequestError::not_run(RefusalReason::TooLarge, "the body is too large")
+        }
+        BodyError::Held(full) => held_full(gateway, full, time_left),
+        BodyError::Broken(e) => {
             let detail = format!("cannot receive the body: {e}");
-            Err(RequestError::not_run(RefusalReason::BadRequest, detail))
+            return Err(RequestError::not_run(RefusalReason::BadRequest, detail));
         }
-        Err(_) => Err(RequestError::not_run(
-            RefusalReason::Deadline,
-            "the body was not received before the deadline",
-        )),
-    }
+    };
+    Err(refusal)
 }
 
 /// Counts and describes the refusal of a request whose body cannot be held.
--- a/crates/gateway/src/origin_messages.rs
+++ b/crates/gateway/src/origin_messages.rs
@@ -9,6 +9,7 @@
 use http::{Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use onyxfall_intake::{HoldRule, collect_body};
 use onyxfall_policy::Moment;
 use onyxfall_streams::{
     HistoryEntry, OwnerAnswer, StreamOrigin, StreamTag, VersionClaim, VersionHistory,
@@ -48,10 +49,11 @@
     gateway: &Rc<Gateway>,
     request: Request<Incoming>,
 ) -> Response<ReplyBody> {
-    let (head, body) = request.into_parts();
-    let collecting = Limited::new(body, MAX_MESSAGE).collect();
+    let (head, mut body) = request.into_parts();
+    let hold = gateway.held.hold(0);
+    let collecting = collect_body(&mut body, MAX_MESSAGE, hold, HoldRule::WithinBound);
     let answer = match tokio::time::timeout(ANSWER_LIMIT, collecting).await {
-        Ok(Ok(body)) => answer_message(gateway, head.uri.path(), &body.to_bytes()),
+        Ok(Ok(message)) => answer_message(gateway, head.uri.path(), &message),
         _ => None,
     };
     let mut response = Response::new(ReplyBody::whole(""));
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -14,11 +14,12 @@
 use onyxfall_adapter::response_headers;
 use onyxfall_events::StreamEnd;
 use onyxfall_fleet::{AttemptResult, RetryPurpose, TimePrediction};
+use onyxfall_intake::{HoldRule, collect_body};
 use onyxfall_streams::AttemptLog;
 use onyxfall_types::{RefusalReason, RequestError, RunVerdict, ServerId, SoftwareVersion, VmName};
 
 use crate::attempt::{AttemptEnd, UpstreamResponse, try_peer, try_server};
-use crate::body::{HoldRule, ReplyBody, collect_body};
+use crate::body::ReplyBody;
 use crate::call::{CallOrigin, SharedCall};
 use crate::decide::RouteStep;
 use crate::gateway::Gateway;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -12,6 +12,7 @@
     BudgetLimits, ChoicePolicy, DecisionSwitch, DecisionSwitches, QuotaSettings, QuotaSpend,
     REPREFILL_PENALTY, VmLocation,
 };
+use onyxfall_intake::MachineLimits;
 use onyxfall_overlay::VmCapacity;
 use onyxfall_settings::{FaultList, IniDocument, SettingsError};
 use onyxfall_types::{ByteSize, CenterName, PlanMode, RegionName, VmName};
@@ -43,6 +44,8 @@
 const BYTES_PER_MB: f64 = 1e6;
 /// Sizes from here on are mistakes: an exabyte.
 const MAX_MEMORY_BYTES: f64 = 1e18;
+/// Fewest descriptors that leave room for connections beside files.
+const MIN_OPEN_FILES: usize = 256;
 /// Longest delay that can be accepted for 1,000 tokens: an hour.
 const MAX_REPREFILL_MS: f64 = 3_600_000.0;
 
@@ -72,8 +75,8 @@
     pub(crate) place: VmLocation,
     /// CPU capacity of this VM; larger VMs are given duties first.
     pub(crate) capacity: VmCapacity,
-    /// Memory of this VM; `None` if it is not known.
-    pub(crate) memory: Option<ByteSize>,
+    /// Memory and descriptors of this VM.
+    pub(crate) machine: MachineLimits,
     /// Source address of this VM's outgoing connections; `None` if the system picks one.
     pub(crate) source: Option<IpAddr>,
     /// Address that serves callers.
@@ -158,8 +161,7 @@
     Some(GatewaySettings {
         place: vm.place,
         capacity: vm.capacity,
-        // Only deployments that ask for the capacity plan have a bound on held bytes.
-        memory: vm.memory.filter(|_| capacity_plan.mode != PlanMode::Off),
+        machine: MachineLimits::detect(vm.memory, vm.open_files),
         source: vm.source,
         callers: callers?,
         ready: ready?,
@@ -276,11 +278,31 @@
     }
 }
 
+/// Descriptors of a VM's process. An empty value stands for a number that is not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct OpenFiles(Option<usize>);
+
+impl FromStr for OpenFiles {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        const EXPECTED: &str = "expected a number of descriptors from 256, or nothing";
+        if text.is_empty() {
+            return Ok(Self(None));
+        }
+        let files: usize = text.parse().map_err(|_| EXPECTED)?;
+        (files >= MIN_OPEN_FILES)
+            .then_some(Self(Some(files)))
+            .ok_or(EXPECTED)
+    }
+}
+
 /// The settings that describe this VM.
 struct VmSettings {
     place: VmLocation,
     capacity: VmCapacity,
     memory: Option<ByteSize>,
+    open_files: Option<usize>,
     source: Option<IpAddr>,
 }
 
@@ -303,6 +325,7 @@
     }
     let capacity = vm_section.or_default("cores", VmCapacity::default(), faults);
     let memory = vm_section.or_default("memory-mb", VmMemory(None), faults);
+    let open_files = vm_section.or_default("open-files", OpenFiles(None), faults);
     let source = vm_section.optional("source-address", faults);
     vm_section.finish(faults);
     Some(VmSettings {
@@ -314,6 +337,7 @@
         },
         capacity,
         memory: memory.0,
+        open_files: open_files.0,
         source,
     })
 }
--- /dev/null
+++ b/crates/gateway/tests/crowds.rs
@@ -0,0 +1,329 @@
+//! Crowds of callers outside the limits end no VM: it stays within its memory and descriptors, and
+//! an ordinary request is served while the crowd's connections are open.
+
+mod support;
+
+use std::fmt::Write as _;
+use std::io::{self, Read as _, Write as _};
+use std::net::{IpAddr, SocketAddr, TcpStream};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use onyxfall_adapter::stub::caller_headers;
+use onyxfall_fakes::{CallerCrowd, ProcessUse, RawUpload, ServerStub, UploadShape};
+use support::{Gateway, HOST, SERVICE, Site, send};
+
+/// Memory of the smallest VM, in megabytes.
+const MEMORY_MB: u64 = 120;
+/// Descriptors of the process, of which 200 are for files.
+const OPEN_FILES: u64 = 456;
+const MAX_SOCKETS: usize = 256;
+/// Largest legal body.
+const MAX_BODY: usize = 4 * 1024 * 1024;
+/// Largest body that another VM may forward.
+const MAX_RELAYED: usize = 8 * 1024 * 1024;
+/// Timeout of the routes and of the callers: nothing of a crowd ends by it.
+const PATIENCE: Duration = Duration::from_mins(2);
+/// One caller in this many sends its body to the end.
+const COMPLETE_EVERY: usize = 8;
+
+/// Attempts of an ordinary caller, and the pause before each.
+const ATTEMPTS: usize = 20;
+const ATTEMPT_PAUSE: Duration = Duration::from_millis(250);
+/// Longest time for a response to an ordinary request.
+const ATTEMPT_LIMIT: Duration = Duration::from_secs(3);
+
+/// Crowds are played one at a time.
+static PLAYING: Mutex<()> = Mutex::new(());
+
+/// A port of a VM.
+#[derive(Clone, Copy, Debug)]
+enum VmPort {
+    Callers,
+    Ready,
+    Directory,
+    Relay,
+}
+
+impl VmPort {
+    fn address(self, gateway: &Gateway) -> SocketAddr {
+        let ports = &gateway.ports;
+        let port = match self {
+            Self::Callers => ports.callers,
+            Self::Ready => ports.ready,
+            Self::Directory => ports.directory,
+            Self::Relay => ports.relay,
+        };
+        SocketAddr::new(IpAddr::V4(gateway.ip), port)
+    }
+}
+
+struct CrowdCase {
+    name: &'static str,
+    port: VmPort,
+    path: &'static str,
+    callers: usize,
+    shape: UploadShape,
+}
+
+const fn case(
+    name: &'static str,
+    port: VmPort,
+    path: &'static str,
+    callers: usize,
+    shape: UploadShape,
+) -> CrowdCase {
+    CrowdCase {
+        name,
+        port,
+        path,
+        callers,
+        shape,
+    }
+}
+
+const ONCE: &str = "/once/crowd";
+const NEARLY_WHOLE: UploadShape = UploadShape::Announced {
+    length: MAX_BODY,
+    sent: MAX_BODY,
+    piece: 64 * 1024,
+};
+
+const BODY_CROWDS: [CrowdCase; 6] = [
+    case(
+        "large bodies, whole",
+        VmPort::Callers,
+        ONCE,
+        60,
+        NEARLY_WHOLE,
+    ),
+    case(
+        "large bodies, piece by piece",
+        VmPort::Callers,
+        ONCE,
+        60,
+        UploadShape::Announced {
+            length: MAX_BODY,
+            sent: MAX_BODY,
+            piece: 1000,
+        },
+    ),
+    case(
+        "large chunks",
+        VmPort::Callers,
+        ONCE,
+        60,
+        UploadShape::Chunked {
+            chunk: 256 * 1024,
+            chunks: 16,
+        },
+    ),
+    case(
+        "very small chunks",
+        VmPort::Callers,
+        ONCE,
+        60,
+        UploadShape::Chunked {
+            chunk: 256,
+            chunks: MAX_BODY / 256,
+        },
+    ),
+    case(
+        "far over the limit, announced",
+        VmPort::Callers,
+        ONCE,
+        60,
+        UploadShape::Announced {
+            length: 1 << 30,
+            sent: 2 * MAX_BODY,
+            piece: 64 * 1024,
+        },
+    ),
+    case(
+        "far over the limit, just sent",
+        VmPort::Callers,
+        ONCE,
+        60,
+        UploadShape::Chunked {
+            chunk: 64 * 1024,
+            chunks: 256,
+        },
+    ),
+];
+
+const OTHER_PORTS: [CrowdCase; 4] = [
+    case(
+        "bodies at the status port",
+        VmPort::Ready,
+        "/metrics",
+        60,
+        NEARLY_WHOLE,
+    ),
+    case(
+        "bodies at the directory's port",
+        VmPort::Directory,
+        "/entries",
+        60,
+        NEARLY_WHOLE,
+    ),
+    case(
+        "bodies at the port of other VMs",
+        VmPort::Relay,
+        ONCE,
+        60,
+        UploadShape::Announced {
+            length: MAX_RELAYED,
+            sent: MAX_RELAYED,
+            piece: 64 * 1024,
+        },
+    ),
+    case(
+        "messages in very small chunks",
+        VmPort::Relay,
+        "/onyxfall/origins/record",
+        60,
+        UploadShape::Chunked {
+            chunk: 1,
+            chunks: 32 * 1024,
+        },
+    ),
+];
+
+/// What a caller of a crowd sends. Most stop one piece short of the end.
+fn upload(case: &CrowdCase, caller: usize) -> RawUpload {
+    let mut lines = String::new();
+    let headers = caller_headers(HOST, &format!("crowd{caller}"), PATIENCE);
+    for (name, value) in &headers {
+        let _ = write!(lines, "{name}: {}\r\n", value.to_str().unwrap());
+    }
+    if matches!(case.port, VmPort::Relay) && case.path == ONCE {
+        let _ = write!(
+            lines,
+            "onyxfall-vm: vm9\r\nonyxfall-service: {SERVICE}\r\nonyxfall-goal-ms: 400\r\n"
+        );
+    }
+    let is_complete = caller.is_multiple_of(COMPLETE_EVERY);
+    case.shape.upload(case.path, &lines, is_complete)
+}
+
+/// A site with one gateway of the smallest size.
+struct SmallSite {
+    // Fields drop in order: the gateway before what it depends on.
+    gateway: Gateway,
+    _server: ServerStub,
+    _site: Site,
+    _playing: MutexGuard<'static, ()>,
+}
+
+impl SmallSite {
+    fn start() -> Self {
+        let playing = PLAYING.lock().unwrap_or_else(PoisonError::into_inner);
+        let site = Site::start(1);
+        let server = ServerStub::start(site.ip(0)).unwrap();
+        site.announce("s0", &server, 0);
+        site.configure_limits(1, PATIENCE, MAX_BODY);
+        let gateway = site.gateway_on(0, MEMORY_MB, OPEN_FILES);
+        gateway.wait_served();
+        Self {
+            gateway,
+            _server: server,
+            _site: site,
+            _playing: playing,
+        }
+    }
+}
+
+/// Plays a crowd against a VM. Returns what the VM did not outlive.
+fn play(case: &CrowdCase) -> Vec<String> {
+    let mut site = SmallSite::start();
+    let gateway = &mut site.gateway;
+    let uploads = (0..case.callers).map(|caller| upload(case, caller));
+    let crowd = CallerCrowd::send(case.port.address(gateway), uploads.collect());
+    let mut faults = Vec::new();
+    let process = gateway.child.id();
+    if let Some(settled) = ProcessUse::wait_settled(process)
+        && gateway.is_running()
+    {
+        if settled.sockets > MAX_SOCKETS {
+            faults.push(format!("{} sockets are open", settled.sockets));
+        }
+        if !is_served(gateway) {
+            faults.push("no ordinary request is served".to_owned());
+        }
+        let memory = ProcessUse::of(process).map_or(0, |process| process.peak_memory);
+        if memory > MEMORY_MB * 1_000_000 {
+            faults.push(format!("{memory} bytes of memory"));
+        }
+    }
+    if !gateway.is_running() {
+        faults.push("the gateway ended".to_owned());
+    }
+    drop(crowd);
+    faults
+        .iter()
+        .map(|fault| format!("{}: {fault}", case.name))
+        .collect()
+}
+
+/// Whether a gateway serves an ordinary request within some attempts.
+fn is_served(gateway: &Gateway) -> bool {
+    (0..ATTEMPTS).any(|attempt| {
+        thread::sleep(ATTEMPT_PAUSE);
+        let headers = caller_headers(HOST, &format!("ordinary{attempt}"), PATIENCE);
+        let status = ask(gateway, &headers).unwrap_or_default();
+        status.starts_with("HTTP/1.1 200")
+    })
+}
+
+/// Sends an ordinary request. Returns the start of the response.
+fn ask(gateway: &Gateway, headers: &HeaderMap) -> io::Result<String> {
+    let address = gateway.callers();
+    let mut stream = TcpStream::connect_timeout(&address, ATTEMPT_LIMIT)?;
+    stream.set_read_timeout(Some(ATTEMPT_LIMIT))?;
+    let mut request = "POST /repeat/a HTTP/1.1\r\ncontent-length: 4\r\n".to_owned();
+    for (name, value) in headers {
+        let _ = write!(request, "{name}: {}\r\n", value.to_str().unwrap());
+    }
+    stream.write_all((request + "\r\nbody").as_bytes())?;
+    let mut start = [0; "HTTP/1.1 200".len()];
+    stream.read_exact(&mut start)?;
+    Ok(String::from_utf8_lossy(&start).into_owned())
+}
+
+fn play_all(cases: &[CrowdCase]) {
+    let faults: Vec<String> = cases.iter().flat_map(play).collect();
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+/// Guards against uploads that fill the memory of a VM without a capacity plan.
+#[test]
+fn crowds_of_bodies_leave_a_vm_within_its_memory() {
+    play_all(&BODY_CROWDS);
+}
+
+/// Guards against bytes that other ports than the callers' hold without a bound.
+#[test]
+fn crowds_at_other_ports_leave_a_vm_within_its_memory() {
+    play_all(&OTHER_PORTS);
+}
+
+/// Guards against limits that refuse a request inside them in calm.
+#[test]
+fn the_largest_legal_body_is_served_in_calm() {
+    let site = SmallSite::start();
+    let body = Bytes::from(vec![b'x'; MAX_BODY]);
+    for path in ["/once/a", "/repeat/a", "/stream/a"] {
+        let headers = caller_headers(HOST, &format!("large{path}"), PATIENCE);
+        let reply = send(
+            site.gateway.callers(),
+            Method::POST,
+            path,
+            headers,
+            body.clone(),
+        );
+        assert_eq!(reply.expect("a response").status.as_u16(), 200, "{path}");
+    }
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -22,6 +22,7 @@
 use onyxfall_adapter::stub::{
     RouteShape, RouteText, ServiceText, TeamText, caller_headers, config_key, document_body,
     document_with_teams, server_body, server_key, set_prompt_parts, set_prompt_size,
+    with_body_limit,
 };
 use onyxfall_fakes::{ServerStub, StoreStub};
 use onyxfall_fleet::{EngineLimits, ServerPhase, ServerRecord, StartTime};
@@ -44,6 +45,8 @@
 /// Tokens of prompts and of their responses, and of each part of a prompt.
 const PROMPT_TOKENS: (u32, u32) = (300, 20);
 const PART_TOKENS: u32 = 100;
+/// Timeout of the routes.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(3);
 const CALL_LIMIT: Duration = Duration::from_secs(20);
 
 static NEXT_SITE: AtomicU32 = AtomicU32::new(1);
@@ -144,25 +147,39 @@
 
     /// Writes a configuration with every kind of route.
     pub fn configure(&self, version: u64) {
-        let body = Self::with_routes(|routes, services| document_body(version, routes, services));
+        let body = Self::with_routes(ROUTE_TIMEOUT, |routes, services| {
+            document_body(version, routes, services)
+        });
+        self.store.put(config_key(), body);
+    }
+
+    /// Writes a configuration with every kind of route, whose requests may last for `timeout` and
+    /// have bodies of up to `bytes` bytes.
+    pub fn configure_limits(&self, version: u64, timeout: Duration, bytes: usize) {
+        let body = Self::with_routes(timeout, |routes, services| {
+            with_body_limit(&document_body(version, routes, services), bytes)
+        });
         self.store.put(config_key(), body);
     }
 
     /// Writes the same configuration with teams, and a route below `/public/` that needs no key.
     pub fn configure_teams(&self, version: u64, teams: &[TeamText<'_>]) {
-        let body = Self::with_routes(|routes, services| {
+        let body = Self::with_routes(ROUTE_TIMEOUT, |routes, services| {
             document_with_teams(version, routes, services, teams)
         });
         self.store.put(config_key(), body);
     }
 
-    fn with_routes(write: impl Fn(&[RouteText<'_>], &[ServiceText<'_>]) -> String) -> String {
+    fn with_routes(
+        timeout: Duration,
+        write: impl Fn(&[RouteText<'_>], &[ServiceText<'_>]) -> String,
+    ) -> String {
         let route = |path_prefix, shape| RouteText {
             host: HOST,
             path_prefix,
             shape,
             service: SERVICE,
-            timeout: Duration::from_secs(3),
+            timeout,
             home_regions: &[],
             is_public: false,
         };
@@ -264,10 +281,25 @@
     }
 
     pub fn gateway_with_store(&self, vm: usize, store: SocketAddr) -> Gateway {
+        let command = Command::new(env!("CARGO_BIN_EXE_onyxfall-gateway"));
+        self.start_gateway(vm, command, &self.settings(vm, store))
+    }
+
+    /// Starts the gateway of a VM with `megabytes` of memory and at most `open_files` descriptors,
+    /// without a capacity plan.
+    pub fn gateway_on(&self, vm: usize, megabytes: u64, open_files: u64) -> Gateway {
+        let limit = format!("ulimit -n {open_files} && exec \"$0\" \"$@\"");
+        let mut command = Command::new("sh");
+        command.args(["-c", &limit, env!("CARGO_BIN_EXE_onyxfall-gateway")]);
+        let settings = self.settings(vm, self.store.address());
+        let memory = format!("[vm]\nmemory-mb = {megabytes}\n");
+        self.start_gateway(vm, command, &settings.replacen("[vm]\n", &memory, 1))
+    }
+
+    fn start_gateway(&self, vm: usize, mut command: Command, settings: &str) -> Gateway {
         let file = self.dir.join(format!("vm{vm}.ini"));
-        fs::write(&file, self.settings(vm, store)).unwrap();
+        fs::write(&file, settings).unwrap();
         let log = self.dir.join(format!("vm{vm}.log"));
-        let mut command = Command::new(env!("CARGO_BIN_EXE_onyxfall-gateway"));
         command
             .arg("--settings")
             .arg(&file)
@@ -460,6 +492,11 @@
         kilobytes.unwrap().parse::<u64>().unwrap() * 1024
     }
 
+    /// Whether the process has not ended.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
     pub fn signal(&self, signal: &str) {
         let pid = self.child.id().to_string();
         let mut kill = spawn(Command::new("kill").args([signal, &pid]));
--- a/crates/held/src/lib.rs
+++ b/crates/held/src/lib.rs
@@ -5,6 +5,10 @@
 //! new request body is taken in ([`HeldAccount::try_hold`]); a request that is already being
 //! served continues, and its bytes are counted beyond the bound ([`HeldAccount::hold`]).
 //!
+//! Large bodies leave a part of the bound to small ones ([`HeldBytes::try_grow`]). While the account
+//! is full, [`HeldAccount::demand_room`] tells those who hold bytes that others need room
+//! ([`HeldAccount::room_demanded`]).
+//!
 //! Invariant: the account is the sum of its live [`HeldBytes`], whatever their sizes and the
 //! order in which they are dropped.
 //!
@@ -26,11 +30,17 @@
 use bytes::Bytes;
 use onyxfall_types::ByteSize;
 use thiserror::Error;
+use tokio::sync::Notify;
 
 /// Held bytes may take one part in this many of a VM's memory. The rest is for the program, its
 /// copy of the store, and what is not counted.
 const MEMORY_PARTS: u64 = 4;
 
+/// Bodies beyond this size leave one part in [`RESERVED_PARTS`] of the bound to smaller ones, so that
+/// ordinary requests are taken in while large ones fill the account.
+const SMALL_BODY: u64 = 64 * 1024;
+const RESERVED_PARTS: u64 = 4;
+
 /// Error for bytes that the account has no room for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("this VM holds {held} of at most {bound} for its callers")]
@@ -45,6 +55,7 @@
 struct AccountState {
     held: AtomicU64,
     bound: AtomicU64,
+    room_demanded: Notify,
 }
 
 /// The account of all held bytes of a VM. Clones share one account; the default has no bound.
@@ -73,6 +84,7 @@
         Self(Arc::new(AccountState {
             held: AtomicU64::new(0),
             bound: AtomicU64::new(bound.bytes()),
+            room_demanded: Notify::new(),
         }))
     }
 
@@ -122,9 +134,51 @@
         ByteSize::new(self.0.bound.load(Ordering::Relaxed))
     }
 
-    /// Checks whether `bytes` more would stay within the bound.
-    fn check(&self, bytes: u64) -> Result<(), HeldFull> {
-        let (held, bound) = (self.held(), self.bound());
+    /// The bytes held now and the bound, as the cause of a refusal.
+    ///
+    /// ```
+    /// use onyxfall_held::HeldAccount;
+    /// use onyxfall_types::ByteSize;
+    /// let full = HeldAccount::new(ByteSize::new(10)).fullness();
+    /// assert_eq!(full.bound.bytes(), 10);
+    /// ```
+    pub fn fullness(&self) -> HeldFull {
+        HeldFull {
+            held: self.held(),
+            bound: self.bound(),
+        }
+    }
+
+    /// Tells those who wait in [`Self::room_demanded`] that the account has no room for others.
+    ///
+    /// ```
+    /// onyxfall_held::HeldAccount::default().demand_room();
+    /// ```
+    pub fn demand_room(&self) {
+        self.0.room_demanded.notify_waiters();
+    }
+
+    /// Waits until room is demanded after this call.
+    ///
+    /// ```
+    /// use onyxfall_held::HeldAccount;
+    /// let account = HeldAccount::default();
+    /// let demanded = account.room_demanded();
+    /// account.demand_room();
+    /// let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
+    /// runtime.block_on(demanded);
+    /// ```
+    pub fn room_demanded(&self) -> impl Future<Output = ()> + '_ {
+        self.0.room_demanded.notified()
+    }
+
+    /// Checks whether `bytes` more of a body of which `own` bytes are held would stay within the
+    /// part of the bound that is open to it.
+    fn check(&self, own: u64, bytes: u64) -> Result<(), HeldFull> {
+        let (held, mut bound) = (self.held(), self.bound());
+        if own.saturating_add(bytes) > SMALL_BODY && bound != Self::UNBOUNDED {
+            bound = ByteSize::new(bound.bytes() - bound.bytes() / RESERVED_PARTS);
+        }
         match held.bytes().checked_add(bytes) {
             Some(sum) if sum <= bound.bytes() => Ok(()),
             _ => Err(HeldFull { held, bound }),
@@ -170,9 +224,13 @@
 
     /// Adds `bytes`, but no more than the counter can take. Returns how many were added.
     fn add(&self, bytes: u64) -> u64 {
-        let held = self.held().bytes();
-        let added = bytes.min(u64::MAX - held);
-        self.0.held.store(held + added, Ordering::Relaxed);
+        let mut added = 0;
+        self.0
+            .held
+            .update(Ordering::Relaxed, Ordering::Relaxed, |held| {
+                added = bytes.min(u64::MAX - held);
+                held + added
+            });
         added
     }
 
@@ -189,7 +247,8 @@
 }
 
 impl HeldBytes {
-    /// Holds `bytes` more if they stay within the bound; otherwise holds what it held.
+    /// Holds `bytes` more if they stay within the bound; otherwise holds what it held. A hold of
+    /// more than 64 KiB may take three quarters of the bound.
     ///
     /// # Errors
     ///
@@ -204,7 +263,7 @@
     /// assert_eq!(account.held().bytes(), 6);
     /// ```
     pub fn try_grow(&mut self, bytes: usize) -> Result<(), HeldFull> {
-        self.account.check(to_u64(bytes))?;
+        self.account.check(self.bytes, to_u64(bytes))?;
         self.grow(bytes);
         Ok(())
     }
@@ -236,6 +295,17 @@
         self.grow(bytes);
     }
 
+    /// The account that counts the bytes.
+    ///
+    /// ```
+    /// use onyxfall_held::HeldAccount;
+    /// let bytes = HeldAccount::default().hold(3);
+    /// assert_eq!(bytes.account().held().bytes(), 3);
+    /// ```
+    pub fn account(&self) -> &HeldAccount {
+        &self.account
+    }
+
     /// Attaches the hold to `bytes`: it is released when their last reference is dropped.
     ///
     /// ```
--- /dev/null
+++ b/crates/intake/src/body.rs
@@ -0,0 +1,140 @@
+//! Bodies that are received whole, within an account of held bytes.
+//!
+//! A body is copied into one buffer, whatever the pieces are in which it arrives, so that its
+//! memory is that of its bytes. The buffer grows with the bytes that have arrived, never with the
+//! length that was announced.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use onyxfall_clock::BootInstant;
+use onyxfall_held::{HeldAccount, HeldBytes, HeldFull};
+
+/// How long an upload may take while others need its room. The largest body that callers send
+/// arrives in less on a connection of 12 Mbit/s.
+pub const UPLOAD_GRACE: Duration = Duration::from_secs(3);
+/// Pause in which uploads that give way release their bytes.
+const RECLAIM_PAUSE: Duration = Duration::from_millis(5);
+/// Least growth of a buffer, and its growth as one part in this many of its size, so that little of
+/// it is empty.
+const MIN_GROWTH: usize = 4 * 1024;
+const GROWTH_PARTS: usize = 4;
+
+/// Whether the bytes of a body may exceed the bound on held bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HoldRule {
+    /// The body of a new request is refused beyond the bound, and gives way to others if it takes
+    /// long.
+    WithinBound,
+    /// The response to a request that has run is held beyond the bound.
+    BeyondBound,
+}
+
+/// Why a body was not received whole.
+#[derive(Debug)]
+pub enum BodyError<E> {
+    /// It has more bytes than allowed.
+    TooLarge,
+    /// The account of held bytes is full, and this body was refused or gave way to others.
+    Held(HeldFull),
+    /// The connection failed.
+    Broken(E),
+}
+
+/// Receives a body of at most `limit` bytes, each counted in `held`.
+///
+/// # Errors
+///
+/// The body is too large, its connection failed, or the account has no room for it.
+///
+/// ```
+/// use bytes::Bytes;
+/// use http_body_util::Full;
+/// use onyxfall_held::HeldAccount;
+/// use onyxfall_intake::{BodyError, HoldRule, collect_body};
+/// let account = HeldAccount::default();
+/// let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+/// runtime.block_on(async {
+///     let mut body = Full::new(Bytes::from_static(b"body"));
+///     let whole = collect_body(&mut body, 4, account.hold(0), HoldRule::WithinBound).await;
+///     assert_eq!(whole.unwrap(), "body");
+///     let mut body = Full::new(Bytes::from_static(b"longer"));
+///     let refused = collect_body(&mut body, 4, account.hold(0), HoldRule::WithinBound).await;
+///     assert!(matches!(refused, Err(BodyError::TooLarge)));
+/// });
+/// ```
+pub async fn collect_body<B>(
+    body: &mut B,
+    limit: usize,
+    mut held: HeldBytes,
+    rule: HoldRule,
+) -> Result<Bytes, BodyError<B::Error>>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let account = held.account().clone();
+    let giving_way = must_give_way(&account, BootInstant::now());
+    let mut giving_way = std::pin::pin!(giving_way);
+    let announced = body.size_hint().lower();
+    let announced = usize::try_from(announced).unwrap_or(usize::MAX);
+    if rule == HoldRule::WithinBound {
+        // Only bytes that have arrived are counted, so that a caller cannot fill the account by
+        // announcing a body that it does not send.
+        hold_within(&mut held, announced.min(limit)).await?;
+        held.resize(0);
+    }
+    let mut collected = BytesMut::new();
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = &mut giving_way, if rule == HoldRule::WithinBound => {
+                return Err(BodyError::Held(account.fullness()));
+            }
+        };
+        let Some(frame) = frame else { break };
+        let Ok(data) = frame.map_err(BodyError::Broken)?.into_data() else {
+            continue;
+        };
+        if data.len() > limit - collected.len() {
+            return Err(BodyError::TooLarge);
+        }
+        match rule {
+            HoldRule::WithinBound => hold_within(&mut held, data.len()).await?,
+            HoldRule::BeyondBound => held.grow(data.len()),
+        }
+        append(&mut collected, &data, announced.min(limit).max(data.len()));
+    }
+    Ok(held.attach(collected.freeze()))
+}
+
+/// Holds `bytes` more. If the account is full, uploads that have taken long give way first.
+async fn hold_within<E>(held: &mut HeldBytes, bytes: usize) -> Result<(), BodyError<E>> {
+    if held.try_grow(bytes).is_ok() {
+        return Ok(());
+    }
+    held.account().demand_room();
+    tokio::time::sleep(RECLAIM_PAUSE).await;
+    held.try_grow(bytes).map_err(BodyError::Held)
+}
+
+/// Waits until an upload has taken long and others need its room.
+async fn must_give_way(account: &HeldAccount, started: BootInstant) {
+    tokio::time::sleep(UPLOAD_GRACE.saturating_sub(started.elapsed())).await;
+    account.room_demanded().await;
+}
+
+/// Appends a piece to a buffer that grows in small steps, up to the `announced` length at first.
+fn append(collected: &mut BytesMut, data: &[u8], announced: usize) {
+    let needed = collected.len() + data.len();
+    if needed > collected.capacity() {
+        let step = (needed / GROWTH_PARTS).max(MIN_GROWTH);
+        let capacity = needed.saturating_add(step).min(announced.max(needed));
+        let mut grown = BytesMut::with_capacity(capacity);
+        grown.extend_from_slice(collected);
+        *collected = grown;
+    }
+    collected.extend_from_slice(data);
+}
--- /dev/null
+++ b/crates/intake/src/lib.rs
@@ -0,0 +1,14 @@
+//! What a VM takes in from others: request bodies, within the memory of its machine.
+//!
+//! [`MachineLimits`] tells what the machine has, and how it is shared out. [`collect_body`]
+//! receives a body within an account of held bytes; while the account is full, uploads that take
+//! long give way to others.
+//!
+//! Invariant: what others make a VM hold does not depend on how many connect, what they announce,
+//! or how they cut what they send into pieces.
+
+mod body;
+mod machine;
+
+pub use body::{BodyError, HoldRule, UPLOAD_GRACE, collect_body};
+pub use machine::{MachineLimits, PortRole};
--- /dev/null
+++ b/crates/intake/src/machine.rs
@@ -0,0 +1,106 @@
+//! What the machine of a VM has, and how much of it the connections to each port may take.
+
+use std::fs;
+
+use onyxfall_types::ByteSize;
+use rustix::process::{Resource, getrlimit};
+
+/// Descriptors that are left for files.
+const FILE_DESCRIPTORS: usize = 200;
+/// Share of the other descriptors, in 32nds, that the connections to each port may take. The rest is
+/// for connections to servers, other VMs and the store.
+const CALLER_SHARE: usize = 12;
+const RELAY_SHARE: usize = 4;
+const LINK_SHARE: usize = 2;
+const DIRECTORY_SHARE: usize = 2;
+const STATUS_SHARE: usize = 1;
+const ALL_SHARES: usize = 32;
+/// The connections of callers may take one part in this many of the memory.
+const MEMORY_PARTS: u64 = 4;
+/// Memory of a connection: its read and write buffers, and the state of its request.
+const CONNECTION_BYTES: u64 = 32 * 1024;
+/// Fewest connections that a port takes, however small the machine is.
+const MIN_CONNECTIONS: usize = 16;
+/// Descriptors where the system tells no limit.
+const DEFAULT_OPEN_FILES: usize = 1024;
+/// Bytes of a kibibyte, the unit of `/proc/meminfo`.
+const KIB: u64 = 1024;
+
+/// Who connects to a port.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PortRole {
+    /// Callers, with requests.
+    Callers,
+    /// Other VMs, with requests that they forward.
+    Relay,
+    /// Other VMs, with links.
+    Links,
+    /// Callers that look up where to send requests.
+    Directory,
+    /// Health checks, metric scrapers and operators.
+    Status,
+}
+
+/// Memory and descriptors of a process's machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MachineLimits {
+    /// Memory that the process may take; `None` if it is not known.
+    pub memory: Option<ByteSize>,
+    /// Descriptors that the process may have open.
+    pub open_files: usize,
+}
+
+impl MachineLimits {
+    /// Completes stated limits by what the system tells: `/proc/meminfo` and the limit of open
+    /// files. The lower limit of open files counts.
+    ///
+    /// ```
+    /// use onyxfall_intake::MachineLimits;
+    /// use onyxfall_types::ByteSize;
+    /// let limits = MachineLimits::detect(Some(ByteSize::new(1000)), Some(300));
+    /// assert_eq!(limits.memory, Some(ByteSize::new(1000)));
+    /// assert!(limits.open_files <= 300);
+    /// ```
+    pub fn detect(memory: Option<ByteSize>, open_files: Option<usize>) -> Self {
+        let allowed = getrlimit(Resource::Nofile).current;
+        let allowed = allowed.and_then(|files| usize::try_from(files).ok());
+        let known = open_files.into_iter().chain(allowed).min();
+        Self {
+            memory: memory.or_else(system_memory),
+            open_files: known.unwrap_or(DEFAULT_OPEN_FILES),
+        }
+    }
+
+    /// Most connections that a port takes.
+    ///
+    /// ```
+    /// use onyxfall_intake::{MachineLimits, PortRole};
+    /// let limits = MachineLimits { memory: None, open_files: 3400 };
+    /// assert_eq!(limits.connections(PortRole::Callers), 1200);
+    /// assert_eq!(limits.connections(PortRole::Status), 100);
+    /// ```
+    pub fn connections(&self, role: PortRole) -> usize {
+        let share = match role {
+            PortRole::Callers => CALLER_SHARE,
+            PortRole::Relay => RELAY_SHARE,
+            PortRole::Links => LINK_SHARE,
+            PortRole::Directory => DIRECTORY_SHARE,
+            PortRole::Status => STATUS_SHARE,
+        };
+        let sockets = self.open_files.saturating_sub(FILE_DESCRIPTORS);
+        let by_files = sockets * share / ALL_SHARES;
+        let by_memory = self.memory.map_or(usize::MAX, |memory| {
+            let callers = memory.bytes() / MEMORY_PARTS / CONNECTION_BYTES;
+            usize::try_from(callers).unwrap_or(usize::MAX) / CALLER_SHARE * share
+        });
+        by_files.min(by_memory).max(MIN_CONNECTIONS)
+    }
+}
+
+/// Memory of the machine; `None` if the system does not tell it.
+fn system_memory() -> Option<ByteSize> {
+    let text = fs::read_to_string("/proc/meminfo").ok()?;
+    let line = text.lines().find_map(|line| line.strip_prefix("MemTotal:"));
+    let kibibytes: u64 = line?.trim().strip_suffix(" kB")?.parse().ok()?;
+    Some(ByteSize::new(kibibytes.saturating_mul(KIB)))
+}
--- /dev/null
+++ b/crates/intake/tests/machine.rs
@@ -0,0 +1,85 @@
+//! How the descriptors and the memory of a machine are shared out.
+
+use onyxfall_intake::{MachineLimits, PortRole};
+use onyxfall_types::ByteSize;
+
+const ROLES: [PortRole; 5] = [
+    PortRole::Callers,
+    PortRole::Relay,
+    PortRole::Links,
+    PortRole::Directory,
+    PortRole::Status,
+];
+const MB: u64 = 1_000_000;
+
+struct MachineCase {
+    /// The failure that the case guards against.
+    guards: &'static str,
+    memory: Option<u64>,
+    open_files: usize,
+    /// Connections of each role, in the order of [`ROLES`].
+    expected: [usize; 5],
+}
+
+const CASES: &[MachineCase] = &[
+    MachineCase {
+        guards: "the descriptors of a VM with much memory are not what counts",
+        memory: Some(8000 * MB),
+        open_files: 3400,
+        expected: [1200, 400, 200, 200, 100],
+    },
+    MachineCase {
+        guards: "an unknown memory leaves no connection",
+        memory: None,
+        open_files: 3400,
+        expected: [1200, 400, 200, 200, 100],
+    },
+    MachineCase {
+        guards: "the buffers of connections fill a VM with many descriptors",
+        memory: Some(120 * MB),
+        open_files: 100_000,
+        expected: [912, 304, 152, 152, 76],
+    },
+    MachineCase {
+        guards: "a VM without descriptors for sockets takes no connection",
+        memory: Some(120 * MB),
+        open_files: 100,
+        expected: [16, 16, 16, 16, 16],
+    },
+];
+
+#[test]
+fn each_port_has_its_share_of_connections() {
+    for case in CASES {
+        let limits = MachineLimits {
+            memory: case.memory.map(ByteSize::new),
+            open_files: case.open_files,
+        };
+        let connections = ROLES.map(|role| limits.connections(role));
+        assert_eq!(connections, case.expected, "{}", case.guards);
+    }
+}
+
+/// Guards against ports that leave no descriptors for connections to servers and the store.
+#[test]
+fn all_ports_leave_descriptors_for_outgoing_connections() {
+    for open_files in [456, 1024, 3075, 4100, 10_250, 20_000] {
+        let memory = None;
+        let limits = MachineLimits { memory, open_files };
+        let incoming: usize = ROLES.iter().map(|role| limits.connections(*role)).sum();
+        // Connections that are closing come on top.
+        let most = incoming + incoming / 4;
+        let sockets = open_files - 200;
+        assert!(most * 10 <= sockets * 9, "{most} of {sockets} sockets");
+    }
+}
+
+#[test]
+fn the_system_tells_what_the_settings_leave_out() {
+    let detected = MachineLimits::detect(None, None);
+    assert!(detected.memory.is_some_and(|memory| memory.bytes() > MB));
+    assert!(detected.open_files > 0);
+    let stated = MachineLimits::detect(Some(ByteSize::new(5)), Some(10));
+    assert_eq!(stated.memory, Some(ByteSize::new(5)));
+    assert_eq!(stated.open_files, 10);
+}
