Gateway: a body announced as too large is refused at once

What callers saw: a body whose announced length is over the limit was taken in up to the limit, 4 MiB, before 413; and a refusal during a body could be lost, since the connection was closed with bytes unread, which resets it.

Cause: the length was compared with the limit only as bytes arrived; hyper closes a connection whose request body has not been read.

Change: `collect_body` compares the announced length first. After 413, or 503 for want of room, the rest of the body is discarded for up to half a second and up to the limit of a body, so that the caller can read the response. `onyxfall_oversized_bodies_total` counts these bodies.

Evidence: the new gateway test announces a byte over the limit and sends none; before, it got no response in 3 s; now 413.

--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -20,7 +20,7 @@
 use onyxfall_clock::BootInstant;
 use onyxfall_fleet::{CallRequirements, ResponseShape, RouteRule, RouteTable, TeamRule};
 use onyxfall_held::HeldFull;
-use onyxfall_intake::{BodyError, HoldRule, collect_body};
+use onyxfall_intake::{BodyError, HoldRule, collect_body, discard_body};
 use onyxfall_suspects::EvidenceKey;
 use onyxfall_types::{RefusalReason, RequestError, RunVerdict};
 use socket2::SockRef;
@@ -465,7 +465,8 @@
     }
 }
 
-/// Receives a body of at most `limit` bytes within the account of held bytes.
+/// Receives a body of at most `limit` bytes within the account of held bytes. The rest of a body that
+/// is refused is discarded for a while, so that the caller can read why.
 pub(crate) async fn read_body(
     gateway: &Gateway,
     mut body: Incoming,
@@ -486,6 +487,7 @@
     };
     let refusal = match error {
         BodyError::TooLarge => {
+            gateway.metrics.count("onyxfall_oversized_bodies_total");
             RequestError::not_run(RefusalReason::TooLarge, "the body is too large")
         }
         BodyError::Held(full) => held_full(gateway, full, time_left),
@@ -494,6 +496,7 @@
             return Err(RequestError::not_run(RefusalReason::BadRequest, detail));
         }
     };
+    tokio::task::spawn_local(discard_body(body, limit));
     Err(refusal)
 }
 
--- a/crates/gateway/tests/crowds.rs
+++ b/crates/gateway/tests/crowds.rs
@@ -327,3 +327,26 @@
         assert_eq!(reply.expect("a response").status.as_u16(), 200, "{path}");
     }
 }
+
+/// Guards against bodies that are taken in though their announced length is over the limit.
+#[test]
+fn a_body_announced_as_too_large_is_refused_before_it_is_sent() {
+    let site = SmallSite::start();
+    let mut caller = TcpStream::connect(site.gateway.callers()).unwrap();
+    caller.set_read_timeout(Some(ATTEMPT_LIMIT)).unwrap();
+    let case = case(
+        "announced",
+        VmPort::Callers,
+        ONCE,
+        1,
+        UploadShape::Announced {
+            length: MAX_BODY + 1,
+            sent: 0,
+            piece: 1,
+        },
+    );
+    caller.write_all(&upload(&case, 0).head).unwrap();
+    let mut start = [0; "HTTP/1.1 413".len()];
+    caller.read_exact(&mut start).expect("a response");
+    assert_eq!(&start, b"HTTP/1.1 413");
+}
--- a/crates/intake/src/body.rs
+++ b/crates/intake/src/body.rs
@@ -17,6 +17,8 @@
 pub const UPLOAD_GRACE: Duration = Duration::from_secs(3);
 /// Pause in which uploads that give way release their bytes.
 const RECLAIM_PAUSE: Duration = Duration::from_millis(5);
+/// Longest time for which the rest of a refused body is read and discarded.
+const DISCARD_TIME: Duration = Duration::from_millis(500);
 /// Least growth of a buffer, and its growth as one part in this many of its size, so that little of
 /// it is empty.
 const MIN_GROWTH: usize = 4 * 1024;
@@ -43,7 +45,8 @@
     Broken(E),
 }
 
-/// Receives a body of at most `limit` bytes, each counted in `held`.
+/// Receives a body of at most `limit` bytes, each counted in `held`. A body that announces more is
+/// refused before it arrives.
 ///
 /// # Errors
 ///
@@ -79,10 +82,13 @@
     let mut giving_way = std::pin::pin!(giving_way);
     let announced = body.size_hint().lower();
     let announced = usize::try_from(announced).unwrap_or(usize::MAX);
+    if announced > limit {
+        return Err(BodyError::TooLarge);
+    }
     if rule == HoldRule::WithinBound {
         // Only bytes that have arrived are counted, so that a caller cannot fill the account by
         // announcing a body that it does not send.
-        hold_within(&mut held, announced.min(limit)).await?;
+        hold_within(&mut held, announced).await?;
         held.resize(0);
     }
     let mut collected = BytesMut::new();
@@ -105,7 +111,7 @@
             HoldRule::WithinBound => hold_within(&mut held, data.len()).await?,
             HoldRule::BeyondBound => held.grow(data.len()),
         }
-        append(&mut collected, &data, announced.min(limit).max(data.len()));
+        append(&mut collected, &data, announced.max(data.len()));
     }
     Ok(held.attach(collected.freeze()))
 }
@@ -138,3 +144,29 @@
     }
     collected.extend_from_slice(data);
 }
+
+/// Reads and discards the rest of a refused body for a while, up to `limit` bytes, so that its
+/// caller can read the refusal: closing a connection with unread bytes resets it.
+///
+/// ```
+/// use bytes::Bytes;
+/// use http_body_util::Full;
+/// let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+/// runtime.block_on(onyxfall_intake::discard_body(Full::new(Bytes::from_static(b"rest")), 10));
+/// ```
+pub async fn discard_body<B>(mut body: B, limit: usize)
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let discarding = async {
+        let mut discarded = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            discarded += frame.data_ref().map_or(0, Bytes::len);
+            if discarded > limit {
+                return;
+            }
+        }
+    };
+    // The time is a limit, so that its end is no error.
+    let _ = tokio::time::timeout(DISCARD_TIME, discarding).await;
+}
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -10,5 +10,5 @@
 mod body;
 mod machine;
 
-pub use body::{BodyError, HoldRule, UPLOAD_GRACE, collect_body};
+pub use body::{BodyError, HoldRule, UPLOAD_GRACE, collect_body, discard_body};
 pub use machine::{MachineLimits, PortRole};
--- a/crates/intake/tests/body.rs
+++ b/crates/intake/tests/body.rs
@@ -89,6 +89,18 @@
         taken: 4,
         ..BASE
     },
+    BodyCase {
+        guards: "a body that is announced as too large is taken in up to the limit",
+        announced: 101,
+        pieces: &[50, 51],
+        ..BASE
+    },
+    BodyCase {
+        guards: "an absurd length wraps around",
+        announced: u64::MAX,
+        pieces: &[50],
+        ..BASE
+    },
     BodyCase {
         guards: "a body without a length has no limit",
         pieces: &[60, 41, 60],
