Gateway: each port has a share of a VM's descriptors and memory

What callers saw: 600 connections at a VM with 456 descriptors used up all of them, idle or with bodies that do not end. New callers waited without an answer, and the VM could open no connection to servers or the store.

Cause: no port had a limit of connections. Nothing but the idle timeout of 15 s, and the deadline of a request that stops within its body, ended one.

Beyond its share, a port closes the connection that has waited longest for a request, first of those that never completed one (`ConnectionTable`, pure); one whose last response may be under way has 2 s to send it. If all serve requests, the new one is closed unread, and uploads that have lasted 3 s give way.

--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -19,14 +19,14 @@
     FrameError, PROTOCOL_VERSION, PeerCodec, PeerFrame, PeerHello, PeerPayload, SnapshotRequest,
     VmUpdate,
 };
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
 
-use crate::connection::{LATE_DIAL_LIMIT, USER_TIMEOUT, dial};
+use crate::connection::{LATE_DIAL_LIMIT, dial};
 use crate::copies::OutgoingCopy;
 use crate::frames::{vm_entry, vm_record};
 use crate::gateway::Gateway;
-use crate::listen::accept;
+use crate::ports::OpenConnection;
 use crate::share::DeltaAudience;
 use crate::updates::{UpdateReceiveState, UpdateSendState};
 
@@ -156,17 +156,23 @@
     timeout.max(MIN_DIAL_TIMEOUT)
 }
 
-/// Accepts links that other VMs dial.
-pub(crate) async fn serve_links(gateway: Rc<Gateway>, listener: TcpListener) {
-    loop {
-        let (stream, from) = accept(&listener, USER_TIMEOUT).await;
-        let gateway = Rc::clone(&gateway);
-        tokio::task::spawn_local(async move {
-            if let Err(e) = LinkEnd::new(&gateway, stream).run_accepted().await {
-                log::debug!("link from {from} ended: {e}");
-            }
-        });
-    }
+/// Serves a link that another VM has dialled.
+pub(crate) fn serve_link(
+    gateway: Rc<Gateway>,
+    stream: TcpStream,
+    from: SocketAddr,
+    open: Rc<OpenConnection>,
+) {
+    tokio::task::spawn_local(async move {
+        let link = LinkEnd::new(&gateway, stream).run_accepted(&open);
+        let ended = tokio::select! {
+            _ = open.wait_eviction() => return,
+            ended = link => ended,
+        };
+        if let Err(e) = ended {
+            log::debug!("link from {from} ended: {e}");
+        }
+    });
 }
 
 /// One end of a link.
@@ -206,7 +212,7 @@
         address: SocketAddr,
         dial_time: Duration,
     ) -> Result<(), FrameError> {
-        self.send(hello(self.gateway)).await?;
+        self.send(hello_of(self.gateway)).await?;
         while let Some(planned) = self.gateway.planned_link(address) {
             if matches!(
                 planned.relation,
@@ -252,7 +258,13 @@
     }
 
     /// Replies to the VM that dialled the link.
-    async fn run_accepted(mut self) -> Result<(), FrameError> {
+    async fn run_accepted(mut self, open: &OpenConnection) -> Result<(), FrameError> {
+        let Some(frame) = self.link.next().await else {
+            return Ok(());
+        };
+        self.receive(frame?).await?;
+        self.send(hello_of(self.gateway)).await?;
+        open.keep();
         // When this VM last sent its digest, if the other VM is a member of it.
         let mut digest_sent_at: Option<tokio::time::Instant> = None;
         loop {
@@ -283,11 +295,7 @@
                 self.record_closed();
                 return Ok(());
             };
-            let is_greeted = self.peer.is_some();
             let received = self.receive(frame?).await?;
-            if !is_greeted {
-                self.send(hello(self.gateway)).await?;
-            }
             if let Some(received) = received {
                 if received.relation == Some(LinkRelation::Report) {
                     self.send_deltas(DeltaAudience::Members).await?;
@@ -410,7 +418,7 @@
     }
 }
 
-fn hello(gateway: &Gateway) -> PeerPayload {
+fn hello_of(gateway: &Gateway) -> PeerPayload {
     gateway.refresh_status();
     let overlay = gateway.overlay.borrow();
     PeerPayload::Hello(PeerHello {
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -20,7 +20,7 @@
 use onyxfall_clock::BootInstant;
 use onyxfall_fleet::{CallRequirements, ResponseShape, RouteRule, RouteTable, TeamRule};
 use onyxfall_held::HeldFull;
-use onyxfall_intake::{BodyError, HoldRule, collect_body, discard_body};
+use onyxfall_intake::{BodyError, GuardedBody, HoldRule, PortRole, collect_body, discard_body};
 use onyxfall_suspects::EvidenceKey;
 use onyxfall_types::{RefusalReason, RequestError, RunVerdict};
 use socket2::SockRef;
@@ -29,10 +29,11 @@
 use crate::body::ReplyBody;
 use crate::call::{CallContext, CallOrigin, CallRules, ResponseRule, limit_to_version};
 use crate::caller_stream::{CallerStream, STALL_LIMIT, StalledWrite};
-use crate::connection::{VM_USER_TIMEOUT, set_socket_options};
+use crate::connection::{USER_TIMEOUT, VM_USER_TIMEOUT, set_socket_options};
 use crate::directory::{handle_directory, handle_verdict};
 use crate::gateway::Gateway;
-use crate::links::serve_links;
+use crate::links::serve_link;
+use crate::ports::{OpenConnection, PortConnections};
 use crate::relay::handle_relayed;
 use crate::report::millis;
 use crate::serve::{CallFailure, serve};
@@ -47,6 +48,8 @@
 const DEFAULT_HEAD: usize = 16 * 1024;
 /// Smallest buffer size that hyper accepts.
 const MIN_BUFFER: usize = 8 * 1024;
+/// Longest time for which a connection that gives way to another one sends a response.
+const EVICTION_LIMIT: Duration = Duration::from_secs(2);
 /// Pause after the system ran out of descriptors for a new connection.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Retry delay sent to a caller before the first configuration is loaded.
@@ -65,30 +68,20 @@
 const FIRST_URGENCY: u8 = 3;
 const LAST_URGENCY: u8 = 9;
 
-/// What a port serves.
-#[derive(Clone, Copy, Debug)]
-enum PortKind {
-    Callers,
-    Status,
-    Directory,
-    Relay,
-}
-
 /// Binds all ports and starts serving them.
 pub(crate) fn start(gateway: &Rc<Gateway>) -> io::Result<()> {
     let settings = gateway.settings();
     let ports = [
-        (settings.callers, PortKind::Callers),
-        (settings.ready, PortKind::Status),
-        (settings.directory, PortKind::Directory),
-        (settings.relay, PortKind::Relay),
+        (settings.callers, PortRole::Callers),
+        (settings.ready, PortRole::Status),
+        (settings.directory, PortRole::Directory),
+        (settings.relay, PortRole::Relay),
+        (settings.peers, PortRole::Links),
     ];
-    for (address, kind) in ports {
+    for (address, role) in ports {
         let listener = bind(address)?;
-        tokio::task::spawn_local(accept_http(Rc::clone(gateway), listener, kind));
+        tokio::task::spawn_local(serve_port(Rc::clone(gateway), listener, role));
     }
-    let listener = bind(settings.peers)?;
-    tokio::task::spawn_local(serve_links(Rc::clone(gateway), listener));
     Ok(())
 }
 
@@ -122,21 +115,35 @@
     }
 }
 
-async fn accept_http(gateway: Rc<Gateway>, listener: TcpListener, kind: PortKind) {
-    let user_timeout = match kind {
+async fn serve_port(gateway: Rc<Gateway>, listener: TcpListener, role: PortRole) {
+    let user_timeout = match role {
         // The kernel does not tell a caller that is gone from one that reads nothing for a while
         // and acknowledges every probe.
-        PortKind::Callers | PortKind::Status | PortKind::Directory => STALL_LIMIT,
-        PortKind::Relay => VM_USER_TIMEOUT,
+        PortRole::Callers | PortRole::Status | PortRole::Directory => STALL_LIMIT,
+        PortRole::Relay => VM_USER_TIMEOUT,
+        PortRole::Links => USER_TIMEOUT,
     };
+    let port = Rc::new(PortConnections::new(role));
     loop {
-        let (stream, _) = accept(&listener, user_timeout).await;
-        let gateway = Rc::clone(&gateway);
-        match kind {
-            PortKind::Callers => serve_connection(gateway, stream, handle_caller),
-            PortKind::Status => serve_connection(gateway, stream, handle_status),
-            PortKind::Directory => serve_connection(gateway, stream, handle_lookup),
-            PortKind::Relay => serve_connection(gateway, stream, handle_relayed),
+        let (stream, from) = accept(&listener, user_timeout).await;
+        let limit = gateway.settings().machine.connections(role);
+        let Some(open) = port.open(limit, &gateway.metrics) else {
+            // Uploads that have taken long give way, and their connections end.
+            gateway.held.demand_room();
+            tokio::task::yield_now().await;
+            continue;
+        };
+        let (gateway, open) = (Rc::clone(&gateway), Rc::new(open));
+        match role {
+            PortRole::Callers => serve_connection(gateway, stream, open, handle_caller),
+            PortRole::Status => serve_connection(gateway, stream, open, handle_status),
+            PortRole::Directory => serve_connection(gateway, stream, open, handle_lookup),
+            PortRole::Relay => serve_connection(gateway, stream, open, handle_relayed),
+            PortRole::Links => serve_link(gateway, stream, from, open),
+        }
+        if port.is_full(limit) {
+            // A connection that gives way closes before the next one is accepted.
+            tokio::task::yield_now().await;
         }
     }
 }
@@ -144,6 +151,7 @@
 fn serve_connection<F>(
     gateway: Rc<Gateway>,
     stream: TcpStream,
+    open: Rc<OpenConnection>,
     handle: impl Fn(Rc<Gateway>, Request<Incoming>) -> F + 'static,
 ) where
     F: Future<Output = Response<ReplyBody>> + 'static,
@@ -154,14 +162,16 @@
     let served = Rc::clone(&gateway);
     let is_delimited = Rc::new(Cell::new(true));
     let accepts_chunks = Rc::clone(&is_delimited);
+    let serving = Rc::clone(&open);
     let service = service_fn(move |request: Request<Incoming>| {
+        let served_request = serving.serve_request();
         accepts_chunks.set(request.version() >= Version::HTTP_11);
         let handled = handle(Rc::clone(&served), request);
         let guard = OpenRequest::start(&served);
         async move {
             let response = handled.await;
             drop(guard);
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, served_request)))
         }
     });
     let stream = watch_stalls(Rc::clone(&gateway), stream);
@@ -173,6 +183,15 @@
         .serve_connection(stream, service);
     tokio::task::spawn_local(async move {
         let ended = tokio::select! {
+            biased;
+            has_served = open.wait_eviction() => {
+                if !has_served {
+                    return;
+                }
+                Pin::new(&mut connection).graceful_shutdown();
+                let closing = tokio::time::timeout(EVICTION_LIMIT, &mut connection);
+                closing.await.unwrap_or(Ok(()))
+            }
             ended = &mut connection => ended,
             () = wait_for_close(&gateway) => {
                 Pin::new(&mut connection).graceful_shutdown();
--- a/crates/gateway/tests/crowds.rs
+++ b/crates/gateway/tests/crowds.rs
@@ -21,9 +21,11 @@
 /// Descriptors of the process, of which 200 are for files.
 const OPEN_FILES: u64 = 456;
 const MAX_SOCKETS: usize = 256;
+/// More connections than the process has descriptors.
+const MANY_CALLERS: usize = 600;
 /// Largest legal body.
 const MAX_BODY: usize = 4 * 1024 * 1024;
-/// Largest body that another VM may forward.
+/// Largest body that another VM may forward, and the largest frame on a link.
 const MAX_RELAYED: usize = 8 * 1024 * 1024;
 /// Timeout of the routes and of the callers: nothing of a crowd ends by it.
 const PATIENCE: Duration = Duration::from_mins(2);
@@ -45,6 +47,7 @@
     Callers,
     Ready,
     Directory,
+    Peers,
     Relay,
 }
 
@@ -55,6 +58,7 @@
             Self::Callers => ports.callers,
             Self::Ready => ports.ready,
             Self::Directory => ports.directory,
+            Self::Peers => ports.peers,
             Self::Relay => ports.relay,
         };
         SocketAddr::new(IpAddr::V4(gateway.ip), port)
@@ -192,6 +196,62 @@
     ),
 ];
 
+const CONNECTION_CROWDS: [CrowdCase; 7] = [
+    case(
+        "idle callers",
+        VmPort::Callers,
+        "",
+        MANY_CALLERS,
+        UploadShape::Idle,
+    ),
+    case(
+        "half heads",
+        VmPort::Callers,
+        ONCE,
+        MANY_CALLERS,
+        UploadShape::HalfHead(15_000),
+    ),
+    case(
+        "short bodies that do not end",
+        VmPort::Callers,
+        ONCE,
+        MANY_CALLERS,
+        UploadShape::Announced {
+            length: 1000,
+            sent: 1000,
+            piece: 1000,
+        },
+    ),
+    case(
+        "idle connections to the status port",
+        VmPort::Ready,
+        "",
+        MANY_CALLERS,
+        UploadShape::Idle,
+    ),
+    case(
+        "idle connections to the directory",
+        VmPort::Directory,
+        "",
+        MANY_CALLERS,
+        UploadShape::Idle,
+    ),
+    case(
+        "idle connections to the port of other VMs",
+        VmPort::Relay,
+        "",
+        MANY_CALLERS,
+        UploadShape::Idle,
+    ),
+    case(
+        "idle links",
+        VmPort::Peers,
+        "",
+        MANY_CALLERS,
+        UploadShape::Idle,
+    ),
+];
+
 /// What a caller of a crowd sends. Most stop one piece short of the end.
 fn upload(case: &CrowdCase, caller: usize) -> RawUpload {
     let mut lines = String::new();
@@ -310,6 +370,12 @@
     play_all(&OTHER_PORTS);
 }
 
+/// Guards against connections that use up the descriptors of a VM.
+#[test]
+fn crowds_of_connections_leave_a_vm_descriptors() {
+    play_all(&CONNECTION_CROWDS);
+}
+
 /// Guards against limits that refuse a request inside them in calm.
 #[test]
 fn the_largest_legal_body_is_served_in_calm() {
