Gateway: a link takes 16 KiB and 3 s until its hello

What callers saw: connections to the port for links that send the start of a large frame and stop filled the memory of a VM; those that send nothing stayed open without limit.

Cause: a frame of up to 8 MiB was taken in from anyone, before a hello had told who sends it, and no time limited the hello.

Change: until the hello, frames are limited to 16 KiB (`limit_frames`), and the link is closed 3 s after it was accepted. Hellos hold one VM's entry.

Left: whoever knows the protocol can send a hello and larger frames then; links between VMs are not authenticated.

--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -16,8 +16,8 @@
 use onyxfall_overlay::{LinkRelation, PlannedLink, VmRecord};
 use onyxfall_types::VmName;
 use onyxfall_wire::{
-    FrameError, PROTOCOL_VERSION, PeerCodec, PeerFrame, PeerHello, PeerPayload, SnapshotRequest,
-    VmUpdate,
+    FrameError, MAX_FRAME, PROTOCOL_VERSION, PeerCodec, PeerFrame, PeerHello, PeerPayload,
+    SnapshotRequest, VmUpdate,
 };
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
@@ -49,6 +49,10 @@
 /// Timeout for writing one frame. The link to a peer that does not read is closed.
 const SEND_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest time between a connection and its hello, and the longest hello.
+const HELLO_LIMIT: Duration = Duration::from_secs(3);
+const MAX_HELLO: usize = 16 * 1024;
+
 /// Starts the task that dials the planned links, and goes on as the plan changes.
 pub(crate) fn start(gateway: &Rc<Gateway>) {
     let gateway = Rc::clone(gateway);
@@ -259,11 +263,14 @@
 
     /// Replies to the VM that dialled the link.
     async fn run_accepted(mut self, open: &OpenConnection) -> Result<(), FrameError> {
-        let Some(frame) = self.link.next().await else {
+        self.link.codec_mut().limit_frames(MAX_HELLO);
+        let hello = tokio::time::timeout(HELLO_LIMIT, self.link.next()).await;
+        let Ok(Some(frame)) = hello else {
             return Ok(());
         };
         self.receive(frame?).await?;
         self.send(hello_of(self.gateway)).await?;
+        self.link.codec_mut().limit_frames(MAX_FRAME);
         open.keep();
         // When this VM last sent its digest, if the other VM is a member of it.
         let mut digest_sent_at: Option<tokio::time::Instant> = None;
--- a/crates/gateway/tests/crowds.rs
+++ b/crates/gateway/tests/crowds.rs
@@ -158,7 +158,7 @@
     ),
 ];
 
-const OTHER_PORTS: [CrowdCase; 4] = [
+const OTHER_PORTS: [CrowdCase; 5] = [
     case(
         "bodies at the status port",
         VmPort::Ready,
@@ -194,6 +194,13 @@
             chunks: 32 * 1024,
         },
     ),
+    case(
+        "frames of strangers",
+        VmPort::Peers,
+        "",
+        60,
+        UploadShape::HalfFrame(MAX_RELAYED - 1),
+    ),
 ];
 
 const CONNECTION_CROWDS: [CrowdCase; 7] = [
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -28,6 +28,23 @@
     }
 }
 
+impl PeerCodec {
+    /// Sets the length, in bytes, of the longest frame that is received and sent from now on.
+    ///
+    /// ```
+    /// use bytes::BytesMut;
+    /// use onyxfall_wire::{FrameError, PeerCodec};
+    /// use tokio_util::codec::Decoder;
+    /// let mut codec = PeerCodec::default();
+    /// codec.limit_frames(100);
+    /// let mut buffer = BytesMut::from(&[0, 0, 0, 101][..]);
+    /// assert!(matches!(codec.decode(&mut buffer), Err(FrameError::TooLarge)));
+    /// ```
+    pub fn limit_frames(&mut self, bytes: usize) {
+        self.0.set_max_frame_length(bytes);
+    }
+}
+
 impl Decoder for PeerCodec {
     type Item = PeerFrame;
     type Error = FrameError;
