Intake: ports and stated limits are shared by both programs

Moves the gateway's `ports.rs`, and the keys for memory and descriptors, to the crate `intake`, so that `onyxfall-entry` can use them. `PortConnections` is shared between threads for that. No change of behaviour.

--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -13,6 +13,7 @@
 use futures_util::{SinkExt, StreamExt};
 use onyxfall_clock::BootInstant;
 use onyxfall_fleet::DecisionSwitch;
+use onyxfall_intake::OpenConnection;
 use onyxfall_overlay::{LinkRelation, PlannedLink, VmRecord};
 use onyxfall_types::VmName;
 use onyxfall_wire::{
@@ -26,7 +27,6 @@
 use crate::copies::OutgoingCopy;
 use crate::frames::{vm_entry, vm_record};
 use crate::gateway::Gateway;
-use crate::ports::OpenConnection;
 use crate::share::DeltaAudience;
 use crate::updates::{UpdateReceiveState, UpdateSendState};
 
@@ -165,7 +165,7 @@
     gateway: Rc<Gateway>,
     stream: TcpStream,
     from: SocketAddr,
-    open: Rc<OpenConnection>,
+    open: OpenConnection,
 ) {
     tokio::task::spawn_local(async move {
         let link = LinkEnd::new(&gateway, stream).run_accepted(&open);
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,7 +21,10 @@
 use onyxfall_clock::BootInstant;
 use onyxfall_fleet::{CallRequirements, ResponseShape, RouteRule, RouteTable, TeamRule};
 use onyxfall_held::HeldFull;
-use onyxfall_intake::{BodyError, GuardedBody, HoldRule, PortRole, collect_body, discard_body};
+use onyxfall_intake::{
+    BodyError, EVICTION_LIMIT, GuardedBody, HoldRule, OpenConnection, PortConnections, PortRole,
+    collect_body, discard_body,
+};
 use onyxfall_suspects::EvidenceKey;
 use onyxfall_types::{RefusalReason, RequestError, RunVerdict};
 use socket2::SockRef;
@@ -33,7 +37,6 @@
 use crate::directory::{handle_directory, handle_verdict};
 use crate::gateway::Gateway;
 use crate::links::serve_link;
-use crate::ports::{OpenConnection, PortConnections};
 use crate::relay::handle_relayed;
 use crate::report::millis;
 use crate::serve::{CallFailure, serve};
@@ -48,8 +51,6 @@
 const DEFAULT_HEAD: usize = 16 * 1024;
 /// Smallest buffer size that hyper accepts.
 const MIN_BUFFER: usize = 8 * 1024;
-/// Longest time for which a connection that gives way to another one sends a response.
-const EVICTION_LIMIT: Duration = Duration::from_secs(2);
 /// Pause after the system ran out of descriptors for a new connection.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Retry delay sent to a caller before the first configuration is loaded.
@@ -123,17 +124,21 @@
         PortRole::Relay => VM_USER_TIMEOUT,
         PortRole::Links => USER_TIMEOUT,
     };
-    let port = Rc::new(PortConnections::new(role));
+    let port = PortConnections::new(role.as_str());
     loop {
         let (stream, from) = accept(&listener, user_timeout).await;
         let limit = gateway.settings().machine.connections(role);
-        let Some(open) = port.open(limit, &gateway.metrics) else {
+        let Some(open) = port.open(limit) else {
+            gateway.metrics.count("onyxfall_refused_connections_total");
             // Uploads that have taken long give way, and their connections end.
             gateway.held.demand_room();
             tokio::task::yield_now().await;
             continue;
         };
-        let (gateway, open) = (Rc::clone(&gateway), Rc::new(open));
+        if open.replaces_another() {
+            gateway.metrics.count("onyxfall_evicted_connections_total");
+        }
+        let gateway = Rc::clone(&gateway);
         match role {
             PortRole::Callers => serve_connection(gateway, stream, open, handle_caller),
             PortRole::Status => serve_connection(gateway, stream, open, handle_status),
@@ -151,7 +156,7 @@
 fn serve_connection<F>(
     gateway: Rc<Gateway>,
     stream: TcpStream,
-    open: Rc<OpenConnection>,
+    open: OpenConnection,
     handle: impl Fn(Rc<Gateway>, Request<Incoming>) -> F + 'static,
 ) where
     F: Future<Output = Response<ReplyBody>> + 'static,
@@ -162,7 +167,8 @@
     let served = Rc::clone(&gateway);
     let is_delimited = Rc::new(Cell::new(true));
     let accepts_chunks = Rc::clone(&is_delimited);
-    let serving = Rc::clone(&open);
+    let open = Arc::new(open);
+    let serving = Arc::clone(&open);
     let service = service_fn(move |request: Request<Incoming>| {
         let served_request = serving.serve_request();
         accepts_chunks.set(request.version() >= Version::HTTP_11);
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -28,7 +28,6 @@
 mod plan_report;
 mod planning;
 mod pool;
-mod ports;
 mod race;
 mod reach;
 mod relay;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -5,17 +5,16 @@
 use std::net::{IpAddr, SocketAddr};
 use std::ops::RangeInclusive;
 use std::path::Path;
-use std::str::FromStr;
 use std::time::Duration;
 
 use onyxfall_fleet::{
     BudgetLimits, ChoicePolicy, DecisionSwitch, DecisionSwitches, QuotaSettings, QuotaSpend,
     REPREFILL_PENALTY, VmLocation,
 };
-use onyxfall_intake::MachineLimits;
+use onyxfall_intake::{MachineLimits, StatedFiles, StatedMemory};
 use onyxfall_overlay::VmCapacity;
 use onyxfall_settings::{FaultList, IniDocument, SettingsError};
-use onyxfall_types::{ByteSize, CenterName, PlanMode, RegionName, VmName};
+use onyxfall_types::{CenterName, PlanMode, RegionName, VmName};
 
 use crate::capacity_settings::{CapacitySettings, read_capacity};
 
@@ -40,12 +39,6 @@
 
 /// Allowed window, in seconds, over which limits of teams are enforced.
 const QUOTA_WINDOW_S: RangeInclusive<f64> = 0.1..=3600.0;
-/// The smaller reading of a megabyte, so that the bound on held bytes is not above the one meant.
-const BYTES_PER_MB: f64 = 1e6;
-/// Sizes from here on are mistakes: an exabyte.
-const MAX_MEMORY_BYTES: f64 = 1e18;
-/// Fewest descriptors that leave room for connections beside files.
-const MIN_OPEN_FILES: usize = 256;
 /// Longest delay that can be accepted for 1,000 tokens: an hour.
 const MAX_REPREFILL_MS: f64 = 3_600_000.0;
 
@@ -161,7 +154,7 @@
     Some(GatewaySettings {
         place: vm.place,
         capacity: vm.capacity,
-        machine: MachineLimits::detect(vm.memory, vm.open_files),
+        machine: vm.machine,
         source: vm.source,
         callers: callers?,
         ready: ready?,
@@ -254,55 +247,11 @@
     DecisionSwitches::new(policy, off)
 }
 
-/// Memory of a VM, in megabytes. An empty value stands for a size that is not known: the
-/// settings template yields it on platforms that state none.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct VmMemory(Option<ByteSize>);
-
-impl FromStr for VmMemory {
-    type Err = &'static str;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        const EXPECTED: &str = "expected megabytes above 0, such as 128 or 0.5, or nothing";
-        if text.is_empty() {
-            return Ok(Self(None));
-        }
-        let megabytes: f64 = text.parse().map_err(|_| EXPECTED)?;
-        let bytes = megabytes * BYTES_PER_MB;
-        if !(1.0..MAX_MEMORY_BYTES).contains(&bytes) {
-            return Err(EXPECTED);
-        }
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let bytes = bytes as u64;
-        Ok(Self(Some(ByteSize::new(bytes))))
-    }
-}
-
-/// Descriptors of a VM's process. An empty value stands for a number that is not known.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct OpenFiles(Option<usize>);
-
-impl FromStr for OpenFiles {
-    type Err = &'static str;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        const EXPECTED: &str = "expected a number of descriptors from 256, or nothing";
-        if text.is_empty() {
-            return Ok(Self(None));
-        }
-        let files: usize = text.parse().map_err(|_| EXPECTED)?;
-        (files >= MIN_OPEN_FILES)
-            .then_some(Self(Some(files)))
-            .ok_or(EXPECTED)
-    }
-}
-
 /// The settings that describe this VM.
 struct VmSettings {
     place: VmLocation,
     capacity: VmCapacity,
-    memory: Option<ByteSize>,
-    open_files: Option<usize>,
+    machine: MachineLimits,
     source: Option<IpAddr>,
 }
 
@@ -324,8 +273,8 @@
         vm_section.fault("center", "expected the name of a [center] section", faults);
     }
     let capacity = vm_section.or_default("cores", VmCapacity::default(), faults);
-    let memory = vm_section.or_default("memory-mb", VmMemory(None), faults);
-    let open_files = vm_section.or_default("open-files", OpenFiles(None), faults);
+    let memory = vm_section.or_default("memory-mb", StatedMemory::default(), faults);
+    let open_files = vm_section.or_default("open-files", StatedFiles::default(), faults);
     let source = vm_section.optional("source-address", faults);
     vm_section.finish(faults);
     Some(VmSettings {
@@ -336,8 +285,7 @@
             centers,
         },
         capacity,
-        memory: memory.0,
-        open_files: open_files.0,
+        machine: MachineLimits::detect(memory, open_files),
         source,
     })
 }
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! [`MachineLimits`] tells what the machine has, and how it is shared out. [`collect_body`]
 //! receives a body within an account of held bytes; while the account is full, uploads that take
-//! long give way to others. [`ConnectionTable`] decides which connection gives way to a new one.
+//! long give way to others. [`ConnectionTable`] decides which connection gives way to a new one, and
+//! [`PortConnections`] closes it.
 //!
 //! Invariant: what others make a VM hold does not depend on how many connect, what they announce,
 //! or how they cut what they send into pieces.
@@ -12,8 +13,10 @@
 mod connections;
 mod guarded;
 mod machine;
+mod port;
 
 pub use body::{BodyError, HoldRule, UPLOAD_GRACE, collect_body, discard_body};
 pub use connections::{Admission, ConnectionId, ConnectionTable, EvictedConnection};
 pub use guarded::GuardedBody;
-pub use machine::{MachineLimits, PortRole};
+pub use machine::{MachineLimits, PortRole, StatedFiles, StatedMemory};
+pub use port::{EVICTION_LIMIT, OpenConnection, PortConnections, ServedRequest};
--- a/crates/intake/src/machine.rs
+++ b/crates/intake/src/machine.rs
@@ -1,6 +1,8 @@
 //! What the machine of a VM has, and how much of it the connections to each port may take.
 
+use std::fmt;
 use std::fs;
+use std::str::FromStr;
 
 use onyxfall_types::ByteSize;
 use rustix::process::{Resource, getrlimit};
@@ -23,6 +25,12 @@
 const MIN_CONNECTIONS: usize = 16;
 /// Descriptors where the system tells no limit.
 const DEFAULT_OPEN_FILES: usize = 1024;
+/// Fewest descriptors that leave room for connections beside files.
+const MIN_OPEN_FILES: usize = 256;
+/// The smaller reading of a megabyte, so that a bound is not above the one meant.
+const BYTES_PER_MB: f64 = 1e6;
+/// Sizes from here on are mistakes: an exabyte.
+const MAX_MEMORY_BYTES: f64 = 1e18;
 /// Bytes of a kibibyte, the unit of `/proc/meminfo`.
 const KIB: u64 = 1024;
 
@@ -41,6 +49,100 @@
     Status,
 }
 
+impl PortRole {
+    /// Name in logs.
+    ///
+    /// ```
+    /// assert_eq!(onyxfall_intake::PortRole::Callers.as_str(), "callers");
+    /// ```
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Callers => "callers",
+            Self::Relay => "relay",
+            Self::Links => "links",
+            Self::Directory => "directory",
+            Self::Status => "status",
+        }
+    }
+}
+
+/// Memory that settings state, in megabytes. An empty value stands for a size that is not known:
+/// the settings template yields it on platforms that state none.
+///
+/// ```
+/// use onyxfall_intake::StatedMemory;
+/// let memory: StatedMemory = "0.5".parse().unwrap();
+/// assert_eq!(memory.0.unwrap().bytes(), 500_000);
+/// assert_eq!(memory.to_string(), "0.5");
+/// assert!("0".parse::<StatedMemory>().is_err());
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StatedMemory(pub Option<ByteSize>);
+
+impl FromStr for StatedMemory {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        const EXPECTED: &str = "expected megabytes above 0, such as 128 or 0.5, or nothing";
+        if text.is_empty() {
+            return Ok(Self(None));
+        }
+        let megabytes: f64 = text.parse().map_err(|_| EXPECTED)?;
+        let bytes = megabytes * BYTES_PER_MB;
+        if !(1.0..MAX_MEMORY_BYTES).contains(&bytes) {
+            return Err(EXPECTED);
+        }
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let bytes = bytes as u64;
+        Ok(Self(Some(ByteSize::new(bytes))))
+    }
+}
+
+impl fmt::Display for StatedMemory {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(memory) => write!(f, "{}", memory.bytes() as f64 / BYTES_PER_MB),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Descriptors that settings state. An empty value stands for a number that is not known.
+///
+/// ```
+/// use onyxfall_intake::StatedFiles;
+/// let files: StatedFiles = "4100".parse().unwrap();
+/// assert_eq!(files.to_string(), "4100");
+/// assert!("200".parse::<StatedFiles>().is_err());
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StatedFiles(pub Option<usize>);
+
+impl FromStr for StatedFiles {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        const EXPECTED: &str = "expected a number of descriptors from 256, or nothing";
+        if text.is_empty() {
+            return Ok(Self(None));
+        }
+        let files = text.parse().map_err(|_| EXPECTED)?;
+        if files < MIN_OPEN_FILES {
+            return Err(EXPECTED);
+        }
+        Ok(Self(Some(files)))
+    }
+}
+
+impl fmt::Display for StatedFiles {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(files) => write!(f, "{files}"),
+            None => Ok(()),
+        }
+    }
+}
+
 /// Memory and descriptors of a process's machine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MachineLimits {
@@ -55,18 +157,17 @@
     /// files. The lower limit of open files counts.
     ///
     /// ```
-    /// use onyxfall_intake::MachineLimits;
-    /// use onyxfall_types::ByteSize;
-    /// let limits = MachineLimits::detect(Some(ByteSize::new(1000)), Some(300));
-    /// assert_eq!(limits.memory, Some(ByteSize::new(1000)));
+    /// use onyxfall_intake::{MachineLimits, StatedFiles};
+    /// let limits = MachineLimits::detect("1".parse().unwrap(), StatedFiles(Some(300)));
+    /// assert_eq!(limits.memory.unwrap().bytes(), 1_000_000);
     /// assert!(limits.open_files <= 300);
     /// ```
-    pub fn detect(memory: Option<ByteSize>, open_files: Option<usize>) -> Self {
+    pub fn detect(memory: StatedMemory, open_files: StatedFiles) -> Self {
         let allowed = getrlimit(Resource::Nofile).current;
         let allowed = allowed.and_then(|files| usize::try_from(files).ok());
-        let known = open_files.into_iter().chain(allowed).min();
+        let known = open_files.0.into_iter().chain(allowed).min();
         Self {
-            memory: memory.or_else(system_memory),
+            memory: memory.0.or_else(system_memory),
             open_files: known.unwrap_or(DEFAULT_OPEN_FILES),
         }
     }
--- a/crates/intake/tests/machine.rs
+++ b/crates/intake/tests/machine.rs
@@ -1,6 +1,6 @@
 //! How the descriptors and the memory of a machine are shared out.
 
-use onyxfall_intake::{MachineLimits, PortRole};
+use onyxfall_intake::{MachineLimits, PortRole, StatedFiles, StatedMemory};
 use onyxfall_types::ByteSize;
 
 const ROLES: [PortRole; 5] = [
@@ -76,10 +76,10 @@
 
 #[test]
 fn the_system_tells_what_the_settings_leave_out() {
-    let detected = MachineLimits::detect(None, None);
+    let detected = MachineLimits::detect(StatedMemory(None), StatedFiles(None));
     assert!(detected.memory.is_some_and(|memory| memory.bytes() > MB));
     assert!(detected.open_files > 0);
-    let stated = MachineLimits::detect(Some(ByteSize::new(5)), Some(10));
+    let stated = MachineLimits::detect(StatedMemory(Some(ByteSize::new(5))), StatedFiles(Some(10)));
     assert_eq!(stated.memory, Some(ByteSize::new(5)));
     assert_eq!(stated.open_files, 10);
 }
