Intake: a body is collected in blocks of few sizes

Cause: a buffer that grows by a fifth at a time leaves holes of many sizes in the heap; where each request has a thread of its own, in the heaps of many threads.

Change: bytes go into blocks of 4 to 64 KiB, and into one buffer when the body is complete.

--- a/crates/intake/src/body.rs
+++ b/crates/intake/src/body.rs
@@ -1,8 +1,8 @@
 //! Bodies that are received whole, within an account of held bytes.
 //!
-//! A body is copied into one buffer, whatever the pieces are in which it arrives, so that its
-//! memory is that of its bytes. The buffer grows with the bytes that have arrived, never with the
-//! length that was announced.
+//! A body is copied into blocks, whatever the pieces are in which it arrives, so that its memory is
+//! that of its bytes. It grows with the bytes that have arrived, never with the length that was
+//! announced. Blocks have few sizes, so that those of bodies that were given up fit others.
 
 use std::time::Duration;
 
@@ -19,10 +19,9 @@
 const RECLAIM_PAUSE: Duration = Duration::from_millis(5);
 /// Longest time for which the rest of a refused body is read and discarded.
 const DISCARD_TIME: Duration = Duration::from_millis(500);
-/// Least growth of a buffer, and its growth as one part in this many of its size, so that little of
-/// it is empty.
-const MIN_GROWTH: usize = 4 * 1024;
-const GROWTH_PARTS: usize = 4;
+/// Sizes of the first block of a body and of the largest ones.
+const MIN_BLOCK: usize = 4 * 1024;
+const MAX_BLOCK: usize = 64 * 1024;
 
 /// Whether the bytes of a body may exceed the bound on held bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -91,7 +90,7 @@
         hold_within(&mut held, announced).await?;
         held.resize(0);
     }
-    let mut collected = BytesMut::new();
+    let mut collected = BlockBuffer::new(announced);
     loop {
         let frame = tokio::select! {
             biased;
@@ -104,16 +103,16 @@
         let Ok(data) = frame.map_err(BodyError::Broken)?.into_data() else {
             continue;
         };
-        if data.len() > limit - collected.len() {
+        if data.len() > limit - collected.len {
             return Err(BodyError::TooLarge);
         }
         match rule {
             HoldRule::WithinBound => hold_within(&mut held, data.len()).await?,
             HoldRule::BeyondBound => held.grow(data.len()),
         }
-        append(&mut collected, &data, announced.max(data.len()));
+        collected.append(&data);
     }
-    Ok(held.attach(collected.freeze()))
+    Ok(held.attach(collected.into_bytes()))
 }
 
 /// Holds `bytes` more. If the account is full, uploads that have taken long give way first.
@@ -132,17 +131,63 @@
     account.room_demanded().await;
 }
 
-/// Appends a piece to a buffer that grows in small steps, up to the `announced` length at first.
-fn append(collected: &mut BytesMut, data: &[u8], announced: usize) {
-    let needed = collected.len() + data.len();
-    if needed > collected.capacity() {
-        let step = (needed / GROWTH_PARTS).max(MIN_GROWTH);
-        let capacity = needed.saturating_add(step).min(announced.max(needed));
-        let mut grown = BytesMut::with_capacity(capacity);
-        grown.extend_from_slice(collected);
-        *collected = grown;
+/// The bytes of a body that have arrived.
+struct BlockBuffer {
+    /// All but the last one are full.
+    blocks: Vec<BytesMut>,
+    len: usize,
+    announced: usize,
+}
+
+impl BlockBuffer {
+    fn new(announced: usize) -> Self {
+        Self {
+            blocks: Vec::new(),
+            len: 0,
+            announced,
+        }
+    }
+
+    fn append(&mut self, mut data: &[u8]) {
+        while !data.is_empty() {
+            let room = self.blocks.last().map_or(0, |b| b.capacity() - b.len());
+            if room == 0 {
+                let block = BytesMut::with_capacity(self.next_block(data.len()));
+                self.blocks.push(block);
+                continue;
+            }
+            let (part, rest) = data.split_at(room.min(data.len()));
+            if let Some(last) = self.blocks.last_mut() {
+                last.extend_from_slice(part);
+            }
+            self.len += part.len();
+            data = rest;
+        }
+    }
+
+    /// Size of the next block, for `arrived` bytes or more: as many as there are, but no more than
+    /// are announced.
+    fn next_block(&self, arrived: usize) -> usize {
+        let size = self
+            .len
+            .clamp(MIN_BLOCK, MAX_BLOCK)
+            .max(arrived.min(MAX_BLOCK));
+        match self.announced.saturating_sub(self.len) {
+            0 => size,
+            left => size.min(left),
+        }
+    }
+
+    fn into_bytes(mut self) -> Bytes {
+        if self.blocks.len() <= 1 {
+            return self.blocks.pop().unwrap_or_default().freeze();
+        }
+        let mut whole = BytesMut::with_capacity(self.len);
+        for block in self.blocks {
+            whole.extend_from_slice(&block);
+        }
+        whole.freeze()
     }
-    collected.extend_from_slice(data);
 }
 
 /// Reads and discards the rest of a refused body for a while, up to `limit` bytes, so that its
