Entry: request bodies are counted and bounded

What callers saw: many bodies of legal size at once ended an `onyxfall-entry`; it ran out of memory. Bodies in chunks of one byte took 40 times their size.

Cause: up to 1,024 requests could each hold a body of 4 MiB, and no account counted them. Each chunk was kept as an object of its own, with the buffer that it was read from, and joined at the end.

Change: bodies are received by `collect_body`, within an account of a quarter of the memory (`memory-mb` in `[vm]`, otherwise what the system tells); beyond it, 503 (not run, `retry-after` 1 s). An upload that has lasted 3 s gives way while the account, or the number of open requests, is full. The rest of a refused body is discarded for a while, so that its caller reads the refusal. `onyxfall_held_bytes` and `onyxfall_held_refusals_total` tell operators.

Held before: bodies that are announced as too large, and bodies at the admin port.

--- a/crates/entry/src/edge/admin.rs
+++ b/crates/entry/src/edge/admin.rs
@@ -63,6 +63,8 @@
             let _ = writeln!(text, "{name} {value}");
         }
     }
+    let held = core.settings.limits.held.held();
+    let _ = writeln!(text, "onyxfall_held_bytes {}", held.bytes());
     let _ = writeln!(text, "onyxfall_open_requests {}", core.open_requests());
     let version = core.version_in_force();
     let _ = writeln!(text, "onyxfall_bundle_version {}", version.get());
--- a/crates/entry/src/edge/caller.rs
+++ b/crates/entry/src/edge/caller.rs
@@ -17,6 +17,7 @@
 use crate::core::{EntryCore, not_ready};
 use crate::edge::problem_json;
 use crate::edge::ticket::{issue_ticket, serve_ticket};
+use crate::metrics::CounterName;
 use crate::response::{CallerResponse, ResponseSink};
 use crate::serve::{RequestContext, RequestOrigin, permitted_regions, serve_request, unknown_kind};
 use crate::trace::{context_of, header_of};
@@ -24,6 +25,8 @@
 const REQUESTS: &str = "/v1/requests/";
 const SERVICES: &str = "/v1/services/";
 const CHAT: &str = "/v1/chat/completions";
+/// Retry delay sent to a caller whose body found no room.
+const HELD_FULL_RETRY: Duration = Duration::from_secs(1);
 /// How long callers may cache the list of entries.
 const ENTRIES_TTL: Duration = Duration::from_secs(10);
 
@@ -327,16 +330,9 @@
 
 fn read_body(core: &EntryCore, request: &mut HttpRequest) -> Result<Bytes, RequestError> {
     let limit = core.settings.max_body;
-    let declared = request
-        .header("content-length")
-        .and_then(|len| len.parse::<u64>().ok());
-    let error = if declared.is_some_and(|len| len > limit.bytes()) {
-        BodyError::TooLarge
-    } else {
-        match request.read_body(limit) {
-            Ok(body) => return Ok(body),
-            Err(error) => error,
-        }
+    let error = match request.read_body(limit) {
+        Ok(body) => return Ok(body),
+        Err(error) => error,
     };
     Err(match error {
         BodyError::TooLarge => {
@@ -346,6 +342,11 @@
             RequestError::not_run(RefusalReason::BadRequest, "the body took too long")
         }
         BodyError::Broken => RequestError::not_run(RefusalReason::Cancelled, "body incomplete"),
+        BodyError::Held(full) => {
+            core.metrics.count(CounterName::HeldRefusals);
+            RequestError::not_run(RefusalReason::Overloaded, full.to_string())
+                .with_retry_after(HELD_FULL_RETRY)
+        }
     })
 }
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -71,6 +71,7 @@
     Observations,
     ObservationFailures,
     TicketRepeats,
+    HeldRefusals,
 }
 
 impl CounterName {
@@ -85,6 +86,7 @@
             Self::Observations => "onyxfall_observations_total",
             Self::ObservationFailures => "onyxfall_observation_failures_total",
             Self::TicketRepeats => "onyxfall_ticket_repeats_total",
+            Self::HeldRefusals => "onyxfall_held_refusals_total",
         }
     }
 }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use onyxfall_bundle::{OperatorKey, OperatorRing};
+use onyxfall_held::HeldAccount;
 use onyxfall_http::HttpLimits;
+use onyxfall_intake::{MachineLimits, StatedFiles, StatedMemory};
 use onyxfall_platform::PlatformSettings;
 use onyxfall_policy::{MemberTiming, PolicySettings, RoutingPolicy};
 use onyxfall_settings::{FaultList, IniDocument, SettingsError};
@@ -67,6 +69,8 @@
     pub admin_listen: SocketAddr,
     /// Source address of connections to other entries.
     pub peer_source: Option<IpAddr>,
+    /// Memory and descriptors of this VM.
+    pub machine: MachineLimits,
     /// HTTP limits for callers.
     pub limits: HttpLimits,
     /// Largest request body.
@@ -127,6 +131,7 @@
     let mut settings = default_settings();
     read_vm(document, &mut settings, &mut faults);
     read_listen(document, &mut settings, &mut faults);
+    apply_machine(&mut settings);
     read_limits(document, &mut settings, &mut faults);
     read_platform(document, &mut settings, &mut faults);
     read_operators(document, &mut settings, &mut faults);
@@ -157,6 +162,7 @@
         peer_advertise: None,
         admin_listen: any,
         peer_source: None,
+        machine: MachineLimits::detect(StatedMemory::default(), StatedFiles::default()),
         limits: HttpLimits::default(),
         max_body: ByteSize::new(4 * 1024 * 1024),
         max_buffered: ByteSize::new(1024 * 1024),
@@ -191,9 +197,17 @@
         settings.region = region;
     }
     settings.deployment = reader.required("deployment", faults).unwrap_or_default();
+    let memory = reader.or_default("memory-mb", StatedMemory::default(), faults);
+    let open_files = reader.or_default("open-files", StatedFiles::default(), faults);
+    settings.machine = MachineLimits::detect(memory, open_files);
     reader.finish(faults);
 }
 
+/// Lowers the default limits to what the machine of this VM bears.
+fn apply_machine(settings: &mut EntrySettings) {
+    settings.limits.held = HeldAccount::new(HeldAccount::bound_for(settings.machine.memory));
+}
+
 fn read_listen(document: &IniDocument, settings: &mut EntrySettings, faults: &mut FaultList) {
     let Some(reader) = document.single("listen", faults) else {
         return;
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -35,7 +35,7 @@
 
 /// An unused address for an entry, which is bound again when the entry restarts. The
 /// port is below the range of ephemeral ports, so that no connection takes it meanwhile.
-fn free_address(region: usize) -> SocketAddr {
+pub fn free_address(region: usize) -> SocketAddr {
     const FIRST: u16 = 10_000;
     const COUNT: u16 = 20_000;
     static NEXT: AtomicU16 = AtomicU16::new(0);
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -4,8 +4,9 @@
 
 use bytes::Bytes;
 use http::request::Parts;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use onyxfall_held::{HeldAccount, HeldFull};
+use onyxfall_intake::{HoldRule, collect_body, discard_body};
 use onyxfall_types::ByteSize;
 use tokio::runtime::Handle;
 
@@ -20,6 +21,8 @@
     TimedOut,
     /// The caller disconnected.
     Broken,
+    /// This VM holds too many bytes of other requests.
+    Held(HeldFull),
 }
 
 /// A request whose body has not been read yet.
@@ -30,6 +33,7 @@
     pub cancel: CancelToken,
     pub(crate) body: Option<Incoming>,
     pub(crate) handle: Handle,
+    pub(crate) held: HeldAccount,
     pub(crate) body_timeout: Duration,
 }
 
@@ -44,24 +48,31 @@
         self.head.headers.get(name)?.to_str().ok()
     }
 
-    /// Reads the whole body, at most `limit` bytes. A second call yields an empty body.
+    /// Reads the whole body, at most `limit` bytes. A second call yields an empty body. The rest of
+    /// a body that is refused is discarded for a while, so that the caller can read why.
     ///
     /// # Errors
     ///
-    /// The body is too large, too slow or incomplete.
+    /// The body is too large, too slow or incomplete, or there is no room for it.
     pub fn read_body(&mut self, limit: ByteSize) -> Result<Bytes, BodyError> {
-        let Some(body) = self.body.take() else {
+        use onyxfall_intake::BodyError as IntakeError;
+        let Some(mut body) = self.body.take() else {
             return Ok(Bytes::new());
         };
-        let collect = Limited::new(body, limit.as_usize()).collect();
+        let limit = limit.as_usize();
+        let hold = self.held.hold(0);
+        let collect = collect_body(&mut body, limit, hold, HoldRule::WithinBound);
         let collected = self
             .handle
             .block_on(async { tokio::time::timeout(self.body_timeout, collect).await });
-        match collected {
-            Err(_elapsed) => Err(BodyError::TimedOut),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => Err(BodyError::TooLarge),
-            Ok(Err(_)) => Err(BodyError::Broken),
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-        }
+        let error = match collected {
+            Ok(Ok(body)) => return Ok(body),
+            Err(_elapsed) => return Err(BodyError::TimedOut),
+            Ok(Err(IntakeError::Broken(_))) => return Err(BodyError::Broken),
+            Ok(Err(IntakeError::TooLarge)) => BodyError::TooLarge,
+            Ok(Err(IntakeError::Held(full))) => BodyError::Held(full),
+        };
+        self.handle.spawn(discard_body(body, limit));
+        Err(error)
     }
 }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -13,6 +13,8 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
+use onyxfall_held::HeldAccount;
+use onyxfall_intake::discard_body;
 use onyxfall_types::ByteSize;
 use tokio::runtime::{Handle, Runtime};
 use tokio::sync::{oneshot, watch};
@@ -25,6 +27,8 @@
 const HANDLER_STACK: usize = 256 * 1024;
 /// Delay after a failed accept (out of file descriptors), to avoid a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Bytes of the body of a refused request that are read and discarded.
+const MAX_DISCARDED: usize = 64 * 1024;
 /// Smallest buffer that `hyper` accepts for a request head.
 const MIN_HEAD_BYTES: usize = 8192;
 
@@ -35,6 +39,8 @@
     pub max_connections: usize,
     /// Maximum number of concurrent requests; further ones get [`Self::overload_reply`].
     pub max_requests: usize,
+    /// Account of the bytes of request bodies, whose bound applies to all servers that share it.
+    pub held: HeldAccount,
     /// Maximum size of a request head.
     pub max_head: ByteSize,
     /// Timeout for a request head, including the idle time between requests.
@@ -54,6 +60,7 @@
         Self {
             max_connections: 4096,
             max_requests: 1024,
+            held: HeldAccount::default(),
             max_head: ByteSize::new(16 * 1024),
             head_timeout: Duration::from_mins(1),
             body_timeout: Duration::from_secs(30),
@@ -236,6 +243,11 @@
 async fn respond(request: Request<Incoming>, shared: Arc<ServerShared>) -> Response<ServerBody> {
     let open = CounterGuard::new(&shared, |shared| &shared.requests);
     if open.count > shared.limits.max_requests {
+        // Uploads that have taken long give way to the next requests.
+        shared.limits.held.demand_room();
+        shared
+            .handle
+            .spawn(discard_body(request.into_body(), MAX_DISCARDED));
         return into_response((shared.limits.overload_reply)(), None);
     }
     let cancel = CancelToken::new();
@@ -247,6 +259,7 @@
         cancel,
         body: Some(body),
         handle: shared.handle.clone(),
+        held: shared.limits.held.clone(),
         body_timeout: shared.limits.body_timeout,
     };
     let stall_timeout = shared.limits.stall_timeout;
--- a/crates/http/tests/edge.rs
+++ b/crates/http/tests/edge.rs
@@ -59,6 +59,7 @@
                     BodyError::TooLarge => 413,
                     BodyError::TimedOut => 408,
                     BodyError::Broken => 400,
+                    BodyError::Held(_) => 503,
                 };
                 let _ = responder.reply(HttpReply::full(status, "text/plain", "no"));
             }
