Entry: connections beyond the limit replace idle ones

What callers saw: idle connections, or heads and bodies that stop short, took all descriptors of an `onyxfall-entry`; beyond 4,096 connections, every new caller was closed until the idle timeout of a minute had passed.

Cause: the limit of connections did not depend on the descriptors of the process, and at the limit the newest connection was closed.

Change: the default of `connections` is 4096, or what `open-files` and the memory allow, if that is less. At the limit, the HTTP server closes the connection that has waited longest for a request (`PortConnections`), as the gateway does.

--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -8,7 +8,7 @@
 use onyxfall_bundle::{OperatorKey, OperatorRing};
 use onyxfall_held::HeldAccount;
 use onyxfall_http::HttpLimits;
-use onyxfall_intake::{MachineLimits, StatedFiles, StatedMemory};
+use onyxfall_intake::{MachineLimits, PortRole, StatedFiles, StatedMemory};
 use onyxfall_platform::PlatformSettings;
 use onyxfall_policy::{MemberTiming, PolicySettings, RoutingPolicy};
 use onyxfall_settings::{FaultList, IniDocument, SettingsError};
@@ -205,7 +205,10 @@
 
 /// Lowers the default limits to what the machine of this VM bears.
 fn apply_machine(settings: &mut EntrySettings) {
-    settings.limits.held = HeldAccount::new(HeldAccount::bound_for(settings.machine.memory));
+    let (machine, limits) = (&settings.machine, &mut settings.limits);
+    limits.held = HeldAccount::new(HeldAccount::bound_for(machine.memory));
+    let connections = machine.connections(PortRole::Callers);
+    limits.max_connections = limits.max_connections.min(connections);
 }
 
 fn read_listen(document: &IniDocument, settings: &mut EntrySettings, faults: &mut FaultList) {
--- a/crates/entry/tests/crowds.rs
+++ b/crates/entry/tests/crowds.rs
@@ -20,6 +20,8 @@
 /// Descriptors of the process, of which 200 are for files.
 const OPEN_FILES: u64 = 456;
 const MAX_SOCKETS: usize = 256;
+/// More connections than the process has descriptors.
+const MANY_CALLERS: usize = 600;
 /// Largest legal body.
 const MAX_BODY: usize = 4 * 1024 * 1024;
 /// One caller in this many sends its body to the end.
@@ -124,6 +126,33 @@
     ),
 ];
 
+const CONNECTION_CROWDS: [CrowdCase; 4] = [
+    case(
+        "idle callers",
+        EntryPort::Callers,
+        MANY_CALLERS,
+        UploadShape::Idle,
+    ),
+    case(
+        "half heads",
+        EntryPort::Callers,
+        MANY_CALLERS,
+        UploadShape::HalfHead(15_000),
+    ),
+    case(
+        "short bodies that do not end",
+        EntryPort::Callers,
+        MANY_CALLERS,
+        announced(1000, 1000, 1000),
+    ),
+    case(
+        "idle connections to the admin port",
+        EntryPort::Admin,
+        MANY_CALLERS,
+        UploadShape::Idle,
+    ),
+];
+
 /// An entry in a process of its own, with a plain service behind it.
 struct SmallEntry {
     child: Child,
@@ -266,6 +295,12 @@
     play_all(&BODY_CROWDS);
 }
 
+/// Guards against connections that use up the descriptors of an entry.
+#[test]
+fn crowds_of_connections_leave_an_entry_descriptors() {
+    play_all(&CONNECTION_CROWDS);
+}
+
 /// Guards against limits that refuse a request inside them in calm.
 #[test]
 fn an_entry_serves_the_largest_legal_body_in_calm() {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -12,12 +12,11 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::GracefulShutdown;
 use onyxfall_held::HeldAccount;
-use onyxfall_intake::discard_body;
+use onyxfall_intake::{EVICTION_LIMIT, GuardedBody, PortConnections, ServedRequest, discard_body};
 use onyxfall_types::ByteSize;
 use tokio::runtime::{Handle, Runtime};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::cancel::CancelToken;
 use crate::reply::{CancelOnDrop, HttpReply, ReplyBody, Responder, ServerBody, StreamBody};
@@ -35,7 +34,8 @@
 /// Limits of a server; exceeding one yields an error response or closes the connection.
 #[derive(Clone)]
 pub struct HttpLimits {
-    /// Maximum number of open connections; further ones are closed on accept.
+    /// Maximum number of open connections; further ones replace those that serve no request, or
+    /// are closed on accept.
     pub max_connections: usize,
     /// Maximum number of concurrent requests; further ones get [`Self::overload_reply`].
     pub max_requests: usize,
@@ -82,7 +82,7 @@
     limits: HttpLimits,
     handler: Box<HandlerFn>,
     handle: Handle,
-    connections: AtomicUsize,
+    connections: PortConnections,
     requests: AtomicUsize,
 }
 
@@ -127,7 +127,7 @@
             limits,
             handler: Box::new(handler),
             handle: runtime.handle().clone(),
-            connections: AtomicUsize::new(0),
+            connections: PortConnections::new("http"),
             requests: AtomicUsize::new(0),
         });
         let listener = {
@@ -189,14 +189,14 @@
     shared: Arc<ServerShared>,
     mut shutdown: watch::Receiver<bool>,
 ) {
-    let graceful = GracefulShutdown::new();
+    let (alive, mut ended) = mpsc::channel(1);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = shutdown.changed() => break,
         };
         match accepted {
-            Ok((stream, _)) => serve_connection(stream, &shared, &graceful),
+            Ok((stream, _)) => serve_connection(stream, &shared, &shutdown, alive.clone()),
             Err(e) => {
                 log::warn!("accept failed: {e}");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -204,44 +204,86 @@
         }
     }
     drop(listener);
-    graceful.shutdown().await;
+    drop(alive);
+    // Returns when every connection has dropped its sender.
+    let _: Option<Never> = ended.recv().await;
 }
 
+/// A message that is never sent.
+enum Never {}
+
 fn serve_connection(
     stream: tokio::net::TcpStream,
     shared: &Arc<ServerShared>,
-    graceful: &GracefulShutdown,
+    shutdown: &watch::Receiver<bool>,
+    alive: mpsc::Sender<Never>,
 ) {
-    let open = CounterGuard::new(shared, |shared| &shared.connections);
-    if open.count > shared.limits.max_connections {
-        log::warn!(
-            "connection rejected: the limit of {} open connections is reached",
-            shared.limits.max_connections
-        );
+    let Some(open) = shared.connections.open(shared.limits.max_connections) else {
+        // Uploads that have taken long give way, and their connections end.
+        shared.limits.held.demand_room();
         return;
-    }
+    };
     let _ = stream.set_nodelay(true);
-    let service_shared = Arc::clone(shared);
+    let open = Arc::new(open);
+    let (service_shared, serving) = (Arc::clone(shared), Arc::clone(&open));
     let service = service_fn(move |request| {
         let shared = Arc::clone(&service_shared);
-        async move { Ok::<_, Infallible>(respond(request, shared).await) }
+        let served = serving.serve_request();
+        async move { Ok::<_, Infallible>(respond_guarded(request, shared, served).await) }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(shared.limits.head_timeout)
         .max_buf_size(shared.limits.max_head.as_usize().max(MIN_HEAD_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    let watched = graceful.watch(connection);
+    let mut shutdown = shutdown.clone();
     tokio::spawn(async move {
-        let _open = open;
-        if let Err(e) = watched.await {
+        let _alive = alive;
+        let ended = tokio::select! {
+            biased;
+            has_served = open.wait_eviction() => {
+                if !has_served {
+                    return;
+                }
+                Pin::new(&mut connection).graceful_shutdown();
+                let closing = tokio::time::timeout(EVICTION_LIMIT, &mut connection);
+                closing.await.unwrap_or(Ok(()))
+            }
+            () = wait_for_shutdown(&mut shutdown) => {
+                Pin::new(&mut connection).graceful_shutdown();
+                (&mut connection).await
+            }
+            ended = &mut connection => ended,
+        };
+        if let Err(e) = ended {
             log::debug!("connection ended: {e}");
         }
     });
 }
 
+async fn wait_for_shutdown(shutdown: &mut watch::Receiver<bool>) {
+    // An error tells that the server is gone.
+    let _ = shutdown.wait_for(|is_asked| *is_asked).await;
+}
+
+type GuardedReply = Response<GuardedBody<ServerBody, Option<ServedRequest>>>;
+
+/// Responds to a request. Its connection does not give way to others until the last byte.
+async fn respond_guarded(
+    request: Request<Incoming>,
+    shared: Arc<ServerShared>,
+    served: Option<ServedRequest>,
+) -> GuardedReply {
+    let response = if served.is_some() {
+        respond(request, shared).await
+    } else {
+        into_response((shared.limits.overload_reply)(), None)
+    };
+    response.map(|body| GuardedBody::new(body, served))
+}
+
 async fn respond(request: Request<Incoming>, shared: Arc<ServerShared>) -> Response<ServerBody> {
-    let open = CounterGuard::new(&shared, |shared| &shared.requests);
+    let open = RequestGuard::new(&shared);
     if open.count > shared.limits.max_requests {
         // Uploads that have taken long give way to the next requests.
         shared.limits.held.demand_room();
@@ -310,19 +352,17 @@
     response
 }
 
-/// Increments a counter on creation and decrements it on drop.
-struct CounterGuard {
+/// Counts a request as open until dropped.
+struct RequestGuard {
     shared: Arc<ServerShared>,
-    counter: fn(&ServerShared) -> &AtomicUsize,
     count: usize,
 }
 
-impl CounterGuard {
-    fn new(shared: &Arc<ServerShared>, counter: fn(&ServerShared) -> &AtomicUsize) -> Self {
-        let count = counter(shared).fetch_add(1, Ordering::SeqCst) + 1;
+impl RequestGuard {
+    fn new(shared: &Arc<ServerShared>) -> Self {
+        let count = shared.requests.fetch_add(1, Ordering::SeqCst) + 1;
         Self {
             shared: Arc::clone(shared),
-            counter,
             count,
         }
     }
@@ -332,8 +372,8 @@
     }
 }
 
-impl Drop for CounterGuard {
+impl Drop for RequestGuard {
     fn drop(&mut self) {
-        (self.counter)(&self.shared).fetch_sub(1, Ordering::SeqCst);
+        self.shared.requests.fetch_sub(1, Ordering::SeqCst);
     }
 }
