Entry: strangers at the port for links have 16 KiB and 3 s

What callers saw: connections to the port for other entries that send the start of a large frame and stop filled the memory of the process.

Cause: each accepted connection had a thread and took in a frame of up to 8 MiB before its hello. The timeout of 3 s was that of one read, so that a byte every 3 s held the connection for good, and nothing limited their number.

Change: until the hello, frames are limited to 16 KiB and the timeout counts from the connection; of more than 16 such connections, the oldest is closed (`onyxfall_evicted_strangers_total`).

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -72,6 +72,7 @@
     ObservationFailures,
     TicketRepeats,
     HeldRefusals,
+    EvictedStrangers,
 }
 
 impl CounterName {
@@ -87,6 +88,7 @@
             Self::ObservationFailures => "onyxfall_observation_failures_total",
             Self::TicketRepeats => "onyxfall_ticket_repeats_total",
             Self::HeldRefusals => "onyxfall_held_refusals_total",
+            Self::EvictedStrangers => "onyxfall_evicted_strangers_total",
         }
     }
 }
--- a/crates/entry/src/peer/listen.rs
+++ b/crates/entry/src/peer/listen.rs
@@ -3,19 +3,21 @@
 //! This module has no call that forwards a request: a request that arrives here is run
 //! in this data centre or refused.
 
-use std::collections::{HashMap, HashSet};
-use std::io;
-use std::net::{TcpListener, TcpStream};
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::io::{self, Read};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
 use fastrace::Span;
+use onyxfall_clock::BootInstant;
 use onyxfall_http::CancelToken;
 use onyxfall_policy::{PrefixKey, TicketId};
 use onyxfall_types::{RefusalReason, RequestError, RunVerdict};
 use onyxfall_wire::{
-    CreditWindow, FrameClass, FrameReader, FrameWriter, OpenMode, OpenRequest, PeerPayload,
+    CreditWindow, FrameClass, FrameReader, FrameWriter, MAX_FRAME, OpenMode, OpenRequest,
+    PeerPayload,
 };
 use parking_lot::Mutex;
 
@@ -31,7 +33,11 @@
 use crate::supervisor::StopSignal;
 use crate::trace::context_of;
 
+/// Longest time between a connection and its hello, and the longest hello.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(3);
+const MAX_HELLO: usize = 16 * 1024;
+/// Most connections that have not sent a hello.
+const MAX_STRANGERS: usize = 16;
 const ACCEPT_POLL: Duration = Duration::from_millis(50);
 const REQUEST_STACK: usize = 256 * 1024;
 /// Number of attempt ids that are kept per link to detect duplicates.
@@ -43,9 +49,10 @@
         log::error!("cannot make the peer listener nonblocking: {e}");
         return;
     }
+    let strangers = Arc::<StrangerList>::default();
     while !stop.is_stopped() {
         match listener.accept() {
-            Ok((stream, _)) => start_receiver(core, stream),
+            Ok((stream, _)) => start_receiver(core, &strangers, stream),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                 stop.wait(ACCEPT_POLL);
             }
@@ -57,14 +64,24 @@
     }
 }
 
-fn start_receiver(core: &Arc<EntryCore>, stream: TcpStream) {
-    let core = Arc::clone(core);
+fn start_receiver(core: &Arc<EntryCore>, strangers: &Arc<StrangerList>, stream: TcpStream) {
+    let number = match strangers.add(core, &stream) {
+        Ok(number) => number,
+        Err(e) => {
+            log::warn!("peer connection refused: {e}");
+            return;
+        }
+    };
+    let (core, strangers) = (Arc::clone(core), Arc::clone(strangers));
     let spawned = thread::Builder::new()
         .name("peer-receiver".to_owned())
         .stack_size(REQUEST_STACK)
         .spawn(move || {
-            if let Err(e) = receive(&core, stream) {
-                log::warn!("peer connection refused: {e}");
+            let greeted = greet(&core, stream);
+            strangers.remove(number);
+            match greeted {
+                Ok((receiver, reader)) => receiver.read_frames(reader),
+                Err(e) => log::warn!("peer connection refused: {e}"),
             }
         });
     if let Err(e) = spawned {
@@ -72,15 +89,79 @@
     }
 }
 
-fn receive(core: &Arc<EntryCore>, stream: TcpStream) -> Result<(), String> {
+/// Accepted connections that have not sent a valid hello.
+#[derive(Default)]
+struct StrangerList {
+    state: Mutex<StrangerState>,
+}
+
+#[derive(Default)]
+struct StrangerState {
+    next: u64,
+    /// In the order in which they were accepted.
+    streams: VecDeque<(u64, TcpStream)>,
+}
+
+impl StrangerList {
+    /// Adds a connection. The oldest one is closed if there are [`MAX_STRANGERS`].
+    fn add(&self, core: &EntryCore, stream: &TcpStream) -> io::Result<u64> {
+        let stream = stream.try_clone()?;
+        let mut state = self.state.lock();
+        if state.streams.len() >= MAX_STRANGERS
+            && let Some((_, oldest)) = state.streams.pop_front()
+        {
+            core.metrics.count(CounterName::EvictedStrangers);
+            let _ = oldest.shutdown(Shutdown::Both);
+        }
+        state.next += 1;
+        let number = state.next;
+        state.streams.push_back((number, stream));
+        Ok(number)
+    }
+
+    fn remove(&self, number: u64) {
+        let mut state = self.state.lock();
+        state.streams.retain(|(other, _)| *other != number);
+    }
+}
+
+/// A connection whose reads fail after a time, until the limit is lifted.
+struct TimedStream {
+    stream: TcpStream,
+    until: Option<BootInstant>,
+}
+
+impl Read for TimedStream {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        if let Some(until) = self.until {
+            let left = until.saturating_duration_since(BootInstant::now());
+            if left.is_zero() {
+                return Err(io::ErrorKind::TimedOut.into());
+            }
+            self.stream.set_read_timeout(Some(left))?;
+        }
+        self.stream.read(buffer)
+    }
+}
+
+/// Exchanges hellos on an accepted connection.
+fn greet(
+    core: &Arc<EntryCore>,
+    stream: TcpStream,
+) -> Result<(Arc<PeerReceiver>, FrameReader<TimedStream>), String> {
     let text = |e: io::Error| e.to_string();
     stream.set_nonblocking(false).map_err(text)?;
     stream.set_nodelay(true).map_err(text)?;
-    stream.set_read_timeout(Some(HELLO_TIMEOUT)).map_err(text)?;
-    let mut reader = FrameReader::new(stream.try_clone().map_err(text)?);
-    let mut writer = FrameWriter::new(stream.try_clone().map_err(text)?);
+    let mut reader = FrameReader::new(TimedStream {
+        stream: stream.try_clone().map_err(text)?,
+        until: Some(BootInstant::now() + HELLO_TIMEOUT),
+    });
+    reader.limit_frames(MAX_HELLO);
     let (frame, _) = reader.read().map_err(|e| e.to_string())?;
     let member = check_hello(core, frame.payload)?;
+    reader.limit_frames(MAX_FRAME);
+    reader.stream_mut().until = None;
+    let mut writer = FrameWriter::new(stream.try_clone().map_err(text)?);
     writer
         .write(&own_hello(core).into())
         .map_err(|e| e.to_string())?;
@@ -90,13 +171,12 @@
     let link = PeerLink::start(core, member, stream, writer)
         .map_err(|_| "cannot start a thread".to_owned())?;
     core.links.record_accepted(&link);
-    let receiver = Arc::new(PeerReceiver {
+    let receiver = PeerReceiver {
         core: Arc::clone(core),
         link,
         open: Mutex::default(),
-    });
-    receiver.read_frames(reader);
-    Ok(())
+    };
+    Ok((Arc::new(receiver), reader))
 }
 
 struct OpenAttempt {
@@ -118,7 +198,7 @@
 }
 
 impl PeerReceiver {
-    fn read_frames(self: &Arc<Self>, mut reader: FrameReader<TcpStream>) {
+    fn read_frames(self: &Arc<Self>, mut reader: FrameReader<TimedStream>) {
         loop {
             let (frame, len) = match reader.read() {
                 Ok(read) => read,
--- a/crates/entry/tests/crowds.rs
+++ b/crates/entry/tests/crowds.rs
@@ -22,8 +22,9 @@
 const MAX_SOCKETS: usize = 256;
 /// More connections than the process has descriptors.
 const MANY_CALLERS: usize = 600;
-/// Largest legal body.
+/// Largest legal body, and the largest frame between entries.
 const MAX_BODY: usize = 4 * 1024 * 1024;
+const MAX_FRAME: usize = 8 * 1024 * 1024;
 /// One caller in this many sends its body to the end.
 const COMPLETE_EVERY: usize = 8;
 /// Attempts of an ordinary caller, the pause before each, and the longest time for a response.
@@ -38,6 +39,7 @@
 #[derive(Clone, Copy, Debug)]
 enum EntryPort {
     Callers,
+    Peers,
     Admin,
 }
 
@@ -72,7 +74,7 @@
 
 const PIECE: usize = 64 * 1024;
 
-const BODY_CROWDS: [CrowdCase; 7] = [
+const BODY_CROWDS: [CrowdCase; 8] = [
     case(
         "large bodies, whole",
         EntryPort::Callers,
@@ -124,9 +126,15 @@
         60,
         announced(MAX_BODY, MAX_BODY, PIECE),
     ),
+    case(
+        "frames of strangers",
+        EntryPort::Peers,
+        60,
+        UploadShape::HalfFrame(MAX_FRAME - 1),
+    ),
 ];
 
-const CONNECTION_CROWDS: [CrowdCase; 4] = [
+const CONNECTION_CROWDS: [CrowdCase; 5] = [
     case(
         "idle callers",
         EntryPort::Callers,
@@ -145,6 +153,12 @@
         MANY_CALLERS,
         announced(1000, 1000, 1000),
     ),
+    case(
+        "idle links",
+        EntryPort::Peers,
+        MANY_CALLERS,
+        UploadShape::Idle,
+    ),
     case(
         "idle connections to the admin port",
         EntryPort::Admin,
@@ -210,6 +224,7 @@
     fn address(&self, port: EntryPort) -> SocketAddr {
         match port {
             EntryPort::Callers => self.deployment.callers(0),
+            EntryPort::Peers => self.deployment.peers(0),
             EntryPort::Admin => self.admin,
         }
     }
@@ -289,7 +304,7 @@
     assert!(faults.is_empty(), "{faults:#?}");
 }
 
-/// Guards against uploads that fill the memory of an entry.
+/// Guards against uploads and frames that fill the memory of an entry.
 #[test]
 fn crowds_of_bodies_leave_an_entry_within_its_memory() {
     play_all(&BODY_CROWDS);
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -63,6 +63,28 @@
         }
     }
 
+    /// Sets the length, in bytes, of the longest frame that is read from now on.
+    ///
+    /// ```
+    /// use onyxfall_wire::{FrameError, FrameReader};
+    /// let mut reader = FrameReader::new(&[0, 0, 0, 101][..]);
+    /// reader.limit_frames(100);
+    /// assert!(matches!(reader.read(), Err(FrameError::TooLarge)));
+    /// ```
+    pub fn limit_frames(&mut self, bytes: usize) {
+        self.codec.set_max_frame_length(bytes);
+    }
+
+    /// Underlying stream.
+    ///
+    /// ```
+    /// let mut reader = onyxfall_wire::FrameReader::new(&[1, 2][..]);
+    /// assert_eq!(reader.stream_mut().len(), 2);
+    /// ```
+    pub fn stream_mut(&mut self) -> &mut R {
+        &mut self.stream
+    }
+
     /// Reads the next frame; returns it with its length on the wire.
     ///
     /// # Errors
