Intake: tiny memories leave each port 64 connections

Cause: tests and the soak lower the memory of a VM to 0.25 MB, in order to lower the bound on held bytes; each port of such a VM took 16 connections, fewer than the soak has callers.

Change: the memory lowers a port's connections to 64 at least; descriptors lower them to 16, as before.

--- a/crates/intake/src/machine.rs
+++ b/crates/intake/src/machine.rs
@@ -21,8 +21,10 @@
 const MEMORY_PARTS: u64 = 4;
 /// Memory of a connection: its read and write buffers, and the state of its request.
 const CONNECTION_BYTES: u64 = 32 * 1024;
-/// Fewest connections that a port takes, however small the machine is.
-const MIN_CONNECTIONS: usize = 16;
+/// Fewest connections that a port takes, however little memory and however few descriptors there
+/// are.
+const MIN_BY_MEMORY: usize = 64;
+const MIN_BY_FILES: usize = 16;
 /// Descriptors where the system tells no limit.
 const DEFAULT_OPEN_FILES: usize = 1024;
 /// Fewest descriptors that leave room for connections beside files.
@@ -192,9 +194,10 @@
         let by_files = sockets * share / ALL_SHARES;
         let by_memory = self.memory.map_or(usize::MAX, |memory| {
             let callers = memory.bytes() / MEMORY_PARTS / CONNECTION_BYTES;
-            usize::try_from(callers).unwrap_or(usize::MAX) / CALLER_SHARE * share
+            let callers = usize::try_from(callers).unwrap_or(usize::MAX);
+            (callers / CALLER_SHARE * share).max(MIN_BY_MEMORY)
         });
-        by_files.min(by_memory).max(MIN_CONNECTIONS)
+        by_files.min(by_memory).max(MIN_BY_FILES)
     }
 }
 
--- a/crates/intake/tests/machine.rs
+++ b/crates/intake/tests/machine.rs
@@ -40,6 +40,12 @@
         open_files: 100_000,
         expected: [912, 304, 152, 152, 76],
     },
+    MachineCase {
+        guards: "a VM whose memory is lowered for a test serves few callers",
+        memory: Some(MB / 4),
+        open_files: 100_000,
+        expected: [64, 64, 64, 64, 64],
+    },
     MachineCase {
         guards: "a VM without descriptors for sockets takes no connection",
         memory: Some(120 * MB),
