--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -9,6 +9,7 @@
 mod callers;
 mod capacity;
 mod checks;
+mod crowd;
 mod cuts;
 mod deployment;
 mod failover;
--- a/crates/soak/src/run/phases.rs
+++ b/crates/soak/src/run/phases.rs
@@ -4,13 +4,14 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use onyxfall_fakes::{PathCut, ServerFault, StoreMode};
+use onyxfall_fakes::{CallerCrowd, PathCut, ServerFault, StoreMode};
 use rustix::process::Signal;
 
 use super::{CALLERS, LONG_CALLERS, STEP, SoakRun};
 use crate::brittle;
 use crate::callers::{CallPaths, CallReport, CallerGroup, call, new_agent};
 use crate::checks::BrokenPromise;
+use crate::crowd::crowd_uploads;
 use crate::deployment::{RequestKind, has_plan};
 use crate::failover;
 use crate::partition::{self, PartitionCheck};
@@ -38,6 +39,8 @@
 pub(crate) enum Phase {
     /// A VM receives more large bodies at once than it may hold.
     Burst,
+    /// Callers outside the limits keep their connections to a VM open.
+    Crowd,
     /// The store is silent for moments near changes.
     Silence,
     /// Some VMs are cut from all servers.
@@ -67,7 +70,14 @@
         };
         let parts = seed.is_multiple_of(PARTS_SEEDS).then_some(Self::Parts);
         let repeats = has_narrow_budget(seed).then_some(Self::Repeats);
-        let first = [Self::Burst, Self::Silence, alternating, Self::Failover].into_iter();
+        let first = [
+            Self::Burst,
+            Self::Crowd,
+            Self::Silence,
+            alternating,
+            Self::Failover,
+        ]
+        .into_iter();
         first
             .chain(repeats)
             .chain(parts)
@@ -86,6 +96,7 @@
     ) -> io::Result<()> {
         match phase {
             Phase::Burst => self.check_burst(),
+            Phase::Crowd => self.check_crowd(),
             Phase::Silence => self.check_silences(),
             Phase::Partition => return self.check_partition(callers, size),
             Phase::Brittle => return self.check_brittle(),
@@ -141,6 +152,19 @@
         }
     }
 
+    /// Lets callers outside the limits send to a VM with a bound of held bytes, and checks that it
+    /// keeps to its bound and serves others while their connections are open.
+    fn check_crowd(&mut self) {
+        let Some(vm) = (0..self.targets.len()).find(|vm| has_plan(*vm)) else {
+            return;
+        };
+        let crowd = CallerCrowd::send(self.targets[vm], crowd_uploads());
+        self.read_held(vm);
+        self.wait_served("beside callers outside the limits");
+        self.read_held(vm);
+        drop(crowd);
+    }
+
     /// Silences the store near changes, and checks that every VM acts on the changes soon after.
     fn check_silences(&mut self) {
         for silence in silence::draw_silences(self.seed) {
