Intake: a seed takes links of all VMs that start together

Cause, found by reading: the port for links had 2 of 32 shares, 202 links on a VM of 160 MB with 4,100 descriptors. When a deployment starts, every VM dials the seeds; with 985 VMs most of them would have been turned away, where the code before these limits took them.

Change: links and callers have 10 shares each, 1,200 connections on such a VM. The connections to all ports may take half of the memory, at 24 KiB each. Connections that are closing may be a sixteenth of a port's limit.

--- a/crates/intake/src/connections.rs
+++ b/crates/intake/src/connections.rs
@@ -8,7 +8,7 @@
 use std::fmt;
 
 /// Connections that are closing may be one part in this many of the limit, beyond it.
-const CLOSING_PARTS: usize = 4;
+const CLOSING_PARTS: usize = 16;
 
 /// A connection of a table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/intake/src/machine.rs
+++ b/crates/intake/src/machine.rs
@@ -10,21 +10,23 @@
 /// Descriptors that are left for files.
 const FILE_DESCRIPTORS: usize = 200;
 /// Share of the other descriptors, in 32nds, that the connections to each port may take. The rest is
-/// for connections to servers, other VMs and the store.
-const CALLER_SHARE: usize = 12;
+/// for connections to servers, other VMs and the store. All VMs of a deployment connect to a seed
+/// when they start together.
+const CALLER_SHARE: usize = 10;
+const LINK_SHARE: usize = 10;
 const RELAY_SHARE: usize = 4;
-const LINK_SHARE: usize = 2;
 const DIRECTORY_SHARE: usize = 2;
 const STATUS_SHARE: usize = 1;
 const ALL_SHARES: usize = 32;
-/// The connections of callers may take one part in this many of the memory.
-const MEMORY_PARTS: u64 = 4;
+const PORT_SHARES: usize = CALLER_SHARE + LINK_SHARE + RELAY_SHARE + DIRECTORY_SHARE + STATUS_SHARE;
+/// The connections to all ports may take one part in this many of the memory.
+const MEMORY_PARTS: u64 = 2;
 /// Memory of a connection: its read and write buffers, and the state of its request.
-const CONNECTION_BYTES: u64 = 32 * 1024;
+const CONNECTION_BYTES: u64 = 24 * 1024;
 /// Fewest connections that a port takes, however little memory and however few descriptors there
 /// are.
 const MIN_BY_MEMORY: usize = 64;
-const MIN_BY_FILES: usize = 16;
+const MIN_BY_FILES: usize = 8;
 /// Descriptors where the system tells no limit.
 const DEFAULT_OPEN_FILES: usize = 1024;
 /// Fewest descriptors that leave room for connections beside files.
@@ -179,7 +181,7 @@
     /// ```
     /// use onyxfall_intake::{MachineLimits, PortRole};
     /// let limits = MachineLimits { memory: None, open_files: 3400 };
-    /// assert_eq!(limits.connections(PortRole::Callers), 1200);
+    /// assert_eq!(limits.connections(PortRole::Callers), 1000);
     /// assert_eq!(limits.connections(PortRole::Status), 100);
     /// ```
     pub fn connections(&self, role: PortRole) -> usize {
@@ -193,9 +195,9 @@
         let sockets = self.open_files.saturating_sub(FILE_DESCRIPTORS);
         let by_files = sockets * share / ALL_SHARES;
         let by_memory = self.memory.map_or(usize::MAX, |memory| {
-            let callers = memory.bytes() / MEMORY_PARTS / CONNECTION_BYTES;
-            let callers = usize::try_from(callers).unwrap_or(usize::MAX);
-            (callers / CALLER_SHARE * share).max(MIN_BY_MEMORY)
+            let all = memory.bytes() / MEMORY_PARTS / CONNECTION_BYTES;
+            let all = usize::try_from(all).unwrap_or(usize::MAX);
+            (all / PORT_SHARES * share).max(MIN_BY_MEMORY)
         });
         by_files.min(by_memory).max(MIN_BY_FILES)
     }
