Intake: the kernel's receive buffers have sizes within the memory

Cause: while a request is served, nobody reads its connection. What the caller sends on stays in the kernel, whose buffers count as memory of the machine. No size was set, so that the kernel chose them and lets them grow to megabytes on longer ways.

Change: connections to ports for callers get a size by MachineLimits, in sum a quarter of the memory: the first eighth of a port's connections share half of it, so that callers that are far away are not held up in calm. A listening socket has the small size, since its connections can fill it before they are accepted. Ports for other VMs keep the kernel's sizes.

Result: tests `bytes_behind_requests_leave_the_machine_its_memory` (gateway) and `bytes_behind_requests_leave_an_entrys_machine_its_memory`: 700 callers, each 1 MiB behind a request that a silent or slow server holds, 120 MB, bound 30 MB.

--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -6,9 +6,11 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use onyxfall_http::{HttpLimits, HttpServer};
+use onyxfall_intake::{PortRole, ReceiveBuffers};
 use onyxfall_platform::{PlatformClient, PlatformStore};
 use onyxfall_policy::{MemberHeartbeat, ShutdownPhase};
 use onyxfall_types::Incarnation;
+use socket2::SockRef;
 use thiserror::Error;
 
 use crate::control::{run_heartbeats, run_observers, run_platform_poll, run_platform_watch};
@@ -52,8 +54,14 @@
     tree: JoinHandle<bool>,
 }
 
-fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), StartError> {
+fn listen(
+    address: SocketAddr,
+    buffers: Option<ReceiveBuffers>,
+) -> Result<(TcpListener, SocketAddr), StartError> {
     let bound = TcpListener::bind(address).and_then(|listener| {
+        if let Some(buffers) = buffers {
+            SockRef::from(&listener).set_recv_buffer_size(buffers.inherited())?;
+        }
         let address = listener.local_addr()?;
         Ok((listener, address))
     });
@@ -90,9 +98,12 @@
         settings: EntrySettings,
         platform: Arc<dyn PlatformStore>,
     ) -> Result<Self, StartError> {
-        let (caller_listener, caller_address) = listen(settings.caller_listen)?;
-        let (peer_listener, peer_address) = listen(settings.peer_listen)?;
-        let (admin_listener, admin_address) = listen(settings.admin_listen)?;
+        let buffers = |role| settings.machine.receive_buffers(role);
+        let (caller_listener, caller_address) =
+            listen(settings.caller_listen, buffers(PortRole::Callers))?;
+        let (peer_listener, peer_address) = listen(settings.peer_listen, buffers(PortRole::Links))?;
+        let (admin_listener, admin_address) =
+            listen(settings.admin_listen, buffers(PortRole::Status))?;
         let own = MemberHeartbeat {
             name: settings.name.clone(),
             center: settings.center.clone(),
@@ -104,6 +115,7 @@
         };
         let limits = HttpLimits {
             port: "callers",
+            buffers: buffers(PortRole::Callers),
             overload_reply,
             ..settings.limits.clone()
         };
--- a/crates/entry/tests/crowds.rs
+++ b/crates/entry/tests/crowds.rs
@@ -25,6 +25,16 @@
 /// Largest legal body, and the largest frame between entries.
 const MAX_BODY: usize = 4 * 1024 * 1024;
 const MAX_FRAME: usize = 8 * 1024 * 1024;
+/// Callers that send bytes behind a request, and the bytes of each.
+const PIPELINING_CALLERS: usize = 700;
+const PIPELINED: usize = 1024 * 1024;
+/// Descriptors of their entry, the requests that its service takes at once, and how long it works on
+/// each.
+const PIPELINING_FILES: u64 = 4100;
+const PIPELINING_SLOTS: u32 = 1400;
+const PIPELINING_WORK: Duration = Duration::from_secs(1);
+/// The kernel holds unread bytes in at most one part in this many of the memory.
+const UNREAD_PARTS: u64 = 4;
 /// One caller in this many sends its body to the end.
 const COMPLETE_EVERY: usize = 8;
 /// Attempts of an ordinary caller, the pause before each, and the longest time for a response.
@@ -179,8 +189,12 @@
 
 impl SmallEntry {
     fn start() -> Self {
+        Self::start_with(OPEN_FILES, ServiceSettings::default())
+    }
+
+    fn start_with(open_files: u64, service: ServiceSettings) -> Self {
         let playing = PLAYING.lock().unwrap_or_else(PoisonError::into_inner);
-        let service = FakeService::start(loopback(1), ServiceSettings::default()).unwrap();
+        let service = FakeService::start(loopback(1), service).unwrap();
         let deployment = TestDeployment::new(&[1]);
         let admin = free_address(1);
         let file = std::env::temp_dir().join(format!("{}.ini", deployment.name));
@@ -191,7 +205,7 @@
             .replacen("admin = 127.0.1.1:0", &format!("admin = {admin}"), 1)
             .replacen("body-size = 64KiB", "body-size = 4MiB", 1);
         fs::write(&file, settings).unwrap();
-        let limit = format!("ulimit -n {OPEN_FILES} && exec \"$0\" \"$@\"");
+        let limit = format!("ulimit -n {open_files} && exec \"$0\" \"$@\"");
         let child = Command::new("sh")
             .args(["-c", &limit, env!("CARGO_BIN_EXE_onyxfall-entry")])
             .arg("--settings")
@@ -310,6 +324,29 @@
     play_all(&BODY_CROWDS);
 }
 
+/// Guards against bytes behind a request that fill the kernel's buffers while it is served.
+#[test]
+fn bytes_behind_requests_leave_an_entrys_machine_its_memory() {
+    let service = ServiceSettings {
+        slots: PIPELINING_SLOTS,
+        work: PIPELINING_WORK,
+        ..ServiceSettings::default()
+    };
+    let mut entry = SmallEntry::start_with(PIPELINING_FILES, service);
+    let address = entry.address(EntryPort::Callers);
+    let path = "/v1/services/post/crowd";
+    let mut pipelined = announced(1, 1, 1).upload(path, "host: a.example\r\n", true);
+    pipelined.piece = vec![b'x'; PIECE];
+    pipelined.pieces = PIPELINED / PIECE;
+    let uploads = vec![pipelined; PIPELINING_CALLERS];
+    let (crowd, unread) = CallerCrowd::send_unread(address, uploads);
+    let bound = MEMORY_MB * 1_000_000 / UNREAD_PARTS;
+    assert!(unread <= bound, "{unread} bytes are unread");
+    assert!(entry.is_serving());
+    assert!(entry.is_running());
+    drop(crowd);
+}
+
 /// Guards against connections that use up the descriptors of an entry.
 #[test]
 fn crowds_of_connections_leave_an_entry_descriptors() {
--- a/crates/fakes/src/crowd.rs
+++ b/crates/fakes/src/crowd.rs
@@ -4,13 +4,16 @@
 use std::fmt::Write as _;
 use std::fs;
 use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::thread;
 use std::time::Duration;
 
 /// How long a caller waits for the other side to read before it stops sending. Its connection
 /// stays open.
 const WRITE_LIMIT: Duration = Duration::from_secs(30);
+/// The same for callers whose unread bytes are counted, and the pause between two counts.
+const UNREAD_LIMIT: Duration = Duration::from_secs(3);
+const UNREAD_PAUSE: Duration = Duration::from_millis(50);
 /// Pause between two looks at a process, most looks, and those without growth after which it is
 /// settled. Buffers of its background tasks grow a little at any time.
 const LOOK_PAUSE: Duration = Duration::from_millis(250);
@@ -45,9 +48,10 @@
         self.head.len() + self.piece.len() * self.pieces
     }
 
-    /// Writes until the end, or until the other side closes the connection or reads nothing.
-    fn write(&self, stream: &mut TcpStream) -> std::io::Result<()> {
-        stream.set_write_timeout(Some(WRITE_LIMIT))?;
+    /// Writes until the end, or until the other side closes the connection or reads nothing for
+    /// `patience`.
+    fn write(&self, stream: &mut TcpStream, patience: Duration) -> std::io::Result<()> {
+        stream.set_write_timeout(Some(patience))?;
         stream.set_nodelay(true)?;
         stream.write_all(&self.head)?;
         for _ in 0..self.pieces {
@@ -191,6 +195,40 @@
     }
 }
 
+/// Bytes that the kernel holds for a process that has not read them from the connections to one of
+/// its listening IPv4 addresses.
+fn unread_bytes(address: SocketAddr) -> u64 {
+    let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let lines = table.lines().skip(1).filter_map(parse_socket);
+    let own = lines.filter(|socket| socket.local == address && socket.state != LISTENING);
+    own.map(|socket| socket.unread).sum()
+}
+
+/// State of a listening socket in `/proc/net/tcp`, whose unread bytes are connections.
+const LISTENING: u8 = 0x0a;
+
+/// A line of `/proc/net/tcp`.
+struct KernelSocket {
+    local: SocketAddr,
+    state: u8,
+    unread: u64,
+}
+
+fn parse_socket(line: &str) -> Option<KernelSocket> {
+    let mut fields = line.split_whitespace().skip(1);
+    let (ip, port) = fields.next()?.split_once(':')?;
+    // The address is printed as a number of the machine's byte order.
+    let ip = Ipv4Addr::from(u32::from_str_radix(ip, 16).ok()?.to_ne_bytes());
+    let port = u16::from_str_radix(port, 16).ok()?;
+    let state = u8::from_str_radix(fields.nth(1)?, 16).ok()?;
+    let (_unsent, unread) = fields.next()?.split_once(':')?;
+    Some(KernelSocket {
+        local: SocketAddr::new(IpAddr::V4(ip), port),
+        state,
+        unread: u64::from_str_radix(unread, 16).ok()?,
+    })
+}
+
 /// Open connections of callers that have sent what they meant to send.
 #[derive(Debug, Default)]
 pub struct CallerCrowd {
@@ -210,6 +248,10 @@
     /// assert_eq!(crowd.connections(), 2);
     /// ```
     pub fn send(address: SocketAddr, uploads: Vec<RawUpload>) -> Self {
+        Self::send_within(address, uploads, WRITE_LIMIT)
+    }
+
+    fn send_within(address: SocketAddr, uploads: Vec<RawUpload>, patience: Duration) -> Self {
         let callers: Vec<_> = uploads
             .into_iter()
             .filter_map(|upload| {
@@ -217,7 +259,7 @@
                 let caller = caller.spawn(move || {
                     let mut stream = TcpStream::connect(address).ok()?;
                     // The other side may refuse the rest at any byte.
-                    let _ = upload.write(&mut stream);
+                    let _ = upload.write(&mut stream, patience);
                     Some(stream)
                 });
                 caller.ok()
@@ -230,6 +272,30 @@
         Self { streams }
     }
 
+    /// Sends all uploads as [`Self::send`] does. Returns, too, the most bytes that the kernel held
+    /// unread for the other side meanwhile.
+    ///
+    /// ```
+    /// use onyxfall_fakes::{CallerCrowd, RawUpload};
+    /// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    /// let upload = RawUpload { head: b"unread".to_vec(), ..RawUpload::default() };
+    /// let address = listener.local_addr().unwrap();
+    /// let (_crowd, unread) = CallerCrowd::send_unread(address, vec![upload; 2]);
+    /// assert_eq!(unread, 12);
+    /// ```
+    pub fn send_unread(address: SocketAddr, uploads: Vec<RawUpload>) -> (Self, u64) {
+        thread::scope(|scope| {
+            let crowd = scope.spawn(|| Self::send_within(address, uploads, UNREAD_LIMIT));
+            let mut most = 0;
+            while !crowd.is_finished() {
+                most = unread_bytes(address).max(most);
+                thread::sleep(UNREAD_PAUSE);
+            }
+            let crowd = crowd.join().unwrap_or_default();
+            (crowd, unread_bytes(address).max(most))
+        })
+    }
+
     /// Number of connections that were opened.
     pub fn connections(&self) -> usize {
         self.streams.len()
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -23,7 +23,7 @@
 use onyxfall_held::HeldFull;
 use onyxfall_intake::{
     BodyError, EVICTION_LIMIT, GuardedBody, HoldRule, OpenConnection, PortConnections, PortRole,
-    collect_body, discard_body,
+    ReceiveBuffers, collect_body, discard_body,
 };
 use onyxfall_suspects::EvidenceKey;
 use onyxfall_types::{RefusalReason, RequestError, RunVerdict};
@@ -80,15 +80,18 @@
         (settings.peers, PortRole::Links),
     ];
     for (address, role) in ports {
-        let listener = bind(address)?;
+        let listener = bind(address, settings.machine.receive_buffers(role))?;
         tokio::task::spawn_local(serve_port(Rc::clone(gateway), listener, role));
     }
     Ok(())
 }
 
-fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+fn bind(address: SocketAddr, buffers: Option<ReceiveBuffers>) -> io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
+    if let Some(buffers) = buffers {
+        SockRef::from(&socket).set_recv_buffer_size(buffers.inherited())?;
+    }
     socket
         .bind(address)
         .and_then(|()| socket.listen(BACKLOG))
@@ -135,6 +138,12 @@
             tokio::task::yield_now().await;
             continue;
         };
+        let buffers = gateway.settings().machine.receive_buffers(role);
+        if let Some(size) = buffers.and_then(|buffers| buffers.enlarged(port.count()))
+            && let Err(e) = SockRef::from(&stream).set_recv_buffer_size(size)
+        {
+            log::warn!(error:% = e; "cannot enlarge the receive buffer of a connection");
+        }
         if open.replaces_another() {
             gateway.metrics.count("onyxfall_evicted_connections_total");
         }
--- a/crates/gateway/tests/crowds.rs
+++ b/crates/gateway/tests/crowds.rs
@@ -29,6 +29,15 @@
 const MAX_RELAYED: usize = 8 * 1024 * 1024;
 /// Timeout of the routes and of the callers: nothing of a crowd ends by it.
 const PATIENCE: Duration = Duration::from_mins(2);
+/// Callers that send bytes behind a request, and the bytes of each.
+const PIPELINING_CALLERS: usize = 700;
+const PIPELINED: usize = 1024 * 1024;
+const PIPELINED_PIECE: usize = 64 * 1024;
+/// Servers that take the requests of these callers, and descriptors of their gateway.
+const PIPELINING_SERVERS: usize = 8;
+const PIPELINING_FILES: u64 = 4100;
+/// The kernel holds unread bytes in at most one part in this many of the memory.
+const UNREAD_PARTS: u64 = 4;
 /// One caller in this many sends its body to the end.
 const COMPLETE_EVERY: usize = 8;
 
@@ -276,27 +285,40 @@
     case.shape.upload(case.path, &lines, is_complete)
 }
 
+/// A whole request with a body of so many bytes.
+fn whole_upload(body: usize) -> RawUpload {
+    let shape = UploadShape::Announced {
+        length: body,
+        sent: body,
+        piece: body,
+    };
+    upload(&case("whole", VmPort::Callers, "/repeat/a", 1, shape), 0)
+}
+
 /// A site with one gateway of the smallest size.
 struct SmallSite {
     // Fields drop in order: the gateway before what it depends on.
     gateway: Gateway,
-    _server: ServerStub,
+    servers: Vec<ServerStub>,
     _site: Site,
     _playing: MutexGuard<'static, ()>,
 }
 
 impl SmallSite {
     fn start() -> Self {
+        Self::start_with(OPEN_FILES, 1)
+    }
+
+    fn start_with(open_files: u64, servers: usize) -> Self {
         let playing = PLAYING.lock().unwrap_or_else(PoisonError::into_inner);
         let site = Site::start(1);
-        let server = ServerStub::start(site.ip(0)).unwrap();
-        site.announce("s0", &server, 0);
+        let servers = site.start_servers(servers);
         site.configure_limits(1, PATIENCE, MAX_BODY);
-        let gateway = site.gateway_on(0, MEMORY_MB, OPEN_FILES);
+        let gateway = site.gateway_on(0, MEMORY_MB, open_files);
         gateway.wait_served();
         Self {
             gateway,
-            _server: server,
+            servers,
             _site: site,
             _playing: playing,
         }
@@ -371,6 +393,29 @@
     play_all(&BODY_CROWDS);
 }
 
+/// Guards against bytes behind a request that fill the kernel's buffers while it is served.
+#[test]
+fn bytes_behind_requests_leave_the_machine_its_memory() {
+    let mut site = SmallSite::start_with(PIPELINING_FILES, PIPELINING_SERVERS);
+    let address = site.gateway.callers();
+    site.servers
+        .iter()
+        .for_each(|server| server.set_silent(true));
+    let mut pipelined = whole_upload(1);
+    pipelined.piece = vec![b'x'; PIPELINED_PIECE];
+    pipelined.pieces = PIPELINED / PIPELINED_PIECE;
+    let uploads = vec![pipelined; PIPELINING_CALLERS];
+    let (crowd, unread) = CallerCrowd::send_unread(address, uploads);
+    site.servers
+        .iter()
+        .for_each(|server| server.set_silent(false));
+    let bound = MEMORY_MB * 1_000_000 / UNREAD_PARTS;
+    assert!(unread <= bound, "{unread} bytes are unread");
+    assert!(is_served(&site.gateway));
+    assert!(site.gateway.is_running());
+    drop(crowd);
+}
+
 /// Guards against bytes that other ports than the callers' hold without a bound.
 #[test]
 fn crowds_at_other_ports_leave_a_vm_within_its_memory() {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -13,8 +13,11 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use onyxfall_held::HeldAccount;
-use onyxfall_intake::{EVICTION_LIMIT, GuardedBody, PortConnections, ServedRequest, discard_body};
+use onyxfall_intake::{
+    EVICTION_LIMIT, GuardedBody, PortConnections, ReceiveBuffers, ServedRequest, discard_body,
+};
 use onyxfall_types::ByteSize;
+use socket2::SockRef;
 use tokio::runtime::{Handle, Runtime};
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -39,6 +42,8 @@
     /// Maximum number of open connections; further ones replace those that serve no request, or
     /// are closed on accept.
     pub max_connections: usize,
+    /// Sizes of the receive buffers of connections; without them, the kernel chooses.
+    pub buffers: Option<ReceiveBuffers>,
     /// Maximum number of concurrent requests; further ones get [`Self::overload_reply`].
     pub max_requests: usize,
     /// Account of the bytes of request bodies, whose bound applies to all servers that share it.
@@ -62,6 +67,7 @@
         Self {
             port: "http",
             max_connections: 4096,
+            buffers: None,
             max_requests: 1024,
             held: HeldAccount::default(),
             max_head: ByteSize::new(16 * 1024),
@@ -227,6 +233,15 @@
         return;
     };
     let _ = stream.set_nodelay(true);
+    let open_count = shared.connections.count();
+    if let Some(size) = shared
+        .limits
+        .buffers
+        .and_then(|buffers| buffers.enlarged(open_count))
+        && let Err(e) = SockRef::from(&stream).set_recv_buffer_size(size)
+    {
+        log::warn!("cannot enlarge the receive buffer of a connection: {e}");
+    }
     let open = Arc::new(open);
     let (service_shared, serving) = (Arc::clone(shared), Arc::clone(&open));
     let service = service_fn(move |request| {
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -14,9 +14,11 @@
 mod guarded;
 mod machine;
 mod port;
+mod receive;
 
 pub use body::{BodyError, HoldRule, UPLOAD_GRACE, collect_body, discard_body};
 pub use connections::{Admission, ConnectionId, ConnectionTable, EvictedConnection};
 pub use guarded::GuardedBody;
 pub use machine::{MachineLimits, PortRole, StatedFiles, StatedMemory};
 pub use port::{EVICTION_LIMIT, OpenConnection, PortConnections, ServedRequest};
+pub use receive::ReceiveBuffers;
--- a/crates/intake/src/machine.rs
+++ b/crates/intake/src/machine.rs
@@ -7,6 +7,8 @@
 use onyxfall_types::ByteSize;
 use rustix::process::{Resource, getrlimit};
 
+use crate::receive::ReceiveBuffers;
+
 /// Descriptors that are left for files.
 const FILE_DESCRIPTORS: usize = 200;
 /// Share of the other descriptors, in 32nds, that the connections to each port may take. The rest is
@@ -201,6 +203,25 @@
         });
         by_files.min(by_memory).max(MIN_BY_FILES)
     }
+
+    /// Sizes of the kernel's receive buffers of the connections to a port. `None` for ports of other
+    /// VMs, which may be far away and send a lot: the kernel chooses them.
+    ///
+    /// ```
+    /// use onyxfall_intake::{MachineLimits, PortRole};
+    /// let limits = MachineLimits { memory: None, open_files: 456 };
+    /// assert!(limits.receive_buffers(PortRole::Callers).is_some());
+    /// assert!(limits.receive_buffers(PortRole::Relay).is_none());
+    /// ```
+    pub fn receive_buffers(&self, role: PortRole) -> Option<ReceiveBuffers> {
+        const CALLER_PORTS: [PortRole; 3] =
+            [PortRole::Callers, PortRole::Directory, PortRole::Status];
+        let all = CALLER_PORTS.map(|role| self.connections(role)).iter().sum();
+        let memory = self.memory.map(ByteSize::bytes);
+        CALLER_PORTS
+            .contains(&role)
+            .then(|| ReceiveBuffers::new(memory, self.connections(role), all))
+    }
 }
 
 /// Memory of the machine; `None` if the system does not tell it.
--- a/crates/intake/src/port.rs
+++ b/crates/intake/src/port.rs
@@ -101,6 +101,16 @@
         })
     }
 
+    /// Number of open connections.
+    ///
+    /// ```
+    /// use onyxfall_intake::PortConnections;
+    /// assert_eq!(PortConnections::new("callers").count(), 0);
+    /// ```
+    pub fn count(&self) -> usize {
+        self.lock().table.count()
+    }
+
     /// Whether the next connection replaces another one or is refused.
     ///
     /// ```
@@ -110,7 +120,7 @@
     /// assert!(port.is_full(1));
     /// ```
     pub fn is_full(&self, limit: usize) -> bool {
-        self.lock().table.count() >= limit
+        self.count() >= limit
     }
 
     fn lock(&self) -> MutexGuard<'_, PortState> {
--- a/crates/intake/tests/machine.rs
+++ b/crates/intake/tests/machine.rs
@@ -86,6 +86,32 @@
     }
 }
 
+/// Guards against receive buffers that take more than a quarter of the memory together.
+#[test]
+fn receive_buffers_stay_within_a_quarter_of_the_memory() {
+    const CALLER_PORTS: [PortRole; 3] = [PortRole::Callers, PortRole::Directory, PortRole::Status];
+    for memory in [60 * MB, 120 * MB, 160 * MB, 512 * MB, 8000 * MB] {
+        for open_files in [456, 1024, 4100, 8192] {
+            let limits = MachineLimits {
+                memory: Some(ByteSize::new(memory)),
+                open_files,
+            };
+            let of_port = |role| {
+                let buffers = limits.receive_buffers(role).unwrap();
+                let size = |open| buffers.enlarged(open).unwrap_or(buffers.inherited());
+                (1..=limits.connections(role)).map(size).sum::<usize>()
+            };
+            let all: usize = CALLER_PORTS.into_iter().map(of_port).sum();
+            // The kernel doubles the sizes.
+            let all = u64::try_from(all * 2).unwrap();
+            assert!(
+                all <= memory / 4,
+                "{all} of {memory} bytes, {open_files} files"
+            );
+        }
+    }
+}
+
 #[test]
 fn the_system_tells_what_the_settings_leave_out() {
     let detected = MachineLimits::detect(StatedMemory(None), StatedFiles(None));
