Intake: one place enlarges receive buffers

Cause: gateway and HTTP server set the size of an accepted connection's buffer in the same lines, with two log messages.

Change: ReceiveBuffers::enlarge sets and logs; the HTTP server needs no socket library. No change of behaviour.

--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -138,11 +138,8 @@
             tokio::task::yield_now().await;
             continue;
         };
-        let buffers = gateway.settings().machine.receive_buffers(role);
-        if let Some(size) = buffers.and_then(|buffers| buffers.enlarged(port.count()))
-            && let Err(e) = SockRef::from(&stream).set_recv_buffer_size(size)
-        {
-            log::warn!(error:% = e; "cannot enlarge the receive buffer of a connection");
+        if let Some(buffers) = gateway.settings().machine.receive_buffers(role) {
+            buffers.enlarge(&stream, port.count());
         }
         if open.replaces_another() {
             gateway.metrics.count("onyxfall_evicted_connections_total");
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -17,7 +17,6 @@
     EVICTION_LIMIT, GuardedBody, PortConnections, ReceiveBuffers, ServedRequest, discard_body,
 };
 use onyxfall_types::ByteSize;
-use socket2::SockRef;
 use tokio::runtime::{Handle, Runtime};
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -233,14 +232,8 @@
         return;
     };
     let _ = stream.set_nodelay(true);
-    let open_count = shared.connections.count();
-    if let Some(size) = shared
-        .limits
-        .buffers
-        .and_then(|buffers| buffers.enlarged(open_count))
-        && let Err(e) = SockRef::from(&stream).set_recv_buffer_size(size)
-    {
-        log::warn!("cannot enlarge the receive buffer of a connection: {e}");
+    if let Some(buffers) = shared.limits.buffers {
+        buffers.enlarge(&stream, shared.connections.count());
     }
     let open = Arc::new(open);
     let (service_shared, serving) = (Arc::clone(shared), Arc::clone(&open));
--- a/crates/intake/src/receive.rs
+++ b/crates/intake/src/receive.rs
@@ -4,6 +4,10 @@
 //! request is served. A window that is always small would slow down callers that are far away. So
 //! the first connections to a port get large buffers, and those beyond them small ones.
 
+use std::os::fd::AsFd;
+
+use rustix::net::sockopt::set_socket_recv_buffer_size;
+
 /// Connections to callers' ports may have unread bytes in one part in this many of the memory.
 const MEMORY_PARTS: u64 = 4;
 /// The kernel allocates this many times the size that a program sets.
@@ -72,4 +76,21 @@
     pub fn enlarged(&self, open: usize) -> Option<usize> {
         (open <= self.max_large && self.large > self.small).then_some(self.large)
     }
+
+    /// Sets the size of an accepted connection with which the port has `open` connections. A size
+    /// that cannot be set is logged.
+    ///
+    /// ```
+    /// use onyxfall_intake::{MachineLimits, PortRole};
+    /// let limits = MachineLimits { memory: None, open_files: 3400 };
+    /// let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    /// limits.receive_buffers(PortRole::Status).unwrap().enlarge(&listener, 1);
+    /// ```
+    pub fn enlarge(&self, socket: impl AsFd, open: usize) {
+        let size = self.enlarged(open);
+        let set = size.map_or(Ok(()), |size| set_socket_recv_buffer_size(socket, size));
+        if let Err(e) = set {
+            log::warn!(error:% = e; "cannot enlarge the receive buffer of a connection");
+        }
+    }
 }
