Gateway: a request head has the time that the configuration states

What callers saw: nothing; a caller that stopped within its head kept its connection, and a share of its port, as long as an idle one. Cause: the limit `HeaderTimeoutMs` was not read, and hyper has one timer for heads and idle time.

Change: the adapter reads the limit (without it, the idle limit holds), and `TimedStream` times a head from its first byte. The timer never runs while a connection is idle, a request is served, or the rest of a refused body is read. Heads of other VMs keep the idle limit, since a VM may stand still for seconds. Counter `onyxfall_slow_heads_total` and a log line.

Result: gateway `slow_heads` (limit 1 s, idle limit 2 min): before, the connection was open after 30 s; now it is closed, and pauses of 2 s before a head or within a body end nothing. Cases of `intake heads` in virtual time. crowds, held, limits, endless_bytes and settings pass.

--- a/crates/capacity/src/state/tests.rs
+++ b/crates/capacity/src/state/tests.rs
@@ -73,6 +73,7 @@
     let limits = CallerLimits {
         max_head: 8192,
         max_body: 1 << 20,
+        head_time: Duration::from_secs(30),
         idle: Duration::from_secs(30),
     };
     let rules = teams.iter().enumerate();
--- a/crates/fleet/src/route.rs
+++ b/crates/fleet/src/route.rs
@@ -166,6 +166,8 @@
     pub max_head: usize,
     /// Maximum size of a body in bytes.
     pub max_body: usize,
+    /// Longest time between the first byte of a request head and its end.
+    pub head_time: Duration,
     /// Idle timeout of an open connection.
     pub idle: Duration,
 }
@@ -288,7 +290,8 @@
     ///
     /// ```
     /// use onyxfall_fleet::{CallerLimits, ConfigVersion, RouteTable};
-    /// let limits = CallerLimits { max_head: 1, max_body: 1, idle: std::time::Duration::ZERO };
+    /// let head_time = std::time::Duration::ZERO;
+    /// let limits = CallerLimits { max_head: 1, max_body: 1, head_time, idle: head_time };
     /// let table = RouteTable::new(ConfigVersion(1), Vec::new(), Vec::new(), limits);
     /// assert!(table.find("a.example", "/a/").is_none());
     /// ```
--- a/crates/fleet/tests/choice.rs
+++ b/crates/fleet/tests/choice.rs
@@ -452,6 +452,7 @@
     let limits = CallerLimits {
         max_head: 1,
         max_body: 1,
+        head_time: Duration::ZERO,
         idle: Duration::ZERO,
     };
     RouteTable::new(ConfigVersion(1), rules, Vec::new(), limits)
--- a/crates/fleet/tests/reservation.rs
+++ b/crates/fleet/tests/reservation.rs
@@ -113,6 +113,7 @@
     let limits = CallerLimits {
         max_head: 8192,
         max_body: 1 << 20,
+        head_time: Duration::from_secs(30),
         idle: Duration::from_secs(30),
     };
     let rules = KINDS.iter().map(rule).collect();
--- a/crates/fleet/tests/shares.rs
+++ b/crates/fleet/tests/shares.rs
@@ -163,6 +163,7 @@
     let limits = CallerLimits {
         max_head: 1,
         max_body: 1,
+        head_time: Duration::ZERO,
         idle: Duration::ZERO,
     };
     RouteTable::new(ConfigVersion(1), Vec::new(), vec![service], limits)
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -65,6 +65,7 @@
     let limits = CallerLimits {
         max_head: 1,
         max_body: 1,
+        head_time: Duration::ZERO,
         idle: Duration::ZERO,
     };
     RouteTable::new(ConfigVersion(1), Vec::new(), services.collect(), limits)
--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER, WWW_AUTHENTICATE};
+use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode, Version};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -23,7 +24,7 @@
 use onyxfall_held::HeldFull;
 use onyxfall_intake::{
     BodyError, EVICTION_LIMIT, GuardedBody, HoldRule, OpenConnection, PortConnections, PortRole,
-    ReceiveBuffers, collect_body, discard_body,
+    ReceiveBuffers, RequestTracker, TimedStream, TrackedRequest, collect_body, discard_body,
 };
 use onyxfall_suspects::EvidenceKey;
 use onyxfall_types::{RefusalReason, RequestError, RunVerdict};
@@ -146,10 +147,10 @@
         }
         let gateway = Rc::clone(&gateway);
         match role {
-            PortRole::Callers => serve_connection(gateway, stream, open, handle_caller),
-            PortRole::Status => serve_connection(gateway, stream, open, handle_status),
-            PortRole::Directory => serve_connection(gateway, stream, open, handle_lookup),
-            PortRole::Relay => serve_connection(gateway, stream, open, handle_relayed),
+            PortRole::Callers => serve_connection(gateway, stream, open, role, handle_caller),
+            PortRole::Status => serve_connection(gateway, stream, open, role, handle_status),
+            PortRole::Directory => serve_connection(gateway, stream, open, role, handle_lookup),
+            PortRole::Relay => serve_connection(gateway, stream, open, role, handle_relayed),
             PortRole::Links => serve_link(gateway, stream, from, open),
         }
         if port.is_full(limit) {
@@ -163,27 +164,36 @@
     gateway: Rc<Gateway>,
     stream: TcpStream,
     open: OpenConnection,
+    role: PortRole,
     handle: impl Fn(Rc<Gateway>, Request<Incoming>) -> F + 'static,
 ) where
     F: Future<Output = Response<ReplyBody>> + 'static,
 {
     let limits = gateway.table().map(|table| table.limits());
     let idle = limits.map_or(DEFAULT_IDLE, |limits| limits.idle);
+    // VMs may stand still for longer than a caller may take for a head.
+    let callers_limits = limits.filter(|_| role != PortRole::Relay);
+    let head_time = callers_limits.map_or(idle, |limits| limits.head_time);
     let head = limits.map_or(DEFAULT_HEAD, |limits| limits.max_head);
     let served = Rc::clone(&gateway);
     let is_delimited = Rc::new(Cell::new(true));
     let accepts_chunks = Rc::clone(&is_delimited);
     let open = Arc::new(open);
     let serving = Arc::clone(&open);
-    let service = service_fn(move |request: Request<Incoming>| {
+    let tracker = RequestTracker::default();
+    let stream = TimedStream::new(stream, head_time, tracker.clone());
+    let service = service_fn(move |mut request: Request<Incoming>| {
         let served_request = serving.serve_request();
+        let tracked_request = tracker.begin_request();
+        request.extensions_mut().insert(tracked_request.clone());
         accepts_chunks.set(request.version() >= Version::HTTP_11);
         let handled = handle(Rc::clone(&served), request);
         let guard = OpenRequest::start(&served);
         async move {
             let response = handled.await;
             drop(guard);
-            Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, served_request)))
+            let guards = (served_request, tracked_request);
+            Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, guards)))
         }
     });
     let stream = watch_stalls(Rc::clone(&gateway), stream);
@@ -212,8 +222,16 @@
         };
         if let Err(e) = ended {
             log::debug!("an incoming connection ended: {e}");
+            let stream = connection.into_parts().io.into_inner().into_inner();
+            if stream.has_timed_out() {
+                gateway.metrics.count("onyxfall_slow_heads_total");
+                log::info!(
+                    limit_ms = millis(head_time);
+                    "caller disconnected: its request head took too long"
+                );
+            }
             if !is_delimited.get() {
-                reset(&connection.into_parts().io.into_inner().into_inner());
+                reset(&stream.into_inner());
             }
         }
     });
@@ -230,15 +248,16 @@
 /// Wraps a connection so that it ends when its caller reads nothing while bytes wait.
 fn watch_stalls(
     gateway: Rc<Gateway>,
-    stream: TcpStream,
-) -> CallerStream<TokioIo<TcpStream>, impl Fn(StalledWrite)> {
+    stream: TimedStream<TcpStream>,
+) -> CallerStream<TokioIo<TimedStream<TcpStream>>, impl Fn(StalledWrite)> {
     // Without a bound on held bytes, the kernel's buffer may grow as it likes.
     if gateway.settings().machine.memory.is_some()
-        && let Err(e) = SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT)
+        && let Err(e) = SockRef::from(stream.get_ref()).set_tcp_notsent_lowat(MAX_UNSENT)
     {
         log::warn!(error:% = e; "cannot limit the unsent bytes of a connection");
     }
-    let address = stream.peer_addr().ok().map(|address| address.to_string());
+    let address = stream.get_ref().peer_addr().ok();
+    let address = address.map(|address| address.to_string());
     CallerStream::new(TokioIo::new(stream), move |stalled| {
         gateway.metrics.count("onyxfall_stalled_callers_total");
         log::info!(
@@ -370,7 +389,8 @@
         }
         None => None,
     };
-    let body = match read_body(gateway, body, table.limits().max_body, time_left).await {
+    let max_body = table.limits().max_body;
+    let body = match read_body(gateway, &head, body, max_body, time_left).await {
         Ok(body) => body,
         Err(error) => {
             charge.into_iter().for_each(QuotaCharge::refund);
@@ -500,6 +520,7 @@
 /// is refused is discarded for a while, so that the caller can read why.
 pub(crate) async fn read_body(
     gateway: &Gateway,
+    parts: &Parts,
     mut body: Incoming,
     limit: usize,
     time_left: Duration,
@@ -527,7 +548,11 @@
             return Err(RequestError::not_run(RefusalReason::BadRequest, detail));
         }
     };
-    tokio::task::spawn_local(discard_body(body, limit));
+    let request = parts.extensions.get::<TrackedRequest>().cloned();
+    tokio::task::spawn_local(async move {
+        discard_body(body, limit).await;
+        drop(request);
+    });
     Err(refusal)
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -256,7 +256,7 @@
     for name in RELAY_HEADERS {
         headers.remove(name);
     }
-    let body = read_body(gateway, body, MAX_RELAYED_BODY, time_left).await?;
+    let body = read_body(gateway, &head, body, MAX_RELAYED_BODY, time_left).await?;
     Ok(CallContext {
         request_id: call.request_id,
         route,
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -22,7 +22,7 @@
 use onyxfall_adapter::stub::{
     RouteShape, RouteText, ServiceText, TeamText, caller_headers, config_key, document_body,
     document_with_teams, server_body, server_key, set_prompt_parts, set_prompt_size,
-    with_body_limit,
+    with_body_limit, with_time_limits,
 };
 use onyxfall_fakes::{ServerStub, StoreStub};
 use onyxfall_fleet::{EngineLimits, ServerPhase, ServerRecord, StartTime};
@@ -162,6 +162,15 @@
         self.store.put(config_key(), body);
     }
 
+    /// Writes a configuration with every kind of route, whose callers may take `head` for a request
+    /// head, and leave a connection idle for `idle`.
+    pub fn configure_times(&self, version: u64, head: Duration, idle: Duration) {
+        let body = Self::with_routes(ROUTE_TIMEOUT, |routes, services| {
+            with_time_limits(&document_body(version, routes, services), head, idle)
+        });
+        self.store.put(config_key(), body);
+    }
+
     /// Writes the same configuration with teams, and a route below `/public/` that needs no key.
     pub fn configure_teams(&self, version: u64, teams: &[TeamText<'_>]) {
         let body = Self::with_routes(ROUTE_TIMEOUT, |routes, services| {
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -12,6 +12,7 @@
 mod body;
 mod connections;
 mod guarded;
+mod heads;
 mod machine;
 mod port;
 mod receive;
@@ -19,6 +20,7 @@
 pub use body::{BodyError, HoldRule, UPLOAD_GRACE, collect_body, discard_body};
 pub use connections::{Admission, ConnectionId, ConnectionTable, EvictedConnection};
 pub use guarded::GuardedBody;
+pub use heads::{RequestTracker, TimedStream, TrackedRequest};
 pub use machine::{MachineLimits, PortRole, StatedFiles, StatedMemory};
 pub use port::{EVICTION_LIMIT, OpenConnection, PortConnections, ServedRequest};
 pub use receive::ReceiveBuffers;
