Crowd tests: each crowd twice against one process

Cause: a crowd was played once against each process, so that what stays with the allocator after it did not show. The two crowd tests shared the lines of their checks.

Change: each crowd is played twice in a row, with the bounds as they were, and CrowdBounds in the fakes checks them for both programs.

--- a/crates/entry/tests/crowds.rs
+++ b/crates/entry/tests/crowds.rs
@@ -12,7 +12,7 @@
 use std::thread;
 use std::time::Duration;
 
-use onyxfall_fakes::{CallerCrowd, FakeService, ProcessUse, ServiceSettings, UploadShape};
+use onyxfall_fakes::{CallerCrowd, CrowdBounds, FakeService, ServiceSettings, UploadShape};
 use support::{TestDeployment, free_address, loopback, try_call, wait_until};
 
 /// Memory of the smallest VM, in megabytes.
@@ -37,6 +37,12 @@
 const UNREAD_PARTS: u64 = 4;
 /// One caller in this many sends its body to the end.
 const COMPLETE_EVERY: usize = 8;
+/// Rounds of a crowd against one process: what the first one leaves behind may not add up.
+const ROUNDS: usize = 2;
+const BOUNDS: CrowdBounds = CrowdBounds {
+    memory: MEMORY_MB * 1_000_000,
+    sockets: MAX_SOCKETS,
+};
 /// Attempts of an ordinary caller, the pause before each, and the longest time for a response.
 const ATTEMPTS: usize = 20;
 const ATTEMPT_PAUSE: Duration = Duration::from_millis(250);
@@ -281,36 +287,23 @@
 /// Plays a crowd against an entry. Returns what the entry did not outlive.
 fn play(case: &CrowdCase) -> Vec<String> {
     let mut entry = SmallEntry::start();
-    let uploads = (0..case.callers).map(|caller| {
-        let is_complete = caller.is_multiple_of(COMPLETE_EVERY);
-        let path = "/v1/services/post/crowd";
-        case.shape.upload(path, "host: a.example\r\n", is_complete)
-    });
-    let crowd = CallerCrowd::send(entry.address(case.port), uploads.collect());
     let mut faults = Vec::new();
-    let process = entry.child.id();
-    if let Some(settled) = ProcessUse::wait_settled(process)
-        && entry.is_running()
-    {
-        if settled.sockets > MAX_SOCKETS {
-            faults.push(format!("{} sockets are open", settled.sockets));
-        }
-        if !entry.is_serving() {
-            faults.push("no ordinary request is served".to_owned());
-        }
-        let memory = ProcessUse::of(process).map_or(0, |process| process.peak_memory);
-        if memory > MEMORY_MB * 1_000_000 {
-            faults.push(format!("{memory} bytes of memory"));
-        }
+    for round in 0..ROUNDS {
+        let uploads = (0..case.callers).map(|caller| {
+            let is_complete = caller.is_multiple_of(COMPLETE_EVERY);
+            let path = "/v1/services/post/crowd";
+            case.shape.upload(path, "host: a.example\r\n", is_complete)
+        });
+        let crowd = CallerCrowd::send(entry.address(case.port), uploads.collect());
+        let found = BOUNDS.faults(entry.child.id(), || entry.is_serving());
+        drop(crowd);
+        let found = found.iter().map(|f| format!("{}, {round}: {f}", case.name));
+        faults.extend(found);
     }
     if !entry.is_running() {
-        faults.push("the entry ended".to_owned());
+        faults.push(format!("{}: the entry ended", case.name));
     }
-    drop(crowd);
     faults
-        .iter()
-        .map(|fault| format!("{}: {fault}", case.name))
-        .collect()
 }
 
 fn play_all(cases: &[CrowdCase]) {
--- a/crates/fakes/src/crowd.rs
+++ b/crates/fakes/src/crowd.rs
@@ -208,6 +208,46 @@
     by_remote.values().sum()
 }
 
+/// What a process may take of its machine, whoever connects to it.
+///
+/// ```
+/// use onyxfall_fakes::CrowdBounds;
+/// let bounds = CrowdBounds { memory: u64::MAX, sockets: usize::MAX };
+/// assert!(bounds.faults(std::process::id(), || true).is_empty());
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrowdBounds {
+    /// Most memory, in bytes.
+    pub memory: u64,
+    /// Most open sockets.
+    pub sockets: usize,
+}
+
+impl CrowdBounds {
+    /// What is wrong with a process once it has settled: it has ended, takes more than it may, or
+    /// does not serve an ordinary request.
+    pub fn faults(&self, process: u32, is_served: impl FnOnce() -> bool) -> Vec<String> {
+        let ended = || vec!["the process ended".to_owned()];
+        let Some(settled) = ProcessUse::wait_settled(process) else {
+            return ended();
+        };
+        let mut faults = Vec::new();
+        if settled.sockets > self.sockets {
+            faults.push(format!("{} sockets are open", settled.sockets));
+        }
+        if !is_served() {
+            faults.push("no ordinary request is served".to_owned());
+        }
+        let Some(last) = ProcessUse::of(process) else {
+            return ended();
+        };
+        if last.peak_memory > self.memory {
+            faults.push(format!("{} bytes of memory", last.peak_memory));
+        }
+        faults
+    }
+}
+
 /// State of a listening socket in `/proc/net/tcp`, whose unread bytes are connections.
 const LISTENING: u8 = 0x0a;
 
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -17,7 +17,7 @@
 mod slots;
 mod store;
 
-pub use crowd::{CallerCrowd, ProcessUse, RawUpload, UploadShape};
+pub use crowd::{CallerCrowd, CrowdBounds, ProcessUse, RawUpload, UploadShape};
 pub use engine::{EngineFaults, EngineSettings, FakeEngine};
 pub use faulty_link::{FaultyLink, LinkMode, PathCut};
 pub use link::{FakeLink, LinkRules};
--- a/crates/gateway/tests/crowds.rs
+++ b/crates/gateway/tests/crowds.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use onyxfall_adapter::stub::caller_headers;
-use onyxfall_fakes::{CallerCrowd, ProcessUse, RawUpload, ServerStub, UploadShape};
+use onyxfall_fakes::{CallerCrowd, CrowdBounds, RawUpload, ServerStub, UploadShape};
 use support::{Gateway, HOST, SERVICE, Site, send};
 
 /// Memory of the smallest VM, in megabytes.
@@ -40,6 +40,12 @@
 const UNREAD_PARTS: u64 = 4;
 /// One caller in this many sends its body to the end.
 const COMPLETE_EVERY: usize = 8;
+/// Rounds of a crowd against one process: what the first one leaves behind may not add up.
+const ROUNDS: usize = 2;
+const BOUNDS: CrowdBounds = CrowdBounds {
+    memory: MEMORY_MB * 1_000_000,
+    sockets: MAX_SOCKETS,
+};
 
 /// Attempts of an ordinary caller, and the pause before each.
 const ATTEMPTS: usize = 20;
@@ -329,32 +335,19 @@
 fn play(case: &CrowdCase) -> Vec<String> {
     let mut site = SmallSite::start();
     let gateway = &mut site.gateway;
-    let uploads = (0..case.callers).map(|caller| upload(case, caller));
-    let crowd = CallerCrowd::send(case.port.address(gateway), uploads.collect());
     let mut faults = Vec::new();
-    let process = gateway.child.id();
-    if let Some(settled) = ProcessUse::wait_settled(process)
-        && gateway.is_running()
-    {
-        if settled.sockets > MAX_SOCKETS {
-            faults.push(format!("{} sockets are open", settled.sockets));
-        }
-        if !is_served(gateway) {
-            faults.push("no ordinary request is served".to_owned());
-        }
-        let memory = ProcessUse::of(process).map_or(0, |process| process.peak_memory);
-        if memory > MEMORY_MB * 1_000_000 {
-            faults.push(format!("{memory} bytes of memory"));
-        }
+    for round in 0..ROUNDS {
+        let uploads = (0..case.callers).map(|caller| upload(case, caller));
+        let crowd = CallerCrowd::send(case.port.address(gateway), uploads.collect());
+        let found = BOUNDS.faults(gateway.child.id(), || is_served(gateway));
+        drop(crowd);
+        let found = found.iter().map(|f| format!("{}, {round}: {f}", case.name));
+        faults.extend(found);
     }
     if !gateway.is_running() {
-        faults.push("the gateway ended".to_owned());
+        faults.push(format!("{}: the gateway ended", case.name));
     }
-    drop(crowd);
     faults
-        .iter()
-        .map(|fault| format!("{}: {fault}", case.name))
-        .collect()
 }
 
 /// Whether a gateway serves an ordinary request within some attempts.
