--- a/crates/gateway/src/listen.rs
+++ b/crates/gateway/src/listen.rs
@@ -100,10 +100,7 @@
 }
 
 /// Accepts the next connection, and waits while the system has no descriptor left.
-pub(crate) async fn accept(
-    listener: &TcpListener,
-    user_timeout: Duration,
-) -> (TcpStream, SocketAddr) {
+async fn accept(listener: &TcpListener, user_timeout: Duration) -> (TcpStream, SocketAddr) {
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -4,7 +4,8 @@
 //! [`MachineLimits`] tells what the machine has, and how it is shared out. [`collect_body`]
 //! receives a body within an account of held bytes; while the account is full, uploads that take
 //! long give way to others. [`ConnectionTable`] decides which connection gives way to a new one, and
-//! [`PortConnections`] closes it.
+//! [`PortConnections`] closes it. [`ReceiveBuffers`] sizes what the kernel holds unread, and
+//! [`TimedStream`] limits the time of a request head.
 //!
 //! Invariant: what others make a VM hold does not depend on how many connect, what they announce,
 //! or how they cut what they send into pieces.
